--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocols, for model checking."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems waxwingarch talks to."""
--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Failure tests on real processes."""
--- /dev/null
+++ b/tests/model/__init__.py
@@ -0,0 +1,1 @@
+"""Model checks."""
--- /dev/null
+++ b/waxwingarch/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for language models on reclaimable hosts."""
--- /dev/null
+++ b/waxwingarch/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports over real transports."""
--- /dev/null
+++ b/waxwingarch/const.py
@@ -0,0 +1,18 @@
+"""Constants shared by the daemon and the command-line tool."""
+
+from typing import Final
+
+VERSION: Final = "0.1.0"
+
+HEADER_IDEMPOTENCY_KEY: Final = "idempotency-key"
+HEADER_LAST_EVENT_ID: Final = "last-event-id"
+HEADER_NON_IDEMPOTENT: Final = "x-non-idempotent"
+HEADER_REQUEST_ID: Final = "x-request-id"
+HEADER_DEADLINE_MS: Final = "x-deadline-ms"
+
+EXIT_OK: Final = 0
+EXIT_FAILURE: Final = 1
+EXIT_USAGE: Final = 2
+EXIT_SETTINGS: Final = 3
+EXIT_ADDRESS_IN_USE: Final = 4
+EXIT_FORCED_STOP: Final = 5
--- /dev/null
+++ b/waxwingarch/core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no I/O, no clock, no global random source."""
--- /dev/null
+++ b/waxwingarch/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces between the daemon and what lies outside it."""
--- /dev/null
+++ b/waxwingarch/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entry hosts: definitions and generated code."""
--- /dev/null
+++ b/waxwingarch/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own sockets and state and talk by messages."""
--- /dev/null
+++ b/waxwingctl/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line tool of waxwingarch."""
