--- /dev/null
+++ b/waxwingarch/core/items.py
@@ -0,0 +1,108 @@
+"""Items that spread by gossip between entry hosts.
+
+Each item has a key; of two items with the same key the merge rule keeps
+one, so that merging is commutative, associative and idempotent.
+"""
+
+from dataclasses import dataclass
+
+from waxwingarch.core.base import (
+    AccountId,
+    HostId,
+    ServerId,
+    ServiceId,
+    VersionId,
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SettingsRevision:
+    """The highest settings revision known; the greater number wins."""
+
+    revision: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeavingServer:
+    """A server incarnation that gets no new requests.
+
+    `deadline_unix` is when its host goes, in Unix seconds; the earliest
+    wins. Once known, an incarnation stays leaving.
+    """
+
+    server_id: ServerId
+    incarnation: int
+    deadline_unix: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StopMark:
+    """A version that must get no traffic; it is never withdrawn.
+
+    `move_id` names the move whose evidence stopped it; a later move of
+    the same version has another id and starts unmarked.
+    """
+
+    service: ServiceId
+    version: VersionId
+    move_id: str
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SpentShare:
+    """What one host has used of a client account's limit.
+
+    `requests` grows over the life of the host's incarnation; the
+    greater `(incarnation, requests)` wins. `wanted` is the demand in
+    requests a second over the last window, `running` the requests in
+    progress.
+    """
+
+    account: AccountId
+    host_id: HostId
+    incarnation: int
+    requests: int
+    wanted: float
+    running: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoadSummary:
+    """Load of a server as its watcher last read it.
+
+    The greater `(incarnation, as_of_ms)` wins; `as_of_ms` is the
+    server's own clock, in milliseconds.
+    """
+
+    server_id: ServerId
+    incarnation: int
+    as_of_ms: int
+    running: int
+    waiting: int
+    kv_used: int
+    kv_total: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CacheSummary:
+    """Prefix blocks that a server is believed to hold.
+
+    `blocks` are 64-bit block hashes truncated to 32 bits, the hottest
+    ones first; the greater `(incarnation, sequence)` wins.
+    """
+
+    server_id: ServerId
+    incarnation: int
+    sequence: int
+    blocks: tuple[int, ...]
+
+
+Item = (
+    SettingsRevision
+    | LeavingServer
+    | StopMark
+    | SpentShare
+    | LoadSummary
+    | CacheSummary
+)
