--- /dev/null
+++ b/tests/adapters/test_http.py
@@ -0,0 +1,85 @@
+"""Tests of the HTTP server and client together."""
+
+import asyncio
+
+import testtools
+
+from tests.helpers import async_test
+from waxwingarch.adapters.http_client import (
+    ConnectFailedError,
+    CutLinkError,
+    HttpClient,
+    SilentLinkError,
+)
+from waxwingarch.adapters.http_server import (
+    HttpRequest,
+    HttpResponder,
+    HttpServer,
+)
+
+
+async def _handle(req: HttpRequest, resp: HttpResponder) -> None:
+    if req.path == "/echo":
+        await resp.async_send(200, req.body)
+    elif req.path == "/stream":
+        await resp.async_start(200, [])
+        for piece in (b"a", b"b", b"c"):
+            await resp.async_write(piece)
+        await resp.async_end()
+    elif req.path == "/silent":
+        await resp.gone.wait()
+    elif req.path == "/cut":
+        await resp.async_start(200, [])
+        await resp.async_write(b"half")
+        resp.abort()
+
+
+class HttpRoundTrip(testtools.TestCase):
+    @async_test
+    async def test_answers_and_failures(self) -> None:
+        server = HttpServer(_handle)
+        port = await server.async_setup("127.0.0.1", 0)
+        client = HttpClient()
+        address = f"127.0.0.1:{port}"
+        now = asyncio.get_running_loop().time
+        for _ in range(2):
+            answer = await client.async_request(
+                "POST", address, "/echo", deadline=now() + 5, body=b"hi"
+            )
+            self.assertEqual((200, b"hi"), (answer.status, answer.body))
+        self.assertEqual(1, len(server.connections))
+        answer = await client.async_request(
+            "GET", address, "/stream", deadline=now() + 5
+        )
+        self.assertEqual(b"abc", answer.body)
+        with testtools.ExpectedException(SilentLinkError):
+            await client.async_request(
+                "GET", address, "/silent", deadline=now() + 0.1
+            )
+        with testtools.ExpectedException(CutLinkError):
+            await client.async_request(
+                "GET", address, "/cut", deadline=now() + 5
+            )
+        await client.async_unload()
+        await server.async_unload()
+        with testtools.ExpectedException(ConnectFailedError):
+            await client.async_request(
+                "GET", address, "/echo", deadline=now() + 5
+            )
+
+    @async_test
+    async def test_broken_input_is_refused(self) -> None:
+        server = HttpServer(_handle)
+        port = await server.async_setup("127.0.0.1", 0)
+        cases = (
+            (b"nonsense\r\n\r\n", b"HTTP/1.1 400"),
+            (b"GET / HTTP/1.1\r\nx: " + b"y" * 70000, b"HTTP/1.1 431"),
+        )
+        for sent, expected in cases:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(sent)
+            answer = await reader.read(1000)
+            self.assertTrue(answer.startswith(expected), answer)
+            self.assertIn(b'"ran":"not run"', answer)
+            writer.close()
+        await server.async_unload()
--- /dev/null
+++ b/waxwingarch/adapters/http_server.py
@@ -0,0 +1,388 @@
+"""HTTP/1.1 server side over h11, one asyncio protocol a connection."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any, Final, Protocol
+from urllib.parse import parse_qsl, urlsplit
+
+import h11
+
+MAX_HEADER_BYTES: Final = 32 * 1024
+MAX_BODY_BYTES: Final = 8 * 1024 * 1024
+REQUEST_READ_LIMIT_S: Final = 10.0
+IDLE_LIMIT_S: Final = 75.0
+WRITE_STALL_LIMIT_S: Final = 20.0
+WRITE_HIGH_WATER_BYTES: Final = 256 * 1024
+
+JSON_TYPE: Final = ("content-type", "application/json")
+
+Headers = Sequence[tuple[str, str]]
+
+
+class CallerGoneError(ConnectionError):
+    """The caller closed or stalled; stop the work, nothing can be sent."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HttpRequest:
+    """One request as read from the wire; header names are lower-case."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body parsed as JSON; raises `ValueError`."""
+        return json.loads(self.body) if self.body else None
+
+
+class HttpResponder(Protocol):
+    """Sends the answer to one request."""
+
+    @property
+    def started(self) -> bool:
+        """Whether the status line was sent."""
+
+    @property
+    def gone(self) -> asyncio.Event:
+        """Set once the caller closed its connection."""
+
+    async def async_start(self, status: int, headers: Headers) -> None:
+        """Send the status line and headers of a chunked answer."""
+
+    async def async_write(self, data: bytes) -> None:
+        """Send a piece of the body; raises `CallerGoneError`."""
+
+    async def async_end(self) -> None:
+        """End a chunked answer."""
+
+    async def async_send(
+        self, status: int, body: bytes, headers: Headers = ()
+    ) -> None:
+        """Send a whole answer."""
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+
+
+Handler = Callable[[HttpRequest, HttpResponder], Awaitable[None]]
+
+
+def json_body(value: object) -> bytes:
+    """Return `value` as compact JSON bytes."""
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+@dataclass(slots=True)
+class _Reading:
+    """The request that is being read on a connection."""
+
+    head: h11.Request | None = None
+    parts: list[bytes] = field(default_factory=list)
+    size: int = 0
+
+
+class _Connection(asyncio.Protocol):
+    """One caller's connection: reads requests, runs the handler."""
+
+    def __init__(self, server: "HttpServer") -> None:
+        self._server = server
+        self._conn = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+        self._reading = _Reading()
+        self._transport: asyncio.Transport
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self._started = False
+        self._gone = asyncio.Event()
+        self._closing = False
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        self._server.connections.add(self)
+        self._arm(IDLE_LIMIT_S)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._disarm()
+        self._gone.set()
+        self._can_write.set()
+        self._server.connections.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._conn.receive_data(data)
+        except h11.RemoteProtocolError as exc:
+            self._reject(exc)
+            return
+        if self._task is None:
+            self._arm(REQUEST_READ_LIMIT_S)
+            self._pump()
+
+    def eof_received(self) -> bool:
+        self._gone.set()
+        return False
+
+    def pause_writing(self) -> None:
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        self._can_write.set()
+
+    # reading
+
+    def _arm(self, limit_s: float) -> None:
+        self._disarm()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(limit_s, self._transport.abort)
+
+    def _disarm(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+
+    def _pump(self) -> None:
+        """Take events off h11 until a request is whole or data lacks."""
+        while self._task is None:
+            try:
+                event = self._conn.next_event()
+            except h11.RemoteProtocolError as exc:
+                self._reject(exc)
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if not self._take(event):
+                return
+
+    def _take(self, event: object) -> bool:
+        match event:
+            case h11.Request():
+                self._reading = _Reading(head=event)
+                if self._conn.they_are_waiting_for_100_continue:
+                    self._write(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+            case h11.Data():
+                self._reading.size += len(event.data)
+                if self._reading.size > MAX_BODY_BYTES:
+                    self._refuse(413, "body_too_large", "send a smaller body")
+                    return False
+                self._reading.parts.append(bytes(event.data))
+            case h11.EndOfMessage():
+                self._disarm()
+                self._begin()
+            case _:
+                self._transport.close()
+                return False
+        return True
+
+    def _begin(self) -> None:
+        head = self._reading.head
+        assert head is not None
+        target = urlsplit(head.target.decode("ascii", "replace"))
+        req = HttpRequest(
+            method=head.method.decode("ascii"),
+            path=target.path,
+            query=dict(parse_qsl(target.query)),
+            headers={
+                k.decode("ascii").lower(): v.decode("latin-1")
+                for k, v in head.headers
+            },
+            body=b"".join(self._reading.parts),
+        )
+        self._started = False
+        self._task = asyncio.get_running_loop().create_task(self._run(req))
+
+    async def _run(self, req: HttpRequest) -> None:
+        try:
+            await self._server.handler(req, self)
+        except CallerGoneError:
+            self._transport.abort()
+        except asyncio.CancelledError:
+            self._transport.abort()
+            raise
+        except Exception as exc:
+            self._server.on_error(exc)
+            if self._started:
+                self._transport.abort()
+            else:
+                self._refuse(500, "internal", "report this to the operators")
+        finally:
+            self._task = None
+        self._next_cycle()
+
+    def _next_cycle(self) -> None:
+        if self._transport.is_closing():
+            return
+        done = self._conn.our_state is h11.DONE
+        if not done or self._closing or self._server.draining:
+            self._transport.close()
+            return
+        try:
+            self._conn.start_next_cycle()
+        except h11.LocalProtocolError:
+            self._transport.close()
+            return
+        self._arm(IDLE_LIMIT_S)
+        self._pump()
+
+    # refusing broken input
+
+    def _reject(self, exc: h11.RemoteProtocolError) -> None:
+        if self._task is not None:
+            self._transport.abort()
+            return
+        self._refuse(
+            exc.error_status_hint,
+            "bad_http",
+            f"send valid HTTP/1.1: {exc}",
+        )
+
+    def _refuse(self, status: int, kind: str, remedy: str) -> None:
+        if self._conn.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            self._transport.abort()
+            return
+        error = {"type": kind, "message": remedy, "ran": "not run"}
+        body = json_body({"error": error})
+        headers = _encoded(
+            [
+                JSON_TYPE,
+                ("content-length", str(len(body))),
+                ("connection", "close"),
+            ]
+        )
+        self._write(h11.Response(status_code=status, headers=headers))
+        self._write(h11.Data(data=body))
+        self._write(h11.EndOfMessage())
+        self._transport.close()
+
+    # HttpResponder
+
+    @property
+    def started(self) -> bool:
+        return self._started
+
+    @property
+    def gone(self) -> asyncio.Event:
+        return self._gone
+
+    def _write(self, event: Any) -> None:
+        data = self._conn.send(event)
+        if data:
+            self._transport.write(data)
+
+    async def _drain(self) -> None:
+        if self._gone.is_set():
+            raise CallerGoneError("the caller closed the connection")
+        if self._can_write.is_set():
+            return
+        try:
+            async with asyncio.timeout(WRITE_STALL_LIMIT_S):
+                await self._can_write.wait()
+        except TimeoutError:
+            self._transport.abort()
+            raise CallerGoneError("the caller stopped reading") from None
+
+    async def async_start(self, status: int, headers: Headers) -> None:
+        self._started = True
+        extra = [("transfer-encoding", "chunked"), *self._close_header()]
+        self._write(
+            h11.Response(
+                status_code=status, headers=_encoded([*headers, *extra])
+            )
+        )
+        await self._drain()
+
+    async def async_write(self, data: bytes) -> None:
+        if data:
+            self._write(h11.Data(data=data))
+        await self._drain()
+
+    async def async_end(self) -> None:
+        self._write(h11.EndOfMessage())
+
+    async def async_send(
+        self, status: int, body: bytes, headers: Headers = ()
+    ) -> None:
+        self._started = True
+        if self._gone.is_set():
+            raise CallerGoneError("the caller closed the connection")
+        extra = [("content-length", str(len(body))), *self._close_header()]
+        head = h11.Response(
+            status_code=status, headers=_encoded([*headers, *extra])
+        )
+        data = self._conn.send(head) or b""
+        data += self._conn.send(h11.Data(data=body)) or b""
+        data += self._conn.send(h11.EndOfMessage()) or b""
+        self._transport.write(data)
+
+    def _close_header(self) -> list[tuple[str, str]]:
+        if not self._server.draining:
+            return []
+        self._closing = True
+        return [("connection", "close")]
+
+    def abort(self) -> None:
+        self._transport.abort()
+
+    # drain
+
+    def close_if_idle(self) -> None:
+        """Close a connection that has no request in progress."""
+        if self._task is None and self._conn.their_state is h11.IDLE:
+            self._transport.close()
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is in progress on this connection."""
+        return self._task is not None
+
+
+class HttpServer:
+    """Listens on one address and runs a handler for each request."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        on_error: Callable[[Exception], None] = lambda exc: None,
+    ) -> None:
+        self.handler = handler
+        self.on_error = on_error
+        self.connections: set[_Connection] = set()
+        self.draining = False
+        self._server: asyncio.Server | None = None
+
+    async def async_setup(self, host: str, port: int) -> int:
+        """Listen; returns the port, which is chosen where `port` is 0."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(self), host, port, backlog=1024
+        )
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def start_drain(self) -> None:
+        """Close idle connections; busy ones close after their answer."""
+        self.draining = True
+        for conn in list(self.connections):
+            conn.close_if_idle()
+
+    async def async_unload(self) -> None:
+        """Stop listening and drop what connections remain."""
+        if self._server:
+            self._server.close()
+        for conn in list(self.connections):
+            conn.abort()
+
+
+def _encoded(headers: Headers) -> list[tuple[bytes, bytes]]:
+    return [(k.encode("ascii"), v.encode("latin-1")) for k, v in headers]
