--- /dev/null
+++ b/waxwingarch/core/stream.py
@@ -0,0 +1,330 @@
+"""One accepted model request: attempts, resumes and the whole answer.
+
+The machine asks its node for a server by ending in `WAITING`; the node
+calls `assign` when it has one.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+from waxwingarch.core.assembly import GapError, Prefix, TokenAssembly
+from waxwingarch.core.base import Action, AttemptId, Ran, Server, ServerId
+from waxwingarch.core.refusal import Refusal, RefusalReason
+from waxwingarch.core.request import (
+    AttemptEnded,
+    AttemptEvent,
+    AttemptLost,
+    AttemptMode,
+    ChunkArrived,
+    Complete,
+    Deliver,
+    DropAttempt,
+    LossKind,
+    Refuse,
+    Request,
+    StartAttempt,
+)
+
+SILENCE_LIMIT_MAX_S: Final = 2.0
+SILENCE_LIMIT_MIN_S: Final = 0.5
+BETWEEN_TOKENS_FACTOR: Final = 20.0
+MAX_ATTACHES_IN_A_ROW: Final = 2
+RETRY_AFTER_S: Final = 1.0
+
+
+class StreamState(StrEnum):
+    """Where an accepted model request stands."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+FINAL_STATES: Final = frozenset(
+    {StreamState.DONE, StreamState.FAILED, StreamState.CANCELLED}
+)
+
+# What to do about a lost attempt: ask the same server for the stream it
+# still holds, or go on elsewhere from the tokens seen.
+ATTACHABLE: Final[dict[LossKind, bool]] = {
+    LossKind.NOT_SENT: False,
+    LossKind.REFUSED: False,
+    LossKind.CUT: True,
+    LossKind.SILENT: True,
+    LossKind.FAILED: False,
+    LossKind.NOT_HELD: False,
+    LossKind.GAP: True,
+    LossKind.MISMATCH: False,
+}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Attempt:
+    """The attempt whose chunks count; those of others are dropped."""
+
+    attempt_id: AttemptId
+    server: Server
+    stream_id: str
+
+
+class StreamMachine:
+    """State of one accepted model request."""
+
+    def __init__(self, now: float, request: Request) -> None:
+        self.request = request
+        self.state = StreamState.WAITING
+        resume = request.resume
+        self.assembly = TokenAssembly(
+            Prefix(offset=resume.offset, digest=resume.digest)
+            if resume
+            else None
+        )
+        self.attempt: Attempt | None = None
+        self.progress_deadline = request.deadline
+        self.failed_servers: set[ServerId] = set()
+        self.dispatched = False
+        self.first_token_at: float | None = None
+        self.started_at = now
+        self._attempts = 0
+        self._attaches = 0
+        self._kv_from: str | None = None
+        self._handlers: dict[
+            type[AttemptEvent], Callable[[float, AttemptEvent], list[Action]]
+        ] = {
+            ChunkArrived: self._chunk,
+            AttemptEnded: self._ended,
+            AttemptLost: self._lost,
+        }
+
+    @property
+    def finished(self) -> bool:
+        """Whether the final answer was given."""
+        return self.state in FINAL_STATES
+
+    # What the node asks for
+
+    def assign(self, now: float, server: Server) -> list[Action]:
+        """Begin an attempt on a server that the node has chosen."""
+        if self.state is not StreamState.WAITING:
+            return []
+        mode = AttemptMode.FRESH
+        if self.assembly.offset:
+            mode = AttemptMode.RESUME
+        stream_id = f"{self.request.request_id}-{self._attempts}"
+        return self._start(now, server, stream_id, mode)
+
+    def attach(
+        self, now: float, server: Server, stream_id: str
+    ) -> list[Action]:
+        """Attach to a stream that a server is believed to hold."""
+        return self._start(now, server, stream_id, AttemptMode.ATTACH)
+
+    def preload(self, tokens: tuple[str, ...]) -> None:
+        """Take over the tokens that another entry host had seen."""
+        self.assembly.add(0, tokens)
+
+    def handle(self, now: float, event: AttemptEvent) -> list[Action]:
+        """Take an event of an attempt; those of old attempts are void."""
+        if self.finished or self.attempt is None:
+            return []
+        if event.attempt_id != self.attempt.attempt_id:
+            return []
+        return self._handlers[type(event)](now, event)
+
+    def displace(
+        self, now: float, *, kv_from: str | None = None
+    ) -> list[Action]:
+        """Leave the present server; go on elsewhere from the offset."""
+        if self.state is not StreamState.RUNNING:
+            return []
+        self._kv_from = kv_from
+        drop = self._drop(cancel=kv_from is None)
+        self._wait()
+        return drop
+
+    def caller_gone(self) -> list[Action]:
+        """Stop the work: nobody reads the answer."""
+        if self.finished:
+            return []
+        drop = self._drop(cancel=True)
+        self.state = StreamState.CANCELLED
+        return drop
+
+    def tick(self, now: float) -> list[Action]:
+        """Act on deadlines that have passed."""
+        if self.finished:
+            return []
+        if now >= self.request.deadline:
+            return self._fail(
+                RefusalReason.DEADLINE,
+                "ask for a shorter answer or a later deadline",
+            )
+        silent = now >= self.progress_deadline
+        if self.state is not StreamState.RUNNING or not silent:
+            return []
+        assert self.attempt is not None
+        lost = AttemptLost(
+            request_id=self.request.request_id,
+            attempt_id=self.attempt.attempt_id,
+            kind=LossKind.SILENT,
+        )
+        return self._lost(now, lost)
+
+    def give_up(self, reason: RefusalReason, message: str) -> list[Action]:
+        """End with a refusal, at once."""
+        return self._fail(reason, message)
+
+    # Attempts
+
+    def _start(
+        self, now: float, server: Server, stream_id: str, mode: AttemptMode
+    ) -> list[Action]:
+        attempt_id = AttemptId(f"{self.request.request_id}.{self._attempts}")
+        self._attempts += 1
+        self.attempt = Attempt(
+            attempt_id=attempt_id, server=server, stream_id=stream_id
+        )
+        self.state = StreamState.RUNNING
+        self.dispatched = True
+        self._note_progress(now)
+        kv_from, self._kv_from = self._kv_from, None
+        resumed = mode is AttemptMode.RESUME
+        return [
+            StartAttempt(
+                request_id=self.request.request_id,
+                attempt_id=attempt_id,
+                server_id=server.server_id,
+                address=server.address,
+                stream_id=stream_id,
+                mode=mode,
+                offset=self.assembly.offset,
+                tokens=tuple(self.assembly.tokens) if resumed else (),
+                kv_from=kv_from,
+                answer_deadline=self.request.deadline,
+            )
+        ]
+
+    def _note_progress(self, now: float) -> None:
+        limit = min(SILENCE_LIMIT_MAX_S, self.request.first_token_s * 2)
+        if self.assembly.offset:
+            limit = self.request.between_tokens_s * BETWEEN_TOKENS_FACTOR
+        limit = min(max(limit, SILENCE_LIMIT_MIN_S), SILENCE_LIMIT_MAX_S)
+        self.progress_deadline = now + limit
+
+    def _drop(self, *, cancel: bool) -> list[Action]:
+        if self.attempt is None:
+            return []
+        return [
+            DropAttempt(
+                attempt_id=self.attempt.attempt_id,
+                address=self.attempt.server.address,
+                stream_id=self.attempt.stream_id,
+                cancel=cancel,
+            )
+        ]
+
+    def _wait(self) -> None:
+        self.state = StreamState.WAITING
+        self.attempt = None
+        self._attaches = 0
+        self.progress_deadline = self.request.deadline
+
+    # Events of the present attempt
+
+    def _chunk(self, now: float, event: AttemptEvent) -> list[Action]:
+        assert isinstance(event, ChunkArrived) and self.attempt is not None
+        try:
+            fresh = self.assembly.add(event.offset, event.tokens)
+        except GapError:
+            return self._lose(now, LossKind.GAP)
+        if not self.assembly.prefix_ok:
+            return self._fail(
+                RefusalReason.RESUME_MISMATCH,
+                "start anew without Last-Event-ID: the answer has changed",
+            )
+        self._note_progress(now)
+        self._attaches = 0
+        if not fresh:
+            return []
+        if self.first_token_at is None:
+            self.first_token_at = now
+        return [
+            Deliver(
+                request_id=self.request.request_id,
+                server_id=self.attempt.server.server_id,
+                stream_id=self.attempt.stream_id,
+                offset=self.assembly.offset - len(fresh),
+                tokens=fresh,
+                digest=self.assembly.digest,
+            )
+        ]
+
+    def _ended(self, now: float, event: AttemptEvent) -> list[Action]:
+        assert isinstance(event, AttemptEnded) and self.attempt is not None
+        if not self.assembly.is_whole(event.total, event.digest):
+            short = self.assembly.offset < event.total
+            kind = LossKind.GAP if short else LossKind.MISMATCH
+            return self._lose(now, kind)
+        self.state = StreamState.DONE
+        return [
+            Complete(
+                request_id=self.request.request_id,
+                attempt_id=self.attempt.attempt_id,
+                total=event.total,
+                digest=event.digest,
+            )
+        ]
+
+    def _lose(self, now: float, kind: LossKind) -> list[Action]:
+        assert self.attempt is not None
+        lost = AttemptLost(
+            request_id=self.request.request_id,
+            attempt_id=self.attempt.attempt_id,
+            kind=kind,
+        )
+        return self._lost(now, lost)
+
+    def _lost(self, now: float, event: AttemptEvent) -> list[Action]:
+        assert isinstance(event, AttemptLost) and self.attempt is not None
+        if event.kind is LossKind.MISMATCH:
+            return self._fail(
+                RefusalReason.BACKEND_FAILED,
+                "send the request again: the answer failed its check",
+            )
+        attempt = self.attempt
+        again = self._attaches < MAX_ATTACHES_IN_A_ROW
+        if ATTACHABLE[event.kind] and again:
+            self._attaches += 1
+            drop = self._drop(cancel=False)
+            return drop + self._start(
+                now, attempt.server, attempt.stream_id, AttemptMode.ATTACH
+            )
+        if self.request.non_idempotent and event.kind not in {
+            LossKind.NOT_SENT,
+            LossKind.REFUSED,
+        }:
+            return self._fail(
+                RefusalReason.OUTCOME_UNKNOWN,
+                "check the outcome: it will not be run again",
+            )
+        if event.kind is not LossKind.NOT_HELD:
+            self.failed_servers.add(attempt.server.server_id)
+        drop = self._drop(cancel=True)
+        self._wait()
+        return drop
+
+    def _fail(self, reason: RefusalReason, message: str) -> list[Action]:
+        drop = self._drop(cancel=True)
+        self.state = StreamState.FAILED
+        refusal = Refusal(
+            reason=reason,
+            ran=Ran.UNKNOWN if self.dispatched else Ran.NOT_RUN,
+            message=message,
+            retry_after_s=RETRY_AFTER_S,
+        )
+        request_id = self.request.request_id
+        return [*drop, Refuse(request_id=request_id, refusal=refusal)]
