--- /dev/null
+++ b/waxwingarch/adapters/caller_api.py
@@ -0,0 +1,149 @@
+"""The caller's interface: request models, answers and refusals as JSON."""
+
+from typing import Any, Final
+
+import orjson
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from waxwingarch.core.refusal import Refusal, RefusalReason
+
+COMPLETIONS_PATH: Final = "/v1/completions"
+CHAT_PATH: Final = "/v1/chat/completions"
+ENGINE_PATHS: Final = frozenset({COMPLETIONS_PATH, CHAT_PATH})
+DEFAULT_MAX_TOKENS: Final = 256
+MAX_TOKENS_LIMIT: Final = 32768
+
+REFUSAL_STATUS: Final[dict[RefusalReason, int]] = {
+    RefusalReason.BAD_REQUEST: 400,
+    RefusalReason.UNKNOWN_KEY: 401,
+    RefusalReason.UNKNOWN_ROUTE: 404,
+    RefusalReason.NO_CONTRACT: 403,
+    RefusalReason.RATE_LIMIT: 429,
+    RefusalReason.QUEUE_FULL: 429,
+    RefusalReason.DEADLINE_UNREACHABLE: 503,
+    RefusalReason.NO_CAPACITY: 503,
+    RefusalReason.NO_SERVER: 503,
+    RefusalReason.BACKEND_FAILED: 502,
+    RefusalReason.NOT_READY: 503,
+    RefusalReason.DRAINING: 503,
+    RefusalReason.IN_PROGRESS: 409,
+    RefusalReason.KEY_CONFLICT: 422,
+    RefusalReason.OUTCOME_UNKNOWN: 504,
+    RefusalReason.STORE_DOWN: 503,
+    RefusalReason.RESUME_MISMATCH: 409,
+}
+
+
+class Message(BaseModel):
+    """One message of a chat."""
+
+    model_config = ConfigDict(extra="allow")
+
+    role: str
+    content: str = ""
+
+
+class EngineBody(BaseModel):
+    """The parts of a model request that decisions need."""
+
+    model_config = ConfigDict(extra="allow")
+
+    prompt: str | None = None
+    messages: list[Message] | None = None
+    max_tokens: int = Field(DEFAULT_MAX_TOKENS, ge=1, le=MAX_TOKENS_LIMIT)
+    stream: bool = False
+
+    def prompt_text(self) -> str:
+        """Return the prompt as one text."""
+        if self.prompt is not None:
+            return self.prompt
+        return "\n".join(f"{m.role}: {m.content}" for m in self.messages or ())
+
+
+class BadBodyError(ValueError):
+    """The body of a model request is not valid; the message says how."""
+
+
+def parse_engine_body(body: bytes) -> tuple[EngineBody, dict[str, Any]]:
+    """Return the checked body and all of it; raises `BadBodyError`."""
+    try:
+        payload = orjson.loads(body)
+        checked = EngineBody.model_validate(payload)
+    except orjson.JSONDecodeError as exc:
+        raise BadBodyError(f"send a JSON body: {exc}") from exc
+    except ValidationError as exc:
+        first = exc.errors()[0]
+        place = ".".join(str(part) for part in first["loc"])
+        raise BadBodyError(f"correct {place}: {first['msg']}") from exc
+    if checked.prompt is None and not checked.messages:
+        raise BadBodyError("send a prompt or messages")
+    return checked, payload
+
+
+def refusal_headers(refusal: Refusal) -> list[tuple[str, str]]:
+    """Return the headers of a refusal."""
+    headers = [("content-type", "application/json")]
+    if refusal.retry_after_s is not None:
+        after = max(1, round(refusal.retry_after_s))
+        headers.append(("retry-after", str(after)))
+    return headers
+
+
+def refusal_body(refusal: Refusal, request_id: str) -> bytes:
+    """Return a refusal as JSON."""
+    error = {
+        "type": refusal.reason.value,
+        "ran": refusal.ran.value,
+        "message": refusal.message,
+        "retry_after_s": refusal.retry_after_s,
+        "request_id": request_id,
+    }
+    return orjson.dumps({"error": error})
+
+
+def chunk_body(path: str, request_id: str, text: str) -> bytes:
+    """Return one piece of a streamed answer as JSON."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": None}
+    kind = "text_completion"
+    if path == CHAT_PATH:
+        kind = "chat.completion.chunk"
+        choice["delta"] = {"content": text}
+    else:
+        choice["text"] = text
+    return orjson.dumps(
+        {"id": request_id, "object": kind, "choices": [choice]}
+    )
+
+
+def whole_body(
+    path: str, request_id: str, text: str, usage: dict[str, int]
+) -> bytes:
+    """Return a whole answer as JSON."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
+    kind = "text_completion"
+    if path == CHAT_PATH:
+        kind = "chat.completion"
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return orjson.dumps(
+        {
+            "id": request_id,
+            "object": kind,
+            "choices": [choice],
+            "usage": usage,
+        }
+    )
+
+
+def usage_of(
+    prompt_tokens: int, total: int, engine: dict[str, int]
+) -> dict[str, int]:
+    """Return the usage of one answer."""
+    return {
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": total,
+        "total_tokens": prompt_tokens + total,
+        "cached_tokens": engine.get("cached_tokens", 0),
+        "computed_tokens": engine.get("computed_tokens", 0),
+    }
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -30,6 +30,7 @@
     """One request as read from the wire; header names are lower-case."""
 
     method: str
+    target: str
     path: str
     query: dict[str, str]
     headers: dict[str, str]
@@ -189,9 +190,11 @@
     def _begin(self) -> None:
         head = self._reading.head
         assert head is not None
-        target = urlsplit(head.target.decode("ascii", "replace"))
+        raw_target = head.target.decode("ascii", "replace")
+        target = urlsplit(raw_target)
         req = HttpRequest(
             method=head.method.decode("ascii"),
+            target=raw_target,
             path=target.path,
             query=dict(parse_qsl(target.query)),
             headers={
--- /dev/null
+++ b/waxwingarch/core/desk.py
@@ -0,0 +1,256 @@
+"""Requests in progress on a node: admission, attempts, final answers."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from waxwingarch.core.admission import Admission
+from waxwingarch.core.admission_messages import (
+    PendingRequest,
+    Queued,
+)
+from waxwingarch.core.admission_messages import Refusal as NotAdmitted
+from waxwingarch.core.base import Action, Ran, RequestId, Server, ServerId
+from waxwingarch.core.base import ServerKind as Kind
+from waxwingarch.core.chooser import Chooser
+from waxwingarch.core.contract import Contract
+from waxwingarch.core.plain import PlainMachine
+from waxwingarch.core.refusal import Refusal, RefusalReason
+from waxwingarch.core.request import (
+    AttemptEvent,
+    Refuse,
+    Request,
+)
+from waxwingarch.core.retry_budget import RetryBudget
+from waxwingarch.core.servers import ServerBook
+from waxwingarch.core.stream import StreamMachine, StreamState
+
+RETRY_PAUSE_S: Final = 0.1
+DURATION_WEIGHT: Final = 0.1
+NO_SERVER_RETRY_AFTER_S: Final = 2.0
+
+Machine = StreamMachine | PlainMachine
+
+
+@dataclass(kw_only=True, slots=True)
+class _Work:
+    """One accepted request; `server` is the one of its present attempt."""
+
+    machine: Machine
+    server: Server | None = None
+    retry_at: float = 0.0
+    tried: int = field(default=0)
+
+
+class Desk:
+    """Accepts requests and sees each through to its final answer."""
+
+    def __init__(
+        self, admission: Admission, servers: ServerBook, chooser: Chooser
+    ) -> None:
+        self._admission = admission
+        self._servers = servers
+        self._chooser = chooser
+        self._budget = RetryBudget()
+        self._queued: dict[RequestId, Request] = {}
+        self._works: dict[RequestId, _Work] = {}
+        self._durations: dict[tuple[str, str], float] = {}
+
+    @property
+    def in_progress(self) -> int:
+        """How many accepted requests have no final answer yet."""
+        return len(self._works) + len(self._queued)
+
+    def machines(self) -> list[Machine]:
+        """Return the machines of the requests that were started."""
+        return [work.machine for work in self._works.values()]
+
+    # Events
+
+    def arrived(self, now: float, request: Request) -> list[Action]:
+        """Admit, queue or refuse a request."""
+        if not self._servers.candidates(request.service):
+            return [_no_server(request)]
+        verdict = self._admission.offer(now, self._pending(now, request))
+        if isinstance(verdict, NotAdmitted):
+            return [_not_admitted(verdict)]
+        self._budget.note_fresh()
+        self._queued[request.request_id] = request
+        if isinstance(verdict, Queued):
+            return []
+        return self._begin(now, verdict.request_id)
+
+    def attempt_event(self, now: float, event: AttemptEvent) -> list[Action]:
+        """Pass an event on to its request."""
+        work = self._works.get(event.request_id)
+        if work is None:
+            return []
+        return self._after(now, work, work.machine.handle(now, event))
+
+    def caller_gone(self, now: float, request_id: RequestId) -> list[Action]:
+        """Stop work that nobody waits for."""
+        if self._queued.pop(request_id, None):
+            self._admission.release(now, request_id)
+            return self._start_ready(now)
+        work = self._works.get(request_id)
+        if work is None:
+            return []
+        return self._after(now, work, work.machine.caller_gone())
+
+    def contracts_applied(
+        self, now: float, contracts: tuple[Contract, ...]
+    ) -> list[Action]:
+        """Put contracts in force; refuse what waits without one."""
+        refused = self._admission.set_contracts(now, contracts)
+        return self._give_up_queued(refused) + self._start_ready(now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Act on deadlines and on servers that came free."""
+        actions = self._give_up_queued(self._admission.expire(now))
+        for work in list(self._works.values()):
+            actions += self._after(now, work, work.machine.tick(now))
+        return actions + self._start_ready(now)
+
+    def displace(
+        self,
+        now: float,
+        request_id: RequestId,
+        *,
+        kv_from: str | None = None,
+    ) -> list[Action]:
+        """Move a stream off its server, which is going."""
+        work = self._works.get(request_id)
+        if work is None or not isinstance(work.machine, StreamMachine):
+            return []
+        moved = work.machine.displace(now, kv_from=kv_from)
+        return self._after(now, work, moved)
+
+    def on_server(self, server_id: ServerId) -> list[Machine]:
+        """Return what is running on a server."""
+        return [
+            work.machine
+            for work in self._works.values()
+            if work.server and work.server.server_id == server_id
+        ]
+
+    # Steps
+
+    def _give_up_queued(self, refused: list[NotAdmitted]) -> list[Action]:
+        for refusal in refused:
+            self._queued.pop(refusal.request_id, None)
+        return [_not_admitted(refusal) for refusal in refused]
+
+    def _begin(self, now: float, request_id: RequestId) -> list[Action]:
+        request = self._queued.pop(request_id)
+        machine: Machine
+        if request.kind is Kind.ENGINE:
+            machine = StreamMachine(now, request)
+        else:
+            machine = PlainMachine(now, request)
+        work = _Work(machine=machine)
+        self._works[request_id] = work
+        return self._after(now, work, self._first_attempt(now, work))
+
+    def _first_attempt(self, now: float, work: _Work) -> list[Action]:
+        """Go on with a stream that a server may still hold."""
+        resume = work.machine.request.resume
+        if resume is None or not isinstance(work.machine, StreamMachine):
+            return []
+        server = self._servers.get(resume.server_id)
+        if server is None:
+            return []
+        self._note_attempt(now, work, server)
+        return work.machine.attach(now, server, resume.stream_id)
+
+    def _after(
+        self, now: float, work: _Work, actions: list[Action]
+    ) -> list[Action]:
+        """Follow up a step: choose a server, or clear up at the end."""
+        machine = work.machine
+        if machine.finished:
+            return actions + self._finish(now, work)
+        if machine.state is not StreamState.WAITING:
+            return actions
+        self._note_attempt_end(now, work, ok=False)
+        if now < work.retry_at:
+            return actions
+        return actions + self._assign(now, work)
+
+    def _assign(self, now: float, work: _Work) -> list[Action]:
+        request = work.machine.request
+        if work.tried and not self._budget.try_retry():
+            work.retry_at = now + RETRY_PAUSE_S
+            return []
+        failed = work.machine.failed_servers
+        server = self._chooser.choose(now, request, failed)
+        if server is None:
+            failed.clear()
+            work.retry_at = now + RETRY_PAUSE_S
+            return []
+        work.tried += 1
+        self._note_attempt(now, work, server)
+        return work.machine.assign(now, server)
+
+    def _note_attempt(self, now: float, work: _Work, server: Server) -> None:
+        work.server = server
+        self._chooser.note_dispatch(now, work.machine.request, server)
+
+    def _note_attempt_end(self, now: float, work: _Work, *, ok: bool) -> None:
+        if work.server is None:
+            return
+        request = work.machine.request
+        self._chooser.note_done(now, request, work.server, ok=ok)
+        work.server = None
+
+    def _finish(self, now: float, work: _Work) -> list[Action]:
+        machine = work.machine
+        request = machine.request
+        done = machine.state is StreamState.DONE
+        self._note_attempt_end(now, work, ok=done)
+        if done:
+            self._note_duration(request, now - machine.started_at)
+        self._works.pop(request.request_id, None)
+        self._admission.release(now, request.request_id)
+        return self._start_ready(now)
+
+    def _start_ready(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for admitted in self._admission.next_ready(now, len(self._queued)):
+            actions += self._begin(now, admitted.request_id)
+        return actions
+
+    # Estimates
+
+    def _pending(self, now: float, request: Request) -> PendingRequest:
+        key = (request.service, request.route)
+        return PendingRequest(
+            request_id=request.request_id,
+            account=request.account,
+            expected_s=self._durations.get(key, 0.0),
+            deadline=request.deadline,
+            streaming=request.kind is Kind.ENGINE,
+        )
+
+    def _note_duration(self, request: Request, took_s: float) -> None:
+        key = (request.service, request.route)
+        known = self._durations.get(key, took_s)
+        self._durations[key] = known + DURATION_WEIGHT * (took_s - known)
+
+
+def _no_server(request: Request) -> Refuse:
+    refusal = Refusal(
+        reason=RefusalReason.NO_SERVER,
+        ran=Ran.NOT_RUN,
+        message=f"no live server of {request.service}: send it again later",
+        retry_after_s=NO_SERVER_RETRY_AFTER_S,
+    )
+    return Refuse(request_id=request.request_id, refusal=refusal)
+
+
+def _not_admitted(verdict: NotAdmitted) -> Refuse:
+    refusal = Refusal(
+        reason=verdict.reason,
+        ran=verdict.ran,
+        message=verdict.message,
+        retry_after_s=verdict.retry_after_s,
+    )
+    return Refuse(request_id=verdict.request_id, refusal=refusal)
--- /dev/null
+++ b/waxwingarch/core/directory.py
@@ -0,0 +1,36 @@
+"""Contracts in force: which account a key names, which route a path."""
+
+from collections.abc import Iterable
+
+from waxwingarch.core.base import AccountId
+from waxwingarch.core.contract import Contract
+
+
+class Directory:
+    """The contracts of one settings revision."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._by_key: dict[str, Contract] = {}
+        self._by_account: dict[AccountId, Contract] = {}
+
+    def apply(self, revision: int, contracts: Iterable[Contract]) -> bool:
+        """Put a revision in force; a lower one than known is ignored."""
+        if revision < self.revision:
+            return False
+        self.revision = revision
+        self._by_account = {c.account: c for c in contracts}
+        self._by_key = {c.key_digest: c for c in self._by_account.values()}
+        return True
+
+    def by_key(self, digest: str) -> Contract | None:
+        """Return the contract whose key has this SHA-256."""
+        return self._by_key.get(digest)
+
+    def by_account(self, account: AccountId) -> Contract | None:
+        """Return the contract of a client account."""
+        return self._by_account.get(account)
+
+    def all(self) -> list[Contract]:
+        """Return all contracts, ordered by account."""
+        return [self._by_account[k] for k in sorted(self._by_account)]
--- a/waxwingarch/core/plain.py
+++ b/waxwingarch/core/plain.py
@@ -93,7 +93,8 @@
         if self.finished or now < self.request.deadline:
             return []
         return self._fail(
-            RefusalReason.DEADLINE, "send it again with a later deadline"
+            RefusalReason.DEADLINE_UNREACHABLE,
+            "send it again with a later deadline",
         )
 
     def give_up(self, reason: RefusalReason, message: str) -> list[Action]:
--- a/waxwingarch/core/stream.py
+++ b/waxwingarch/core/stream.py
@@ -160,7 +160,7 @@
             return []
         if now >= self.request.deadline:
             return self._fail(
-                RefusalReason.DEADLINE,
+                RefusalReason.DEADLINE_UNREACHABLE,
                 "ask for a shorter answer or a later deadline",
             )
         silent = now >= self.progress_deadline
--- /dev/null
+++ b/waxwingarch/tasks/entry.py
@@ -0,0 +1,278 @@
+"""The caller side: reads requests, writes streamed or whole answers."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from eliot import start_action
+
+from waxwingarch.adapters.caller_api import (
+    REFUSAL_STATUS,
+    chunk_body,
+    refusal_body,
+    refusal_headers,
+    usage_of,
+    whole_body,
+)
+from waxwingarch.adapters.http_server import (
+    CallerGoneError,
+    HttpRequest,
+    HttpResponder,
+    HttpServer,
+)
+from waxwingarch.adapters.sse import sse_event
+from waxwingarch.adapters.ticket import TicketBook
+from waxwingarch.const import HEADER_REQUEST_ID
+from waxwingarch.core.base import ServerKind
+from waxwingarch.core.events import CallerGone, RequestArrived
+from waxwingarch.core.refusal import Refusal
+from waxwingarch.core.request import Complete, Deliver, Refuse, ResumeFrom
+from waxwingarch.tasks.exchange import Exchange, Exchanges
+from waxwingarch.tasks.intake import Intake, IntakeError
+from waxwingarch.tasks.runner import Runner
+
+DONE_EVENT: Final = sse_event(b"[DONE]")
+SSE_HEADERS: Final = (
+    ("content-type", "text/event-stream"),
+    ("cache-control", "no-store"),
+)
+JSON_HEADERS: Final = (("content-type", "application/json"),)
+
+
+class Entry:
+    """Serves callers on one address."""
+
+    def __init__(
+        self,
+        runner: Runner,
+        exchanges: Exchanges,
+        intake: Intake,
+        tickets: TicketBook,
+        on_error: Callable[[Exception], None],
+    ) -> None:
+        self._runner = runner
+        self._exchanges = exchanges
+        self._intake = intake
+        self._tickets = tickets
+        self.server = HttpServer(self._async_handle, on_error)
+        runner.connect(Deliver, exchanges.put)
+        runner.connect(Complete, exchanges.put)
+        runner.connect(Refuse, exchanges.put)
+
+    async def async_setup(self, host: str, port: int) -> int:
+        """Listen; returns the port."""
+        return await self.server.async_setup(host, port)
+
+    async def async_unload(self) -> None:
+        """Stop listening."""
+        await self.server.async_unload()
+
+    async def _async_handle(
+        self, req: HttpRequest, resp: HttpResponder
+    ) -> None:
+        if req.path == "/health/live":
+            await resp.async_send(200, b'{"live":true}', JSON_HEADERS)
+            return
+        if req.path == "/health/ready":
+            await self._async_ready(resp)
+            return
+        await self._async_request(req, resp)
+
+    async def _async_ready(self, resp: HttpResponder) -> None:
+        ready = self._runner.node.ready
+        status = 200 if ready else 503
+        body = b'{"ready":true}' if ready else b'{"ready":false}'
+        await resp.async_send(status, body, JSON_HEADERS)
+
+    async def _async_request(
+        self, req: HttpRequest, resp: HttpResponder
+    ) -> None:
+        request_id = self._intake.next_id()
+        now = asyncio.get_running_loop().time()
+        with start_action(
+            action_type="request", request_id=request_id, path=req.path
+        ) as action:
+            try:
+                exchange = self._intake.exchange(now, request_id, req)
+            except IntakeError as exc:
+                action.add_success_fields(refused=exc.refusal.reason.value)
+                await _async_refuse(resp, request_id, exc.refusal)
+                return
+            outcome = await self._async_serve(exchange, resp)
+            action.add_success_fields(
+                account=exchange.request.account, outcome=outcome
+            )
+
+    async def _async_serve(
+        self, exchange: Exchange, resp: HttpResponder
+    ) -> str:
+        """See a request through; returns how it ended, for the log."""
+        request_id = exchange.request.request_id
+        self._exchanges.add(exchange)
+        watch = asyncio.create_task(self._async_watch(exchange, resp))
+        try:
+            self._runner.post(RequestArrived(request=exchange.request))
+            answer = self._answer_for(exchange, resp)
+            return await answer.async_run()
+        except CallerGoneError:
+            self._runner.post(CallerGone(request_id=request_id))
+            return "caller gone"
+        finally:
+            watch.cancel()
+            self._exchanges.remove(request_id)
+
+    async def _async_watch(
+        self, exchange: Exchange, resp: HttpResponder
+    ) -> None:
+        """Tell the node and the reader when the caller has gone."""
+        await resp.gone.wait()
+        request_id = exchange.request.request_id
+        self._runner.post(CallerGone(request_id=request_id))
+        exchange.news.set()
+
+    def _answer_for(self, exchange: Exchange, resp: HttpResponder) -> "Answer":
+        if exchange.request.kind is ServerKind.PLAIN:
+            return PlainAnswer(exchange, resp)
+        if exchange.payload.get("stream"):
+            return StreamedAnswer(exchange, resp, self._tickets)
+        return WholeAnswer(exchange, resp)
+
+
+class Answer:
+    """Writes the answer of one exchange as the node tells it."""
+
+    def __init__(self, exchange: Exchange, resp: HttpResponder) -> None:
+        self._exchange = exchange
+        self._resp = resp
+        self._request_id = exchange.request.request_id
+        self._headers = [(HEADER_REQUEST_ID, str(self._request_id))]
+
+    async def async_run(self) -> str:
+        """Write the answer to its end; returns how it ended.
+
+        Raises `CallerGoneError`.
+        """
+        while True:
+            outcomes = await self._exchange.async_take()
+            if not outcomes and self._resp.gone.is_set():
+                raise CallerGoneError("the caller closed the connection")
+            delivered = [o for o in outcomes if isinstance(o, Deliver)]
+            if delivered:
+                await self.async_deliver(delivered)
+            last = outcomes[-1] if outcomes else None
+            if isinstance(last, Complete):
+                await self.async_complete(last)
+                return "done"
+            if isinstance(last, Refuse):
+                await self.async_refuse(last.refusal)
+                return last.refusal.reason.value
+
+    async def async_deliver(self, delivered: list[Deliver]) -> None:
+        """Pass tokens on."""
+
+    async def async_complete(self, outcome: Complete) -> None:
+        """End a whole answer."""
+
+    async def async_refuse(self, refusal: Refusal) -> None:
+        """Send the final answer of a request that is not served."""
+        await _async_refuse(
+            self._resp, self._request_id, refusal, self._headers
+        )
+
+
+class PlainAnswer(Answer):
+    """Passes on what a plain service answered."""
+
+    async def async_complete(self, outcome: Complete) -> None:
+        """Send the service's answer."""
+        answer = self._exchange.answers[outcome.attempt_id]
+        kind = answer.headers.get("content-type", "application/json")
+        await self._resp.async_send(
+            answer.status,
+            answer.body,
+            [("content-type", kind), *self._headers],
+        )
+
+
+class WholeAnswer(Answer):
+    """Collects tokens and sends them at the end."""
+
+    def __init__(self, exchange: Exchange, resp: HttpResponder) -> None:
+        super().__init__(exchange, resp)
+        self._tokens: list[str] = []
+
+    async def async_deliver(self, delivered: list[Deliver]) -> None:
+        """Keep tokens."""
+        for outcome in delivered:
+            self._tokens.extend(outcome.tokens)
+
+    async def async_complete(self, outcome: Complete) -> None:
+        """Send all tokens."""
+        request = self._exchange.request
+        usage = usage_of(
+            request.prompt_tokens, outcome.total, self._exchange.usage
+        )
+        body = whole_body(
+            request.path, self._request_id, "".join(self._tokens), usage
+        )
+        await self._resp.async_send(200, body, [*JSON_HEADERS, *self._headers])
+
+
+class StreamedAnswer(Answer):
+    """Sends tokens as they come, with ids to go on from."""
+
+    def __init__(
+        self, exchange: Exchange, resp: HttpResponder, tickets: TicketBook
+    ) -> None:
+        super().__init__(exchange, resp)
+        self._tickets = tickets
+
+    async def _async_begin(self) -> None:
+        if not self._resp.started:
+            await self._resp.async_start(200, [*SSE_HEADERS, *self._headers])
+
+    async def async_deliver(self, delivered: list[Deliver]) -> None:
+        """Send what came together as one event."""
+        await self._async_begin()
+        last = delivered[-1]
+        text = "".join(t for outcome in delivered for t in outcome.tokens)
+        request = self._exchange.request
+        ticket = self._tickets.issue(
+            request.account,
+            ResumeFrom(
+                server_id=last.server_id,
+                stream_id=last.stream_id,
+                offset=last.offset + len(last.tokens),
+                digest=last.digest,
+            ),
+        )
+        data = chunk_body(request.path, self._request_id, text)
+        await self._resp.async_write(sse_event(data, ticket))
+
+    async def async_complete(self, outcome: Complete) -> None:
+        """End the stream."""
+        await self._async_begin()
+        await self._resp.async_write(DONE_EVENT)
+        await self._resp.async_end()
+
+    async def async_refuse(self, refusal: Refusal) -> None:
+        """Refuse with a status, or with an event once tokens were sent."""
+        if not self._resp.started:
+            await super().async_refuse(refusal)
+            return
+        body = refusal_body(refusal, self._request_id)
+        await self._resp.async_write(sse_event(body, kind="error"))
+        await self._resp.async_end()
+
+
+async def _async_refuse(
+    resp: HttpResponder,
+    request_id: str,
+    refusal: Refusal,
+    headers: list[tuple[str, str]] | None = None,
+) -> None:
+    await resp.async_send(
+        REFUSAL_STATUS[refusal.reason],
+        refusal_body(refusal, request_id),
+        [*refusal_headers(refusal), *(headers or [])],
+    )
--- /dev/null
+++ b/waxwingarch/tasks/runner.py
@@ -0,0 +1,69 @@
+"""Runs a node: passes events in and hands actions to their sinks."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Final, Protocol
+
+from waxwingarch.core.base import Action, Event
+from waxwingarch.core.events import Tick
+from waxwingarch.core.node import Node
+
+TICK_S: Final = 0.05
+
+
+class Recorder(Protocol):
+    """Keeps a record of what a node saw and did."""
+
+    def record(self, now: float, event: Event, actions: list[Action]) -> None:
+        """Take one step of the node."""
+
+
+class Runner:
+    """The one place where a node's decisions meet the real clock."""
+
+    def __init__(self, node: Node, recorder: Recorder | None = None) -> None:
+        self.node = node
+        self._recorder = recorder
+        self._sinks: dict[type[Action], Callable[[Any], None]] = {}
+        self._pending: deque[Event] = deque()
+        self._busy = False
+        self._task: asyncio.Task[None] | None = None
+
+    def connect(self, kind: type[Action], sink: Callable[[Any], None]) -> None:
+        """Hand all actions of a kind to a sink, which must not block."""
+        self._sinks[kind] = sink
+
+    def post(self, event: Event) -> None:
+        """Take an event; events posted by sinks wait their turn."""
+        self._pending.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._pending:
+                self._step(self._pending.popleft())
+        finally:
+            self._busy = False
+
+    def _step(self, event: Event) -> None:
+        now = asyncio.get_running_loop().time()
+        actions = self.node.handle(now, event)
+        if self._recorder:
+            self._recorder.record(now, event, actions)
+        for action in actions:
+            self._sinks[type(action)](action)
+
+    async def async_setup(self) -> None:
+        """Begin to tick."""
+        self._task = asyncio.create_task(self._async_tick())
+
+    async def async_unload(self) -> None:
+        """Stop ticking."""
+        if self._task:
+            self._task.cancel()
+
+    async def _async_tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.post(Tick())
