Add the platform ports and their adapters over HTTP

Cause: claims, leases, shares and settings live in the platform's table service, which is rate-limited and loses replies. Change: ports for table, objects and cloud; adapters that tell a call that was certainly not applied (connect failed, 429, 503, budget spent) from one that may have been. Reads and writes are spent from a token bucket of each host; a 429 is repeated with full jitter within the call's deadline. Ruled out: repeating a write whose reply was lost inside the adapter; only the protocol that wrote it knows how to read it back.

--- /dev/null
+++ b/tests/adapters/test_platform.py
@@ -0,0 +1,216 @@
+"""Tests of the platform adapters against a tiny in-process fake."""
+
+import asyncio
+import json
+from random import Random
+
+import testtools
+
+from tests.helpers import async_test
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_server import (
+    HttpRequest,
+    HttpResponder,
+    HttpServer,
+)
+from waxwingarch.adapters.platform import (
+    HttpCloud,
+    HttpObjectStore,
+    HttpTableStore,
+)
+from waxwingarch.adapters.platform_http import PlatformLink, TableBudget
+from waxwingarch.core.base import (
+    FailureDomain,
+    ServerId,
+    ServerKind,
+    ServiceId,
+    VersionId,
+)
+from waxwingarch.ports.cloud import (
+    OldFencingError,
+    StartOrder,
+    StartRefusedError,
+)
+from waxwingarch.ports.table import (
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    TableReplyLostError,
+    TableUnavailableError,
+    Write,
+)
+
+LIMIT_S = 10.0
+SERVER = {
+    "server_id": "s1",
+    "address": "127.0.0.1:1",
+    "failure_domain": "hn-a",
+    "service": "waxwing-pool",
+    "kind": "engine",
+    "version": "v1",
+    "machine_class": "g1",
+    "reclaimable": True,
+    "price": 1.0,
+    "slots": 4,
+    "incarnation": 7,
+    "state": "live",
+}
+
+
+class _FakePlatform:
+    """Answers from a script of (status, body); None: no answer."""
+
+    def __init__(self) -> None:
+        self.script: list[tuple[int, object] | None] = []
+        self.seen: list[HttpRequest] = []
+        self.server = HttpServer(self._async_handle)
+
+    async def _async_handle(
+        self, req: HttpRequest, resp: HttpResponder
+    ) -> None:
+        self.seen.append(req)
+        step = self.script.pop(0)
+        if step is None:
+            resp.abort()
+            return
+        body = step[1]
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        await resp.async_send(step[0], data)
+
+    async def async_link(
+        self, budget: TableBudget | None = None
+    ) -> PlatformLink:
+        port = await self.server.async_setup("127.0.0.1", 0)
+        address = f"127.0.0.1:{port}"
+        return PlatformLink(HttpClient(), address, Random(1), budget)
+
+
+def _deadline(limit_s: float = LIMIT_S) -> float:
+    return asyncio.get_running_loop().time() + limit_s
+
+
+class TableAdapter(testtools.TestCase):
+    @async_test
+    async def test_reads_and_transacts(self) -> None:
+        fake = _FakePlatform()
+        table = HttpTableStore(await fake.async_link())
+        value = {"key": "a/b", "value": {"x": 1}, "version": 3}
+        row = Row(table="t", key="a/b", value={"x": 1}, version=3)
+        fake.script = [
+            (200, value),
+            (200, {"rows": [value]}),
+            (200, {"committed": True, "versions": [4]}),
+            (
+                409,
+                {"committed": False, "conflicts": [{"table": "t", **value}]},
+            ),
+        ]
+        got = await table.async_get("t", "a/b", deadline=_deadline())
+        self.assertEqual(row, got)
+        rows = await table.async_scan("t", prefix="a/", deadline=_deadline())
+        self.assertEqual((row,), rows)
+        change = (
+            [Condition(table="t", key="a/b", version=3)],
+            [Write(table="t", key="a/b", value=None)],
+        )
+        result = await table.async_transact(*change, deadline=_deadline())
+        self.assertEqual(Committed(versions=(4,)), result)
+        result = await table.async_transact(*change, deadline=_deadline())
+        self.assertEqual(Conflict(rows=(row,)), result)
+        sent = fake.seen[-1].json()
+        self.assertEqual(
+            [{"table": "t", "key": "a/b", "version": 3}], sent["conditions"]
+        )
+
+    @async_test
+    async def test_tells_lost_from_not_applied(self) -> None:
+        fake = _FakePlatform()
+        table = HttpTableStore(await fake.async_link())
+        fake.script = [(503, {}), None, (500, {}), None]
+        with testtools.ExpectedException(TableUnavailableError):
+            await table.async_transact([], [], deadline=_deadline())
+        for _ in range(2):
+            with testtools.ExpectedException(TableReplyLostError):
+                await table.async_transact([], [], deadline=_deadline())
+        with testtools.ExpectedException(TableUnavailableError):
+            await table.async_get("t", "k", deadline=_deadline())
+        await fake.server.async_unload()
+        with testtools.ExpectedException(TableUnavailableError):
+            await table.async_transact([], [], deadline=_deadline())
+
+    @async_test
+    async def test_repeats_over_the_rate_until_the_deadline(self) -> None:
+        fake = _FakePlatform()
+        table = HttpTableStore(await fake.async_link())
+        fake.script = [(429, {}), (429, {}), (200, {"versions": []})]
+        result = await table.async_transact([], [], deadline=_deadline())
+        self.assertEqual(Committed(versions=()), result)
+        fake.script = [(429, {})] * 100
+        with testtools.ExpectedException(TableUnavailableError):
+            await table.async_transact([], [], deadline=_deadline(0.2))
+
+    @async_test
+    async def test_spends_no_more_than_its_budget(self) -> None:
+        fake = _FakePlatform()
+        budget = TableBudget(reads_per_s=0.01, writes_per_s=0.01)
+        table = HttpTableStore(await fake.async_link(budget))
+        fake.script = [(200, {"versions": []})] * 5
+        for _ in range(4):
+            await table.async_transact([], [], deadline=_deadline())
+        with testtools.ExpectedException(TableUnavailableError):
+            await table.async_transact([], [], deadline=_deadline())
+        self.assertEqual(4, len(fake.seen))
+
+    def test_four_hundred_hosts_fit_the_table(self) -> None:
+        budget = TableBudget.for_hosts(400)
+        self.assertTrue(budget.writes_per_s * 400 <= 400)
+        self.assertTrue(budget.reads_per_s * 400 <= 2000)
+
+
+class OtherAdapters(testtools.TestCase):
+    @async_test
+    async def test_objects(self) -> None:
+        fake = _FakePlatform()
+        objects = HttpObjectStore(await fake.async_link())
+        fake.script = [(200, {}), (200, b"blob"), (404, {}), (200, {})]
+        await objects.async_put("n", b"blob", deadline=_deadline())
+        got = await objects.async_get("n", deadline=_deadline())
+        self.assertEqual(b"blob", got)
+        self.assertIsNone(await objects.async_get("n", deadline=_deadline()))
+        await objects.async_delete("n", deadline=_deadline())
+
+    @async_test
+    async def test_cloud(self) -> None:
+        fake = _FakePlatform()
+        cloud = HttpCloud(await fake.async_link())
+        notice = {"seq": 5, "server_id": "s1", "incarnation": 7, "deadline": 9}
+        fake.script = [
+            (200, {"hosts": [SERVER], "entry_hosts": [], "as_of": 1}),
+            (200, {"notices": [notice], "seq": 5}),
+            (200, {"server_id": "s2"}),
+            (409, {}),
+            (412, {}),
+        ]
+        hosts = await cloud.async_hosts(deadline=_deadline())
+        self.assertEqual(7, hosts.servers[0].server.incarnation)
+        notices = await cloud.async_notices(
+            4, wait_s=1.0, deadline=_deadline()
+        )
+        self.assertEqual(ServerId("s1"), notices.notices[0].server_id)
+        order = StartOrder(
+            order_id="o",
+            service=ServiceId("waxwing-pool"),
+            kind=ServerKind.ENGINE,
+            version=VersionId("v1"),
+            machine_class="g1",
+            failure_domain=FailureDomain("hn-a"),
+            reclaimable=True,
+            fencing=3,
+        )
+        started = await cloud.async_start(order, deadline=_deadline())
+        self.assertEqual(ServerId("s2"), started)
+        with testtools.ExpectedException(StartRefusedError):
+            await cloud.async_start(order, deadline=_deadline())
+        with testtools.ExpectedException(OldFencingError):
+            await cloud.async_stop(ServerId("s1"), 2, deadline=_deadline())
--- /dev/null
+++ b/waxwingarch/adapters/platform.py
@@ -0,0 +1,300 @@
+"""The platform's table service, object store and cloud over HTTP."""
+
+from collections.abc import Sequence
+from dataclasses import asdict
+from typing import Any, Final
+from urllib.parse import quote, urlencode
+
+from waxwingarch.adapters.platform_http import PlatformLink
+from waxwingarch.core.base import (
+    FailureDomain,
+    HostId,
+    Server,
+    ServerId,
+    ServerKind,
+    ServiceId,
+    VersionId,
+)
+from waxwingarch.exceptions import PlatformUnavailableError
+from waxwingarch.ports.cloud import (
+    EntryHost,
+    HostList,
+    ListedServer,
+    Notice,
+    Notices,
+    Offer,
+    OldFencingError,
+    ServerState,
+    StartOrder,
+    StartRefusedError,
+)
+from waxwingarch.ports.table import (
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    TableReplyLostError,
+    TableUnavailableError,
+    Write,
+)
+
+MS_PER_S: Final = 1000
+
+HTTP_OK: Final = 200
+HTTP_NO_CONTENT: Final = 204
+HTTP_NOT_FOUND: Final = 404
+HTTP_CONFLICT: Final = 409
+HTTP_OLD_FENCING: Final = 412
+
+
+class HttpTableStore:
+    """`TableStore` over HTTP."""
+
+    def __init__(self, link: PlatformLink) -> None:
+        self._link = link
+
+    async def _async_read(self, target: str, deadline: float) -> Any:
+        try:
+            status, body = await self._link.async_json(
+                "GET", target, deadline=deadline
+            )
+        except TableReplyLostError as exc:
+            raise TableUnavailableError(str(exc)) from exc
+        if status != HTTP_OK:
+            raise TableUnavailableError(f"{target}: status {status}; retry")
+        return body
+
+    async def async_get(self, table: str, key: str, *, deadline: float) -> Row:
+        """Return a row; raises `TableUnavailableError`."""
+        target = f"/v1/table/{quote(table)}/{quote(key)}"
+        body = await self._async_read(target, deadline)
+        return _row(table, {"key": key, **body})
+
+    async def async_scan(
+        self,
+        table: str,
+        *,
+        deadline: float,
+        prefix: str = "",
+        after: str = "",
+        limit: int = 1000,
+    ) -> tuple[Row, ...]:
+        """Return rows in key order; raises `TableUnavailableError`."""
+        query = {"prefix": prefix, "after": after, "limit": limit}
+        target = f"/v1/table/{quote(table)}?{urlencode(query)}"
+        body = await self._async_read(target, deadline)
+        return tuple(_row(table, row) for row in body["rows"])
+
+    async def async_transact(
+        self,
+        conditions: Sequence[Condition],
+        writes: Sequence[Write],
+        *,
+        deadline: float,
+    ) -> Committed | Conflict:
+        """Commit all writes if all conditions hold.
+
+        Raises `TableUnavailableError`, `TableReplyLostError`.
+        """
+        status, body = await self._link.async_json(
+            "POST",
+            "/v1/table/transact",
+            deadline=deadline,
+            body={
+                "conditions": [asdict(c) for c in conditions],
+                "writes": [asdict(w) for w in writes],
+            },
+            write=True,
+        )
+        if status == HTTP_OK:
+            return Committed(versions=tuple(body["versions"]))
+        if status == HTTP_CONFLICT:
+            rows = tuple(_row(r["table"], r) for r in body["conflicts"])
+            return Conflict(rows=rows)
+        raise TableReplyLostError(f"transact: status {status}; read back")
+
+
+class HttpObjectStore:
+    """`ObjectStore` over HTTP."""
+
+    def __init__(self, link: PlatformLink) -> None:
+        self._link = link
+
+    async def async_put(
+        self, name: str, data: bytes, *, deadline: float
+    ) -> None:
+        """Store `data`; repeating it is harmless."""
+        answer = await self._link.async_call(
+            "PUT", _object_path(name), deadline=deadline, body=data
+        )
+        _require(answer.status, (HTTP_OK, 201, HTTP_NO_CONTENT), name)
+
+    async def async_get(self, name: str, *, deadline: float) -> bytes | None:
+        """Return the data, or None if there is no such object."""
+        answer = await self._link.async_call(
+            "GET", _object_path(name), deadline=deadline
+        )
+        if answer.status == HTTP_NOT_FOUND:
+            return None
+        _require(answer.status, (HTTP_OK,), name)
+        return answer.body
+
+    async def async_delete(self, name: str, *, deadline: float) -> None:
+        """Delete an object, if it is there."""
+        answer = await self._link.async_call(
+            "DELETE", _object_path(name), deadline=deadline
+        )
+        gone = (HTTP_OK, HTTP_NO_CONTENT, HTTP_NOT_FOUND)
+        _require(answer.status, gone, name)
+
+
+class HttpCloud:
+    """`Cloud` over HTTP."""
+
+    def __init__(self, link: PlatformLink) -> None:
+        self._link = link
+
+    async def _async_get(self, target: str, deadline: float) -> Any:
+        status, body = await self._link.async_json(
+            "GET", target, deadline=deadline
+        )
+        _require(status, (HTTP_OK,), target)
+        return body
+
+    async def async_hosts(self, *, deadline: float) -> HostList:
+        """Return the lagging list of hosts."""
+        body = await self._async_get("/v1/cloud/hosts", deadline)
+        return HostList(
+            servers=tuple(_listed(s) for s in body["hosts"]),
+            entry_hosts=tuple(_entry(h) for h in body["entry_hosts"]),
+            as_of=float(body["as_of"]),
+        )
+
+    async def async_offers(self, *, deadline: float) -> tuple[Offer, ...]:
+        """Return what can be started now."""
+        body = await self._async_get("/v1/cloud/offers", deadline)
+        return tuple(_offer(o) for o in body["offers"])
+
+    async def async_start(
+        self, order: StartOrder, *, deadline: float
+    ) -> ServerId:
+        """Start a server; repeating an order id is harmless.
+
+        Raises `StartRefusedError`, `OldFencingError`.
+        """
+        status, body = await self._link.async_json(
+            "POST",
+            "/v1/cloud/start",
+            deadline=deadline,
+            body=asdict(order),
+        )
+        if status == HTTP_CONFLICT:
+            raise StartRefusedError(
+                f"no {order.machine_class} in {order.failure_domain};"
+                " try another offer"
+            )
+        _check_fencing(status, order.fencing)
+        _require(status, (HTTP_OK,), "start")
+        return ServerId(body["server_id"])
+
+    async def async_stop(
+        self, server_id: ServerId, fencing: int, *, deadline: float
+    ) -> None:
+        """Stop a server; raises `OldFencingError`."""
+        status, _ = await self._link.async_json(
+            "POST",
+            "/v1/cloud/stop",
+            deadline=deadline,
+            body={"server_id": server_id, "fencing": fencing},
+        )
+        _check_fencing(status, fencing)
+        _require(status, (HTTP_OK,), "stop")
+
+    async def async_notices(
+        self, after: int, *, wait_s: float, deadline: float
+    ) -> Notices:
+        """Return notices after `after`, waiting up to `wait_s` for one."""
+        query = urlencode({"after": after, "wait_ms": int(wait_s * MS_PER_S)})
+        body = await self._async_get(f"/v1/cloud/notices?{query}", deadline)
+        return Notices(
+            notices=tuple(_notice(n) for n in body["notices"]),
+            seq=int(body["seq"]),
+        )
+
+
+def _row(table: str, row: dict[str, Any]) -> Row:
+    return Row(
+        table=table,
+        key=str(row["key"]),
+        value=row["value"],
+        version=int(row["version"]),
+    )
+
+
+def _object_path(name: str) -> str:
+    return f"/v1/objects/{quote(name)}"
+
+
+def _require(status: int, wanted: tuple[int, ...], what: str) -> None:
+    if status not in wanted:
+        raise PlatformUnavailableError(
+            f"{what}: unexpected status {status}; check the platform"
+        )
+
+
+def _check_fencing(status: int, fencing: int) -> None:
+    if status == HTTP_OLD_FENCING:
+        raise OldFencingError(
+            f"fencing number {fencing} is old; acquire the lease again"
+        )
+
+
+def _listed(body: dict[str, Any]) -> ListedServer:
+    server = Server(
+        server_id=ServerId(body["server_id"]),
+        address=body["address"],
+        failure_domain=FailureDomain(body["failure_domain"]),
+        service=ServiceId(body["service"]),
+        kind=ServerKind(body["kind"]),
+        version=VersionId(body["version"]),
+        machine_class=body["machine_class"],
+        reclaimable=bool(body["reclaimable"]),
+        price=float(body["price"]),
+        slots=int(body["slots"]),
+        incarnation=int(body["incarnation"]),
+    )
+    return ListedServer(server=server, state=ServerState(body["state"]))
+
+
+def _entry(body: dict[str, Any]) -> EntryHost:
+    return EntryHost(
+        host_id=HostId(body["host_id"]),
+        region=body["region"],
+        failure_domain=FailureDomain(body["failure_domain"]),
+        http=body["http"],
+        peer_tcp=body["peer_tcp"],
+        peer_udp=body["peer_udp"],
+        incarnation=int(body["incarnation"]),
+    )
+
+
+def _offer(body: dict[str, Any]) -> Offer:
+    return Offer(
+        machine_class=body["machine_class"],
+        failure_domain=FailureDomain(body["failure_domain"]),
+        reclaimable=bool(body["reclaimable"]),
+        price=float(body["price"]),
+        available=int(body["available"]),
+    )
+
+
+def _notice(body: dict[str, Any]) -> Notice:
+    server_id = body.get("server_id")
+    host_id = body.get("host_id")
+    return Notice(
+        seq=int(body["seq"]),
+        incarnation=int(body["incarnation"]),
+        deadline_unix=float(body["deadline"]),
+        server_id=ServerId(server_id) if server_id else None,
+        host_id=HostId(host_id) if host_id else None,
+    )
--- /dev/null
+++ b/waxwingarch/core/rows.py
@@ -0,0 +1,48 @@
+"""Rows of the table service, and transactions on them."""
+
+from dataclasses import dataclass
+from typing import Any, Final
+
+MAX_TRANSACTION_WRITES: Final = 100
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Row:
+    """A row as read; `value` is None and `version` often 0 if absent."""
+
+    table: str
+    key: str
+    value: Any
+    version: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Condition:
+    """The version that a row must have for a transaction to commit."""
+
+    table: str
+    key: str
+    version: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Write:
+    """The new value of a row, as JSON types; None deletes the row."""
+
+    table: str
+    key: str
+    value: Any
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Committed:
+    """A transaction took effect; one version a write, in order."""
+
+    versions: tuple[int, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Conflict:
+    """A transaction took no effect; the rows that did not match."""
+
+    rows: tuple[Row, ...]
