--- /dev/null
+++ b/waxwingarch/tasks/admin.py
@@ -0,0 +1,115 @@
+"""The operators' interface of one daemon, used by waxwingctl."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+import orjson
+
+from waxwingarch.adapters.http_server import (
+    HttpRequest,
+    HttpResponder,
+    HttpServer,
+)
+from waxwingarch.exceptions import (
+    ConflictError,
+    PlatformUnavailableError,
+    SettingsError,
+    WaxwingError,
+)
+
+OPERATOR_HEADER: Final = "x-operator-key"
+JSON_HEADERS: Final = (("content-type", "application/json"),)
+
+ERROR_STATUS: Final[dict[type[WaxwingError], int]] = {
+    SettingsError: 400,
+    ConflictError: 409,
+    PlatformUnavailableError: 503,
+}
+
+AdminCall = Callable[[HttpRequest], Awaitable[Any]]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AdminRoute:
+    """One operation: method and path, exact or as a prefix."""
+
+    method: str
+    path: str
+    call: AdminCall
+    prefix: bool = False
+
+    def matches(self, req: HttpRequest) -> bool:
+        """Tell whether a request asks for this operation."""
+        if req.method != self.method:
+            return False
+        if self.prefix:
+            return req.path.startswith(self.path)
+        return req.path == self.path
+
+
+class NotFoundError(WaxwingError):
+    """There is no such thing; list what there is."""
+
+
+class Admin:
+    """Serves the registered operations to holders of the operator key."""
+
+    def __init__(
+        self, operator_key: str, on_error: Callable[[Exception], None]
+    ) -> None:
+        self._operator_key = operator_key
+        self._routes: list[AdminRoute] = []
+        self.server = HttpServer(self._async_handle, on_error)
+
+    def add(
+        self, method: str, path: str, call: AdminCall, *, prefix: bool = False
+    ) -> None:
+        """Register an operation; its result is sent as JSON."""
+        route = AdminRoute(method=method, path=path, call=call, prefix=prefix)
+        self._routes.append(route)
+
+    async def async_setup(self, host: str, port: int) -> int:
+        """Listen; returns the port."""
+        return await self.server.async_setup(host, port)
+
+    async def async_unload(self) -> None:
+        """Stop listening."""
+        await self.server.async_unload()
+
+    async def _async_handle(
+        self, req: HttpRequest, resp: HttpResponder
+    ) -> None:
+        if req.headers.get(OPERATOR_HEADER) != self._operator_key:
+            message = f"send the operator key as {OPERATOR_HEADER}"
+            await _async_error(resp, 401, "unknown operator", message)
+            return
+        for route in self._routes:
+            if route.matches(req):
+                await self._async_call(route, req, resp)
+                return
+        message = f"no operation {req.method} {req.path}: see the docs"
+        await _async_error(resp, 404, "unknown operation", message)
+
+    async def _async_call(
+        self, route: AdminRoute, req: HttpRequest, resp: HttpResponder
+    ) -> None:
+        try:
+            result = await route.call(req)
+        except NotFoundError as exc:
+            await _async_error(resp, 404, "not found", str(exc))
+        except WaxwingError as exc:
+            status = next(
+                (s for k, s in ERROR_STATUS.items() if isinstance(exc, k)),
+                500,
+            )
+            await _async_error(resp, status, type(exc).__name__, str(exc))
+        else:
+            await resp.async_send(200, orjson.dumps(result), JSON_HEADERS)
+
+
+async def _async_error(
+    resp: HttpResponder, status: int, kind: str, message: str
+) -> None:
+    body = orjson.dumps({"error": {"type": kind, "message": message}})
+    await resp.async_send(status, body, JSON_HEADERS)
