Add the stand-in model engine

Answers follow from the prompt alone, so that a resumed answer can be checked against the straight one. One timer serves all streams; a task a token was ruled out, as it would cost more than what is measured.

--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,407 @@
+"""The stand-in model engine.
+
+Run with `python -m standins.engine --port P --server-id S --service V`.
+"""
+
+import argparse
+import asyncio
+import base64
+import json
+import time
+from typing import Any, Final
+
+import xxhash
+
+from standins.answers import BLOCK_WORDS, block_hashes
+from standins.base import ApiError, Exchange, StandIn, async_run, parser_of
+from standins.batch import NEVER, Batch, Phase, Speeds, Stream
+from standins.engine_messages import (
+    CompletionBody,
+    ExportBody,
+    ImportBody,
+    Order,
+    StartBody,
+    whole_answer,
+)
+from standins.event_stream import EventWriter
+from standins.prefix_cache import PrefixCache
+from standins.versions import EngineState, WeightLoader
+
+COMPLETION_PATHS: Final = ("/v1/completions", "/v1/chat/completions")
+STREAMS_PATH: Final = "/v1/streams/"
+
+
+class Engine(StandIn):
+    """Serves deterministic answers at made-up speeds."""
+
+    def __init__(self, args: argparse.Namespace) -> None:
+        super().__init__(args.server_id)
+        self._args = args
+        self._loop = asyncio.get_running_loop()
+        self._cache = PrefixCache(
+            self._loop.time,
+            args.kv_blocks,
+            lag_s=args.cache_lag_s,
+            gap_every=args.cache_gap_every,
+        )
+        self._batch = Batch(
+            self._cache,
+            args.slots,
+            Speeds(
+                decode=args.tokens_per_second,
+                prefill=args.prefill_tokens_per_second,
+            ),
+            slowdown=self._slowdown,
+            on_end=self._on_end,
+        )
+        self.state = EngineState(
+            version=args.version, incarnation=args.incarnation
+        )
+        self._loader = WeightLoader(
+            args.platform, args.weights_mb, args.load_s
+        )
+        self._loading: asyncio.Task[None] | None = None
+        self._streams: dict[str, Stream] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = NEVER
+        self._keeper: asyncio.Task[None] | None = None
+        self._number = 0
+        self._load = self._load_now()
+        self.stopped = False
+
+    async def async_setup(self, port: int) -> int:
+        """Listen; returns the port."""
+        self._keeper = self._loop.create_task(self._async_keep())
+        return await super().async_setup(port)
+
+    async def async_unload(self) -> None:
+        """Stop at once."""
+        for task in (self._keeper, self._loading):
+            if task is not None:
+                task.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._loader.async_unload()
+        await super().async_unload()
+
+    # the ticker: one timer for all streams
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._timer_at = NEVER
+        self._batch.advance(self._loop.time())
+        self._arm()
+
+    def _arm(self) -> None:
+        due_s = self._batch.next_due()
+        if due_s == NEVER:
+            return
+        due_at = self._loop.time() + max(due_s, self._args.tick_ms / 1000)
+        if self._timer is not None:
+            if self._timer_at <= due_at:
+                return
+            self._timer.cancel()
+        self._timer_at = due_at
+        self._timer = self._loop.call_at(due_at, self._tick)
+
+    async def _async_keep(self) -> None:
+        """Publish the load, and drop the streams held long enough."""
+        while True:
+            await asyncio.sleep(self._args.load_lag_s)
+            self._load = self._load_now()
+            self._drop_old(self._loop.time())
+
+    def _drop_old(self, now: float) -> None:
+        old = [
+            s
+            for s in self._streams.values()
+            if now - s.unread_since > self._args.hold_s
+        ]
+        for stream in old:
+            self._batch.cancel(now, stream)
+            del self._streams[stream.stream_id]
+
+    def _load_now(self) -> dict[str, Any]:
+        now = time.time()
+        return {
+            "running": self._batch.running,
+            "waiting": self._batch.waiting,
+            "kv_used": self._batch.kv_used,
+            "kv_total": self._cache.capacity,
+            "as_of": now,
+            "as_of_ms": int(now * 1000),
+            "incarnation": self.state.incarnation,
+        }
+
+    # bad versions
+
+    def _slowdown(self, path: str) -> float:
+        return self._bad(path, "slow")
+
+    def _bad(self, path: str, how: str) -> float:
+        """Return the factor of a bad version; 1 where all is well."""
+        factor = 1.0
+        for fault in self.faults.all_active("bad_version"):
+            req = fault.request
+            late_s = self._loop.time() - fault.since
+            shown = {
+                "at_once": True,
+                "late": late_s >= req.after_s,
+                "load": self._batch.running > req.above_running,
+            }[req.when]
+            meant = req.version in {None, self.state.version}
+            on_route = path.startswith(req.route)
+            if shown and meant and on_route and req.how == how:
+                factor = min(factor, req.factor)
+        return factor
+
+    # requests
+
+    async def async_serve(self, exchange: Exchange) -> None:
+        """Answer by method and path."""
+        if self.stopped:
+            exchange.resp.abort()
+            return
+        req = exchange.req
+        if req.path.startswith(STREAMS_PATH):
+            await self._async_stream(exchange, req.path[len(STREAMS_PATH) :])
+            return
+        match req.method, req.path:
+            case "POST", path if path in COMPLETION_PATHS:
+                await self._async_complete(exchange)
+            case "GET", "/v1/load":
+                await exchange.async_json(200, self._load)
+            case "GET", "/v1/state":
+                await exchange.async_json(200, self.state.wire())
+            case "GET", "/v1/cache/events":
+                await self._async_cache_events(exchange)
+            case "POST", "/v1/orders":
+                await self._async_order(exchange)
+            case "POST", "/v1/kv/export":
+                await self._async_export(exchange)
+            case "POST", "/v1/kv/import":
+                await self._async_import(exchange)
+            case _:
+                raise ApiError(404, "not_found", "no such path")
+
+    async def _async_complete(self, exchange: Exchange) -> None:
+        req = exchange.req
+        body = CompletionBody.model_validate_json(req.body)
+        if self._bad(req.path, "fail") < 1:
+            self.journal.add("failed", path=req.path)
+            raise ApiError(500, "internal", "bad version")
+        stream = self._submit(exchange, body)
+        if body.stream:
+            writer = EventWriter(exchange, stream, self._loop.time)
+            await writer.async_run(len(stream.resumed), first=True)
+            return
+        await self._async_whole(exchange, body, stream)
+
+    def _submit(self, exchange: Exchange, body: CompletionBody) -> Stream:
+        part = body.waxwing
+        self._number += 1
+        stream = Stream(
+            stream_id=part.stream_id or f"{self.name}-{self._number}",
+            path=exchange.req.path,
+            prompt=body.prompt_text(),
+            resumed=tuple(part.resume_text_tokens),
+            total=body.max_tokens,
+            priority=part.priority,
+        )
+        if stream.stream_id in self._streams:
+            raise ApiError(409, "stream_exists", "attach to the stream")
+        if len(stream.resumed) > stream.total:
+            raise ApiError(400, "bad_request", "resumed past the end")
+        if self._batch.blocks_for(stream) > self._cache.capacity:
+            raise ApiError(400, "too_long", "send a shorter prompt")
+        self.journal.add(
+            "begun",
+            op=stream.stream_id,
+            path=stream.path,
+            body_digest=xxhash.xxh3_64_hexdigest(stream.prompt.encode()),
+            offset=len(stream.resumed),
+            priority=stream.priority,
+            version=self.state.version,
+        )
+        stream.unread_since = self._loop.time()
+        self._streams[stream.stream_id] = stream
+        self._batch.submit(self._loop.time(), stream)
+        self._arm()
+        return stream
+
+    def _on_end(self, stream: Stream) -> None:
+        self.journal.add(
+            "finished" if stream.phase is Phase.FINISHED else "cancelled",
+            op=stream.stream_id,
+            path=stream.path,
+            produced=stream.produced,
+            cached_tokens=stream.cached_tokens,
+            computed_tokens=stream.computed_tokens,
+        )
+
+    async def _async_whole(
+        self, exchange: Exchange, body: CompletionBody, stream: Stream
+    ) -> None:
+        writer = EventWriter(exchange, stream, self._loop.time)
+        await writer.async_wait_end()
+        if stream.phase is Phase.CANCELLED:
+            raise ApiError(409, "cancelled", "the stream was cancelled")
+        waxwing = {
+            "stream_id": stream.stream_id,
+            "digest": stream.digest(),
+            "cached_tokens": stream.cached_tokens,
+            "computed_tokens": stream.computed_tokens,
+        }
+        text = "".join(stream.tokens(0, stream.total))
+        answer = whole_answer(body, stream.stream_id, text, waxwing)
+        if self.faults.take("cut") is not None:
+            exchange.resp.abort()
+            return
+        await exchange.async_json(200, answer)
+
+    async def _async_stream(self, exchange: Exchange, stream_id: str) -> None:
+        stream = self._streams.get(stream_id)
+        if exchange.req.method == "DELETE":
+            if stream is not None:
+                self._batch.cancel(self._loop.time(), stream)
+                self._arm()
+            await exchange.async_json(200, {})
+            return
+        if stream is None or stream.phase is Phase.CANCELLED:
+            raise ApiError(404, "not_held", "resume the answer elsewhere")
+        offset = int(exchange.req.query.get("offset", "0"))
+        self.journal.add("attached", op=stream_id, offset=offset)
+        writer = EventWriter(exchange, stream, self._loop.time)
+        await writer.async_run(offset, first=False)
+
+    async def _async_cache_events(self, exchange: Exchange) -> None:
+        after = int(exchange.req.query.get("after", "0"))
+        events = self._cache.events_after(after)
+        seq = max((e.seq for e in events), default=after)
+        body = {"events": [e.wire() for e in events], "seq": seq}
+        await exchange.async_json(200, body)
+
+    # KV cache
+
+    async def _async_export(self, exchange: Exchange) -> None:
+        body = ExportBody.model_validate_json(exchange.req.body)
+        stream = self._streams.get(body.stream_id)
+        if stream is None or stream.phase in {Phase.WAITING, Phase.CANCELLED}:
+            raise ApiError(404, "not_held", "resume the answer elsewhere")
+        words = stream.words()
+        text = json.dumps(words).encode()
+        self.journal.add("kv_export", op=body.stream_id, tokens=len(words))
+        blob = base64.b64encode(text).decode()
+        await exchange.async_json(200, {"blob": blob, "tokens": len(words)})
+
+    async def _async_import(self, exchange: Exchange) -> None:
+        body = ImportBody.model_validate_json(exchange.req.body)
+        try:
+            words = json.loads(base64.b64decode(body.blob))
+        except ValueError:
+            raise ApiError(400, "bad_blob", "export the cache again") from None
+        blocks = block_hashes([str(w) for w in words])
+        self._cache.add(blocks)
+        cached = len(blocks) * BLOCK_WORDS
+        self.journal.add("kv_import", tokens=cached)
+        await exchange.async_json(200, {"cached_tokens": cached})
+
+    # orders
+
+    async def _async_order(self, exchange: Exchange) -> None:
+        order = Order.model_validate_json(exchange.req.body)
+        lenient = self._args.ignore_fencing or bool(
+            self.faults.active("ignore_fencing")
+        )
+        try:
+            self.state.take(order, check_fencing=not lenient)
+        except ApiError:
+            self.journal.add(
+                "order_refused", op=order.order_id, fencing=order.fencing
+            )
+            raise
+        self.journal.add(
+            "order",
+            op=order.order_id,
+            fencing=order.fencing,
+            want=order.want.model_dump(exclude_none=True),
+        )
+        if not self.state.loaded and self._loading is None:
+            self._loading = self._loop.create_task(self._async_load())
+        await exchange.async_json(200, self.state.wire())
+
+    async def _async_load(self) -> None:
+        """Load wanted versions until the wanted one is served."""
+        try:
+            while not self.state.loaded:
+                wanted = self.state.wanted
+                await self._loader.async_load(self._args.service, wanted)
+                if wanted == self.state.wanted:
+                    self._serve_version(wanted)
+        finally:
+            self._loading = None
+
+    def _serve_version(self, version: str) -> None:
+        self.state.version = version
+        self._cache.clear()
+        self.journal.add("loaded", version=version)
+
+    # the host comes and goes
+
+    async def async_admin(self, exchange: Exchange) -> None:
+        """Start or stop, as the platform takes or gives the host."""
+        match exchange.req.method, exchange.req.path:
+            case "PUT", "/admin/start":
+                body = StartBody.model_validate_json(exchange.req.body)
+                self.state = EngineState(
+                    version=body.version, incarnation=body.incarnation
+                )
+                self.stopped = False
+                self._load = self._load_now()
+                await exchange.async_json(200, {})
+            case "PUT", "/admin/stop":
+                await exchange.async_json(200, {})
+                self._stop(exchange)
+            case _:
+                await super().async_admin(exchange)
+
+    def _stop(self, exchange: Exchange) -> None:
+        self.stopped = True
+        self.drop_connections(keep=exchange.resp)
+        now = self._loop.time()
+        for stream in self._streams.values():
+            self._batch.cancel(now, stream)
+        self._streams.clear()
+        self._cache.clear()
+
+
+def _parse() -> argparse.Namespace:
+    parser = parser_of("Stand-in model engine.")
+    add = parser.add_argument
+    add("--server-id", required=True)
+    add("--service", required=True)
+    add("--version", default="v1")
+    add("--incarnation", type=int, default=1)
+    add("--slots", type=int, default=8)
+    add("--tokens-per-second", type=float, default=50.0)
+    add("--prefill-tokens-per-second", type=float, default=5000.0)
+    add("--kv-blocks", type=int, default=4096)
+    add("--hold-s", type=float, default=30.0)
+    add("--tick-ms", type=float, default=2.0)
+    add("--load-lag-s", type=float, default=0.25)
+    add("--cache-lag-s", type=float, default=0.25)
+    add("--cache-gap-every", type=int, default=50)
+    add("--ignore-fencing", action="store_true")
+    add("--platform", help="address of the weight store")
+    add("--weights-mb", type=float, default=100.0)
+    add("--load-s", type=float, default=0.0)
+    return parser.parse_args()
+
+
+async def _async_main() -> None:
+    args = _parse()
+    await async_run(Engine(args), args)
+
+
+if __name__ == "__main__":
+    asyncio.run(_async_main())
