Run non-idempotent requests at most once

Cause: a disbursement that runs twice breaks a partner's books, and entry hosts vanish at any moment. Change: a claim row a request, written along an explicit rule table; one machine a request on the host that received it. The claim carries the dispatch deadline, counted before the claim is sent. A lost reply is read back; a claim that may still land is stopped by a tombstone. Others answer from the row, or settle it as unknown, which is never run again. Ruled out: letting another host conclude 'not run' from a service that has not seen the operation, since a paused owner may still send it; letting an unknown outcome become a tombstone, since tombstones can be claimed.

--- /dev/null
+++ b/waxwingarch/core/once.py
@@ -0,0 +1,400 @@
+"""Requests with an idempotency key that run at most once.
+
+One machine drives one request on the entry host that received it. Only
+the machine whose claim is in the table dispatches, only before its
+dispatch deadline, and only that machine says "not run" of its claim,
+before it dispatches or when no byte was sent. Others answer from the
+row, or settle it as "unknown", which is never run again.
+"""
+
+from collections.abc import Mapping
+from dataclasses import replace
+from typing import Final
+
+from waxwingarch.core.base import Action, Event, Ran
+from waxwingarch.core.claim import (
+    INLINE_ANSWER_MAX_BYTES,
+    ClaimRow,
+    ClaimState,
+    StoredAnswer,
+    Writer,
+    may_write,
+    row_state,
+)
+from waxwingarch.core.once_messages import (
+    Answer,
+    AnswerNotStored,
+    AnswerStored,
+    ClaimConflict,
+    ClaimRead,
+    ClaimWritten,
+    Dispatch,
+    DispatchAnswered,
+    DispatchLost,
+    DispatchNotSent,
+    OnceFinished,
+    OnceRequest,
+    OnceTimer,
+    OutcomeNotSeen,
+    OutcomeRan,
+    QueryOutcome,
+    ReadClaim,
+    RefusalKind,
+    RefuseRequest,
+    SetOnceTimer,
+    StoreAnswer,
+    TableReplyLost,
+    TableUnavailable,
+    WriteClaim,
+)
+from waxwingarch.core.once_state import Memory, OwnerView, Phase
+
+RETRY_DELAY_S: Final = 0.5
+RETRY_AFTER_S: Final = 1.0
+MAX_CLAIM_WRITES: Final = 5
+MAX_DISPATCHES: Final = 3
+
+
+class OnceMachine:
+    """Decides what happens to one request that runs at most once."""
+
+    def __init__(self, req: OnceRequest, owners: OwnerView) -> None:
+        self._req = req
+        self._owners = owners
+        self._claim = req.claim()
+        self.memory = Memory()
+
+    # Interface
+
+    def start(self, now: float) -> list[Action]:
+        """Begin; the common case needs no read before the claim."""
+        return self._write_claim(now, expected_version=0)
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Take one event; one that is late or repeated does nothing."""
+        name = TRANSITIONS.get((self.memory.phase, type(event)))
+        if name is None:
+            return []
+        actions: list[Action] = getattr(self, name)(now, event)
+        return actions
+
+    def may_dispatch(self, now: float) -> bool:
+        """Return whether the first byte may be written now."""
+        waiting = self.memory.phase is Phase.DISPATCHING
+        return waiting and now < self._req.dispatch_deadline
+
+    @property
+    def finished(self) -> bool:
+        """Whether nothing more will come of this machine."""
+        return self.memory.phase is Phase.FINISHED
+
+    # Claiming
+
+    def _write_claim(
+        self, now: float, *, expected_version: int
+    ) -> list[Action]:
+        mem = self.memory
+        late = now >= self._req.dispatch_deadline
+        if late or mem.claim_writes >= MAX_CLAIM_WRITES:
+            return self._give_up(now, RefusalKind.TOO_LATE)
+        self.memory = replace(
+            mem,
+            phase=Phase.CLAIMING,
+            version=expected_version,
+            claim_writes=mem.claim_writes + 1,
+        )
+        return [
+            WriteClaim(
+                key=self._req.key,
+                row=self._claim,
+                expected_version=expected_version,
+            )
+        ]
+
+    def _on_claimed(self, now: float, event: ClaimWritten) -> list[Action]:
+        return self._own(now, event.version)
+
+    def _own(self, now: float, version: int) -> list[Action]:
+        """Go on from a claim of ours that is in the table."""
+        self.memory = replace(self.memory, version=version, maybe_claimed=True)
+        return self._dispatch(now, RefusalKind.TOO_LATE)
+
+    def _on_claim_refused(self, now: float, _: Event) -> list[Action]:
+        return self._give_up(now, RefusalKind.TABLE_DOWN)
+
+    def _on_claim_lost(self, now: float, _: Event) -> list[Action]:
+        self.memory = replace(
+            self.memory, phase=Phase.READING_BACK, maybe_claimed=True
+        )
+        return [ReadClaim(key=self._req.key)]
+
+    def _on_read_failed(self, now: float, _: Event) -> list[Action]:
+        if now >= self._req.dispatch_deadline:
+            return self._give_up(now, RefusalKind.TABLE_DOWN)
+        return [SetOnceTimer(at=now + RETRY_DELAY_S)]
+
+    def _on_read_timer(self, now: float, _: Event) -> list[Action]:
+        return [ReadClaim(key=self._req.key)]
+
+    def _on_row(
+        self, now: float, event: ClaimRead | ClaimConflict
+    ) -> list[Action]:
+        row = event.row
+        if row is not None and row.claim_id == self._req.claim_id:
+            return self._on_own_row(now, row, event.version)
+        if row is not None and row.body_digest != self._req.body_digest:
+            return self._refuse(RefusalKind.KEY_REUSED, Ran.NOT_RUN, None)
+        name = ROW_RESPONSES[row_state(row)]
+        actions: list[Action] = getattr(self, name)(now, row, event.version)
+        return actions
+
+    def _on_own_row(
+        self, now: float, row: ClaimRow, version: int
+    ) -> list[Action]:
+        if row.state is ClaimState.CLAIMED:
+            return self._own(now, version)
+        return self._refuse(RefusalKind.TOO_LATE, Ran.NOT_RUN, None)
+
+    def _on_free(
+        self, now: float, row: ClaimRow | None, version: int
+    ) -> list[Action]:
+        return self._write_claim(now, expected_version=version)
+
+    def _on_done(
+        self, now: float, row: ClaimRow, version: int
+    ) -> list[Action]:
+        assert row.answer is not None
+        return [Answer(answer=row.answer, replayed=True), *self._finish()]
+
+    # Settling the claim of another owner
+
+    def _on_foreign(
+        self, now: float, row: ClaimRow, version: int
+    ) -> list[Action]:
+        unix_now = now + self._req.unix_offset
+        overdue = unix_now > row.settle_after_unix
+        if overdue or self._owners.is_gone(row.owner, row.incarnation):
+            return self._settle(now, row, version)
+        return self._refuse(
+            RefusalKind.IN_PROGRESS, Ran.UNKNOWN, RETRY_AFTER_S
+        )
+
+    def _settle(self, now: float, row: ClaimRow, version: int) -> list[Action]:
+        self.memory = replace(
+            self.memory,
+            phase=Phase.SETTLING,
+            version=version,
+            record=row,
+            writer=Writer.OTHER,
+        )
+        if not self._req.outcome_query:
+            return self._on_settle_unseen(now, OutcomeNotSeen())
+        return [self._query()]
+
+    def _on_settle_unseen(self, now: float, _: Event) -> list[Action]:
+        """Settle as unknown.
+
+        That the service has not seen the operation proves nothing: the
+        owner may be paused right before its write.
+        """
+        return self._end_unknown(now)
+
+    # Dispatching
+
+    def _dispatch(self, now: float, otherwise: RefusalKind) -> list[Action]:
+        mem = self.memory
+        late = now >= self._req.dispatch_deadline
+        if late or mem.dispatches >= MAX_DISPATCHES:
+            return self._give_up(now, otherwise)
+        self.memory = replace(
+            mem, phase=Phase.DISPATCHING, dispatches=mem.dispatches + 1
+        )
+        return [
+            Dispatch(
+                operation_id=self._req.operation_id,
+                dispatch_deadline=self._req.dispatch_deadline,
+                answer_deadline=self._req.answer_deadline,
+            )
+        ]
+
+    def _on_not_sent(self, now: float, _: Event) -> list[Action]:
+        return self._dispatch(now, RefusalKind.NO_SERVER)
+
+    def _on_answer(
+        self, now: float, event: DispatchAnswered | OutcomeRan
+    ) -> list[Action]:
+        """Answer at once; the record follows, as often as it takes."""
+        answer = event.answer
+        replayed = self.memory.writer is Writer.OTHER
+        actions: list[Action] = [Answer(answer=answer, replayed=replayed)]
+        if len(answer.body) <= INLINE_ANSWER_MAX_BYTES:
+            return actions + self._record(now, ClaimState.DONE, answer)
+        ref = f"answers/{self._req.operation_id}"
+        stored = replace(answer, body=b"", ref=ref)
+        store = StoreAnswer(name=ref, body=answer.body)
+        base = self.memory.record or self._claim
+        self.memory = replace(
+            self.memory,
+            phase=Phase.STORING,
+            record=base.with_state(ClaimState.DONE, stored),
+            store=store,
+        )
+        return [*actions, store]
+
+    def _on_dispatch_lost(self, now: float, _: Event) -> list[Action]:
+        if not self._req.outcome_query:
+            return self._end_unknown(now)
+        self.memory = replace(self.memory, phase=Phase.ASKING)
+        return [self._query()]
+
+    def _on_own_unseen(self, now: float, _: Event) -> list[Action]:
+        """Ask again: what was sent may still be on its way."""
+        if now + RETRY_DELAY_S < self._req.answer_deadline:
+            return [SetOnceTimer(at=now + RETRY_DELAY_S)]
+        return self._end_unknown(now)
+
+    def _on_ask_timer(self, now: float, _: Event) -> list[Action]:
+        return [self._query()]
+
+    def _query(self) -> Action:
+        return QueryOutcome(
+            operation_id=self._req.operation_id,
+            deadline=self._req.answer_deadline,
+        )
+
+    # Recording the outcome
+
+    def _on_stored(self, now: float, _: Event) -> list[Action]:
+        self.memory = replace(self.memory, phase=Phase.RECORDING)
+        return [self._write_record()]
+
+    def _on_not_stored(self, now: float, _: Event) -> list[Action]:
+        """Store it again; a row never names an object that lacks."""
+        if now >= self._req.record_deadline:
+            return self._finish()
+        return [SetOnceTimer(at=now + RETRY_DELAY_S)]
+
+    def _on_store_timer(self, now: float, _: Event) -> list[Action]:
+        assert self.memory.store is not None
+        return [self.memory.store]
+
+    def _record(
+        self,
+        now: float,
+        state: ClaimState,
+        answer: StoredAnswer | None = None,
+    ) -> list[Action]:
+        mem = self.memory
+        base = mem.record or self._claim
+        if not may_write(base.state, state, mem.writer):
+            return self._finish()
+        self.memory = replace(
+            mem,
+            phase=Phase.RECORDING,
+            record=base.with_state(state, answer),
+        )
+        return [self._write_record()]
+
+    def _write_record(self) -> Action:
+        assert self.memory.record is not None
+        return WriteClaim(
+            key=self._req.key,
+            row=self.memory.record,
+            expected_version=self.memory.version,
+        )
+
+    def _on_recorded(self, now: float, _: Event) -> list[Action]:
+        return self._finish()
+
+    def _on_record_conflict(
+        self, now: float, event: ClaimConflict
+    ) -> list[Action]:
+        record = self.memory.record
+        assert record is not None
+        row = event.row
+        same = row is None or row.claim_id == record.claim_id
+        allowed = may_write(row_state(row), record.state, self.memory.writer)
+        if not same or not allowed:
+            return self._finish()
+        self.memory = replace(self.memory, version=event.version)
+        return [self._write_record()]
+
+    def _on_record_failed(self, now: float, _: Event) -> list[Action]:
+        """Write it again: the version makes a repeat harmless."""
+        if now >= self._req.record_deadline:
+            return self._finish()
+        return [SetOnceTimer(at=now + RETRY_DELAY_S)]
+
+    def _on_record_timer(self, now: float, _: Event) -> list[Action]:
+        return [self._write_record()]
+
+    # Ends
+
+    def _give_up(self, now: float, kind: RefusalKind) -> list[Action]:
+        """Say "not run": this machine will not dispatch any more.
+
+        If a claim of ours is or may get into the table, a tombstone
+        stops it there.
+        """
+        refusal = RefuseRequest(
+            kind=kind, ran=Ran.NOT_RUN, retry_after_s=RETRY_AFTER_S
+        )
+        if not self.memory.maybe_claimed:
+            return [refusal, *self._finish()]
+        return [refusal, *self._record(now, ClaimState.NOT_RUN)]
+
+    def _end_unknown(self, now: float) -> list[Action]:
+        refusal = RefuseRequest(
+            kind=RefusalKind.OUTCOME_UNKNOWN,
+            ran=Ran.UNKNOWN,
+            retry_after_s=None,
+        )
+        return [refusal, *self._record(now, ClaimState.UNKNOWN)]
+
+    def _refuse(
+        self, kind: RefusalKind, ran: Ran, retry_after_s: float | None
+    ) -> list[Action]:
+        refusal = RefuseRequest(
+            kind=kind, ran=ran, retry_after_s=retry_after_s
+        )
+        return [refusal, *self._finish()]
+
+    def _finish(self) -> list[Action]:
+        self.memory = replace(self.memory, phase=Phase.FINISHED)
+        return [OnceFinished()]
+
+
+ROW_RESPONSES: Final[Mapping[ClaimState, str]] = {
+    ClaimState.ABSENT: "_on_free",
+    ClaimState.NOT_RUN: "_on_free",
+    ClaimState.CLAIMED: "_on_foreign",
+    ClaimState.UNKNOWN: "_settle",
+    ClaimState.DONE: "_on_done",
+}
+
+_P = Phase
+TRANSITIONS: Final[Mapping[tuple[Phase, type[Event]], str]] = {
+    (_P.CLAIMING, ClaimWritten): "_on_claimed",
+    (_P.CLAIMING, ClaimConflict): "_on_row",
+    (_P.CLAIMING, TableUnavailable): "_on_claim_refused",
+    (_P.CLAIMING, TableReplyLost): "_on_claim_lost",
+    (_P.READING_BACK, ClaimRead): "_on_row",
+    (_P.READING_BACK, TableUnavailable): "_on_read_failed",
+    (_P.READING_BACK, OnceTimer): "_on_read_timer",
+    (_P.DISPATCHING, DispatchNotSent): "_on_not_sent",
+    (_P.DISPATCHING, DispatchAnswered): "_on_answer",
+    (_P.DISPATCHING, DispatchLost): "_on_dispatch_lost",
+    (_P.ASKING, OutcomeRan): "_on_answer",
+    (_P.ASKING, OutcomeNotSeen): "_on_own_unseen",
+    (_P.ASKING, OnceTimer): "_on_ask_timer",
+    (_P.SETTLING, OutcomeRan): "_on_answer",
+    (_P.SETTLING, OutcomeNotSeen): "_on_settle_unseen",
+    (_P.STORING, AnswerStored): "_on_stored",
+    (_P.STORING, AnswerNotStored): "_on_not_stored",
+    (_P.STORING, OnceTimer): "_on_store_timer",
+    (_P.RECORDING, ClaimWritten): "_on_recorded",
+    (_P.RECORDING, ClaimConflict): "_on_record_conflict",
+    (_P.RECORDING, TableUnavailable): "_on_record_failed",
+    (_P.RECORDING, TableReplyLost): "_on_record_failed",
+    (_P.RECORDING, OnceTimer): "_on_record_timer",
+}
