--- /dev/null
+++ b/waxwingarch/diagnostics.py
@@ -0,0 +1,58 @@
+"""The dump of a process's state, for operators."""
+
+import resource
+import time
+from typing import Any
+
+from waxwingarch.adapters.settings import Settings
+from waxwingarch.const import VERSION
+from waxwingarch.core.node import Node
+
+KB_PER_MB = 1024
+
+
+def resident_mb() -> float:
+    """Return the largest resident size of this process so far, in MB."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_maxrss / KB_PER_MB
+
+
+def dump(settings: Settings, node: Node, started_unix: float) -> Any:
+    """Return the state of this process as plain JSON values."""
+    return {
+        "version": VERSION,
+        "host": settings.host.model_dump(),
+        "listen": settings.listen.model_dump(),
+        "started_unix": started_unix,
+        "at_unix": time.time(),
+        "resident_mb": round(resident_mb(), 1),
+        "cpu_s": round(time.process_time(), 3),
+        "ready": node.ready,
+        "draining": node.draining,
+        "revision": node.directory.revision,
+        "accounts": [c.account for c in node.directory.all()],
+        "requests": [
+            {
+                "request_id": machine.request.request_id,
+                "account": machine.request.account,
+                "service": machine.request.service,
+                "state": machine.state.value,
+                "server": machine.attempt.server.server_id
+                if machine.attempt
+                else None,
+            }
+            for machine in node.desk.machines()
+        ],
+        "servers": [
+            {
+                "server_id": server.server_id,
+                "service": server.service,
+                "version": server.version,
+                "failure_domain": server.failure_domain,
+                "incarnation": server.incarnation,
+                "leaving": node.servers.departure(server.server_id)
+                is not None,
+            }
+            for server in node.servers.all()
+        ],
+    }
--- a/waxwingarch/tasks/admin.py
+++ b/waxwingarch/tasks/admin.py
@@ -1,5 +1,6 @@
 """The operators' interface of one daemon, used by waxwingctl."""
 
+import hmac
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any, Final
@@ -58,7 +59,7 @@
     def __init__(
         self, operator_key: str, on_error: Callable[[Exception], None]
     ) -> None:
-        self._operator_key = operator_key
+        self._operator_key = operator_key.encode()
         self._routes: list[AdminRoute] = []
         self.server = HttpServer(self._async_handle, on_error)
 
@@ -80,7 +81,8 @@
     async def _async_handle(
         self, req: HttpRequest, resp: HttpResponder
     ) -> None:
-        if req.headers.get(OPERATOR_HEADER) != self._operator_key:
+        given = req.headers.get(OPERATOR_HEADER, "")
+        if not hmac.compare_digest(given.encode(), self._operator_key):
             message = f"send the operator key as {OPERATOR_HEADER}"
             await _async_error(resp, 401, "unknown operator", message)
             return
