Admit by contract: limits, fair shares, deadlines, retry budget

Cause: every limit, priority and share of a customer follows from its contract, and a refusal has to be final, typed and early. Change: Admission (offer, next_ready, expire, release), a fair queue, a token bucket with shares that end at a deadline, a retry budget. The test without shares shows that the measure can fail.

--- /dev/null
+++ b/tests/core/test_admission.py
@@ -0,0 +1,277 @@
+"""Tests of admission: limits, shares, deadlines."""
+
+import heapq
+import random
+from collections.abc import Callable
+
+import testtools
+
+from waxwingarch.core.admission import Admission
+from waxwingarch.core.admission_messages import (
+    Admitted,
+    PendingRequest,
+    Queued,
+    Refusal,
+    RefusalReason,
+)
+from waxwingarch.core.base import AccountId, Ran, RequestId
+from waxwingarch.core.contract import Contract
+from waxwingarch.core.fair_queue import FairQueue
+
+DRIVE = AccountId("drive")
+RACE = AccountId("race")
+
+
+def contract(account: AccountId = DRIVE, **changes: object) -> Contract:
+    values: dict[str, object] = {
+        "account": account,
+        "key_digest": "",
+        "first_token_s": 2.0,
+        "between_tokens_s": 0.1,
+        "whole_answer_s": 30.0,
+        "priority": 1,
+        "rate": 100.0,
+        "burst": 100,
+        "concurrency": 100,
+        "share": 0.5,
+        "cost_weight": 1.0,
+        "routes": (),
+    }
+    return Contract(**(values | changes))  # type: ignore[arg-type]
+
+
+def request(
+    name: str, account: AccountId = DRIVE, **changes: object
+) -> PendingRequest:
+    values: dict[str, object] = {
+        "request_id": RequestId(name),
+        "account": account,
+        "expected_s": 1.0,
+    }
+    return PendingRequest(**(values | changes))  # type: ignore[arg-type]
+
+
+def admission(slots: int, *contracts: Contract, hosts: int = 1) -> Admission:
+    made = Admission(limit_hosts=hosts)
+    made.set_contracts(0.0, contracts)
+    made.set_capacity(slots)
+    return made
+
+
+class LimitTest(testtools.TestCase):
+    def test_rate_is_kept_and_refusal_names_the_wait(self) -> None:
+        adm = admission(9, contract(rate=2.0, burst=1))
+        self.assertIsInstance(adm.offer(0.0, request("a")), Admitted)
+        refusal = adm.offer(0.1, request("b"))
+        assert isinstance(refusal, Refusal)
+        self.assertEqual(RefusalReason.RATE_LIMIT, refusal.reason)
+        self.assertEqual(Ran.NOT_RUN, refusal.ran)
+        self.assertAlmostEqual(0.4, refusal.retry_after_s)
+        self.assertIn("rate", refusal.message)
+        again = adm.offer(0.1 + refusal.retry_after_s, request("b"))
+        self.assertIsInstance(again, Admitted)
+
+    def test_concurrency_is_never_exceeded(self) -> None:
+        adm = admission(9, contract(concurrency=2))
+        for name in "abc":
+            adm.offer(0.0, request(name))
+        self.assertEqual(2, adm.running(DRIVE))
+        self.assertEqual([], adm.next_ready(0.1, 9))
+        adm.release(0.5, RequestId("a"))
+        ready = adm.next_ready(0.5, 9)
+        self.assertEqual(["c"], [r.request_id for r in ready])
+
+    def test_share_of_a_limit_falls_back_to_the_floor(self) -> None:
+        adm = admission(99, contract(rate=10.0, concurrency=20), hosts=10)
+        adm.set_limit(0.0, DRIVE, 5.0, 8, 60.0)
+        for n in range(8):
+            adm.offer(1.0, request(f"early{n}"))
+        self.assertEqual(8, adm.running(DRIVE))
+        for n in range(8):
+            adm.release(2.0, RequestId(f"early{n}"))
+        for n in range(4):
+            adm.offer(100.0, request(f"late{n}"))
+        self.assertEqual(2, adm.running(DRIVE))
+
+    def test_unknown_account_is_refused(self) -> None:
+        refusal = admission(9).offer(0.0, request("a"))
+        assert isinstance(refusal, Refusal)
+        self.assertEqual(RefusalReason.NO_CONTRACT, refusal.reason)
+
+    def test_removed_contract_refuses_what_waits(self) -> None:
+        adm = admission(1, contract())
+        adm.offer(0.0, request("runs"))
+        adm.offer(0.0, request("waits"))
+        refusals = adm.set_contracts(0.1, [])
+        self.assertEqual(["waits"], [r.request_id for r in refusals])
+        adm.release(1.0, RequestId("runs"))
+        self.assertEqual([], adm.next_ready(1.0, 9))
+
+
+class DeadlineTest(testtools.TestCase):
+    def test_deadlines_are_fixed_at_acceptance(self) -> None:
+        adm = admission(1, contract())
+        adm.offer(0.0, request("a"))
+        queued = adm.offer(0.5, request("b"))
+        assert isinstance(queued, Queued)
+        adm.set_contracts(0.6, [contract(first_token_s=9.0)])
+        adm.release(1.0, RequestId("a"))
+        (ready,) = adm.next_ready(1.0, 1)
+        self.assertEqual(queued.deadlines, ready.deadlines)
+        self.assertEqual(2.5, ready.deadlines.first_token_at)
+
+    def test_hopeless_request_is_refused_before_it_costs_a_token(self) -> None:
+        adm = admission(1, contract(rate=0.001, burst=3))
+        adm.offer(0.0, request("a", expected_s=5.0))
+        late = adm.offer(0.0, request("b", expected_s=5.0))
+        assert isinstance(late, Refusal)
+        self.assertEqual(RefusalReason.DEADLINE_UNREACHABLE, late.reason)
+        adm.release(0.0, RequestId("a"))
+        for name in "cd":
+            adm.offer(0.0, request(name, expected_s=0.1))
+        refusal = adm.offer(0.0, request("e", expected_s=0.1))
+        assert isinstance(refusal, Refusal)
+        self.assertEqual(RefusalReason.RATE_LIMIT, refusal.reason)
+
+    def test_waiting_request_is_refused_when_it_becomes_clear(self) -> None:
+        adm = admission(4, contract(first_token_s=4.0, whole_answer_s=9.0))
+        for n in range(4):
+            adm.offer(0.0, request(f"run{n}", expected_s=4.0))
+        for n in range(3):
+            adm.offer(0.0, request(f"wait{n}", expected_s=4.0))
+        self.assertEqual([], adm.expire(0.0))
+        adm.set_capacity(1)
+        refusals = adm.expire(0.1)
+        self.assertEqual(["wait1", "wait2"], [r.request_id for r in refusals])
+        self.assertTrue(all(r.ran is Ran.NOT_RUN for r in refusals))
+
+    def test_refused_request_is_never_started(self) -> None:
+        rng = random.Random(5)
+        adm = admission(3, contract(first_token_s=1.5, concurrency=3))
+        refused: set[str] = set()
+        started: set[str] = set()
+        running: list[tuple[float, RequestId]] = []
+        for n in range(500):
+            now = n * 0.1
+            while running and running[0][0] <= now:
+                adm.release(now, heapq.heappop(running)[1])
+            got = adm.offer(now, request(f"r{n}"))
+            out = [got, *adm.expire(now)]
+            out += adm.next_ready(now, 3 - len(running))
+            for item in out:
+                if isinstance(item, Refusal):
+                    refused.add(item.request_id)
+                if isinstance(item, Admitted):
+                    started.add(item.request_id)
+                    heapq.heappush(
+                        running, (now + rng.uniform(0.2, 2), item.request_id)
+                    )
+            self.assertLessEqual(adm.running(DRIVE), 3)
+        self.assertEqual(set(), refused & started)
+        self.assertTrue(refused)
+        self.assertEqual(500, len(refused | started) + adm.waiting(DRIVE))
+
+
+class _FifoQueue(FairQueue):
+    """A queue without shares: the oldest request goes first."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._order: list[tuple[AccountId, RequestId]] = []
+
+    def push(
+        self, account: AccountId, request_id: RequestId, work_s: float
+    ) -> None:
+        super().push(account, request_id, work_s)
+        self._order.append((account, request_id))
+
+    def pop(
+        self, may_start: Callable[[AccountId], bool]
+    ) -> tuple[AccountId, RequestId] | None:
+        while self._order:
+            account, request_id = self._order.pop(0)
+            if self.remove(account, request_id):
+                return account, request_id
+        return None
+
+
+def quiet_p99_s(noise: float, queue: FairQueue, seed: int = 11) -> float:
+    """Run two accounts in made time; return the quiet one's 99th percentile.
+
+    Both have half of the capacity; the quiet one asks for 70% of its
+    half, the noisy one for `noise` times its own half.
+    """
+    slots = 48
+    rng = random.Random(seed)
+    wide = {"rate": 1e6, "burst": 10**6, "concurrency": 10**6}
+    adm = admission(slots, contract(DRIVE, **wide), contract(RACE, **wide))
+    adm._queue = queue
+    for account in (DRIVE, RACE):
+        queue.set_lane(account, 0.5, 1)
+    events: list[tuple[float, int, str, AccountId]] = []
+    arrived: dict[str, float] = {}
+    for account, load in ((DRIVE, 0.7), (RACE, noise)):
+        now, n = 0.0, 0
+        while now < 120.0:
+            now += rng.expovariate(load * slots / 2 / 2.0)
+            events.append((now, 0, f"{account}{n}", account))
+            n += 1
+    heapq.heapify(events)
+    taken: list[float] = []
+    while events:
+        now, kind, name, account = heapq.heappop(events)
+        out: list[object] = []
+        if kind == 0:
+            arrived[name] = now
+            out = [adm.offer(now, request(name, account, expected_s=2.0))]
+        else:
+            adm.release(now, RequestId(name))
+            if account == DRIVE:
+                taken.append(now - arrived[name])
+        adm.expire(now)
+        free = slots - adm.running(DRIVE) - adm.running(RACE)
+        out += adm.next_ready(now, free)
+        for item in out:
+            if isinstance(item, Admitted):
+                service_s = random.Random(item.request_id).uniform(1.0, 3.0)
+                heapq.heappush(
+                    events,
+                    (now + service_s, 1, item.request_id, item.account),
+                )
+    taken.sort()
+    return taken[int(0.99 * len(taken))]
+
+
+class NoisyNeighbourTest(testtools.TestCase):
+    TARGET = 1.1
+
+    def test_ten_times_the_share_moves_no_other_account(self) -> None:
+        calm = quiet_p99_s(1.0, FairQueue())
+        flooded = quiet_p99_s(10.0, FairQueue())
+        self.assertLessEqual(flooded / calm, self.TARGET)
+
+    def test_a_queue_without_shares_would_move_it(self) -> None:
+        calm = quiet_p99_s(1.0, _FifoQueue())
+        flooded = quiet_p99_s(10.0, _FifoQueue())
+        self.assertGreater(flooded / calm, self.TARGET)
+
+    def test_capacity_left_over_is_used(self) -> None:
+        adm = admission(10, contract(share=0.1), contract(RACE, share=0.9))
+        for n in range(10):
+            adm.offer(0.0, request(f"d{n}"))
+        self.assertEqual(10, adm.running(DRIVE))
+
+
+class PriorityTest(testtools.TestCase):
+    def test_urgent_account_goes_first_but_not_for_ever(self) -> None:
+        long = {"first_token_s": 1e3, "whole_answer_s": 1e3}
+        urgent = contract(DRIVE, priority=0, **long)
+        patient = contract(RACE, priority=5, **long)
+        adm = admission(1, urgent, patient)
+        adm.offer(0.0, request("first"))
+        for n in range(50):
+            adm.offer(0.0, request(f"d{n}", DRIVE))
+            adm.offer(0.0, request(f"r{n}", RACE))
+        order = [r.account for r in adm.next_ready(0.0, 20)]
+        self.assertEqual([DRIVE] * 4, order[:4])
+        self.assertIn(order.count(RACE), range(7, 11))
--- /dev/null
+++ b/tests/core/test_retry_budget.py
@@ -0,0 +1,24 @@
+"""Tests of the retry budget."""
+
+import testtools
+
+from waxwingarch.core.retry_budget import RetryBudget
+
+
+class RetryBudgetTest(testtools.TestCase):
+    def test_outage_is_amplified_by_the_fraction_only(self) -> None:
+        budget = RetryBudget(fraction=0.1, burst=5.0)
+        retries = 0
+        for _ in range(10_000):
+            budget.note_fresh()
+            while budget.try_retry():
+                retries += 1
+        self.assertLessEqual(retries, 0.1 * 10_000 + 5)
+        self.assertGreater(retries, 900)
+
+    def test_quiet_time_earns_no_more_than_the_burst(self) -> None:
+        budget = RetryBudget(fraction=0.5, burst=2.0)
+        for _ in range(100):
+            budget.note_fresh()
+        spent = sum(budget.try_retry() for _ in range(10))
+        self.assertEqual(2, spent)
--- /dev/null
+++ b/waxwingarch/core/admission.py
@@ -0,0 +1,338 @@
+"""Admission of requests: limits, fair shares and deadlines by contract."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from waxwingarch.core.account_limit import AccountLimit
+from waxwingarch.core.admission_messages import (
+    MAX_RETRY_AFTER_S,
+    Admitted,
+    Deadlines,
+    PendingRequest,
+    Queued,
+    Refusal,
+    RefusalReason,
+    refuse,
+)
+from waxwingarch.core.base import AccountId, RequestId
+from waxwingarch.core.contract import Contract
+from waxwingarch.core.fair_queue import FairQueue
+
+QUEUE_LIMIT: Final = 1024
+NO_CAPACITY_RETRY_AFTER_S: Final = 2.0
+
+
+@dataclass(kw_only=True, slots=True)
+class _Account:
+    contract: Contract
+    limit: AccountLimit
+    running: int = 0
+    earliest_latest_start: float = float("inf")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Accepted:
+    request: PendingRequest
+    deadlines: Deadlines
+    latest_start: float
+    started_at: float | None = None
+
+
+class Admission:
+    """Decides which request starts, waits or is refused.
+
+    `limit_hosts` is among how many hosts a contract's limit is divided
+    when no share of it is set: a host cut off from the others falls
+    back to that floor. Work is counted in slot seconds. `offer` and
+    `release` cost O(accounts); `expire` too, unless some request has
+    become hopeless or nearly so.
+    """
+
+    def __init__(self, *, limit_hosts: int = 1) -> None:
+        self._limit_hosts = max(1, limit_hosts)
+        self._slots = 0
+        self._queue = FairQueue()
+        self._accounts: dict[AccountId, _Account] = {}
+        self._accepted: dict[RequestId, _Accepted] = {}
+        self._running = 0
+        self._now = 0.0
+
+    def set_contracts(
+        self, now: float, contracts: Iterable[Contract]
+    ) -> list[Refusal]:
+        """Put contracts in force; refuse what waits without one.
+
+        Accepted requests keep their deadlines.
+        """
+        wanted = {contract.account: contract for contract in contracts}
+        refusals = []
+        for account in [a for a in self._accounts if a not in wanted]:
+            refusals += self._drop_account(account)
+        for contract in wanted.values():
+            self._set_contract(now, contract)
+        return refusals
+
+    def set_capacity(self, slots: int) -> None:
+        """Set how many requests this host may run at once in all."""
+        self._slots = max(0, slots)
+
+    def set_limit(
+        self,
+        now: float,
+        account: AccountId,
+        rate: float,
+        concurrency: int,
+        until: float,
+    ) -> None:
+        """Set this host's share of a contract's limit until a deadline."""
+        state = self._accounts.get(account)
+        if state is None:
+            return
+        state.limit.set_share(now, rate, concurrency, until)
+
+    def offer(
+        self, now: float, req: PendingRequest
+    ) -> Admitted | Queued | Refusal:
+        """Admit, queue or refuse a request, at once and for good.
+
+        A refusal costs the account nothing. Raises ValueError for a
+        request id that is already accepted.
+        """
+        if req.request_id in self._accepted:
+            raise ValueError(f"{req.request_id} is accepted; use a new id")
+        self._now = now
+        state = self._accounts.get(req.account)
+        if state is None:
+            return refuse(req, RefusalReason.NO_CONTRACT, MAX_RETRY_AFTER_S)
+        token_wait_s = state.limit.token_wait_s(now)
+        if token_wait_s > 0:
+            return refuse(req, RefusalReason.RATE_LIMIT, token_wait_s)
+        accepted = _accept(now, state.contract, req)
+        refusal = self._check_deadline(now, state, accepted)
+        if refusal is not None:
+            return refusal
+        state.limit.take(now)
+        self._accepted[req.request_id] = accepted
+        if self._can_start_at_once(req.account):
+            self._queue.charge(req.account, req.expected_s)
+            return self._start(now, accepted)
+        return self._enqueue(now, state, accepted)
+
+    def release(self, now: float, request_id: RequestId) -> None:
+        """Forget a request that ended, was given up or was cancelled."""
+        accepted = self._accepted.pop(request_id, None)
+        if accepted is None:
+            return
+        account = accepted.request.account
+        if accepted.started_at is None:
+            self._queue.remove(account, request_id)
+            return
+        self._running -= 1
+        state = self._accounts.get(account)
+        if state is None:
+            return
+        state.running -= 1
+        spent_s = now - accepted.started_at
+        self._queue.correct(account, spent_s - accepted.request.expected_s)
+
+    def next_ready(self, now: float, free_slots: int) -> list[Admitted]:
+        """Start waiting requests, as many as there are free slots."""
+        self._now = now
+        started: list[Admitted] = []
+        while len(started) < free_slots:
+            entry = self._queue.pop(self._may_start)
+            if entry is None:
+                break
+            started.append(self._start(now, self._accepted[entry[1]]))
+        return started
+
+    def expire(self, now: float) -> list[Refusal]:
+        """Refuse each waiting request that cannot be in time any more.
+
+        To be called before `next_ready`, after each event and at least
+        a few times a second: a refusal is due as soon as it is clear.
+        """
+        self._now = now
+        refusals: list[Refusal] = []
+        for account, state in self._accounts.items():
+            if not self._queue.waiting_count(account):
+                continue
+            rate = self._work_rate(account, state)
+            work_s = self._queue.waiting_work_s(account)
+            if _wait_s(work_s, rate) + now > state.earliest_latest_start:
+                refusals += self._expire_account(now, account, state, rate)
+        return refusals
+
+    def running(self, account: AccountId) -> int:
+        """Return how many requests of an account have a slot."""
+        state = self._accounts.get(account)
+        return 0 if state is None else state.running
+
+    def waiting(self, account: AccountId) -> int:
+        """Return how many requests of an account wait."""
+        return self._queue.waiting_count(account)
+
+    def _set_contract(self, now: float, contract: Contract) -> None:
+        account = contract.account
+        self._queue.set_lane(account, contract.share, contract.priority)
+        state = self._accounts.get(account)
+        if state is None:
+            self._accounts[account] = _Account(
+                contract=contract,
+                limit=AccountLimit(now, contract, self._limit_hosts),
+            )
+            return
+        state.contract = contract
+        state.limit.set_contract(now, contract)
+
+    def _drop_account(self, account: AccountId) -> list[Refusal]:
+        del self._accounts[account]
+        return [
+            refuse(
+                self._accepted.pop(request_id).request,
+                RefusalReason.NO_CONTRACT,
+                MAX_RETRY_AFTER_S,
+            )
+            for request_id in self._queue.drop_lane(account)
+        ]
+
+    def _may_start(self, account: AccountId) -> bool:
+        state = self._accounts[account]
+        return state.running < state.limit.concurrency(self._now)
+
+    def _can_start_at_once(self, account: AccountId) -> bool:
+        return (
+            self._running < self._slots
+            and self._may_start(account)
+            and not self._queue.has_ready(self._may_start)
+        )
+
+    def _start(self, now: float, accepted: _Accepted) -> Admitted:
+        req = accepted.request
+        self._accepted[req.request_id] = _Accepted(
+            request=req,
+            deadlines=accepted.deadlines,
+            latest_start=accepted.latest_start,
+            started_at=now,
+        )
+        state = self._accounts[req.account]
+        state.running += 1
+        self._running += 1
+        return Admitted(
+            request_id=req.request_id,
+            account=req.account,
+            deadlines=accepted.deadlines,
+        )
+
+    def _enqueue(
+        self, now: float, state: _Account, accepted: _Accepted
+    ) -> Queued:
+        req = accepted.request
+        rate = self._work_rate(req.account, state)
+        ahead_s = self._queue.waiting_work_s(req.account)
+        wait_s = _wait_s(ahead_s + req.expected_s, rate)
+        if not self._queue.waiting_count(req.account):
+            state.earliest_latest_start = float("inf")
+        state.earliest_latest_start = min(
+            state.earliest_latest_start, accepted.latest_start
+        )
+        self._queue.push(req.account, req.request_id, req.expected_s)
+        return Queued(
+            request_id=req.request_id,
+            account=req.account,
+            deadlines=accepted.deadlines,
+            expected_start_at=now + wait_s,
+        )
+
+    def _check_deadline(
+        self, now: float, state: _Account, accepted: _Accepted
+    ) -> Refusal | None:
+        """Refuse what could not be in time even if accepted now."""
+        req = accepted.request
+        if self._slots == 0:
+            return refuse(
+                req, RefusalReason.NO_CAPACITY, NO_CAPACITY_RETRY_AFTER_S
+            )
+        if self._queue.waiting_count(req.account) >= QUEUE_LIMIT:
+            rate = self._work_rate(req.account, state)
+            wait_s = _wait_s(req.expected_s, rate)
+            return refuse(req, RefusalReason.QUEUE_FULL, wait_s)
+        wait_s = 0.0
+        if not self._can_start_at_once(req.account):
+            rate = self._work_rate(req.account, state)
+            ahead_s = self._queue.waiting_work_s(req.account)
+            wait_s = _wait_s(ahead_s + req.expected_s, rate)
+        late_s = now + wait_s - accepted.latest_start
+        if late_s <= 0:
+            return None
+        return refuse(req, RefusalReason.DEADLINE_UNREACHABLE, late_s)
+
+    def _work_rate(self, account: AccountId, state: _Account) -> float:
+        """Estimate the slot seconds a second that an account gets.
+
+        Accounts that wait divide, by share, what the others leave.
+        """
+        share = state.contract.share
+        idle_running = 0
+        waiting_share = share
+        for other, other_state in self._accounts.items():
+            if other == account:
+                continue
+            if self._queue.waiting_count(other):
+                waiting_share += other_state.contract.share
+            else:
+                idle_running += other_state.running
+        left = max(0, self._slots - idle_running)
+        total_share = sum(s.contract.share for s in self._accounts.values())
+        fair = left * share / waiting_share if waiting_share > 0 else 0.0
+        promised = self._slots * share / total_share if total_share > 0 else 0
+        return min(max(fair, promised), state.limit.concurrency(self._now))
+
+    def _expire_account(
+        self, now: float, account: AccountId, state: _Account, rate: float
+    ) -> list[Refusal]:
+        refusals = []
+        ahead_s = 0.0
+        earliest = float("inf")
+        for request_id, work_s in self._queue.waiting(account):
+            accepted = self._accepted[request_id]
+            late_s = now + _wait_s(ahead_s, rate) - accepted.latest_start
+            if late_s <= 0:
+                ahead_s += work_s
+                earliest = min(earliest, accepted.latest_start)
+                continue
+            self._queue.remove(account, request_id)
+            del self._accepted[request_id]
+            state.limit.give_back(now)
+            refusals.append(
+                refuse(
+                    accepted.request,
+                    RefusalReason.DEADLINE_UNREACHABLE,
+                    late_s,
+                )
+            )
+        state.earliest_latest_start = earliest
+        return refusals
+
+
+def _accept(now: float, contract: Contract, req: PendingRequest) -> _Accepted:
+    """Fix the deadlines of a request and the latest time to start it."""
+    limit = float("inf") if req.deadline is None else req.deadline
+    whole = min(now + contract.whole_answer_s, limit)
+    first = min(now + contract.first_token_s, whole)
+    latest_start = whole - req.expected_s
+    if req.streaming:
+        latest_start = min(latest_start, first - req.first_token_s)
+    return _Accepted(
+        request=req,
+        deadlines=Deadlines(first_token_at=first, whole_answer_at=whole),
+        latest_start=latest_start,
+    )
+
+
+def _wait_s(work_s: float, rate: float) -> float:
+    """Return how long work takes; work that is nothing takes no time."""
+    if work_s <= 0:
+        return 0.0
+    return work_s / rate if rate > 0 else float("inf")
--- /dev/null
+++ b/waxwingarch/core/admission_messages.py
@@ -0,0 +1,101 @@
+"""Messages of the admission of requests."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+from waxwingarch.core.base import AccountId, Ran, RequestId
+
+MIN_RETRY_AFTER_S: Final = 0.05
+MAX_RETRY_AFTER_S: Final = 60.0
+
+
+class RefusalReason(StrEnum):
+    """Why a request was refused."""
+
+    NO_CONTRACT = "no contract"
+    RATE_LIMIT = "rate limit"
+    QUEUE_FULL = "queue full"
+    DEADLINE_UNREACHABLE = "deadline unreachable"
+    NO_CAPACITY = "no capacity"
+
+
+REMEDIES: Final = {
+    RefusalReason.NO_CONTRACT: "apply a contract for this client account",
+    RefusalReason.RATE_LIMIT: "retry later or raise [limits] rate or burst",
+    RefusalReason.QUEUE_FULL: "retry later or raise [limits] concurrency",
+    RefusalReason.DEADLINE_UNREACHABLE: (
+        "retry later, allow more time, or raise [limits] share"
+    ),
+    RefusalReason.NO_CAPACITY: "retry later; no backend server is available",
+}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PendingRequest:
+    """A request that asks to be admitted.
+
+    `expected_s` is how long it is expected to hold a slot of a backend
+    server, `first_token_s` how long a free server takes to its first
+    token. `deadline` is the caller's own, if it sent one.
+    """
+
+    request_id: RequestId
+    account: AccountId
+    expected_s: float
+    first_token_s: float = 0.0
+    streaming: bool = True
+    deadline: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Deadlines:
+    """Deadlines of an accepted request, fixed when it was accepted."""
+
+    first_token_at: float
+    whole_answer_at: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Admitted:
+    """The request may be sent to a backend server now."""
+
+    request_id: RequestId
+    account: AccountId
+    deadlines: Deadlines
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Queued:
+    """The request waits for its turn and is expected to be in time."""
+
+    request_id: RequestId
+    account: AccountId
+    deadlines: Deadlines
+    expected_start_at: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Refusal:
+    """The request is refused for good; it did not run."""
+
+    request_id: RequestId
+    account: AccountId
+    reason: RefusalReason
+    retry_after_s: float
+    message: str
+    ran: Ran = Ran.NOT_RUN
+
+
+def refuse(
+    req: PendingRequest, reason: RefusalReason, retry_after_s: float
+) -> Refusal:
+    """Build a refusal; the time to retry after is kept in bounds."""
+    bounded_s = min(max(retry_after_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+    return Refusal(
+        request_id=req.request_id,
+        account=req.account,
+        reason=reason,
+        retry_after_s=bounded_s,
+        message=f"refused, not run ({reason}): {REMEDIES[reason]}",
+    )
--- /dev/null
+++ b/waxwingarch/core/retry_budget.py
@@ -0,0 +1,32 @@
+"""Retry budget: retries are a fraction of fresh traffic."""
+
+from typing import Final
+
+RETRY_FRACTION: Final = 0.1
+RETRY_BURST: Final = 10.0
+
+
+class RetryBudget:
+    """Allowance for retries, earned by fresh requests only.
+
+    Over any period retries are at most `fraction` of the fresh requests
+    plus `burst`, so that an outage is never amplified by more.
+    """
+
+    def __init__(
+        self, *, fraction: float = RETRY_FRACTION, burst: float = RETRY_BURST
+    ) -> None:
+        self._fraction = fraction
+        self._burst = burst
+        self._balance = burst
+
+    def note_fresh(self) -> None:
+        """Count a request that a caller sent for the first time."""
+        self._balance = min(self._burst, self._balance + self._fraction)
+
+    def try_retry(self) -> bool:
+        """Spend one retry; return False when the budget is used up."""
+        if self._balance < 1.0:
+            return False
+        self._balance -= 1.0
+        return True
