--- a/waxwingarch/core/prefix.py
+++ b/waxwingarch/core/prefix.py
@@ -76,14 +76,25 @@
                 return depth
         return 0
 
-    def longest(self, limit: int) -> list[ServerId]:
-        """Return the servers with the longest prefixes, longest first."""
+    def longest(self, limit: int, *, start: int = 0) -> list[ServerId]:
+        """Return the servers with the longest prefixes, longest first.
+
+        Among equals those from bit `start` on come first, so that a
+        random start spreads the choice.
+        """
         found: list[ServerId] = []
         for _, mask in self._levels:
-            while mask and len(found) < limit:
-                low = mask & -mask
-                mask ^= low
-                found.append(self._index.server_at(low))
+            upper = mask >> start << start
+            for part in (upper, mask ^ upper):
+                found += self._holders(part, limit - len(found))
+        return found
+
+    def _holders(self, mask: int, limit: int) -> list[ServerId]:
+        found: list[ServerId] = []
+        while mask and len(found) < limit:
+            low = mask & -mask
+            mask ^= low
+            found.append(self._index.server_at(low))
         return found
 
 
