--- a/waxwingarch/const.py
+++ b/waxwingarch/const.py
@@ -7,6 +7,7 @@
 HEADER_IDEMPOTENCY_KEY: Final = "idempotency-key"
 HEADER_LAST_EVENT_ID: Final = "last-event-id"
 HEADER_NON_IDEMPOTENT: Final = "x-non-idempotent"
+HEADER_REPLAYED: Final = "x-replayed"
 HEADER_REQUEST_ID: Final = "x-request-id"
 HEADER_DEADLINE_MS: Final = "x-deadline-ms"
 
--- a/waxwingarch/core/chooser.py
+++ b/waxwingarch/core/chooser.py
@@ -1,63 +1,120 @@
 """Choice of a server for one attempt, among those that may serve it."""
 
-from collections.abc import Collection
-from typing import Protocol
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import replace
+from typing import Final
 
-from waxwingarch.core.base import Server, ServerId
+from waxwingarch.core.base import Server, ServerId, ServiceId
+from waxwingarch.core.items import LoadSummary
+from waxwingarch.core.placement_messages import (
+    Outcome,
+    Placement,
+    PlacementRequest,
+    ServerView,
+)
 from waxwingarch.core.request import Request
 from waxwingarch.core.servers import ServerBook
 
+DEFAULT_SLOT_S: Final = 2.0
 
-class Chooser(Protocol):
-    """Chooses servers and learns what became of its choices."""
+Filter = Callable[[Request, Server], bool]
 
-    def choose(
-        self, now: float, request: Request, excluded: Collection[ServerId]
-    ) -> Server | None:
-        """Return a server for the next attempt, None if there is none."""
 
-    def note_dispatch(
-        self, now: float, request: Request, server: Server
-    ) -> None:
-        """Count an attempt that begins."""
+def _any_server(request: Request, server: Server) -> bool:
+    return True
 
-    def note_done(
-        self, now: float, request: Request, server: Server, *, ok: bool
-    ) -> None:
-        """Count an attempt that ended."""
 
+class Chooser:
+    """Keeps views of the servers and asks the placement to choose.
 
-class LeastRunning:
-    """Chooses the server with the fewest attempts of this node."""
+    `allowed` narrows the candidates of a request down, as a version
+    move asks for. Views are kept between requests and rebuilt when the
+    servers change.
+    """
 
-    def __init__(self, servers: ServerBook) -> None:
+    def __init__(self, servers: ServerBook, placement: Placement) -> None:
+        self.allowed: Filter = _any_server
         self._servers = servers
-        self._running: dict[ServerId, int] = {}
+        self._placement = placement
+        self._loads: dict[ServerId, LoadSummary] = {}
+        self._load_at: dict[ServerId, float] = {}
+        self._views: dict[ServiceId, list[ServerView]] = {}
+        self._generation = -1
 
     def choose(
         self, now: float, request: Request, excluded: Collection[ServerId]
     ) -> Server | None:
         """Return a server for the next attempt, None if there is none."""
-        candidates = [
-            s
-            for s in self._servers.candidates(request.service)
-            if s.server_id not in excluded
+        views = [
+            view
+            for view in self._views_of(request.service)
+            if self.allowed(request, view.server)
         ]
-        return min(candidates, key=self._order, default=None)
+        choice = self._placement.choose(
+            now, _placement_request(request, excluded), views
+        )
+        if choice is None:
+            return None
+        return self._servers.get(choice.server_id)
 
     def note_dispatch(
         self, now: float, request: Request, server: Server
     ) -> None:
         """Count an attempt that begins."""
-        running = self._running.get(server.server_id, 0)
-        self._running[server.server_id] = running + 1
+        self._placement.note_dispatch(
+            now, _placement_request(request, ()), server.server_id
+        )
 
     def note_done(
-        self, now: float, request: Request, server: Server, *, ok: bool
+        self, now: float, request: Request, outcome: Outcome
     ) -> None:
         """Count an attempt that ended."""
-        self._running[server.server_id] -= 1
+        self._placement.note_done(now, request.request_id, outcome)
+
+    def note_loads(self, now: float, loads: Iterable[LoadSummary]) -> None:
+        """Take loads read from servers or heard from other hosts."""
+        for load in loads:
+            known = self._loads.get(load.server_id)
+            order = (load.incarnation, load.as_of_ms)
+            if known and order <= (known.incarnation, known.as_of_ms):
+                continue
+            self._loads[load.server_id] = load
+            self._load_at[load.server_id] = now
+            self._generation = -1
+
+    def _views_of(self, service: ServiceId) -> list[ServerView]:
+        if self._generation != self._servers.generation:
+            self._generation = self._servers.generation
+            self._views.clear()
+        views = self._views.get(service)
+        if views is None:
+            candidates = self._servers.candidates(service)
+            views = [self._view(server) for server in candidates]
+            self._views[service] = views
+        return views
+
+    def _view(self, server: Server) -> ServerView:
+        view = ServerView(server=server, slot_s=DEFAULT_SLOT_S)
+        load = self._loads.get(server.server_id)
+        if load is None or load.incarnation != server.incarnation:
+            return view
+        return replace(
+            view,
+            running=load.running,
+            waiting=load.waiting,
+            load_at=self._load_at[server.server_id],
+        )
+
 
-    def _order(self, server: Server) -> tuple[float, ServerId]:
-        running = self._running.get(server.server_id, 0)
-        return running / max(1, server.slots), server.server_id
+def _placement_request(
+    request: Request, excluded: Collection[ServerId]
+) -> PlacementRequest:
+    return PlacementRequest(
+        request_id=request.request_id,
+        account=request.account,
+        blocks=request.prompt_blocks,
+        prompt_tokens=request.prompt_tokens,
+        first_token_at=request.arrived_at + request.first_token_s,
+        cost_weight=request.cost_weight,
+        exclude=frozenset(excluded),
+    )
--- a/waxwingarch/core/desk.py
+++ b/waxwingarch/core/desk.py
@@ -13,6 +13,9 @@
 from waxwingarch.core.base import ServerKind as Kind
 from waxwingarch.core.chooser import Chooser
 from waxwingarch.core.contract import Contract
+from waxwingarch.core.guarded import GuardedMachine, Identity, OnceReply
+from waxwingarch.core.once_state import OwnerView
+from waxwingarch.core.placement_messages import Outcome
 from waxwingarch.core.plain import PlainMachine
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.request import (
@@ -28,7 +31,13 @@
 DURATION_WEIGHT: Final = 0.1
 NO_SERVER_RETRY_AFTER_S: Final = 2.0
 
-Machine = StreamMachine | PlainMachine
+ENDS: Final = {
+    StreamState.DONE: Outcome.OK,
+    StreamState.FAILED: Outcome.FAILED,
+    StreamState.CANCELLED: Outcome.CANCELLED,
+}
+
+Machine = StreamMachine | PlainMachine | GuardedMachine
 
 
 @dataclass(kw_only=True, slots=True)
@@ -45,8 +54,15 @@
     """Accepts requests and sees each through to its final answer."""
 
     def __init__(
-        self, admission: Admission, servers: ServerBook, chooser: Chooser
+        self,
+        identity: Identity,
+        admission: Admission,
+        servers: ServerBook,
+        chooser: Chooser,
+        owners: OwnerView,
     ) -> None:
+        self._identity = identity
+        self._owners = owners
         self._admission = admission
         self._servers = servers
         self._chooser = chooser
@@ -86,6 +102,20 @@
             return []
         return self._after(now, work, work.machine.handle(now, event))
 
+    def once_reply(self, now: float, event: OnceReply) -> list[Action]:
+        """Pass a reply on to a request that runs at most once."""
+        work = self._works.get(event.request_id)
+        if work is None or not isinstance(work.machine, GuardedMachine):
+            return []
+        return self._after(now, work, work.machine.reply(now, event.reply))
+
+    def may_dispatch(self, now: float, request_id: RequestId) -> bool:
+        """Return whether a request that runs at most once may be sent."""
+        work = self._works.get(request_id)
+        if work is None or not isinstance(work.machine, GuardedMachine):
+            return False
+        return work.machine.may_dispatch(now)
+
     def caller_gone(self, now: float, request_id: RequestId) -> list[Action]:
         """Stop work that nobody waits for."""
         if self._queued.pop(request_id, None):
@@ -141,19 +171,24 @@
 
     def _begin(self, now: float, request_id: RequestId) -> list[Action]:
         request = self._queued.pop(request_id)
-        machine: Machine
-        if request.kind is Kind.ENGINE:
-            machine = StreamMachine(now, request)
-        else:
-            machine = PlainMachine(now, request)
+        machine = self._machine(now, request)
         work = _Work(machine=machine)
         self._works[request_id] = work
         return self._after(now, work, self._first_attempt(now, work))
 
+    def _machine(self, now: float, request: Request) -> Machine:
+        if request.non_idempotent:
+            return GuardedMachine(now, request, self._identity, self._owners)
+        if request.kind is Kind.ENGINE:
+            return StreamMachine(now, request)
+        return PlainMachine(now, request)
+
     def _first_attempt(self, now: float, work: _Work) -> list[Action]:
-        """Go on with a stream that a server may still hold."""
+        """Claim the request, or attach to a stream still held."""
+        if isinstance(work.machine, GuardedMachine):
+            return work.machine.start(now)
         resume = work.machine.request.resume
-        if resume is None or not isinstance(work.machine, StreamMachine):
+        if resume is None or isinstance(work.machine, PlainMachine):
             return []
         server = self._servers.get(resume.server_id)
         if server is None:
@@ -170,7 +205,7 @@
             return actions + self._finish(now, work)
         if machine.state is not StreamState.WAITING:
             return actions
-        self._note_attempt_end(now, work, ok=False)
+        self._note_attempt_end(now, work, Outcome.FAILED)
         if now < work.retry_at:
             return actions
         return actions + self._assign(now, work)
@@ -183,29 +218,38 @@
         failed = work.machine.failed_servers
         server = self._chooser.choose(now, request, failed)
         if server is None:
-            failed.clear()
-            work.retry_at = now + RETRY_PAUSE_S
-            return []
+            return self._no_server(now, work)
         work.tried += 1
         self._note_attempt(now, work, server)
         return work.machine.assign(now, server)
 
+    def _no_server(self, now: float, work: _Work) -> list[Action]:
+        """Pause, then try all servers again; a claim ends at once."""
+        if isinstance(work.machine, GuardedMachine):
+            told = work.machine.no_server(now)
+            return self._after(now, work, told)
+        work.machine.failed_servers.clear()
+        work.retry_at = now + RETRY_PAUSE_S
+        return []
+
     def _note_attempt(self, now: float, work: _Work, server: Server) -> None:
         work.server = server
         self._chooser.note_dispatch(now, work.machine.request, server)
 
-    def _note_attempt_end(self, now: float, work: _Work, *, ok: bool) -> None:
+    def _note_attempt_end(
+        self, now: float, work: _Work, outcome: Outcome
+    ) -> None:
         if work.server is None:
             return
         request = work.machine.request
-        self._chooser.note_done(now, request, work.server, ok=ok)
+        self._chooser.note_done(now, request, outcome)
         work.server = None
 
     def _finish(self, now: float, work: _Work) -> list[Action]:
         machine = work.machine
         request = machine.request
         done = machine.state is StreamState.DONE
-        self._note_attempt_end(now, work, ok=done)
+        self._note_attempt_end(now, work, ENDS[machine.state])
         if done:
             self._note_duration(request, now - machine.started_at)
         self._works.pop(request.request_id, None)
--- a/waxwingarch/core/node.py
+++ b/waxwingarch/core/node.py
@@ -9,8 +9,8 @@
 from typing import TYPE_CHECKING, Any
 
 from waxwingarch.core.admission import Admission
-from waxwingarch.core.base import Action, Event, Ran
-from waxwingarch.core.chooser import LeastRunning
+from waxwingarch.core.base import Action, Event, HostId, Ran
+from waxwingarch.core.chooser import Chooser
 from waxwingarch.core.desk import Desk
 from waxwingarch.core.directory import Directory
 from waxwingarch.core.events import (
@@ -24,7 +24,10 @@
     ServersListed,
     Tick,
 )
+from waxwingarch.core.guarded import Identity, OnceReply
 from waxwingarch.core.items import LeavingServer
+from waxwingarch.core.placement import CostPlacement
+from waxwingarch.core.prefix import PrefixIndex
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.request import (
     AttemptEnded,
@@ -43,15 +46,30 @@
 COME_BACK_AFTER_S = 1.0
 
 
+class _NobodyGone:
+    """Knows nothing of the life of other hosts."""
+
+    def is_gone(self, host: HostId, incarnation: int) -> bool:
+        """Return whether that incarnation is known to have ended."""
+        return False
+
+
 class Node:
     """All decisions of one entry host."""
 
-    def __init__(self, rng: "Random") -> None:
+    def __init__(self, identity: Identity, rng: "Random") -> None:
         self.directory = Directory()
         self.servers = ServerBook()
         self.admission = Admission()
-        self.chooser = LeastRunning(self.servers)
-        self.desk = Desk(self.admission, self.servers, self.chooser)
+        self.prefixes = PrefixIndex()
+        self.chooser = Chooser(self.servers, CostPlacement(rng, self.prefixes))
+        self.desk = Desk(
+            identity,
+            self.admission,
+            self.servers,
+            self.chooser,
+            _NobodyGone(),
+        )
         self.draining = False
         self._drained = False
         self._rng = rng
@@ -65,6 +83,7 @@
             AttemptEnded: self._attempt_event,
             AttemptLost: self._attempt_event,
             PlainAnswered: self._attempt_event,
+            OnceReply: self._once_reply,
             ServersListed: self._servers_listed,
             ServerLeaving: self._server_leaving,
             ContractsApplied: self._contracts_applied,
@@ -109,6 +128,9 @@
     def _attempt_event(self, now: float, event: AttemptEvent) -> list[Action]:
         return self._checked(self.desk.attempt_event(now, event))
 
+    def _once_reply(self, now: float, event: OnceReply) -> list[Action]:
+        return self._checked(self.desk.once_reply(now, event))
+
     def _caller_gone(self, now: float, event: CallerGone) -> list[Action]:
         return self._checked(self.desk.caller_gone(now, event.request_id))
 
--- a/waxwingarch/core/plain.py
+++ b/waxwingarch/core/plain.py
@@ -1,8 +1,7 @@
-"""One accepted request to a plain service.
+"""One accepted request to a plain service that may be repeated.
 
-A request that may be repeated goes to another server when an attempt is
-lost. One that may not is sent once: only if nothing was sent does it go
-elsewhere.
+It goes to another server when an attempt is lost. Requests that may not
+be repeated are in `guarded`.
 """
 
 from collections.abc import Callable
@@ -37,8 +36,8 @@
         self.state = StreamState.WAITING
         self.attempt: Attempt | None = None
         self.failed_servers: set[ServerId] = set()
-        self.maybe_ran = False
         self.started_at = now
+        self._maybe_ran = False
         self._attempts = 0
         self._handlers: dict[
             type[AttemptEvent], Callable[[AttemptEvent], list[Action]]
@@ -68,7 +67,6 @@
                 address=server.address,
                 stream_id=str(request_id),
                 mode=AttemptMode.FRESH,
-                fresh_connection=self.request.non_idempotent,
                 answer_deadline=self.request.deadline,
             )
         ]
@@ -82,11 +80,12 @@
         return self._handlers[type(event)](event)
 
     def caller_gone(self) -> list[Action]:
-        """Drop a repeatable request; one sent once is left to finish."""
-        if self.finished or self.request.non_idempotent:
+        """Drop the request: nobody waits for its answer."""
+        if self.finished:
             return []
+        drop = self._drop()
         self.state = StreamState.CANCELLED
-        return self._drop()
+        return drop
 
     def tick(self, now: float) -> list[Action]:
         """Give up at the deadline."""
@@ -97,10 +96,6 @@
             "send it again with a later deadline",
         )
 
-    def give_up(self, reason: RefusalReason, message: str) -> list[Action]:
-        """End with a refusal, at once."""
-        return self._fail(reason, message)
-
     def _answered(self, event: AttemptEvent) -> list[Action]:
         self.state = StreamState.DONE
         return [
@@ -115,21 +110,16 @@
     def _lost(self, event: AttemptEvent) -> list[Action]:
         assert isinstance(event, AttemptLost) and self.attempt is not None
         self.failed_servers.add(self.attempt.server.server_id)
-        not_run = event.kind in NOT_RUN_LOSSES
-        self.maybe_ran = self.maybe_ran or not not_run
-        if self.request.non_idempotent and not not_run:
-            return self._fail(
-                RefusalReason.OUTCOME_UNKNOWN,
-                "check the outcome: it will not be run again",
-            )
-        if self._attempts >= MAX_ATTEMPTS:
-            return self._fail(
-                RefusalReason.BACKEND_FAILED, "send it again later"
-            )
+        if event.kind not in NOT_RUN_LOSSES:
+            self._maybe_ran = True
         drop = self._drop()
         self.state = StreamState.WAITING
         self.attempt = None
-        return drop
+        if self._attempts < MAX_ATTEMPTS:
+            return drop
+        return drop + self._fail(
+            RefusalReason.BACKEND_FAILED, "send it again later"
+        )
 
     def _drop(self) -> list[Action]:
         if self.attempt is None:
@@ -144,16 +134,14 @@
         ]
 
     def _fail(self, reason: RefusalReason, message: str) -> list[Action]:
-        in_flight = self.state is StreamState.RUNNING
-        ran = self.maybe_ran or in_flight
+        ran = self._maybe_ran or self.state is StreamState.RUNNING
         drop = self._drop()
         self.state = StreamState.FAILED
-        unknown = ran and self.request.non_idempotent
         refusal = Refusal(
-            reason=RefusalReason.OUTCOME_UNKNOWN if unknown else reason,
+            reason=reason,
             ran=Ran.UNKNOWN if ran else Ran.NOT_RUN,
             message=message,
-            retry_after_s=None if unknown else RETRY_AFTER_S,
+            retry_after_s=RETRY_AFTER_S,
         )
         request_id = self.request.request_id
         return [*drop, Refuse(request_id=request_id, refusal=refusal)]
--- a/waxwingarch/core/request.py
+++ b/waxwingarch/core/request.py
@@ -47,10 +47,12 @@
     method: str
     path: str
     body_digest: str
+    arrived_at: float
     deadline: float
     first_token_s: float
     between_tokens_s: float
     priority: int
+    cost_weight: float = 1.0
     non_idempotent: bool = False
     outcome_query: bool = False
     idempotency_key: str | None = None
@@ -137,7 +139,6 @@
     offset: int = 0
     tokens: tuple[str, ...] = ()
     kv_from: str | None = None
-    fresh_connection: bool = False
     answer_deadline: float = 0.0
 
 
--- a/waxwingarch/core/servers.py
+++ b/waxwingarch/core/servers.py
@@ -18,11 +18,15 @@
 
 
 class ServerBook:
-    """Servers by id, with departures that a stale list cannot undo."""
+    """Servers by id, with departures that a stale list cannot undo.
+
+    `generation` grows with each change.
+    """
 
     def __init__(self) -> None:
         self._servers: dict[ServerId, Server] = {}
         self._departures: dict[ServerId, Departure] = {}
+        self.generation = 0
 
     def listed(self, servers: Iterable[Server]) -> None:
         """Take a list from the platform, which may be stale.
@@ -34,6 +38,8 @@
             known = self._servers.get(server.server_id)
             stale = known and known.incarnation > server.incarnation
             fresh[server.server_id] = known if known and stale else server
+        if fresh != self._servers:
+            self.generation += 1
         self._servers = fresh
 
     def leaving(
@@ -46,6 +52,7 @@
         again = known is not None and known.incarnation == incarnation
         if known and again and deadline >= known.deadline:
             return False
+        self.generation += 1
         self._departures[server_id] = Departure(
             incarnation=incarnation, deadline=deadline
         )
--- a/waxwingarch/core/stream.py
+++ b/waxwingarch/core/stream.py
@@ -303,14 +303,6 @@
             return drop + self._start(
                 now, attempt.server, attempt.stream_id, AttemptMode.ATTACH
             )
-        if self.request.non_idempotent and event.kind not in {
-            LossKind.NOT_SENT,
-            LossKind.REFUSED,
-        }:
-            return self._fail(
-                RefusalReason.OUTCOME_UNKNOWN,
-                "check the outcome: it will not be run again",
-            )
         if event.kind is not LossKind.NOT_HELD:
             self.failed_servers.add(attempt.server.server_id)
         drop = self._drop(cancel=True)
--- a/waxwingarch/daemon.py
+++ b/waxwingarch/daemon.py
@@ -10,18 +10,24 @@
 
 from waxwingarch.adapters.http_client import HttpClient
 from waxwingarch.adapters.http_server import HttpRequest
-from waxwingarch.adapters.platform import HttpCloud, HttpTableStore
+from waxwingarch.adapters.platform import (
+    HttpCloud,
+    HttpObjectStore,
+    HttpTableStore,
+)
 from waxwingarch.adapters.platform_http import PlatformLink, TableBudget
 from waxwingarch.adapters.settings import Settings
 from waxwingarch.adapters.ticket import TicketBook
 from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_FORCED_STOP, EXIT_OK
 from waxwingarch.core.base import Action, HostId
 from waxwingarch.core.events import Drained, DrainRequested, PublishItem
+from waxwingarch.core.guarded import Identity
 from waxwingarch.core.node import Node
 from waxwingarch.diagnostics import dump
 from waxwingarch.ports.cloud import Notice
 from waxwingarch.tasks.admin import Admin
 from waxwingarch.tasks.attempts import AttemptRunner
+from waxwingarch.tasks.claims import ClaimTasks
 from waxwingarch.tasks.entry import Entry
 from waxwingarch.tasks.exchange import Exchanges
 from waxwingarch.tasks.intake import Intake
@@ -38,9 +44,10 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._started_unix = time.time()
         rng = Random()
-        self.node = Node(rng)
+        self._started_unix = time.time()
+        self._incarnation = int(self._started_unix * 1000)
+        self.node = Node(self._identity(), rng)
         self._runner = Runner(self.node)
         self._client = HttpClient()
         link = PlatformLink(
@@ -54,13 +61,18 @@
         cluster_key = bytes.fromhex(settings.security.cluster_key)
         tickets = TicketBook(cluster_key)
         exchanges = Exchanges()
-        id_prefix = f"{host.host_id}-{time.time_ns() // 1000:x}"
+        objects = HttpObjectStore(link)
+        id_prefix = f"{host.host_id}-{self._incarnation:x}"
         self._attempts = AttemptRunner(self._runner, exchanges, self._client)
+        self._claims = ClaimTasks(
+            self._runner, exchanges, self._client, self._table, objects
+        )
         self._entry = Entry(
             self._runner,
             exchanges,
             Intake(id_prefix, self.node.directory, tickets),
             tickets,
+            objects,
             on_error,
         )
         self._platform = PlatformWatch(
@@ -77,6 +89,14 @@
         self._drained = asyncio.Event()
         self._forced = asyncio.Event()
 
+    def _identity(self) -> Identity:
+        loop = asyncio.get_running_loop()
+        return Identity(
+            host_id=HostId(self._settings.host.host_id),
+            incarnation=self._incarnation,
+            unix_offset=self._started_unix - loop.time(),
+        )
+
     # Life
 
     async def async_run(self) -> int:
@@ -118,6 +138,7 @@
     async def _async_unload(self) -> None:
         await self._entry.async_unload()
         await self._attempts.async_unload()
+        await self._claims.async_unload()
         await self._platform.async_unload()
         await self._settings_watch.async_unload()
         await self._runner.async_unload()
--- a/waxwingarch/tasks/attempts.py
+++ b/waxwingarch/tasks/attempts.py
@@ -255,9 +255,8 @@
                 ("x-operation-id", action.stream_id),
             ),
             body=exchange.body,
-            fresh=action.fresh_connection,
         )
-        if answer.status in (429, 503) and not request.non_idempotent:
+        if answer.status in (429, 503):
             self._lost_by_status(action, answer)
             return
         exchange.answers[action.attempt_id] = answer
--- a/waxwingarch/tasks/entry.py
+++ b/waxwingarch/tasks/entry.py
@@ -22,11 +22,14 @@
 )
 from waxwingarch.adapters.sse import sse_event
 from waxwingarch.adapters.ticket import TicketBook
-from waxwingarch.const import HEADER_REQUEST_ID
-from waxwingarch.core.base import ServerKind
+from waxwingarch.const import HEADER_REPLAYED, HEADER_REQUEST_ID
+from waxwingarch.core.base import Ran, ServerKind
 from waxwingarch.core.events import CallerGone, RequestArrived
-from waxwingarch.core.refusal import Refusal
+from waxwingarch.core.guarded import OnceAnswer
+from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.request import Complete, Deliver, Refuse, ResumeFrom
+from waxwingarch.exceptions import PlatformUnavailableError
+from waxwingarch.ports.objects import ObjectStore
 from waxwingarch.tasks.exchange import Exchange, Exchanges
 from waxwingarch.tasks.intake import Intake, IntakeError
 from waxwingarch.tasks.runner import Runner
@@ -37,6 +40,13 @@
     ("cache-control", "no-store"),
 )
 JSON_HEADERS: Final = (("content-type", "application/json"),)
+FETCH_LIMIT_S: Final = 5.0
+ANSWER_NOT_AT_HAND: Final = Refusal(
+    reason=RefusalReason.STORE_DOWN,
+    ran=Ran.UNKNOWN,
+    message="it ran; its answer is not at hand: ask again with the same key",
+    retry_after_s=1.0,
+)
 
 
 class Entry:
@@ -48,9 +58,11 @@
         exchanges: Exchanges,
         intake: Intake,
         tickets: TicketBook,
+        objects: ObjectStore,
         on_error: Callable[[Exception], None],
     ) -> None:
         self._runner = runner
+        self._objects = objects
         self._exchanges = exchanges
         self._intake = intake
         self._tickets = tickets
@@ -58,6 +70,7 @@
         runner.connect(Deliver, exchanges.put)
         runner.connect(Complete, exchanges.put)
         runner.connect(Refuse, exchanges.put)
+        runner.connect(OnceAnswer, exchanges.put)
 
     async def async_setup(self, host: str, port: int) -> int:
         """Listen; returns the port."""
@@ -131,6 +144,8 @@
         exchange.news.set()
 
     def _answer_for(self, exchange: Exchange, resp: HttpResponder) -> "Answer":
+        if exchange.request.non_idempotent:
+            return OnceOnlyAnswer(exchange, resp, self._objects)
         if exchange.request.kind is ServerKind.PLAIN:
             return PlainAnswer(exchange, resp)
         if exchange.payload.get("stream"):
@@ -160,17 +175,17 @@
             if delivered:
                 await self.async_deliver(delivered)
             last = outcomes[-1] if outcomes else None
-            if isinstance(last, Complete):
-                await self.async_complete(last)
-                return "done"
             if isinstance(last, Refuse):
                 await self.async_refuse(last.refusal)
                 return last.refusal.reason.value
+            if isinstance(last, Complete | OnceAnswer):
+                await self.async_complete(last)
+                return "done"
 
     async def async_deliver(self, delivered: list[Deliver]) -> None:
         """Pass tokens on."""
 
-    async def async_complete(self, outcome: Complete) -> None:
+    async def async_complete(self, outcome: Complete | OnceAnswer) -> None:
         """End a whole answer."""
 
     async def async_refuse(self, refusal: Refusal) -> None:
@@ -183,8 +198,9 @@
 class PlainAnswer(Answer):
     """Passes on what a plain service answered."""
 
-    async def async_complete(self, outcome: Complete) -> None:
+    async def async_complete(self, outcome: Complete | OnceAnswer) -> None:
         """Send the service's answer."""
+        assert isinstance(outcome, Complete)
         answer = self._exchange.answers[outcome.attempt_id]
         kind = answer.headers.get("content-type", "application/json")
         await self._resp.async_send(
@@ -194,6 +210,45 @@
         )
 
 
+class OnceOnlyAnswer(Answer):
+    """Passes on the one answer to a request that runs at most once."""
+
+    def __init__(
+        self, exchange: Exchange, resp: HttpResponder, objects: ObjectStore
+    ) -> None:
+        super().__init__(exchange, resp)
+        self._objects = objects
+
+    async def async_complete(self, outcome: Complete | OnceAnswer) -> None:
+        """Send the answer, from the object store where it is there."""
+        assert isinstance(outcome, OnceAnswer)
+        answer = outcome.answer
+        body = answer.body
+        if answer.ref:
+            try:
+                body = await self._async_fetch(answer.ref)
+            except PlatformUnavailableError:
+                await self.async_refuse(ANSWER_NOT_AT_HAND)
+                return
+        replayed = "true" if outcome.replayed else "false"
+        await self._resp.async_send(
+            answer.status,
+            body,
+            [
+                ("content-type", answer.content_type),
+                (HEADER_REPLAYED, replayed),
+                *self._headers,
+            ],
+        )
+
+    async def _async_fetch(self, name: str) -> bytes:
+        deadline = asyncio.get_running_loop().time() + FETCH_LIMIT_S
+        body = await self._objects.async_get(name, deadline=deadline)
+        if body is None:
+            raise PlatformUnavailableError(f"{name} is not stored: ask again")
+        return body
+
+
 class WholeAnswer(Answer):
     """Collects tokens and sends them at the end."""
 
@@ -206,8 +261,9 @@
         for outcome in delivered:
             self._tokens.extend(outcome.tokens)
 
-    async def async_complete(self, outcome: Complete) -> None:
+    async def async_complete(self, outcome: Complete | OnceAnswer) -> None:
         """Send all tokens."""
+        assert isinstance(outcome, Complete)
         request = self._exchange.request
         usage = usage_of(
             request.prompt_tokens, outcome.total, self._exchange.usage
@@ -249,8 +305,9 @@
         data = chunk_body(request.path, self._request_id, text)
         await self._resp.async_write(sse_event(data, ticket))
 
-    async def async_complete(self, outcome: Complete) -> None:
+    async def async_complete(self, outcome: Complete | OnceAnswer) -> None:
         """End the stream."""
+        assert isinstance(outcome, Complete)
         await self._async_begin()
         await self._resp.async_write(DONE_EVENT)
         await self._resp.async_end()
--- a/waxwingarch/tasks/exchange.py
+++ b/waxwingarch/tasks/exchange.py
@@ -7,9 +7,10 @@
 
 from waxwingarch.adapters.http_client import HttpAnswer
 from waxwingarch.core.base import AttemptId, RequestId
+from waxwingarch.core.guarded import OnceAnswer
 from waxwingarch.core.request import Complete, Deliver, Refuse, Request
 
-Outcome = Deliver | Complete | Refuse
+Outcome = Deliver | Complete | Refuse | OnceAnswer
 
 
 @dataclass(kw_only=True, slots=True)
--- a/waxwingarch/tasks/intake.py
+++ b/waxwingarch/tasks/intake.py
@@ -4,8 +4,6 @@
 from dataclasses import dataclass
 from typing import Final
 
-import xxhash
-
 from waxwingarch.adapters.caller_api import (
     ENGINE_PATHS,
     BadBodyError,
@@ -21,8 +19,10 @@
     HEADER_NON_IDEMPOTENT,
 )
 from waxwingarch.core.base import Ran, RequestId, ServerKind
+from waxwingarch.core.claim import body_digest
 from waxwingarch.core.contract import Contract, RouteRule
 from waxwingarch.core.directory import Directory
+from waxwingarch.core.prefix import prompt_blocks
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.request import Request, ResumeFrom
 from waxwingarch.exceptions import WaxwingError
@@ -108,16 +108,20 @@
             checked, payload = parse_engine_body(req.body)
         except BadBodyError as exc:
             raise IntakeError(RefusalReason.BAD_REQUEST, str(exc)) from exc
+        if checked.stream and self._is_guarded(req, caller.rule):
+            raise IntakeError(
+                RefusalReason.BAD_REQUEST,
+                "send stream = false with a request that may not be repeated",
+            )
         prompt = checked.prompt_text()
-        words = prompt.split()
         request = self._request(
             now,
             request_id,
             req,
             caller,
             kind=ServerKind.ENGINE,
-            prompt_blocks=block_hashes(words),
-            prompt_tokens=len(words),
+            blocks=prompt_blocks(prompt),
+            prompt_tokens=len(prompt.split()),
             max_tokens=checked.max_tokens,
             resume=self._resume(req, caller),
         )
@@ -154,13 +158,12 @@
         caller: Caller,
         *,
         kind: ServerKind,
-        prompt_blocks: tuple[int, ...] = (),
+        blocks: tuple[int, ...] = (),
         prompt_tokens: int = 0,
         max_tokens: int = 0,
         resume: ResumeFrom | None = None,
     ) -> Request:
         contract, rule = caller.contract, caller.rule
-        marked = req.headers.get(HEADER_NON_IDEMPOTENT, "").lower()
         return Request(
             request_id=request_id,
             account=contract.account,
@@ -169,20 +172,28 @@
             route=rule.path,
             method=req.method,
             path=req.path,
-            body_digest=_body_digest(req),
+            body_digest=body_digest(req.method, req.target, req.body),
+            arrived_at=now,
             deadline=now + self._allowed_s(req, contract),
             first_token_s=contract.first_token_s,
             between_tokens_s=contract.between_tokens_s,
             priority=contract.priority,
-            non_idempotent=rule.non_idempotent or marked in TRUE_WORDS,
+            cost_weight=contract.cost_weight,
+            non_idempotent=self._is_guarded(req, rule),
             outcome_query=rule.outcome_query,
             idempotency_key=self._idempotency_key(req),
-            prompt_blocks=prompt_blocks,
+            prompt_blocks=blocks,
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
             resume=resume,
         )
 
+    @staticmethod
+    def _is_guarded(req: HttpRequest, rule: RouteRule) -> bool:
+        """Tell whether the request runs at most once."""
+        marked = req.headers.get(HEADER_NON_IDEMPOTENT, "").lower()
+        return rule.non_idempotent or marked in TRUE_WORDS
+
     def _allowed_s(self, req: HttpRequest, contract: Contract) -> float:
         given = req.headers.get(HEADER_DEADLINE_MS)
         if given is None:
@@ -214,24 +225,3 @@
             return self._tickets.read(caller.contract.account, ticket)
         except BadTicketError as exc:
             raise IntakeError(RefusalReason.BAD_REQUEST, str(exc)) from exc
-
-
-WORDS_PER_BLOCK: Final = 16
-
-
-def block_hashes(words: list[str]) -> tuple[int, ...]:
-    """Return the chained hashes of the whole blocks of a prompt."""
-    hashes: list[int] = []
-    previous = 0
-    for start in range(0, len(words) - WORDS_PER_BLOCK + 1, WORDS_PER_BLOCK):
-        text = " ".join(words[start : start + WORDS_PER_BLOCK])
-        previous = xxhash.xxh3_64_intdigest(text.encode(), seed=previous)
-        hashes.append(previous)
-    return tuple(hashes)
-
-
-def _body_digest(req: HttpRequest) -> str:
-    digest = xxhash.xxh3_128()
-    digest.update(f"{req.method} {req.target}\n".encode())
-    digest.update(req.body)
-    return digest.hexdigest()
