--- a/standins/base.py
+++ b/standins/base.py
@@ -57,19 +57,34 @@
         """Never answer; returns when the caller has closed."""
         await self.resp.gone.wait()
 
+    async def async_be_late(self) -> None:
+        """Hold an answer back where late answers were asked for.
+
+        Only answers to work call this: polls use up no counted fault.
+        """
+        late = self.stand_in.faults.take("late_answer")
+        if late is not None:
+            await asyncio.sleep(late.request.delay_ms / 1000)
+
+    def number(self, name: str, default: int) -> int:
+        """Return a whole number from the query; raises `ApiError`."""
+        try:
+            return int(self.req.query.get(name, default))
+        except ValueError:
+            raise ApiError(
+                400, "bad_request", f"{name}: send a whole number"
+            ) from None
+
     async def async_json(
         self, status: int, value: object, headers: Headers = ()
     ) -> None:
-        """Answer with JSON, as late or as never as the faults say."""
+        """Answer with JSON, or never where the connection is silent."""
         await self.async_bytes(status, json_body(value), [JSON_TYPE, *headers])
 
     async def async_bytes(
         self, status: int, body: bytes, headers: Headers = ()
     ) -> None:
-        """Answer with bytes, as late or as never as the faults say."""
-        late = self.stand_in.faults.take("late_answer")
-        if late is not None:
-            await asyncio.sleep(late.request.delay_ms / 1000)
+        """Answer with bytes, or never where the connection is silent."""
         if self.muted:
             await self.async_hang()
             return
@@ -169,8 +184,7 @@
                 self.faults.clear()
                 await exchange.async_json(200, {})
             case "GET", "/journal":
-                after = int(req.query.get("after", "0"))
-                entries = self.journal.after(after)
+                entries = self.journal.after(exchange.number("after", 0))
                 await exchange.async_json(200, {"entries": entries})
             case _:
                 await self.async_admin(exchange)
--- a/standins/batch.py
+++ b/standins/batch.py
@@ -205,14 +205,11 @@
                 continue
             hits = self.cache.hits(stream.blocks)
             needed = max(0, self.blocks_for(stream) - hits)
-            if self._running and self._reserved + needed > self._room():
+            if self._running and self._reserved + needed > self.cache.capacity:
                 return
             heapq.heappop(self._queue)
             self._start(stream, hits, needed)
 
-    def _room(self) -> int:
-        return self.cache.capacity
-
     def _start(self, stream: Stream, hits: int, needed: int) -> None:
         self._waiting -= 1
         self._reserved += needed
--- a/standins/cloud.py
+++ b/standins/cloud.py
@@ -127,7 +127,8 @@
         for row_id in rows.remove:
             self.servers.pop(row_id, None)
             self.entry_hosts.pop(row_id, None)
-        self.changed()
+        if rows != HostsFile():
+            self.changed()
 
     def changed(self) -> None:
         """Keep the list of this moment for those who read it later."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from standins.answers import BLOCK_WORDS, block_hashes
+from standins.bad_versions import BadVersions
 from standins.base import ApiError, Exchange, StandIn, async_run, parser_of
 from standins.batch import NEVER, Batch, Phase, Speeds, Stream
 from standins.engine_messages import (
@@ -38,6 +39,15 @@
         super().__init__(args.server_id)
         self._args = args
         self._loop = asyncio.get_running_loop()
+        self.state = EngineState(
+            version=args.version, incarnation=args.incarnation
+        )
+        self._bad = BadVersions(
+            self.faults,
+            self._loop.time,
+            lambda: self.state.version,
+            lambda: self._batch.running,
+        )
         self._cache = PrefixCache(
             self._loop.time,
             args.kv_blocks,
@@ -51,12 +61,9 @@
                 decode=args.tokens_per_second,
                 prefill=args.prefill_tokens_per_second,
             ),
-            slowdown=self._slowdown,
+            slowdown=self._bad.speed,
             on_end=self._on_end,
         )
-        self.state = EngineState(
-            version=args.version, incarnation=args.incarnation
-        )
         self._loader = WeightLoader(
             args.platform, args.weights_mb, args.load_s
         )
@@ -133,28 +140,6 @@
             "incarnation": self.state.incarnation,
         }
 
-    # bad versions
-
-    def _slowdown(self, path: str) -> float:
-        return self._bad(path, "slow")
-
-    def _bad(self, path: str, how: str) -> float:
-        """Return the factor of a bad version; 1 where all is well."""
-        factor = 1.0
-        for fault in self.faults.all_active("bad_version"):
-            req = fault.request
-            late_s = self._loop.time() - fault.since
-            shown = {
-                "at_once": True,
-                "late": late_s >= req.after_s,
-                "load": self._batch.running > req.above_running,
-            }[req.when]
-            meant = req.version in {None, self.state.version}
-            on_route = path.startswith(req.route)
-            if shown and meant and on_route and req.how == how:
-                factor = min(factor, req.factor)
-        return factor
-
     # requests
 
     async def async_serve(self, exchange: Exchange) -> None:
@@ -187,7 +172,7 @@
     async def _async_complete(self, exchange: Exchange) -> None:
         req = exchange.req
         body = CompletionBody.model_validate_json(req.body)
-        if self._bad(req.path, "fail") < 1:
+        if self._bad.fails(req.path):
             self.journal.add("failed", path=req.path)
             raise ApiError(500, "internal", "bad version")
         stream = self._submit(exchange, body)
@@ -257,6 +242,7 @@
         if self.faults.take("cut") is not None:
             exchange.resp.abort()
             return
+        await exchange.async_be_late()
         await exchange.async_json(200, answer)
 
     async def _async_stream(self, exchange: Exchange, stream_id: str) -> None:
@@ -269,13 +255,13 @@
             return
         if stream is None or stream.phase is Phase.CANCELLED:
             raise ApiError(404, "not_held", "resume the answer elsewhere")
-        offset = int(exchange.req.query.get("offset", "0"))
+        offset = exchange.number("offset", 0)
         self.journal.add("attached", op=stream_id, offset=offset)
         writer = EventWriter(exchange, stream, self._loop.time)
         await writer.async_run(offset, first=False)
 
     async def _async_cache_events(self, exchange: Exchange) -> None:
-        after = int(exchange.req.query.get("after", "0"))
+        after = exchange.number("after", 0)
         events = self._cache.events_after(after)
         seq = max((e.seq for e in events), default=after)
         body = {"events": [e.wire() for e in events], "seq": seq}
@@ -289,7 +275,7 @@
         if stream is None or stream.phase in {Phase.WAITING, Phase.CANCELLED}:
             raise ApiError(404, "not_held", "resume the answer elsewhere")
         words = stream.words()
-        text = json.dumps(words).encode()
+        text = json.dumps([self.state.version, words]).encode()
         self.journal.add("kv_export", op=body.stream_id, tokens=len(words))
         blob = base64.b64encode(text).decode()
         await exchange.async_json(200, {"blob": blob, "tokens": len(words)})
@@ -297,10 +283,13 @@
     async def _async_import(self, exchange: Exchange) -> None:
         body = ImportBody.model_validate_json(exchange.req.body)
         try:
-            words = json.loads(base64.b64decode(body.blob))
+            version, words = json.loads(base64.b64decode(body.blob))
         except ValueError:
             raise ApiError(400, "bad_blob", "export the cache again") from None
-        blocks = block_hashes([str(w) for w in words])
+        if version != self.state.version:
+            raise ApiError(409, "other_version", "recompute the prompt")
+        await asyncio.sleep(len(words) / self._args.kv_tokens_per_second)
+        blocks = block_hashes(words)
         self._cache.add(blocks)
         cached = len(blocks) * BLOCK_WORDS
         self.journal.add("kv_import", tokens=cached)
@@ -386,6 +375,7 @@
     add("--tokens-per-second", type=float, default=50.0)
     add("--prefill-tokens-per-second", type=float, default=5000.0)
     add("--kv-blocks", type=int, default=4096)
+    add("--kv-tokens-per-second", type=float, default=200_000.0)
     add("--hold-s", type=float, default=30.0)
     add("--tick-ms", type=float, default=2.0)
     add("--load-lag-s", type=float, default=0.25)
--- a/standins/event_stream.py
+++ b/standins/event_stream.py
@@ -80,6 +80,7 @@
         stream = self._stream
         while stream.produced <= self._offset and not stream.ended:
             await self._async_change()
+        await self._exchange.async_be_late()
         if self._exchange.muted:
             await self._exchange.async_hang()
             return
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -30,6 +30,10 @@
 ]
 
 
+How = Literal["fail", "slow"]
+When = Literal["at_once", "late", "load"]
+
+
 class FaultRequest(BaseModel):
     """Body of `POST /faults`; the kind decides which fields count.
 
@@ -43,6 +47,7 @@
     seconds: float | None = Field(default=None, gt=0)
     count: int = Field(default=1, ge=1)
     part: Literal["table", "objects", "weights", "cloud"] | None = None
+    table: str | None = None
     delay_ms: float = Field(default=0, ge=0)
     after_tokens: int = Field(default=0, ge=0)
     server_id: str | None = None
@@ -52,8 +57,8 @@
     repeat: int = Field(default=1, ge=1)
     stop: bool = True
     version: str | None = None
-    how: Literal["fail", "slow"] = "fail"
-    when: Literal["at_once", "late", "load"] = "at_once"
+    how: How = "fail"
+    when: When = "at_once"
     after_s: float = Field(default=0, ge=0)
     above_running: int = Field(default=0, ge=0)
     route: str = ""
@@ -116,6 +121,8 @@
 
     def all_active(self, kind: Kind) -> list[Fault]:
         """Return every fault of a kind in force."""
+        if not self._faults:
+            return []
         now = self._clock()
         return [
             f for f in self._faults if f.request.kind == kind and f.active(now)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,9 +6,10 @@
 import argparse
 import asyncio
 import time
-from collections.abc import Coroutine
+from collections.abc import Collection, Coroutine
 from pathlib import Path
 from typing import Any, Final
+from urllib.parse import unquote
 
 from standins.base import ApiError, Exchange, StandIn, async_run, parser_of
 from standins.cloud import Cloud, HostsFile, Notice, StartOrder, StopOrder
@@ -52,7 +53,8 @@
 
     async def async_serve(self, exchange: Exchange) -> None:
         """Answer by the first parts of the path."""
-        parts = exchange.req.path.strip("/").split("/", 3)
+        path = unquote(exchange.req.path)
+        parts = path.strip("/").split("/", 3)
         match exchange.req.method, *parts:
             case "POST", "v1", "table", "transact":
                 await self._async_transact(exchange)
@@ -98,14 +100,19 @@
             keys=[f"{w.table}/{w.key}" for w in transaction.writes],
             versions=list(outcome.versions),
         )
-        if await self._async_lose_reply(exchange, "table"):
+        tables = {w.table for w in transaction.writes}
+        if self._loses_reply(exchange, "table", tables):
             return
         body = {"committed": True, "versions": list(outcome.versions)}
         await exchange.async_json(200, body)
 
-    async def _async_lose_reply(self, exchange: Exchange, part: str) -> bool:
-        if self.faults.take("lost_reply", part) is None:
+    def _loses_reply(
+        self, exchange: Exchange, part: str, tables: Collection[str] = ()
+    ) -> bool:
+        fault = self.faults.active("lost_reply", part)
+        if fault is None or fault.request.table not in {None, *tables}:
             return False
+        self.faults.take("lost_reply", part)
         self.journal.add("reply_lost", path=exchange.req.path)
         exchange.resp.abort()
         return True
@@ -124,7 +131,7 @@
             table,
             query.get("prefix", ""),
             query.get("after", ""),
-            _number(query, "limit", DEFAULT_SCAN_ROWS),
+            exchange.number("limit", DEFAULT_SCAN_ROWS),
             stale=self._stale,
         )
         await exchange.async_json(200, {"rows": [r.wire() for r in rows]})
@@ -146,13 +153,13 @@
         else:
             raise ApiError(405, "method", "use GET, PUT or DELETE")
         self.journal.add(f"object_{method.lower()}", path=exchange.req.path)
-        if not await self._async_lose_reply(exchange, "objects"):
+        if not self._loses_reply(exchange, "objects"):
             await exchange.async_json(200, {})
 
     async def _async_weights(
         self, exchange: Exchange, service: str, version: str
     ) -> None:
-        size_mb = _number(exchange.req.query, "size_mb", 0)
+        size_mb = exchange.number("size_mb", 0)
         now = asyncio.get_running_loop().time()
         await asyncio.sleep(self._bandwidth.reserve(now, size_mb))
         self.journal.add("weights", path=exchange.req.path, size_mb=size_mb)
@@ -189,15 +196,21 @@
         row, new = self.cloud.start(order)
         if new:
             self.journal.add(
-                "start", op=order.order_id, server_id=row.server_id
+                "start",
+                op=order.order_id,
+                server_id=row.server_id,
+                version=order.version,
+                fencing=order.fencing,
             )
             self._spawn(self._async_boot(row.server_id, row.incarnation))
-        if not await self._async_lose_reply(exchange, "cloud"):
+        if not self._loses_reply(exchange, "cloud"):
             await exchange.async_json(200, {"server_id": row.server_id})
 
     async def _async_boot(self, server_id: str, incarnation: int) -> None:
         await asyncio.sleep(self._args.start_s)
-        row = self.cloud.servers[server_id]
+        row = self.cloud.servers.get(server_id)
+        if row is None or row.incarnation != incarnation:
+            return
         body = {"version": row.version, "incarnation": incarnation}
         await self._async_tell(row.address, "start", body)
         self.cloud.set_live(server_id, incarnation)
@@ -206,12 +219,14 @@
         order = StopOrder.model_validate_json(exchange.req.body)
         row = self.cloud.stop(order)
         if row is not None:
-            self.journal.add("stop", server_id=row.server_id)
+            self.journal.add(
+                "stop", server_id=row.server_id, fencing=order.fencing
+            )
             gone_at = time.time() + self._args.stop_s
             self._spawn(
                 self._async_end(row.server_id, row.incarnation, gone_at)
             )
-        if not await self._async_lose_reply(exchange, "cloud"):
+        if not self._loses_reply(exchange, "cloud"):
             await exchange.async_json(200, {"server_id": order.server_id})
 
     async def _async_end(
@@ -250,8 +265,8 @@
     # notices
 
     async def _async_notices(self, exchange: Exchange) -> None:
-        after = _number(exchange.req.query, "after", 0)
-        wait_ms = _number(exchange.req.query, "wait_ms", 0)
+        after = exchange.number("after", 0)
+        wait_ms = exchange.number("wait_ms", 0)
         wait_s = min(wait_ms, MAX_WAIT_MS) / 1000
         try:
             async with asyncio.timeout(wait_s), self._news:
@@ -325,15 +340,6 @@
     return {"committed": False, "conflicts": conflicts}
 
 
-def _number(query: dict[str, str], name: str, default: int) -> int:
-    try:
-        return int(query.get(name, default))
-    except ValueError:
-        raise ApiError(
-            400, "bad_request", f"{name}: send a whole number"
-        ) from None
-
-
 def _unix(loop_time: float) -> float:
     return time.time() - (asyncio.get_running_loop().time() - loop_time)
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -7,15 +7,18 @@
 
 import argparse
 import asyncio
-from dataclasses import dataclass, field
-from typing import Any
+from pathlib import Path
+from typing import Any, Final
 
 import xxhash
 from pydantic import BaseModel
 
+from standins.bad_versions import BadVersions
 from standins.base import ApiError, Exchange, StandIn, async_run, parser_of
+from standins.outcomes import Outcome, Outcomes
 
-OUTCOMES_PATH = "/v1/outcomes/"
+MIN_SLOWED_S: Final = 0.001
+OUTCOMES_PATH: Final = "/v1/outcomes/"
 
 
 class StartBody(BaseModel):
@@ -25,20 +28,6 @@
     incarnation: int
 
 
-@dataclass(kw_only=True, slots=True)
-class Outcome:
-    """What became of an operation; no status while it runs."""
-
-    status: int | None = None
-    body: dict[str, Any] = field(default_factory=dict)
-
-    def wire(self) -> dict[str, Any]:
-        """Return the outcome as it is sent."""
-        if self.status is None:
-            return {"ran": True, "running": True}
-        return {"ran": True, "status": self.status, "body": self.body}
-
-
 class PlainService(StandIn):
     """Runs what it is asked and keeps a journal of it."""
 
@@ -48,8 +37,16 @@
         self.version: str = args.version
         self.incarnation: int = args.incarnation
         self.stopped = False
-        self._outcomes: dict[str, Outcome] = {}
+        shared = Path(args.record_dir) if args.record_dir else None
+        self._outcomes = Outcomes(shared)
         self._runs = 0
+        self._running = 0
+        self._bad = BadVersions(
+            self.faults,
+            asyncio.get_running_loop().time,
+            lambda: self.version,
+            lambda: self._running,
+        )
 
     async def async_serve(self, exchange: Exchange) -> None:
         """Run any path; answer queries for outcomes."""
@@ -73,9 +70,7 @@
         req = exchange.req
         received = _json_of(exchange)
         op = req.headers.get("x-operation-id", "")
-        outcome = Outcome()
-        if op:
-            self._outcomes[op] = outcome
+        self._outcomes.put(op, Outcome())
         self._runs += 1
         entry = {
             "op": op,
@@ -86,7 +81,7 @@
         }
         self.journal.add("begun", **entry)
         status = 200
-        body = {
+        body: dict[str, Any] = {
             "server_id": self.name,
             "version": self.version,
             "operation_id": op,
@@ -95,38 +90,32 @@
             "path": req.path,
             "received": received,
         }
-        if self._fails(req.path):
+        if self._bad.fails(req.path):
             status = 500
             body = {"error": {"type": "internal", "message": "bad version"}}
-        await asyncio.sleep(self._work_s(req.path))
-        outcome.status = status
-        outcome.body = body
+        began_as = self.incarnation
+        await self._async_work(req.path)
+        if self.stopped or self.incarnation != began_as:
+            return  # the host is gone, and this work with it
+        self._outcomes.put(op, Outcome(status=status, body=body))
         self.journal.add("finished", **entry, status=status)
         if self.faults.take("lost_reply") is not None:
             self.journal.add("reply_lost", **entry)
             exchange.resp.abort()
             return
+        await exchange.async_be_late()
         await exchange.async_json(status, body)
 
-    def _fails(self, path: str) -> bool:
-        return any(
-            f.request.how == "fail" and self._meant(f.request.route, path)
-            for f in self.faults.all_active("bad_version")
-            if f.request.version in {None, self.version}
-        )
-
-    def _work_s(self, path: str) -> float:
-        work_s = float(self._args.work_ms) / 1000
-        for fault in self.faults.all_active("bad_version"):
-            req = fault.request
-            bad = req.version in {None, self.version}
-            if bad and req.how == "slow" and self._meant(req.route, path):
-                work_s = max(work_s, 0.001) / req.factor
-        return work_s
-
-    @staticmethod
-    def _meant(route: str, path: str) -> bool:
-        return path.startswith(route)
+    async def _async_work(self, path: str) -> None:
+        work_s = self._args.work_ms / 1000
+        speed = self._bad.speed(path)
+        if speed < 1:
+            work_s = max(work_s, MIN_SLOWED_S) / speed
+        self._running += 1
+        try:
+            await asyncio.sleep(work_s)
+        finally:
+            self._running -= 1
 
     async def async_admin(self, exchange: Exchange) -> None:
         """Start or stop, as the platform takes or gives the host."""
@@ -160,6 +149,9 @@
     parser.add_argument("--incarnation", type=int, default=1)
     parser.add_argument("--work-ms", type=float, default=0.0)
     parser.add_argument("--no-outcomes", action="store_true")
+    parser.add_argument(
+        "--record-dir", help="directory of outcomes that servers share"
+    )
     return parser.parse_args()
 
 
