--- a/standins/engine.py
+++ b/standins/engine.py
@@ -364,7 +364,8 @@
         self._cache.clear()
 
 
-def _parse() -> argparse.Namespace:
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
     parser = parser_of("Stand-in model engine.")
     add = parser.add_argument
     add("--server-id", required=True)
@@ -385,11 +386,11 @@
     add("--platform", help="address of the weight store")
     add("--weights-mb", type=float, default=100.0)
     add("--load-s", type=float, default=0.0)
-    return parser.parse_args()
+    return parser
 
 
 async def _async_main() -> None:
-    args = _parse()
+    args = build_parser().parse_args()
     await async_run(Engine(args), args)
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -344,7 +344,8 @@
     return time.time() - (asyncio.get_running_loop().time() - loop_time)
 
 
-def _parse() -> argparse.Namespace:
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
     parser = parser_of("Stand-in platform.")
     parser.add_argument("--hosts", help="JSON file with the first hosts list")
     parser.add_argument("--list-lag-s", type=float, default=0.0)
@@ -353,11 +354,11 @@
     parser.add_argument("--writes-per-s", type=float, default=400.0)
     parser.add_argument("--reads-per-s", type=float, default=2000.0)
     parser.add_argument("--weights-mb-per-s", type=float, default=1000.0)
-    return parser.parse_args()
+    return parser
 
 
 async def _async_main() -> None:
-    args = _parse()
+    args = build_parser().parse_args()
     await async_run(Platform(args), args)
 
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -141,7 +141,8 @@
         raise ApiError(400, "bad_request", "send JSON") from None
 
 
-def _parse() -> argparse.Namespace:
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
     parser = parser_of("Stand-in plain service.")
     parser.add_argument("--server-id", required=True)
     parser.add_argument("--service", required=True)
@@ -152,11 +153,11 @@
     parser.add_argument(
         "--record-dir", help="directory of outcomes that servers share"
     )
-    return parser.parse_args()
+    return parser
 
 
 async def _async_main() -> None:
-    args = _parse()
+    args = build_parser().parse_args()
     await async_run(PlainService(args), args)
 
 
--- /dev/null
+++ b/tests/standins/test_cluster.py
@@ -0,0 +1,69 @@
+"""Tests of the cluster of processes and of the caller."""
+
+import asyncio
+import signal
+
+import testtools
+
+from standins.client import Ask, Caller
+from standins.cluster import Cluster, ClusterError, http_json
+from tests.helpers import async_test
+
+
+class TestCluster(testtools.TestCase):
+    def test_starts_signals_and_ends_its_processes(self) -> None:
+        with Cluster() as cluster:
+            cluster.start_platform()
+            address = cluster.start_engine("e1", "pool")
+            cluster.signal("e1", signal.SIGSTOP)
+            self.assertRaises(
+                TimeoutError,
+                http_json,
+                "GET",
+                address,
+                "/health",
+                timeout_s=0.1,
+            )
+            cluster.signal("e1", signal.SIGCONT)
+            cluster.wait_health("e1")
+            cluster.kill("e1")
+            assert cluster.start_engine("e1", "pool") == address
+            assert cluster.stop("platform") == 0
+            cluster.signal("e1", signal.SIGSTOP)
+        assert not cluster.alive("e1")
+
+    def test_failed_start_tells_why(self) -> None:
+        with Cluster() as cluster:
+            error = self.assertRaises(
+                ClusterError, cluster.start_engine, "e1", "pool", "--no-such"
+            )
+        assert "--no-such" in str(error)
+
+
+class TestCaller(testtools.TestCase):
+    @async_test
+    async def test_follows_right_answers_and_sees_wrong_ones(self) -> None:
+        with Cluster() as cluster:
+            address = cluster.start_engine("e1", "pool")
+            caller = Caller([address])
+            deadline = asyncio.get_running_loop().time() + 20
+            streamed = await caller.async_ask(Ask(prompt="a b"), deadline)
+            ask = Ask(messages=(("user", "hi"),), stream=False)
+            whole = await caller.async_ask(ask, deadline)
+            cluster.fault("e1", "repeat_chunk")
+            wrong = await caller.async_ask(Ask(prompt="c"), deadline)
+            await caller.async_unload()
+        assert streamed.right
+        assert whole.right
+        assert (wrong.whole, wrong.right) == (True, False)
+
+    @async_test
+    async def test_comes_back_only_when_told(self) -> None:
+        with Cluster() as cluster:
+            address = cluster.start_engine("e1", "pool")
+            cluster.fault("e1", "down", seconds=0.2)
+            caller = Caller([address])
+            deadline = asyncio.get_running_loop().time() + 20
+            answer = await caller.async_ask(Ask(prompt="a"), deadline)
+            await caller.async_unload()
+        assert (answer.status, answer.connections) == (503, 1)
