Draw duties and routing subsets from the members alone

400 hosts that each poll 600 servers would overrun the control budget. Duties go to a few hosts by rendezvous hashing, failure domain first; each host routes to a stretch of a ring on which failure domains alternate. Ruled out: plain rendezvous for the subsets, whose draws leave some servers in far more subsets than others.

--- /dev/null
+++ b/tests/core/test_watch.py
@@ -0,0 +1,143 @@
+"""Tests of duties and routing subsets."""
+
+from collections import Counter
+
+import testtools
+
+from waxwingarch.core.base import FailureDomain, HostId, ServerId, ServiceId
+from waxwingarch.core.watch import (
+    Duty,
+    DutyTable,
+    Place,
+    RoutedServer,
+    Routing,
+)
+
+POOL = ServiceId("pool")
+DOMAINS = 7
+
+
+def make_places(count: int) -> list[Place]:
+    return [
+        Place(
+            host_id=HostId(f"h{n}"),
+            failure_domain=FailureDomain(f"d{n % DOMAINS}"),
+        )
+        for n in range(count)
+    ]
+
+
+def make_servers(count: int) -> list[RoutedServer]:
+    return [
+        RoutedServer(
+            server_id=ServerId(f"s{n}"),
+            failure_domain=FailureDomain(f"d{n % DOMAINS}"),
+            service=POOL,
+        )
+        for n in range(count)
+    ]
+
+
+def overlap(left: Routing, right: Routing, host: HostId) -> int:
+    one = set(left.subset(host, POOL))
+    return len(one - set(right.subset(host, POOL)))
+
+
+class TestDutyTable(testtools.TestCase):
+    def test_responsible_hosts_are_in_different_domains(self) -> None:
+        places = make_places(9)
+        domain_of = {p.host_id: p.failure_domain for p in places}
+        table = DutyTable(places)
+        for n in range(200):
+            hosts = table.responsible(f"s{n}", Duty.WATCH_SERVER, 3)
+            self.assertEqual(3, len({domain_of[h] for h in hosts}))
+
+    def test_fewer_domains_than_hosts_asked_for(self) -> None:
+        places = [
+            Place(host_id=HostId(h), failure_domain=FailureDomain("d"))
+            for h in "abc"
+        ]
+        hosts = DutyTable(places).responsible("k", Duty.POLL_TABLE, 5)
+        self.assertEqual({"a", "b", "c"}, set(hosts))
+        self.assertEqual(3, len(hosts))
+        self.assertEqual(
+            (), DutyTable([]).responsible("k", Duty.POLL_TABLE, 1)
+        )
+
+    def test_a_host_lost_moves_only_few_keys_of_others(self) -> None:
+        places = make_places(400)
+        before = DutyTable(places)
+        after = DutyTable(places[1:])
+        moved = 0
+        for n in range(600):
+            old = before.responsible(f"s{n}", Duty.WATCH_SERVER, 2)
+            new = after.responsible(f"s{n}", Duty.WATCH_SERVER, 2)
+            moved += old != new and places[0].host_id not in old
+        self.assertLess(moved, 600 * 0.02)
+
+    def test_duties_are_balanced_at_400_hosts(self) -> None:
+        table = DutyTable(make_places(400))
+        held = Counter(
+            host
+            for n in range(600)
+            for host in table.responsible(f"s{n}", Duty.WATCH_SERVER, 2)
+        )
+        # 3 on average: a random draw seldom gives anyone four times that.
+        self.assertLess(max(held.values()), 12)
+
+    def test_duties_differ_by_name(self) -> None:
+        table = DutyTable(make_places(40))
+        self.assertNotEqual(
+            [table.responsible(f"{n}", Duty.OWN_CLAIMS, 2) for n in range(9)],
+            [table.responsible(f"{n}", Duty.OWN_SHARES, 2) for n in range(9)],
+        )
+
+
+class TestRouting(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.hosts = [p.host_id for p in make_places(400)]
+        self.servers = make_servers(600)
+        self.routing = Routing(self.hosts, self.servers, size=40)
+
+    def test_load_is_balanced_over_servers(self) -> None:
+        held = Counter(
+            s for h in self.hosts for s in self.routing.subset(h, POOL)
+        )
+        self.assertEqual(600, len(held))
+        # 26.7 hosts a server on average.
+        self.assertLessEqual(max(held.values()) - min(held.values()), 2)
+
+    def test_subset_is_bounded_and_spread_over_domains(self) -> None:
+        domain_of = {s.server_id: s.failure_domain for s in self.servers}
+        for host in self.hosts:
+            subset = self.routing.subset(host, POOL)
+            self.assertEqual(40, len(set(subset)))
+            domains = Counter(domain_of[s] for s in subset)
+            self.assertEqual(DOMAINS, len(domains))
+            self.assertLessEqual(max(domains.values()), 8)
+
+    def test_one_change_moves_subsets_little(self) -> None:
+        fewer_hosts = Routing(self.hosts[1:], self.servers, size=40)
+        fewer_servers = Routing(self.hosts, self.servers[1:], size=40)
+        for host in self.hosts[1:]:
+            self.assertLessEqual(overlap(self.routing, fewer_hosts, host), 3)
+            self.assertLessEqual(overlap(self.routing, fewer_servers, host), 8)
+
+    def test_routing_hosts_is_the_inverse_of_subset(self) -> None:
+        for server in self.servers[:20]:
+            self.assertEqual(
+                {
+                    h
+                    for h in self.hosts
+                    if server.server_id in self.routing.subset(h, POOL)
+                },
+                set(self.routing.routing_hosts(server.server_id)),
+            )
+
+    def test_small_pools_are_routed_to_whole(self) -> None:
+        routing = Routing(self.hosts[:9], make_servers(15), size=40)
+        for host in self.hosts[:9]:
+            self.assertEqual(15, len(routing.subset(host, POOL)))
+        self.assertEqual(9, len(routing.routing_hosts(ServerId("s1"))))
+        self.assertEqual((), routing.routing_hosts(ServerId("none")))
--- /dev/null
+++ b/waxwingarch/core/watch.py
@@ -0,0 +1,177 @@
+"""Which hosts watch what, and which servers a host routes to.
+
+Both are computed by every host on its own from the members and the
+servers that it knows, so that nothing has to be agreed.
+"""
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+import xxhash
+
+from waxwingarch.core.base import FailureDomain, HostId, ServerId, ServiceId
+
+HASH_RANGE: Final = 2.0**64
+DEFAULT_SUBSET_SERVERS: Final = 40
+
+
+class Duty(StrEnum):
+    """Duties that a few responsible hosts hold for a key."""
+
+    WATCH_SERVER = "watch-server"
+    POLL_TABLE = "poll-table"
+    OWN_CLAIMS = "own-claims"
+    OWN_SHARES = "own-shares"
+    KEEP_HAND_OVER = "keep-hand-over"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Place:
+    """A host that can hold duties, and where it is."""
+
+    host_id: HostId
+    failure_domain: FailureDomain
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RoutedServer:
+    """What routing subsets need to know of a backend server."""
+
+    server_id: ServerId
+    failure_domain: FailureDomain
+    service: ServiceId
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
+
+
+class DutyTable:
+    """Rendezvous hashing of duties over a fixed set of hosts.
+
+    The failure domain is drawn first, weighted by its hosts, and then
+    the host in it: few hashes a key, and each responsible host of a
+    key is in a different failure domain as long as there are enough.
+    """
+
+    def __init__(self, places: Iterable[Place]) -> None:
+        domains: dict[FailureDomain, list[HostId]] = defaultdict(list)
+        for place in places:
+            domains[place.failure_domain].append(place.host_id)
+        self._domains = {d: sorted(domains[d]) for d in sorted(domains)}
+
+    def responsible(
+        self, key: str, duty: Duty, count: int
+    ) -> tuple[HostId, ...]:
+        """Return up to `count` hosts for the key, the first one first."""
+        prefix = f"{duty}\0{key}\0"
+        order = sorted(
+            self._domains,
+            key=lambda domain: self._domain_score(prefix, domain),
+            reverse=True,
+        )
+        ranked = [self._ranked(prefix, domain) for domain in order]
+        chosen: list[HostId] = []
+        depth = 0
+        while len(chosen) < count:
+            layer = [hosts[depth] for hosts in ranked if len(hosts) > depth]
+            if not layer:
+                break
+            chosen.extend(layer[: count - len(chosen)])
+            depth += 1
+        return tuple(chosen)
+
+    def is_responsible(
+        self, host_id: HostId, key: str, duty: Duty, count: int
+    ) -> bool:
+        """Tell whether the host is one of the responsible ones."""
+        return host_id in self.responsible(key, duty, count)
+
+    def _domain_score(self, prefix: str, domain: FailureDomain) -> float:
+        # -weight / ln(uniform): a domain wins in proportion to its hosts.
+        uniform = (_hash(prefix + domain) + 0.5) / HASH_RANGE
+        log = math.log(min(uniform, 1.0 - 2.0**-53))
+        return -len(self._domains[domain]) / log
+
+    def _ranked(self, prefix: str, domain: FailureDomain) -> list[HostId]:
+        return sorted(
+            self._domains[domain],
+            key=lambda host: (_hash(prefix + host), host),
+            reverse=True,
+        )
+
+
+class Routing:
+    """Bounded routing subsets, the same on every host.
+
+    The servers of a service stand on a ring on which failure domains
+    alternate; the hosts, in the order of their hashes, start at equal
+    distances and each takes the next `size` servers. So each server is
+    in the subset of as many hosts as any other, give or take one, and a
+    host that comes or goes moves the other subsets by a server or two.
+    """
+
+    def __init__(
+        self,
+        hosts: Iterable[HostId],
+        servers: Iterable[RoutedServer],
+        size: int = DEFAULT_SUBSET_SERVERS,
+    ) -> None:
+        ordered = sorted(set(hosts), key=lambda host: (_hash(host), host))
+        self._rank = {host: rank for rank, host in enumerate(ordered)}
+        self._hosts = ordered
+        self._size = size
+        services: dict[ServiceId, list[RoutedServer]] = defaultdict(list)
+        for server in servers:
+            services[server.service].append(server)
+        self._rings: Mapping[ServiceId, tuple[ServerId, ...]] = {
+            service: _ring(services[service]) for service in sorted(services)
+        }
+        self._position = {
+            server: (service, position)
+            for service, ring in self._rings.items()
+            for position, server in enumerate(ring)
+        }
+
+    def subset(self, host: HostId, service: ServiceId) -> tuple[ServerId, ...]:
+        """Return the servers of the service that the host routes to."""
+        ring = self._rings.get(service, ())
+        if len(ring) <= self._size or host not in self._rank:
+            return ring[: self._size]
+        start = self._start(self._rank[host], len(ring))
+        doubled = ring + ring
+        return doubled[start : start + self._size]
+
+    def routing_hosts(self, server: ServerId) -> tuple[HostId, ...]:
+        """Return the hosts that have the server in their subset."""
+        if server not in self._position:
+            return ()
+        service, position = self._position[server]
+        length = len(self._rings[service])
+        if length <= self._size:
+            return tuple(self._hosts)
+        return tuple(
+            host
+            for rank, host in enumerate(self._hosts)
+            if (position - self._start(rank, length)) % length < self._size
+        )
+
+    def _start(self, rank: int, length: int) -> int:
+        return rank * length // len(self._hosts)
+
+
+def _ring(servers: Sequence[RoutedServer]) -> tuple[ServerId, ...]:
+    """Order servers so that any stretch mixes the failure domains."""
+    domains: dict[FailureDomain, list[ServerId]] = defaultdict(list)
+    for server in servers:
+        domains[server.failure_domain].append(server.server_id)
+    placed: list[tuple[float, FailureDomain, ServerId]] = []
+    for domain, members in domains.items():
+        members.sort(key=lambda server: (_hash(server), server))
+        for rank, server_id in enumerate(members):
+            placed.append(((rank + 0.5) / len(members), domain, server_id))
+    return tuple(server_id for _, _, server_id in sorted(placed))
