--- a/waxwingarch/core/items.py
+++ b/waxwingarch/core/items.py
@@ -53,10 +53,11 @@
 class SpentShare:
     """What one host has used of a client account's limit.
 
-    `requests` grows over the life of the host's incarnation; the
-    greater `(incarnation, requests)` wins. `wanted` is the demand in
-    requests a second over the last window, `running` the requests in
-    progress.
+    `requests` grows over the life of the host's incarnation. `wanted`
+    is the demand in requests a second over the last window, `running`
+    the requests in progress; both also fall, so the publisher counts
+    `sequence` up and the greater `(incarnation, sequence, requests)`
+    wins. A sequence of 0 is filled in when the item is published.
     """
 
     account: AccountId
@@ -65,6 +66,7 @@
     requests: int
     wanted: float
     running: int
+    sequence: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/waxwingarch/core/merge.py
@@ -0,0 +1,117 @@
+"""Merge rules of gossip items: commutative, associative, idempotent.
+
+Each rule picks the greater item of a total order over the items with
+the same key, so that hosts that have seen the same items agree.
+"""
+
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Any, Final, NamedTuple
+
+from waxwingarch.core.items import (
+    CacheSummary,
+    Item,
+    LeavingServer,
+    LoadSummary,
+    SettingsRevision,
+    SpentShare,
+    StopMark,
+)
+
+
+class ItemKind(StrEnum):
+    """Kinds of item, as part of their keys."""
+
+    REVISION = "revision"
+    LEAVING = "leaving"
+    STOP = "stop"
+    SHARE = "share"
+    LOAD = "load"
+    CACHE = "cache"
+
+
+class ItemKey(NamedTuple):
+    """Items with the same key are merged into one."""
+
+    kind: ItemKind
+    name: str = ""
+    detail: str = ""
+
+
+class MergeRule(NamedTuple):
+    """How items of one type are keyed and ordered."""
+
+    key: Callable[[Any], ItemKey]
+    order: Callable[[Any], tuple[Any, ...]]
+
+
+def _leaving_key(item: LeavingServer) -> ItemKey:
+    return ItemKey(ItemKind.LEAVING, item.server_id, str(item.incarnation))
+
+
+def _stop_key(item: StopMark) -> ItemKey:
+    name = f"{item.service}\0{item.version}"
+    return ItemKey(ItemKind.STOP, name, item.move_id)
+
+
+def _share_key(item: SpentShare) -> ItemKey:
+    return ItemKey(ItemKind.SHARE, item.account, item.host_id)
+
+
+def _share_order(item: SpentShare) -> tuple[Any, ...]:
+    return (
+        item.incarnation,
+        item.sequence,
+        item.requests,
+        item.wanted,
+        item.running,
+    )
+
+
+def _load_order(item: LoadSummary) -> tuple[Any, ...]:
+    return (
+        item.incarnation,
+        item.as_of_ms,
+        item.running,
+        item.waiting,
+        item.kv_used,
+        item.kv_total,
+    )
+
+
+RULES: Final[dict[type, MergeRule]] = {
+    SettingsRevision: MergeRule(
+        key=lambda item: ItemKey(ItemKind.REVISION),
+        order=lambda item: (item.revision,),
+    ),
+    # The earliest deadline wins.
+    LeavingServer: MergeRule(
+        key=_leaving_key, order=lambda item: (-item.deadline_unix,)
+    ),
+    StopMark: MergeRule(key=_stop_key, order=lambda item: (item.reason,)),
+    SpentShare: MergeRule(key=_share_key, order=_share_order),
+    LoadSummary: MergeRule(
+        key=lambda item: ItemKey(ItemKind.LOAD, item.server_id),
+        order=_load_order,
+    ),
+    CacheSummary: MergeRule(
+        key=lambda item: ItemKey(ItemKind.CACHE, item.server_id),
+        order=lambda item: (item.incarnation, item.sequence, item.blocks),
+    ),
+}
+
+
+def item_key(item: Item) -> ItemKey:
+    """Return the key under which the item is merged."""
+    return RULES[type(item)].key(item)
+
+
+def wins(new: Item, old: Item) -> bool:
+    """Tell whether the new item replaces the old one of the same key."""
+    order = RULES[type(new)].order
+    return order(new) > order(old)
+
+
+def merge(left: Item, right: Item) -> Item:
+    """Return the winner of two items with the same key."""
+    return right if wins(right, left) else left
