Keep membership by probes, suspicion and refutation

A process carries an incarnation: a new one on the address of an old one is another; a paused one refutes and keeps its own.

--- /dev/null
+++ b/waxwingarch/core/messages.py
@@ -0,0 +1,97 @@
+"""Messages between entry hosts, as the decisions see them."""
+
+from dataclasses import dataclass
+
+from waxwingarch.core.base import Action, Event, HostId
+from waxwingarch.core.items import Item
+from waxwingarch.core.members import Member
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Probe:
+    """Asks whether a process is there.
+
+    `target` is empty when only an address is known (a seed).
+    """
+
+    sequence: int
+    target: HostId
+    incarnation: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ack:
+    """Says that a process is there; answers the probe `sequence`."""
+
+    sequence: int
+    host_id: HostId
+    incarnation: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class IndirectProbe:
+    """Asks another host to probe the target and pass the answer on."""
+
+    sequence: int
+    target: HostId
+    incarnation: int
+    address: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Gossip:
+    """Carries records only; they are passed on if `relay` is set."""
+
+    relay: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SyncRequest:
+    """Bucket sums of the sender; asks for what it lacks.
+
+    `reply` is set on the sums sent in answer to another request.
+    """
+
+    sums: tuple[int, ...]
+    reply: bool
+
+
+Body = Probe | Ack | IndirectProbe | Gossip | SyncRequest
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Datagram:
+    """One message with the records that ride on it.
+
+    `applied_revision` is the settings revision in force at the sender.
+    """
+
+    sender: HostId
+    incarnation: int
+    applied_revision: int
+    body: Body
+    members: tuple[Member, ...] = ()
+    items: tuple[Item, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Tick(Event):
+    """Time has passed; `unix_now` is the wall clock in Unix seconds."""
+
+    unix_now: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DatagramReceived(Event):
+    """A datagram came from a peer at `source` ("ip:port")."""
+
+    source: str
+    datagram: Datagram
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SendPeer(Action):
+    """Send a datagram to the address ("ip:port")."""
+
+    address: str
+    datagram: Datagram
