--- a/tests/core/test_spread.py
+++ b/tests/core/test_spread.py
@@ -115,6 +115,10 @@
     return SpentShare(incarnation=incarnation, **(values | changes))
 
 
+def make_store(hosts: Hosts | None = None) -> ItemStore:
+    return ItemStore(hosts or Hosts(), BucketDigest())
+
+
 def known(store: ItemStore) -> set[Item]:
     return {item for kind in ItemKind for item in store.items(kind)}
 
@@ -125,7 +129,7 @@
     def test_order_and_repetition_do_not_matter(
         self, items: list[Item], rng: random.Random
     ) -> None:
-        one, other = ItemStore(Hosts()), ItemStore(Hosts())
+        one, other = make_store(), make_store()
         shuffled = items + rng.sample(items, len(items) // 2)
         rng.shuffle(shuffled)
         # A leaving mark first hides load that would else have been kept.
@@ -136,7 +140,7 @@
             for item in sequence:
                 store.accept(0.0, 0.0, item)
         self.assertEqual(known(one), known(other))
-        self.assertEqual(one.digest.sums(), other.digest.sums())
+        self.assertEqual(one._digest.sums(), other._digest.sums())
 
     @PROPERTY
     @given(ITEMS, ITEMS, ITEMS)
@@ -154,7 +158,7 @@
 
 class TestItemStore(testtools.TestCase):
     def test_leaving_never_comes_back_and_keeps_first_deadline(self) -> None:
-        store = ItemStore(Hosts())
+        store = make_store()
         store.accept(0.0, 0.0, leaving(50.0))
         self.assertFalse(store.accept(1.0, 1.0, leaving(90.0)))
         store.expire(9e3, 9e3)
@@ -162,20 +166,20 @@
         self.assertFalse(store.is_leaving(S1, 2))
 
     def test_leaving_long_past_is_dropped_and_not_taken_again(self) -> None:
-        store = ItemStore(Hosts())
+        store = make_store()
         store.accept(0.0, 0.0, leaving(50.0))
         late = 51.0 + LEAVING_RETENTION_S
         self.assertEqual(1, len(store.expire(late, late)))
         self.assertFalse(store.accept(late, late, leaving(50.0)))
 
     def test_load_of_a_leaving_incarnation_is_refused(self) -> None:
-        store = ItemStore(Hosts())
+        store = make_store()
         store.accept(0.0, 0.0, leaving(50.0))
         self.assertFalse(store.accept(0.0, 0.0, load("s1")))
         self.assertTrue(store.accept(0.0, 0.0, load("s1", incarnation=2)))
 
     def test_load_expires_unless_renewed(self) -> None:
-        store = ItemStore(Hosts())
+        store = make_store()
         store.accept(0.0, 0.0, load("s1"))
         store.accept(0.0, 0.0, load("s2"))
         store.accept(20.0, 0.0, load("s1", as_of_ms=9))
@@ -184,14 +188,14 @@
 
     def test_shares_of_a_dead_incarnation_are_dropped(self) -> None:
         hosts = Hosts(current=1)
-        store = ItemStore(hosts)
+        store = make_store(hosts)
         store.accept(0.0, 0.0, share(1))
         hosts.current = 2
         self.assertEqual(1, len(store.expire(1.0, 1.0)))
         self.assertFalse(store.accept(1.0, 1.0, share(1, sequence=9)))
 
     def test_store_is_bounded(self) -> None:
-        store = ItemStore(Hosts())
+        store = make_store()
         for n in range(MAX_ITEMS[ItemKind.LOAD] + 10):
             store.accept(0.0, 0.0, load(f"s{n}"))
         self.assertEqual(MAX_ITEMS[ItemKind.LOAD], len(store))
--- a/waxwingarch/core/spread.py
+++ b/waxwingarch/core/spread.py
@@ -41,6 +41,9 @@
     for kind in ItemKind
 }
 
+# Members are keyed by their host, items by their own keys.
+RecordKey = HostId | ItemKey
+
 
 class HostView(Protocol):
     """What the store needs to know of the entry hosts."""
@@ -53,17 +56,21 @@
 class ItemStore:
     """Items merged by their rules; soft state that never goes back.
 
+    The digest is kept in step with the durable ones.
+
     Items of one kind are kept in the order in which they were last
     changed; when there are too many, the one changed longest ago goes.
     """
 
-    def __init__(self, hosts: HostView) -> None:
+    def __init__(
+        self, hosts: HostView, digest: BucketDigest[RecordKey]
+    ) -> None:
         self._hosts = hosts
+        self._digest = digest
         self._items: dict[ItemKind, OrderedDict[ItemKey, Item]] = {
             kind: OrderedDict() for kind in ItemKind
         }
         self._changed_at: dict[ItemKey, float] = {}
-        self.digest: BucketDigest[ItemKey] = BucketDigest()
 
     def get(self, key: ItemKey) -> Item | None:
         """Return the item with this key."""
@@ -100,7 +107,7 @@
         kept[key] = item
         kept.move_to_end(key)
         if key.kind in DURABLE:
-            self.digest.put(key, item)
+            self._digest.put(key, item)
         else:
             self._changed_at[key] = now
         if len(kept) > MAX_ITEMS[key.kind]:
@@ -163,4 +170,4 @@
     def _drop(self, key: ItemKey) -> None:
         del self._items[key.kind][key]
         self._changed_at.pop(key, None)
-        self.digest.discard(key)
+        self._digest.discard(key)
--- a/waxwingarch/core/watch.py
+++ b/waxwingarch/core/watch.py
@@ -74,6 +74,8 @@
             key=lambda domain: self._domain_score(prefix, domain),
             reverse=True,
         )
+        if len(order) >= count:
+            order = order[:count]
         ranked = [self._ranked(prefix, domain) for domain in order]
         chosen: list[HostId] = []
         depth = 0
