Judge a new version by a sequential test against the old one

Cause: a version move has to know when a version is bad, with stated error rates, from outcomes that each host sees only in part.

One threshold covers all streams by counting their steps.

Ruled out: a fixed-horizon test (no late faults), the conditional test on the split of failures (no power where the old version hardly fails).

--- /dev/null
+++ b/waxwingarch/core/evidence.py
@@ -0,0 +1,221 @@
+"""Evidence on a new version against the old one over the same time.
+
+Each host counts only its own outcomes, per route and load band. The
+counts of a host grow only, so hosts merge them by taking the newest
+snapshot; any host can reach a verdict on the merged counts. State is
+bounded: routes past `MAX_ROUTES` share one row.
+"""
+
+from typing import Final
+
+from waxwingarch.core.base import HostId, ServiceId, VersionId
+from waxwingarch.core.move_counts import (
+    Cell,
+    CellCounts,
+    CountsKey,
+    HostEvidence,
+    LoadBand,
+    Quantile,
+    add_growth,
+)
+from waxwingarch.core.move_detector import WINDOW_S
+from waxwingarch.core.move_judge import (
+    Decision,
+    Verdict,
+    Watch,
+    conclude,
+    judge_window,
+    route_shares,
+)
+
+MAX_ROUTES: Final = 16
+OTHER_ROUTES: Final = "(other)"
+
+
+class EvidenceBook:
+    """Counts of this host, counts of its peers, and the verdict."""
+
+    def __init__(self, host_id: HostId, incarnation: int) -> None:
+        self._host_id = host_id
+        self._incarnation = incarnation
+        self._watches: dict[str, Watch] = {}
+
+    def watch(
+        self,
+        move_id: str,
+        *,
+        service: ServiceId,
+        old: VersionId,
+        new: VersionId,
+        duration_s: float,
+        closed: bool = False,
+    ) -> None:
+        """Begin to count for a move; a move watched already is kept.
+
+        `duration_s` bounds the number of looks at the data and thereby
+        the threshold. `closed` is for a host that starts after the move
+        has held: it leaves the verdict to the others.
+        """
+        if move_id in self._watches:
+            return
+        looks = int(duration_s / WINDOW_S) + 1
+        self._watches[move_id] = Watch(
+            service=service, old=old, new=new, looks=looks, closed=closed
+        )
+
+    def watching(self, move_id: str) -> bool:
+        """Return whether the move is being watched."""
+        return move_id in self._watches
+
+    def forget(self, move_id: str) -> None:
+        """Drop all counts of a move that has ended."""
+        self._watches.pop(move_id, None)
+
+    def close(self, move_id: str) -> bool:
+        """Promise to set no stop mark any more, unless one was due."""
+        watch = self._watches.get(move_id)
+        if watch is None:
+            return False
+        if watch.last and watch.last.decision is Decision.STOP:
+            return False
+        watch.closed = True
+        return True
+
+    def record(
+        self,
+        now: float,
+        service: ServiceId,
+        version: VersionId,
+        route: str,
+        band: LoadBand,
+        ok: bool,
+        latency_s: float,
+    ) -> None:
+        """Count the outcome of one request at this host.
+
+        Outcomes that say nothing of the version (the caller went away,
+        the server's host was reclaimed) are not to be recorded.
+        """
+        for watch in self._watches.values():
+            if watch.service == service:
+                _count(watch, version, route, band, ok, latency_s)
+
+    def snapshot(self, move_id: str) -> HostEvidence | None:
+        """Return this host's counts, to be spread to its peers."""
+        watch = self._watches.get(move_id)
+        if watch is None:
+            return None
+        watch.sequence += 1
+        return self._own_evidence(move_id, watch)
+
+    def merge(self, evidence: HostEvidence) -> None:
+        """Take in a peer's counts if they are newer than those known."""
+        watch = self._watches.get(evidence.move_id)
+        if watch is None or evidence.host_id == self._host_id:
+            return
+        known = watch.peers.get(evidence.host_id)
+        if known is None or _order(known) < _order(evidence):
+            watch.peers[evidence.host_id] = evidence
+
+    def closed_hosts(self, move_id: str) -> frozenset[HostId]:
+        """Return the hosts known to have closed, this one included."""
+        watch = self._watches.get(move_id)
+        if watch is None:
+            return frozenset()
+        closed = {h for h, e in watch.peers.items() if e.closed}
+        return frozenset(closed | ({self._host_id} if watch.closed else set()))
+
+    def route_shares(self, move_id: str) -> dict[str, float]:
+        """Return the share of each route in the old version's requests."""
+        watch = self._watches.get(move_id)
+        if watch is None:
+            return {}
+        return route_shares(watch)
+
+    def verdict(self, now: float, move_id: str) -> Verdict | None:
+        """Judge the merged counts, at most once a window.
+
+        A stop is final; a host that has closed judges no more.
+        """
+        watch = self._watches.get(move_id)
+        if watch is None:
+            return None
+        if watch.closed:
+            return watch.last
+        due = watch.judged_at is None or now - watch.judged_at >= WINDOW_S
+        if not due:
+            return watch.last
+        if watch.last and watch.last.decision is Decision.STOP:
+            return watch.last
+        watch.judged_at = now
+        judge_window(watch, self._fresh(move_id, watch))
+        watch.last = conclude(watch)
+        return watch.last
+
+    def _own_evidence(self, move_id: str, watch: Watch) -> HostEvidence:
+        cells = tuple(
+            CellCounts(
+                version=version,
+                route=route,
+                band=band,
+                requests=cell.requests,
+                failures=cell.failures,
+                timed=cell.timed,
+                slow=cell.slow,
+            )
+            for (version, route, band), cell in watch.own.items()
+        )
+        return HostEvidence(
+            move_id=move_id,
+            host_id=self._host_id,
+            incarnation=self._incarnation,
+            sequence=watch.sequence,
+            closed=watch.closed,
+            cells=cells,
+        )
+
+    def _fresh(self, move_id: str, watch: Watch) -> dict[CountsKey, Cell]:
+        """Return what all hosts counted since the last window."""
+        fresh: dict[CountsKey, Cell] = {}
+        known = [self._own_evidence(move_id, watch), *watch.peers.values()]
+        for evidence in known:
+            for cell in evidence.cells:
+                key = (cell.version, cell.route, cell.band)
+                place = (evidence.host_id, key)
+                before = watch.judged.get(place)
+                watch.judged[place] = cell
+                add_growth(fresh.setdefault(key, Cell()), cell, before)
+        return fresh
+
+
+def _order(evidence: HostEvidence) -> tuple[int, int]:
+    return evidence.incarnation, evidence.sequence
+
+
+def _count(
+    watch: Watch,
+    version: VersionId,
+    route: str,
+    band: LoadBand,
+    ok: bool,
+    latency_s: float,
+) -> None:
+    if version not in (watch.old, watch.new):
+        return
+    if route not in watch.routes:
+        if len(watch.routes) < MAX_ROUTES:
+            watch.routes.append(route)
+        else:
+            route = OTHER_ROUTES
+    cell = watch.own.setdefault((version, route, band), Cell())
+    cell.requests += 1
+    if not ok:
+        cell.failures += 1
+        return
+    quantile = watch.quantiles.setdefault((route, band), Quantile())
+    limit_s = quantile.limit_s
+    if limit_s is not None:
+        cell.timed += 1
+        cell.slow += latency_s > limit_s
+    if version == watch.old:
+        quantile.add(latency_s)
--- /dev/null
+++ b/waxwingarch/core/move_judge.py
@@ -0,0 +1,248 @@
+"""Judgement of a new version on the merged counts of all hosts."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Final
+
+from waxwingarch.core.base import HostId, ServiceId, VersionId
+from waxwingarch.core.move_counts import (
+    TOLERANCES,
+    Cell,
+    CellCounts,
+    CountsKey,
+    HostEvidence,
+    LoadBand,
+    Quantile,
+    Signal,
+    sample_of,
+)
+from waxwingarch.core.move_detector import (
+    ALTERNATIVES,
+    BLIND_TOLERANCE,
+    FAILURE_TOLERANCE,
+    Reference,
+    Sample,
+    Stream,
+    null_rate,
+    threshold,
+    trials_needed,
+    window_scores,
+)
+
+ANY: Final = "*"
+MIN_ROUTE_SHARE: Final = 0.01
+SUSPICION: Final = 0.5
+MIN_HIGH_LOAD_REQUESTS: Final = 60
+MIN_STREAMS: Final = 16
+
+
+class Decision(StrEnum):
+    """What the evidence allows."""
+
+    COLLECTING = "collecting"
+    SUFFICIENT = "sufficient"
+    STOP = "stop"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Verdict:
+    """What the merged evidence says about the new version.
+
+    `score` is a fraction of the threshold (1 stops the version); the
+    rates are those of the worst route, band and signal since the start.
+    """
+
+    decision: Decision
+    score: float
+    route: str
+    band: str
+    signal: Signal
+    requests: int
+    new_rate: float
+    old_rate: float
+    missing: str = ""
+
+    @property
+    def suspicious(self) -> bool:
+        """Whether to give the version no more traffic for now."""
+        return self.score >= SUSPICION
+
+    def explain(self) -> str:
+        """Return one sentence for the operator."""
+        return (
+            f"{self.signal} on route {self.route}, load {self.band}: new "
+            f"{self.new_rate:.1%} against old {self.old_rate:.1%} over "
+            f"{self.requests} requests, score {self.score:.2f} of 1"
+        )
+
+
+Place = tuple[str, str]
+StreamKey = tuple[str, str, Signal]
+
+
+@dataclass(kw_only=True, slots=True)
+class Watch:
+    """Everything known of one move."""
+
+    service: ServiceId
+    old: VersionId
+    new: VersionId
+    looks: int
+    own: dict[CountsKey, Cell] = field(default_factory=dict)
+    quantiles: dict[Place, Quantile] = field(default_factory=dict)
+    routes: list[str] = field(default_factory=list)
+    sequence: int = 0
+    closed: bool = False
+    peers: dict[HostId, HostEvidence] = field(default_factory=dict)
+    judged: dict[tuple[HostId, CountsKey], CellCounts] = field(
+        default_factory=dict
+    )
+    totals: dict[CountsKey, Cell] = field(default_factory=dict)
+    references: dict[StreamKey, Reference] = field(default_factory=dict)
+    streams: dict[StreamKey, Stream] = field(default_factory=dict)
+    judged_at: float | None = None
+    last: Verdict | None = None
+
+    @property
+    def limit(self) -> float:
+        """Score that stops the version."""
+        streams = max(len(self.streams), MIN_STREAMS)
+        return threshold(self.looks * streams * len(ALTERNATIVES))
+
+
+def judge_window(watch: Watch, fresh: dict[CountsKey, Cell]) -> None:
+    """Feed one window of growth to the references and the streams."""
+    for key, cell in fresh.items():
+        total = watch.totals.setdefault(key, Cell())
+        total.requests += cell.requests
+        total.failures += cell.failures
+        total.timed += cell.timed
+        total.slow += cell.slow
+    gains: dict[StreamKey, tuple[float, ...]] = {}
+    places = sorted({(route, band) for _, route, band in fresh})
+    for signal in Signal:
+        for route, band in places:
+            old = sample_of(fresh.get((watch.old, route, band)), signal)
+            new = sample_of(fresh.get((watch.new, route, band)), signal)
+            _reference(watch, route, band, signal).add(old)
+            if new.trials:
+                _add_gain(watch, gains, (route, band, signal), new)
+    for stream_key, gain in gains.items():
+        stream = watch.streams.setdefault(stream_key, Stream())
+        stream.add(gain, watch.limit)
+
+
+def _reference(
+    watch: Watch, route: str, band: str, signal: Signal
+) -> Reference:
+    return watch.references.setdefault((route, band, signal), Reference())
+
+
+def _add_gain(
+    watch: Watch,
+    gains: dict[StreamKey, tuple[float, ...]],
+    key: StreamKey,
+    sample: Sample,
+) -> None:
+    """Add a cell's evidence to its own stream and to the pooled ones."""
+    route, band, signal = key
+    null = _null(watch, route, band, signal)
+    if null is None:
+        return
+    gain = window_scores(sample, null)
+    for place in ((route, band), (route, ANY), (ANY, band), (ANY, ANY)):
+        pooled = (*place, signal)
+        before = gains.get(pooled, (0.0,) * len(gain))
+        total = tuple(a + b for a, b in zip(before, gain, strict=True))
+        gains[pooled] = total
+
+
+def _null(watch: Watch, route: str, band: str, signal: Signal) -> float | None:
+    """Return the highest rate that is no worse than the old version.
+
+    Where the old version has not been seen in this band, failures are
+    held against its worst band with a wider tolerance; slowness is not
+    judged, as load alone slows a server.
+    """
+    reference = _reference(watch, route, band, signal)
+    if reference.known:
+        return null_rate(reference.rate(), TOLERANCES[signal])
+    if signal is Signal.SLOWNESS:
+        return None
+    rates = [
+        ref.rate()
+        for (_, _, other), ref in watch.references.items()
+        if other is signal and ref.known
+    ]
+    return null_rate(max(rates, default=0.0), BLIND_TOLERANCE)
+
+
+def conclude(watch: Watch) -> Verdict:
+    """Turn the scores into a verdict."""
+    best = (ANY, ANY, Signal.FAILURE)
+    worst = max(
+        watch.streams, key=lambda k: watch.streams[k].score, default=best
+    )
+    stream = watch.streams.get(worst)
+    score = stream.score / watch.limit if stream else 0.0
+    missing = _missing(watch)
+    decision = Decision.STOP
+    if score < 1.0:
+        enough = not missing and score < SUSPICION
+        decision = Decision.SUFFICIENT if enough else Decision.COLLECTING
+    new = _pooled(watch, watch.new, worst)
+    old = _pooled(watch, watch.old, worst)
+    return Verdict(
+        decision=decision,
+        score=score,
+        route=worst[0],
+        band=worst[1],
+        signal=worst[2],
+        requests=new.trials,
+        new_rate=new.hits / max(new.trials, 1),
+        old_rate=old.hits / max(old.trials, 1),
+        missing=missing,
+    )
+
+
+def _pooled(watch: Watch, version: VersionId, key: StreamKey) -> Sample:
+    route, band, signal = key
+    trials = hits = 0
+    for (of_version, of_route, of_band), cell in watch.totals.items():
+        if of_version != version:
+            continue
+        if route in (ANY, of_route) and band in (ANY, of_band):
+            sample = sample_of(cell, signal)
+            trials += sample.trials
+            hits += sample.hits
+    return Sample(trials=trials, hits=hits)
+
+
+def route_shares(watch: Watch) -> dict[str, float]:
+    """Return each route's share of the old version's requests."""
+    counts: dict[str, int] = {}
+    for (version, route, _), cell in watch.totals.items():
+        if version == watch.old:
+            counts[route] = counts.get(route, 0) + cell.requests
+    total = sum(counts.values())
+    return {r: n / total for r, n in sorted(counts.items()) if total}
+
+
+def _missing(watch: Watch) -> str:
+    """Name the first gap in the evidence; empty if it suffices."""
+    shares = route_shares(watch)
+    if not shares:
+        return "no request to the old version seen yet"
+    for route, share in shares.items():
+        if share < MIN_ROUTE_SHARE:
+            continue
+        seen = _pooled(watch, watch.new, (route, ANY, Signal.FAILURE))
+        old = _pooled(watch, watch.old, (route, ANY, Signal.FAILURE))
+        null = null_rate(old.hits / max(old.trials, 1), FAILURE_TOLERANCE)
+        needed = trials_needed(watch.limit, null, ALTERNATIVES[0])
+        if seen.trials < needed:
+            return f"route {route}: {seen.trials} of {needed} requests"
+    busy = _pooled(watch, watch.new, (ANY, LoadBand.HIGH, Signal.FAILURE))
+    if busy.trials < MIN_HIGH_LOAD_REQUESTS:
+        return f"high load: {busy.trials} of {MIN_HIGH_LOAD_REQUESTS} requests"
+    return ""
