--- /dev/null
+++ b/waxwingarch/core/move_split.py
@@ -0,0 +1,99 @@
+"""Which version a request goes to, decided alike on every host."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from waxwingarch.core.base import ServerId, VersionId
+from waxwingarch.core.items import StopMark
+from waxwingarch.core.move_record import MoveRecord, MoveState
+
+BURST_PERIOD_S: Final = 90.0
+HASH_RANGE: Final = 1 << 32
+
+SPLIT_STATES: Final = (
+    MoveState.CANARY,
+    MoveState.SHIFTING,
+    MoveState.HOLDING,
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Choice:
+    """Version for a request; `servers` narrows it to some servers.
+
+    Where none of `servers` can take the request, any server of the
+    version will do.
+    """
+
+    version: VersionId
+    servers: tuple[ServerId, ...] = ()
+
+
+def is_stopped(record: MoveRecord, marks: Iterable[StopMark]) -> bool:
+    """Return whether a stop mark forbids the move's new version."""
+    return any(
+        mark.move_id == record.move_id
+        and mark.service == record.service
+        and mark.version == record.new_version
+        for mark in marks
+    )
+
+
+def in_burst(record: MoveRecord, unix_now: float) -> bool:
+    """Return whether the canary is under full load now.
+
+    A burst ends its period, so that the trickle before it has already
+    paid for its share.
+    """
+    if record.burst_share <= 0:
+        return False
+    since = max(unix_now - record.canary_since_unix, 0.0)
+    return since % BURST_PERIOD_S >= BURST_PERIOD_S - record.burst_s
+
+
+def share_now(record: MoveRecord, route: str, unix_now: float) -> float:
+    """Return the new version's share of a route's requests."""
+    if record.state not in SPLIT_STATES:
+        return 1.0 if record.state is MoveState.DONE else 0.0
+    if record.state is not MoveState.CANARY:
+        return record.share
+    if in_burst(record, unix_now):
+        return record.burst_share
+    for entry in record.route_shares:
+        if entry.route == route:
+            return entry.share
+    return record.share
+
+
+def choose_version(
+    record: MoveRecord,
+    stop_marks: Iterable[StopMark],
+    request_hash: int,
+    route: str,
+    unix_now: float,
+) -> Choice:
+    """Return the version for a request; a stopped one is never chosen.
+
+    `request_hash` decides, so a request that is sent again while the
+    share grows stays with the new version.
+    """
+    if is_stopped(record, stop_marks):
+        return Choice(version=record.old_version)
+    share = share_now(record, route, unix_now)
+    position = (request_hash % HASH_RANGE) / HASH_RANGE
+    if record.state is not MoveState.CANARY:
+        new = position < share
+        return Choice(
+            version=record.new_version if new else record.old_version
+        )
+    if position < share:
+        return Choice(
+            version=record.new_version, servers=record.canary_servers
+        )
+    full_load = record.concentrated or in_burst(record, unix_now)
+    if full_load and position < 2 * share:
+        return Choice(
+            version=record.old_version, servers=record.control_servers
+        )
+    return Choice(version=record.old_version)
