--- a/waxwingarch/core/evidence.py
+++ b/waxwingarch/core/evidence.py
@@ -21,10 +21,10 @@
 from waxwingarch.core.move_detector import WINDOW_S
 from waxwingarch.core.move_judge import (
     Decision,
+    Judge,
+    SequentialJudge,
     Verdict,
     Watch,
-    conclude,
-    judge_window,
     route_shares,
 )
 
@@ -35,7 +35,13 @@
 class EvidenceBook:
     """Counts of this host, counts of its peers, and the verdict."""
 
-    def __init__(self, host_id: HostId, incarnation: int) -> None:
+    def __init__(
+        self,
+        host_id: HostId,
+        incarnation: int,
+        judge: Judge | None = None,
+    ) -> None:
+        self._judge = judge or SequentialJudge()
         self._host_id = host_id
         self._incarnation = incarnation
         self._watches: dict[str, Watch] = {}
@@ -148,8 +154,8 @@
         if watch.last and watch.last.decision is Decision.STOP:
             return watch.last
         watch.judged_at = now
-        judge_window(watch, self._fresh(move_id, watch))
-        watch.last = conclude(watch)
+        fresh = self._fresh(move_id, watch)
+        watch.last = self._judge.judge(watch, fresh, now)
         return watch.last
 
     def _own_evidence(self, move_id: str, watch: Watch) -> HostEvidence:
--- a/waxwingarch/core/move_judge.py
+++ b/waxwingarch/core/move_judge.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Final
+from typing import Final, Protocol
 
 from waxwingarch.core.base import HostId, ServiceId, VersionId
 from waxwingarch.core.move_counts import (
@@ -110,14 +110,40 @@
         return threshold(self.looks * streams * len(ALTERNATIVES))
 
 
-def judge_window(watch: Watch, fresh: dict[CountsKey, Cell]) -> None:
-    """Feed one window of growth to the references and the streams."""
+class Judge(Protocol):
+    """Judges a move on what all hosts counted in one window."""
+
+    def judge(
+        self, watch: Watch, fresh: dict[CountsKey, Cell], now: float
+    ) -> Verdict:
+        """Take in one window and return the verdict so far."""
+        ...
+
+
+class SequentialJudge:
+    """Compares the versions window by window, see `move_detector`."""
+
+    def judge(
+        self, watch: Watch, fresh: dict[CountsKey, Cell], now: float
+    ) -> Verdict:
+        """Take in one window and return the verdict so far."""
+        add_totals(watch, fresh)
+        _judge_window(watch, fresh)
+        return _conclude(watch)
+
+
+def add_totals(watch: Watch, fresh: dict[CountsKey, Cell]) -> None:
+    """Add one window to the counts since the start."""
     for key, cell in fresh.items():
         total = watch.totals.setdefault(key, Cell())
         total.requests += cell.requests
         total.failures += cell.failures
         total.timed += cell.timed
         total.slow += cell.slow
+
+
+def _judge_window(watch: Watch, fresh: dict[CountsKey, Cell]) -> None:
+    """Feed one window of growth to the references and the streams."""
     gains: dict[StreamKey, tuple[float, ...]] = {}
     places = sorted({(route, band) for _, route, band in fresh})
     for signal in Signal:
@@ -177,7 +203,7 @@
     return null_rate(max(rates, default=0.0), BLIND_TOLERANCE)
 
 
-def conclude(watch: Watch) -> Verdict:
+def _conclude(watch: Watch) -> Verdict:
     """Turn the scores into a verdict."""
     best = (ANY, ANY, Signal.FAILURE)
     worst = max(
