--- /dev/null
+++ b/tests/faults/base.py
@@ -0,0 +1,98 @@
+"""What the failure tests share: a deployment and callers on it."""
+
+import asyncio
+from typing import Any
+
+import testtools
+
+from standins.client import Answer, Ask, Caller
+from standins.cluster import Cluster, JsonAnswer, http_json
+from standins.deployment import ACCOUNT_KEY, Deployment, contract_text
+from tests.helpers import ASYNC_TEST_LIMIT_S
+
+AUTHORIZATION = {"authorization": f"Bearer {ACCOUNT_KEY}"}
+CALL_LIMIT_S = 30.0
+
+
+class FaultCase(testtools.TestCase):
+    """Starts a deployment for a test and ends it after."""
+
+    engines = 2
+    engine_options: tuple[str, ...] = ("--tokens-per-second", "40")
+    services = 1
+    service_options: tuple[str, ...] = ()
+    hosts = 2
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cluster = Cluster()
+        self.addCleanup(self.cluster.close)
+        self.dep = Deployment(cluster=self.cluster)
+        self.dep.start_platform()
+        if self.engines:
+            self.dep.start_engines(self.engines, *self.engine_options)
+        if self.services:
+            self.dep.start_services(self.services, *self.service_options)
+        self.dep.put_contracts(contract_text())
+        self.dep.start_hosts(self.hosts)
+
+    def http_of(self, name: str) -> str:
+        """Return the callers' address of an entry host."""
+        return self.dep.hosts[name].http
+
+    def post(
+        self, host: str, path: str, body: object, key: str = ""
+    ) -> JsonAnswer:
+        """Send one request through an entry host."""
+        headers = dict(AUTHORIZATION)
+        if key:
+            headers["idempotency-key"] = key
+        return http_json(
+            "POST",
+            self.http_of(host),
+            path,
+            body,
+            timeout_s=CALL_LIMIT_S,
+            headers=headers,
+        )
+
+    def runs_of(self, op: str) -> int:
+        """Return how often an operation ran, by the services' journals."""
+        return sum(
+            entry.get("op") == op
+            for name, row in self.dep.servers.items()
+            if row["kind"] == "plain"
+            for entry in self.cluster.journal(name, "begun")
+        )
+
+    def ask_all(
+        self, asks: list[Ask], entries: list[str], during: Any = None
+    ) -> list[Answer]:
+        """Ask side by side; `during` runs meanwhile in a thread."""
+
+        async def run() -> list[Answer]:
+            loop = asyncio.get_running_loop()
+            deadline = loop.time() + CALL_LIMIT_S
+            callers = [Caller(entries, ACCOUNT_KEY) for _ in asks]
+            calls = [
+                caller.async_ask(ask, deadline)
+                for caller, ask in zip(callers, asks, strict=True)
+            ]
+            tasks = [asyncio.create_task(call) for call in calls]
+            if during:
+                await asyncio.to_thread(during)
+            answers = await asyncio.gather(*tasks)
+            for caller in callers:
+                await caller.async_unload()
+            return list(answers)
+
+        return asyncio.run(asyncio.wait_for(run(), ASYNC_TEST_LIMIT_S))
+
+    def journal_of_engines(self, what: str) -> list[Any]:
+        """Return the entries of all engines that still run."""
+        return [
+            entry
+            for name, row in self.dep.servers.items()
+            if row["kind"] == "engine" and self.cluster.alive(name)
+            for entry in self.cluster.journal(name, what)
+        ]
--- a/waxwingarch/core/chooser.py
+++ b/waxwingarch/core/chooser.py
@@ -47,7 +47,7 @@
         """Return a server for the next attempt, None if there is none."""
         views = [
             view
-            for view in self._views_of(request.service)
+            for view in self.views(request.service)
             if self.allowed(request, view.server)
         ]
         choice = self._placement.choose(
@@ -57,6 +57,18 @@
             return None
         return self._servers.get(choice.server_id)
 
+    def views(self, service: ServiceId) -> list[ServerView]:
+        """Return the servers of a service that may get new requests."""
+        if self._generation != self._servers.generation:
+            self._generation = self._servers.generation
+            self._views.clear()
+        views = self._views.get(service)
+        if views is None:
+            candidates = self._servers.candidates(service)
+            views = [self._view(server) for server in candidates]
+            self._views[service] = views
+        return views
+
     def note_dispatch(
         self, now: float, request: Request, server: Server
     ) -> None:
@@ -82,17 +94,6 @@
             self._load_at[load.server_id] = now
             self._generation = -1
 
-    def _views_of(self, service: ServiceId) -> list[ServerView]:
-        if self._generation != self._servers.generation:
-            self._generation = self._servers.generation
-            self._views.clear()
-        views = self._views.get(service)
-        if views is None:
-            candidates = self._servers.candidates(service)
-            views = [self._view(server) for server in candidates]
-            self._views[service] = views
-        return views
-
     def _view(self, server: Server) -> ServerView:
         view = ServerView(server=server, slot_s=DEFAULT_SLOT_S)
         load = self._loads.get(server.server_id)
--- a/waxwingarch/core/desk.py
+++ b/waxwingarch/core/desk.py
@@ -1,6 +1,6 @@
 """Requests in progress on a node: admission, attempts, final answers."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final
 
 from waxwingarch.core.admission import Admission
@@ -46,8 +46,9 @@
 
     machine: Machine
     server: Server | None = None
+    target: ServerId | None = None
     retry_at: float = 0.0
-    tried: int = field(default=0)
+    tried: int = 0
 
 
 class Desk:
@@ -145,13 +146,19 @@
         now: float,
         request_id: RequestId,
         *,
-        kv_from: str | None = None,
+        target: ServerId | None,
+        move_kv: bool,
     ) -> list[Action]:
-        """Move a stream off its server, which is going."""
+        """Move a stream off its server, which is going.
+
+        It goes on at `target`, or where placement puts it; with
+        `move_kv` its KV cache goes there first.
+        """
         work = self._works.get(request_id)
         if work is None or not isinstance(work.machine, StreamMachine):
             return []
-        moved = work.machine.displace(now, kv_from=kv_from)
+        work.target = target
+        moved = work.machine.displace(now, move_kv=move_kv)
         return self._after(now, work, moved)
 
     def on_server(self, server_id: ServerId) -> list[Machine]:
@@ -212,17 +219,27 @@
 
     def _assign(self, now: float, work: _Work) -> list[Action]:
         request = work.machine.request
-        if work.tried and not self._budget.try_retry():
+        again = work.tried and work.target is None
+        if again and not self._budget.try_retry():
             work.retry_at = now + RETRY_PAUSE_S
             return []
-        failed = work.machine.failed_servers
-        server = self._chooser.choose(now, request, failed)
+        server = self._wanted_server(work)
+        if server is None:
+            failed = work.machine.failed_servers
+            server = self._chooser.choose(now, request, failed)
         if server is None:
             return self._no_server(now, work)
         work.tried += 1
         self._note_attempt(now, work, server)
         return work.machine.assign(now, server)
 
+    def _wanted_server(self, work: _Work) -> Server | None:
+        """Return the server a stream was to move to, if it may."""
+        wanted, work.target = work.target, None
+        if wanted is None or self._servers.departure(wanted):
+            return None
+        return self._servers.get(wanted)
+
     def _no_server(self, now: float, work: _Work) -> list[Action]:
         """Pause, then try all servers again; a claim ends at once."""
         if isinstance(work.machine, GuardedMachine):
--- a/waxwingarch/core/node.py
+++ b/waxwingarch/core/node.py
@@ -13,6 +13,7 @@
 from waxwingarch.core.chooser import Chooser
 from waxwingarch.core.desk import Desk
 from waxwingarch.core.directory import Directory
+from waxwingarch.core.evacuation import Evacuation
 from waxwingarch.core.events import (
     CallerGone,
     ContractsApplied,
@@ -70,6 +71,7 @@
             self.chooser,
             _NobodyGone(),
         )
+        self.evacuation = Evacuation(self.servers, self.desk, self.chooser)
         self.draining = False
         self._drained = False
         self._rng = rng
@@ -157,11 +159,8 @@
             incarnation=event.incarnation,
             deadline_unix=event.deadline_unix,
         )
-        actions: list[Action] = [PublishItem(item=item)]
-        for machine in self.desk.on_server(event.server_id):
-            request_id = machine.request.request_id
-            actions += self.desk.displace(now, request_id)
-        return actions
+        moved = self.evacuation.server_leaving(now, event.server_id)
+        return [PublishItem(item=item), *moved]
 
     # Settings
 
@@ -175,7 +174,8 @@
     # Life
 
     def _tick(self, now: float, event: Tick) -> list[Action]:
-        return self._checked(self.desk.tick(now))
+        moved = self.evacuation.tick(now)
+        return self._checked(moved + self.desk.tick(now))
 
     def _drain_requested(
         self, now: float, event: DrainRequested
--- a/waxwingarch/core/request.py
+++ b/waxwingarch/core/request.py
@@ -122,6 +122,14 @@
     retry_after_s: float | None = None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KvSource:
+    """Where the KV cache of a stream can be exported."""
+
+    address: str
+    stream_id: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartAttempt(Action):
     """Begin an attempt on a server.
@@ -138,7 +146,7 @@
     mode: AttemptMode
     offset: int = 0
     tokens: tuple[str, ...] = ()
-    kv_from: str | None = None
+    kv_from: KvSource | None = None
     answer_deadline: float = 0.0
 
 
--- a/waxwingarch/core/stream.py
+++ b/waxwingarch/core/stream.py
@@ -21,6 +21,7 @@
     Complete,
     Deliver,
     DropAttempt,
+    KvSource,
     LossKind,
     Refuse,
     Request,
@@ -91,7 +92,7 @@
         self.started_at = now
         self._attempts = 0
         self._attaches = 0
-        self._kv_from: str | None = None
+        self._kv_from: KvSource | None = None
         self._handlers: dict[
             type[AttemptEvent], Callable[[float, AttemptEvent], list[Action]]
         ] = {
@@ -135,14 +136,19 @@
             return []
         return self._handlers[type(event)](now, event)
 
-    def displace(
-        self, now: float, *, kv_from: str | None = None
-    ) -> list[Action]:
-        """Leave the present server; go on elsewhere from the offset."""
-        if self.state is not StreamState.RUNNING:
+    def displace(self, now: float, *, move_kv: bool) -> list[Action]:
+        """Leave the present server; go on elsewhere from the offset.
+
+        With `move_kv` the KV cache is moved to the next server first.
+        """
+        if self.state is not StreamState.RUNNING or self.attempt is None:
             return []
-        self._kv_from = kv_from
-        drop = self._drop(cancel=kv_from is None)
+        if move_kv:
+            self._kv_from = KvSource(
+                address=self.attempt.server.address,
+                stream_id=self.attempt.stream_id,
+            )
+        drop = self._drop(cancel=not move_kv)
         self._wait()
         return drop
 
--- a/waxwingarch/diagnostics.py
+++ b/waxwingarch/diagnostics.py
@@ -7,6 +7,7 @@
 from waxwingarch.adapters.settings import Settings
 from waxwingarch.const import VERSION
 from waxwingarch.core.node import Node
+from waxwingarch.core.stream import StreamMachine
 
 KB_PER_MB = 1024
 
@@ -37,6 +38,9 @@
                 "account": machine.request.account,
                 "service": machine.request.service,
                 "state": machine.state.value,
+                "tokens": machine.assembly.offset
+                if isinstance(machine, StreamMachine)
+                else 0,
                 "server": machine.attempt.server.server_id
                 if machine.attempt
                 else None,
--- a/waxwingarch/tasks/attempts.py
+++ b/waxwingarch/tasks/attempts.py
@@ -4,6 +4,7 @@
 from typing import Any, Final
 
 import orjson
+from eliot import log_message
 
 from waxwingarch.adapters.http_client import (
     ClientStream,
@@ -22,6 +23,7 @@
     AttemptMode,
     ChunkArrived,
     DropAttempt,
+    KvSource,
     LossKind,
     PlainAnswered,
     StartAttempt,
@@ -84,7 +86,9 @@
             task.cancel()
         if not action.cancel:
             return
-        cancel = asyncio.create_task(self._async_cancel(action))
+        cancel = asyncio.create_task(
+            self._async_cancel(action.address, action.stream_id)
+        )
         self._cancels.add(cancel)
         cancel.add_done_callback(self._cancels.discard)
 
@@ -140,7 +144,7 @@
         self, action: StartAttempt, exchange: Exchange
     ) -> None:
         if action.kv_from:
-            await self._async_move_kv(action)
+            await self._async_move_kv(action.kv_from, action.address)
         method, target, body = _engine_call(action, exchange)
         loop = asyncio.get_running_loop()
         async with self._client.async_stream(
@@ -200,40 +204,39 @@
         )
         return True
 
-    async def _async_move_kv(self, action: StartAttempt) -> None:
+    async def _async_move_kv(self, source: KvSource, target: str) -> None:
         """Move the KV cache; without it the tokens are recomputed."""
         deadline = asyncio.get_running_loop().time() + KV_MOVE_LIMIT_S
-        source, stream_id = _split_kv_source(action.kv_from or "")
         try:
             exported = await self._client.async_request(
                 "POST",
-                source,
+                source.address,
                 "/v1/kv/export",
                 deadline=deadline,
                 headers=JSON_HEADERS,
-                body=orjson.dumps({"stream_id": stream_id}),
-            )
-            if exported.status != 200:
-                return
-            blob = orjson.dumps({"blob": exported.json()["blob"]})
-            await self._client.async_request(
-                "POST",
-                action.address,
-                "/v1/kv/import",
-                deadline=deadline,
-                headers=JSON_HEADERS,
-                body=blob,
+                body=orjson.dumps({"stream_id": source.stream_id}),
             )
-        except LinkError:
-            return
+            if exported.status == 200:
+                blob = orjson.dumps({"blob": exported.json()["blob"]})
+                await self._client.async_request(
+                    "POST",
+                    target,
+                    "/v1/kv/import",
+                    deadline=deadline,
+                    headers=JSON_HEADERS,
+                    body=blob,
+                )
+        except (LinkError, ValueError, KeyError):
+            log_message(message_type="kv_not_moved", source=source.address)
+        await self._async_cancel(source.address, source.stream_id)
 
-    async def _async_cancel(self, action: DropAttempt) -> None:
+    async def _async_cancel(self, address: str, stream_id: str) -> None:
         deadline = asyncio.get_running_loop().time() + CANCEL_LIMIT_S
         try:
             await self._client.async_request(
                 "DELETE",
-                action.address,
-                f"/v1/streams/{action.stream_id}",
+                address,
+                f"/v1/streams/{stream_id}",
                 deadline=deadline,
             )
         except LinkError:
@@ -289,12 +292,6 @@
     return "POST", exchange.request.path, orjson.dumps(payload)
 
 
-def _split_kv_source(source: str) -> tuple[str, str]:
-    """Return address and stream id of "address/stream id"."""
-    address, _, stream_id = source.partition("/")
-    return address, stream_id
-
-
 def _merged(events: list[bytes]) -> list[dict[str, Any]]:
     """Parse events; join chunks that follow on each other."""
     merged: list[dict[str, Any]] = []
