--- a/standins/client.py
+++ b/standins/client.py
@@ -152,7 +152,7 @@
                 else:
                     body = await stream.async_read_rest(deadline)
                     call.take_whole(json.loads(body), _now())
-        except LinkError as exc:
+        except (LinkError, ValueError) as exc:
             call.answer.links.append(f"{type(exc).__name__}: {exc}")
         return RECONNECT_S
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -1,5 +1,6 @@
 """Starts and ends the programs of a cluster, for tests and the demo."""
 
+import atexit
 import http.client
 import json
 import os
@@ -76,7 +77,7 @@
     errors: Path
 
 
-@dataclass(kw_only=True, slots=True)
+@dataclass(kw_only=True, slots=True, eq=False)
 class Cluster:
     """Processes by name; all that still run are ended at exit.
 
@@ -89,6 +90,10 @@
     addresses: dict[str, str] = field(default_factory=dict)
     _processes: dict[str, _Process] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        """Make sure of the end also where no one closes."""
+        atexit.register(self.close)
+
     def __enter__(self) -> Self:
         return self
 
@@ -261,7 +266,8 @@
         return self.wait(name, limit_s)
 
     def close(self) -> None:
-        """End all processes that were started here."""
+        """End all processes that were started here; idempotent."""
+        atexit.unregister(self.close)
         running = [
             p.popen for p in self._processes.values() if p.popen.poll() is None
         ]
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -189,7 +189,7 @@
             stream_id=part.stream_id or f"{self.name}-{self._number}",
             path=exchange.req.path,
             prompt=body.prompt_text(),
-            resumed=tuple(part.resume_text_tokens),
+            resumed=tuple(part.resume_text_tokens or ()),
             total=body.max_tokens,
             priority=part.priority,
         )
--- a/standins/engine_messages.py
+++ b/standins/engine_messages.py
@@ -21,7 +21,7 @@
 
     stream_id: str | None = None
     priority: int = 1
-    resume_text_tokens: list[str] = []
+    resume_text_tokens: list[str] | None = None
     deadline_ms: float | None = None
 
 
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -6,6 +6,7 @@
 import testtools
 
 from standins.answers import digest_of, expected_tokens
+from standins.prefix_cache import PrefixCache
 from tests.helpers import async_test
 from tests.standins.helpers import (
     Peer,
@@ -195,6 +196,23 @@
         assert {e["op"] for e in events["events"]} == {"add", "evict"}
         assert too_long.status == 400
 
+    def test_least_recently_used_block_goes_first(self) -> None:
+        cache = PrefixCache(lambda: 0.0, 2)
+        cache.add(["a", "b"])
+        cache.hits(["a"])
+        cache.add(["c"])
+        assert [cache.hits([b]) for b in "abc"] == [1, 0, 1]
+
+    @async_test
+    async def test_resume_finds_the_blocks_of_the_answer(self) -> None:
+        async with running_engine() as peer:
+            await peer.send("POST", COMPLETIONS, ask("a"))
+            known = expected_tokens(PROMPT, 12)
+            body = ask("b", resume_text_tokens=known)
+            chunks = await peer.chunks("POST", COMPLETIONS, body)
+        first = json.loads(chunks[0])
+        assert (first["cached_tokens"], first["computed_tokens"]) == (48, 4)
+
     @async_test
     async def test_events_have_gaps(self) -> None:
         async with running_engine("--cache-gap-every", "2") as peer:
--- a/tests/standins/test_service.py
+++ b/tests/standins/test_service.py
@@ -6,7 +6,7 @@
 
 from tests.helpers import async_test
 from tests.standins.helpers import Peer, running_service
-from waxwingarch.adapters.http_client import CutLinkError
+from waxwingarch.adapters.http_client import CutLinkError, SilentLinkError
 
 OUTCOME = "/v1/outcomes/op1"
 
@@ -39,6 +39,17 @@
         assert (after["ran"], after["status"]) == (True, 200)
         assert after["body"]["received"] == {"sum": 5}
 
+    @async_test
+    async def test_late_answer_waits_for_work(self) -> None:
+        async with running_service() as peer:
+            await peer.fault("late_answer", delay_ms=60_000)
+            await peer.json("GET", OUTCOME)
+            with testtools.ExpectedException(SilentLinkError):
+                headers = (("x-operation-id", "op1"),)
+                await peer.send("POST", "/disburse", {}, headers, 0.05)
+            assert await disburse(peer, "op2") == 200
+            assert (await peer.json("GET", OUTCOME))["status"] == 200
+
     @async_test
     async def test_some_services_cannot_be_asked(self) -> None:
         async with running_service("--no-outcomes") as peer:
