--- /dev/null
+++ b/waxwingarch/core/handover.py
@@ -0,0 +1,38 @@
+"""Progress of an accepted request, as one entry host hands it on."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import xxhash
+
+from waxwingarch.core.base import AccountId, RequestId, ServerId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HandOver:
+    """What a peer needs to go on with a request.
+
+    `tokens` were already sent to the caller; `digest` is the xxh3_64 of
+    the tokens joined, in hexadecimal. `deadline_unix` is in Unix
+    seconds.
+    """
+
+    request_id: RequestId
+    account: AccountId
+    path: str
+    body: bytes
+    tokens: tuple[str, ...]
+    server_id: ServerId
+    stream_id: str
+    deadline_unix: float
+    digest: str
+
+    @property
+    def intact(self) -> bool:
+        """Tell whether the tokens are those that were digested."""
+        return tokens_digest(self.tokens) == self.digest
+
+
+def tokens_digest(tokens: Iterable[str]) -> str:
+    """Return the digest of tokens in the order given."""
+    return xxhash.xxh3_64_hexdigest("".join(tokens).encode())
