Wire membership, gossip and settings spread into the node

The node embeds the cluster core; loads, caches, leaving servers and settings revisions come from the other hosts as well as from the platform. A daemon records its events, so that a trace replays through the same core.

--- a/waxwingarch/core/chooser.py
+++ b/waxwingarch/core/chooser.py
@@ -1,6 +1,6 @@
 """Choice of a server for one attempt, among those that may serve it."""
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection
 from dataclasses import replace
 from typing import Final
 
@@ -20,20 +20,29 @@
 Filter = Callable[[Request, Server], bool]
 
 
+Subset = Callable[[ServiceId], Collection[ServerId]]
+
+
 def _any_server(request: Request, server: Server) -> bool:
     return True
 
 
+def _no_subset(service: ServiceId) -> Collection[ServerId]:
+    return ()
+
+
 class Chooser:
     """Keeps views of the servers and asks the placement to choose.
 
     `allowed` narrows the candidates of a request down, as a version
-    move asks for. Views are kept between requests and rebuilt when the
-    servers change.
+    move asks for; `subset` names the servers that this host routes to,
+    all if it is empty. Views are kept between requests and rebuilt when
+    servers or loads change.
     """
 
     def __init__(self, servers: ServerBook, placement: Placement) -> None:
         self.allowed: Filter = _any_server
+        self.subset: Subset = _no_subset
         self._servers = servers
         self._placement = placement
         self._loads: dict[ServerId, LoadSummary] = {}
@@ -64,8 +73,12 @@
             self._views.clear()
         views = self._views.get(service)
         if views is None:
-            candidates = self._servers.candidates(service)
-            views = [self._view(server) for server in candidates]
+            subset = self.subset(service)
+            views = [
+                self._view(server)
+                for server in self._servers.candidates(service)
+                if not subset or server.server_id in subset
+            ]
             self._views[service] = views
         return views
 
@@ -83,16 +96,19 @@
         """Count an attempt that ended."""
         self._placement.note_done(now, request.request_id, outcome)
 
-    def note_loads(self, now: float, loads: Iterable[LoadSummary]) -> None:
-        """Take loads read from servers or heard from other hosts."""
-        for load in loads:
-            known = self._loads.get(load.server_id)
-            order = (load.incarnation, load.as_of_ms)
-            if known and order <= (known.incarnation, known.as_of_ms):
-                continue
-            self._loads[load.server_id] = load
-            self._load_at[load.server_id] = now
-            self._generation = -1
+    def note_load(self, now: float, load: LoadSummary) -> None:
+        """Take a load read from a server or heard from another host."""
+        known = self._loads.get(load.server_id)
+        order = (load.incarnation, load.as_of_ms)
+        if known and order <= (known.incarnation, known.as_of_ms):
+            return
+        self._loads[load.server_id] = load
+        self._load_at[load.server_id] = now
+        self.forget_views()
+
+    def forget_views(self) -> None:
+        """Build the views anew when they are next asked for."""
+        self._views.clear()
 
     def _view(self, server: Server) -> ServerView:
         view = ServerView(server=server, slot_s=DEFAULT_SLOT_S)
--- a/waxwingarch/core/events.py
+++ b/waxwingarch/core/events.py
@@ -4,15 +4,11 @@
 
 from waxwingarch.core.base import Action, Event, RequestId, Server, ServerId
 from waxwingarch.core.contract import Contract
-from waxwingarch.core.items import Item
+from waxwingarch.core.items import LoadSummary
+from waxwingarch.core.prefix import CacheEvent
 from waxwingarch.core.request import Request
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Tick(Event):
-    """Time has passed; sent several times a second."""
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestArrived(Event):
     """A caller's request was read and identified."""
@@ -38,34 +34,41 @@
 class ServerLeaving(Event):
     """A server's incarnation is leaving.
 
-    `deadline` is when its host goes, on the node's monotonic clock;
-    `deadline_unix` the same in Unix seconds, for the other hosts.
+    `deadline_unix` is when its host goes, in Unix seconds.
     """
 
     server_id: ServerId
     incarnation: int
-    deadline: float
     deadline_unix: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class ContractsApplied(Event):
-    """A settings revision was read."""
+class LoadRead(Event):
+    """This host read the load of a server that it watches."""
 
-    revision: int
-    contracts: tuple[Contract, ...]
+    load: LoadSummary
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class DrainRequested(Event):
-    """Stop gracefully: no new requests, those in progress finish."""
+class CacheRead(Event):
+    """This host read cache events of a server that it watches."""
+
+    server_id: ServerId
+    incarnation: int
+    events: tuple[CacheEvent, ...]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class PublishItem(Action):
-    """Spread an item to the other entry hosts."""
+class SettingsParsed(Event):
+    """The documents of a settings revision were read and checked."""
+
+    revision: int
+    contracts: tuple[Contract, ...]
 
-    item: Item
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DrainRequested(Event):
+    """Stop gracefully: no new requests, those in progress finish."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/node.py
+++ b/waxwingarch/core/node.py
@@ -5,28 +5,48 @@
 replayed and any bench can drive many nodes in one process.
 """
 
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Any, Final
 
 from waxwingarch.core.admission import Admission
-from waxwingarch.core.base import Action, Event, HostId, Ran
+from waxwingarch.core.base import Action, Event, Ran
 from waxwingarch.core.chooser import Chooser
+from waxwingarch.core.cluster import (
+    Cluster,
+    ItemsChanged,
+    Leave,
+    MembersChanged,
+    PublishItem,
+    SetDraining,
+)
+from waxwingarch.core.configsync import (
+    PullFailed,
+    Ready,
+    RevisionRead,
+    RevisionUnavailable,
+    SettingsPulled,
+    SettingsRead,
+    SettingsUnavailable,
+)
 from waxwingarch.core.desk import Desk
 from waxwingarch.core.directory import Directory
 from waxwingarch.core.evacuation import Evacuation
 from waxwingarch.core.events import (
+    CacheRead,
     CallerGone,
-    ContractsApplied,
     Drained,
     DrainRequested,
-    PublishItem,
+    LoadRead,
     RequestArrived,
     ServerLeaving,
     ServersListed,
-    Tick,
+    SettingsParsed,
 )
+from waxwingarch.core.fleet import Fleet
 from waxwingarch.core.guarded import Identity, OnceReply
 from waxwingarch.core.items import LeavingServer
+from waxwingarch.core.members import Member
+from waxwingarch.core.messages import DatagramReceived, Tick
 from waxwingarch.core.placement import CostPlacement
 from waxwingarch.core.prefix import PrefixIndex
 from waxwingarch.core.refusal import Refusal, RefusalReason
@@ -44,37 +64,60 @@
 if TYPE_CHECKING:
     from random import Random
 
-COME_BACK_AFTER_S = 1.0
-
+COME_BACK_AFTER_S: Final = 1.0
 
-class _NobodyGone:
-    """Knows nothing of the life of other hosts."""
-
-    def is_gone(self, host: HostId, incarnation: int) -> bool:
-        """Return whether that incarnation is known to have ended."""
-        return False
+CLUSTER_EVENTS: Final = (
+    DatagramReceived,
+    RevisionRead,
+    RevisionUnavailable,
+    SettingsRead,
+    SettingsUnavailable,
+    SettingsPulled,
+    PullFailed,
+)
 
 
 class Node:
     """All decisions of one entry host."""
 
-    def __init__(self, identity: Identity, rng: "Random") -> None:
+    def __init__(
+        self,
+        own: Member,
+        seeds: Iterable[str],
+        unix_offset: float,
+        rng: "Random",
+    ) -> None:
+        """Begin with nothing known.
+
+        `seeds` are UDP addresses of other hosts; `unix_offset` is Unix
+        time less the monotonic clock, in seconds.
+        """
         self.directory = Directory()
         self.servers = ServerBook()
         self.admission = Admission()
         self.prefixes = PrefixIndex()
+        self.cluster = Cluster(own, seeds, rng)
         self.chooser = Chooser(self.servers, CostPlacement(rng, self.prefixes))
-        self.desk = Desk(
-            identity,
-            self.admission,
+        self.fleet = Fleet(
+            self.cluster,
             self.servers,
             self.chooser,
-            _NobodyGone(),
+            self.prefixes,
+            self.admission,
+        )
+        identity = Identity(
+            host_id=own.host_id,
+            incarnation=own.incarnation,
+            unix_offset=unix_offset,
+        )
+        self.desk = Desk(
+            identity, self.admission, self.servers, self.chooser, self.fleet
         )
         self.evacuation = Evacuation(self.servers, self.desk, self.chooser)
         self.draining = False
+        self._settings_known = False
         self._drained = False
-        self._rng = rng
+        self._unix_offset = unix_offset
         self._handlers: dict[
             type[Event], Callable[[float, Any], list[Action]]
         ] = {
@@ -88,14 +131,30 @@
             OnceReply: self._once_reply,
             ServersListed: self._servers_listed,
             ServerLeaving: self._server_leaving,
-            ContractsApplied: self._contracts_applied,
+            LoadRead: self._load_read,
+            CacheRead: self._cache_read,
+            SettingsParsed: self._settings_parsed,
             DrainRequested: self._drain_requested,
+            Leave: self._cluster_event,
+        }
+        for kind in CLUSTER_EVENTS:
+            self._handlers[kind] = self._cluster_event
+        self._absorbers: dict[
+            type[Action], Callable[[float, Any], list[Action]]
+        ] = {
+            ItemsChanged: self._items_changed,
+            MembersChanged: self._members_changed,
+            Ready: self._on_ready,
         }
 
     @property
     def ready(self) -> bool:
         """Whether the balancer may send requests here."""
-        return self.directory.revision > 0 and not self.draining
+        return self._serving and not self.draining
+
+    @property
+    def _serving(self) -> bool:
+        return self._settings_known and self.directory.revision > 0
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take one event and return what is to be done about it.
@@ -117,7 +176,7 @@
                     "this host is stopping: send it again, another answers",
                 )
             ]
-        if not self.ready:
+        if not self._serving:
             return [
                 _refuse(
                     event.request,
@@ -141,31 +200,73 @@
     def _servers_listed(
         self, now: float, event: ServersListed
     ) -> list[Action]:
+        before = self.servers.generation
         self.servers.listed(event.servers)
-        slots = sum(server.slots for server in event.servers)
-        self.admission.set_capacity(slots)
+        if self.servers.generation != before:
+            self.fleet.changed()
         return self.desk.tick(now)
 
     def _server_leaving(
         self, now: float, event: ServerLeaving
     ) -> list[Action]:
-        news = self.servers.leaving(
-            event.server_id, event.incarnation, event.deadline
-        )
-        if not news:
-            return []
+        """Tell the others of a leaving server, and act on it here."""
         item = LeavingServer(
             server_id=event.server_id,
             incarnation=event.incarnation,
             deadline_unix=event.deadline_unix,
         )
-        moved = self.evacuation.server_leaving(now, event.server_id)
-        return [PublishItem(item=item), *moved]
+        published = PublishItem(item=item)
+        return self._absorb(now, self.cluster.handle(now, published))
+
+    def _load_read(self, now: float, event: LoadRead) -> list[Action]:
+        return self._absorb(now, self.fleet.load_read(now, event))
+
+    def _cache_read(self, now: float, event: CacheRead) -> list[Action]:
+        return self._absorb(now, self.fleet.cache_read(now, event))
+
+    # The other entry hosts
+
+    def _cluster_event(self, now: float, event: Event) -> list[Action]:
+        return self._absorb(now, self.cluster.handle(now, event))
+
+    def _absorb(self, now: float, actions: list[Action]) -> list[Action]:
+        """Act on what the cluster has learnt; pass the rest on."""
+        result: list[Action] = []
+        for action in actions:
+            absorber = self._absorbers.get(type(action))
+            result += absorber(now, action) if absorber else [action]
+        return result
+
+    def _items_changed(self, now: float, action: ItemsChanged) -> list[Action]:
+        self.fleet.heard(now, action.items)
+        return [
+            consequence
+            for item in action.items
+            if isinstance(item, LeavingServer)
+            for consequence in self._heard_leaving(now, item)
+        ]
+
+    def _heard_leaving(self, now: float, item: LeavingServer) -> list[Action]:
+        deadline = item.deadline_unix - self._unix_offset
+        news = self.servers.leaving(item.server_id, item.incarnation, deadline)
+        if not news:
+            return []
+        return self.evacuation.server_leaving(now, item.server_id)
+
+    def _members_changed(
+        self, now: float, action: MembersChanged
+    ) -> list[Action]:
+        self.fleet.changed()
+        return []
 
     # Settings
 
-    def _contracts_applied(
-        self, now: float, event: ContractsApplied
+    def _on_ready(self, now: float, action: Ready) -> list[Action]:
+        self._settings_known = True
+        return []
+
+    def _settings_parsed(
+        self, now: float, event: SettingsParsed
     ) -> list[Action]:
         if not self.directory.apply(event.revision, event.contracts):
             return []
@@ -174,14 +275,16 @@
     # Life
 
     def _tick(self, now: float, event: Tick) -> list[Action]:
+        heard = self._absorb(now, self.cluster.handle(now, event))
         moved = self.evacuation.tick(now)
-        return self._checked(moved + self.desk.tick(now))
+        return self._checked(heard + moved + self.desk.tick(now))
 
     def _drain_requested(
         self, now: float, event: DrainRequested
     ) -> list[Action]:
         self.draining = True
-        return self._checked([])
+        told = self.cluster.handle(now, SetDraining(draining=True))
+        return self._checked(self._absorb(now, told))
 
     def _checked(self, actions: list[Action]) -> list[Action]:
         """Add `Drained`, once, when a drain has come to its end."""
--- a/waxwingarch/daemon.py
+++ b/waxwingarch/daemon.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Any, Final
 
+import orjson
 from eliot import log_message, write_traceback
 
 from waxwingarch.adapters.http_client import HttpClient
@@ -17,12 +18,22 @@
 )
 from waxwingarch.adapters.platform_http import PlatformLink, TableBudget
 from waxwingarch.adapters.settings import Settings
+from waxwingarch.adapters.settings_table import SettingsTableReader
 from waxwingarch.adapters.ticket import TicketBook
+from waxwingarch.adapters.trace import TraceHeader, TraceWriter
 from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_FORCED_STOP, EXIT_OK
-from waxwingarch.core.base import Action, HostId
-from waxwingarch.core.events import Drained, DrainRequested, PublishItem
-from waxwingarch.core.guarded import Identity
-from waxwingarch.core.node import Node
+from waxwingarch.core.base import Action, FailureDomain, HostId, RequestId
+from waxwingarch.core.cluster import Leave, Superseded
+from waxwingarch.core.configsync import (
+    PollRevision,
+    PullSettings,
+    ReadSettings,
+)
+from waxwingarch.core.events import Drained, DrainRequested
+from waxwingarch.core.handover import HandOver
+from waxwingarch.core.members import Addresses, Member, MemberState
+from waxwingarch.core.messages import SendPeer
+from waxwingarch.core.settings import SettingsDelta
 from waxwingarch.diagnostics import dump
 from waxwingarch.ports.cloud import Notice
 from waxwingarch.tasks.admin import Admin
@@ -31,10 +42,14 @@
 from waxwingarch.tasks.entry import Entry
 from waxwingarch.tasks.exchange import Exchanges
 from waxwingarch.tasks.intake import Intake
+from waxwingarch.tasks.peer_transport import PeerTransport, TransportConfig
 from waxwingarch.tasks.platform_watch import PlatformWatch
 from waxwingarch.tasks.runner import Runner
-from waxwingarch.tasks.settings_watch import SettingsWatch
+from waxwingarch.tasks.server_watch import ServerWatch
+from waxwingarch.tasks.settings_apply import SettingsApply
 
+MS_PER_S: Final = 1000
+TRACE_BUFFER_BYTES: Final = 64 * 1024
 DRAIN_GRACE_S: Final = 0.5
 EXPECTED_HOSTS: Final = 9
 
@@ -44,12 +59,15 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        rng = Random()
         self._started_unix = time.time()
-        self._incarnation = int(self._started_unix * 1000)
-        self.node = Node(self._identity(), rng)
-        self._runner = Runner(self.node)
+        self._incarnation = int(self._started_unix * MS_PER_S)
+        self._drained = asyncio.Event()
+        self._forced = asyncio.Event()
+        header = self._trace_header()
+        self.node = header.node()
+        self._runner = Runner(self.node, _recorder(settings, header))
         self._client = HttpClient()
+        rng = Random()
         link = PlatformLink(
             self._client,
             settings.platform.address,
@@ -57,16 +75,74 @@
             TableBudget.for_hosts(EXPECTED_HOSTS),
         )
         self._table = HttpTableStore(link)
-        host = settings.host
-        cluster_key = bytes.fromhex(settings.security.cluster_key)
-        tickets = TicketBook(cluster_key)
+        self._platform = PlatformWatch(
+            self._runner, HttpCloud(link), self._host_id, rng
+        )
+        self._platform.on_own_notice = self._own_notice
+        self._servers = ServerWatch(self._runner, self._client, rng)
+        self._peers = PeerTransport(
+            self._transport_config(),
+            SettingsTableReader(self._table),
+            self,
+            self._runner.post,
+        )
+        self._build_caller_side(HttpObjectStore(link))
+        self._admin = Admin(settings.security.operator_key, on_error)
+        self._admin.add("GET", "/admin/dump", self._async_dump)
+        self._settings_apply = SettingsApply(
+            self._runner, settings.host.deployment
+        )
+        self._runner.connect(Drained, self._on_drained)
+        self._runner.connect(Superseded, self._on_superseded)
+        for kind in (SendPeer, PollRevision, ReadSettings, PullSettings):
+            self._runner.connect(kind, self._peers.execute)
+
+    @property
+    def _host_id(self) -> HostId:
+        return HostId(self._settings.host.host_id)
+
+    def _trace_header(self) -> TraceHeader:
+        """Return what the node is made with, for its record."""
+        host, listen = self._settings.host, self._settings.listen
+        own = Member(
+            host_id=self._host_id,
+            incarnation=self._incarnation,
+            refutation=0,
+            region=host.region,
+            failure_domain=FailureDomain(host.failure_domain),
+            addresses=Addresses(
+                http=listen.http,
+                peer_tcp=listen.peer_tcp,
+                peer_udp=listen.peer_udp,
+            ),
+            state=MemberState.ALIVE,
+        )
+        loop = asyncio.get_running_loop()
+        return TraceHeader(
+            own=own,
+            seeds=tuple(self._settings.platform.seeds.split()),
+            unix_offset=self._started_unix - loop.time(),
+            seed=self._incarnation,
+        )
+
+    def _transport_config(self) -> TransportConfig:
+        listen = self._settings.listen
+        key = bytes.fromhex(self._settings.security.cluster_key)
+        return TransportConfig(
+            listen_udp=listen.peer_udp,
+            listen_tcp=listen.peer_tcp,
+            keys=(key,),
+        )
+
+    def _build_caller_side(self, objects: HttpObjectStore) -> None:
+        key = bytes.fromhex(self._settings.security.cluster_key)
+        tickets = TicketBook(key)
         exchanges = Exchanges()
-        objects = HttpObjectStore(link)
-        id_prefix = f"{host.host_id}-{self._incarnation:x}"
         self._attempts = AttemptRunner(self._runner, exchanges, self._client)
         self._claims = ClaimTasks(
             self._runner, exchanges, self._client, self._table, objects
         )
+        id_prefix = f"{self._host_id}-{self._incarnation:x}"
         self._entry = Entry(
             self._runner,
             exchanges,
@@ -75,27 +151,25 @@
             objects,
             on_error,
         )
-        self._platform = PlatformWatch(
-            self._runner, HttpCloud(link), HostId(host.host_id), rng
-        )
-        self._platform.on_own_notice = self._own_notice
-        self._settings_watch = SettingsWatch(
-            self._runner, self._table, host.deployment, rng
-        )
-        self._admin = Admin(settings.security.operator_key, on_error)
-        self._admin.add("GET", "/admin/dump", self._async_dump)
-        self._runner.connect(PublishItem, self._publish)
-        self._runner.connect(Drained, self._on_drained)
-        self._drained = asyncio.Event()
-        self._forced = asyncio.Event()
 
-    def _identity(self) -> Identity:
-        loop = asyncio.get_running_loop()
-        return Identity(
-            host_id=HostId(self._settings.host.host_id),
-            incarnation=self._incarnation,
-            unix_offset=self._started_unix - loop.time(),
-        )
+    # What peers ask for
+
+    def settings_since(self, revision: int) -> SettingsDelta:
+        """Return what changed since a revision, 0 for everything."""
+        history = self.node.cluster.settings.history
+        return history.delta_since(revision)
+
+    def keep_hand_over(self, hand_over: HandOver) -> bool:
+        """Keep the progress of a request for a peer."""
+        return False
+
+    def hand_over(self, request_id: RequestId) -> HandOver | None:
+        """Return the progress of a request kept here."""
+        return None
+
+    def dump_state(self) -> str:
+        """Return the state of this process as JSON."""
+        return orjson.dumps(self._dump()).decode()
 
     # Life
 
@@ -119,9 +193,10 @@
     async def _async_setup(self) -> None:
         listen = self._settings.listen
         await self._admin.async_setup(*_split(listen.admin))
-        await self._runner.async_setup()
-        await self._settings_watch.async_setup()
+        await self._peers.async_bind()
+        self._peers.start()
         await self._platform.async_setup()
+        await self._servers.async_setup()
         await self._entry.async_setup(*_split(listen.http))
 
     async def _async_wait(self) -> int:
@@ -140,8 +215,9 @@
         await self._attempts.async_unload()
         await self._claims.async_unload()
         await self._platform.async_unload()
-        await self._settings_watch.async_unload()
-        await self._runner.async_unload()
+        await self._servers.async_unload()
+        self._runner.post(Leave())
+        await self._peers.async_stop()
         await self._admin.async_unload()
         await self._client.async_unload()
 
@@ -172,16 +248,33 @@
         if not self.node.draining:
             self.drain()
 
-    def _publish(self, action: PublishItem) -> None:
-        log_message(message_type="item", item=str(action.item))
-
     def _on_drained(self, action: Action) -> None:
         self._drained.set()
 
+    def _on_superseded(self, action: Action) -> None:
+        log_message(
+            message_type="superseded",
+            reason="a later process runs as this host: stopping",
+        )
+        if not self.node.draining:
+            self.drain()
+
     async def _async_dump(self, req: HttpRequest) -> Any:
+        return self._dump()
+
+    def _dump(self) -> Any:
         return dump(self._settings, self.node, self._started_unix)
 
 
+def _recorder(settings: Settings, header: TraceHeader) -> TraceWriter | None:
+    """Return the record of events, if the settings name a file."""
+    name = settings.log.trace
+    if not name:
+        return None
+    out = open(name, "wb", buffering=TRACE_BUFFER_BYTES)  # noqa: SIM115
+    return TraceWriter(out, header)
+
+
 def on_error(exc: Exception) -> None:
     """Log an error that no one expected."""
     write_traceback(exc_info=(type(exc), exc, exc.__traceback__))
--- a/waxwingarch/tasks/platform_watch.py
+++ b/waxwingarch/tasks/platform_watch.py
@@ -129,12 +129,6 @@
             ServerLeaving(
                 server_id=server_id,
                 incarnation=incarnation,
-                deadline=to_loop_time(deadline_unix),
                 deadline_unix=deadline_unix,
             )
         )
-
-
-def to_loop_time(unix_s: float) -> float:
-    """Return a moment in Unix seconds on the loop's clock."""
-    return asyncio.get_running_loop().time() + unix_s - time.time()
--- a/waxwingarch/tasks/runner.py
+++ b/waxwingarch/tasks/runner.py
@@ -3,14 +3,11 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from typing import Any, Final, Protocol
+from typing import Any, Protocol
 
 from waxwingarch.core.base import Action, Event
-from waxwingarch.core.events import Tick
 from waxwingarch.core.node import Node
 
-TICK_S: Final = 0.05
-
 
 class Recorder(Protocol):
     """Keeps a record of what a node saw and did."""
@@ -25,12 +22,13 @@
     def __init__(self, node: Node, recorder: Recorder | None = None) -> None:
         self.node = node
         self._recorder = recorder
-        self._sinks: dict[type[Action], Callable[[Any], None]] = {}
+        self._sinks: dict[type[Action], Callable[[Any], object]] = {}
         self._pending: deque[Event] = deque()
         self._busy = False
-        self._task: asyncio.Task[None] | None = None
 
-    def connect(self, kind: type[Action], sink: Callable[[Any], None]) -> None:
+    def connect(
+        self, kind: type[Action], sink: Callable[[Any], object]
+    ) -> None:
         """Hand all actions of a kind to a sink, which must not block."""
         self._sinks[kind] = sink
 
@@ -53,17 +51,3 @@
             self._recorder.record(now, event, actions)
         for action in actions:
             self._sinks[type(action)](action)
-
-    async def async_setup(self) -> None:
-        """Begin to tick."""
-        self._task = asyncio.create_task(self._async_tick())
-
-    async def async_unload(self) -> None:
-        """Stop ticking."""
-        if self._task:
-            self._task.cancel()
-
-    async def _async_tick(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            self.post(Tick())
