--- a/waxwingarch/core/evidence.py
+++ b/waxwingarch/core/evidence.py
@@ -16,7 +16,6 @@
     HostEvidence,
     LoadBand,
     Quantile,
-    add_growth,
 )
 from waxwingarch.core.move_detector import WINDOW_S
 from waxwingarch.core.move_judge import (
@@ -120,8 +119,10 @@
         if watch is None or evidence.host_id == self._host_id:
             return
         known = watch.peers.get(evidence.host_id)
-        if known is None or _order(known) < _order(evidence):
-            watch.peers[evidence.host_id] = evidence
+        if known is not None and _order(known) >= _order(evidence):
+            return
+        watch.peers[evidence.host_id] = evidence
+        _add_fresh(watch, evidence, known)
 
     def closed_hosts(self, move_id: str) -> frozenset[HostId]:
         """Return the hosts known to have closed, this one included."""
@@ -154,7 +155,7 @@
         if watch.last and watch.last.decision is Decision.STOP:
             return watch.last
         watch.judged_at = now
-        fresh = self._fresh(move_id, watch)
+        fresh, watch.fresh = watch.fresh, {}
         watch.last = self._judge.judge(watch, fresh, now)
         return watch.last
 
@@ -180,24 +181,25 @@
             cells=cells,
         )
 
-    def _fresh(self, move_id: str, watch: Watch) -> dict[CountsKey, Cell]:
-        """Return what all hosts counted since the last window."""
-        fresh: dict[CountsKey, Cell] = {}
-        known = [self._own_evidence(move_id, watch), *watch.peers.values()]
-        for evidence in known:
-            for cell in evidence.cells:
-                key = (cell.version, cell.route, cell.band)
-                place = (evidence.host_id, key)
-                before = watch.judged.get(place)
-                watch.judged[place] = cell
-                add_growth(fresh.setdefault(key, Cell()), cell, before)
-        return fresh
-
 
 def _order(evidence: HostEvidence) -> tuple[int, int]:
     return evidence.incarnation, evidence.sequence
 
 
+def _add_fresh(
+    watch: Watch, evidence: HostEvidence, known: HostEvidence | None
+) -> None:
+    """Add what a peer counted since the snapshot known before."""
+    before: dict[CountsKey, CellCounts] = {}
+    if known is not None and known.incarnation == evidence.incarnation:
+        before = {cell.key: cell for cell in known.cells}
+    for cell in evidence.cells:
+        old = before.get(cell.key)
+        if old is None or old.requests != cell.requests:
+            fresh = watch.fresh.setdefault(cell.key, Cell())
+            fresh.add(cell.growth(old))
+
+
 def _count(
     watch: Watch,
     version: VersionId,
@@ -213,15 +215,19 @@
             watch.routes.append(route)
         else:
             route = OTHER_ROUTES
-    cell = watch.own.setdefault((version, route, band), Cell())
-    cell.requests += 1
-    if not ok:
-        cell.failures += 1
-        return
     quantile = watch.quantiles.setdefault((route, band), Quantile())
-    limit_s = quantile.limit_s
-    if limit_s is not None:
-        cell.timed += 1
-        cell.slow += latency_s > limit_s
-    if version == watch.old:
+    outcome = _outcome(ok, latency_s, quantile.limit_s)
+    key = (version, route, band)
+    watch.own.setdefault(key, Cell()).add(outcome)
+    watch.fresh.setdefault(key, Cell()).add(outcome)
+    if ok and version == watch.old:
         quantile.add(latency_s)
+
+
+def _outcome(ok: bool, latency_s: float, limit_s: float | None) -> Cell:
+    """Return one request as a cell of its own."""
+    if not ok:
+        return Cell(requests=1, failures=1)
+    if limit_s is None:
+        return Cell(requests=1)
+    return Cell(requests=1, timed=1, slow=int(latency_s > limit_s))
--- a/waxwingarch/core/move_baseline.py
+++ b/waxwingarch/core/move_baseline.py
@@ -94,7 +94,8 @@
             watch.new, _Interval(since=now, old=Cell(), new=Cell())
         )
         for (version, _, _), cell in fresh.items():
-            _add(interval.new if version == watch.new else interval.old, cell)
+            new = version == watch.new
+            (interval.new if new else interval.old).add(cell)
         if now - interval.since >= INTERVAL_S:
             self._end_interval(watch.new, interval, now)
         return _verdict(self._intervals[watch.new])
@@ -110,13 +111,6 @@
         )
 
 
-def _add(total: Cell, cell: Cell) -> None:
-    total.requests += cell.requests
-    total.failures += cell.failures
-    total.timed += cell.timed
-    total.slow += cell.slow
-
-
 def _rate(hits: int, trials: int) -> float:
     return hits / max(trials, 1)
 
--- a/waxwingarch/core/move_counts.py
+++ b/waxwingarch/core/move_counts.py
@@ -48,6 +48,26 @@
     return LoadBand.MIDDLE if load >= MIDDLE_LOAD else LoadBand.LOW
 
 
+CountsKey = tuple[VersionId, str, LoadBand]
+
+
+@dataclass(kw_only=True, slots=True)
+class Cell:
+    """Counts that grow; the meaning is that of `CellCounts`."""
+
+    requests: int = 0
+    failures: int = 0
+    timed: int = 0
+    slow: int = 0
+
+    def add(self, other: "Cell") -> None:
+        """Add another cell's counts."""
+        self.requests += other.requests
+        self.failures += other.failures
+        self.timed += other.timed
+        self.slow += other.slow
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CellCounts:
     """Outcomes of one version on one route in one load band.
@@ -64,6 +84,27 @@
     timed: int = 0
     slow: int = 0
 
+    @property
+    def key(self) -> CountsKey:
+        """What the counts are of."""
+        return self.version, self.route, self.band
+
+    def growth(self, before: "CellCounts | None") -> Cell:
+        """Return what was counted since `before`."""
+        if before is None:
+            return Cell(
+                requests=self.requests,
+                failures=self.failures,
+                timed=self.timed,
+                slow=self.slow,
+            )
+        return Cell(
+            requests=max(0, self.requests - before.requests),
+            failures=max(0, self.failures - before.failures),
+            timed=max(0, self.timed - before.timed),
+            slow=max(0, self.slow - before.slow),
+        )
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HostEvidence:
@@ -81,16 +122,6 @@
     cells: tuple[CellCounts, ...]
 
 
-@dataclass(kw_only=True, slots=True)
-class Cell:
-    """Mutable counts of this host."""
-
-    requests: int = 0
-    failures: int = 0
-    timed: int = 0
-    slow: int = 0
-
-
 @dataclass(kw_only=True, slots=True)
 class Quantile:
     """Running estimate of the old version's latency quantile."""
@@ -117,23 +148,6 @@
         return exp(self.log_latency)
 
 
-CountsKey = tuple[VersionId, str, LoadBand]
-
-
-def add_growth(
-    total: Cell, cell: CellCounts, before: CellCounts | None
-) -> None:
-    """Add what a cell grew by; a smaller count is a new incarnation's."""
-    if before is None or before.requests > cell.requests:
-        before = CellCounts(
-            version=cell.version, route=cell.route, band=cell.band
-        )
-    total.requests += cell.requests - before.requests
-    total.failures += max(0, cell.failures - before.failures)
-    total.timed += max(0, cell.timed - before.timed)
-    total.slow += max(0, cell.slow - before.slow)
-
-
 def sample_of(cell: Cell | None, signal: Signal) -> Sample:
     """Return a cell's trials and hits for one signal."""
     if cell is None:
--- a/waxwingarch/core/move_judge.py
+++ b/waxwingarch/core/move_judge.py
@@ -8,7 +8,6 @@
 from waxwingarch.core.move_counts import (
     TOLERANCES,
     Cell,
-    CellCounts,
     CountsKey,
     HostEvidence,
     LoadBand,
@@ -94,9 +93,7 @@
     sequence: int = 0
     closed: bool = False
     peers: dict[HostId, HostEvidence] = field(default_factory=dict)
-    judged: dict[tuple[HostId, CountsKey], CellCounts] = field(
-        default_factory=dict
-    )
+    fresh: dict[CountsKey, Cell] = field(default_factory=dict)
     totals: dict[CountsKey, Cell] = field(default_factory=dict)
     references: dict[StreamKey, Reference] = field(default_factory=dict)
     streams: dict[StreamKey, Stream] = field(default_factory=dict)
@@ -135,11 +132,7 @@
 def add_totals(watch: Watch, fresh: dict[CountsKey, Cell]) -> None:
     """Add one window to the counts since the start."""
     for key, cell in fresh.items():
-        total = watch.totals.setdefault(key, Cell())
-        total.requests += cell.requests
-        total.failures += cell.failures
-        total.timed += cell.timed
-        total.slow += cell.slow
+        watch.totals.setdefault(key, Cell()).add(cell)
 
 
 def _judge_window(watch: Watch, fresh: dict[CountsKey, Cell]) -> None:
