Ask for the evidence of a notable excess, spread over the routes

Cause: no good move was done in time: 230 requests a route were asked for, and the trickle gave each route the same, though bursts had filled the frequent ones already. Change: the evidence has to show an excess of 12 points (8 before); the trickle fills the rarest routes first, to one level with the bursts.

--- a/waxwingarch/core/move_detector.py
+++ b/waxwingarch/core/move_detector.py
@@ -27,6 +27,7 @@
 MIN_WINDOW_REQUESTS: Final = 5
 MIN_REFERENCE_REQUESTS: Final = 20.0
 POWER_MARGIN: Final = 1.3
+NOTABLE_EXCESS: Final = 0.12
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/move_policy.py
+++ b/waxwingarch/core/move_policy.py
@@ -13,6 +13,7 @@
 TRICKLE_SHARE: Final = 0.018
 MAX_BURST_SHARE: Final = 0.5
 MAX_ROUTE_SHARE: Final = 0.3
+MIN_TRICKLE: Final = 0.1
 MAX_CANARY_SERVERS: Final = 8
 HELD_SHARE: Final = 0.95
 SHARE_STEPS: Final = (0.1, 0.2, 0.4, 0.7, HELD_SHARE)
@@ -150,12 +151,31 @@
 
 
 def _even_routes(route_shares: Mapping[str, float]) -> tuple[RouteShare, ...]:
-    """Give rare routes a larger share, so that all gather evidence."""
-    if not route_shares:
-        return ()
-    each = TRICKLE_SHARE / len(route_shares)
+    """Spread the trickle so that all routes gather like evidence.
+
+    The bursts take all routes as they come; the trickle makes up for it
+    and fills the rarest routes first.
+    """
+    budget = CANARY_SHARE - TRICKLE_SHARE
+    bursts = {r: s * budget for r, s in route_shares.items() if s > 0}
+    level = _fill_level(sorted(bursts.values()), TRICKLE_SHARE)
     return tuple(
-        RouteShare(route=route, share=min(each / share, MAX_ROUTE_SHARE))
-        for route, share in sorted(route_shares.items())
-        if share > 0
+        RouteShare(
+            route=route,
+            share=min(
+                max(level - burst, MIN_TRICKLE * burst) / route_shares[route],
+                MAX_ROUTE_SHARE,
+            ),
+        )
+        for route, burst in sorted(bursts.items())
     )
+
+
+def _fill_level(rising: list[float], volume: float) -> float:
+    """Return the level to which `volume` fills up the lowest values."""
+    level = 0.0
+    for count in range(1, len(rising) + 1):
+        level = (volume + sum(rising[:count])) / count
+        if count == len(rising) or level <= rising[count]:
+            break
+    return level
