Order the new servers ahead of the shift

Cause: a move ended out of time as servers were ordered only once the evidence sufficed, and the reason it gave named hosts in place of servers.

--- a/waxwingarch/core/move.py
+++ b/waxwingarch/core/move.py
@@ -281,7 +281,8 @@
             return max(view.needed, plan.servers)
         verdict = view.verdict
         soon = view.unix_now >= record.shift_from_unix - view.start_s
-        if soon and verdict and verdict.decision is Decision.SUFFICIENT:
+        canary = record.state is MoveState.CANARY
+        if canary and soon and verdict and not verdict.suspicious:
             return max(view.needed, plan.servers)
         return plan.servers
 
@@ -343,10 +344,11 @@
         return f"the canary servers did not start in time ({ready} ready)"
     if verdict is not None and verdict.suspicious:
         return "the suspicion against the version was not cleared in time"
-    if verdict is None or verdict.missing:
+    before = record.state is MoveState.CANARY
+    if verdict is None or (before and verdict.missing):
         gap = verdict.missing if verdict else "no verdict"
         return f"the evidence did not suffice in time ({gap})"
-    if view.open_hosts:
+    if record.state is MoveState.HOLDING and view.open_hosts:
         hosts = ", ".join(view.open_hosts)
         return f"hosts did not confirm the end of the hold: {hosts}"
     ready = len(view.new_servers)
