Plan the cheapest capacity that outlives a failure domain's loss

Cause: operators state contracts, not hosts; reclaimable hosts of one failure domain can all be lost at once. Change: for each bound on one domain's reclaimable capacity the cheapest hosts a unit, then the cheapest of these mixes; missing hosts start at once, surplus and dearer ones go slowly (minimum life, lasting saving, one replacement at a time); a refused offer is left alone for a while.

--- /dev/null
+++ b/tests/core/test_capacity.py
@@ -0,0 +1,169 @@
+"""Tests of the capacity plan."""
+
+from dataclasses import replace
+
+from testtools import TestCase
+
+from waxwingarch.core.base import (
+    Action,
+    FailureDomain,
+    ServerId,
+    ServiceId,
+    VersionId,
+)
+from waxwingarch.core.capacity import (
+    CHEAPER_S,
+    MIN_LIFE_S,
+    ORDER_SETTLE_S,
+    SURPLUS_S,
+    CapacityPlanner,
+    Demand,
+    FleetServer,
+    FleetState,
+    MixedPolicy,
+    OnDemandPolicy,
+    StartServer,
+    StopServer,
+)
+from waxwingarch.core.capacity_mix import Offer
+
+
+def demand(units: float) -> Demand:
+    return Demand(
+        service=ServiceId("waxwing-pool"),
+        version=VersionId("v1"),
+        units=units,
+        capacity={"one": 1.0},
+    )
+
+
+def offer(domain: str, price: float, reclaimable: bool = True) -> Offer:
+    return Offer(
+        machine_class="one",
+        failure_domain=FailureDomain(domain),
+        reclaimable=reclaimable,
+        price=price,
+        available=6,
+    )
+
+
+def server(name: str, domain: str, price: float = 1.0) -> FleetServer:
+    return FleetServer(
+        server_id=ServerId(name),
+        machine_class="one",
+        failure_domain=FailureDomain(domain),
+        reclaimable=price < 3.0,
+        price=price,
+        state=FleetState.LIVE,
+        since=0.0,
+    )
+
+
+OFFERS = [offer(d, 1.0) for d in "abcd"] + [offer("a", 3.0, False)]
+
+
+def starts(actions: list[Action]) -> list[StartServer]:
+    return [a for a in actions if isinstance(a, StartServer)]
+
+
+class StartTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.planner = CapacityPlanner(MixedPolicy())
+
+    def test_spread_and_fenced(self) -> None:
+        found = starts(self.planner.plan(0, demand(5.5), OFFERS, [], 7))
+        self.assertEqual(8, len(found))
+        by_domain = [s.failure_domain for s in found]
+        self.assertEqual(
+            [2, 2, 2, 2], [by_domain.count(FailureDomain(d)) for d in "abcd"]
+        )
+        self.assertEqual({7}, {s.fencing for s in found})
+        self.assertEqual(8, len({s.order_id for s in found}))
+
+    def test_orders_under_way_are_not_repeated(self) -> None:
+        first = starts(self.planner.plan(0, demand(5.5), OFFERS, [], 7))
+        self.assertEqual([], self.planner.plan(1, demand(5.5), OFFERS, [], 7))
+        later = 1 + ORDER_SETTLE_S
+        again = starts(self.planner.plan(later, demand(5.5), OFFERS, [], 7))
+        self.assertEqual(8, len(again))
+        ids = {s.order_id for s in first + again}
+        self.assertEqual(16, len(ids))
+
+    def test_refused_start_goes_elsewhere(self) -> None:
+        first = starts(self.planner.plan(0, demand(5.5), OFFERS, [], 7))
+        for start in first:
+            if start.failure_domain == "a":
+                self.planner.refused(0, start.order_id)
+        more = starts(self.planner.plan(1, demand(5.5), OFFERS, [], 7))
+        self.assertNotEqual([], more)
+        for start in more:
+            cheap_in_a = start.failure_domain == "a" and start.reclaimable
+            self.assertFalse(cheap_in_a)
+
+    def test_leaving_hosts_are_replaced_at_once(self) -> None:
+        fleet = [server(f"{d}{i}", d) for d in "abcd" for i in range(2)]
+        gone = [
+            replace(s, state=FleetState.LEAVING)
+            if s.failure_domain == "a"
+            else s
+            for s in fleet
+        ]
+        self.assertEqual(
+            [], self.planner.plan(0, demand(5.5), OFFERS, fleet, 7)
+        )
+        found = starts(self.planner.plan(1, demand(5.5), OFFERS, gone, 7))
+        self.assertNotEqual([], found)
+
+    def test_baseline_starts_on_demand_only(self) -> None:
+        planner = CapacityPlanner(OnDemandPolicy())
+        found = starts(planner.plan(0, demand(5.5), OFFERS, [], 7))
+        self.assertEqual({False}, {s.reclaimable for s in found})
+        self.assertEqual(6, len(found))
+
+
+class FlappingTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.planner = CapacityPlanner(MixedPolicy())
+
+    def test_surplus_is_stopped_after_a_while_and_one_by_one(self) -> None:
+        fleet = [server(f"{d}{i}", d) for d in "abcd" for i in range(3)]
+        at = MIN_LIFE_S
+        plan = self.planner.plan
+        self.assertEqual([], plan(at, demand(5.5), OFFERS, fleet, 7))
+        at += SURPLUS_S - 1
+        self.assertEqual([], plan(at, demand(5.5), OFFERS, fleet, 7))
+        actions = plan(at + 1, demand(5.5), OFFERS, fleet, 7)
+        self.assertEqual(1, len(actions))
+        self.assertIsInstance(actions[0], StopServer)
+
+    def test_a_dip_stops_nothing(self) -> None:
+        fleet = [server(f"{d}{i}", d) for d in "abcd" for i in range(3)]
+        plan = self.planner.plan
+        plan(MIN_LIFE_S, demand(5.5), OFFERS, fleet, 7)
+        plan(MIN_LIFE_S + 300, demand(8.0), OFFERS, fleet, 7)
+        at = MIN_LIFE_S + SURPLUS_S
+        self.assertEqual([], plan(at, demand(5.5), OFFERS, fleet, 7))
+
+    def test_young_hosts_are_kept(self) -> None:
+        fleet = [server(f"{d}{i}", d) for d in "abcd" for i in range(3)]
+        for at in range(0, int(MIN_LIFE_S), 60):
+            self.assertEqual(
+                [], self.planner.plan(at, demand(5.5), OFFERS, fleet, 7)
+            )
+
+    def test_small_saving_changes_nothing(self) -> None:
+        fleet = [server(f"{d}{i}", d, 1.1) for d in "abcd" for i in range(2)]
+        for at in (0, CHEAPER_S, 2 * CHEAPER_S):
+            self.assertEqual(
+                [], self.planner.plan(at, demand(5.5), OFFERS, fleet, 7)
+            )
+
+    def test_lasting_saving_replaces_one_at_a_time(self) -> None:
+        fleet = [server(f"o{i}", "a", 3.0) for i in range(6)]
+        plan = self.planner.plan
+        self.assertEqual([], plan(0, demand(5.5), OFFERS, fleet, 7))
+        found = plan(CHEAPER_S, demand(5.5), OFFERS, fleet, 7)
+        self.assertEqual(1, len(starts(found)))
+        self.assertEqual([], plan(CHEAPER_S, demand(5.5), OFFERS, fleet, 7))
