Keep one block in eight, so that a summary covers eight times more

Change: a chained hash stands for its whole prefix, so a match looks for the deepest held block, and only blocks whose hash is a multiple of 8 are kept, the same ones on all hosts.

--- a/waxwingarch/core/prefix.py
+++ b/waxwingarch/core/prefix.py
@@ -15,6 +15,7 @@
 BLOCK_MASK: Final = 0xFFFFFFFF
 MAX_PROMPT_BLOCKS: Final = 512
 MAX_INDEX_BLOCKS: Final = 16_384
+BLOCK_SAMPLE: Final = 8
 SUMMARY_BLOCKS: Final = 64
 TRUST_STEP: Final = 0.1
 RETIRED_SWEEP: Final = 64
@@ -102,14 +103,22 @@
     """Bounded view of the prefix caches of all servers.
 
     For each block a bit mask tells its holders, so that one walk over a
-    prompt's blocks matches all servers. Events come late and with gaps:
-    a server's trust, the part of the predicted prefix that it really
-    had, is learnt from the results. At most `max_blocks` blocks are
-    kept, those seen last.
+    prompt's blocks matches all servers. A block's hash stands for the
+    whole prefix, so only one in `sample` blocks is kept, the same ones
+    on all hosts, and the deepest one that a server holds counts. Events
+    come late and with gaps: a server's trust, the part of the predicted
+    prefix that it really had, is learnt from the results. At most
+    `max_blocks` blocks are kept, those seen last.
     """
 
-    def __init__(self, *, max_blocks: int = MAX_INDEX_BLOCKS) -> None:
+    def __init__(
+        self,
+        *,
+        max_blocks: int = MAX_INDEX_BLOCKS,
+        sample: int = BLOCK_SAMPLE,
+    ) -> None:
         self._max_blocks = max_blocks
+        self._sample = sample
         self._holders: OrderedDict[int, int] = OrderedDict()
         self._bits: dict[ServerId, int] = {}
         self._servers: dict[int, ServerId] = {}
@@ -203,19 +212,17 @@
         """Find how long a prefix of a prompt each server holds."""
         levels: list[tuple[int, int]] = []
         holders = self._holders
-        mask = ~self._retired
-        for depth, block in enumerate(blocks):
-            held = mask & holders.get(block, 0)
-            if held:
-                holders.move_to_end(block)
-            if depth and held != mask:
-                levels.append((depth, mask & ~held))
-            mask = held
-            if not mask:
-                break
-        if blocks and mask:
-            levels.append((len(blocks), mask))
-        levels.reverse()
+        left = ~self._retired
+        for depth in range(len(blocks), 0, -1):
+            block = blocks[depth - 1]
+            if block % self._sample:
+                continue
+            held = left & holders.get(block, 0)
+            if not held:
+                continue
+            holders.move_to_end(block)
+            levels.append((depth, held))
+            left &= ~held
         return PrefixMatch(levels, self)
 
     def summary(
@@ -270,6 +277,8 @@
         return 1 << len(self._servers)
 
     def _add(self, bit: int, block: int) -> None:
+        if block % self._sample:
+            return
         self._holders[block] = self._holders.get(block, 0) | bit
         self._holders.move_to_end(block)
 
