Let own dispatches stand for those of the other entry hosts

Cause: between two load reports a host sees only what it sent itself; eight others send on the same stale picture. Change: dispatches that a report does not show count for half of the peers' number; set_peers() tells the number of hosts.

--- a/script/policy_feed.py
+++ b/script/policy_feed.py
@@ -158,7 +158,7 @@
     prefixes: PrefixIndex
 
 
-MakeHost = Callable[[Random], Host]
+MakeHost = Callable[[Random, int], Host]
 Watch = Callable[[float, list[FakeServer]], None]
 
 
@@ -181,7 +181,8 @@
         ]
         self._by_id = {s.info.server_id: s for s in self._servers}
         self._hosts = [
-            make_host(Random(seed * 1000 + n)) for n in range(deployment.hosts)
+            make_host(Random(seed * 1000 + n), deployment.hosts)
+            for n in range(deployment.hosts)
         ]
         self._views: list[ServerView] = []
         self._sent: Counter[str] = Counter()
--- a/script/policy_report.py
+++ b/script/policy_report.py
@@ -18,20 +18,22 @@
 BASELINE = "least-loaded"
 
 
-def _cost(rng: Random) -> Host:
+def _cost(rng: Random, hosts: int) -> Host:
     prefixes = PrefixIndex()
-    return Host(placement=CostPlacement(rng, prefixes), prefixes=prefixes)
+    placement = CostPlacement(rng, prefixes)
+    placement.set_peers(hosts)
+    return Host(placement=placement, prefixes=prefixes)
 
 
-def _least(rng: Random) -> Host:
+def _least(rng: Random, hosts: int) -> Host:
     return Host(placement=LeastLoaded(), prefixes=PrefixIndex())
 
 
-def _stale(rng: Random) -> Host:
+def _stale(rng: Random, hosts: int) -> Host:
     return Host(placement=LeastLoaded(count_own=False), prefixes=PrefixIndex())
 
 
-def _robin(rng: Random) -> Host:
+def _robin(rng: Random, hosts: int) -> Host:
     return Host(placement=RoundRobin(), prefixes=PrefixIndex())
 
 
--- a/waxwingarch/core/placement.py
+++ b/waxwingarch/core/placement.py
@@ -119,6 +119,10 @@
         else:
             self._gate.note_cancelled(request_id, server_id)
 
+    def set_peers(self, hosts: int) -> None:
+        """Set how many hosts, this one included, use the same servers."""
+        self._own.peers = max(1, hosts)
+
     def forget(self, server_id: ServerId) -> None:
         """Drop what is known of a server that is gone."""
         self._own.forget(server_id)
--- a/waxwingarch/core/placement_load.py
+++ b/waxwingarch/core/placement_load.py
@@ -8,6 +8,7 @@
 from waxwingarch.core.placement_messages import ServerView
 
 MAX_ENDED: Final = 128
+PEER_FRACTION: Final = 0.5
 
 
 @dataclass(kw_only=True, slots=True)
@@ -21,9 +22,16 @@
 
 
 class OwnLoad:
-    """Corrects reported loads by what this host did since the report."""
+    """Corrects reported loads by what this host did since the report.
+
+    `peers` is how many hosts send requests to the same servers. They
+    are taken to do as this one does: what it sent stands for what all
+    sent, though for less than all of it, as one host's picture of the
+    others is noisy.
+    """
 
     def __init__(self) -> None:
+        self.peers = 1
         self._servers: dict[ServerId, _Own] = {}
         self._places: dict[RequestId, ServerId] = {}
 
@@ -51,7 +59,10 @@
         own = self._servers.get(view.server.server_id)
         if own is None:
             return float(reported)
-        return float(max(len(own.running), reported + _unseen(own, view)))
+        return float(max(len(own.running), reported + self._unseen(own, view)))
+
+    def _unseen(self, own: _Own, view: ServerView) -> float:
+        return _unseen(own, view) * max(1.0, self.peers * PEER_FRACTION)
 
     def forget(self, server_id: ServerId) -> None:
         """Drop what is known of a server that is gone."""
