--- a/waxwingarch/core/placement.py
+++ b/waxwingarch/core/placement.py
@@ -44,11 +44,11 @@
 DEFAULT_WEIGHTS: Final = Weights()
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
+@dataclass(kw_only=True, slots=True)
 class _Scored:
     view: ServerView
     first_token_s: float
-    matched_tokens: int
+    matched_blocks: int
     score_s: float
 
 
@@ -92,7 +92,7 @@
         return Choice(
             server_id=best.view.server.server_id,
             expected_first_token_s=best.first_token_s,
-            matched_tokens=best.matched_tokens,
+            matched_blocks=best.matched_blocks,
             score_s=best.score_s,
             considered=len(scored),
         )
@@ -119,6 +119,10 @@
         else:
             self._gate.note_cancelled(request_id, server_id)
 
+    def set_peers(self, hosts: int) -> None:
+        """Set how many hosts, this one included, use the same servers."""
+        self._own.peers = max(1, hosts)
+
     def forget(self, server_id: ServerId) -> None:
         """Drop what is known of a server that is gone."""
         self._own.forget(server_id)
@@ -188,7 +192,7 @@
         return _Scored(
             view=view,
             first_token_s=first_token_s,
-            matched_tokens=int(cached),
+            matched_blocks=depth,
             score_s=score_s,
         )
 
