Drive version moves from the lease holder; stop bad ones from any host

Evidence is counted at each host per version, route and load band and spreads as gossip items; any host publishes a stop mark by its own verdict. The lease holder advances the move by settings writes.

--- a/waxwingarch/adapters/peer_codec.py
+++ b/waxwingarch/adapters/peer_codec.py
@@ -18,6 +18,7 @@
 )
 from waxwingarch.core.items import (
     CacheSummary,
+    EvidenceCount,
     Item,
     LeavingServer,
     LoadSummary,
@@ -94,6 +95,24 @@
         pb.CacheSummary,
         ("server_id", "incarnation", "sequence", "blocks"),
     ),
+    EvidenceCount: (
+        "evidence",
+        pb.EvidenceCount,
+        (
+            "move_id",
+            "host_id",
+            "incarnation",
+            "sequence",
+            "closed",
+            "version",
+            "route",
+            "band",
+            "requests",
+            "failures",
+            "timed",
+            "slow",
+        ),
+    ),
 }
 
 BODY_FIELDS: Final[dict[type, tuple[str, type, tuple[str, ...]]]] = {
@@ -173,6 +192,23 @@
     )
 
 
+def _read_evidence(raw: pb.EvidenceCount) -> Item:
+    return EvidenceCount(
+        move_id=raw.move_id,
+        host_id=HostId(raw.host_id),
+        incarnation=raw.incarnation,
+        sequence=raw.sequence,
+        closed=raw.closed,
+        version=VersionId(raw.version),
+        route=raw.route,
+        band=raw.band,
+        requests=raw.requests,
+        failures=raw.failures,
+        timed=raw.timed,
+        slow=raw.slow,
+    )
+
+
 ITEM_READERS: Final[dict[str, Callable[[Any], Item]]] = {
     "revision": _read_revision,
     "leaving": _read_leaving,
@@ -180,6 +216,7 @@
     "share": _read_share,
     "load": _read_load,
     "cache": _read_cache,
+    "evidence": _read_evidence,
 }
 
 
--- a/waxwingarch/core/chooser.py
+++ b/waxwingarch/core/chooser.py
@@ -17,14 +17,22 @@
 
 DEFAULT_SLOT_S: Final = 2.0
 
-Filter = Callable[[Request, Server], bool]
+Narrow = Callable[
+    [float, Request, list[ServerView], Collection[ServerId]],
+    list[ServerView],
+]
 
 
 Subset = Callable[[ServiceId], Collection[ServerId]]
 
 
-def _any_server(request: Request, server: Server) -> bool:
-    return True
+def _all_views(
+    now: float,
+    request: Request,
+    views: list[ServerView],
+    excluded: Collection[ServerId],
+) -> list[ServerView]:
+    return views
 
 
 def _no_subset(service: ServiceId) -> Collection[ServerId]:
@@ -34,14 +42,14 @@
 class Chooser:
     """Keeps views of the servers and asks the placement to choose.
 
-    `allowed` narrows the candidates of a request down, as a version
-    move asks for; `subset` names the servers that this host routes to,
+    `narrow` keeps those candidates of a request that a version move
+    allows; `subset` names the servers that this host routes to,
     all if it is empty. Views are kept between requests and rebuilt when
     servers or loads change.
     """
 
     def __init__(self, servers: ServerBook, placement: Placement) -> None:
-        self.allowed: Filter = _any_server
+        self.narrow: Narrow = _all_views
         self.subset: Subset = _no_subset
         self._servers = servers
         self._placement = placement
@@ -54,11 +62,8 @@
         self, now: float, request: Request, excluded: Collection[ServerId]
     ) -> Server | None:
         """Return a server for the next attempt, None if there is none."""
-        views = [
-            view
-            for view in self.views(request.service)
-            if self.allowed(request, view.server)
-        ]
+        views = self.views(request.service)
+        views = self.narrow(now, request, views, excluded)
         choice = self._placement.choose(
             now, _placement_request(request, excluded), views
         )
@@ -96,6 +101,13 @@
         """Count an attempt that ended."""
         self._placement.note_done(now, request.request_id, outcome)
 
+    def running(self, server: Server) -> int:
+        """Return the requests in progress last known on a server."""
+        load = self._loads.get(server.server_id)
+        if load is None or load.incarnation != server.incarnation:
+            return 0
+        return load.running + load.waiting
+
     def note_load(self, now: float, load: LoadSummary) -> None:
         """Take a load read from a server or heard from another host."""
         known = self._loads.get(load.server_id)
--- a/waxwingarch/core/desk.py
+++ b/waxwingarch/core/desk.py
@@ -1,7 +1,7 @@
 """Requests in progress on a node: admission, attempts, final answers."""
 
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, Protocol
 
 from waxwingarch.core.admission import Admission
 from waxwingarch.core.admission_messages import (
@@ -46,11 +46,29 @@
 
     machine: Machine
     server: Server | None = None
+    attempt_at: float = 0.0
+    tokens_before: int = 0
     target: ServerId | None = None
     retry_at: float = 0.0
     tried: int = 0
 
 
+class AttemptObserver(Protocol):
+    """Learns how attempts ended; `latency_s` is per token of answer."""
+
+    def attempt_ended(
+        self,
+        now: float,
+        request: Request,
+        server: Server,
+        *,
+        running: int,
+        ok: bool,
+        latency_s: float,
+    ) -> None:
+        """Take the outcome of one attempt on a server."""
+
+
 class Desk:
     """Accepts requests and sees each through to its final answer."""
 
@@ -61,7 +79,9 @@
         servers: ServerBook,
         chooser: Chooser,
         owners: OwnerView,
+        observer: AttemptObserver,
     ) -> None:
+        self._observer = observer
         self._identity = identity
         self._owners = owners
         self._admission = admission
@@ -158,6 +178,7 @@
         if work is None or not isinstance(work.machine, StreamMachine):
             return []
         work.target = target
+        self._note_attempt_end(now, work, Outcome.CANCELLED)
         moved = work.machine.displace(now, move_kv=move_kv)
         return self._after(now, work, moved)
 
@@ -251,6 +272,8 @@
 
     def _note_attempt(self, now: float, work: _Work, server: Server) -> None:
         work.server = server
+        work.attempt_at = now
+        work.tokens_before = _tokens(work.machine)
         self._chooser.note_dispatch(now, work.machine.request, server)
 
     def _note_attempt_end(
@@ -260,8 +283,30 @@
             return
         request = work.machine.request
         self._chooser.note_done(now, request, outcome)
+        self._observe(now, work, work.server, outcome)
         work.server = None
 
+    def _observe(
+        self, now: float, work: _Work, server: Server, outcome: Outcome
+    ) -> None:
+        """Report what an attempt says of its server's version.
+
+        An attempt that was cancelled, or lost as its server was leaving,
+        says nothing.
+        """
+        leaving = self._servers.departure(server.server_id) is not None
+        if outcome is Outcome.CANCELLED or leaving:
+            return
+        tokens = _tokens(work.machine) - work.tokens_before
+        self._observer.attempt_ended(
+            now,
+            work.machine.request,
+            server,
+            running=self._chooser.running(server),
+            ok=outcome is Outcome.OK,
+            latency_s=(now - work.attempt_at) / (tokens + 1),
+        )
+
     def _finish(self, now: float, work: _Work) -> list[Action]:
         machine = work.machine
         request = machine.request
@@ -297,6 +342,12 @@
         self._durations[key] = known + DURATION_WEIGHT * (took_s - known)
 
 
+def _tokens(machine: Machine) -> int:
+    if isinstance(machine, StreamMachine):
+        return machine.assembly.offset
+    return 0
+
+
 def _no_server(request: Request) -> Refuse:
     refusal = Refusal(
         reason=RefusalReason.NO_SERVER,
--- a/waxwingarch/core/events.py
+++ b/waxwingarch/core/events.py
@@ -5,6 +5,7 @@
 from waxwingarch.core.base import Action, Event, RequestId, Server, ServerId
 from waxwingarch.core.contract import Contract
 from waxwingarch.core.items import LoadSummary
+from waxwingarch.core.move_record import MoveRecord
 from waxwingarch.core.prefix import CacheEvent
 from waxwingarch.core.request import Request
 
@@ -28,6 +29,7 @@
     """The platform's list of backend servers, which may be stale."""
 
     servers: tuple[Server, ...]
+    starting: tuple[Server, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,6 +66,7 @@
 
     revision: int
     contracts: tuple[Contract, ...]
+    moves: tuple[MoveRecord, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/items.py
+++ b/waxwingarch/core/items.py
@@ -100,6 +100,29 @@
     blocks: tuple[int, ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EvidenceCount:
+    """What one host has counted of a version that moves.
+
+    `band` is the load band of the servers. Counts grow over the life of
+    the host's incarnation; the greater `(incarnation, sequence)` wins.
+    `closed` says that the host sets no more stop marks for the move.
+    """
+
+    move_id: str
+    host_id: HostId
+    incarnation: int
+    sequence: int
+    closed: bool
+    version: VersionId
+    route: str
+    band: str
+    requests: int
+    failures: int
+    timed: int
+    slow: int
+
+
 Item = (
     SettingsRevision
     | LeavingServer
@@ -107,4 +130,5 @@
     | SpentShare
     | LoadSummary
     | CacheSummary
+    | EvidenceCount
 )
--- a/waxwingarch/core/merge.py
+++ b/waxwingarch/core/merge.py
@@ -10,6 +10,7 @@
 
 from waxwingarch.core.items import (
     CacheSummary,
+    EvidenceCount,
     Item,
     LeavingServer,
     LoadSummary,
@@ -28,6 +29,7 @@
     SHARE = "share"
     LOAD = "load"
     CACHE = "cache"
+    EVIDENCE = "evidence"
 
 
 class ItemKey(NamedTuple):
@@ -68,6 +70,23 @@
     )
 
 
+def _evidence_key(item: EvidenceCount) -> ItemKey:
+    parts = (item.host_id, item.version, item.route, item.band)
+    return ItemKey(ItemKind.EVIDENCE, item.move_id, "\0".join(parts))
+
+
+def _evidence_order(item: EvidenceCount) -> tuple[Any, ...]:
+    return (
+        item.incarnation,
+        item.sequence,
+        item.closed,
+        item.requests,
+        item.failures,
+        item.timed,
+        item.slow,
+    )
+
+
 def _load_order(item: LoadSummary) -> tuple[Any, ...]:
     return (
         item.incarnation,
@@ -98,6 +117,7 @@
         key=lambda item: ItemKey(ItemKind.CACHE, item.server_id),
         order=lambda item: (item.incarnation, item.sequence, item.blocks),
     ),
+    EvidenceCount: MergeRule(key=_evidence_key, order=_evidence_order),
 }
 
 
--- /dev/null
+++ b/waxwingarch/core/move_duty.py
@@ -0,0 +1,117 @@
+"""Advances the moves, on the host that holds the lease for them."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from waxwingarch.core.base import Action, Server, ServerId
+from waxwingarch.core.chooser import Chooser
+from waxwingarch.core.cluster import Cluster
+from waxwingarch.core.duties import DutyLeases
+from waxwingarch.core.move import MoveDriver, MoveView
+from waxwingarch.core.move_policy import PacedPolicy
+from waxwingarch.core.move_record import MoveRecord, WriteMove
+from waxwingarch.core.moves import MoveBoard
+from waxwingarch.core.servers import ServerBook
+
+MOVES_DUTY: Final = "moves"
+TICK_PERIOD_S: Final = 1.0
+START_S: Final = 20.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CommitMove(Action):
+    """Write a move as a settings document, then carry out `then`.
+
+    The write holds only if `base_revision` is still the one in force;
+    nothing of `then` is done unless it was committed.
+    """
+
+    record: MoveRecord
+    base_revision: int
+    then: tuple[Action, ...]
+
+
+class MoveDuty:
+    """Ticks the driver for each move while the lease is held."""
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        servers: ServerBook,
+        chooser: Chooser,
+        board: MoveBoard,
+        leases: DutyLeases,
+        unix_offset: float,
+    ) -> None:
+        self._cluster = cluster
+        self._servers = servers
+        self._chooser = chooser
+        self._board = board
+        self._leases = leases
+        self._unix_offset = unix_offset
+        self._driver = MoveDriver(PacedPolicy())
+        self._tick_at = 0.0
+
+    def tick(self, now: float) -> list[Action]:
+        """Advance each move by at most one write."""
+        held = self._leases.may_act(now, MOVES_DUTY)
+        if not held or now < self._tick_at:
+            return []
+        self._tick_at = now + TICK_PERIOD_S
+        return [
+            action
+            for record in self._board.records()
+            for action in self._advance(now, record)
+        ]
+
+    def _advance(self, now: float, record: MoveRecord) -> list[Action]:
+        actions = self._driver.tick(self._view(now, record))
+        if not actions or not isinstance(actions[0], WriteMove):
+            return actions
+        return [
+            CommitMove(
+                record=actions[0].record,
+                base_revision=self._cluster.settings.applied,
+                then=tuple(actions[1:]),
+            )
+        ]
+
+    def _view(self, now: float, record: MoveRecord) -> MoveView:
+        serving = self._servers.candidates(record.service)
+        new = [s for s in serving if s.version == record.new_version]
+        old = [s for s in serving if s.version == record.old_version]
+        starting = [
+            s
+            for s in self._servers.starting
+            if s.service == record.service and s.version == record.new_version
+        ]
+        needed = max(len(old), 1)
+        closed = self._board.book.closed_hosts(record.move_id)
+        hosts = self._cluster.membership.members()
+        return MoveView(
+            unix_now=now + self._unix_offset,
+            record=record,
+            record_version=self._cluster.settings.applied,
+            fencing=self._leases.fencing(MOVES_DUTY),
+            stop_marks=self._board.stop_marks(),
+            verdict=self._board.verdict(now, record),
+            new_servers=_ids(new),
+            old_servers=_ids(old),
+            starting_new=len(starting),
+            start_s=START_S,
+            needed=needed,
+            full_load_share=1.0 / needed,
+            route_shares=self._board.book.route_shares(record.move_id),
+            new_running=sum(self._chooser.running(s) for s in new),
+            open_hosts=tuple(
+                sorted(
+                    m.host_id
+                    for m in hosts
+                    if m.reachable and m.host_id not in closed
+                )
+            ),
+        )
+
+
+def _ids(servers: list[Server]) -> tuple[ServerId, ...]:
+    return tuple(sorted(server.server_id for server in servers))
--- a/waxwingarch/core/node.py
+++ b/waxwingarch/core/node.py
@@ -30,6 +30,7 @@
 )
 from waxwingarch.core.desk import Desk
 from waxwingarch.core.directory import Directory
+from waxwingarch.core.duties import DutyLeases, LeaseReply
 from waxwingarch.core.evacuation import Evacuation
 from waxwingarch.core.events import (
     CacheRead,
@@ -47,6 +48,8 @@
 from waxwingarch.core.items import LeavingServer
 from waxwingarch.core.members import Member
 from waxwingarch.core.messages import DatagramReceived, Tick
+from waxwingarch.core.move_duty import MOVES_DUTY, MoveDuty
+from waxwingarch.core.moves import MoveBoard
 from waxwingarch.core.placement import CostPlacement
 from waxwingarch.core.prefix import PrefixIndex
 from waxwingarch.core.refusal import Refusal, RefusalReason
@@ -110,8 +113,24 @@
             incarnation=own.incarnation,
             unix_offset=unix_offset,
         )
+        self.moves = MoveBoard(self.cluster, unix_offset)
+        self.chooser.narrow = self.moves.narrow
         self.desk = Desk(
-            identity, self.admission, self.servers, self.chooser, self.fleet
+            identity,
+            self.admission,
+            self.servers,
+            self.chooser,
+            self.fleet,
+            self.moves,
+        )
+        self.leases = DutyLeases(self.cluster, (MOVES_DUTY,))
+        self.move_duty = MoveDuty(
+            self.cluster,
+            self.servers,
+            self.chooser,
+            self.moves,
+            self.leases,
+            unix_offset,
         )
         self.evacuation = Evacuation(self.servers, self.desk, self.chooser)
         self.draining = False
@@ -135,6 +154,7 @@
             CacheRead: self._cache_read,
             SettingsParsed: self._settings_parsed,
             DrainRequested: self._drain_requested,
+            LeaseReply: self._lease_reply,
             Leave: self._cluster_event,
         }
         for kind in CLUSTER_EVENTS:
@@ -202,6 +222,7 @@
     ) -> list[Action]:
         before = self.servers.generation
         self.servers.listed(event.servers)
+        self.servers.starting = event.starting
         if self.servers.generation != before:
             self.fleet.changed()
         return self.desk.tick(now)
@@ -239,6 +260,7 @@
 
     def _items_changed(self, now: float, action: ItemsChanged) -> list[Action]:
         self.fleet.heard(now, action.items)
+        self.moves.heard(now, action.items)
         return [
             consequence
             for item in action.items
@@ -270,21 +292,31 @@
     ) -> list[Action]:
         if not self.directory.apply(event.revision, event.contracts):
             return []
+        self.moves.apply(now, event.moves)
         return self.desk.contracts_applied(now, event.contracts)
 
+    # Duties
+
+    def _lease_reply(self, now: float, event: LeaseReply) -> list[Action]:
+        return self.leases.handle(now, event)
+
     # Life
 
     def _tick(self, now: float, event: Tick) -> list[Action]:
         heard = self._absorb(now, self.cluster.handle(now, event))
+        judged = self._absorb(now, self.moves.tick(now))
+        duties = self.leases.tick(now) + self.move_duty.tick(now)
         moved = self.evacuation.tick(now)
-        return self._checked(heard + moved + self.desk.tick(now))
+        done = heard + judged + duties + moved + self.desk.tick(now)
+        return self._checked(done)
 
     def _drain_requested(
         self, now: float, event: DrainRequested
     ) -> list[Action]:
         self.draining = True
         told = self.cluster.handle(now, SetDraining(draining=True))
-        return self._checked(self._absorb(now, told))
+        resigned = self.leases.resign(now)
+        return self._checked(self._absorb(now, told) + resigned)
 
     def _checked(self, actions: list[Action]) -> list[Action]:
         """Add `Drained`, once, when a drain has come to its end."""
--- a/waxwingarch/core/servers.py
+++ b/waxwingarch/core/servers.py
@@ -26,6 +26,7 @@
     def __init__(self) -> None:
         self._servers: dict[ServerId, Server] = {}
         self._departures: dict[ServerId, Departure] = {}
+        self.starting: tuple[Server, ...] = ()
         self.generation = 0
 
     def listed(self, servers: Iterable[Server]) -> None:
--- a/waxwingarch/core/sizes.py
+++ b/waxwingarch/core/sizes.py
@@ -8,6 +8,7 @@
 
 from waxwingarch.core.items import (
     CacheSummary,
+    EvidenceCount,
     Item,
     LeavingServer,
     LoadSummary,
@@ -65,6 +66,20 @@
     return sum(_text(text) for text in texts)
 
 
+def _evidence_bytes(item: EvidenceCount) -> int:
+    texts = (item.move_id, item.host_id, item.version, item.route, item.band)
+    numbers = (
+        item.incarnation,
+        item.sequence,
+        item.requests,
+        item.failures,
+        item.timed,
+        item.slow,
+    )
+    flag = 2
+    return sum(_text(t) for t in texts) + sum(map(_varint, numbers)) + flag
+
+
 def item_bytes(item: Item) -> int:
     """Return at least the encoded size of an item in a datagram."""
     match item:
@@ -81,6 +96,8 @@
         case CacheSummary(server_id=server, blocks=blocks):
             numbers = _varint(item.incarnation) + _varint(item.sequence)
             size = _text(server) + numbers + 3 + HASH_BYTES * len(blocks)
+        case EvidenceCount():
+            size = _evidence_bytes(item)
     return NESTING_BYTES + size
 
 
--- a/waxwingarch/core/spread.py
+++ b/waxwingarch/core/spread.py
@@ -8,6 +8,7 @@
 from waxwingarch.core.digest import BucketDigest
 from waxwingarch.core.items import (
     CacheSummary,
+    EvidenceCount,
     Item,
     LeavingServer,
     LoadSummary,
@@ -30,6 +31,7 @@
     ItemKind.SHARE: 20_000,
     ItemKind.LOAD: 2_000,
     ItemKind.CACHE: 2_000,
+    ItemKind.EVIDENCE: 20_000,
 }
 
 DURABLE: Final = frozenset(
@@ -144,6 +146,8 @@
                 return unix_now < deadline + LEAVING_RETENTION_S
             case SpentShare(host_id=host, incarnation=incarnation):
                 return self._hosts.is_current(host, incarnation)
+            case EvidenceCount(host_id=host, incarnation=incarnation):
+                return self._hosts.is_current(host, incarnation)
             case LoadSummary(server_id=server, incarnation=incarnation):
                 return not self.is_leaving(server, incarnation)
             case CacheSummary(server_id=server, incarnation=incarnation):
--- a/waxwingarch/daemon.py
+++ b/waxwingarch/daemon.py
@@ -19,6 +19,7 @@
 from waxwingarch.adapters.platform_http import PlatformLink, TableBudget
 from waxwingarch.adapters.settings import Settings
 from waxwingarch.adapters.settings_table import SettingsTableReader
+from waxwingarch.adapters.settings_writer import SettingsTableWriter
 from waxwingarch.adapters.ticket import TicketBook
 from waxwingarch.adapters.trace import TraceHeader, TraceWriter
 from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_FORCED_STOP, EXIT_OK
@@ -39,6 +40,7 @@
 from waxwingarch.tasks.admin import Admin
 from waxwingarch.tasks.attempts import AttemptRunner
 from waxwingarch.tasks.claims import ClaimTasks
+from waxwingarch.tasks.control import Control
 from waxwingarch.tasks.entry import Entry
 from waxwingarch.tasks.exchange import Exchanges
 from waxwingarch.tasks.intake import Intake
@@ -75,8 +77,10 @@
             TableBudget.for_hosts(EXPECTED_HOSTS),
         )
         self._table = HttpTableStore(link)
-        self._platform = PlatformWatch(
-            self._runner, HttpCloud(link), self._host_id, rng
+        cloud = HttpCloud(link)
+        self._platform = PlatformWatch(self._runner, cloud, self._host_id, rng)
+        self._control = Control(
+            self._runner, self._table, cloud, SettingsTableWriter(self._table)
         )
         self._platform.on_own_notice = self._own_notice
         self._servers = ServerWatch(self._runner, self._client, rng)
@@ -215,6 +219,7 @@
         await self._attempts.async_unload()
         await self._claims.async_unload()
         await self._platform.async_unload()
+        await self._control.async_unload()
         await self._servers.async_unload()
         self._runner.post(Leave())
         await self._peers.async_stop()
--- a/waxwingarch/tasks/platform_watch.py
+++ b/waxwingarch/tasks/platform_watch.py
@@ -91,7 +91,12 @@
             for entry in listed.servers
             if entry.state is not ServerState.STARTING
         )
-        self._runner.post(ServersListed(servers=live))
+        starting = tuple(
+            entry.server
+            for entry in listed.servers
+            if entry.state is ServerState.STARTING
+        )
+        self._runner.post(ServersListed(servers=live, starting=starting))
         for entry in listed.servers:
             if entry.state is ServerState.LEAVING:
                 self._leaving(
--- a/waxwingarch/tasks/settings_apply.py
+++ b/waxwingarch/tasks/settings_apply.py
@@ -2,17 +2,20 @@
 
 from typing import Final
 
+import orjson
 from eliot import log_message
 
 from waxwingarch.adapters.contract_ini import parse_contract
 from waxwingarch.core.configsync import ApplySettings
 from waxwingarch.core.contract import Contract
 from waxwingarch.core.events import SettingsParsed
+from waxwingarch.core.move_record import MoveRecord, from_json
 from waxwingarch.core.settings import Document
 from waxwingarch.exceptions import SettingsError
 from waxwingarch.tasks.runner import Runner
 
 CONTRACT_PREFIX: Final = "contract/"
+MOVE_PREFIX: Final = "move/"
 
 
 class SettingsApply:
@@ -30,13 +33,27 @@
             for document in snapshot.documents
             if document.name.startswith(CONTRACT_PREFIX)
         ]
+        moves = [
+            self._move(document)
+            for document in snapshot.documents
+            if document.name.startswith(MOVE_PREFIX)
+        ]
         self._runner.post(
             SettingsParsed(
                 revision=snapshot.revision,
                 contracts=tuple(c for c in contracts if c is not None),
+                moves=tuple(m for m in moves if m is not None),
             )
         )
 
+    def _move(self, document: Document) -> MoveRecord | None:
+        """Read a stored move; one that is broken is left out."""
+        try:
+            return from_json(orjson.loads(document.text))
+        except ValueError as exc:
+            log_message(message_type="move_broken", reason=str(exc))
+            return None
+
     def _contract(self, document: Document) -> Contract | None:
         """Parse a stored contract; one that is broken is left out."""
         try:
