Hand the progress of a reclaimed entry host's streams to its peers

Cause: an entry host that is reclaimed together with the engine that holds a stream took the tokens seen so far with it. Each stream's progress now goes to keepers in other failure domains at the notice and again before the connections close; a caller that comes with Last-Event-ID gets it from there. A host without settings answered 401 to a known key; it says 503, not ready.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -120,7 +120,6 @@
     platform: str = ""
     servers: dict[str, dict[str, Any]] = field(default_factory=dict)
     hosts: dict[str, HostAddresses] = field(default_factory=dict)
-    revision: int = 0
 
     def start_platform(self, *options: str) -> None:
         """Start the platform with an empty list of hosts."""
@@ -276,20 +275,26 @@
 
     def put_contracts(self, *texts: str) -> None:
         """Write contracts straight into the table, as one revision."""
-        self.revision += 1
+        documents = {f"contract/{n}": text for n, text in enumerate(texts)}
+        self.put_documents(documents)
+
+    def put_documents(self, documents: dict[str, str]) -> None:
+        """Write settings documents into the table, as one revision."""
+        row = http_json("GET", self.platform, "/v1/table/settings/revision")
+        known = row.body["value"] or {"revision": 0}
         writes: list[dict[str, Any]] = [
             {
                 "table": "settings",
-                "key": f"doc/contract/{n}",
+                "key": f"doc/{name}",
                 "value": {"text": text},
             }
-            for n, text in enumerate(texts)
+            for name, text in documents.items()
         ]
         writes.append(
             {
                 "table": "settings",
                 "key": "revision",
-                "value": {"revision": self.revision},
+                "value": {"revision": known["revision"] + 1},
             }
         )
         answer = http_json(
@@ -299,7 +304,7 @@
             {"conditions": [], "writes": writes},
         )
         if answer.status != 200:
-            raise AssertionError(f"contracts not written: {answer.body}")
+            raise AssertionError(f"settings not written: {answer.body}")
 
     def admin(
         self, name: str, method: str, path: str, body: object = None
--- a/tests/faults/base.py
+++ b/tests/faults/base.py
@@ -7,7 +7,12 @@
 
 from standins.client import Answer, Ask, Caller
 from standins.cluster import Cluster, JsonAnswer, http_json
-from standins.deployment import ACCOUNT_KEY, Deployment, contract_text
+from standins.deployment import (
+    ACCOUNT_KEY,
+    Deployment,
+    contract_text,
+    wait_until,
+)
 from tests.helpers import ASYNC_TEST_LIMIT_S
 
 AUTHORIZATION = {"authorization": f"Bearer {ACCOUNT_KEY}"}
@@ -88,6 +93,22 @@
 
         return asyncio.run(asyncio.wait_for(run(), ASYNC_TEST_LIMIT_S))
 
+    def wait_for_tokens(self, host: str) -> str:
+        """Wait for a stream in progress; return the engine it is on."""
+        found: list[str] = []
+
+        def running() -> bool:
+            dump = self.dep.admin(host, "GET", "/admin/dump").body
+            found.extend(
+                request["server"]
+                for request in dump["requests"]
+                if request["tokens"] > 5
+            )
+            return bool(found)
+
+        wait_until(running, "a stream is in progress")
+        return found[0]
+
     def journal_of_engines(self, what: str) -> list[Any]:
         """Return the entries of all engines that still run."""
         return [
--- /dev/null
+++ b/tests/faults/test_leaving.py
@@ -0,0 +1,71 @@
+"""A leaving server gets nothing new."""
+
+import time
+
+from standins.client import Ask
+from standins.deployment import wait_until
+from tests.faults.base import FaultCase
+
+QUIET_AFTER_S = 3.0
+
+
+class LeavingServer(FaultCase):
+    hosts = 3
+
+    def begun_on(self, name: str) -> list[float]:
+        return [entry["at"] for entry in self.cluster.journal(name, "begun")]
+
+    def test_nothing_after_the_limit_with_a_stale_list(self) -> None:
+        self.cluster.fault("platform", "stale_list")
+        noticed_at = time.time()
+        self.cluster.fault(
+            "platform",
+            "notice",
+            server_id="engine-1",
+            deadline_s=20,
+            stop=False,
+        )
+        entries = [self.http_of(name) for name in self.dep.hosts]
+        while time.time() < noticed_at + 2 * QUIET_AFTER_S:
+            asks = [
+                Ask(prompt=f"{time.time()} {n}", max_tokens=4)
+                for n in range(6)
+            ]
+            for answer in self.ask_all(asks, entries):
+                self.assertTrue(answer.right, answer)
+        late = [
+            at
+            for at in self.begun_on("engine-1")
+            if at > noticed_at + QUIET_AFTER_S
+        ]
+        self.assertEqual([], late)
+        self.assertGreater(len(self.begun_on("engine-2")), 6)
+
+    def test_heard_by_one_host_that_is_killed(self) -> None:
+        """The notice spreads by gossip before its only hearer dies."""
+        for name in ("entry-2", "entry-3"):
+            self.cluster.kill(name)
+        self.cluster.fault("platform", "drop_notices")
+        self.cluster.clear_faults("platform")
+        self.cluster.fault(
+            "platform",
+            "notice",
+            server_id="engine-1",
+            deadline_s=60,
+            stop=False,
+        )
+        wait_until(lambda: self.knows("entry-1"), "entry-1 knows")
+        self.cluster.fault("platform", "down")
+        for name in ("entry-2", "entry-3"):
+            self.dep.start_host(name)
+        wait_until(
+            lambda: self.knows("entry-2") and self.knows("entry-3"),
+            "the others know",
+            QUIET_AFTER_S,
+        )
+        self.cluster.kill("entry-1")
+        self.assertTrue(self.knows("entry-2"))
+
+    def knows(self, name: str) -> bool:
+        marks = self.dep.admin(name, "GET", "/admin/dump").body["leaving"]
+        return "engine-1" in marks
--- a/tests/faults/test_streams.py
+++ b/tests/faults/test_streams.py
@@ -3,32 +3,17 @@
 import signal
 
 from standins.client import Ask
-from standins.deployment import wait_until
 from tests.faults.base import FaultCase
 
 LONG = Ask(prompt="draft a long appeal to our donors", max_tokens=80)
 
 
 class EngineLost(FaultCase):
-    def busy_engine(self) -> str:
-        """Wait for a stream in progress; return the engine it is on."""
-        found: list[str] = []
-
-        def running() -> bool:
-            dump = self.dep.admin("entry-1", "GET", "/admin/dump").body
-            found.extend(
-                request["server"]
-                for request in dump["requests"]
-                if request["tokens"] > 5
-            )
-            return bool(found)
-
-        wait_until(running, "a stream is in progress")
-        return found[0]
-
     def test_killed_engine(self) -> None:
         def kill() -> None:
-            self.cluster.signal(self.busy_engine(), signal.SIGKILL)
+            self.cluster.signal(
+                self.wait_for_tokens("entry-1"), signal.SIGKILL
+            )
 
         [answer] = self.ask_all([LONG], [self.http_of("entry-1")], kill)
         self.assertTrue(answer.right, answer)
@@ -36,7 +21,7 @@
 
     def test_silent_connection(self) -> None:
         def silence() -> None:
-            self.cluster.fault(self.busy_engine(), "silent")
+            self.cluster.fault(self.wait_for_tokens("entry-1"), "silent")
 
         [answer] = self.ask_all([LONG], [self.http_of("entry-1")], silence)
         self.assertTrue(answer.right, answer)
@@ -45,7 +30,9 @@
 
     def test_frozen_engine(self) -> None:
         def freeze() -> None:
-            self.cluster.signal(self.busy_engine(), signal.SIGSTOP)
+            self.cluster.signal(
+                self.wait_for_tokens("entry-1"), signal.SIGSTOP
+            )
 
         [answer] = self.ask_all([LONG], [self.http_of("entry-1")], freeze)
         self.assertTrue(answer.right, answer)
@@ -55,7 +42,7 @@
             self.cluster.fault(
                 "platform",
                 "notice",
-                server_id=self.busy_engine(),
+                server_id=self.wait_for_tokens("entry-1"),
                 deadline_s=1.5,
             )
 
@@ -81,11 +68,7 @@
         entries = [self.http_of("entry-1"), self.http_of("entry-2")]
 
         def kill() -> None:
-            def running() -> bool:
-                dump = self.dep.admin("entry-1", "GET", "/admin/dump").body
-                return any(r["tokens"] > 5 for r in dump["requests"])
-
-            wait_until(running, "a stream is in progress")
+            self.wait_for_tokens("entry-1")
             self.cluster.kill("entry-1")
 
         [answer] = self.ask_all([LONG], entries, kill)
--- a/waxwingarch/const.py
+++ b/waxwingarch/const.py
@@ -8,6 +8,7 @@
 HEADER_LAST_EVENT_ID: Final = "last-event-id"
 HEADER_NON_IDEMPOTENT: Final = "x-non-idempotent"
 HEADER_REPLAYED: Final = "x-replayed"
+HEADER_RESUME_ID: Final = "x-resume-id"
 HEADER_REQUEST_ID: Final = "x-request-id"
 HEADER_DEADLINE_MS: Final = "x-deadline-ms"
 
--- a/waxwingarch/core/desk.py
+++ b/waxwingarch/core/desk.py
@@ -1,5 +1,6 @@
 """Requests in progress on a node: admission, attempts, final answers."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final, Protocol
 
@@ -20,6 +21,8 @@
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.request import (
     AttemptEvent,
+    FetchHandOver,
+    HandOverFetched,
     Refuse,
     Request,
 )
@@ -28,6 +31,7 @@
 from waxwingarch.core.stream import StreamMachine, StreamState
 
 RETRY_PAUSE_S: Final = 0.1
+FETCH_LIMIT_S: Final = 1.0
 DURATION_WEIGHT: Final = 0.1
 NO_SERVER_RETRY_AFTER_S: Final = 2.0
 
@@ -49,6 +53,7 @@
     attempt_at: float = 0.0
     tokens_before: int = 0
     target: ServerId | None = None
+    fetched: bool = False
     retry_at: float = 0.0
     tried: int = 0
 
@@ -80,8 +85,10 @@
         chooser: Chooser,
         owners: OwnerView,
         observer: AttemptObserver,
+        keepers: Callable[[str], tuple[str, ...]],
     ) -> None:
         self._observer = observer
+        self._keepers = keepers
         self._identity = identity
         self._owners = owners
         self._admission = admission
@@ -130,6 +137,26 @@
             return []
         return self._after(now, work, work.machine.reply(now, event.reply))
 
+    def hand_over_fetched(
+        self, now: float, event: HandOverFetched
+    ) -> list[Action]:
+        """Go on from what another entry host had seen."""
+        work = self._works.get(event.request_id)
+        if work is None or not isinstance(work.machine, StreamMachine):
+            return []
+        if work.machine.state is not StreamState.WAITING:
+            return []
+        work.machine.preload(event.tokens)
+        work.retry_at = now
+        return self._after(now, work, [])
+
+    def let_go(self, now: float, request_id: RequestId) -> list[Action]:
+        """Forget a stream that goes on elsewhere; its server goes on."""
+        work = self._works.get(request_id)
+        if work is None or not isinstance(work.machine, StreamMachine):
+            return []
+        return self._after(now, work, work.machine.let_go())
+
     def may_dispatch(self, now: float, request_id: RequestId) -> bool:
         """Return whether a request that runs at most once may be sent."""
         work = self._works.get(request_id)
@@ -236,8 +263,23 @@
         self._note_attempt_end(now, work, Outcome.FAILED)
         if now < work.retry_at:
             return actions
+        if machine.request.resume and not work.fetched:
+            return [*actions, self._fetch(now, work)]
         return actions + self._assign(now, work)
 
+    def _fetch(self, now: float, work: _Work) -> Action:
+        """Ask peers what was seen of a stream that no server holds."""
+        resume = work.machine.request.resume
+        assert resume is not None
+        work.fetched = True
+        work.retry_at = now + FETCH_LIMIT_S
+        key = RequestId(resume.stream_id.rpartition("-")[0])
+        return FetchHandOver(
+            request_id=work.machine.request.request_id,
+            key=key,
+            peers=self._keepers(key),
+        )
+
     def _assign(self, now: float, work: _Work) -> list[Action]:
         request = work.machine.request
         again = work.tried and work.target is None
--- a/waxwingarch/core/fleet.py
+++ b/waxwingarch/core/fleet.py
@@ -15,6 +15,7 @@
 from waxwingarch.core.watch import Duty, RoutedServer, Routing
 
 WATCHERS_PER_SERVER: Final = 2
+KEEPERS: Final = 3
 DIRECT_FROM_HOSTS: Final = 17
 CACHE_PUBLISH_PERIOD_S: Final = 5.0
 SLOT_OVERCOMMIT: Final = 2.0
@@ -66,6 +67,18 @@
             return member.incarnation > incarnation
         return member.state is MemberState.LEFT
 
+    def keepers(self, key: str) -> tuple[str, ...]:
+        """Return the gRPC addresses of the hosts that keep a hand-over."""
+        hosts = self._cluster.duties().responsible(
+            key, Duty.KEEP_HAND_OVER, KEEPERS
+        )
+        members = [self._cluster.membership.member(h) for h in hosts]
+        return tuple(
+            m.addresses.peer_tcp
+            for m in members
+            if m and m.host_id != self._own
+        )
+
     def changed(self) -> None:
         """Work out subsets and duties anew: members or servers changed."""
         hosts = self._hosts()
--- a/waxwingarch/core/node.py
+++ b/waxwingarch/core/node.py
@@ -45,6 +45,7 @@
 )
 from waxwingarch.core.fleet import Fleet
 from waxwingarch.core.guarded import Identity, OnceReply
+from waxwingarch.core.handoff import HandOff, OwnHostLeaving
 from waxwingarch.core.items import LeavingServer
 from waxwingarch.core.members import Member
 from waxwingarch.core.messages import DatagramReceived, Tick
@@ -58,6 +59,7 @@
     AttemptEvent,
     AttemptLost,
     ChunkArrived,
+    HandOverFetched,
     PlainAnswered,
     Refuse,
     Request,
@@ -122,7 +124,9 @@
             self.chooser,
             self.fleet,
             self.moves,
+            self.fleet.keepers,
         )
+        self.hand_off = HandOff(self.desk, self.fleet.keepers, unix_offset)
         self.leases = DutyLeases(self.cluster, (MOVES_DUTY,))
         self.move_duty = MoveDuty(
             self.cluster,
@@ -155,6 +159,8 @@
             SettingsParsed: self._settings_parsed,
             DrainRequested: self._drain_requested,
             LeaseReply: self._lease_reply,
+            HandOverFetched: self._hand_over_fetched,
+            OwnHostLeaving: self._own_host_leaving,
             Leave: self._cluster_event,
         }
         for kind in CLUSTER_EVENTS:
@@ -306,6 +312,7 @@
         heard = self._absorb(now, self.cluster.handle(now, event))
         judged = self._absorb(now, self.moves.tick(now))
         duties = self.leases.tick(now) + self.move_duty.tick(now)
+        duties += self.hand_off.tick(now)
         moved = self.evacuation.tick(now)
         done = heard + judged + duties + moved + self.desk.tick(now)
         return self._checked(done)
@@ -318,6 +325,17 @@
         resigned = self.leases.resign(now)
         return self._checked(self._absorb(now, told) + resigned)
 
+    def _own_host_leaving(
+        self, now: float, event: OwnHostLeaving
+    ) -> list[Action]:
+        drained = self._drain_requested(now, DrainRequested())
+        return drained + self.hand_off.begin(now, event)
+
+    def _hand_over_fetched(
+        self, now: float, event: HandOverFetched
+    ) -> list[Action]:
+        return self._checked(self.desk.hand_over_fetched(now, event))
+
     def _checked(self, actions: list[Action]) -> list[Action]:
         """Add `Drained`, once, when a drain has come to its end."""
         done = self.draining and not self.desk.in_progress
--- a/waxwingarch/core/request.py
+++ b/waxwingarch/core/request.py
@@ -160,6 +160,23 @@
     cancel: bool
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FetchHandOver(Action):
+    """Ask peers ("ip:port" each) for the progress kept under a key."""
+
+    request_id: RequestId
+    key: RequestId
+    peers: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HandOverFetched(Event):
+    """What peers keep of a request; no tokens if they keep nothing."""
+
+    request_id: RequestId
+    tokens: tuple[str, ...]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Deliver(Action):
     """Pass tokens on to the caller; `digest` is over all up to here."""
--- a/waxwingarch/core/stream.py
+++ b/waxwingarch/core/stream.py
@@ -93,6 +93,7 @@
         self._attempts = 0
         self._attaches = 0
         self._kv_from: KvSource | None = None
+        self._undelivered: tuple[str, ...] = ()
         self._handlers: dict[
             type[AttemptEvent], Callable[[float, AttemptEvent], list[Action]]
         ] = {
@@ -125,8 +126,11 @@
         return self._start(now, server, stream_id, AttemptMode.ATTACH)
 
     def preload(self, tokens: tuple[str, ...]) -> None:
-        """Take over the tokens that another entry host had seen."""
-        self.assembly.add(0, tokens)
+        """Take over the tokens that another entry host had seen.
+
+        Those that the caller lacks are delivered with the next chunk.
+        """
+        self._undelivered = self.assembly.add(0, tokens)
 
     def handle(self, now: float, event: AttemptEvent) -> list[Action]:
         """Take an event of an attempt; those of old attempts are void."""
@@ -152,6 +156,14 @@
         self._wait()
         return drop
 
+    def let_go(self) -> list[Action]:
+        """End here without a final answer; the server goes on."""
+        if self.finished:
+            return []
+        drop = self._drop(cancel=False)
+        self.state = StreamState.CANCELLED
+        return drop
+
     def caller_gone(self) -> list[Action]:
         """Stop the work: nobody reads the answer."""
         if self.finished:
@@ -252,12 +264,16 @@
                 RefusalReason.RESUME_MISMATCH,
                 "start anew without Last-Event-ID: the answer has changed",
             )
+        fresh, self._undelivered = self._undelivered + fresh, ()
         self._note_progress(now)
         self._attaches = 0
-        if not fresh:
-            return []
-        if self.first_token_at is None:
+        if fresh and self.first_token_at is None:
             self.first_token_at = now
+        return self._deliver(fresh)
+
+    def _deliver(self, fresh: tuple[str, ...]) -> list[Action]:
+        if not fresh or self.attempt is None:
+            return []
         return [
             Deliver(
                 request_id=self.request.request_id,
@@ -276,13 +292,15 @@
             kind = LossKind.GAP if short else LossKind.MISMATCH
             return self._lose(now, kind)
         self.state = StreamState.DONE
+        left, self._undelivered = self._undelivered, ()
         return [
+            *self._deliver(left),
             Complete(
                 request_id=self.request.request_id,
                 attempt_id=self.attempt.attempt_id,
                 total=event.total,
                 digest=event.digest,
-            )
+            ),
         ]
 
     def _lose(self, now: float, kind: LossKind) -> list[Action]:
--- a/waxwingarch/daemon.py
+++ b/waxwingarch/daemon.py
@@ -31,6 +31,7 @@
     ReadSettings,
 )
 from waxwingarch.core.events import Drained, DrainRequested
+from waxwingarch.core.handoff import OwnHostLeaving
 from waxwingarch.core.handover import HandOver
 from waxwingarch.core.members import Addresses, Member, MemberState
 from waxwingarch.core.messages import SendPeer
@@ -43,6 +44,7 @@
 from waxwingarch.tasks.control import Control
 from waxwingarch.tasks.entry import Entry
 from waxwingarch.tasks.exchange import Exchanges
+from waxwingarch.tasks.handovers import HandOverShelf, HandOverTasks
 from waxwingarch.tasks.intake import Intake
 from waxwingarch.tasks.peer_transport import PeerTransport, TransportConfig
 from waxwingarch.tasks.platform_watch import PlatformWatch
@@ -90,6 +92,7 @@
             self,
             self._runner.post,
         )
+        self._shelf = HandOverShelf()
         self._build_caller_side(HttpObjectStore(link))
         self._admin = Admin(settings.security.operator_key, on_error)
         self._admin.add("GET", "/admin/dump", self._async_dump)
@@ -146,6 +149,9 @@
         self._claims = ClaimTasks(
             self._runner, exchanges, self._client, self._table, objects
         )
+        self._hand_overs = HandOverTasks(
+            self._runner, exchanges, self._peers.peers, self._shelf
+        )
         id_prefix = f"{self._host_id}-{self._incarnation:x}"
         self._entry = Entry(
             self._runner,
@@ -165,11 +171,11 @@
 
     def keep_hand_over(self, hand_over: HandOver) -> bool:
         """Keep the progress of a request for a peer."""
-        return False
+        return self._shelf.keep(hand_over)
 
     def hand_over(self, request_id: RequestId) -> HandOver | None:
         """Return the progress of a request kept here."""
-        return None
+        return self._shelf.find(request_id)
 
     def dump_state(self) -> str:
         """Return the state of this process as JSON."""
@@ -216,6 +222,7 @@
 
     async def _async_unload(self) -> None:
         await self._entry.async_unload()
+        await self._hand_overs.async_unload()
         await self._attempts.async_unload()
         await self._claims.async_unload()
         await self._platform.async_unload()
@@ -250,8 +257,12 @@
     # Actions and calls
 
     def _own_notice(self, notice: Notice) -> None:
-        if not self.node.draining:
-            self.drain()
+        """Stop gracefully by a deadline: this host is reclaimed."""
+        log_message(
+            message_type="reclaimed", deadline_unix=notice.deadline_unix
+        )
+        self._entry.server.start_drain()
+        self._runner.post(OwnHostLeaving(deadline_unix=notice.deadline_unix))
 
     def _on_drained(self, action: Action) -> None:
         self._drained.set()
--- a/waxwingarch/diagnostics.py
+++ b/waxwingarch/diagnostics.py
@@ -6,6 +6,8 @@
 
 from waxwingarch.adapters.settings import Settings
 from waxwingarch.const import VERSION
+from waxwingarch.core.items import LeavingServer
+from waxwingarch.core.merge import ItemKind
 from waxwingarch.core.node import Node
 from waxwingarch.core.stream import StreamMachine
 
@@ -47,6 +49,40 @@
             }
             for machine in node.desk.machines()
         ],
+        "moves": [
+            {
+                "move_id": record.move_id,
+                "service": record.service,
+                "new_version": record.new_version,
+                "state": record.state.value,
+                "share": record.share,
+                "explanation": record.explain(),
+            }
+            for record in node.moves.records()
+        ],
+        "stop_marks": [
+            {
+                "move_id": mark.move_id,
+                "version": mark.version,
+                "reason": mark.reason,
+            }
+            for mark in node.moves.stop_marks()
+        ],
+        "leaving": [
+            item.server_id
+            for item in node.cluster.store.items(ItemKind.LEAVING)
+            if isinstance(item, LeavingServer)
+        ],
+        "members": [
+            {
+                "host_id": member.host_id,
+                "incarnation": member.incarnation,
+                "state": member.state.value,
+                "failure_domain": member.failure_domain,
+                "draining": member.draining,
+            }
+            for member in node.cluster.membership.members()
+        ],
         "servers": [
             {
                 "server_id": server.server_id,
--- a/waxwingarch/tasks/entry.py
+++ b/waxwingarch/tasks/entry.py
@@ -22,7 +22,11 @@
 )
 from waxwingarch.adapters.sse import sse_event
 from waxwingarch.adapters.ticket import TicketBook
-from waxwingarch.const import HEADER_REPLAYED, HEADER_REQUEST_ID
+from waxwingarch.const import (
+    HEADER_REPLAYED,
+    HEADER_REQUEST_ID,
+    HEADER_RESUME_ID,
+)
 from waxwingarch.core.base import Ran, ServerKind
 from waxwingarch.core.events import CallerGone, RequestArrived
 from waxwingarch.core.guarded import OnceAnswer
@@ -30,7 +34,7 @@
 from waxwingarch.core.request import Complete, Deliver, Refuse, ResumeFrom
 from waxwingarch.exceptions import PlatformUnavailableError
 from waxwingarch.ports.objects import ObjectStore
-from waxwingarch.tasks.exchange import Exchange, Exchanges
+from waxwingarch.tasks.exchange import CallerClosed, Exchange, Exchanges
 from waxwingarch.tasks.intake import Intake, IntakeError
 from waxwingarch.tasks.runner import Runner
 
@@ -41,6 +45,7 @@
 )
 JSON_HEADERS: Final = (("content-type", "application/json"),)
 FETCH_LIMIT_S: Final = 5.0
+GO_ON_AFTER_S: Final = 1.0
 ANSWER_NOT_AT_HAND: Final = Refusal(
     reason=RefusalReason.STORE_DOWN,
     ran=Ran.UNKNOWN,
@@ -150,7 +155,7 @@
             return PlainAnswer(exchange, resp)
         if exchange.payload.get("stream"):
             return StreamedAnswer(exchange, resp, self._tickets)
-        return WholeAnswer(exchange, resp)
+        return WholeAnswer(exchange, resp, self._tickets)
 
 
 class Answer:
@@ -178,6 +183,9 @@
             if isinstance(last, Refuse):
                 await self.async_refuse(last.refusal)
                 return last.refusal.reason.value
+            if isinstance(last, CallerClosed):
+                await self.async_close(last)
+                return "handed over"
             if isinstance(last, Complete | OnceAnswer):
                 await self.async_complete(last)
                 return "done"
@@ -188,6 +196,10 @@
     async def async_complete(self, outcome: Complete | OnceAnswer) -> None:
         """End a whole answer."""
 
+    async def async_close(self, outcome: CallerClosed) -> None:
+        """Close the connection; the caller goes on from its last event."""
+        self._resp.abort()
+
     async def async_refuse(self, refusal: Refusal) -> None:
         """Send the final answer of a request that is not served."""
         await _async_refuse(
@@ -252,10 +264,27 @@
 class WholeAnswer(Answer):
     """Collects tokens and sends them at the end."""
 
-    def __init__(self, exchange: Exchange, resp: HttpResponder) -> None:
+    def __init__(
+        self, exchange: Exchange, resp: HttpResponder, tickets: TicketBook
+    ) -> None:
         super().__init__(exchange, resp)
+        self._tickets = tickets
         self._tokens: list[str] = []
 
+    async def async_close(self, outcome: CallerClosed) -> None:
+        """Tell the caller how to get the whole answer elsewhere."""
+        ticket = self._tickets.issue(
+            self._exchange.request.account,
+            ResumeFrom(
+                server_id=outcome.server_id,
+                stream_id=outcome.stream_id,
+                offset=0,
+                digest="",
+            ),
+        )
+        self._headers.append((HEADER_RESUME_ID, ticket))
+        await self.async_refuse(moved_on(ticket))
+
     async def async_deliver(self, delivered: list[Deliver]) -> None:
         """Keep tokens."""
         for outcome in delivered:
@@ -274,6 +303,16 @@
         await self._resp.async_send(200, body, [*JSON_HEADERS, *self._headers])
 
 
+def moved_on(ticket: str) -> Refusal:
+    """Return the answer to a caller of a host that goes."""
+    return Refusal(
+        reason=RefusalReason.DRAINING,
+        ran=Ran.UNKNOWN,
+        message=f"this host goes: send it again with Last-Event-ID: {ticket}",
+        retry_after_s=GO_ON_AFTER_S,
+    )
+
+
 class StreamedAnswer(Answer):
     """Sends tokens as they come, with ids to go on from."""
 
--- a/waxwingarch/tasks/exchange.py
+++ b/waxwingarch/tasks/exchange.py
@@ -6,11 +6,21 @@
 from typing import Any
 
 from waxwingarch.adapters.http_client import HttpAnswer
-from waxwingarch.core.base import AttemptId, RequestId
+from waxwingarch.core.base import AttemptId, RequestId, ServerId
 from waxwingarch.core.guarded import OnceAnswer
 from waxwingarch.core.request import Complete, Deliver, Refuse, Request
 
-Outcome = Deliver | Complete | Refuse | OnceAnswer
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerClosed:
+    """This host goes: the caller goes on through another one."""
+
+    request_id: RequestId
+    server_id: ServerId
+    stream_id: str
+
+
+Outcome = CallerClosed | Deliver | Complete | Refuse | OnceAnswer
 
 
 @dataclass(kw_only=True, slots=True)
--- a/waxwingarch/tasks/intake.py
+++ b/waxwingarch/tasks/intake.py
@@ -30,6 +30,7 @@
 
 MS_PER_S: Final = 1000.0
 MAX_KEY_CHARS: Final = 200
+NOT_READY_RETRY_AFTER_S: Final = 1.0
 BEARER: Final = "bearer "
 TRUE_WORDS: Final = frozenset({"1", "true", "yes"})
 
@@ -37,9 +38,19 @@
 class IntakeError(WaxwingError):
     """A request is refused before any decision; it did not run."""
 
-    def __init__(self, reason: RefusalReason, message: str) -> None:
+    def __init__(
+        self,
+        reason: RefusalReason,
+        message: str,
+        retry_after_s: float | None = None,
+    ) -> None:
         super().__init__(message)
-        self.refusal = Refusal(reason=reason, ran=Ran.NOT_RUN, message=message)
+        self.refusal = Refusal(
+            reason=reason,
+            ran=Ran.NOT_RUN,
+            message=message,
+            retry_after_s=retry_after_s,
+        )
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -69,6 +80,12 @@
         self, now: float, request_id: RequestId, req: HttpRequest
     ) -> Exchange:
         """Return the exchange of a request; raises `IntakeError`."""
+        if not self._directory.revision:
+            raise IntakeError(
+                RefusalReason.NOT_READY,
+                "this host has no settings yet: send it again",
+                NOT_READY_RETRY_AFTER_S,
+            )
         caller = self._identify(req)
         if req.path in ENGINE_PATHS:
             return self._engine(now, request_id, req, caller)
