Write an accepted configuration once

Cause: operators race, and a reply can be lost after the write took effect. Change: documents and one revision row in one transaction, conditional on the revision row; the change id in that row settles a lost reply. A loser gets a typed conflict that names the newer revision. Ruled out: a revision row for each document, since a change of several would not be one revision.

--- /dev/null
+++ b/tests/adapters/test_settings_store.py
@@ -0,0 +1,102 @@
+"""Tests of writing accepted configurations."""
+
+import asyncio
+
+import testtools
+
+from tests.adapters.fake_table import FakeTable
+from tests.helpers import async_test
+from waxwingarch.adapters.settings_store import (
+    ChangeUnknownError,
+    RevisionConflictError,
+    SettingsStore,
+    StoredDocument,
+)
+from waxwingarch.core.revision import (
+    MAX_DOCUMENTS_A_CHANGE,
+    ChangedDocument,
+    RevisionRow,
+    SettingsChange,
+)
+from waxwingarch.exceptions import SettingsError
+from waxwingarch.ports.table import TableUnavailableError
+
+
+def _change(
+    change_id: str, base: int, **documents: str | None
+) -> SettingsChange:
+    return SettingsChange(
+        change_id=change_id,
+        base_revision=base,
+        documents=tuple(
+            ChangedDocument(name=name, text=text)
+            for name, text in documents.items()
+        ),
+    )
+
+
+class Changes(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = FakeTable()
+        self.store = SettingsStore(self.table)
+
+    async def _apply(self, change: SettingsChange) -> int:
+        deadline = asyncio.get_running_loop().time() + 10
+        return await self.store.async_apply(change, deadline=deadline)
+
+    @async_test
+    async def test_writes_documents_with_the_revision(self) -> None:
+        self.assertEqual(1, await self._apply(_change("x", 0, a="1", b="2")))
+        self.assertEqual(2, await self._apply(_change("y", 1, a=None, c="3")))
+        loaded = await self.store.async_load(deadline=1e9)
+        self.assertEqual(2, loaded.revision)
+        expected = (
+            StoredDocument(name="b", text="2", revision=1),
+            StoredDocument(name="c", text="3", revision=2),
+        )
+        self.assertEqual(expected, loaded.documents)
+        got = await self.store.async_document("b", deadline=1e9)
+        self.assertEqual(expected[0], got)
+
+    @async_test
+    async def test_the_loser_of_a_race_learns_the_newer(self) -> None:
+        await self._apply(_change("x", 0, a="1"))
+        with testtools.ExpectedException(
+            RevisionConflictError, ".*1 is newer"
+        ):
+            await self._apply(_change("y", 0, a="2"))
+        loaded = await self.store.async_load(deadline=1e9)
+        self.assertEqual("1", loaded.documents[0].text)
+
+    @async_test
+    async def test_a_lost_reply_applies_once(self) -> None:
+        self.table.faults = ["", "lost"]
+        self.assertEqual(1, await self._apply(_change("x", 0, a="1")))
+        self.table.faults = ["", "dropped"]
+        self.assertEqual(2, await self._apply(_change("y", 1, a="2")))
+        self.assertEqual(2, self.table.transactions)
+        self.assertEqual(1, await self._apply(_change("x", 0, a="1")))
+        self.assertEqual(2, self.table.transactions)
+
+    @async_test
+    async def test_tells_not_applied_from_unknown(self) -> None:
+        self.table.faults = ["", "down"]
+        with testtools.ExpectedException(TableUnavailableError):
+            await self._apply(_change("x", 0, a="1"))
+        self.table.faults = ["", "lost", *["down"] * 10]
+        with testtools.ExpectedException(ChangeUnknownError):
+            await self._apply(_change("x", 0, a="1"))
+        self.table.faults = []
+        self.assertEqual(1, await self._apply(_change("x", 0, a="1")))
+        self.assertEqual(1, self.table.transactions)
+
+    @async_test
+    async def test_refuses_what_does_not_fit_one_transaction(self) -> None:
+        names = {f"d{n}": "" for n in range(MAX_DOCUMENTS_A_CHANGE + 1)}
+        with testtools.ExpectedException(SettingsError):
+            await self._apply(_change("x", 0, **names))
+
+    def test_codec(self) -> None:
+        row = RevisionRow().after(_change("x", 0, a="1"))
+        self.assertEqual(row, RevisionRow.from_json(row.to_json()))
--- /dev/null
+++ b/waxwingarch/adapters/settings_store.py
@@ -0,0 +1,214 @@
+"""Writes and reads accepted configurations in the table service."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Final
+
+from waxwingarch.core.base import Action, Event
+from waxwingarch.core.revision import (
+    DOCUMENT_PREFIX,
+    MAX_DOCUMENTS_A_CHANGE,
+    REVISION_KEY,
+    SETTINGS_TABLE,
+    ChangeCommitted,
+    ChangeEnd,
+    ChangeFinished,
+    ChangeMachine,
+    ChangeNotApplied,
+    ChangeReplyLost,
+    CommitChange,
+    ReadRevision,
+    RevisionRead,
+    RevisionUnreadable,
+    SettingsChange,
+    revision_of,
+)
+from waxwingarch.exceptions import ConflictError, SettingsError
+from waxwingarch.ports.table import (
+    Conflict,
+    TableReplyLostError,
+    TableStore,
+    TableUnavailableError,
+)
+
+CALL_LIMIT_S: Final = 2.0
+PAGE_ROWS: Final = 500
+MAX_SCANS: Final = 5
+
+
+class RevisionConflictError(ConflictError):
+    """Another change was accepted first; edit the newer revision."""
+
+    def __init__(self, revision: int) -> None:
+        super().__init__(
+            f"revision {revision} is newer; fetch it and apply again"
+        )
+        self.revision = revision
+
+
+class ChangeUnknownError(TableReplyLostError):
+    """The change may be applied; send it again with the same id."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoredDocument:
+    """A document as stored, and the revision that last changed it."""
+
+    name: str
+    text: str
+    revision: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoredSettings:
+    """One whole revision; documents in order of their names."""
+
+    revision: int
+    documents: tuple[StoredDocument, ...]
+
+
+class SettingsStore:
+    """Applies changes once and reads whole revisions."""
+
+    def __init__(self, table: TableStore) -> None:
+        self._table = table
+
+    async def async_apply(
+        self, change: SettingsChange, *, deadline: float
+    ) -> int:
+        """Apply a change and return the revision that it made.
+
+        Sending the same change again is harmless. Raises
+        `RevisionConflictError`, `SettingsError` if it is too large,
+        `TableUnavailableError` if it was certainly not applied,
+        `ChangeUnknownError` if that is unknown.
+        """
+        if len(change.documents) > MAX_DOCUMENTS_A_CHANGE:
+            raise SettingsError(
+                f"{len(change.documents)} documents in one change;"
+                f" send at most {MAX_DOCUMENTS_A_CHANGE}"
+            )
+        machine = ChangeMachine(change)
+        actions = machine.start()
+        while not isinstance(actions[0], ChangeFinished):
+            event = await self._async_do(actions[0], deadline)
+            actions = machine.handle(event)
+        return _result(actions[0])
+
+    async def _async_do(self, action: Action, deadline: float) -> Event:
+        now = asyncio.get_running_loop().time()
+        bound = min(deadline, now + CALL_LIMIT_S)
+        match action:
+            case ReadRevision():
+                return await self._async_read(bound)
+            case CommitChange():
+                return await self._async_commit(action, bound)
+        raise TypeError(f"unknown action {action}")
+
+    async def _async_read(self, deadline: float) -> Event:
+        try:
+            return await self.async_revision(deadline=deadline)
+        except TableUnavailableError:
+            return RevisionUnreadable()
+
+    async def _async_commit(
+        self, action: CommitChange, deadline: float
+    ) -> Event:
+        try:
+            result = await self._table.async_transact(
+                action.conditions, action.writes, deadline=deadline
+            )
+        except TableReplyLostError:
+            return ChangeReplyLost()
+        except TableUnavailableError:
+            return ChangeNotApplied()
+        if isinstance(result, Conflict):
+            return revision_of(result.rows[0])
+        return ChangeCommitted()
+
+    async def async_revision(self, *, deadline: float) -> RevisionRead:
+        """Return the revision row; raises `TableUnavailableError`."""
+        row = await self._table.async_get(
+            SETTINGS_TABLE, REVISION_KEY, deadline=deadline
+        )
+        return revision_of(row)
+
+    async def async_load(self, *, deadline: float) -> StoredSettings:
+        """Return one whole revision.
+
+        The documents are read between two reads of the revision row; if
+        it moved meanwhile they are read again. Raises
+        `TableUnavailableError`.
+        """
+        before = await self.async_revision(deadline=deadline)
+        for _ in range(MAX_SCANS):
+            documents = await self._async_documents(deadline)
+            after = await self.async_revision(deadline=deadline)
+            newest = max((d.revision for d in documents), default=0)
+            same = after.version == before.version
+            if same and newest <= after.row.revision:
+                return StoredSettings(
+                    revision=after.row.revision, documents=documents
+                )
+            before = after
+        raise TableUnavailableError(
+            "settings kept changing while they were read; read them again"
+        )
+
+    async def async_document(
+        self, name: str, *, deadline: float
+    ) -> StoredDocument | None:
+        """Return one document; raises `TableUnavailableError`."""
+        key = f"{DOCUMENT_PREFIX}{name}"
+        row = await self._table.async_get(
+            SETTINGS_TABLE, key, deadline=deadline
+        )
+        if row.value is None:
+            return None
+        return StoredDocument(
+            name=name,
+            text=str(row.value["text"]),
+            revision=int(row.value["revision"]),
+        )
+
+    async def _async_documents(
+        self, deadline: float
+    ) -> tuple[StoredDocument, ...]:
+        found: list[StoredDocument] = []
+        after = ""
+        while True:
+            rows = await self._table.async_scan(
+                SETTINGS_TABLE,
+                prefix=DOCUMENT_PREFIX,
+                after=after,
+                limit=PAGE_ROWS,
+                deadline=deadline,
+            )
+            found += [
+                StoredDocument(
+                    name=row.key.removeprefix(DOCUMENT_PREFIX),
+                    text=str(row.value["text"]),
+                    revision=int(row.value["revision"]),
+                )
+                for row in rows
+                if row.value is not None
+            ]
+            if len(rows) < PAGE_ROWS:
+                return tuple(found)
+            after = rows[-1].key
+
+
+def _result(finished: ChangeFinished) -> int:
+    match finished.end:
+        case ChangeEnd.APPLIED:
+            return finished.revision
+        case ChangeEnd.CONFLICT:
+            raise RevisionConflictError(finished.revision)
+        case ChangeEnd.NOT_APPLIED:
+            raise TableUnavailableError(
+                "the table service is down; nothing was applied, try again"
+            )
+        case ChangeEnd.UNKNOWN:
+            raise ChangeUnknownError(
+                "no reply; send the change again with the same change id"
+            )
--- /dev/null
+++ b/waxwingarch/core/revision.py
@@ -0,0 +1,304 @@
+"""Writing an accepted configuration: one revision, one transaction.
+
+The documents and the revision row are written together, conditional on
+the revision row's version. The change id in that row settles a lost
+reply: whoever reads it back knows whether its change was applied.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, Final
+
+from waxwingarch.core.base import Action, Event
+from waxwingarch.core.rows import (
+    MAX_TRANSACTION_WRITES,
+    Condition,
+    Row,
+    Write,
+)
+
+SETTINGS_TABLE: Final = "settings"
+REVISION_KEY: Final = "revision"
+DOCUMENT_PREFIX: Final = "doc/"
+MAX_DOCUMENTS_A_CHANGE: Final = MAX_TRANSACTION_WRITES - 1
+RECENT_CHANGES: Final = 64
+MAX_READS: Final = 5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RecentChange:
+    """An applied change: the revision it made and what it changed."""
+
+    change_id: str
+    revision: int
+    changed: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RevisionRow:
+    """The revision row; `recent` are the last changes, newest first."""
+
+    revision: int = 0
+    recent: tuple[RecentChange, ...] = ()
+
+    def find(self, change_id: str) -> RecentChange | None:
+        """Return the change with this id, if it is a recent one."""
+        found = (c for c in self.recent if c.change_id == change_id)
+        return next(found, None)
+
+    def after(self, change: "SettingsChange") -> "RevisionRow":
+        """Return the row that follows from a change."""
+        made = RecentChange(
+            change_id=change.change_id,
+            revision=self.revision + 1,
+            changed=tuple(d.name for d in change.documents),
+        )
+        return RevisionRow(
+            revision=made.revision,
+            recent=(made, *self.recent[: RECENT_CHANGES - 1]),
+        )
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the row's value as JSON types."""
+        newest = self.recent[0] if self.recent else None
+        return {
+            "revision": self.revision,
+            "change_id": newest.change_id if newest else "",
+            "changed": list(newest.changed) if newest else [],
+            "recent": [
+                {
+                    "change_id": c.change_id,
+                    "revision": c.revision,
+                    "changed": list(c.changed),
+                }
+                for c in self.recent
+            ],
+        }
+
+    @classmethod
+    def from_json(cls, value: Mapping[str, Any] | None) -> "RevisionRow":
+        """Return the row that `to_json` wrote; None is revision 0."""
+        if value is None:
+            return cls()
+        recent = tuple(
+            RecentChange(
+                change_id=str(c["change_id"]),
+                revision=int(c["revision"]),
+                changed=tuple(c["changed"]),
+            )
+            for c in value["recent"]
+        )
+        return cls(revision=int(value["revision"]), recent=recent)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChangedDocument:
+    """A document's new text; None deletes the document."""
+
+    name: str
+    text: str | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SettingsChange:
+    """A change that an operator asks for.
+
+    `change_id` is unique to it and stays the same when it is sent
+    again; `base_revision` is the revision that the operator edited.
+    """
+
+    change_id: str
+    base_revision: int
+    documents: tuple[ChangedDocument, ...]
+
+
+# Events
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RevisionRead(Event):
+    """The revision row, from a read or from a conflict."""
+
+    row: RevisionRow
+    version: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChangeCommitted(Event):
+    """The transaction took effect."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChangeNotApplied(Event):
+    """The table was down; nothing was applied."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChangeReplyLost(Event):
+    """The transaction may have been applied, or may be later."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RevisionUnreadable(Event):
+    """The revision row could not be read."""
+
+
+# Actions
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadRevision(Action):
+    """Read the revision row."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CommitChange(Action):
+    """Commit one transaction."""
+
+    conditions: tuple[Condition, ...]
+    writes: tuple[Write, ...]
+
+
+class ChangeEnd(StrEnum):
+    """How a change ended."""
+
+    APPLIED = "applied"
+    CONFLICT = "conflict"
+    NOT_APPLIED = "not_applied"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChangeFinished(Action):
+    """The change ended.
+
+    `revision` is the one that it made if applied, or the newer one
+    that it lost to on a conflict. Unknown: send it again with the same
+    change id, which applies it at most once.
+    """
+
+    end: ChangeEnd
+    revision: int
+
+
+class ChangePhase(StrEnum):
+    """What a change is waiting for."""
+
+    READING = "reading"
+    COMMITTING = "committing"
+    FINISHED = "finished"
+
+
+class ChangeMachine:
+    """Applies one change once, and tells truly whether it was."""
+
+    def __init__(self, change: SettingsChange) -> None:
+        self._change = change
+        self.phase = ChangePhase.READING
+        self.maybe_applied = False
+        self.reads = 0
+
+    def start(self) -> list[Action]:
+        """Begin."""
+        return self._read()
+
+    def handle(self, event: Event) -> list[Action]:
+        """Take one event; one that is late or repeated does nothing."""
+        name = CHANGE_TRANSITIONS.get((self.phase, type(event)))
+        if name is None:
+            return []
+        actions: list[Action] = getattr(self, name)(event)
+        return actions
+
+    def _read(self) -> list[Action]:
+        self.phase = ChangePhase.READING
+        self.reads += 1
+        return [ReadRevision()]
+
+    def _on_read(self, event: RevisionRead) -> list[Action]:
+        made = event.row.find(self._change.change_id)
+        if made is not None:
+            return self._finish(ChangeEnd.APPLIED, made.revision)
+        if event.row.revision > self._change.base_revision:
+            return self._finish(ChangeEnd.CONFLICT, event.row.revision)
+        if self.reads > MAX_READS:
+            return self._give_up()
+        if event.row.revision < self._change.base_revision:
+            # A read that lags behind the one the operator was shown.
+            return self._read()
+        return self._commit(event)
+
+    def _commit(self, event: RevisionRead) -> list[Action]:
+        """Send it, or send it again: the row's version admits one."""
+        self.phase = ChangePhase.COMMITTING
+        after = event.row.after(self._change)
+        revision = Write(
+            table=SETTINGS_TABLE, key=REVISION_KEY, value=after.to_json()
+        )
+        documents = (
+            document_write(doc, after.revision)
+            for doc in self._change.documents
+        )
+        condition = Condition(
+            table=SETTINGS_TABLE, key=REVISION_KEY, version=event.version
+        )
+        return [
+            CommitChange(
+                conditions=(condition,), writes=(revision, *documents)
+            )
+        ]
+
+    def _on_committed(self, _: Event) -> list[Action]:
+        made = self._change.base_revision + 1
+        return self._finish(ChangeEnd.APPLIED, made)
+
+    def _on_lost(self, _: Event) -> list[Action]:
+        self.maybe_applied = True
+        return self._read()
+
+    def _on_not_applied(self, _: Event) -> list[Action]:
+        return self._give_up()
+
+    def _on_unreadable(self, _: Event) -> list[Action]:
+        if self.maybe_applied and self.reads < MAX_READS:
+            return self._read()
+        return self._give_up()
+
+    def _give_up(self) -> list[Action]:
+        end = (
+            ChangeEnd.UNKNOWN if self.maybe_applied else ChangeEnd.NOT_APPLIED
+        )
+        return self._finish(end, self._change.base_revision)
+
+    def _finish(self, end: ChangeEnd, revision: int) -> list[Action]:
+        self.phase = ChangePhase.FINISHED
+        return [ChangeFinished(end=end, revision=revision)]
+
+
+_P = ChangePhase
+CHANGE_TRANSITIONS: Final[Mapping[tuple[ChangePhase, type[Event]], str]] = {
+    (_P.READING, RevisionRead): "_on_read",
+    (_P.READING, RevisionUnreadable): "_on_unreadable",
+    (_P.COMMITTING, RevisionRead): "_on_read",
+    (_P.COMMITTING, ChangeCommitted): "_on_committed",
+    (_P.COMMITTING, ChangeNotApplied): "_on_not_applied",
+    (_P.COMMITTING, ChangeReplyLost): "_on_lost",
+}
+
+
+def document_write(doc: ChangedDocument, revision: int) -> Write:
+    """Return the write of a document; a deleted one leaves no row."""
+    value = None
+    if doc.text is not None:
+        value = {"text": doc.text, "revision": revision}
+    return Write(
+        table=SETTINGS_TABLE, key=f"{DOCUMENT_PREFIX}{doc.name}", value=value
+    )
+
+
+def revision_of(row: Row) -> RevisionRead:
+    """Return the revision row out of a table row."""
+    return RevisionRead(
+        row=RevisionRow.from_json(row.value), version=row.version
+    )
