Connect claim and lease machines to the table service

Cause: the machines are pure; something has to carry out their actions. Change: a claim store that commits by group, and a lease store; both turn the table's typed errors into the events that the machines know. Conclusion: tests against a table in memory with faults pass.

--- /dev/null
+++ b/tests/adapters/test_claim_store.py
@@ -0,0 +1,90 @@
+"""Tests of the stores that claim and lease machines act through."""
+
+import asyncio
+from dataclasses import replace
+
+import testtools
+
+from tests.adapters.fake_table import FakeTable
+from tests.core.test_once import OTHERS, REQ
+from tests.helpers import async_test
+from waxwingarch.adapters.claim_store import ClaimStore
+from waxwingarch.adapters.lease_store import LeaseStore
+from waxwingarch.core.base import HostId
+from waxwingarch.core.lease import (
+    LeaseConflict,
+    LeaseRead,
+    LeaseReplyLost,
+    LeaseRow,
+    LeaseTableDown,
+    LeaseWritten,
+    ReadLease,
+    WriteLease,
+)
+from waxwingarch.core.once_messages import (
+    ClaimConflict,
+    ClaimRead,
+    ClaimWritten,
+    ReadClaim,
+    TableReplyLost,
+    TableUnavailable,
+    WriteClaim,
+)
+
+CLAIM = WriteClaim(key="acc/k", row=REQ.claim(), expected_version=0)
+
+
+class Claims(testtools.TestCase):
+    async def _store(self) -> tuple[FakeTable, ClaimStore]:
+        table = FakeTable()
+        store = ClaimStore(table)
+        await store.async_setup()
+        return table, store
+
+    @async_test
+    async def test_writes_together_and_splits_conflicts(self) -> None:
+        table, store = await self._store()
+        first = await store.async_write(CLAIM)
+        self.assertEqual(ClaimWritten(version=1), first)
+        late = replace(CLAIM, row=OTHERS)
+        other = replace(CLAIM, key="acc/other")
+        replies = await asyncio.gather(
+            store.async_write(late), store.async_write(other)
+        )
+        expected = ClaimConflict(row=REQ.claim(), version=1)
+        self.assertEqual([expected, ClaimWritten(version=1)], replies)
+        self.assertEqual(2, table.transactions)
+        read = await store.async_read(ReadClaim(key="acc/k"))
+        self.assertEqual(ClaimRead(row=REQ.claim(), version=1), read)
+        await store.async_unload()
+
+    @async_test
+    async def test_tells_the_table_s_faults_apart(self) -> None:
+        table, store = await self._store()
+        table.faults = ["down", "lost", "down"]
+        self.assertEqual(TableUnavailable(), await store.async_write(CLAIM))
+        self.assertEqual(TableReplyLost(), await store.async_write(CLAIM))
+        read = await store.async_read(ReadClaim(key="acc/k"))
+        self.assertEqual(TableUnavailable(), read)
+        await store.async_unload()
+
+
+class Leases(testtools.TestCase):
+    @async_test
+    async def test_reads_and_writes(self) -> None:
+        table = FakeTable()
+        store = LeaseStore(table)
+        row = LeaseRow(holder=HostId("a"), incarnation=1, fencing=1)
+        read = ReadLease(duty="d")
+        write = WriteLease(duty="d", row=row, expected_version=0)
+        self.assertEqual(
+            LeaseRead(row=None, version=0), await store.async_do(read)
+        )
+        table.faults = ["down", "lost"]
+        self.assertEqual(LeaseTableDown(), await store.async_do(write))
+        self.assertEqual(LeaseReplyLost(), await store.async_do(write))
+        self.assertEqual(
+            LeaseConflict(row=row, version=1), await store.async_do(write)
+        )
+        again = replace(write, expected_version=1)
+        self.assertEqual(LeaseWritten(version=2), await store.async_do(again))
--- /dev/null
+++ b/waxwingarch/adapters/claim_store.py
@@ -0,0 +1,155 @@
+"""Reads claim rows, and writes them by group commit."""
+
+import asyncio
+from contextlib import suppress
+from itertools import count
+from typing import Final
+
+from waxwingarch.core.base import Event
+from waxwingarch.core.claim import CLAIM_TABLE, ClaimRow, ClaimState
+from waxwingarch.core.claim_batch import (
+    RECORD_LINGER_S,
+    Batch,
+    BatchedWrite,
+    BatchFailure,
+    ClaimBatcher,
+    WriteResult,
+)
+from waxwingarch.core.once_messages import (
+    ClaimConflict,
+    ClaimRead,
+    ClaimWritten,
+    ReadClaim,
+    TableReplyLost,
+    TableUnavailable,
+    WriteClaim,
+)
+from waxwingarch.core.rows import Committed, Condition, Conflict, Row, Write
+from waxwingarch.ports.table import (
+    TableReplyLostError,
+    TableStore,
+    TableUnavailableError,
+)
+
+CALL_LIMIT_S: Final = 1.0
+CLAIM_WAIT_LIMIT_S: Final = 1.0
+
+WriteReply = ClaimWritten | ClaimConflict | TableUnavailable | TableReplyLost
+
+
+class ClaimStore:
+    """Turns claim actions into events for the machines that sent them."""
+
+    def __init__(self, table: TableStore) -> None:
+        self._table = table
+        self._batcher = ClaimBatcher()
+        self._ids = count()
+        self._waiting: dict[str, asyncio.Future[WriteReply]] = {}
+        self._changed = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Start to commit."""
+        self._task = asyncio.create_task(self._async_run())
+
+    async def async_unload(self) -> None:
+        """Stop; writes still waiting end as lost replies."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        with suppress(asyncio.CancelledError):
+            await self._task
+        for fut in self._waiting.values():
+            if not fut.done():
+                fut.set_result(TableReplyLost())
+
+    async def async_read(self, action: ReadClaim) -> Event:
+        """Read a row back."""
+        deadline = asyncio.get_running_loop().time() + CALL_LIMIT_S
+        try:
+            row = await self._table.async_get(
+                CLAIM_TABLE, action.key, deadline=deadline
+            )
+        except TableUnavailableError:
+            return TableUnavailable()
+        return ClaimRead(row=_claim(row), version=row.version)
+
+    async def async_write(self, action: WriteClaim) -> WriteReply:
+        """Write a row in the next transaction; records may linger."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        urgent = action.row.state is ClaimState.CLAIMED
+        linger_s = 0.0 if urgent else RECORD_LINGER_S
+        write_id = str(next(self._ids))
+        fut: asyncio.Future[WriteReply] = loop.create_future()
+        self._waiting[write_id] = fut
+        self._batcher.add(
+            BatchedWrite(
+                write_id=write_id,
+                condition=Condition(
+                    table=CLAIM_TABLE,
+                    key=action.key,
+                    version=action.expected_version,
+                ),
+                write=Write(
+                    table=CLAIM_TABLE,
+                    key=action.key,
+                    value=action.row.to_json(),
+                ),
+                send_by=now + linger_s,
+                give_up_at=now + linger_s + CLAIM_WAIT_LIMIT_S,
+            )
+        )
+        self._changed.set()
+        try:
+            return await fut
+        finally:
+            self._waiting.pop(write_id, None)
+
+    async def _async_run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            self._tell(self._batcher.expire(loop.time()))
+            batch = self._batcher.next_batch(loop.time())
+            if batch is not None:
+                result = await self._async_commit(batch)
+                self._tell(self._batcher.on_result(result))
+                continue
+            self._changed.clear()
+            with suppress(TimeoutError):
+                async with asyncio.timeout_at(self._batcher.next_at()):
+                    await self._changed.wait()
+
+    async def _async_commit(
+        self, batch: Batch
+    ) -> Committed | Conflict | BatchFailure:
+        deadline = asyncio.get_running_loop().time() + CALL_LIMIT_S
+        try:
+            return await self._table.async_transact(
+                batch.conditions(), batch.row_writes(), deadline=deadline
+            )
+        except TableUnavailableError:
+            return BatchFailure.UNAVAILABLE
+        except TableReplyLostError:
+            return BatchFailure.REPLY_LOST
+
+    def _tell(self, results: list[WriteResult]) -> None:
+        for result in results:
+            fut = self._waiting.get(result.write_id)
+            if fut is not None and not fut.done():
+                fut.set_result(_reply(result))
+
+
+def _reply(result: WriteResult) -> WriteReply:
+    if result.version is not None:
+        return ClaimWritten(version=result.version)
+    if result.conflict is not None:
+        row = result.conflict
+        return ClaimConflict(row=_claim(row), version=row.version)
+    if result.failure is BatchFailure.REPLY_LOST:
+        return TableReplyLost()
+    return TableUnavailable()
+
+
+def _claim(row: Row) -> ClaimRow | None:
+    return ClaimRow.from_json(row.value) if row.value is not None else None
