--- a/tests/core/test_shares.py
+++ b/tests/core/test_shares.py
@@ -125,7 +125,7 @@
         return sum(x.usable(self.clock(h)) for h, x in self.ledgers.items())
 
 
-class _CountsFromReply(ShareLedger):
+class CountsFromReply(ShareLedger):
     def on_grant(self, now: float, grant: LoanGrant) -> None:
         asked = self._borrowed.get(grant.lender)
         if asked is not None:
@@ -133,7 +133,7 @@
         super().on_grant(now, grant)
 
 
-class _TakesAnyAnswer(ShareLedger):
+class TakesAnyAnswer(ShareLedger):
     def on_grant(self, now: float, grant: LoanGrant) -> None:
         asked = self._borrowed.get(grant.lender)
         if asked is not None:
@@ -200,7 +200,7 @@
         self.assertTrue(_most_used(seed, ShareLedger) <= 1.0)
 
     def test_the_guards_are_needed(self) -> None:
-        for broken in (_CountsFromReply, _TakesAnyAnswer):
+        for broken in (CountsFromReply, TakesAnyAnswer):
             worst = max(_most_used(seed, broken) for seed in range(10))
             self.assertTrue(worst > 1.0, broken.__name__)
 
--- /dev/null
+++ b/tests/model/test_shares.py
@@ -0,0 +1,44 @@
+"""Model check of lending."""
+
+import testtools
+from minicheck import check_safety
+
+from model.shares import shares_spec
+from tests.core.test_shares import CountsFromReply, TakesAnyAnswer
+from waxwingarch.core.shares import LoanRequest, ShareLedger
+
+
+class _TakesOldRequests(ShareLedger):
+    """Forgets the order of a borrower's requests."""
+
+    def on_request(self, now: float, request: LoanRequest) -> object:
+        for key, lent in list(self._lent.items()):
+            self._lent[key] = type(lent)(seq=0, parts=lent.parts)
+        return super().on_request(now, request)
+
+
+class SharesModel(testtools.TestCase):
+    def _counterexample(
+        self, ledger: type[ShareLedger], requests: int = 2
+    ) -> list[str]:
+        result = check_safety(shares_spec(ledger, requests=requests))
+        found = result["properties"]["within_the_limit"]
+        self.assertIs(False, found["holds"])
+        return [step["label"] for step in found["counterexample"][1:]]
+
+    def test_within_the_limit(self) -> None:
+        result = check_safety(shares_spec())
+        self.assertTrue(result["exhaustive"])
+        self.assertTrue(result["properties"]["within_the_limit"]["holds"])
+
+    def test_counting_from_the_reply_goes_over(self) -> None:
+        steps = self._counterexample(CountsFromReply)
+        self.assertEqual(["ask", "request"], steps[:2])
+
+    def test_taking_any_answer_goes_over(self) -> None:
+        steps = self._counterexample(TakesAnyAnswer)
+        self.assertEqual(2, steps.count("ask"))
+
+    def test_taking_old_requests_goes_over(self) -> None:
+        steps = self._counterexample(_TakesOldRequests, 3)
+        self.assertIn("request", steps)
