--- a/script/measure_claims.py
+++ b/script/measure_claims.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from waxwingarch.core.claim_batch import (
-    RECORD_LINGER_S,
+    RECORD_LINGER_MAX_S,
     BatchedWrite,
     ClaimBatcher,
 )
@@ -58,7 +58,9 @@
             _add(batchers[who], f"claim-{item.order}", now, claim_linger_s)
             added[f"claim-{item.order}"] = now
         elif item.kind == "record":
-            _add(batchers[who], f"record-{item.order}", now, RECORD_LINGER_S)
+            _add(
+                batchers[who], f"record-{item.order}", now, RECORD_LINGER_MAX_S
+            )
         elif item.kind == "committed":
             batch = pending.pop(who)
             versions = tuple(1 for _ in batch)
--- a/waxwingarch/adapters/claim_store.py
+++ b/waxwingarch/adapters/claim_store.py
@@ -8,7 +8,6 @@
 from waxwingarch.core.base import Event
 from waxwingarch.core.claim import CLAIM_TABLE, ClaimRow, ClaimState
 from waxwingarch.core.claim_batch import (
-    RECORD_LINGER_S,
     Batch,
     BatchedWrite,
     BatchFailure,
@@ -33,15 +32,24 @@
 
 CALL_LIMIT_S: Final = 1.0
 CLAIM_WAIT_LIMIT_S: Final = 1.0
+LINGERING: Final = frozenset({ClaimState.DONE, ClaimState.UNKNOWN})
 
 WriteReply = ClaimWritten | ClaimConflict | TableUnavailable | TableReplyLost
 
 
 class ClaimStore:
-    """Turns claim actions into events for the machines that sent them."""
+    """Turns claim actions into events for the machines that sent them.
 
-    def __init__(self, table: TableStore) -> None:
+    `record_linger_s` is how long the record of an outcome may wait for a
+    claim to ride along with. A host that dies meanwhile leaves an
+    unknown outcome, so wait only where the table's rate asks for it.
+    """
+
+    def __init__(
+        self, table: TableStore, *, record_linger_s: float = 0.0
+    ) -> None:
         self._table = table
+        self._record_linger_s = record_linger_s
         self._batcher = ClaimBatcher()
         self._ids = count()
         self._waiting: dict[str, asyncio.Future[WriteReply]] = {}
@@ -78,8 +86,8 @@
         """Write a row in the next transaction; records may linger."""
         loop = asyncio.get_running_loop()
         now = loop.time()
-        urgent = action.row.state is ClaimState.CLAIMED
-        linger_s = 0.0 if urgent else RECORD_LINGER_S
+        waits = action.row.state in LINGERING
+        linger_s = self._record_linger_s if waits else 0.0
         write_id = str(next(self._ids))
         fut: asyncio.Future[WriteReply] = loop.create_future()
         self._waiting[write_id] = fut
--- a/waxwingarch/core/claim_batch.py
+++ b/waxwingarch/core/claim_batch.py
@@ -19,7 +19,7 @@
     Write,
 )
 
-RECORD_LINGER_S: Final = 1.0
+RECORD_LINGER_MAX_S: Final = 1.0
 
 
 class BatchFailure(StrEnum):
