--- a/waxwingarch/adapters/platform.py
+++ b/waxwingarch/adapters/platform.py
@@ -106,11 +106,16 @@
             },
             write=True,
         )
-        if status == HTTP_OK:
-            return Committed(versions=tuple(body["versions"]))
-        if status == HTTP_CONFLICT:
-            rows = tuple(_row(r["table"], r) for r in body["conflicts"])
-            return Conflict(rows=rows)
+        try:
+            if status == HTTP_OK:
+                return Committed(versions=tuple(body["versions"]))
+            if status == HTTP_CONFLICT:
+                rows = tuple(_row(r["table"], r) for r in body["conflicts"])
+                return Conflict(rows=rows)
+        except (KeyError, TypeError, ValueError) as exc:
+            raise TableReplyLostError(
+                f"transact: not a table's answer ({exc!r}); read back"
+            ) from exc
         raise TableReplyLostError(f"transact: status {status}; read back")
 
 
