--- a/tests/tasks/__init__.py
+++ b/tests/tasks/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of waxwingarch.tasks."""
+"""Tests of the tasks."""
--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -7,7 +7,7 @@
 import asyncio
 import json
 from collections import deque
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any, Final
@@ -27,6 +27,10 @@
     """No connection could be opened; the request was not sent."""
 
 
+class NotPermittedError(ConnectFailedError):
+    """The sender's permit was withdrawn; the request was not sent."""
+
+
 class SilentLinkError(LinkError):
     """Nothing arrived by the deadline; try a new connection."""
 
@@ -224,11 +228,13 @@
         body: bytes = b"",
         fresh: bool = False,
         connect_deadline: float | None = None,
+        permit: Callable[[], bool] = lambda: True,
     ) -> AsyncIterator[ClientStream]:
         """Send a request and yield its answer as a stream.
 
         `deadline` bounds the head of the answer; `fresh` asks for a new
-        connection. Raises `ConnectFailedError` when nothing was sent.
+        connection; `permit` is asked right before the first byte is
+        sent. Raises `ConnectFailedError` when nothing was sent.
         """
         conn = None if fresh else self._pooled(address)
         if conn is None:
@@ -236,6 +242,8 @@
             conn = await self._async_connect(address, bound)
         stream: ClientStream | None = None
         try:
+            if not permit():
+                raise NotPermittedError(f"{address}: too late to send")
             await conn.async_send(method, target, headers, body)
             stream = ClientStream(conn, await conn.async_head(deadline))
             yield stream
@@ -255,8 +263,13 @@
         headers: Headers = (),
         body: bytes = b"",
         fresh: bool = False,
+        connect_deadline: float | None = None,
+        permit: Callable[[], bool] = lambda: True,
     ) -> HttpAnswer:
-        """Send a request and return its whole answer."""
+        """Send a request and return its whole answer.
+
+        Arguments and errors are those of `async_stream`.
+        """
         async with self.async_stream(
             method,
             address,
@@ -265,6 +278,8 @@
             headers=headers,
             body=body,
             fresh=fresh,
+            connect_deadline=connect_deadline,
+            permit=permit,
         ) as stream:
             data = await stream.async_read_rest(deadline)
         return HttpAnswer(
--- /dev/null
+++ b/waxwingarch/core/refusal.py
@@ -0,0 +1,43 @@
+"""Final answers to requests that are not served."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from waxwingarch.core.base import Ran
+
+
+class RefusalReason(StrEnum):
+    """Why a request was refused or given up on."""
+
+    BAD_REQUEST = "bad request"
+    UNKNOWN_KEY = "unknown key"
+    UNKNOWN_ROUTE = "unknown route"
+    NO_CONTRACT = "no contract"
+    RATE_LIMIT = "rate limit"
+    QUEUE_FULL = "queue full"
+    DEADLINE_UNREACHABLE = "deadline unreachable"
+    NO_CAPACITY = "no capacity"
+    NO_SERVER = "no backend server"
+    BACKEND_FAILED = "backend failed"
+    NOT_READY = "not ready"
+    DRAINING = "draining"
+    IN_PROGRESS = "in progress"
+    KEY_CONFLICT = "idempotency key conflict"
+    OUTCOME_UNKNOWN = "outcome unknown"
+    STORE_DOWN = "store unavailable"
+    RESUME_MISMATCH = "resume mismatch"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Refusal:
+    """The final answer to a request that is not served.
+
+    `ran` says whether the request ran on a backend server;
+    `retry_after_s` is when to come back, None where retrying does not
+    help; `message` names the remedy.
+    """
+
+    reason: RefusalReason
+    ran: Ran
+    message: str
+    retry_after_s: float | None = None
