Make the settings store a settings writer; drop tasks not needed

Cause: the daemon drives claims and leases from its node, so the runner and the keeper would stand there twice. Change: both are removed; their tests of two hosts on one table stay, with a driver in the test. SettingsStore now satisfies SettingsWriter: unlike the writer in use it does not tell a conflict when a lost write may still land.

--- a/tests/adapters/fake_table.py
+++ b/tests/adapters/fake_table.py
@@ -46,7 +46,8 @@
         after: str = "",
         limit: int = 1000,
     ) -> tuple[Row, ...]:
-        keys = sorted(k for t, k in self.rows if t == table)
+        live = [tk for tk, (value, _) in self.rows.items() if value]
+        keys = sorted(k for t, k in live if t == table)
         found = [k for k in keys if k.startswith(prefix) and k > after]
         return tuple(self._row(table, k) for k in found[:limit])
 
--- a/tests/tasks/test_once_runner.py
+++ b/tests/adapters/test_claim_runs.py
@@ -1,4 +1,4 @@
-"""Tests of the tasks that run at-most-once requests."""
+"""Tests of at-most-once requests over two hosts and one table."""
 
 import asyncio
 from collections.abc import Callable
@@ -9,24 +9,30 @@
 from tests.core.test_once import ANSWER
 from tests.helpers import async_test
 from waxwingarch.adapters.claim_store import ClaimStore
-from waxwingarch.core.base import AccountId, Event, HostId, Ran
+from waxwingarch.core.base import AccountId, Action, Event, HostId, Ran
 from waxwingarch.core.claim import StoredAnswer
 from waxwingarch.core.once import OnceMachine
 from waxwingarch.core.once_messages import (
     Answer,
+    AnswerStored,
     Dispatch,
     DispatchAnswered,
     DispatchLost,
     DispatchNotSent,
+    OnceTimer,
     OutcomeNotSeen,
     OutcomeRan,
     QueryOutcome,
+    ReadClaim,
     RefusalKind,
     RefuseRequest,
+    SetOnceTimer,
+    StoreAnswer,
+    WriteClaim,
 )
 from waxwingarch.core.once_request import ReceivedRequest, once_request
-from waxwingarch.tasks.once_runner import OnceRunner, Reply
 
+Reply = Answer | RefuseRequest
 LARGE = StoredAnswer(status=200, content_type="text/plain", body=b"x" * 20000)
 
 
@@ -41,9 +47,7 @@
         self.gate.set()
         self._answer = answer
 
-    async def async_dispatch(
-        self, action: Dispatch, may_dispatch: Callable[[], bool]
-    ) -> Event:
+    async def async_dispatch(self, may_dispatch: Callable[[], bool]) -> Event:
         if not may_dispatch():
             return DispatchNotSent()
         self.runs += 1
@@ -53,7 +57,7 @@
             return DispatchLost()
         return DispatchAnswered(answer=self._answer)
 
-    async def async_query(self, action: QueryOutcome) -> Event:
+    async def async_query(self) -> Event:
         if not self.runs:
             return OutcomeNotSeen()
         return OutcomeRan(answer=self._answer)
@@ -63,16 +67,64 @@
     def __init__(self) -> None:
         self.data: dict[str, bytes] = {}
 
-    async def async_put(
-        self, name: str, data: bytes, *, deadline: float
-    ) -> None:
-        self.data[name] = data
 
-    async def async_get(self, name: str, *, deadline: float) -> bytes | None:
-        return self.data.get(name)
+class _Runs:
+    """Drives machines in tasks of their own, as the daemon does."""
+
+    def __init__(self, claims: ClaimStore, objects: _Objects) -> None:
+        self._claims = claims
+        self._objects = objects
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def async_run(
+        self, machine: OnceMachine, service: _Service
+    ) -> Reply:
+        reply: asyncio.Future[Reply] = asyncio.Future()
+        self.tasks.add(
+            asyncio.create_task(self._async_drive(machine, service, reply))
+        )
+        return await asyncio.shield(reply)
+
+    async def _async_drive(
+        self,
+        machine: OnceMachine,
+        service: _Service,
+        reply: asyncio.Future[Reply],
+    ) -> None:
+        now = asyncio.get_running_loop().time
+        actions = machine.start(now())
+        while not machine.finished:
+            for action in actions:
+                if isinstance(action, Answer | RefuseRequest):
+                    reply.set_result(action)
+            event = await self._async_do(actions[-1], machine, service)
+            actions = machine.handle(now(), event)
+        for action in actions:
+            if isinstance(action, Answer | RefuseRequest):
+                reply.set_result(action)
 
-    async def async_delete(self, name: str, *, deadline: float) -> None:
-        self.data.pop(name, None)
+    async def _async_do(
+        self, action: Action, machine: OnceMachine, service: _Service
+    ) -> Event:
+        now = asyncio.get_running_loop().time
+        match action:
+            case WriteClaim():
+                return await self._claims.async_write(action)
+            case ReadClaim():
+                return await self._claims.async_read(action)
+            case Dispatch():
+                return await service.async_dispatch(
+                    lambda: machine.may_dispatch(now())
+                )
+            case QueryOutcome():
+                return await service.async_query()
+            case StoreAnswer():
+                self._objects.data[action.name] = action.body
+                return AnswerStored()
+            case SetOnceTimer():
+                await asyncio.sleep(max(0.0, action.at - now()))
+                return OnceTimer()
+        raise TypeError(f"unknown action {action}")
 
 
 class _Host:
@@ -83,7 +135,7 @@
         self.objects = _Objects()
         self.gone: set[HostId] = set()
         self._store = ClaimStore(table)
-        self._runner = OnceRunner(self._store, self.objects)
+        self._runner = _Runs(self._store, self.objects)
         self._service = service
         self._count = 0
 
@@ -94,8 +146,8 @@
         await self._store.async_setup()
 
     async def async_unload(self) -> None:
-        loop = asyncio.get_running_loop()
-        await self._runner.async_unload(loop.time() + 10)
+        if self._runner.tasks:
+            await asyncio.wait(self._runner.tasks)
         await self._store.async_unload()
 
     async def async_pay(self, *, outcome_query: bool = False) -> Reply:
--- a/tests/adapters/test_settings_store.py
+++ b/tests/adapters/test_settings_store.py
@@ -12,13 +12,16 @@
     SettingsStore,
     StoredDocument,
 )
+from waxwingarch.adapters.settings_table import SettingsTableReader
 from waxwingarch.core.revision import (
     MAX_DOCUMENTS_A_CHANGE,
     ChangedDocument,
     RevisionRow,
     SettingsChange,
 )
+from waxwingarch.core.settings import Document
 from waxwingarch.exceptions import SettingsError
+from waxwingarch.ports.settings import SettingsWriter
 from waxwingarch.ports.table import TableUnavailableError
 
 
@@ -97,6 +100,25 @@
         with testtools.ExpectedException(SettingsError):
             await self._apply(_change("x", 0, **names))
 
+    @async_test
+    async def test_writes_as_the_daemon_does(self) -> None:
+        deadline = asyncio.get_running_loop().time() + 10
+        writer: SettingsWriter = self.store
+        made = await writer.async_write(
+            change_id="x",
+            base_revision=0,
+            changed=[Document(name="a", text="1")],
+            removed=["b"],
+            deadline=deadline,
+        )
+        self.assertEqual(1, made)
+        reader = SettingsTableReader(self.table)
+        snapshot = await reader.async_read_settings(deadline)
+        self.assertEqual(1, snapshot.revision)
+        self.assertEqual((Document(name="a", text="1"),), snapshot.documents)
+
     def test_codec(self) -> None:
+        plain = RevisionRow.from_json({"revision": 4, "change_id": "z"})
+        self.assertIsNotNone(plain.find("z"))
         row = RevisionRow().after(_change("x", 0, a="1"))
         self.assertEqual(row, RevisionRow.from_json(row.to_json()))
--- a/waxwingarch/adapters/settings_store.py
+++ b/waxwingarch/adapters/settings_store.py
@@ -1,6 +1,7 @@
 """Writes and reads accepted configurations in the table service."""
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -11,6 +12,7 @@
     REVISION_KEY,
     SETTINGS_TABLE,
     ChangeCommitted,
+    ChangedDocument,
     ChangeEnd,
     ChangeFinished,
     ChangeMachine,
@@ -23,6 +25,7 @@
     SettingsChange,
     revision_of,
 )
+from waxwingarch.core.settings import Document
 from waxwingarch.exceptions import ConflictError, SettingsError
 from waxwingarch.ports.table import (
     Conflict,
@@ -68,11 +71,36 @@
 
 
 class SettingsStore:
-    """Applies changes once and reads whole revisions."""
+    """Applies changes once and reads whole revisions.
+
+    It is a `SettingsWriter`.
+    """
 
     def __init__(self, table: TableStore) -> None:
         self._table = table
 
+    async def async_write(
+        self,
+        *,
+        change_id: str,
+        base_revision: int,
+        changed: Sequence[Document] = (),
+        removed: Sequence[str] = (),
+        deadline: float,
+    ) -> int:
+        """Commit a change on top of a revision; return the new one.
+
+        Raises as `async_apply`.
+        """
+        texts = [ChangedDocument(name=d.name, text=d.text) for d in changed]
+        gone = [ChangedDocument(name=name, text=None) for name in removed]
+        change = SettingsChange(
+            change_id=change_id,
+            base_revision=base_revision,
+            documents=(*texts, *gone),
+        )
+        return await self.async_apply(change, deadline=deadline)
+
     async def async_apply(
         self, change: SettingsChange, *, deadline: float
     ) -> int:
@@ -168,7 +196,7 @@
         return StoredDocument(
             name=name,
             text=str(row.value["text"]),
-            revision=int(row.value["revision"]),
+            revision=int(row.value.get("revision", 0)),
         )
 
     async def _async_documents(
@@ -188,7 +216,7 @@
                 StoredDocument(
                     name=row.key.removeprefix(DOCUMENT_PREFIX),
                     text=str(row.value["text"]),
-                    revision=int(row.value["revision"]),
+                    revision=int(row.value.get("revision", 0)),
                 )
                 for row in rows
                 if row.value is not None
--- a/waxwingarch/core/revision.py
+++ b/waxwingarch/core/revision.py
@@ -78,16 +78,19 @@
 
     @classmethod
     def from_json(cls, value: Mapping[str, Any] | None) -> "RevisionRow":
-        """Return the row that `to_json` wrote; None is revision 0."""
+        """Return the row that `to_json` wrote; None is revision 0.
+
+        A row without the list of recent changes names the last one.
+        """
         if value is None:
             return cls()
         recent = tuple(
             RecentChange(
                 change_id=str(c["change_id"]),
                 revision=int(c["revision"]),
-                changed=tuple(c["changed"]),
+                changed=tuple(c.get("changed", ())),
             )
-            for c in value["recent"]
+            for c in value.get("recent", [value])
         )
         return cls(revision=int(value["revision"]), recent=recent)
 
