--- a/waxwingarch/core/claim.py
+++ b/waxwingarch/core/claim.py
@@ -16,7 +16,6 @@
 from waxwingarch.core.base import AccountId, HostId
 
 CLAIM_TABLE: Final = "claims"
-CLAIM_KEEP_S: Final = 24 * 3600.0
 INLINE_ANSWER_MAX_BYTES: Final = 16 * 1024
 PLAIN_KEY: Final = re.compile(r"[A-Za-z0-9._-]{1,128}")
 
--- a/waxwingarch/core/shares.py
+++ b/waxwingarch/core/shares.py
@@ -97,6 +97,11 @@
         """Return the units that others may still use now."""
         return sum(_in_use(lent, now) for lent in self._lent.values())
 
+    @property
+    def borrows(self) -> bool:
+        """Whether any host has lent to this one and may have to be told."""
+        return bool(self._borrowed)
+
     def fits(self, now: float, running: int) -> bool:
         """Return whether a lower entitlement is kept to by now.
 
