--- /dev/null
+++ b/tests/adapters/test_platform_standin.py
@@ -0,0 +1,100 @@
+"""The stores against the stand-in platform and its faults."""
+
+import asyncio
+from random import Random
+
+import testtools
+
+from tests.core.test_once import REQ
+from tests.helpers import async_test
+from tests.standins.helpers import Peer, running_platform
+from waxwingarch.adapters.claim_store import ClaimStore
+from waxwingarch.adapters.claim_sweep import Swept, async_sweep
+from waxwingarch.adapters.platform import HttpTableStore
+from waxwingarch.adapters.platform_http import PlatformLink
+from waxwingarch.adapters.settings_store import (
+    RevisionConflictError,
+    SettingsStore,
+)
+from waxwingarch.core.base import AccountId
+from waxwingarch.core.claim import claim_key
+from waxwingarch.core.once_messages import (
+    ClaimConflict,
+    ClaimRead,
+    ClaimWritten,
+    ReadClaim,
+    TableReplyLost,
+    TableUnavailable,
+    WriteClaim,
+)
+from waxwingarch.core.settings import Document
+
+LIMIT_S = 10.0
+KEY = claim_key(AccountId("acc"), "pledge 7/ü")
+CLAIM = WriteClaim(key=KEY, row=REQ.claim(), expected_version=0)
+
+
+def _table(peer: Peer) -> HttpTableStore:
+    return HttpTableStore(PlatformLink(peer.http, peer.address, Random(1)))
+
+
+class Claims(testtools.TestCase):
+    @async_test
+    async def test_each_fault_is_told_as_it_is(self) -> None:
+        async with running_platform() as peer:
+            store = ClaimStore(_table(peer))
+            await store.async_setup()
+            await peer.fault("down", seconds=60)
+            self.assertEqual(
+                TableUnavailable(), await store.async_write(CLAIM)
+            )
+            await peer.send("DELETE", "/faults")
+            await peer.fault("lost_reply", count=1)
+            self.assertEqual(TableReplyLost(), await store.async_write(CLAIM))
+            read = await store.async_read(ReadClaim(key=KEY))
+            self.assertEqual(ClaimRead(row=REQ.claim(), version=1), read)
+            conflict = await store.async_write(CLAIM)
+            expected = ClaimConflict(row=REQ.claim(), version=1)
+            self.assertEqual(expected, conflict)
+            swept = await async_sweep(
+                _table(peer), unix_now=REQ.expires_unix + 1
+            )
+            self.assertEqual(Swept(deleted=1, after=""), swept)
+            await store.async_unload()
+
+    @async_test
+    async def test_many_claims_share_transactions(self) -> None:
+        async with running_platform() as peer:
+            store = ClaimStore(_table(peer))
+            await store.async_setup()
+            writes = [
+                WriteClaim(key=f"acc/{n}", row=REQ.claim(), expected_version=0)
+                for n in range(250)
+            ]
+            replies = await asyncio.gather(*map(store.async_write, writes))
+            self.assertEqual([ClaimWritten(version=1)] * 250, replies)
+            self.assertTrue(len(peer.journal("write")) <= 4)
+            await store.async_unload()
+
+
+class Settings(testtools.TestCase):
+    @async_test
+    async def test_a_lost_reply_applies_once(self) -> None:
+        async with running_platform() as peer:
+            store = SettingsStore(_table(peer))
+            deadline = asyncio.get_running_loop().time() + LIMIT_S
+            await peer.fault("lost_reply", count=1)
+            made = await store.async_write(
+                change_id="x",
+                base_revision=0,
+                changed=[Document(name="contract/acc", text="[a]")],
+                deadline=deadline,
+            )
+            self.assertEqual(1, made)
+            self.assertEqual(1, len(peer.journal("write")))
+            with testtools.ExpectedException(RevisionConflictError):
+                await store.async_write(
+                    change_id="y", base_revision=0, deadline=deadline
+                )
+            loaded = await store.async_load(deadline=deadline)
+            self.assertEqual("contract/acc", loaded.documents[0].name)
