Spend more of the false stops early, and count real steps

Cause: good moves still ended a few requests short of the evidence. Change: the threshold grows with the steps taken, its chances adding up to 0.8% over the planned ones, in place of one threshold for as many steps as there could be. Left: one canary without enough full load, and late faults that begin after the shift.

--- a/tests/core/test_evidence.py
+++ b/tests/core/test_evidence.py
@@ -216,6 +216,18 @@
         drive(lambda at, v, *rest: (v == OLD, 1.0), made=peer)
         self.assertFalse(peer.close(MOVE))
 
+    def test_host_that_learns_of_a_stop_is_open_again(self) -> None:
+        made, peer = book("a"), book("b")
+        for stop in (False, True):
+            if stop:
+                made.learn_stop(MOVE)
+            made.close(MOVE)
+            evidence = made.snapshot(MOVE)
+            assert evidence is not None
+            self.assertEqual(not stop, evidence.closed)
+            peer.merge(evidence)
+        self.assertEqual(frozenset(), peer.closed_hosts(MOVE))
+
     def test_rows_are_bounded(self) -> None:
         made = book()
         for i in range(10 * MAX_ROUTES):
--- a/waxwingarch/core/evidence.py
+++ b/waxwingarch/core/evidence.py
@@ -29,6 +29,7 @@
 
 MAX_ROUTES: Final = 16
 OTHER_ROUTES: Final = "(other)"
+STEPS_A_WINDOW: Final = 120
 
 
 class EvidenceBook:
@@ -63,9 +64,13 @@
         """
         if move_id in self._watches:
             return
-        looks = int(duration_s / WINDOW_S) + 1
+        steps = (int(duration_s / WINDOW_S) + 1) * STEPS_A_WINDOW
         self._watches[move_id] = Watch(
-            service=service, old=old, new=new, looks=looks, closed=closed
+            service=service,
+            old=old,
+            new=new,
+            planned_steps=steps,
+            closed=closed,
         )
 
     def watching(self, move_id: str) -> bool:
@@ -77,15 +82,26 @@
         self._watches.pop(move_id, None)
 
     def close(self, move_id: str) -> bool:
-        """Promise to set no stop mark any more, unless one was due."""
+        """Promise to set no stop mark any more, unless one is known."""
         watch = self._watches.get(move_id)
-        if watch is None:
+        if watch is None or watch.stopped:
             return False
         if watch.last and watch.last.decision is Decision.STOP:
             return False
         watch.closed = True
         return True
 
+    def learn_stop(self, move_id: str) -> None:
+        """Note that a stop mark is known here; the host is closed no more.
+
+        Otherwise the mark would be forgotten when the host that set it
+        restarts, though this one knows it.
+        """
+        watch = self._watches.get(move_id)
+        if watch is not None:
+            watch.stopped = True
+            watch.closed = False
+
     def record(
         self,
         now: float,
--- a/waxwingarch/core/move_detector.py
+++ b/waxwingarch/core/move_detector.py
@@ -1,12 +1,12 @@
 """Sequential change detection between two versions of a service.
 
 Each stream runs one CUSUM an alternative over log-likelihood ratios of
-Bernoulli outcomes. Under the null hypothesis the chance that any CUSUM
-of `n` steps ever exceeds `log(n / alpha)` is at most `alpha` (it lies
-below the Shiryaev-Roberts statistic, whose excess over `n` is a
-martingale), so one threshold covers all routes, load bands, signals and
-alternatives by counting all their steps. A CUSUM restarts at zero, so a
-late fault is found as fast as an early one.
+Bernoulli outcomes. Under the null hypothesis a run of evidence that
+begins at a given step ever exceeds `x` with chance `exp(-x)` at most (a
+likelihood ratio is a martingale), and a CUSUM is the best of the runs
+that begin at any of its steps. So one threshold covers all routes, load
+bands, signals and alternatives by counting all their steps. A CUSUM
+restarts at zero, so a late fault is found as fast as an early one.
 """
 
 from dataclasses import dataclass, field
@@ -14,7 +14,8 @@
 from typing import Final
 
 WINDOW_S: Final = 0.5
-FALSE_STOP_RATE: Final = 0.005
+FALSE_STOP_RATE: Final = 0.008
+EARLY_STEPS: Final = 2000
 ALTERNATIVES: Final = (0.08, 0.25, 0.6)
 RATIO_TOLERANCE: Final = 1.5
 FAILURE_TOLERANCE: Final = 0.01
@@ -38,9 +39,18 @@
     hits: int = 0
 
 
-def threshold(steps: int, alpha: float = FALSE_STOP_RATE) -> float:
-    """Return the score that a sound version exceeds with chance `alpha`."""
-    return log(max(steps, 1) / alpha)
+def threshold(
+    step: int, planned_steps: int, alpha: float = FALSE_STOP_RATE
+) -> float:
+    """Return the score that stops a version at this step.
+
+    A run of evidence that begins at step `k` exceeds `x` with chance
+    `exp(-x)` at most. The thresholds grow so that these chances add up
+    to `alpha` over `planned_steps`, with more of it spent early, while
+    the share is small.
+    """
+    spread = log1p(planned_steps / EARLY_STEPS)
+    return log(spread * (step + EARLY_STEPS) / alpha)
 
 
 def log_likelihood_ratio(sample: Sample, null: float, other: float) -> float:
