Replay recorded version moves against stated outcomes

Change: a trace is JSON lines of what ended in each half second; the replay gives it to the daemon's evidence and driver as one host. Six traces: a good move, four kinds of bad version, and a bad version while no one could write the row. Stated: the outcome, and a stop mark not before the fault and within a minute of it.

--- /dev/null
+++ b/tests/adapters/test_move_trace.py
@@ -0,0 +1,56 @@
+"""Replays of recorded version moves against their stated outcomes."""
+
+import json
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from testtools import TestCase
+
+from waxwingarch.adapters.move_trace import MoveReplay, load_trace
+from waxwingarch.core.move_record import MoveState
+from waxwingarch.exceptions import SettingsError
+
+TRACES = Path(__file__).parents[2] / "traces"
+OUTCOMES = json.loads((TRACES / "move_outcomes.json").read_text())
+
+
+class MoveReplayTest(TestCase):
+    def test_every_trace_has_its_stated_outcome(self) -> None:
+        self.assertEqual(
+            sorted(OUTCOMES), sorted(p.name for p in TRACES.glob("move_*l"))
+        )
+        for name, stated in OUTCOMES.items():
+            result = MoveReplay().run(load_trace(TRACES / name))
+            assert result.record is not None
+            self.assertEqual(stated["state"], result.record.state, name)
+            outcome = result.record.outcome
+            kind = outcome.kind if outcome else None
+            self.assertEqual(stated["outcome"], kind, name)
+            if stated["marked_by"] is None:
+                self.assertIsNone(result.marked_at, name)
+                continue
+            assert result.marked_at is not None
+            self.assertGreaterEqual(result.marked_at, stated["marked_from"])
+            self.assertLessEqual(result.marked_at, stated["marked_by"])
+
+    def test_one_trace_gives_the_same_states(self) -> None:
+        lines = load_trace(TRACES / "move_bad_route.jsonl")
+        first, second = MoveReplay().run(lines), MoveReplay().run(lines)
+        self.assertEqual(first, second)
+        self.assertEqual(
+            [
+                MoveState.PLANNED,
+                MoveState.STARTING,
+                MoveState.CANARY,
+                MoveState.TAKING_BACK,
+                MoveState.TAKEN_BACK,
+            ],
+            [state for _, state in first.states],
+        )
+
+    def test_bad_line_is_named(self) -> None:
+        with TemporaryDirectory() as directory:
+            path = Path(directory) / "odd.jsonl"
+            path.write_text('{"at": 1, "event": {"kind": "odd"}}\n')
+            exc = self.assertRaises(SettingsError, load_trace, path)
+        self.assertIn("line 1", str(exc))
