Leave a failure domain alone while it is being reclaimed

Cause: half the starts were refused, most of them in domains that had just been reclaimed. Change: two reclaimable hosts of a domain leaving at once close its reclaimable offers for 15 minutes. With one host leaving, the domain stays open (tested).

--- a/tests/core/test_capacity.py
+++ b/tests/core/test_capacity.py
@@ -167,3 +167,17 @@
         found = plan(CHEAPER_S, demand(5.5), OFFERS, fleet, 7)
         self.assertEqual(1, len(starts(found)))
         self.assertEqual([], plan(CHEAPER_S, demand(5.5), OFFERS, fleet, 7))
+
+
+class ReclaimTest(TestCase):
+    def test_domain_under_reclaim_is_left_alone(self) -> None:
+        for waves in (1, 2):
+            planner = CapacityPlanner(MixedPolicy())
+            fleet = [server(f"{d}{i}", d) for d in "abcd" for i in range(2)]
+            leaving = [
+                replace(s, state=FleetState.LEAVING) for s in fleet[:waves]
+            ]
+            seen = leaving + fleet[waves:]
+            plan = planner.plan(0, demand(7.0), OFFERS, seen, 7)
+            domains = {s.failure_domain for s in starts(plan) if s.reclaimable}
+            self.assertEqual(waves == 1, "a" in domains)
--- a/waxwingarch/core/capacity.py
+++ b/waxwingarch/core/capacity.py
@@ -29,6 +29,7 @@
 REFUSED_BACKOFF_S: Final = 60.0
 REFUSED_BACKOFF_MAX_S: Final = 900.0
 ORDER_SETTLE_S: Final = 60.0
+RECLAIM_QUIET_S: Final = 900.0
 MIN_LIFE_S: Final = 1800.0
 SURPLUS_S: Final = 600.0
 CHEAPER_S: Final = 300.0
@@ -149,6 +150,7 @@
         self._policy = policy
         self._orders: dict[str, _Order] = {}
         self._refusals: dict[OfferKey, _Refusal] = {}
+        self._quiet_until: dict[FailureDomain, float] = {}
         self._count = 0
         self._surplus_since: float | None = None
         self._cheaper_since: float | None = None
@@ -163,6 +165,7 @@
     ) -> list[Action]:
         """Return the starts and stops that are due now."""
         self._forget_orders(now)
+        self._note_reclaims(now, fleet)
         staying = [s for s in fleet if s.state is not FleetState.LEAVING]
         running = [_running(s, demand) for s in staying]
         running += [_ordered(o.start, demand) for o in self._orders.values()]
@@ -202,6 +205,20 @@
             if order.until > now
         }
 
+    def _note_reclaims(self, now: float, fleet: Sequence[FleetServer]) -> None:
+        """Leave a domain alone for a while when it is being reclaimed.
+
+        One host that leaves is no wave; two at once are.
+        """
+        leaving = [
+            s.failure_domain
+            for s in fleet
+            if s.reclaimable and s.state is FleetState.LEAVING
+        ]
+        for domain in leaving:
+            if leaving.count(domain) > 1:
+                self._quiet_until[domain] = now + RECLAIM_QUIET_S
+
     def _fresh(
         self, now: float, demand: Demand, offers: Sequence[Offer]
     ) -> list[Candidate]:
@@ -226,6 +243,9 @@
         key = (offer.machine_class, offer.failure_domain, offer.reclaimable)
         refusal = self._refusals.get(key)
         waited = refusal is None or now >= refusal.until
+        quiet_until = self._quiet_until.get(offer.failure_domain, now)
+        if offer.reclaimable and now < quiet_until:
+            return False
         return waited and self._policy.allows(offer)
 
     def _start(
