Judge slowness also in load bands seen too little for a limit of their own

Cause: a version that was slow only under load was moved: each host needs 40 answers of the old version in a band before it has a limit there, and rare routes never gave them. Change: such a band takes the limit of its route; the comparison only needs one limit for both versions.

--- a/waxwingarch/core/evidence.py
+++ b/waxwingarch/core/evidence.py
@@ -19,6 +19,7 @@
 )
 from waxwingarch.core.move_detector import WINDOW_S
 from waxwingarch.core.move_judge import (
+    ANY,
     Decision,
     Judge,
     SequentialJudge,
@@ -231,13 +232,18 @@
             watch.routes.append(route)
         else:
             route = OTHER_ROUTES
-    quantile = watch.quantiles.setdefault((route, band), Quantile())
-    outcome = _outcome(ok, latency_s, quantile.limit_s)
+    in_band = watch.quantiles.setdefault((route, band), Quantile())
+    in_all = watch.quantiles.setdefault((route, ANY), Quantile())
+    # Any limit will do that is the same for both versions, so a band
+    # that was seen too little takes the one of its route.
+    limit_s = in_band.limit_s or in_all.limit_s
+    outcome = _outcome(ok, latency_s, limit_s)
     key = (version, route, band)
     watch.own.setdefault(key, Cell()).add(outcome)
     watch.fresh.setdefault(key, Cell()).add(outcome)
     if ok and version == watch.old:
-        quantile.add(latency_s)
+        in_band.add(latency_s)
+        in_all.add(latency_s)
 
 
 def _outcome(ok: bool, latency_s: float, limit_s: float | None) -> Cell:
