Judge the canary servers also on their own

Cause: a late fault that came with the age of a server was moved: near the end it struck the oldest server only, and the others hid it in the sum. Change: requests on the move's canary servers count once more, and have a stream of their own against the same rate of the old version. The test fails without the note of the canary servers (it runs both ways).

--- a/tests/core/test_evidence.py
+++ b/tests/core/test_evidence.py
@@ -160,6 +160,33 @@
         self.assertEqual("/tag", verdict.route)
 
 
+class CanaryServersTest(TestCase):
+    def test_fault_of_the_oldest_servers_is_not_diluted(self) -> None:
+        """One server in ten fails late; the others hide it in the sum."""
+        for noted in (True, False):
+            made, rng = book(), Random(5)
+            verdict = None
+            for step in range(400):
+                for i in range(20):
+                    version = NEW if i else OLD
+                    oldest = version == NEW and rng.random() < 0.1
+                    ok = not (oldest and step > 200 and rng.random() < 0.15)
+                    made.record(
+                        step / 2,
+                        SERVICE,
+                        version,
+                        "/draft",
+                        LoadBand.LOW,
+                        ok,
+                        1.0,
+                        oldest and noted,
+                    )
+                verdict = made.verdict(step / 2, MOVE)
+            assert verdict is not None
+            stopped = verdict.decision is Decision.STOP
+            self.assertEqual(noted, stopped)
+
+
 class MergeTest(TestCase):
     def test_peers_stop_on_evidence_that_none_has_alone(self) -> None:
         books = [book(f"h{i}") for i in range(4)]
--- a/waxwingarch/adapters/move_trace.py
+++ b/waxwingarch/adapters/move_trace.py
@@ -40,6 +40,7 @@
     version: str
     route: str
     band: LoadBand
+    canary: bool = False
     failed: int = Field(ge=0)
     latencies_s: tuple[float, ...]
 
@@ -164,6 +165,7 @@
                 cell.band,
                 ok,
                 latency_s,
+                cell.canary,
             )
 
     def _tick(self, at: float, record: MoveRecord, event: TraceWindow) -> None:
--- a/waxwingarch/core/evidence.py
+++ b/waxwingarch/core/evidence.py
@@ -112,15 +112,22 @@
         band: LoadBand,
         ok: bool,
         latency_s: float,
+        on_canary: bool = False,
     ) -> None:
         """Count the outcome of one request at this host.
 
-        Outcomes that say nothing of the version (the caller went away,
-        the server's host was reclaimed) are not to be recorded.
+        `on_canary` says that one of the move's canary servers ran it:
+        these are the oldest of the new version, so a fault that comes
+        with a server's age shows there first. Outcomes that say nothing
+        of the version (the caller went away, the server's host was
+        reclaimed) are not to be recorded.
         """
         for watch in self._watches.values():
             if watch.service == service:
                 _count(watch, version, route, band, ok, latency_s)
+                if on_canary and version == watch.new:
+                    cohort = watch.canary
+                    _count(watch, cohort, route, band, ok, latency_s)
 
     def snapshot(self, move_id: str) -> HostEvidence | None:
         """Return this host's counts, to be spread to its peers."""
@@ -225,7 +232,7 @@
     ok: bool,
     latency_s: float,
 ) -> None:
-    if version not in (watch.old, watch.new):
+    if version not in (watch.old, watch.new, watch.canary):
         return
     if route not in watch.routes:
         if len(watch.routes) < MAX_ROUTES:
--- a/waxwingarch/core/move_judge.py
+++ b/waxwingarch/core/move_judge.py
@@ -30,6 +30,7 @@
 )
 
 ANY: Final = "*"
+CANARY_LABEL: Final = " (canary servers)"
 MIN_ROUTE_SHARE: Final = 0.01
 SUSPICION: Final = 0.5
 MIN_HIGH_LOAD_REQUESTS: Final = 60
@@ -102,6 +103,11 @@
     judged_at: float | None = None
     last: Verdict | None = None
 
+    @property
+    def canary(self) -> VersionId:
+        """Label under which the canary servers count once more."""
+        return VersionId(f"{self.new}{CANARY_LABEL}")
+
     @property
     def limit(self) -> float:
         """Score that stops the version."""
@@ -147,6 +153,9 @@
             _reference(watch, route, band, signal).add(old)
             if new.trials:
                 _add_gain(watch, gains, (route, band, signal), new)
+            first = sample_of(fresh.get((watch.canary, route, band)), signal)
+            if first.trials:
+                _add_canary_gain(watch, gains, (route, band, signal), first)
     watch.steps += len(gains) * len(ALTERNATIVES)
     for stream_key, gain in gains.items():
         stream = watch.streams.setdefault(stream_key, Stream())
@@ -172,10 +181,30 @@
         return
     gain = window_scores(sample, null)
     for place in ((route, band), (route, ANY), (ANY, band), (ANY, ANY)):
-        pooled = (*place, signal)
-        before = gains.get(pooled, (0.0,) * len(gain))
-        total = tuple(a + b for a, b in zip(before, gain, strict=True))
-        gains[pooled] = total
+        _pool(gains, (*place, signal), gain)
+
+
+def _add_canary_gain(
+    watch: Watch,
+    gains: dict[StreamKey, tuple[float, ...]],
+    key: StreamKey,
+    sample: Sample,
+) -> None:
+    """Add a cell's evidence to the stream of the canary servers."""
+    route, band, signal = key
+    null = _null(watch, route, band, signal)
+    if null is not None:
+        gain = window_scores(sample, null)
+        _pool(gains, (CANARY_LABEL, ANY, signal), gain)
+
+
+def _pool(
+    gains: dict[StreamKey, tuple[float, ...]],
+    key: StreamKey,
+    gain: tuple[float, ...],
+) -> None:
+    before = gains.get(key, (0.0,) * len(gain))
+    gains[key] = tuple(a + b for a, b in zip(before, gain, strict=True))
 
 
 def _null(watch: Watch, route: str, band: str, signal: Signal) -> float | None:
@@ -228,6 +257,9 @@
 
 def _pooled(watch: Watch, version: VersionId, key: StreamKey) -> Sample:
     route, band, signal = key
+    if route == CANARY_LABEL:
+        route = ANY
+        version = watch.canary if version == watch.new else version
     trials = hits = 0
     for (of_version, of_route, of_band), cell in watch.totals.items():
         if of_version != version:
