--- a/waxwingarch/core/capacity.py
+++ b/waxwingarch/core/capacity.py
@@ -260,7 +260,7 @@
         for candidate in missing:
             self._count += 1
             start = StartServer(
-                order_id=f"{demand.service}-{fencing}-{self._count}",
+                order_id=_order_id(demand, fencing, self._count),
                 service=demand.service,
                 version=demand.version,
                 machine_class=candidate.machine_class,
@@ -313,6 +313,11 @@
         return [StopServer(server_id=unneeded.server_id, fencing=fencing)]
 
 
+def _order_id(demand: Demand, fencing: int, count: int) -> str:
+    """Return an id that no pool and no other holder uses again."""
+    return f"{demand.service}-{demand.version}-{fencing}-{count}"
+
+
 def _running(server: FleetServer, demand: Demand) -> Candidate:
     """Return a running server, with a discount against flapping."""
     return Candidate(
