--- a/tests/core/test_evidence.py
+++ b/tests/core/test_evidence.py
@@ -160,6 +160,33 @@
         self.assertEqual("/tag", verdict.route)
 
 
+class CanaryServersTest(TestCase):
+    def test_fault_of_the_oldest_servers_is_not_diluted(self) -> None:
+        """One server in ten fails late; the others hide it in the sum."""
+        for noted in (True, False):
+            made, rng = book(), Random(5)
+            verdict = None
+            for step in range(400):
+                for i in range(20):
+                    version = NEW if i else OLD
+                    oldest = version == NEW and rng.random() < 0.1
+                    ok = not (oldest and step > 200 and rng.random() < 0.15)
+                    made.record(
+                        step / 2,
+                        SERVICE,
+                        version,
+                        "/draft",
+                        LoadBand.LOW,
+                        ok,
+                        1.0,
+                        oldest and noted,
+                    )
+                verdict = made.verdict(step / 2, MOVE)
+            assert verdict is not None
+            stopped = verdict.decision is Decision.STOP
+            self.assertEqual(noted, stopped)
+
+
 class MergeTest(TestCase):
     def test_peers_stop_on_evidence_that_none_has_alone(self) -> None:
         books = [book(f"h{i}") for i in range(4)]
@@ -216,6 +243,18 @@
         drive(lambda at, v, *rest: (v == OLD, 1.0), made=peer)
         self.assertFalse(peer.close(MOVE))
 
+    def test_host_that_learns_of_a_stop_is_open_again(self) -> None:
+        made, peer = book("a"), book("b")
+        for stop in (False, True):
+            if stop:
+                made.learn_stop(MOVE)
+            made.close(MOVE)
+            evidence = made.snapshot(MOVE)
+            assert evidence is not None
+            self.assertEqual(not stop, evidence.closed)
+            peer.merge(evidence)
+        self.assertEqual(frozenset(), peer.closed_hosts(MOVE))
+
     def test_rows_are_bounded(self) -> None:
         made = book()
         for i in range(10 * MAX_ROUTES):
