--- a/script/policy_reclaim.py
+++ b/script/policy_reclaim.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from random import Random
 
 from policy_feed import SLOTS, FakeServer, Running
 from policy_workload import BLOCK_TOKENS
@@ -16,7 +15,6 @@
 )
 
 KV_BYTES_PER_TOKEN = 128 * 1024
-LINK_BYTES_PER_S = 1.25e9
 EXTRA_SLOTS = 4
 
 Plan = Callable[
@@ -36,6 +34,7 @@
 class Loss:
     """What the loss of a domain cost, summed over many notices."""
 
+    link_bytes_per_s: float
     streams: int = 0
     finished: int = 0
     moved: int = 0
@@ -67,7 +66,10 @@
         while left and now < ends_at:
             streams = [_stream(now, s, r) for s, r in left]
             targets = [
-                _target(s, taken[s.info.server_id], left) for s in stays
+                _target(
+                    s, taken[s.info.server_id], left, self.link_bytes_per_s
+                )
+                for s in stays
             ]
             steps = {
                 RequestId(step.request_id): step
@@ -142,12 +144,14 @@
     )
 
 
-def _target(server: FakeServer, taken: int, left: Left) -> TargetView:
+def _target(
+    server: FakeServer, taken: int, left: Left, link_bytes_per_s: float
+) -> TargetView:
     free = SLOTS + EXTRA_SLOTS - len(server.running) - taken
     return TargetView(
         server_id=server.info.server_id,
         free_slots=max(0, free),
-        transfer_bytes_per_s=LINK_BYTES_PER_S,
+        transfer_bytes_per_s=link_bytes_per_s,
         prefill_tokens_per_s=server.prefill_tokens_per_s,
         cached_tokens=tuple(
             (
@@ -157,8 +161,3 @@
             for _, running in left
         ),
     )
-
-
-def notice_of(rng: Random) -> float:
-    """Return the length of a notice: seconds."""
-    return rng.uniform(3.0, 15.0)
--- a/script/policy_report.py
+++ b/script/policy_report.py
@@ -1,12 +1,13 @@
 """Runs the policies and prints their figures side by side."""
 
 import argparse
+import gc
 from collections.abc import Iterator
 from random import Random
 
 from policy_feed import Feed, Host, Result
 from policy_noise import quiet_p99_s
-from policy_reclaim import Loss, notice_of
+from policy_reclaim import Loss
 from policy_workload import DEPLOYMENTS, Deployment
 
 from waxwingarch.core.placement import CostPlacement
@@ -15,6 +16,7 @@
 from waxwingarch.core.reclaim import plan, plan_recompute
 
 NOTICE_EVERY_S = 10.0
+BYTES_PER_GBIT = 125e6
 BASELINE = "least-loaded"
 
 
@@ -29,6 +31,10 @@
     return Host(placement=LeastLoaded(), prefixes=PrefixIndex())
 
 
+def _least_peers(rng: Random, hosts: int) -> Host:
+    return Host(placement=LeastLoaded(peers=hosts), prefixes=PrefixIndex())
+
+
 def _stale(rng: Random, hosts: int) -> Host:
     return Host(placement=LeastLoaded(count_own=False), prefixes=PrefixIndex())
 
@@ -40,13 +46,19 @@
 POLICIES = {
     "cost": _cost,
     "least-loaded": _least,
+    "least-loaded-peers": _least_peers,
     "least-loaded-stale": _stale,
     "round-robin": _robin,
 }
 
 
 def report(options: argparse.Namespace) -> None:
-    """Print the figures that the options ask for."""
+    """Print the figures that the options ask for.
+
+    The collector is off, so that its pauses over the objects of the
+    feed don't count as time of a decision.
+    """
+    gc.disable()
     print(f"options: {vars(options)}")
     for deployment in _deployments(options.deployment):
         if options.part in ("placement", "all"):
@@ -139,7 +151,11 @@
 def _report_reclaim(
     options: argparse.Namespace, deployment: Deployment
 ) -> None:
-    losses = {"plan": Loss(), "recompute-always": Loss()}
+    link = options.link_gbit * BYTES_PER_GBIT
+    losses = {
+        "plan": Loss(link_bytes_per_s=link),
+        "recompute-always": Loss(link_bytes_per_s=link),
+    }
     plans = {"plan": plan, "recompute-always": plan_recompute}
     for seed in _seeds(options):
         rng = Random(seed)
@@ -147,7 +163,7 @@
         def watch(now, servers, rng=rng):
             if now % NOTICE_EVERY_S:
                 return
-            notice_s = notice_of(rng)
+            notice_s = rng.uniform(*options.notice_s)
             zone = rng.choice(servers).info.failure_domain
             for name, loss in losses.items():
                 loss.add(plans[name], now, notice_s, servers, zone)
@@ -161,7 +177,10 @@
             options.cache_blocks,
             watch,
         ).run()
-    print(f"\nloss of a failure domain on notice, {deployment.name}")
+    print(
+        f"\nloss of a failure domain, {deployment.name}, "
+        f"notice {options.notice_s} s, link {options.link_gbit} Gbit/s"
+    )
     base = losses["recompute-always"].recomputed_tokens
     for name, loss in losses.items():
         print(
--- a/waxwingarch/core/placement_baseline.py
+++ b/waxwingarch/core/placement_baseline.py
@@ -45,11 +45,13 @@
 class LeastLoaded:
     """Takes the server with the fewest requests a slot.
 
-    With `count_own` it corrects the reports by its own dispatches.
+    With `count_own` it corrects the reports by its own dispatches, with
+    `peers` also by what that many hosts are likely to have sent.
     """
 
-    def __init__(self, *, count_own: bool = True) -> None:
+    def __init__(self, *, count_own: bool = True, peers: int = 1) -> None:
         self._own = OwnLoad()
+        self._own.peers = peers
         self._count_own = count_own
 
     def choose(
