Count running requests of an account across changes of its contract

Cause: when a contract was removed and put back while a request ran, the end of that request was counted against the new record: -1 running, one request over the limit. Change: the counts live beside the records. The test failed before (1 != 0 running after two requests had been offered at concurrency 1).

--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -108,6 +108,17 @@
         adm.release(1.0, RequestId("runs"))
         self.assertEqual([], adm.next_ready(1.0, 9))
 
+    def test_running_requests_outlive_their_contract(self) -> None:
+        adm = admission(9, contract(concurrency=1))
+        adm.offer(0.0, request("a"))
+        adm.set_contracts(0.1, [])
+        adm.set_contracts(0.2, [contract(concurrency=1)])
+        adm.offer(0.3, request("b"))
+        self.assertEqual(1, adm.running(DRIVE))
+        adm.release(0.4, RequestId("a"))
+        self.assertEqual(0, adm.running(DRIVE))
+        self.assertEqual(1, len(adm.next_ready(0.4, 9)))
+
 
 class DeadlineTest(testtools.TestCase):
     def test_deadlines_are_fixed_at_acceptance(self) -> None:
--- a/waxwingarch/core/admission.py
+++ b/waxwingarch/core/admission.py
@@ -1,5 +1,6 @@
 """Admission of requests: limits, fair shares and deadlines by contract."""
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
@@ -27,7 +28,6 @@
 class _Account:
     contract: Contract
     limit: AccountLimit
-    running: int = 0
     earliest_latest_start: float = float("inf")
 
 
@@ -55,7 +55,7 @@
         self._queue = FairQueue()
         self._accounts: dict[AccountId, _Account] = {}
         self._accepted: dict[RequestId, _Accepted] = {}
-        self._running = 0
+        self._running: Counter[AccountId] = Counter()
         self._now = 0.0
 
     def set_contracts(
@@ -128,11 +128,7 @@
         if accepted.started_at is None:
             self._queue.remove(account, request_id)
             return
-        self._running -= 1
-        state = self._accounts.get(account)
-        if state is None:
-            return
-        state.running -= 1
+        self._running[account] -= 1
         spent_s = now - accepted.started_at
         self._queue.correct(account, spent_s - accepted.request.expected_s)
 
@@ -166,8 +162,7 @@
 
     def running(self, account: AccountId) -> int:
         """Return how many requests of an account have a slot."""
-        state = self._accounts.get(account)
-        return 0 if state is None else state.running
+        return self._running[account]
 
     def waiting(self, account: AccountId) -> int:
         """Return how many requests of an account wait."""
@@ -199,11 +194,11 @@
 
     def _may_start(self, account: AccountId) -> bool:
         state = self._accounts[account]
-        return state.running < state.limit.concurrency(self._now)
+        return self._running[account] < state.limit.concurrency(self._now)
 
     def _can_start_at_once(self, account: AccountId) -> bool:
         return (
-            self._running < self._slots
+            self._running.total() < self._slots
             and self._may_start(account)
             and not self._queue.has_ready(self._may_start)
         )
@@ -216,9 +211,7 @@
             latest_start=accepted.latest_start,
             started_at=now,
         )
-        state = self._accounts[req.account]
-        state.running += 1
-        self._running += 1
+        self._running[req.account] += 1
         return Admitted(
             request_id=req.request_id,
             account=req.account,
@@ -282,7 +275,7 @@
             if self._queue.waiting_count(other):
                 waiting_share += other_state.contract.share
             else:
-                idle_running += other_state.running
+                idle_running += self._running[other]
         left = max(0, self._slots - idle_running)
         total_share = sum(s.contract.share for s in self._accounts.values())
         fair = left * share / waiting_share if waiting_share > 0 else 0.0
