--- a/tests/core/test_spread.py
+++ b/tests/core/test_spread.py
@@ -220,6 +220,15 @@
         self.assertEqual([], queue.select(60, 3))
         self.assertEqual(0, len(queue))
 
+    def test_a_record_that_peers_know_is_sent_less(self) -> None:
+        queue: RumourQueue[str] = RumourQueue()
+        queue.put("stop", Urgency.URGENT, 50)
+        queue.heard("stop", 3)
+        queue.heard("none", 3)
+        for _ in range(2):
+            self.assertEqual(["stop"], queue.select(60, 3))
+        self.assertEqual([], queue.select(60, 3))
+
     def test_a_large_record_does_not_block_smaller_ones(self) -> None:
         queue: RumourQueue[str] = RumourQueue()
         queue.put("large", Urgency.URGENT, 500)
--- a/waxwingarch/core/cluster.py
+++ b/waxwingarch/core/cluster.py
@@ -23,6 +23,7 @@
 from waxwingarch.core.items import Item, SettingsRevision, SpentShare
 from waxwingarch.core.members import Member, MemberState
 from waxwingarch.core.membership import Membership, Outgoing
+from waxwingarch.core.merge import item_key
 from waxwingarch.core.messages import (
     Ack,
     Datagram,
@@ -267,6 +268,10 @@
         return actions
 
     def _learn_member(self, now: float, member: Member) -> None:
+        before = self.membership.member(member.host_id)
+        if before == member:
+            self.packer.heard(member.host_id)
+            return
         self.membership.learn(now, member)
         known = self.membership.member(member.host_id)
         if known is None or known.reachable or not member.reachable:
@@ -275,18 +280,19 @@
         self.packer.put_member(known)
 
     def _learn_items(self, now: float, datagram: Datagram) -> list[Action]:
-        changed = tuple(
-            item
-            for item in datagram.items
-            if self.store.accept(now, self._unix_now, item)
-        )
+        changed: list[Item] = []
+        for item in datagram.items:
+            if self.store.accept(now, self._unix_now, item):
+                changed.append(item)
+            elif self.store.get(item_key(item)) == item:
+                self.packer.heard(item_key(item))
         if not changed:
             return []
         body = datagram.body
         if not isinstance(body, Gossip) or body.relay:
             for item in changed:
                 self.packer.put_item(item)
-        return [ItemsChanged(items=changed)]
+        return [ItemsChanged(items=tuple(changed))]
 
     def _note_sender(self, now: float, datagram: Datagram) -> None:
         sender = self.membership.member(datagram.sender)
--- a/waxwingarch/core/gossip.py
+++ b/waxwingarch/core/gossip.py
@@ -78,6 +78,10 @@
         """Stop passing a record on."""
         self._queue.discard(key)
 
+    def heard(self, key: RecordKey) -> None:
+        """Note that a peer sent a record just as it is known here."""
+        self._queue.heard(key, self._send_limit())
+
     def refill(self, now: float) -> None:
         """Let the budget grow with time."""
         since = now if self._filled_at is None else self._filled_at
@@ -110,8 +114,7 @@
         room = MAX_DATAGRAM_BYTES - header_bytes
         room -= sum(member_bytes(m) for m in first)
         last = Urgency.VOLATILE if self._tokens > 0 else Urgency.URGENT
-        limit = send_limit(len(self._membership.members()))
-        keys = self._queue.select(max(0, room), limit, last)
+        keys = self._queue.select(max(0, room), self._send_limit(), last)
         records: list[Record] = [*first, *self._records(keys)]
         return self._wrap(own, body, records)
 
@@ -150,6 +153,9 @@
         keys = self._digest.keys(buckets)
         return self.pack(self._records(keys), relay=True, limit=SYNC_DATAGRAMS)
 
+    def _send_limit(self) -> int:
+        return send_limit(len(self._membership.reachable()) + 1)
+
     def _records(self, keys: Iterable[RecordKey]) -> list[Record]:
         found = [self._record(key) for key in keys]
         return [record for record in found if record is not None]
--- a/waxwingarch/core/rumours.py
+++ b/waxwingarch/core/rumours.py
@@ -49,6 +49,13 @@
             urgency, sends = place
             del self._buckets[urgency][sends][key]
 
+    def heard(self, key: KeyT, limit: int) -> None:
+        """Count a record that a peer already knows as sent once."""
+        place = self._places.get(key)
+        if place is not None:
+            urgency, sends = place
+            self._count(key, self._buckets[urgency][sends][key], limit)
+
     def pending(self, urgency: Urgency) -> bool:
         """Tell whether any record of this urgency waits."""
         return any(self._buckets[urgency])
