Assign watch duties evenly, send urgent items twice as often

Plain rendezvous gave some hosts five servers to watch where the average is 1.5, which made their traffic several times the average.

--- a/tests/core/test_watch.py
+++ b/tests/core/test_watch.py
@@ -85,6 +85,26 @@
         # 3 on average: a random draw seldom gives anyone four times that.
         self.assertLess(max(held.values()), 12)
 
+    def test_assigned_duties_are_even_and_apart(self) -> None:
+        places = make_places(400)
+        domain_of = {p.host_id: p.failure_domain for p in places}
+        keys = [f"s{n}" for n in range(600)]
+        assigned = DutyTable(places).assign(keys, Duty.WATCH_SERVER, 2)
+        first = Counter(hosts[0] for hosts in assigned.values())
+        self.assertLessEqual(max(first.values()), 2)
+        for hosts in assigned.values():
+            self.assertEqual(2, len({domain_of[h] for h in hosts}))
+        after = DutyTable(places[1:]).assign(keys, Duty.WATCH_SERVER, 2)
+        moved = sum(assigned[key] != after[key] for key in keys)
+        self.assertLess(moved, 600 * 0.06)
+
+    def test_duties_are_assigned_to_whoever_is_there(self) -> None:
+        self.assertEqual(
+            {"k": ()}, DutyTable([]).assign(["k"], Duty.WATCH_SERVER, 2)
+        )
+        one = DutyTable(make_places(1)).assign("abc", Duty.WATCH_SERVER, 2)
+        self.assertEqual({"a": ("h0",), "b": ("h0",), "c": ("h0",)}, one)
+
     def test_duties_differ_by_name(self) -> None:
         table = DutyTable(make_places(40))
         self.assertNotEqual(
--- a/waxwingarch/core/rumours.py
+++ b/waxwingarch/core/rumours.py
@@ -7,6 +7,8 @@
 KeyT = TypeVar("KeyT")
 
 SENDS_FACTOR: Final = 2.0
+# Urgent records are few, and the last host to hear should be soon.
+URGENT_FACTOR: Final = 2
 SMALLEST_RECORD_BYTES: Final = 6
 
 
@@ -50,9 +52,12 @@
             del self._buckets[urgency][sends][key]
 
     def heard(self, key: KeyT, limit: int) -> None:
-        """Count a record that a peer already knows as sent once."""
+        """Count a record that a peer already knows as sent once.
+
+        Not so urgent ones: those are worth more datagrams.
+        """
         place = self._places.get(key)
-        if place is not None:
+        if place is not None and place[0] is not Urgency.URGENT:
             urgency, sends = place
             self._count(key, self._buckets[urgency][sends][key], limit)
 
@@ -66,7 +71,7 @@
         """Take records for one datagram and count them as sent.
 
         Records less urgent than `last` are left out; those sent `limit`
-        times are dropped.
+        times, urgent ones twice as often, are dropped.
         """
         chosen: list[tuple[KeyT, int]] = []
         left = budget_bytes
@@ -94,6 +99,8 @@
     def _count(self, key: KeyT, size: int, limit: int) -> None:
         urgency, sends = self._places[key]
         self.discard(key)
+        if urgency is Urgency.URGENT:
+            limit *= URGENT_FACTOR
         if sends + 1 < limit:
             self._insert(key, urgency, sends + 1, size)
 
--- a/waxwingarch/core/watch.py
+++ b/waxwingarch/core/watch.py
@@ -5,8 +5,8 @@
 """
 
 import math
-from collections import defaultdict
-from collections.abc import Iterable, Mapping, Sequence
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
@@ -17,6 +17,7 @@
 
 HASH_RANGE: Final = 2.0**64
 DEFAULT_SUBSET_SERVERS: Final = 40
+ASSIGN_HEADROOM: Final = 1.25
 
 
 class Duty(StrEnum):
@@ -69,11 +70,7 @@
     ) -> tuple[HostId, ...]:
         """Return up to `count` hosts for the key, the first one first."""
         prefix = f"{duty}\0{key}\0"
-        order = sorted(
-            self._domains,
-            key=lambda domain: self._domain_score(prefix, domain),
-            reverse=True,
-        )
+        order = self._domain_order(prefix)
         if len(order) >= count:
             order = order[:count]
         ranked = [self._ranked(prefix, domain) for domain in order]
@@ -87,12 +84,65 @@
             depth += 1
         return tuple(chosen)
 
+    def assign(
+        self, keys: Iterable[str], duty: Duty, count: int
+    ) -> dict[str, tuple[HostId, ...]]:
+        """Return the responsible hosts of all keys, evenly loaded.
+
+        Like `responsible`, but a host that already has its fill of the
+        first (or second, ...) places is passed over: a few hosts with
+        many keys would else spend several times the average.
+        """
+        ordered = sorted(set(keys), key=lambda key: (_hash(key), key))
+        hosts = sum(len(members) for members in self._domains.values())
+        if not hosts:
+            return dict.fromkeys(ordered, ())
+        fill = math.ceil(len(ordered) / hosts * ASSIGN_HEADROOM)
+        loads: list[Counter[HostId]] = [Counter() for _ in range(count)]
+        return {
+            key: self._assign_one(f"{duty}\0{key}\0", loads, fill)
+            for key in ordered
+        }
+
+    def _assign_one(
+        self, prefix: str, loads: list[Counter[HostId]], fill: int
+    ) -> tuple[HostId, ...]:
+        chosen: list[HostId] = []
+        domains = iter(self._domain_order(prefix))
+        for load in loads:
+            host = self._first_free(prefix, domains, load, fill)
+            if host is None:
+                break
+            load[host] += 1
+            chosen.append(host)
+        return tuple(chosen)
+
+    def _first_free(
+        self,
+        prefix: str,
+        domains: Iterator[FailureDomain],
+        load: Counter[HostId],
+        fill: int,
+    ) -> HostId | None:
+        for domain in domains:
+            for host in self._ranked(prefix, domain):
+                if load[host] < fill:
+                    return host
+        return None
+
     def is_responsible(
         self, host_id: HostId, key: str, duty: Duty, count: int
     ) -> bool:
         """Tell whether the host is one of the responsible ones."""
         return host_id in self.responsible(key, duty, count)
 
+    def _domain_order(self, prefix: str) -> list[FailureDomain]:
+        return sorted(
+            self._domains,
+            key=lambda domain: self._domain_score(prefix, domain),
+            reverse=True,
+        )
+
     def _domain_score(self, prefix: str, domain: FailureDomain) -> float:
         # -weight / ln(uniform): a domain wins in proportion to its hosts.
         uniform = (_hash(prefix + domain) + 0.5) / HASH_RANGE
