--- /dev/null
+++ b/model/membership.py
@@ -0,0 +1,168 @@
+"""Specification of membership: one host as two observers see it.
+
+Messages are never lost from the network and may arrive again at any
+time, so each order of arrival is covered, late and repeated ones too.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from typing import Any, NamedTuple
+
+from minicheck import Protocol, check_safety
+
+from waxwingarch.core.base import FailureDomain, HostId
+from waxwingarch.core.members import (
+    Addresses,
+    Member,
+    MemberState,
+    precedence,
+    supersedes,
+)
+
+Wins = Callable[[Member, Member], bool]
+
+FIRST = Member(
+    host_id=HostId("h"),
+    incarnation=1,
+    refutation=0,
+    region="r",
+    failure_domain=FailureDomain("d"),
+    addresses=Addresses(http="", peer_tcp="", peer_udp=""),
+    state=MemberState.ALIVE,
+)
+MAX_INCARNATION = 2
+MAX_REFUTATION = 1
+MAX_STATES = 50_000
+ACCUSATIONS = {
+    MemberState.ALIVE: MemberState.SUSPECT,
+    MemberState.SUSPECT: MemberState.DEAD,
+}
+
+
+class State(NamedTuple):
+    """The host's own record, the views of it, and the network."""
+
+    own: Member
+    views: tuple[Member, ...]
+    network: frozenset[Member]
+    # The latest process and refutation that each observer has heard of.
+    heard: tuple[tuple[int, int], ...]
+    # The processes that each observer has heard leave.
+    heard_left: tuple[frozenset[int], ...]
+
+
+INITIAL = State(
+    own=FIRST,
+    views=(FIRST, FIRST),
+    network=frozenset(),
+    heard=((1, 0), (1, 0)),
+    heard_left=(frozenset(), frozenset()),
+)
+
+
+def _put(values: tuple[Any, ...], index: int, value: Any) -> tuple[Any, ...]:
+    return (*values[:index], value, *values[index + 1 :])
+
+
+def _see(state: State, index: int, record: Member) -> State:
+    """Replace an observer's view, and tell everybody."""
+    return state._replace(
+        views=_put(state.views, index, record),
+        network=state.network | {record},
+    )
+
+
+def _hear(state: State, index: int, record: Member, wins: Wins) -> State:
+    mark = (record.incarnation, record.refutation)
+    heard = _put(state.heard, index, max(state.heard[index], mark))
+    left = state.heard_left[index]
+    if record.state is MemberState.LEFT:
+        left = left | {record.incarnation}
+    state = state._replace(
+        heard=heard, heard_left=_put(state.heard_left, index, left)
+    )
+    if wins(record, state.views[index]):
+        return _see(state, index, record)
+    return state
+
+
+def _own_steps(state: State) -> Iterator[tuple[str, State]]:
+    own = state.own
+    if own.incarnation < MAX_INCARNATION:
+        started = replace(
+            FIRST, incarnation=own.incarnation + 1, state=MemberState.ALIVE
+        )
+        yield "restart", _say(state, started)
+    if own.state is MemberState.LEFT:
+        return
+    yield "leave", _say(state, replace(own, state=MemberState.LEFT))
+    accused = any(supersedes(record, own) for record in state.network)
+    if accused and own.refutation < MAX_REFUTATION:
+        refuted = replace(own, refutation=own.refutation + 1)
+        yield "refute", _say(state, refuted)
+
+
+def _say(state: State, own: Member) -> State:
+    return state._replace(own=own, network=state.network | {own})
+
+
+def make_protocol(wins: Wins = supersedes) -> Protocol:
+    """Return the protocol; `wins` is the rule that observers merge by."""
+
+    def transitions(raw: tuple[Any, ...]) -> list[tuple[str, State]]:
+        state = State(*raw)
+        steps = list(_own_steps(state))
+        for index, view in enumerate(state.views):
+            worse = ACCUSATIONS.get(view.state)
+            if worse is not None:
+                accused = replace(view, state=worse)
+                steps.append((worse, _see(state, index, accused)))
+            for record in sorted(state.network, key=precedence):
+                heard = _hear(state, index, record, wins)
+                if heard != state:
+                    steps.append(("hear", heard))
+        return steps
+
+    return Protocol(
+        name="membership",
+        candidate=False,
+        fields=State._fields,
+        initial=INITIAL,
+        transitions=transitions,
+        invariants={
+            "no_predecessor_returns": _no_predecessor_returns,
+            "refuted_stays_refuted": _refuted_stays_refuted,
+            "left_stays_left": _left_stays_left,
+        },
+    )
+
+
+def _no_predecessor_returns(state: dict[str, Any]) -> bool:
+    return all(
+        view.incarnation >= heard[0]
+        for view, heard in zip(state["views"], state["heard"], strict=True)
+    )
+
+
+def _refuted_stays_refuted(state: dict[str, Any]) -> bool:
+    return all(
+        view.state in (MemberState.ALIVE, MemberState.LEFT)
+        or (view.incarnation, view.refutation) >= heard
+        for view, heard in zip(state["views"], state["heard"], strict=True)
+    )
+
+
+def _left_stays_left(state: dict[str, Any]) -> bool:
+    return all(
+        view.state is MemberState.LEFT or view.incarnation not in left
+        for view, left in zip(state["views"], state["heard_left"], strict=True)
+    )
+
+
+def check(
+    wins: Wins = supersedes, max_states: int = MAX_STATES
+) -> dict[str, Any]:
+    """Check the rule; return the verdict of each property."""
+    protocol = make_protocol(wins)
+    result: dict[str, Any] = check_safety(protocol, max_states=max_states)
+    return result
