--- a/waxwingarch/tasks/runner.py
+++ b/waxwingarch/tasks/runner.py
@@ -16,12 +16,16 @@
         """Take one step of the node."""
 
 
+Observer = Callable[[float, Event, list[Action]], None]
+
+
 class Runner:
     """The one place where a node's decisions meet the real clock."""
 
     def __init__(self, node: Node, recorder: Recorder | None = None) -> None:
         self.node = node
         self._recorder = recorder
+        self._observers: list[Observer] = []
         self._sinks: dict[type[Action], Callable[[Any], object]] = {}
         self._pending: deque[Event] = deque()
         self._busy = False
@@ -32,6 +36,10 @@
         """Hand all actions of a kind to a sink, which must not block."""
         self._sinks[kind] = sink
 
+    def observe(self, observer: Observer) -> None:
+        """Show each step to an observer, which must not post events."""
+        self._observers.append(observer)
+
     def post(self, event: Event) -> None:
         """Take an event; events posted by sinks wait their turn."""
         self._pending.append(event)
@@ -49,5 +57,7 @@
         actions = self.node.handle(now, event)
         if self._recorder:
             self._recorder.record(now, event, actions)
+        for observer in self._observers:
+            observer(now, event, actions)
         for action in actions:
             self._sinks[type(action)](action)
