Add the operators' operations: contracts, moves, hosts, explain

A write that loses to an unrelated change is tried again on top of it; one whose text has changed under the operator is a typed conflict.

--- /dev/null
+++ b/waxwingarch/adapters/settings_moves.py
@@ -0,0 +1,80 @@
+"""Version moves kept as documents of the settings."""
+
+import uuid
+from typing import Final
+
+import orjson
+
+from waxwingarch.core.base import ServiceId
+from waxwingarch.core.move_record import (
+    MoveRecord,
+    WriteMove,
+    from_json,
+    to_json,
+)
+from waxwingarch.core.settings import Document, SettingsSnapshot
+from waxwingarch.exceptions import SettingsError
+from waxwingarch.ports.settings_write import (
+    SettingsChange,
+    SettingsStore,
+    StoredMove,
+)
+
+MOVE_PREFIX: Final = "move/"
+
+
+def move_document(record: MoveRecord) -> Document:
+    """Return the document that holds a move."""
+    text = orjson.dumps(to_json(record)).decode()
+    return Document(name=f"{MOVE_PREFIX}{record.service}", text=text)
+
+
+def read_move(document: Document) -> MoveRecord:
+    """Return the move in a document; raises `SettingsError`."""
+    try:
+        return from_json(orjson.loads(document.text))
+    except ValueError as exc:
+        raise SettingsError(f"{document.name}: {exc}") from exc
+
+
+def moves_of(snapshot: SettingsSnapshot) -> tuple[MoveRecord, ...]:
+    """Return the moves of a revision; raises `SettingsError`."""
+    return tuple(
+        read_move(document)
+        for document in snapshot.documents
+        if document.name.startswith(MOVE_PREFIX)
+    )
+
+
+class SettingsMoves:
+    """Reads and writes moves through the settings store.
+
+    The version of a move is the revision that it was read at: any other
+    change in between makes the write lose, and it is read again.
+    """
+
+    def __init__(self, store: SettingsStore) -> None:
+        self._store = store
+
+    async def async_list(self, deadline: float) -> tuple[MoveRecord, ...]:
+        """Return all moves; raises `PlatformUnavailableError`."""
+        return moves_of(await self._store.async_read_settings(deadline))
+
+    async def async_get(
+        self, service: ServiceId, deadline: float
+    ) -> StoredMove:
+        """Return the move of a service."""
+        snapshot = await self._store.async_read_settings(deadline)
+        record = next(
+            (m for m in moves_of(snapshot) if m.service == service), None
+        )
+        return StoredMove(record=record, version=snapshot.revision)
+
+    async def async_write(self, write: WriteMove, deadline: float) -> int:
+        """Write a move; raises `ConflictError`."""
+        change = SettingsChange(
+            change_id=uuid.uuid4().hex,
+            base_revision=write.expected_version,
+            changed=(move_document(write.record),),
+        )
+        return await self._store.async_write(change, deadline)
--- /dev/null
+++ b/waxwingarch/ports/settings_write.py
@@ -0,0 +1,64 @@
+"""Writing settings, as the operators' operations see it."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from waxwingarch.core.base import ServiceId
+from waxwingarch.core.move_record import MoveRecord, WriteMove
+from waxwingarch.core.settings import Document, SettingsSnapshot
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SettingsChange:
+    """A change of documents on top of `base_revision`.
+
+    `change_id` names the change for ever: it settles a lost reply, and
+    a repeated call writes nothing.
+    """
+
+    change_id: str
+    base_revision: int
+    changed: tuple[Document, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+class SettingsStore(Protocol):
+    """The settings in the table service; deadlines on the loop's clock."""
+
+    async def async_read_settings(self, deadline: float) -> SettingsSnapshot:
+        """Return all documents; raises `PlatformUnavailableError`."""
+
+    async def async_write(
+        self, change: SettingsChange, deadline: float
+    ) -> int:
+        """Write a change and return its revision.
+
+        Raises `ConflictError` when another change came first, and
+        `PlatformUnavailableError`.
+        """
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoredMove:
+    """A move as read; `version` is what a write of it must expect."""
+
+    record: MoveRecord | None
+    version: int
+
+
+class MoveStore(Protocol):
+    """The version moves, the last one of each service."""
+
+    async def async_list(self, deadline: float) -> tuple[MoveRecord, ...]:
+        """Return all moves; raises `PlatformUnavailableError`."""
+
+    async def async_get(
+        self, service: ServiceId, deadline: float
+    ) -> StoredMove:
+        """Return the move of a service."""
+
+    async def async_write(self, write: WriteMove, deadline: float) -> int:
+        """Write a move and return the settings revision.
+
+        Raises `ConflictError` when it is not as expected any more.
+        """
--- /dev/null
+++ b/waxwingarch/tasks/operator_api.py
@@ -0,0 +1,31 @@
+"""Registers all operators' operations of a daemon."""
+
+from waxwingarch.adapters.settings_moves import SettingsMoves
+from waxwingarch.ports.settings_write import SettingsStore
+from waxwingarch.tasks.admin import Admin
+from waxwingarch.tasks.explain import ExplainOperations
+from waxwingarch.tasks.move_operations import MoveOperations
+from waxwingarch.tasks.operations import ContractOperations, StateOperations
+from waxwingarch.tasks.request_log import RequestLog
+from waxwingarch.tasks.runner import Runner
+
+
+def register(
+    admin: Admin,
+    runner: Runner,
+    store: SettingsStore,
+    *,
+    host_id: str,
+    deployment: str,
+) -> ExplainOperations:
+    """Add the operations; the result adds to the state dump."""
+    node = runner.node
+    log = RequestLog()
+    runner.observe(log.observe)
+    moves = MoveOperations(node, SettingsMoves(store))
+    explain = ExplainOperations(node, log, moves)
+    ContractOperations(node, store, deployment).register(admin)
+    StateOperations(node, host_id).register(admin)
+    moves.register(admin)
+    explain.register(admin)
+    return explain
