--- /dev/null
+++ b/waxwingctl/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of waxwingctl, a module each."""
--- /dev/null
+++ b/waxwingctl/commands/explain.py
@@ -0,0 +1,67 @@
+"""`waxwingctl explain`: what became of a request or a version move."""
+
+import argparse
+from typing import Any
+from urllib.parse import quote
+
+from waxwingarch.const import EXIT_OK
+from waxwingctl.context import Context
+from waxwingctl.output import table
+
+
+def add_to(subparsers: Any, shared: argparse.ArgumentParser) -> None:
+    """Add the command."""
+    parser = subparsers.add_parser(
+        "explain",
+        parents=[shared],
+        help="tell what became of a request or a move",
+    )
+    parser.add_argument(
+        "name",
+        metavar="REQUEST|MOVE",
+        help="the x-request-id of an answer, or a move's id or service",
+    )
+    parser.set_defaults(run=async_explain)
+
+
+async def async_explain(args: argparse.Namespace, context: Context) -> int:
+    """Explain a request or a move."""
+    path = f"/admin/explain/{quote(args.name, safe='')}"
+    data = await context.client.async_call("GET", path, everywhere=True)
+    is_request = data["kind"] == "request"
+    text = request_text(data) if is_request else data["explanation"]
+    context.output.result(data, text)
+    return EXIT_OK
+
+
+def request_text(data: Any) -> str:
+    """Return a request's story in words."""
+    lines = [
+        f"request {data['request_id']}: {data['outcome']}",
+        f"  {data['method']} {data['path']} of {data['account']}"
+        f" to {data['service']}, route {data['route']}"
+        f"{', at most once' if data['non_idempotent'] else ''}",
+        f"  allowed {data['allowed_s']:g} s, {_times(data)}",
+        f"  {data['attempts']} attempts, {data['losses']} lost,"
+        f" {data['resumes']} resumed, {data['tokens']} tokens",
+    ]
+    refusal = data["refusal"]
+    if refusal:
+        lines.append(f"  {refusal['ran']}: {refusal['message']}")
+    rows = [
+        (f"{step['at_s']:.3f}", step["what"], step["server_id"])
+        for step in data["steps"]
+    ]
+    lines.append(table(("SECONDS", "WHAT", "SERVER"), rows))
+    if data["steps_left_out"]:
+        lines.append(f"({data['steps_left_out']} more steps were not kept)")
+    return "\n".join(lines)
+
+
+def _times(data: Any) -> str:
+    parts = []
+    if data["first_token_s"] is not None:
+        parts.append(f"first token after {data['first_token_s']:.3f} s")
+    if data["whole_s"] is not None:
+        parts.append(f"ended after {data['whole_s']:.3f} s")
+    return ", ".join(parts) or "still going"
--- /dev/null
+++ b/waxwingctl/files.py
@@ -0,0 +1,19 @@
+"""Reading the files that an operator names."""
+
+from pathlib import Path
+
+from waxwingctl.errors import RefusedError
+
+
+def read_text(path: Path) -> str:
+    """Return a file's text; raises `RefusedError`."""
+    try:
+        return path.read_text(encoding="utf-8")
+    except UnicodeDecodeError as exc:
+        raise RefusedError(
+            f"{path}: is not UTF-8 text ({exc.reason}); save it as UTF-8"
+        ) from exc
+    except OSError as exc:
+        raise RefusedError(
+            f"{path}: cannot be read ({exc.strerror}); name another file"
+        ) from exc
