Write settings through the table; say what a settings file got wrong

Messages printed the whole section where a key was missing, the cluster key and the operator key in it. They now name the known keys instead, a secret by its length only, and a route by its own section. A file that is not UTF-8 ended the daemon with a traceback; it is refused now.

--- a/waxwingarch/adapters/ini.py
+++ b/waxwingarch/adapters/ini.py
@@ -2,12 +2,17 @@
 
 from configparser import ConfigParser
 from configparser import Error as IniError
-from typing import TypeVar
+from typing import Any, Final, TypeVar
 
 from pydantic import BaseModel, ValidationError
 
 from waxwingarch.exceptions import SettingsError
 
+PYDANTIC_PREFIX: Final = "Value error, "
+SECRET: Final = "key"
+# Sections of one sort, such as [route NAME], are kept under their plural.
+PLURALS: Final = {"routes": "route"}
+
 Model = TypeVar("Model", bound=BaseModel)
 
 
@@ -35,8 +40,7 @@
         return model.model_validate(data)
     except ValidationError as exc:
         lines = [
-            f"{source}: {_place(error['loc'])}: {error['msg']}"
-            f" (got {error['input']!r})"
+            f"{source}: {_place(error['loc'])}: {_wrong(model, error)}"
             for error in exc.errors()
         ]
         raise SettingsError("\n".join(lines)) from exc
@@ -44,5 +48,44 @@
 
 def _place(loc: tuple[int | str, ...]) -> str:
     section, *rest = [str(part) for part in loc] or ["file"]
+    if section in PLURALS and rest:
+        section = f"{PLURALS[section]} {rest.pop(0)}"
     key = ".".join(rest)
     return f"[{section}] {key}".rstrip()
+
+
+def _wrong(model: type[BaseModel], error: Any) -> str:
+    """Return what was wrong and what is allowed."""
+    loc, kind = error["loc"], error["type"]
+    if kind == "missing":
+        return "is missing; it is required"
+    if kind == "extra_forbidden":
+        known = ", ".join(_known(model, loc[:-1]))
+        return f"is unknown; known here: {known}"
+    wrong = str(error["msg"]).removeprefix(PYDANTIC_PREFIX)
+    shown = _shown(loc, error["input"])
+    return f"{wrong} (got {shown})" if shown else wrong
+
+
+def _known(
+    model: type[BaseModel], loc: tuple[int | str, ...]
+) -> tuple[str, ...]:
+    """Return the names that are allowed at a place."""
+    if not loc:
+        names = tuple(model.model_fields)
+        return tuple(
+            f"{PLURALS[n]} NAME" if n in PLURALS else n for n in names
+        )
+    inner = model.model_fields[str(loc[0])].annotation
+    if not isinstance(inner, type):
+        inner = inner.__args__[-1] if inner else None
+    return tuple(getattr(inner, "model_fields", ()))
+
+
+def _shown(loc: tuple[int | str, ...], value: object) -> str:
+    """Return a value for a message; keys of any kind are not shown."""
+    if not isinstance(value, str):
+        return ""
+    if any(SECRET in str(part) for part in loc):
+        return f"{len(value)} characters"
+    return repr(value)
--- a/waxwingarch/adapters/settings.py
+++ b/waxwingarch/adapters/settings.py
@@ -103,7 +103,11 @@
 def read_settings(path: Path) -> Settings:
     """Return the settings in a file; raises `SettingsError`."""
     try:
-        text = path.read_text()
+        text = path.read_text(encoding="utf-8")
+    except UnicodeDecodeError as exc:
+        raise SettingsError(
+            f"{path}: is not UTF-8 text ({exc.reason}); save it as UTF-8"
+        ) from exc
     except OSError as exc:
         raise SettingsError(
             f"{path}: cannot be read ({exc.strerror}); name a settings file"
--- a/waxwingarch/adapters/settings_moves.py
+++ b/waxwingarch/adapters/settings_moves.py
@@ -14,11 +14,7 @@
 )
 from waxwingarch.core.settings import Document, SettingsSnapshot
 from waxwingarch.exceptions import SettingsError
-from waxwingarch.ports.settings_write import (
-    SettingsChange,
-    SettingsStore,
-    StoredMove,
-)
+from waxwingarch.ports.settings_store import SettingsStore, StoredMove
 
 MOVE_PREFIX: Final = "move/"
 
@@ -72,9 +68,9 @@
 
     async def async_write(self, write: WriteMove, deadline: float) -> int:
         """Write a move; raises `ConflictError`."""
-        change = SettingsChange(
+        return await self._store.async_write(
             change_id=uuid.uuid4().hex,
             base_revision=write.expected_version,
             changed=(move_document(write.record),),
+            deadline=deadline,
         )
-        return await self._store.async_write(change, deadline)
--- a/waxwingarch/daemon.py
+++ b/waxwingarch/daemon.py
@@ -18,6 +18,7 @@
 )
 from waxwingarch.adapters.platform_http import PlatformLink, TableBudget
 from waxwingarch.adapters.settings import Settings
+from waxwingarch.adapters.settings_store import TableSettings
 from waxwingarch.adapters.settings_table import SettingsTableReader
 from waxwingarch.adapters.ticket import TicketBook
 from waxwingarch.adapters.trace import TraceHeader, TraceWriter
@@ -42,6 +43,7 @@
 from waxwingarch.tasks.entry import Entry
 from waxwingarch.tasks.exchange import Exchanges
 from waxwingarch.tasks.intake import Intake
+from waxwingarch.tasks.operator_api import register
 from waxwingarch.tasks.peer_transport import PeerTransport, TransportConfig
 from waxwingarch.tasks.platform_watch import PlatformWatch
 from waxwingarch.tasks.runner import Runner
@@ -89,6 +91,13 @@
         self._build_caller_side(HttpObjectStore(link))
         self._admin = Admin(settings.security.operator_key, on_error)
         self._admin.add("GET", "/admin/dump", self._async_dump)
+        self._explain = register(
+            self._admin,
+            self._runner,
+            TableSettings(self._table),
+            host_id=self._host_id,
+            deployment=settings.host.deployment,
+        )
         self._settings_apply = SettingsApply(
             self._runner, settings.host.deployment
         )
@@ -263,7 +272,8 @@
         return self._dump()
 
     def _dump(self) -> Any:
-        return dump(self._settings, self.node, self._started_unix)
+        state = dump(self._settings, self.node, self._started_unix)
+        return state | self._explain.dump_parts()
 
 
 def _recorder(settings: Settings, header: TraceHeader) -> TraceWriter | None:
--- a/waxwingarch/ports/settings_write.py
+++ b/waxwingarch/ports/settings_store.py
@@ -1,5 +1,6 @@
-"""Writing settings, as the operators' operations see it."""
+"""Reading and writing settings, as the operators' operations see it."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -8,20 +9,6 @@
 from waxwingarch.core.settings import Document, SettingsSnapshot
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SettingsChange:
-    """A change of documents on top of `base_revision`.
-
-    `change_id` names the change for ever: it settles a lost reply, and
-    a repeated call writes nothing.
-    """
-
-    change_id: str
-    base_revision: int
-    changed: tuple[Document, ...] = ()
-    removed: tuple[str, ...] = ()
-
-
 class SettingsStore(Protocol):
     """The settings in the table service; deadlines on the loop's clock."""
 
@@ -29,12 +16,18 @@
         """Return all documents; raises `PlatformUnavailableError`."""
 
     async def async_write(
-        self, change: SettingsChange, deadline: float
+        self,
+        *,
+        change_id: str,
+        base_revision: int,
+        changed: Sequence[Document] = (),
+        removed: Sequence[str] = (),
+        deadline: float,
     ) -> int:
-        """Write a change and return its revision.
+        """Commit a change on top of a revision; return the new one.
 
-        Raises `ConflictError` when another change came first, and
-        `PlatformUnavailableError`.
+        `change_id` settles a lost reply. Raises `ConflictError` when
+        another change came first, and `PlatformUnavailableError`.
         """
 
 
--- a/waxwingarch/tasks/explain.py
+++ b/waxwingarch/tasks/explain.py
@@ -37,14 +37,15 @@
         entry = self._log.get(name)
         if entry:
             return {"kind": "request", **entry.as_json()}
-        record = self._moves.find(name)
-        if record:
-            return {"kind": "move", **move_view(record)}
-        raise NotFoundError(
-            f"this host knows no request or move {name}: a request is known"
-            " at the host that its id begins with, for as long as it is"
-            " among the last ones"
-        )
+        try:
+            record = await self._moves.async_get(name)
+        except NotFoundError as exc:
+            raise NotFoundError(
+                f"no request or move {name} is known here: a request is known"
+                " at the host that its id begins with, for as long as it is"
+                " among the last ones"
+            ) from exc
+        return {"kind": "move", **move_view(record)}
 
     def dump_parts(self) -> dict[str, Any]:
         """Return what the state dump shows of finished requests."""
--- a/waxwingarch/tasks/move_operations.py
+++ b/waxwingarch/tasks/move_operations.py
@@ -25,8 +25,12 @@
     to_json,
 )
 from waxwingarch.core.node import Node
-from waxwingarch.exceptions import ConflictError, SettingsError
-from waxwingarch.ports.settings_write import MoveStore, StoredMove
+from waxwingarch.exceptions import (
+    ConflictError,
+    PlatformUnavailableError,
+    SettingsError,
+)
+from waxwingarch.ports.settings_store import MoveStore, StoredMove
 from waxwingarch.tasks.admin import Admin, NotFoundError
 from waxwingarch.tasks.operations import (
     MAX_WRITE_TRIES,
@@ -89,32 +93,34 @@
         admin.add("GET", prefix, self.async_show, prefix=True)
         admin.add("POST", prefix, self.async_take_back, prefix=True)
 
-    def known(self) -> tuple[MoveRecord, ...]:
-        """Return the moves in force here; needs no platform."""
-        return moves_of(self._node.cluster.settings.history.snapshot)
+    async def async_known(self) -> tuple[MoveRecord, ...]:
+        """Return the last move of each service.
 
-    def find(self, name: str) -> MoveRecord | None:
-        """Return a move by its id, or by its service."""
-        for record in self.known():
-            if name in (record.move_id, record.service):
-                return record
-        return None
+        With the table service down, as in force on this host.
+        """
+        try:
+            return await self._moves.async_list(call_deadline())
+        except PlatformUnavailableError:
+            return moves_of(self._node.cluster.settings.history.snapshot)
 
-    def get(self, name: str) -> MoveRecord:
+    async def async_get(self, name: str) -> MoveRecord:
         """Return a move by id or service; raises `NotFoundError`."""
-        record = self.find(name)
-        if record is None:
-            ids = ", ".join(m.move_id for m in self.known())
-            raise NotFoundError(f"no move {name}; there are: {ids or 'none'}")
-        return record
+        known = await self.async_known()
+        for record in known:
+            if name in (record.move_id, record.service):
+                return record
+        ids = ", ".join(record.move_id for record in known)
+        raise NotFoundError(f"no move {name}; there are: {ids or 'none'}")
 
     async def async_list(self, req: HttpRequest) -> Any:
         """List the last move of each service."""
-        return {"moves": [move_view(record) for record in self.known()]}
+        known = await self.async_known()
+        return {"moves": [move_view(record) for record in known]}
 
     async def async_show(self, req: HttpRequest) -> Any:
         """Show one move."""
-        return move_view(self.get(last_part(req, f"{MOVES_PATH}/")))
+        name = last_part(req, f"{MOVES_PATH}/")
+        return move_view(await self.async_get(name))
 
     async def async_start(self, req: HttpRequest) -> Any:
         """Start a move; raises `SettingsError`, `ConflictError`."""
@@ -132,7 +138,7 @@
         if not name.endswith(TAKE_BACK):
             raise NotFoundError(f"POST {MOVES_PATH}/MOVE{TAKE_BACK} instead")
         body = parse_body(TakeBackBody, req)
-        record = self.get(name.removesuffix(TAKE_BACK))
+        record = await self.async_get(name.removesuffix(TAKE_BACK))
 
         def step(stored: StoredMove) -> Result[WriteMove, MoveConflict]:
             current = stored.record
--- a/waxwingarch/tasks/operations.py
+++ b/waxwingarch/tasks/operations.py
@@ -21,7 +21,7 @@
 from waxwingarch.core.node import Node
 from waxwingarch.core.settings import Document, SettingsSnapshot
 from waxwingarch.exceptions import ConflictError, SettingsError
-from waxwingarch.ports.settings_write import SettingsChange, SettingsStore
+from waxwingarch.ports.settings_store import SettingsStore
 from waxwingarch.tasks.admin import Admin, NotFoundError
 
 CONTRACT_PREFIX: Final = "contract/"
@@ -93,6 +93,15 @@
     expected: str | None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Change:
+    """What has to be written on top of a revision."""
+
+    base_revision: int
+    changed: tuple[Document, ...]
+    removed: tuple[str, ...]
+
+
 class ContractOperations:
     """Shows and writes contracts."""
 
@@ -165,12 +174,18 @@
         for _ in range(MAX_WRITE_TRIES):
             deadline = call_deadline()
             snapshot = await self._store.async_read_settings(deadline)
-            change = _change(change_id, snapshot, wanted, body.removed)
+            change = _change(snapshot, wanted, body.removed)
             warnings = self._check(snapshot, change, wanted)
             if not change.changed and not change.removed:
                 return _result(snapshot.revision, change, warnings)
             try:
-                revision = await self._store.async_write(change, deadline)
+                revision = await self._store.async_write(
+                    change_id=change_id,
+                    base_revision=change.base_revision,
+                    changed=change.changed,
+                    removed=change.removed,
+                    deadline=deadline,
+                )
             except ConflictError:
                 continue
             return _result(revision, change, warnings)
@@ -189,7 +204,7 @@
     def _check(
         self,
         snapshot: SettingsSnapshot,
-        change: SettingsChange,
+        change: _Change,
         wanted: list[_Wanted],
     ) -> list[str]:
         """Refuse contracts that can't be in force together.
@@ -232,11 +247,10 @@
 
 
 def _change(
-    change_id: str,
     snapshot: SettingsSnapshot,
     wanted: Iterable[_Wanted],
     removed: Iterable[str],
-) -> SettingsChange:
+) -> _Change:
     """Return what has to be written; raises `ConflictError`."""
     texts = {d.name: d.text for d in _contracts(snapshot)}
     changed = [
@@ -247,8 +261,7 @@
     for one in changed:
         _expect(one, texts.get(one.document.name), snapshot.revision)
     names = {f"{CONTRACT_PREFIX}{account}" for account in removed}
-    return SettingsChange(
-        change_id=change_id,
+    return _Change(
         base_revision=snapshot.revision,
         changed=tuple(one.document for one in changed),
         removed=tuple(sorted(names & texts.keys())),
@@ -271,7 +284,7 @@
 
 
 def _result(
-    revision: int, change: SettingsChange, warnings: list[str]
+    revision: int, change: _Change, warnings: list[str]
 ) -> dict[str, Any]:
     return {
         "revision": revision,
@@ -312,7 +325,9 @@
                     "failure_domain": member.failure_domain,
                     "http": member.addresses.http,
                     "incarnation": member.incarnation,
-                    "applied_revision": self._applied(member.host_id),
+                    "applied_revision": self._applied(member.host_id)
+                    if member.reachable
+                    else None,
                 }
                 for member in sorted(members, key=lambda m: m.host_id)
             ],
--- a/waxwingarch/tasks/operator_api.py
+++ b/waxwingarch/tasks/operator_api.py
@@ -1,7 +1,7 @@
 """Registers all operators' operations of a daemon."""
 
 from waxwingarch.adapters.settings_moves import SettingsMoves
-from waxwingarch.ports.settings_write import SettingsStore
+from waxwingarch.ports.settings_store import SettingsStore
 from waxwingarch.tasks.admin import Admin
 from waxwingarch.tasks.explain import ExplainOperations
 from waxwingarch.tasks.move_operations import MoveOperations
--- a/waxwingctl/output.py
+++ b/waxwingctl/output.py
@@ -2,7 +2,7 @@
 
 import sys
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any, TextIO
 
@@ -21,8 +21,8 @@
     """Where results and progress go."""
 
     style: Style = Style.TABLE
-    out: TextIO = sys.stdout
-    progress_to: TextIO = sys.stderr
+    out: TextIO = field(default_factory=lambda: sys.stdout)
+    progress_to: TextIO = field(default_factory=lambda: sys.stderr)
 
     def result(self, data: Any, text: str) -> None:
         """Print a result, as JSON or in words."""
