--- /dev/null
+++ b/tests/waxwingctl/test_commands.py
@@ -0,0 +1,284 @@
+"""Tests of the commands that call daemons."""
+
+import asyncio
+import json
+import os
+import tempfile
+import time
+from pathlib import Path
+from unittest import mock
+
+import testtools
+
+from standins.deployment import OPERATOR_KEY, contract_text
+from tests.helpers import async_test
+from tests.waxwingctl.helpers import CtlResult, OperatorInterface, async_ctl
+from waxwingarch.const import (
+    EXIT_CONFLICT,
+    EXIT_DIFFERS,
+    EXIT_NOT_FOUND,
+    EXIT_OK,
+    EXIT_SETTINGS,
+    EXIT_UNAVAILABLE,
+    EXIT_UNKNOWN_OPERATOR,
+    EXIT_USAGE,
+    EXIT_WAIT_ENDED,
+)
+from waxwingarch.core.settings import Document
+from waxwingctl.commands.move import parse_time
+from waxwingctl.errors import UsageError
+
+NOBODY = "127.0.0.1:1"
+
+
+class CommandCase(testtools.TestCase):
+    """Gives each test a folder for files and the operator key."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        env = mock.patch.dict(os.environ, {"WAXWINGCTL_KEY": OPERATOR_KEY})
+        env.start()
+        self.addCleanup(env.stop)
+
+    def write(self, text: str, name: str = "contract.ini") -> str:
+        path = self.folder / name
+        path.write_text(text)
+        return str(path)
+
+    async def async_ok(self, api: OperatorInterface, *argv: str) -> CtlResult:
+        result = await async_ctl("--address", api.address, *argv)
+        self.assertEqual(EXIT_OK, result.code, result.err)
+        return result
+
+    async def async_failed(
+        self, api: OperatorInterface, code: int, *argv: str
+    ) -> str:
+        result = await async_ctl("--address", api.address, *argv)
+        self.assertEqual(code, result.code, result)
+        self.assertNotIn("Traceback", result.err)
+        self.assertEqual([], api.errors)
+        return result.err
+
+
+class ContractCommands(CommandCase):
+    @async_test
+    async def test_apply_show_diff_remove(self) -> None:
+        path = self.write(contract_text())
+        async with OperatorInterface() as api:
+            first = await self.async_ok(api, "contract", "apply", path)
+            self.assertIn("revision 1 written: charity-1", first.out)
+            again = await self.async_ok(api, "contract", "apply", path)
+            self.assertIn("no change: revision 1", again.out)
+            self.assertEqual(1, api.store.writes)
+            shown = await self.async_ok(api, "contract", "show", "charity-1")
+            self.assertNotIn("account-key-1", shown.out)
+            await self.async_ok(api, "contract", "diff", path)
+            self.write(contract_text(rate=7))
+            result = await async_ctl(
+                "contract", "diff", path, "--address", api.address
+            )
+            self.assertEqual(EXIT_DIFFERS, result.code)
+            self.assertIn("+rate = 7", result.out)
+            await self.async_ok(api, "contract", "remove", "charity-1")
+            listed = await self.async_ok(
+                api, "contract", "list", "--output", "json"
+            )
+            self.assertEqual([], json.loads(listed.out)["contracts"])
+
+    @async_test
+    async def test_apply_as_one_or_not_at_all(self) -> None:
+        good = self.write(contract_text(), "good.ini")
+        bad = self.write(contract_text("b", "account-key-1"), "bad.ini")
+        async with OperatorInterface() as api:
+            argv = ("contract", "apply", good, bad)
+            err = await self.async_failed(api, EXIT_SETTINGS, *argv)
+            self.assertIn("is the key in", err)
+            self.assertEqual(0, api.store.snapshot.revision)
+
+    @async_test
+    async def test_other_deployment(self) -> None:
+        text = contract_text().replace("key =", "deployment = x\nkey =")
+        async with OperatorInterface() as api:
+            argv = ("contract", "apply", self.write(text))
+            err = await self.async_failed(api, EXIT_SETTINGS, *argv)
+            self.assertIn("is for x, this is test", err)
+
+    @async_test
+    async def test_race_for_one_contract(self) -> None:
+        path = self.write(contract_text())
+        async with OperatorInterface() as api:
+            theirs = contract_text(rate=9).replace("0.5", "0.4")
+            api.store.before_write = [
+                Document(name="contract/charity-1", text=theirs)
+            ]
+            argv = ("contract", "apply", path)
+            err = await self.async_failed(api, EXIT_CONFLICT, *argv)
+            self.assertIn("changed by someone else", err)
+            self.assertIn("revision 1", err)
+            stored = api.store.snapshot.documents[0].text
+            self.assertEqual(theirs, stored)
+
+    @async_test
+    async def test_other_contract_in_between_is_no_conflict(self) -> None:
+        path = self.write(contract_text())
+        theirs = contract_text("other", "account-key-9")
+        async with OperatorInterface() as api:
+            api.store.before_write = [
+                Document(name="contract/other", text=theirs)
+            ]
+            result = await self.async_ok(api, "contract", "apply", path)
+            self.assertIn("revision 2", result.out)
+            self.assertEqual(2, len(api.store.snapshot.documents))
+
+    @async_test
+    async def test_service_without_servers_is_a_warning(self) -> None:
+        async with OperatorInterface() as api:
+            api.node.servers.listed([])
+            path = self.write(contract_text())
+            result = await self.async_ok(api, "contract", "apply", path)
+            self.assertIn("waxwing-pool has no backend server", result.err)
+
+    @async_test
+    async def test_table_down(self) -> None:
+        async with OperatorInterface() as api:
+            api.store.down = True
+            argv = ("contract", "apply", self.write(contract_text()))
+            err = await self.async_failed(api, EXIT_UNAVAILABLE, *argv)
+            self.assertIn("the table is down: try later", err)
+            await self.async_ok(api, "contract", "list")
+            await self.async_ok(api, "move", "status")
+
+    @async_test
+    async def test_wait_has_an_end(self) -> None:
+        path = self.write(contract_text())
+        async with OperatorInterface() as api:
+            api.store.put([Document(name="contract/x", text="broken")])
+            wait = ("--wait", "--wait-s", "0.3")
+            done = await self.async_ok(api, "contract", "apply", path, *wait)
+            self.assertIn("in force on 1 of 1 live hosts", done.err)
+            with mock.patch.object(
+                type(api.node.cluster.settings), "applied", 0
+            ):
+                self.write(contract_text(rate=3))
+                argv = ("contract", "apply", path, *wait)
+                err = await self.async_failed(api, EXIT_WAIT_ENDED, *argv)
+            self.assertIn("waiting for entry-1", err)
+            self.assertIn("not yet in force everywhere", err)
+
+
+class Daemons(CommandCase):
+    @async_test
+    async def test_next_one_is_asked(self) -> None:
+        async with OperatorInterface() as api:
+            result = await async_ctl(
+                "--address", NOBODY, "--address", api.address, "hosts"
+            )
+            self.assertEqual(EXIT_OK, result.code, result.err)
+            self.assertIn("entry-1", result.out)
+
+    @async_test
+    async def test_nobody_answers(self) -> None:
+        result = await async_ctl("--address", NOBODY, "servers")
+        self.assertEqual(EXIT_UNAVAILABLE, result.code)
+        self.assertIn("check the addresses", result.err)
+
+    @async_test
+    async def test_wrong_key(self) -> None:
+        key = self.write("some-other-key\n", "key")
+        async with OperatorInterface() as api:
+            argv = ("--key-file", key, "hosts")
+            err = await self.async_failed(api, EXIT_UNKNOWN_OPERATOR, *argv)
+            self.assertIn("operator key", err)
+
+    @async_test
+    async def test_what_cannot_be(self) -> None:
+        missing = str(self.folder / "missing")
+        binary = self.folder / "binary"
+        binary.write_bytes(b"\xff\n\xfe")
+        cases = [
+            ("hosts",),
+            ("--address", "nowhere", "hosts"),
+            ("--address", NOBODY, "--key-file", missing, "hosts"),
+            ("--address", NOBODY, "--key-file", str(binary), "hosts"),
+            ("--address", NOBODY, "frobnicate"),
+            ("--address", NOBODY, "move", "start", "a", "b", "--by", "soon"),
+        ]
+        for argv in cases:
+            result = await async_ctl(*argv)
+            self.assertEqual(EXIT_USAGE, result.code, argv)
+            self.assertNotIn("Traceback", result.err)
+
+    @async_test
+    async def test_no_daemon_there(self) -> None:
+        async def async_serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readline()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nhi!")
+            writer.close()
+
+        server = await asyncio.start_server(async_serve, "127.0.0.1", 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            result = await async_ctl("--address", f"127.0.0.1:{port}", "hosts")
+        self.assertIn("not a daemon's admin address", result.err)
+        self.assertNotIn("Traceback", result.err)
+
+
+class MoveCommands(CommandCase):
+    @async_test
+    async def test_start_status_take_back(self) -> None:
+        async with OperatorInterface() as api:
+            argv = ("move", "start", "waxwing-pool", "v2", "--by", "+1h")
+            started = await self.async_ok(api, *argv, "--output", "json")
+            move = json.loads(started.out)
+            self.assertEqual("v1", move["old_version"])
+            listed = await self.async_ok(api, "move", "status")
+            self.assertIn(move["move_id"], listed.out)
+            told = await self.async_ok(api, "explain", move["move_id"])
+            self.assertIn("from v1 to v2: planned", told.out)
+            err = await self.async_failed(api, EXIT_CONFLICT, *argv)
+            self.assertIn("waxwingctl move take-back", err)
+            for _ in range(2):
+                back = await self.async_ok(
+                    api, "move", "take-back", "waxwing-pool", "--reason", "no"
+                )
+                self.assertIn("cancelled by an operator): no", back.out)
+            self.assertEqual(2, api.store.writes)
+
+    @async_test
+    async def test_moves_that_cannot_be(self) -> None:
+        start = ("move", "start")
+        late = ("--by", "+1h")
+        cases = [
+            (EXIT_SETTINGS, "too short",
+             (*start, "waxwing-pool", "v2", "--by", "+5s")),
+            (EXIT_SETTINGS, "run v1 already",
+             (*start, "waxwing-pool", "v1", *late)),
+            (EXIT_SETTINGS, "services that have: drive-ledger, waxwing-pool",
+             (*start, "waxwing-pol", "v2", *late)),
+            (EXIT_SETTINGS, "correct version",
+             (*start, "waxwing-pool", "v 2", *late)),
+            (EXIT_USAGE, "has passed",
+             (*start, "waxwing-pool", "v2", "--by", "2001-01-01T00:00Z")),
+            (EXIT_NOT_FOUND, "no move x; there are: none",
+             ("move", "status", "x")),
+            (EXIT_NOT_FOUND, "no move x/y",
+             ("move", "take-back", "x/y")),
+            (EXIT_NOT_FOUND, "no request or move", ("explain", "x")),
+        ]  # fmt: skip
+        async with OperatorInterface() as api:
+            for code, part, argv in cases:
+                err = await self.async_failed(api, code, *argv)
+                self.assertIn(part, err)
+
+    def test_times(self) -> None:
+        now = time.time()
+        self.assertEqual(now + 5400, parse_time("+90m", now))
+        moscow = parse_time("2026-12-04T18:00+03:00", now)
+        self.assertEqual(parse_time("2026-12-04T15:00Z", now), moscow)
+        for text in ("18:00", "2026-12-04T18:00", "+90", "-5m", ""):
+            self.assertRaises(UsageError, parse_time, text, now)
--- a/waxwingctl/wait.py
+++ b/waxwingctl/wait.py
@@ -20,19 +20,19 @@
 
     Raises `WaitEndedError`.
     """
-    seen: list[Any] = []
+    told: list[Any] = [None]
 
     def reached(status: Any) -> bool:
         hosts = status["hosts"]
         behind = [h["host_id"] for h in hosts if h["applied"] < revision]
-        if behind != seen:
+        if behind != told[0]:
             there = len(hosts) - len(behind)
             waits = f", waiting for {' '.join(behind)}" if behind else ""
             context.output.progress(
                 f"revision {revision} is in force on {there} of"
                 f" {len(hosts)} live hosts{waits}"
             )
-            seen[:] = behind
+            told[0] = behind
         return bool(hosts) and not behind
 
     await _async_until(
