--- a/tests/waxwingctl/test_check.py
+++ b/tests/waxwingctl/test_check.py
@@ -106,6 +106,9 @@
         self.assert_refused(result, "oprator_key", "operator_key: is missing")
         self.assertNotIn("example-operator", result.err)
         self.assertNotIn("f0f0", result.err)
+        result = self.check_copy(path, "key = f0f0", "key = my-secret")
+        self.assert_refused(result, "cluster_key: want hexadecimal digits")
+        self.assertNotIn("my-secret", result.err)
 
     def test_contracts_that_do_not_go_together(self) -> None:
         first = self.contracts[0]
--- a/waxwingarch/ports/settings_store.py
+++ b/waxwingarch/ports/settings_store.py
@@ -1,34 +1,20 @@
 """Reading and writing settings, as the operators' operations see it."""
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
 from waxwingarch.core.base import ServiceId
 from waxwingarch.core.move_record import MoveRecord, WriteMove
-from waxwingarch.core.settings import Document, SettingsSnapshot
+from waxwingarch.core.settings import SettingsSnapshot
+from waxwingarch.ports.settings import SettingsWriter
 
 
-class SettingsStore(Protocol):
+class SettingsStore(SettingsWriter, Protocol):
     """The settings in the table service; deadlines on the loop's clock."""
 
     async def async_read_settings(self, deadline: float) -> SettingsSnapshot:
         """Return all documents; raises `PlatformUnavailableError`."""
-
-    async def async_write(
-        self,
-        *,
-        change_id: str,
-        base_revision: int,
-        changed: Sequence[Document] = (),
-        removed: Sequence[str] = (),
-        deadline: float,
-    ) -> int:
-        """Commit a change on top of a revision; return the new one.
-
-        `change_id` settles a lost reply. Raises `ConflictError` when
-        another change came first, and `PlatformUnavailableError`.
-        """
+        ...
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
