--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -181,30 +181,23 @@
                 self._reading.parts.append(bytes(event.data))
             case h11.EndOfMessage():
                 self._disarm()
-                self._begin()
+                return self._begin()
             case _:
                 self._transport.close()
                 return False
         return True
 
-    def _begin(self) -> None:
+    def _begin(self) -> bool:
         head = self._reading.head
         assert head is not None
-        raw_target = head.target.decode("ascii", "replace")
-        target = urlsplit(raw_target)
-        req = HttpRequest(
-            method=head.method.decode("ascii"),
-            target=raw_target,
-            path=target.path,
-            query=dict(parse_qsl(target.query)),
-            headers={
-                k.decode("ascii").lower(): v.decode("latin-1")
-                for k, v in head.headers
-            },
-            body=b"".join(self._reading.parts),
-        )
+        try:
+            req = _request_of(head, b"".join(self._reading.parts))
+        except ValueError as exc:
+            self._refuse(400, "bad_http", f"send a valid path: {exc}")
+            return False
         self._started = False
         self._task = asyncio.get_running_loop().create_task(self._run(req))
+        return True
 
     async def _run(self, req: HttpRequest) -> None:
         try:
@@ -387,5 +380,20 @@
             conn.abort()
 
 
+def _request_of(head: h11.Request, body: bytes) -> HttpRequest:
+    """Return a request as handlers see it; raises `ValueError`."""
+    fields = head.headers
+    raw_target = head.target.decode("ascii", "replace")
+    target = urlsplit(raw_target)
+    return HttpRequest(
+        method=head.method.decode("ascii"),
+        target=raw_target,
+        path=target.path,
+        query=dict(parse_qsl(target.query)),
+        headers={n.decode().lower(): v.decode("latin-1") for n, v in fields},
+        body=body,
+    )
+
+
 def _encoded(headers: Headers) -> list[tuple[bytes, bytes]]:
     return [(k.encode("ascii"), v.encode("latin-1")) for k, v in headers]
--- a/waxwingarch/tasks/intake.py
+++ b/waxwingarch/tasks/intake.py
@@ -198,7 +198,8 @@
         given = req.headers.get(HEADER_DEADLINE_MS)
         if given is None:
             return contract.whole_answer_s
-        if not given.isdigit() or int(given) == 0:
+        whole = given.isascii() and given.isdigit()
+        if not whole or int(given) == 0:
             raise IntakeError(
                 RefusalReason.BAD_REQUEST,
                 f"send {HEADER_DEADLINE_MS} as a whole number of ms above 0",
