--- /dev/null
+++ b/tests/faults/test_operators.py
@@ -0,0 +1,158 @@
+"""Operators' changes under failure, with waxwingctl and real daemons."""
+
+import json
+import threading
+import time
+from typing import Any
+from unittest import mock
+
+from standins.client import Ask
+from standins.cluster import JsonAnswer
+from standins.deployment import (
+    OPERATOR_KEY,
+    contract_text,
+    wait_until,
+)
+from tests.faults.base import FaultCase
+from tests.waxwingctl.helpers import CtlResult, run_ctl
+from waxwingarch.const import EXIT_OK, EXIT_UNAVAILABLE
+
+IN_FORCE_LIMIT_S = 6.0
+
+
+class OperatorCase(FaultCase):
+    engines = 0
+    services = 0
+    hosts = 3
+
+    def setUp(self) -> None:
+        super().setUp()
+        env = mock.patch.dict("os.environ", {"WAXWINGCTL_KEY": OPERATOR_KEY})
+        env.start()
+        self.addCleanup(env.stop)
+        self.path = self.cluster.root / "contract.ini"
+
+    def ctl(self, *argv: str) -> CtlResult:
+        addresses = [
+            part
+            for host in self.dep.hosts.values()
+            for part in ("--address", host.admin)
+        ]
+        return run_ctl(*argv, *addresses)
+
+    def apply(self, text: str, *options: str) -> CtlResult:
+        self.path.write_text(text)
+        return self.ctl("contract", "apply", str(self.path), *options)
+
+    def revisions(self) -> list[int]:
+        """Return the revisions that the table was given, in order."""
+        return [
+            entry
+            for entry in self.cluster.journal("platform", "write")
+            if "settings/revision" in entry["keys"]
+        ]
+
+
+class Changes(OperatorCase):
+    def test_in_force_everywhere_in_time(self) -> None:
+        for n in range(3):
+            began = time.monotonic()
+            text = contract_text("charity-2", "account-key-2", rate=n + 1)
+            result = self.apply(text, "--wait")
+            self.assertEqual(EXIT_OK, result.code, result.err)
+            self.assertLess(time.monotonic() - began, IN_FORCE_LIMIT_S)
+            for name in list(self.dep.hosts):
+                state = self.dep.admin(name, "GET", "/admin/contracts").body
+                rates = {c["account"]: c["rate"] for c in state["contracts"]}
+                self.assertEqual(n + 1, rates["charity-2"], name)
+
+    def test_operators_race(self) -> None:
+        """Of eight at once, through three hosts, one wins."""
+        barrier = threading.Barrier(8)
+        answers: list[JsonAnswer] = []
+
+        def change(n: int) -> None:
+            text = contract_text("charity-2", "account-key-2", rate=n + 1)
+            body = {"contracts": [{"text": text, "expected": ""}]}
+            name = list(self.dep.hosts)[n % 3]
+            barrier.wait()
+            answers.append(
+                self.dep.admin(name, "POST", "/admin/contracts", body)
+            )
+
+        threads = [
+            threading.Thread(target=change, args=(n,)) for n in range(8)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        statuses = sorted(answer.status for answer in answers)
+        self.assertEqual([200] + [409] * 7, statuses)
+        for answer in answers:
+            if answer.status == 409:
+                self.assertIn("changed by", answer.body["error"]["message"])
+        self.assertEqual(2, len(self.revisions()))
+
+    def test_reply_lost_after_the_write(self) -> None:
+        self.cluster.fault(
+            "platform", "lost_reply", part="table", table="settings", count=1
+        )
+        text = contract_text("charity-2", "account-key-2")
+        result = self.apply(text, "--wait")
+        self.assertEqual(EXIT_OK, result.code, result.err)
+        lost = self.cluster.journal("platform", "reply_lost")
+        self.assertEqual((1, 2), (len(lost), len(self.revisions())))
+
+    def test_platform_down_and_back(self) -> None:
+        self.cluster.fault("platform", "down")
+        text = contract_text("charity-2", "account-key-2")
+        result = self.apply(text)
+        self.assertEqual(EXIT_UNAVAILABLE, result.code, result.err)
+        self.assertNotIn("Traceback", result.err)
+        listed = self.ctl("contract", "list")
+        self.assertIn("charity-1", listed.out)
+        self.cluster.clear_faults("platform")
+        wait_until(
+            lambda: self.apply(text).code == EXIT_OK, "it is written again"
+        )
+
+    def states(self) -> list[str]:
+        """Return what `waxwingctl hosts` says of the hosts."""
+        hosts = json.loads(self.ctl("hosts", "--output", "json").out)
+        return [host["state"] for host in hosts["hosts"]]
+
+    def test_daemon_killed(self) -> None:
+        wait_until(lambda: self.states() == ["alive"] * 3, "hosts are met")
+        self.cluster.kill("entry-1")
+        text = contract_text("charity-2", "account-key-2")
+        result = self.apply(text)
+        self.assertEqual(EXIT_OK, result.code, result.err)
+        gone = ["dead", "alive", "alive"]
+        wait_until(lambda: self.states() == gone, "entry-1 is known dead")
+        result = self.apply(text, "--wait")
+        self.assertIn("of 2 live hosts", result.err)
+
+
+class Explained(OperatorCase):
+    engines = 2
+    hosts = 1
+
+    def test_lost_attempt_and_replayed_trace(self) -> None:
+        for name in ("engine-1", "engine-2"):
+            self.cluster.fault(name, "cut", after_tokens=10, count=1)
+        ask = Ask(prompt="a stream to be cut", max_tokens=30)
+        [answer] = self.ask_all([ask], [self.http_of("entry-1")])
+        self.assertTrue(answer.right, answer)
+        state: Any = json.loads(self.ctl("dump", "--host", "entry-1").out)
+        [request] = state["last_requests"]
+        told = self.ctl("explain", request["request_id"])
+        self.assertIn("attempt lost: cut", told.out)
+        self.assertIn("whole answer", told.out)
+        by_account = state["latencies"]["by_account"]["charity-1"]
+        self.assertEqual(1, by_account["whole_answer_ms"]["count"])
+        self.assertEqual(0, self.cluster.stop("entry-1"))
+        trace = self.cluster.root / "entry-1.trace"
+        replayed = run_ctl("replay", str(trace))
+        self.assertEqual(EXIT_OK, replayed.code, replayed)
+        self.assertIn("the same decisions", replayed.out)
--- a/waxwingarch/tasks/operations.py
+++ b/waxwingarch/tasks/operations.py
@@ -151,6 +151,7 @@
         except SettingsError as exc:
             return view | {"broken": str(exc)}
         return view | {
+            "account": contract.account,
             "priority": contract.priority,
             "rate": contract.rate,
             "concurrency": contract.concurrency,
