--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,60 @@
+"""Tests that the pages name what there is."""
+
+import argparse
+import re
+from pathlib import Path
+
+import testtools
+
+from waxwingarch import const
+from waxwingarch.adapters.caller_api import REFUSAL_STATUS
+from waxwingarch.core.refusal import RefusalReason
+from waxwingctl.parser import build_parser
+
+ROOT = Path(__file__).parents[1]
+DOCS = ROOT / "docs"
+LINK = re.compile(r"\]\(([^)#:]+)(#[^)]*)?\)")
+
+
+def commands_of(
+    parser: argparse.ArgumentParser, prefix: str = ""
+) -> list[str]:
+    """Return the names of all commands, "group action" for nested ones."""
+    found: list[str] = []
+    for action in parser._actions:
+        if isinstance(action, argparse._SubParsersAction):
+            for name, inner in action.choices.items():
+                nested = commands_of(inner, f"{prefix}{name} ")
+                found += nested or [f"{prefix}{name}"]
+    return found
+
+
+class Pages(testtools.TestCase):
+    def test_every_refusal_has_a_remedy(self) -> None:
+        text = (DOCS / "operators/errors.md").read_text()
+        for reason in RefusalReason:
+            row = f"| `{reason.value}` | {REFUSAL_STATUS[reason]} |"
+            self.assertIn(row, text)
+
+    def test_every_exit_code_has_a_remedy(self) -> None:
+        text = (DOCS / "operators/errors.md").read_text()
+        codes = [
+            code for name, code in vars(const).items() if name[:5] == "EXIT_"
+        ]
+        self.assertEqual(len(codes), len(set(codes)))
+        for code in codes:
+            self.assertIn(f"\n| {code} | ", text)
+
+    def test_every_command_has_its_line(self) -> None:
+        text = (DOCS / "operators/command-line.md").read_text()
+        commands = commands_of(build_parser())
+        self.assertIn("move take-back", commands)
+        for command in commands:
+            self.assertIn(f"`{command}", text)
+
+    def test_links_lead_somewhere(self) -> None:
+        pages = [ROOT / "README.md", *ROOT.glob("examples/*.md")]
+        pages += DOCS.rglob("*.md")
+        for page in pages:
+            for target, _ in LINK.findall(page.read_text()):
+                self.assertTrue((page.parent / target).exists(), target)
