Bound what the request log and the histograms hold

Histograms of labels that come and go hold reference cycles and piled up until a collection; they are reused now. A finished request drops its prompt's hashes. Both tests fail without the change that they are for.

--- a/tests/adapters/test_metrics.py
+++ b/tests/adapters/test_metrics.py
@@ -66,6 +66,11 @@
 
     def test_least_recently_used_goes_first(self) -> None:
         labels = LabelSet(2)
-        for label in ("a", "b", "a", "c"):
-            labels.record(label, sample(label))
-        self.assertEqual(["a", "c", OTHER], list(labels.as_json()))
+        for label, whole_s in (("a", 1), ("b", 9), ("a", 1), ("c", 2)):
+            labels.record(label, sample(label, whole_s))
+        shown = labels.as_json()
+        self.assertEqual(["a", "c", OTHER], list(shown))
+        # Histograms are reused: nothing of "b" may show under "c".
+        whole = shown["c"]["whole_answer_ms"]
+        self.assertEqual(1, whole["count"])
+        self.assertLess(whole["max"], 2100)
--- a/tests/tasks/test_request_log.py
+++ b/tests/tasks/test_request_log.py
@@ -1,5 +1,6 @@
 """Tests of the record of finished requests."""
 
+from dataclasses import replace
 from typing import Any
 
 import testtools
@@ -192,6 +193,16 @@
         self.assertIn("answered from the claim row, not run again", whats)
         self.assertEqual("whole answer", whats[-1])
 
+    def test_prompt_is_not_kept(self) -> None:
+        long = replace(request(), prompt_blocks=tuple(range(1000)))
+        self.step(10.0, RequestArrived(request=long), start(0, "a"))
+        self.step(11.0, TICK, complete())
+        entry = self.log.get("r-1")
+        assert entry is not None
+        self.assertEqual(
+            ((), {}), (entry.request.prompt_blocks, entry.servers)
+        )
+
     def test_bounds(self) -> None:
         for name in ("r-1", "r-2", "r-3"):
             arrived = RequestArrived(request=request(name))
--- a/waxwingarch/adapters/metrics.py
+++ b/waxwingarch/adapters/metrics.py
@@ -48,6 +48,11 @@
         self.first_token.add(other.first_token)
         self.whole.add(other.whole)
 
+    def reset(self) -> None:
+        """Count from 0 again."""
+        self.first_token.reset()
+        self.whole.reset()
+
     def as_json(self) -> dict[str, Any]:
         """Return counts and percentiles in milliseconds."""
         return {
@@ -68,18 +73,23 @@
         """Count one answer under a label."""
         latencies = self._labels.get(label)
         if latencies is None:
-            latencies = self._labels[label] = _Latencies()
+            latencies = self._labels[label] = self._unused()
         latencies.record(sample)
         self._labels.move_to_end(label)
-        if len(self._labels) > self.kept:
-            _, oldest = self._labels.popitem(last=False)
-            self._fold(oldest)
-
-    def _fold(self, latencies: _Latencies) -> None:
-        if self._other is None:
-            self._other = latencies
-        else:
-            self._other.merge(latencies)
+
+    def _unused(self) -> _Latencies:
+        """Return histograms for a new label.
+
+        Those of the oldest label are reused: new ones hold reference
+        cycles, which would pile up as labels come and go.
+        """
+        if len(self._labels) < self.kept:
+            return _Latencies()
+        _, oldest = self._labels.popitem(last=False)
+        self._other = self._other or _Latencies()
+        self._other.merge(oldest)
+        oldest.reset()
+        return oldest
 
     def as_json(self) -> dict[str, Any]:
         """Return all labels in their order, the others last."""
--- a/waxwingarch/tasks/request_log.py
+++ b/waxwingarch/tasks/request_log.py
@@ -3,7 +3,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from typing import Any, Final
 
 from waxwingarch.core.base import (
@@ -265,6 +265,9 @@
         entry.note(now, outcome, entry.last_server)
         for attempt_id in entry.servers:
             self._by_attempt.pop(attempt_id, None)
+        entry.servers.clear()
+        # A long prompt's hashes are most of what an entry would hold.
+        entry.request = replace(entry.request, prompt_blocks=())
         request_id = entry.request.request_id
         del self._open[request_id]
         self._finished[request_id] = entry
