--- a/tests/waxwingctl/test_commands.py
+++ b/tests/waxwingctl/test_commands.py
@@ -12,10 +12,17 @@
 
 from standins.deployment import OPERATOR_KEY, contract_text
 from tests.helpers import async_test
-from tests.waxwingctl.helpers import CtlResult, OperatorInterface, async_ctl
+from tests.waxwingctl.helpers import (
+    CtlResult,
+    OperatorInterface,
+    async_ctl,
+    make_node,
+)
+from waxwingarch.adapters.trace import TraceHeader, TraceWriter
 from waxwingarch.const import (
     EXIT_CONFLICT,
     EXIT_DIFFERS,
+    EXIT_FAILURE,
     EXIT_NOT_FOUND,
     EXIT_OK,
     EXIT_SETTINGS,
@@ -24,6 +31,7 @@
     EXIT_USAGE,
     EXIT_WAIT_ENDED,
 )
+from waxwingarch.core.messages import Tick
 from waxwingarch.core.settings import Document
 from waxwingctl.commands.move import parse_time
 from waxwingctl.errors import UsageError
@@ -282,3 +290,34 @@
         self.assertEqual(parse_time("2026-12-04T15:00Z", now), moscow)
         for text in ("18:00", "2026-12-04T18:00", "+90", "-5m", ""):
             self.assertRaises(UsageError, parse_time, text, now)
+
+
+class ReplayCommand(CommandCase):
+    @async_test
+    async def test_same_different_and_none(self) -> None:
+        path = self.folder / "node.trace"
+        own = make_node().cluster.own
+        header = TraceHeader(own=own, seeds=(), unix_offset=0.0, seed=1)
+        node = header.node()
+        with path.open("wb") as out:
+            writer = TraceWriter(out, header)
+            for n in range(5):
+                tick = Tick(unix_now=float(n))
+                writer.record(float(n), tick, node.handle(float(n), tick))
+        same = await async_ctl("replay", str(path))
+        self.assertEqual(EXIT_OK, same.code, same.err)
+        self.assertIn("the same decisions in all 5 steps", same.out)
+        lines = path.read_text().splitlines()
+        step = json.loads(lines[3]) | {"digest": "0", "actions": []}
+        lines[3] = json.dumps(step)
+        path.write_text("\n".join(lines))
+        other = await async_ctl("replay", str(path), "--output", "json")
+        self.assertEqual(EXIT_DIFFERS, other.code)
+        self.assertEqual(4, json.loads(other.out)[0]["line"])
+        words = await async_ctl("replay", str(path))
+        self.assertIn("on Tick this version decides otherwise", words.out)
+        for text in ("", "[]", "{}", "\x00", f"{lines[0]}\n{{"):
+            broken = await async_ctl("replay", self.write(text, "broken"))
+            self.assertEqual(EXIT_FAILURE, broken.code, text)
+            self.assertNotIn("Traceback", broken.err)
+            self.assertNotIn("report it", broken.err, text)
--- a/waxwingctl/commands/replay.py
+++ b/waxwingctl/commands/replay.py
@@ -3,18 +3,14 @@
 import argparse
 from collections.abc import Iterable, Iterator
 from pathlib import Path
-from typing import Any
-
-from waxwingarch.adapters.trace import (
-    Difference,
-    Step,
-    encode,
-    read_trace,
-    replay,
-)
+from typing import TYPE_CHECKING, Any
+
 from waxwingarch.const import EXIT_DIFFERS, EXIT_OK
 from waxwingctl.context import Context
 
+if TYPE_CHECKING:
+    from waxwingarch.adapters.trace import Difference, Step
+
 
 def add_to(subparsers: Any, shared: argparse.ArgumentParser) -> None:
     """Add the command."""
@@ -30,11 +26,11 @@
 class _Counted:
     """Counts the steps that pass through."""
 
-    def __init__(self, steps: Iterable[Step]) -> None:
+    def __init__(self, steps: Iterable["Step"]) -> None:
         self._steps = steps
         self.count = 0
 
-    def __iter__(self) -> Iterator[Step]:
+    def __iter__(self) -> Iterator["Step"]:
         for step in self._steps:
             self.count += 1
             yield step
@@ -51,6 +47,9 @@
 
 
 def _replayed(path: Path) -> dict[str, Any]:
+    # Here, as it loads all of the core, which no other command needs.
+    from waxwingarch.adapters.trace import read_trace, replay
+
     header, steps = read_trace(path)
     counted = _Counted(steps)
     difference = replay(header, counted)
@@ -66,7 +65,9 @@
     return result | _difference(path, difference)
 
 
-def _difference(path: Path, difference: Difference) -> dict[str, Any]:
+def _difference(path: Path, difference: "Difference") -> dict[str, Any]:
+    from waxwingarch.adapters.trace import encode
+
     step = difference.step
     kind = type(step.event).__name__
     now = [type(action).__name__ for action in difference.actions]
