Freeze the owner between claim and dispatch in the test, not after it

Cause of the red run: the stand-in's delay comes before the write, so the owner had dispatched when it was frozen; the other host then found by the outcome query that it ran, and replayed it. The reply of the claim is now lost and the read back slow, so that the owner is frozen in between. The reclaim test waits until the keepers have the progress.

--- a/tests/faults/test_entry_hosts.py
+++ b/tests/faults/test_entry_hosts.py
@@ -108,7 +108,8 @@
             engine = self.wait_for_tokens("entry-1")
             self.notice(1.2, host_id="entry-1")
             wait_until(
-                lambda: not self.dep.is_ready("entry-1"), "it is not ready"
+                lambda: "handed_over" in self.cluster.errors_of("entry-1"),
+                "the progress is at the keepers",
             )
             self.cluster.signal(engine, signal.SIGKILL)
             self.cluster.signal("entry-1", signal.SIGKILL)
--- a/tests/faults/test_once.py
+++ b/tests/faults/test_once.py
@@ -75,12 +75,16 @@
 
     def test_entry_host_frozen_before_dispatch(self) -> None:
         """A thawed owner must not run what others have settled."""
+        # The claim is written, its reply lost, the read back slow: the
+        # owner is frozen between its claim and its dispatch.
         self.cluster.fault("platform", "slow", part="table", delay_ms=1000)
-        statuses: list[int] = []
+        self.cluster.fault("platform", "lost_reply", table="claims")
 
         def send() -> None:
-            answer = self.post("entry-1", PATH, {"x": 1}, "k4")
-            statuses.append(answer.status)
+            try:
+                self.post("entry-1", PATH, {"x": 1}, "k4")
+            except OSError:
+                return
 
         thread = threading.Thread(target=send)
         thread.start()
--- a/waxwingarch/core/chooser.py
+++ b/waxwingarch/core/chooser.py
@@ -118,6 +118,11 @@
         self._load_at[load.server_id] = now
         self.forget_views()
 
+    def set_peers(self, hosts: int) -> None:
+        """Tell how many entry hosts share the servers, this one included."""
+        self._placement.set_peers(hosts)
+        self.forget_views()
+
     def forget_views(self) -> None:
         """Build the views anew when they are next asked for."""
         self._views.clear()
--- a/waxwingarch/core/fleet.py
+++ b/waxwingarch/core/fleet.py
@@ -92,7 +92,7 @@
             for server in servers
         ]
         self._routing = Routing(hosts, routed)
-        self._chooser.forget_views()
+        self._chooser.set_peers(len(hosts))
         duties = self._cluster.duties()
         self._watched = tuple(
             server.server_id
--- a/waxwingarch/core/placement_baseline.py
+++ b/waxwingarch/core/placement_baseline.py
@@ -41,6 +41,9 @@
     ) -> None:
         """Need nothing to remember."""
 
+    def set_peers(self, hosts: int) -> None:
+        """Need nothing to know of the others."""
+
 
 class LeastLoaded:
     """Takes the server with the fewest requests a slot.
@@ -78,6 +81,10 @@
         """Count a dispatched request as ended."""
         self._own.end(now, request_id)
 
+    def set_peers(self, hosts: int) -> None:
+        """Set how many hosts, this one included, use the same servers."""
+        self._own.peers = max(1, hosts)
+
     def _load(self, view: ServerView) -> float:
         if self._count_own:
             load = self._own.estimate(view)
--- a/waxwingarch/core/placement_messages.py
+++ b/waxwingarch/core/placement_messages.py
@@ -96,3 +96,6 @@
         self, now: float, request_id: RequestId, outcome: Outcome
     ) -> None:
         """Count a dispatched request as ended."""
+
+    def set_peers(self, hosts: int) -> None:
+        """Set how many hosts, this one included, use the same servers."""
