--- a/waxwingarch/daemon.py
+++ b/waxwingarch/daemon.py
@@ -9,8 +9,10 @@
 import orjson
 from eliot import log_message, write_traceback
 
+from waxwingarch.adapters.claim_store import ClaimStore
 from waxwingarch.adapters.http_client import HttpClient
 from waxwingarch.adapters.http_server import HttpRequest
+from waxwingarch.adapters.lease_store import LeaseStore
 from waxwingarch.adapters.platform import (
     HttpCloud,
     HttpObjectStore,
@@ -84,7 +86,10 @@
         cloud = HttpCloud(link)
         self._platform = PlatformWatch(self._runner, cloud, self._host_id, rng)
         self._control = Control(
-            self._runner, self._table, cloud, SettingsStore(self._table)
+            self._runner,
+            LeaseStore(self._table),
+            cloud,
+            SettingsStore(self._table),
         )
         self._platform.on_own_notice = self._own_notice
         self._servers = ServerWatch(self._runner, self._client, rng)
@@ -156,7 +161,11 @@
         exchanges = Exchanges()
         self._attempts = AttemptRunner(self._runner, exchanges, self._client)
         self._claims = ClaimTasks(
-            self._runner, exchanges, self._client, self._table, objects
+            self._runner,
+            exchanges,
+            self._client,
+            ClaimStore(self._table),
+            objects,
         )
         self._hand_overs = HandOverTasks(
             self._runner, exchanges, self._peers.peers, self._shelf
@@ -214,6 +223,7 @@
         await self._admin.async_setup(*_split(listen.admin))
         await self._peers.async_bind()
         self._peers.start()
+        await self._claims.async_setup()
         await self._platform.async_setup()
         await self._servers.async_setup()
         await self._entry.async_setup(*_split(listen.http))
--- a/waxwingarch/tasks/claims.py
+++ b/waxwingarch/tasks/claims.py
@@ -6,13 +6,14 @@
 
 import orjson
 
+from waxwingarch.adapters.claim_store import ClaimStore
 from waxwingarch.adapters.http_client import (
     ConnectFailedError,
     HttpAnswer,
     HttpClient,
 )
 from waxwingarch.core.base import Event, RequestId, ServerKind
-from waxwingarch.core.claim import CLAIM_TABLE, ClaimRow, StoredAnswer
+from waxwingarch.core.claim import StoredAnswer
 from waxwingarch.core.guarded import (
     OnceCall,
     OnceDispatch,
@@ -22,9 +23,6 @@
 from waxwingarch.core.once_messages import (
     AnswerNotStored,
     AnswerStored,
-    ClaimConflict,
-    ClaimRead,
-    ClaimWritten,
     DispatchAnswered,
     DispatchLost,
     DispatchNotSent,
@@ -32,20 +30,10 @@
     OutcomeRan,
     ReadClaim,
     StoreAnswer,
-    TableReplyLost,
-    TableUnavailable,
     WriteClaim,
 )
 from waxwingarch.exceptions import LinkError, PlatformUnavailableError
 from waxwingarch.ports.objects import ObjectStore
-from waxwingarch.ports.table import (
-    Committed,
-    Condition,
-    TableReplyLostError,
-    TableStore,
-    TableUnavailableError,
-    Write,
-)
 from waxwingarch.tasks.exchange import Exchange, Exchanges
 from waxwingarch.tasks.runner import Runner
 
@@ -63,30 +51,35 @@
         runner: Runner,
         exchanges: Exchanges,
         client: HttpClient,
-        table: TableStore,
+        claims: ClaimStore,
         objects: ObjectStore,
     ) -> None:
         self._runner = runner
         self._exchanges = exchanges
         self._client = client
-        self._table = table
+        self._claims = claims
         self._objects = objects
         self._tasks: set[asyncio.Task[None]] = set()
         self._calls: dict[
             type[Any], Callable[[Any], Coroutine[Any, Any, Event]]
         ] = {
-            ReadClaim: self._async_read,
-            WriteClaim: self._async_write,
+            ReadClaim: claims.async_read,
+            WriteClaim: claims.async_write,
             StoreAnswer: self._async_store,
         }
         runner.connect(OnceCall, self._on_call)
         runner.connect(OnceDispatch, self._on_dispatch)
         runner.connect(OnceQuery, self._on_query)
 
+    async def async_setup(self) -> None:
+        """Begin to commit claims, many in a transaction."""
+        await self._claims.async_setup()
+
     async def async_unload(self) -> None:
         """Drop all calls."""
         for task in self._tasks:
             task.cancel()
+        await self._claims.async_unload()
 
     def _on_call(self, action: OnceCall) -> None:
         call = self._calls[type(action.call)](action.call)
@@ -120,35 +113,6 @@
 
     # Table service and object store
 
-    async def _async_read(self, call: ReadClaim) -> Event:
-        try:
-            row = await self._table.async_get(
-                CLAIM_TABLE, call.key, deadline=_deadline(TABLE_CALL_LIMIT_S)
-            )
-        except PlatformUnavailableError:
-            return TableUnavailable()
-        return ClaimRead(row=_claim(row.value), version=row.version)
-
-    async def _async_write(self, call: WriteClaim) -> Event:
-        condition = Condition(
-            table=CLAIM_TABLE, key=call.key, version=call.expected_version
-        )
-        write = Write(
-            table=CLAIM_TABLE, key=call.key, value=call.row.to_json()
-        )
-        try:
-            result = await self._table.async_transact(
-                [condition], [write], deadline=_deadline(TABLE_CALL_LIMIT_S)
-            )
-        except TableReplyLostError:
-            return TableReplyLost()
-        except TableUnavailableError:
-            return TableUnavailable()
-        if isinstance(result, Committed):
-            return ClaimWritten(version=result.versions[0])
-        row = result.rows[0]
-        return ClaimConflict(row=_claim(row.value), version=row.version)
-
     async def _async_store(self, call: StoreAnswer) -> Event:
         try:
             await self._objects.async_put(
@@ -207,10 +171,6 @@
     return asyncio.get_running_loop().time() + limit_s
 
 
-def _claim(value: Any) -> ClaimRow | None:
-    return None if value is None else ClaimRow.from_json(value)
-
-
 def _stored(answer: HttpAnswer) -> StoredAnswer:
     kind = answer.headers.get("content-type", JSON_TYPE)
     return StoredAnswer(
--- a/waxwingarch/tasks/control.py
+++ b/waxwingarch/tasks/control.py
@@ -8,19 +8,9 @@
 import orjson
 from eliot import log_message
 
-from waxwingarch.core.base import Action, Event, ServerKind
+from waxwingarch.adapters.lease_store import LeaseStore
+from waxwingarch.core.base import Action, ServerKind
 from waxwingarch.core.duties import LeaseCall, LeaseReply
-from waxwingarch.core.lease import (
-    LEASE_TABLE,
-    LeaseConflict,
-    LeaseRead,
-    LeaseReplyLost,
-    LeaseRow,
-    LeaseTableDown,
-    LeaseWritten,
-    ReadLease,
-    WriteLease,
-)
 from waxwingarch.core.move import StartServers, StopServers
 from waxwingarch.core.move_duty import MOVES_DUTY, CommitMove
 from waxwingarch.core.move_record import MoveRecord, to_json
@@ -32,13 +22,6 @@
 )
 from waxwingarch.ports.cloud import Cloud, Offer, StartOrder
 from waxwingarch.ports.settings import SettingsWriter
-from waxwingarch.ports.table import (
-    Committed,
-    Condition,
-    TableReplyLostError,
-    TableStore,
-    Write,
-)
 from waxwingarch.tasks.runner import Runner
 
 CALL_LIMIT_S: Final = 2.0
@@ -51,12 +34,12 @@
     def __init__(
         self,
         runner: Runner,
-        table: TableStore,
+        leases: LeaseStore,
         cloud: Cloud,
         settings: SettingsWriter,
     ) -> None:
         self._runner = runner
-        self._table = table
+        self._leases = leases
         self._cloud = cloud
         self._settings = settings
         self._tasks: set[asyncio.Task[None]] = set()
@@ -87,42 +70,9 @@
         self._spawn(self._async_lease(action))
 
     async def _async_lease(self, action: LeaseCall) -> None:
-        call = action.call
-        if isinstance(call, ReadLease):
-            reply = await self._async_read_lease(call)
-        else:
-            reply = await self._async_write_lease(call)
+        reply = await self._leases.async_do(action.call)
         self._runner.post(LeaseReply(duty=action.duty, reply=reply))
 
-    async def _async_read_lease(self, call: ReadLease) -> Event:
-        try:
-            row = await self._table.async_get(
-                LEASE_TABLE, call.duty, deadline=_deadline()
-            )
-        except PlatformUnavailableError:
-            return LeaseTableDown()
-        return LeaseRead(row=_lease(row.value), version=row.version)
-
-    async def _async_write_lease(self, call: WriteLease) -> Event:
-        condition = Condition(
-            table=LEASE_TABLE, key=call.duty, version=call.expected_version
-        )
-        write = Write(
-            table=LEASE_TABLE, key=call.duty, value=call.row.to_json()
-        )
-        try:
-            result = await self._table.async_transact(
-                [condition], [write], deadline=_deadline()
-            )
-        except TableReplyLostError:
-            return LeaseReplyLost()
-        except PlatformUnavailableError:
-            return LeaseTableDown()
-        if isinstance(result, Committed):
-            return LeaseWritten(version=result.versions[0])
-        row = result.rows[0]
-        return LeaseConflict(row=_lease(row.value), version=row.version)
-
     # Moves
 
     def _on_commit(self, action: CommitMove) -> None:
@@ -225,7 +175,3 @@
 
 def _deadline() -> float:
     return asyncio.get_running_loop().time() + CALL_LIMIT_S
-
-
-def _lease(value: Any) -> LeaseRow | None:
-    return None if value is None else LeaseRow.from_json(value)
