Divide each contract's limits over the entry hosts, with loans

Cause: each host admitted up to the whole limit of a contract, so that n hosts admitted n times as much. Hosts are entitled to even parts now and lend what they don't need (core/account_shares); loans travel as datagrams. The entitled hosts are those that the platform lists or that are reachable; hosts that see different lists for a moment may together be over by the difference.

--- a/waxwingarch/adapters/peer_codec.py
+++ b/waxwingarch/adapters/peer_codec.py
@@ -8,6 +8,7 @@
 
 from google.protobuf.message import DecodeError
 
+from waxwingarch.core.account_shares import Resource
 from waxwingarch.core.base import (
     AccountId,
     FailureDomain,
@@ -33,6 +34,8 @@
     Datagram,
     Gossip,
     IndirectProbe,
+    LoanAnswer,
+    LoanAsk,
     Probe,
     SyncRequest,
 )
@@ -40,6 +43,7 @@
 from waxwingarch.protocol import peer_pb2 as pb
 
 TAG_BYTES: Final = 16
+RESOURCES: Final = frozenset(resource.value for resource in Resource)
 STATES: Final = tuple(MemberState)
 STATE_NUMBERS: Final = {state: n for n, state in enumerate(STATES)}
 
@@ -125,6 +129,23 @@
     ),
     Gossip: ("gossip", pb.Gossip, ("relay",)),
     SyncRequest: ("sync_request", pb.SyncRequest, ("sums", "reply")),
+    LoanAsk: (
+        "loan_ask",
+        pb.LoanAsk,
+        ("account", "resource", "incarnation", "loan_sequence", "units"),
+    ),
+    LoanAnswer: (
+        "loan_answer",
+        pb.LoanAnswer,
+        (
+            "account",
+            "resource",
+            "incarnation",
+            "loan_sequence",
+            "units",
+            "spare",
+        ),
+    ),
 }
 
 
@@ -245,10 +266,41 @@
     )
 
 
+def _read_loan_ask(raw: pb.LoanAsk) -> Body:
+    return LoanAsk(
+        account=AccountId(raw.account),
+        resource=_resource(raw.resource),
+        incarnation=raw.incarnation,
+        loan_sequence=raw.loan_sequence,
+        units=raw.units,
+    )
+
+
+def _read_loan_answer(raw: pb.LoanAnswer) -> Body:
+    return LoanAnswer(
+        account=AccountId(raw.account),
+        resource=_resource(raw.resource),
+        incarnation=raw.incarnation,
+        loan_sequence=raw.loan_sequence,
+        units=raw.units,
+        spare=raw.spare,
+    )
+
+
+def _resource(name: str) -> str:
+    if name not in RESOURCES:
+        raise MalformedMessageError(
+            f"a loan of {name!r} is unknown; run the same version on all hosts"
+        )
+    return name
+
+
 BODY_READERS: Final[dict[str, Callable[[Any], Body]]] = {
     "probe": _read_probe,
     "ack": _read_ack,
     "indirect_probe": _read_indirect_probe,
+    "loan_ask": _read_loan_ask,
+    "loan_answer": _read_loan_answer,
     "gossip": lambda raw: Gossip(relay=raw.relay),
     "sync_request": lambda raw: SyncRequest(
         sums=tuple(raw.sums), reply=raw.reply
--- a/waxwingarch/core/cluster.py
+++ b/waxwingarch/core/cluster.py
@@ -26,16 +26,24 @@
 from waxwingarch.core.merge import item_key
 from waxwingarch.core.messages import (
     Ack,
+    Body,
     Datagram,
     DatagramReceived,
     Gossip,
     IndirectProbe,
+    Loan,
+    LoanAnswer,
+    LoanAsk,
     Probe,
     SendPeer,
     SyncRequest,
     Tick,
 )
-from waxwingarch.core.sizes import HEADER_BYTES, SYNC_HEADER_BYTES
+from waxwingarch.core.sizes import (
+    HEADER_BYTES,
+    LOAN_HEADER_BYTES,
+    SYNC_HEADER_BYTES,
+)
 from waxwingarch.core.spread import ItemStore, RecordKey
 from waxwingarch.core.watch import Duty, DutyTable, Place
 
@@ -92,6 +100,14 @@
     """A later process runs as this host elsewhere: this one must stop."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoanReceived(Action):
+    """A peer asks for a loan of a limit, or answers."""
+
+    sender: HostId
+    body: Loan
+
+
 class Cluster:
     """Facade: typed events in, typed actions out, on the caller's clock.
 
@@ -136,6 +152,8 @@
             IndirectProbe: self._on_indirect_probe,
             Gossip: self._on_gossip,
             SyncRequest: self._on_sync_request,
+            LoanAsk: self._on_loan,
+            LoanAnswer: self._on_loan,
         }
 
     @property
@@ -251,6 +269,13 @@
         address = member.addresses.peer_udp
         return [SendPeer(address=address, datagram=datagram)]
 
+    def send_to(self, host_id: HostId, body: Body) -> list[Action]:
+        """Send a message to one host, if it is reachable."""
+        datagram = self.packer.datagram(
+            body, host_id, header_bytes=LOAN_HEADER_BYTES
+        )
+        return self._to_host(host_id, datagram)
+
     # -- receiving
 
     def _on_datagram(
@@ -324,6 +349,11 @@
             self.membership.on_indirect_probe(now, event.source, body)
         )
 
+    def _on_loan(
+        self, now: float, event: DatagramReceived, body: Loan
+    ) -> list[Action]:
+        return [LoanReceived(sender=event.datagram.sender, body=body)]
+
     def _on_gossip(
         self, now: float, event: DatagramReceived, body: Gossip
     ) -> list[Action]:
--- a/waxwingarch/core/events.py
+++ b/waxwingarch/core/events.py
@@ -2,7 +2,14 @@
 
 from dataclasses import dataclass
 
-from waxwingarch.core.base import Action, Event, RequestId, Server, ServerId
+from waxwingarch.core.base import (
+    Action,
+    Event,
+    HostId,
+    RequestId,
+    Server,
+    ServerId,
+)
 from waxwingarch.core.contract import Contract
 from waxwingarch.core.items import LoadSummary
 from waxwingarch.core.move_record import MoveRecord
@@ -30,6 +37,7 @@
 
     servers: tuple[Server, ...]
     starting: tuple[Server, ...] = ()
+    entry_hosts: tuple[HostId, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/messages.py
+++ b/waxwingarch/core/messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from waxwingarch.core.base import Action, Event, HostId
+from waxwingarch.core.base import AccountId, Action, Event, HostId
 from waxwingarch.core.items import Item
 from waxwingarch.core.members import Member
 
@@ -56,7 +56,34 @@
     reply: bool
 
 
-Body = Probe | Ack | IndirectProbe | Gossip | SyncRequest
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoanAsk:
+    """Asks for a loan of units of an account's limit.
+
+    `incarnation` is the borrower's; see `core/shares`.
+    """
+
+    account: AccountId
+    resource: str
+    incarnation: int
+    loan_sequence: int
+    units: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoanAnswer:
+    """Answers the request `loan_sequence`; see `core/shares`."""
+
+    account: AccountId
+    resource: str
+    incarnation: int
+    loan_sequence: int
+    units: int
+    spare: int
+
+
+Loan = LoanAsk | LoanAnswer
+Body = Probe | Ack | IndirectProbe | Gossip | SyncRequest | Loan
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/node.py
+++ b/waxwingarch/core/node.py
@@ -15,6 +15,7 @@
     Cluster,
     ItemsChanged,
     Leave,
+    LoanReceived,
     MembersChanged,
     PublishItem,
     SetDraining,
@@ -47,6 +48,7 @@
 from waxwingarch.core.guarded import Identity, OnceReply
 from waxwingarch.core.handoff import HandOff, OwnHostLeaving
 from waxwingarch.core.items import LeavingServer
+from waxwingarch.core.limits import HostLimits
 from waxwingarch.core.members import Member
 from waxwingarch.core.messages import DatagramReceived, Tick
 from waxwingarch.core.move_duty import MOVES_DUTY, MoveDuty
@@ -65,12 +67,17 @@
     Request,
 )
 from waxwingarch.core.servers import ServerBook
+from waxwingarch.core.shares import LOAN_MARGIN_S
 
 if TYPE_CHECKING:
     from random import Random
 
 COME_BACK_AFTER_S: Final = 1.0
 
+# The loans of a limit end at the borrower this much before the lender
+# may use them again.
+PAUSE_S: Final = LOAN_MARGIN_S
+
 CLUSTER_EVENTS: Final = (
     DatagramReceived,
     RevisionRead,
@@ -126,6 +133,7 @@
             self.moves,
             self.fleet.keepers,
         )
+        self.limits = HostLimits(self.cluster, self.admission)
         self.hand_off = HandOff(self.desk, self.fleet.keepers, unix_offset)
         self.leases = DutyLeases(self.cluster, (MOVES_DUTY,))
         self.move_duty = MoveDuty(
@@ -141,6 +149,7 @@
         self._settings_known = False
         self._drained = False
         self._unix_offset = unix_offset
+        self._handled_at = float("-inf")
         self._handlers: dict[
             type[Event], Callable[[float, Any], list[Action]]
         ] = {
@@ -170,6 +179,7 @@
         ] = {
             ItemsChanged: self._items_changed,
             MembersChanged: self._members_changed,
+            LoanReceived: self.limits.loan_received,
             Ready: self._on_ready,
         }
 
@@ -187,6 +197,9 @@
 
         `now` is the monotonic clock in seconds and never goes back.
         """
+        if now - self._handled_at > PAUSE_S:
+            self.limits.resumed(now)
+        self._handled_at = now
         return self._handlers[type(event)](now, event)
 
     # Requests
@@ -210,6 +223,7 @@
                     "this host has no settings yet: send it again",
                 )
             ]
+        self.limits.arrived(now, event.request.account)
         return self.desk.arrived(now, event.request)
 
     def _attempt_event(self, now: float, event: AttemptEvent) -> list[Action]:
@@ -229,6 +243,7 @@
         before = self.servers.generation
         self.servers.listed(event.servers)
         self.servers.starting = event.starting
+        self.limits.set_listed(event.entry_hosts)
         if self.servers.generation != before:
             self.fleet.changed()
         return self.desk.tick(now)
@@ -285,6 +300,7 @@
         self, now: float, action: MembersChanged
     ) -> list[Action]:
         self.fleet.changed()
+        self.limits.members_changed()
         return []
 
     # Settings
@@ -299,6 +315,7 @@
         if not self.directory.apply(event.revision, event.contracts):
             return []
         self.moves.apply(now, event.moves)
+        self.limits.set_contracts(event.contracts)
         return self.desk.contracts_applied(now, event.contracts)
 
     # Duties
@@ -311,10 +328,11 @@
     def _tick(self, now: float, event: Tick) -> list[Action]:
         heard = self._absorb(now, self.cluster.handle(now, event))
         judged = self._absorb(now, self.moves.tick(now))
+        asked = self.limits.tick(now)
         duties = self.leases.tick(now) + self.move_duty.tick(now)
         duties += self.hand_off.tick(now)
         moved = self.evacuation.tick(now)
-        done = heard + judged + duties + moved + self.desk.tick(now)
+        done = heard + judged + asked + duties + moved + self.desk.tick(now)
         return self._checked(done)
 
     def _drain_requested(
--- a/waxwingarch/core/sizes.py
+++ b/waxwingarch/core/sizes.py
@@ -22,6 +22,7 @@
 # Sender, incarnation, revision, authentication code and the body.
 HEADER_BYTES: Final = 192
 SYNC_HEADER_BYTES: Final = HEADER_BYTES + 272
+LOAN_HEADER_BYTES: Final = HEADER_BYTES + 96
 NESTING_BYTES: Final = 6
 DOUBLE_BYTES: Final = 9
 HASH_BYTES: Final = 4
--- a/waxwingarch/tasks/platform_watch.py
+++ b/waxwingarch/tasks/platform_watch.py
@@ -96,7 +96,13 @@
             for entry in listed.servers
             if entry.state is ServerState.STARTING
         )
-        self._runner.post(ServersListed(servers=live, starting=starting))
+        self._runner.post(
+            ServersListed(
+                servers=live,
+                starting=starting,
+                entry_hosts=tuple(h.host_id for h in listed.entry_hosts),
+            )
+        )
         for entry in listed.servers:
             if entry.state is ServerState.LEAVING:
                 self._leaving(
