--- a/tests/core/test_configsync.py
+++ b/tests/core/test_configsync.py
@@ -154,6 +154,12 @@
 
 
 class TestSettingsHistory(testtools.TestCase):
+    def test_an_older_snapshot_is_ignored(self) -> None:
+        history = SettingsHistory()
+        history.advance(snapshot(2, a="2"))
+        history.advance(snapshot(1, a="1"))
+        self.assertEqual(snapshot(2, a="2"), history.snapshot)
+
     def test_a_delta_carries_only_what_changed(self) -> None:
         history = SettingsHistory()
         history.advance(snapshot(1, a="1", b="1", c="1"))
--- /dev/null
+++ b/tests/core/test_membership.py
@@ -0,0 +1,154 @@
+"""Tests of one host's view of its peers."""
+
+import random
+
+import testtools
+
+from tests.core.clusters import Bench, make_member
+from waxwingarch.core.base import HostId
+from waxwingarch.core.members import Member, MemberState
+from waxwingarch.core.membership import (
+    DEAD_RETENTION_S,
+    Membership,
+    Outgoing,
+    suspicion_s,
+)
+from waxwingarch.core.messages import Ack, IndirectProbe, Probe
+
+PEER = make_member("h1")
+
+
+def make_membership(*peers: Member) -> Membership:
+    membership = Membership(make_member("h0"), (), random.Random(1))
+    for peer in peers:
+        membership.learn(0.0, peer)
+    return membership
+
+
+def run(
+    membership: Membership, start_s: float, end_s: float
+) -> list[Outgoing]:
+    """Tick ten times a second; return all that was sent."""
+    out: list[Outgoing] = []
+    for tenth in range(round(start_s * 10), round(end_s * 10)):
+        out.extend(membership.tick(tenth / 10))
+    return out
+
+
+def state(membership: Membership, host_id: str = "h1") -> MemberState | None:
+    member = membership.member(HostId(host_id))
+    return member.state if member else None
+
+
+class TestMembership(testtools.TestCase):
+    def test_silence_leads_to_suspicion_and_then_death(self) -> None:
+        membership = make_membership(PEER)
+        run(membership, 0.0, 1.2)
+        self.assertEqual(MemberState.SUSPECT, state(membership))
+        run(membership, 1.2, 1.5 + suspicion_s(2))
+        self.assertEqual(MemberState.DEAD, state(membership))
+        self.assertFalse(membership.is_current(PEER.host_id, 1))
+
+    def test_an_answer_in_another_name_proves_nothing(self) -> None:
+        for host_id, incarnation in (("h9", 1), ("h1", 2)):
+            membership = make_membership(PEER)
+            probe = membership.tick(0.0)[0].body
+            assert isinstance(probe, Probe)
+            answer = Ack(
+                sequence=probe.sequence,
+                host_id=HostId(host_id),
+                incarnation=incarnation,
+            )
+            membership.on_ack(answer)
+            run(membership, 0.1, 1.2)
+            self.assertEqual(MemberState.SUSPECT, state(membership))
+
+    def test_an_answer_in_the_right_name_counts(self) -> None:
+        membership = make_membership(PEER)
+        probe = membership.tick(0.0)[0].body
+        assert isinstance(probe, Probe)
+        membership.on_ack(
+            Ack(sequence=probe.sequence, host_id=PEER.host_id, incarnation=1)
+        )
+        run(membership, 0.1, 1.2)
+        self.assertEqual(MemberState.ALIVE, state(membership))
+
+    def test_a_host_that_stood_still_blames_nobody(self) -> None:
+        membership = make_membership(PEER)
+        membership.tick(0.0)
+        membership.tick(30.0)
+        self.assertEqual(MemberState.ALIVE, state(membership))
+
+    def test_a_suspect_has_its_time_after_a_pause_of_the_judge(self) -> None:
+        membership = make_membership(PEER)
+        run(membership, 0.0, 1.2)
+        membership.tick(30.0)
+        self.assertEqual(MemberState.SUSPECT, state(membership))
+
+    def test_dead_hosts_are_tried_again_at_a_bounded_rate(self) -> None:
+        peers = [make_member(f"h{n}") for n in range(1, 21)]
+        membership = make_membership(PEER)
+        for peer in peers:
+            membership.learn(0.0, peer)
+            membership._judge(0.0, peer.host_id, MemberState.DEAD)
+        alive = make_member("h50")
+        membership.learn(0.0, alive)
+        sent: list[Outgoing] = []
+        for tenth in range(600):
+            for out in membership.tick(tenth / 10):
+                assert isinstance(out.body, Probe)
+                if out.target != alive.host_id:
+                    sent.append(out)
+                    continue
+                answer = Ack(
+                    sequence=out.body.sequence,
+                    host_id=alive.host_id,
+                    incarnation=1,
+                )
+                membership.on_ack(answer)
+        # One each 5 s, give or take a quarter.
+        self.assertGreater(len(sent), 8)
+        self.assertLess(len(sent), 18)
+
+    def test_dead_hosts_are_forgotten_in_the_end(self) -> None:
+        membership = make_membership(PEER)
+        membership._judge(0.0, PEER.host_id, MemberState.DEAD)
+        membership.tick(1.0)
+        membership.tick(2.0 + DEAD_RETENTION_S)
+        self.assertIsNone(membership.member(PEER.host_id))
+        self.assertEqual({}, membership._by_udp)
+
+    def test_an_indirect_probe_is_answered_through_the_helper(self) -> None:
+        membership = make_membership(PEER)
+        asked = IndirectProbe(
+            sequence=77,
+            target=PEER.host_id,
+            incarnation=1,
+            address=PEER.addresses.peer_udp,
+        )
+        (out,) = membership.on_indirect_probe(0.0, "asker:82", asked)
+        assert isinstance(out.body, Probe)
+        ack = Ack(
+            sequence=out.body.sequence, host_id=PEER.host_id, incarnation=1
+        )
+        (passed_on,) = membership.on_ack(ack)
+        assert isinstance(passed_on.body, Ack)
+        self.assertEqual("asker:82", passed_on.address)
+        self.assertEqual(77, passed_on.body.sequence)
+        self.assertEqual([], membership.on_ack(ack))
+
+
+class TestReconnect(testtools.TestCase):
+    def test_regions_find_each_other_without_seeds(self) -> None:
+        bench = Bench()
+        for n in range(12):
+            own = make_member(f"h{n}", region=f"r{n % 2}")
+            bench.add(own)
+        bench.run_until(bench.all_alive, 30.0)
+        for host in bench.hosts.values():
+            host.membership._seeds = []
+        bench.cut = lambda a, b: a.region != b.region
+        bench.run(60.0)
+        self.assertEqual(6, bench.states_of("h1")["dead"])
+        bench.cut = lambda a, b: False
+        bench.run_until(bench.all_alive, 60.0)
