--- a/tests/core/test_cluster.py
+++ b/tests/core/test_cluster.py
@@ -5,6 +5,7 @@
 from tests.core.clusters import UNIX_0, Bench, make_member
 from waxwingarch.core.base import HostId, ServerId, ServiceId, VersionId
 from waxwingarch.core.cluster import (
+    AskApplied,
     Leave,
     PublishItem,
     SetDraining,
@@ -247,6 +248,31 @@
         bench.run_until(lambda: new.settings.ready, 15.0)
         self.assertEqual(7, new.settings.applied)
 
+    def test_a_host_can_ask_until_all_have_a_revision(self) -> None:
+        bench = make_bench(60)
+        bench.run(3.0)
+        bench.paused.add("h9")
+        bench.table = make_snapshot(7, [Document(name="c", text="x")])
+        asker = bench.hosts["h0"]
+        for _ in range(4):
+            bench.publish("h0", AskApplied(revision=7))
+            bench.run(0.4)
+        self.assertIn("h9", asker.behind(7))
+        bench.paused.clear()
+        for _ in range(10):
+            bench.publish("h0", AskApplied(revision=7))
+            bench.run(0.4)
+        self.assertEqual((), asker.behind(7))
+        self.assertTrue(in_force(bench, 7))
+
+    def test_dump_names_revision_members_and_items(self) -> None:
+        bench = make_bench(9)
+        bench.publish("h0", PublishItem(item=STOP))
+        bench.run(3.0)
+        dump = bench.hosts["h1"].dump()
+        self.assertEqual((9, 1), (len(dump.members), dump.items["stop"]))
+        self.assertTrue(dump.ready)
+
     def test_datagrams_stay_under_their_bound(self) -> None:
         bench = make_bench(60)
         packer = bench.hosts["h0"].packer
--- a/waxwingarch/core/cluster.py
+++ b/waxwingarch/core/cluster.py
@@ -6,6 +6,7 @@
 
 from waxwingarch.core.base import Action, Event, HostId
 from waxwingarch.core.configsync import (
+    Basis,
     ConfigSync,
     PullFailed,
     RevisionRead,
@@ -47,6 +48,7 @@
 SYNC_RETRY_S: Final = 0.5
 EXPIRY_PERIOD_S: Final = 5.0
 LEAVE_DATAGRAMS: Final = 8
+ASKED_AT_ONCE: Final = 50
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -73,6 +75,32 @@
     """This process ends."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskApplied(Event):
+    """Ask hosts not known to have the revision in force.
+
+    Repeat it until `Cluster.behind` is empty; the answers change it.
+    """
+
+    revision: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClusterDump:
+    """State of the cluster core, for a dump on request."""
+
+    own: Member
+    members: tuple[Member, ...]
+    ready: bool
+    basis: Basis
+    applied: int
+    wanted: int
+    in_sync: bool
+    watches_table: bool
+    items: dict[str, int]
+    waiting_records: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ItemsChanged(Action):
     """Items that are new or changed on this host."""
@@ -123,6 +151,7 @@
             PublishItem: self._on_publish,
             SetDraining: self._on_draining,
             Leave: self._on_leave,
+            AskApplied: self._on_ask_applied,
             RevisionRead: self._on_revision_read,
             RevisionUnavailable: self._on_revision_unavailable,
             SettingsRead: self.settings.on_settings_read,
@@ -163,6 +192,32 @@
             )
         return self._duties[region]
 
+    def behind(self, revision: int) -> tuple[HostId, ...]:
+        """Return the reachable hosts not known to have it in force."""
+        hosts = [
+            m.host_id
+            for m in self.membership.reachable()
+            if self.settings.applied_at(m.host_id) < revision
+        ]
+        if self.settings.applied < revision:
+            hosts.append(self.own.host_id)
+        return tuple(hosts)
+
+    def dump(self) -> ClusterDump:
+        """Return the state of this core."""
+        return ClusterDump(
+            own=self.own,
+            members=self.membership.members(),
+            ready=self.settings.ready,
+            basis=self.settings.basis,
+            applied=self.settings.applied,
+            wanted=self.settings.wanted,
+            in_sync=self._in_sync,
+            watches_table=self._watches_table(),
+            items=self.store.counts(),
+            waiting_records=len(self.packer),
+        )
+
     # -- time
 
     def _on_tick(self, now: float, event: Tick) -> list[Action]:
@@ -382,6 +437,15 @@
 
     # -- settings
 
+    def _on_ask_applied(self, now: float, event: AskApplied) -> list[Action]:
+        behind = self.behind(event.revision)
+        others = [host for host in behind if host != self.own.host_id]
+        return self._send_all(
+            out
+            for host_id in others[:ASKED_AT_ONCE]
+            if (out := self.membership.ask(host_id)) is not None
+        )
+
     def _on_revision_read(
         self, now: float, event: RevisionRead
     ) -> list[Action]:
--- a/waxwingarch/core/configsync.py
+++ b/waxwingarch/core/configsync.py
@@ -176,6 +176,11 @@
         """Return the revision in force on this host."""
         return self.history.snapshot.revision
 
+    @property
+    def basis(self) -> Basis:
+        """Return what this host's readiness rests on."""
+        return self._basis
+
     def applied_at(self, host_id: HostId) -> int:
         """Return the revision last heard to be in force at a peer."""
         return self._applied_at.get(host_id, 0)
--- a/waxwingarch/core/membership.py
+++ b/waxwingarch/core/membership.py
@@ -346,6 +346,16 @@
 
     # -- messages
 
+    def ask(self, host_id: HostId) -> Outgoing | None:
+        """Return a probe outside the rounds; silence blames nobody."""
+        member = self._members.get(host_id)
+        if member is None:
+            return None
+        probe = Probe(
+            sequence=0, target=host_id, incarnation=member.incarnation
+        )
+        return _outgoing(member, probe)
+
     def on_probe(self, source: str, sender: HostId, probe: Probe) -> Outgoing:
         """Answer a probe in this process's own name, whoever was meant."""
         body = Ack(
--- a/waxwingarch/core/spread.py
+++ b/waxwingarch/core/spread.py
@@ -84,6 +84,10 @@
         """Return how many items are known."""
         return sum(len(items) for items in self._items.values())
 
+    def counts(self) -> dict[str, int]:
+        """Return how many items of each kind are known."""
+        return {str(kind): len(kept) for kind, kept in self._items.items()}
+
     @property
     def revision(self) -> int:
         """Return the highest settings revision known, 0 for none."""
