--- a/tests/core/clusters.py
+++ b/tests/core/clusters.py
@@ -7,7 +7,8 @@
 from itertools import count
 
 from waxwingarch.core.base import Action, Event, FailureDomain, HostId
-from waxwingarch.core.cluster import Cluster, ItemsChanged, Superseded
+from waxwingarch.core.cluster import Cluster
+from waxwingarch.core.cluster_events import ItemsChanged, Superseded
 from waxwingarch.core.configsync import (
     ApplySettings,
     PollRevision,
--- a/tests/core/test_cluster.py
+++ b/tests/core/test_cluster.py
@@ -4,7 +4,7 @@
 
 from tests.core.clusters import UNIX_0, Bench, make_member
 from waxwingarch.core.base import HostId, ServerId, ServiceId, VersionId
-from waxwingarch.core.cluster import (
+from waxwingarch.core.cluster_events import (
     AskApplied,
     Leave,
     PublishItem,
--- a/tests/core/test_configsync.py
+++ b/tests/core/test_configsync.py
@@ -17,6 +17,7 @@
     ReadSettings,
     Ready,
     RevisionRead,
+    RevisionUnavailable,
     SettingsPulled,
     SettingsRead,
 )
@@ -122,7 +123,7 @@
         sync = make_sync()
         for n in range(100):
             sync.tick(n / 2, False, [])
-            sync.on_revision_unavailable()
+            sync.on_revision_unavailable(n / 2, RevisionUnavailable())
         self.assertFalse(sync.ready)
 
     def test_only_watchers_go_on_polling(self) -> None:
--- a/tests/tasks/test_peers.py
+++ b/tests/tasks/test_peers.py
@@ -14,7 +14,7 @@
     RequestId,
     ServerId,
 )
-from waxwingarch.core.cluster import ItemsChanged
+from waxwingarch.core.cluster_events import ItemsChanged
 from waxwingarch.core.configsync import Ready
 from waxwingarch.core.handover import HandOver
 from waxwingarch.core.items import LeavingServer
--- a/waxwingarch/core/cluster.py
+++ b/waxwingarch/core/cluster.py
@@ -1,12 +1,21 @@
 """How the entry hosts act together: membership, gossip, settings."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from waxwingarch.core.base import Action, Event, HostId
+from waxwingarch.core.cluster_events import (
+    AskApplied,
+    ClusterDump,
+    ItemsChanged,
+    Leave,
+    MembersChanged,
+    PublishItem,
+    SetDraining,
+    Superseded,
+)
 from waxwingarch.core.configsync import (
-    Basis,
     ConfigSync,
     PullFailed,
     RevisionRead,
@@ -51,75 +60,6 @@
 ASKED_AT_ONCE: Final = 50
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PublishItem(Event):
-    """Spread an item: to all hosts, or to the recipients only.
-
-    Load and cache of a server, and shares, are of use to few hosts; in
-    a large cluster they are sent to those directly.
-    """
-
-    item: Item
-    recipients: tuple[HostId, ...] = ()
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SetDraining(Event):
-    """This host stops taking new duties, or takes them again."""
-
-    draining: bool
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Leave(Event):
-    """This process ends."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class AskApplied(Event):
-    """Ask hosts not known to have the revision in force.
-
-    Repeat it until `Cluster.behind` is empty; the answers change it.
-    """
-
-    revision: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ClusterDump:
-    """State of the cluster core, for a dump on request."""
-
-    own: Member
-    members: tuple[Member, ...]
-    ready: bool
-    basis: Basis
-    applied: int
-    wanted: int
-    in_sync: bool
-    watches_table: bool
-    items: dict[str, int]
-    waiting_records: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ItemsChanged(Action):
-    """Items that are new or changed on this host."""
-
-    items: tuple[Item, ...]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class MembersChanged(Action):
-    """Members whose records changed, this host among them."""
-
-    members: tuple[Member, ...]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Superseded(Action):
-    """A later process runs as this host elsewhere: this one must stop."""
-
-
 class Cluster:
     """Facade: typed events in, typed actions out, on the caller's clock.
 
@@ -152,12 +92,12 @@
             SetDraining: self._on_draining,
             Leave: self._on_leave,
             AskApplied: self._on_ask_applied,
-            RevisionRead: self._on_revision_read,
-            RevisionUnavailable: self._on_revision_unavailable,
+            RevisionRead: self.settings.on_revision_read,
+            RevisionUnavailable: self.settings.on_revision_unavailable,
             SettingsRead: self.settings.on_settings_read,
-            SettingsUnavailable: self._on_settings_unavailable,
+            SettingsUnavailable: self.settings.on_settings_unavailable,
             SettingsPulled: self.settings.on_settings_pulled,
-            PullFailed: self._on_pull_failed,
+            PullFailed: self.settings.on_pull_failed,
         }
         self._bodies: dict[type, Callable[..., list[Action]]] = {
             Probe: self._on_probe,
@@ -446,28 +386,6 @@
             if (out := self.membership.ask(host_id)) is not None
         )
 
-    def _on_revision_read(
-        self, now: float, event: RevisionRead
-    ) -> list[Action]:
-        self.settings.on_revision_read(now, event)
-        return []
-
-    def _on_revision_unavailable(
-        self, now: float, event: RevisionUnavailable
-    ) -> list[Action]:
-        self.settings.on_revision_unavailable()
-        return []
-
-    def _on_settings_unavailable(
-        self, now: float, event: SettingsUnavailable
-    ) -> list[Action]:
-        self.settings.on_settings_unavailable(now)
-        return []
-
-    def _on_pull_failed(self, now: float, event: PullFailed) -> list[Action]:
-        self.settings.on_pull_failed(now, event)
-        return []
-
     def _note_revision(self, now: float) -> list[Action]:
         """Keep gossip and settings at the same highest revision."""
         self.packer.applied_revision = self.settings.applied
--- a/waxwingarch/core/configsync.py
+++ b/waxwingarch/core/configsync.py
@@ -223,7 +223,7 @@
     def _poll(self, now: float, watching: bool) -> list[Action]:
         expires_at = self._poll_expires_at
         if expires_at is not None and now >= expires_at:
-            self.on_revision_unavailable()
+            self._poll_failed()
         wanted = watching or self._basis is Basis.NONE
         if not wanted or self._poll_expires_at or now < self._next_poll_at:
             return []
@@ -231,7 +231,9 @@
         self._poll_expires_at = now + POLL_TIMEOUT_S
         return [PollRevision()]
 
-    def on_revision_read(self, now: float, event: RevisionRead) -> None:
+    def on_revision_read(
+        self, now: float, event: RevisionRead
+    ) -> list[Action]:
         """Take the table's answer; a stale one changes nothing."""
         self._poll_expires_at = None
         self._poll_failures = 0
@@ -239,9 +241,16 @@
         if event.revision > self.wanted:
             self.note_revision(now, event.revision)
             self._from_table = True
+        return []
 
-    def on_revision_unavailable(self) -> None:
+    def on_revision_unavailable(
+        self, now: float, event: RevisionUnavailable
+    ) -> list[Action]:
         """Count a poll without answer."""
+        self._poll_failed()
+        return []
+
+    def _poll_failed(self) -> None:
         self._poll_expires_at = None
         self._poll_failures += 1
 
@@ -329,10 +338,13 @@
                 self._fetch_failed(now)
         return self._apply(event.snapshot)
 
-    def on_settings_unavailable(self, now: float) -> None:
+    def on_settings_unavailable(
+        self, now: float, event: SettingsUnavailable
+    ) -> list[Action]:
         """Try elsewhere after the table did not answer."""
         if self._fetch and self._fetch.source is Source.TABLE:
             self._fetch_failed(now)
+        return []
 
     def on_settings_pulled(
         self, now: float, event: SettingsPulled
@@ -349,10 +361,11 @@
             self._failed.add(event.peer)
         return [] if snapshot is None else self._apply(snapshot)
 
-    def on_pull_failed(self, now: float, event: PullFailed) -> None:
+    def on_pull_failed(self, now: float, event: PullFailed) -> list[Action]:
         """Try another peer."""
         if self._awaits(event.peer):
             self._fetch_failed(now)
+        return []
 
     def _awaits(self, peer: HostId) -> bool:
         return self._fetch is not None and self._fetch.peer == peer
--- a/waxwingarch/core/membership.py
+++ b/waxwingarch/core/membership.py
@@ -12,6 +12,7 @@
     supersedes,
 )
 from waxwingarch.core.messages import Ack, IndirectProbe, Probe
+from waxwingarch.core.relays import RelayTable
 
 if TYPE_CHECKING:
     from random import Random
@@ -25,8 +26,6 @@
 DEAD_RETENTION_S: Final = 3_600.0
 # A gap this long between two ticks means that this process was paused.
 PAUSE_S: Final = 0.9
-RELAY_TTL_S: Final = 2.0
-MAX_RELAYS: Final = 256
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -50,15 +49,6 @@
     indirect_sent: bool = False
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Relay:
-    """An answer to be passed on to the host that asked for it."""
-
-    address: str
-    sequence: int
-    expires_at: float
-
-
 def suspicion_s(hosts: int) -> float:
     """Return how long a suspect among so many hosts may refute."""
     return SUSPICION_PERIODS * PROBE_PERIOD_S * math.log10(max(10, hosts))
@@ -87,7 +77,7 @@
         self._gone_at: dict[HostId, float] = {}
         self._round: list[HostId] = []
         self._pending: _Pending | None = None
-        self._relays: dict[int, _Relay] = {}
+        self._relays = RelayTable()
         self._sequence = rng.getrandbits(24)
         self._next_probe_at = 0.0
         self._next_reconnect_at = 0.0
@@ -332,9 +322,7 @@
         for host_id, gone_at in list(self._gone_at.items()):
             if now >= gone_at + DEAD_RETENTION_S:
                 self._forget(host_id)
-        for sequence, relay in list(self._relays.items()):
-            if now >= relay.expires_at:
-                del self._relays[sequence]
+        self._relays.expire(now)
 
     def _forget(self, host_id: HostId) -> None:
         address = self._members[host_id].addresses.peer_udp
@@ -369,14 +357,9 @@
         self, now: float, source: str, probe: IndirectProbe
     ) -> list[Outgoing]:
         """Probe the target in the name of the host that asked."""
-        if len(self._relays) >= MAX_RELAYS:
-            return []
         self._sequence += 1
-        self._relays[self._sequence] = _Relay(
-            address=source,
-            sequence=probe.sequence,
-            expires_at=now + RELAY_TTL_S,
-        )
+        if not self._relays.put(now, self._sequence, source, probe.sequence):
+            return []
         body = Probe(
             sequence=self._sequence,
             target=probe.target,
@@ -388,7 +371,7 @@
 
     def on_ack(self, ack: Ack) -> list[Outgoing]:
         """Take an answer, or pass it on to the host that wants it."""
-        relay = self._relays.pop(ack.sequence, None)
+        relay = self._relays.pop(ack.sequence)
         if relay is not None:
             passed_on = replace(ack, sequence=relay.sequence)
             return [
--- a/waxwingarch/tasks/peers.py
+++ b/waxwingarch/tasks/peers.py
@@ -12,12 +12,8 @@
     HostId,
     RequestId,
 )
-from waxwingarch.core.cluster import (
-    Cluster,
-    Leave,
-    PublishItem,
-    SetDraining,
-)
+from waxwingarch.core.cluster import Cluster
+from waxwingarch.core.cluster_events import Leave, PublishItem, SetDraining
 from waxwingarch.core.handover import HandOver
 from waxwingarch.core.items import Item
 from waxwingarch.core.members import Addresses, Member, MemberState
