--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -10,10 +10,9 @@
 from waxwingarch.core.membership import (
     DEAD_RETENTION_S,
     Membership,
-    Outgoing,
     suspicion_s,
 )
-from waxwingarch.core.messages import Ack, IndirectProbe, Probe
+from waxwingarch.core.messages import Ack, IndirectProbe, Outgoing, Probe
 
 PEER = make_member("h1")
 
--- a/waxwingarch/core/cluster.py
+++ b/waxwingarch/core/cluster.py
@@ -25,6 +25,7 @@
     SettingsUnavailable,
 )
 from waxwingarch.core.digest import BucketDigest
+from waxwingarch.core.duties import Duties
 from waxwingarch.core.gossip import (
     GOSSIP_PEERS,
     GOSSIP_PERIOD_S,
@@ -32,7 +33,7 @@
 )
 from waxwingarch.core.items import Item, SettingsRevision, SpentShare
 from waxwingarch.core.members import Member, MemberState
-from waxwingarch.core.membership import Membership, Outgoing
+from waxwingarch.core.membership import Membership
 from waxwingarch.core.merge import item_key
 from waxwingarch.core.messages import (
     Ack,
@@ -40,6 +41,7 @@
     DatagramReceived,
     Gossip,
     IndirectProbe,
+    Outgoing,
     Probe,
     SendPeer,
     SyncRequest,
@@ -47,12 +49,11 @@
 )
 from waxwingarch.core.sizes import HEADER_BYTES, SYNC_HEADER_BYTES
 from waxwingarch.core.spread import ItemStore, RecordKey
-from waxwingarch.core.watch import Duty, DutyTable, Place
+from waxwingarch.core.watch import DutyTable
 
 if TYPE_CHECKING:
     from random import Random
 
-TABLE_WATCHERS_PER_REGION: Final = 2
 SYNC_PERIOD_S: Final = 10.0
 SYNC_RETRY_S: Final = 0.5
 EXPIRY_PERIOD_S: Final = 5.0
@@ -78,8 +79,7 @@
         self.settings = ConfigSync(own, rng)
         self._unix_now = 0.0
         self._share_sequence = 0
-        self._duties: dict[str, DutyTable] = {}
-        self._watching: bool | None = None
+        self._duties = Duties(self.membership)
         self._in_sync = False
         self._left = False
         self._next_gossip_at = 0.0
@@ -124,13 +124,7 @@
 
     def duties(self, region: str = "") -> DutyTable:
         """Return the duties over all hosts, or over those of a region."""
-        if region not in self._duties:
-            self._duties[region] = DutyTable(
-                Place(host_id=m.host_id, failure_domain=m.failure_domain)
-                for m in self.membership.members()
-                if m.eligible and region in ("", m.region)
-            )
-        return self._duties[region]
+        return self._duties.table(region)
 
     def behind(self, revision: int) -> tuple[HostId, ...]:
         """Return the reachable hosts not known to have it in force."""
@@ -153,7 +147,7 @@
             applied=self.settings.applied,
             wanted=self.settings.wanted,
             in_sync=self._in_sync,
-            watches_table=self._watches_table(),
+            watches_table=self._duties.polls_table(),
             items=self.store.counts(),
             waiting_records=len(self.packer),
         )
@@ -174,19 +168,11 @@
             for key in self.store.expire(now, self._unix_now):
                 self.packer.forget(key)
         peers = self.membership.reachable()
-        actions.extend(self.settings.tick(now, self._watches_table(), peers))
+        actions.extend(
+            self.settings.tick(now, self._duties.polls_table(), peers)
+        )
         return actions
 
-    def _watches_table(self) -> bool:
-        if self._watching is None:
-            self._watching = self.duties(self.own.region).is_responsible(
-                self.own.host_id,
-                "settings",
-                Duty.POLL_TABLE,
-                TABLE_WATCHERS_PER_REGION,
-            )
-        return self._watching
-
     def _gossip(self) -> list[Action]:
         actions: list[Action] = []
         for host_id, datagram in self.packer.direct():
@@ -243,8 +229,7 @@
         member = self.membership.member(host_id)
         if member is None or not member.reachable:
             return []
-        address = member.addresses.peer_udp
-        return [SendPeer(address=address, datagram=datagram)]
+        return [SendPeer(address=member.addresses.peer_udp, datagram=datagram)]
 
     # -- receiving
 
@@ -365,14 +350,10 @@
     def _on_leave(self, now: float, event: Leave) -> list[Action]:
         self.membership.leave()
         self._left = True
-        body = Gossip(relay=True)
-        peers = self._some_peers(LEAVE_DATAGRAMS)
+        datagram = self.packer.datagram(Gossip(relay=True), introduce=True)
         return [
-            SendPeer(
-                address=peer.addresses.peer_udp,
-                datagram=self.packer.datagram(body, introduce=True),
-            )
-            for peer in peers
+            SendPeer(address=peer.addresses.peer_udp, datagram=datagram)
+            for peer in self._some_peers(LEAVE_DATAGRAMS)
         ]
 
     # -- settings
@@ -415,7 +396,6 @@
             else:
                 self.settings.forget_peer(host_id)
         self._duties.clear()
-        self._watching = None
         return [MembersChanged(members=tuple(changed))]
 
     def _note_superseded(self) -> list[Action]:
--- /dev/null
+++ b/waxwingarch/core/duties.py
@@ -0,0 +1,44 @@
+"""Duties over the members known now, worked out when asked for."""
+
+from typing import Final
+
+from waxwingarch.core.membership import Membership
+from waxwingarch.core.watch import Duty, DutyTable, Place
+
+TABLE_WATCHERS_PER_REGION: Final = 2
+
+
+class Duties:
+    """Duty tables of all hosts and of regions, kept until cleared."""
+
+    def __init__(self, membership: Membership) -> None:
+        self._membership = membership
+        self._tables: dict[str, DutyTable] = {}
+        self._polls_table: bool | None = None
+
+    def clear(self) -> None:
+        """Work all out again: the members have changed."""
+        self._tables.clear()
+        self._polls_table = None
+
+    def table(self, region: str) -> DutyTable:
+        """Return the duties over a region's hosts, "" for all hosts."""
+        if region not in self._tables:
+            self._tables[region] = DutyTable(
+                Place(host_id=m.host_id, failure_domain=m.failure_domain)
+                for m in self._membership.members()
+                if m.eligible and region in ("", m.region)
+            )
+        return self._tables[region]
+
+    def polls_table(self) -> bool:
+        """Tell whether this host polls the table for the revision."""
+        if self._polls_table is None:
+            own = self._membership.own
+            self._polls_table = self.table(own.region).is_responsible(
+                own.host_id,
+                "settings",
+                Duty.POLL_TABLE,
+                TABLE_WATCHERS_PER_REGION,
+            )
+        return self._polls_table
--- a/waxwingarch/core/membership.py
+++ b/waxwingarch/core/membership.py
@@ -11,7 +11,7 @@
     MemberState,
     supersedes,
 )
-from waxwingarch.core.messages import Ack, IndirectProbe, Probe
+from waxwingarch.core.messages import Ack, IndirectProbe, Outgoing, Probe
 from waxwingarch.core.relays import RelayTable
 
 if TYPE_CHECKING:
@@ -28,15 +28,6 @@
 PAUSE_S: Final = 0.9
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Outgoing:
-    """A message to send; the target is None when only a seed is known."""
-
-    address: str
-    target: HostId | None
-    body: Probe | Ack | IndirectProbe
-
-
 @dataclass(kw_only=True, slots=True)
 class _Pending:
     """The probe that waits for its answer."""
--- a/waxwingarch/core/messages.py
+++ b/waxwingarch/core/messages.py
@@ -56,6 +56,15 @@
     reply: bool
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Outgoing:
+    """A message to send; the target is None when only a seed is known."""
+
+    address: str
+    target: HostId | None
+    body: Probe | Ack | IndirectProbe
+
+
 Body = Probe | Ack | IndirectProbe | Gossip | SyncRequest
 
 
