--- a/waxwingarch/core/cluster.py
+++ b/waxwingarch/core/cluster.py
@@ -103,7 +103,7 @@
             Probe: self._on_probe,
             Ack: self._on_ack,
             IndirectProbe: self._on_indirect_probe,
-            Gossip: self._on_gossip,
+            Gossip: lambda now, event, body: [],
             SyncRequest: self._on_sync_request,
         }
 
@@ -239,8 +239,8 @@
         datagram = event.datagram
         if datagram.sender == self.own.host_id:
             return []
-        for member in datagram.members:
-            self._learn_member(now, member)
+        for record in datagram.members:
+            self._learn_member(now, record)
         actions = self._learn_items(now, datagram)
         self._note_sender(now, datagram)
         handler = self._bodies[type(datagram.body)]
@@ -304,11 +304,6 @@
             self.membership.on_indirect_probe(now, event.source, body)
         )
 
-    def _on_gossip(
-        self, now: float, event: DatagramReceived, body: Gossip
-    ) -> list[Action]:
-        return []
-
     def _on_sync_request(
         self, now: float, event: DatagramReceived, body: SyncRequest
     ) -> list[Action]:
