--- a/tests/tasks/test_peers.py
+++ b/tests/tasks/test_peers.py
@@ -63,10 +63,14 @@
 
 
 async def start(
-    name: str, table: Table, seeds: tuple[str, ...], key: bytes = b"key"
+    name: str,
+    table: Table,
+    seeds: tuple[str, ...],
+    key: bytes = b"key",
+    tcp: str = LOOPBACK,
 ) -> PeersTask:
     transport = TransportConfig(
-        listen_udp=LOOPBACK, listen_tcp=LOOPBACK, keys=(key,)
+        listen_udp=LOOPBACK, listen_tcp=tcp, keys=(key,)
     )
     cfg = PeersConfig(
         host_id=HostId(name),
@@ -148,3 +152,11 @@
         self.assertEqual(1, len(first.members()))
         await stranger.async_unload()
         await first.async_unload()
+
+    @async_test
+    async def test_an_address_that_is_taken_is_told(self) -> None:
+        first = await start("a", Table(), ())
+        taken = first.transport.tcp_address
+        with testtools.ExpectedException(OSError):
+            await start("b", Table(), (), tcp=taken)
+        await first.async_unload()
--- a/waxwingarch/adapters/grpc_peers.py
+++ b/waxwingarch/adapters/grpc_peers.py
@@ -179,6 +179,8 @@
 
     async def async_stop(self) -> None:
         """Stop listening and end what is open."""
+        if not self._address:
+            return
         self._server.close()
         await self._server.wait_closed()
 
--- a/waxwingarch/tasks/peers.py
+++ b/waxwingarch/tasks/peers.py
@@ -101,14 +101,19 @@
 
     async def async_setup(self) -> None:
         """Bind the sockets and join; raises OSError if one is taken."""
-        await self._transport.async_bind()
+        try:
+            await self._transport.async_bind()
+        except OSError:
+            await self._transport.async_stop()
+            raise
         seeds = self._cfg.seeds
         self._cluster = Cluster(self._own_record(), seeds, self._rng)
         self._transport.start()
 
     async def async_unload(self) -> None:
         """Tell the peers that this process ends, and close."""
-        self.dispatch(Leave())
+        if self._cluster is not None:
+            self.dispatch(Leave())
         await self._transport.async_stop()
 
     def members(self) -> tuple[Member, ...]:
