--- a/waxwingarch/tasks/peers.py
+++ b/waxwingarch/tasks/peers.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from waxwingarch.adapters.udp_peers import join_address, split_address
 from waxwingarch.core.base import (
     Action,
     Event,
@@ -180,4 +181,4 @@
     def _advertised(self, bound: str) -> str:
         if not self._cfg.advertised_ip:
             return bound
-        return f"{self._cfg.advertised_ip}:{bound.rpartition(':')[2]}"
+        return join_address(self._cfg.advertised_ip, split_address(bound)[1])
