--- a/waxwingarch/core/cluster.py
+++ b/waxwingarch/core/cluster.py
@@ -1,10 +1,21 @@
 """How the entry hosts act together: membership, gossip, settings."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from waxwingarch.core.base import Action, Event, HostId
+from waxwingarch.core.cluster_events import (
+    AskApplied,
+    ClusterDump,
+    ItemsChanged,
+    Leave,
+    LoanReceived,
+    MembersChanged,
+    PublishItem,
+    SetDraining,
+    Superseded,
+)
 from waxwingarch.core.configsync import (
     ConfigSync,
     PullFailed,
@@ -15,6 +26,7 @@
     SettingsUnavailable,
 )
 from waxwingarch.core.digest import BucketDigest
+from waxwingarch.core.duties import Duties
 from waxwingarch.core.gossip import (
     GOSSIP_PEERS,
     GOSSIP_PERIOD_S,
@@ -22,7 +34,7 @@
 )
 from waxwingarch.core.items import Item, SettingsRevision, SpentShare
 from waxwingarch.core.members import Member, MemberState
-from waxwingarch.core.membership import Membership, Outgoing
+from waxwingarch.core.membership import Membership
 from waxwingarch.core.merge import item_key
 from waxwingarch.core.messages import (
     Ack,
@@ -34,6 +46,7 @@
     Loan,
     LoanAnswer,
     LoanAsk,
+    Outgoing,
     Probe,
     SendPeer,
     SyncRequest,
@@ -45,67 +58,16 @@
     SYNC_HEADER_BYTES,
 )
 from waxwingarch.core.spread import ItemStore, RecordKey
-from waxwingarch.core.watch import Duty, DutyTable, Place
+from waxwingarch.core.watch import DutyTable
 
 if TYPE_CHECKING:
     from random import Random
 
-TABLE_WATCHERS_PER_REGION: Final = 2
 SYNC_PERIOD_S: Final = 10.0
 SYNC_RETRY_S: Final = 0.5
 EXPIRY_PERIOD_S: Final = 5.0
 LEAVE_DATAGRAMS: Final = 8
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PublishItem(Event):
-    """Spread an item: to all hosts, or to the recipients only.
-
-    Load and cache of a server, and shares, are of use to few hosts; in
-    a large cluster they are sent to those directly.
-    """
-
-    item: Item
-    recipients: tuple[HostId, ...] = ()
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SetDraining(Event):
-    """This host stops taking new duties, or takes them again."""
-
-    draining: bool
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Leave(Event):
-    """This process ends."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ItemsChanged(Action):
-    """Items that are new or changed on this host."""
-
-    items: tuple[Item, ...]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class MembersChanged(Action):
-    """Members whose records changed, this host among them."""
-
-    members: tuple[Member, ...]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Superseded(Action):
-    """A later process runs as this host elsewhere: this one must stop."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class LoanReceived(Action):
-    """A peer asks for a loan of a limit, or answers."""
-
-    sender: HostId
-    body: Loan
+ASKED_AT_ONCE: Final = 50
 
 
 class Cluster:
@@ -126,8 +88,7 @@
         self.settings = ConfigSync(own, rng)
         self._unix_now = 0.0
         self._share_sequence = 0
-        self._duties: dict[str, DutyTable] = {}
-        self._watching: bool | None = None
+        self._duties = Duties(self.membership)
         self._in_sync = False
         self._left = False
         self._next_gossip_at = 0.0
@@ -139,18 +100,19 @@
             PublishItem: self._on_publish,
             SetDraining: self._on_draining,
             Leave: self._on_leave,
-            RevisionRead: self._on_revision_read,
-            RevisionUnavailable: self._on_revision_unavailable,
+            AskApplied: self._on_ask_applied,
+            RevisionRead: self.settings.on_revision_read,
+            RevisionUnavailable: self.settings.on_revision_unavailable,
             SettingsRead: self.settings.on_settings_read,
-            SettingsUnavailable: self._on_settings_unavailable,
+            SettingsUnavailable: self.settings.on_settings_unavailable,
             SettingsPulled: self.settings.on_settings_pulled,
-            PullFailed: self._on_pull_failed,
+            PullFailed: self.settings.on_pull_failed,
         }
         self._bodies: dict[type, Callable[..., list[Action]]] = {
             Probe: self._on_probe,
             Ack: self._on_ack,
             IndirectProbe: self._on_indirect_probe,
-            Gossip: self._on_gossip,
+            Gossip: lambda now, event, body: [],
             SyncRequest: self._on_sync_request,
             LoanAsk: self._on_loan,
             LoanAnswer: self._on_loan,
@@ -173,13 +135,33 @@
 
     def duties(self, region: str = "") -> DutyTable:
         """Return the duties over all hosts, or over those of a region."""
-        if region not in self._duties:
-            self._duties[region] = DutyTable(
-                Place(host_id=m.host_id, failure_domain=m.failure_domain)
-                for m in self.membership.members()
-                if m.eligible and region in ("", m.region)
-            )
-        return self._duties[region]
+        return self._duties.table(region)
+
+    def behind(self, revision: int) -> tuple[HostId, ...]:
+        """Return the reachable hosts not known to have it in force."""
+        hosts = [
+            m.host_id
+            for m in self.membership.reachable()
+            if self.settings.applied_at(m.host_id) < revision
+        ]
+        if self.settings.applied < revision:
+            hosts.append(self.own.host_id)
+        return tuple(hosts)
+
+    def dump(self) -> ClusterDump:
+        """Return the state of this core."""
+        return ClusterDump(
+            own=self.own,
+            members=self.membership.members(),
+            ready=self.settings.ready,
+            basis=self.settings.basis,
+            applied=self.settings.applied,
+            wanted=self.settings.wanted,
+            in_sync=self._in_sync,
+            watches_table=self._duties.polls_table(),
+            items=self.store.counts(),
+            waiting_records=len(self.packer),
+        )
 
     # -- time
 
@@ -197,19 +179,11 @@
             for key in self.store.expire(now, self._unix_now):
                 self.packer.forget(key)
         peers = self.membership.reachable()
-        actions.extend(self.settings.tick(now, self._watches_table(), peers))
+        actions.extend(
+            self.settings.tick(now, self._duties.polls_table(), peers)
+        )
         return actions
 
-    def _watches_table(self) -> bool:
-        if self._watching is None:
-            self._watching = self.duties(self.own.region).is_responsible(
-                self.own.host_id,
-                "settings",
-                Duty.POLL_TABLE,
-                TABLE_WATCHERS_PER_REGION,
-            )
-        return self._watching
-
     def _gossip(self) -> list[Action]:
         actions: list[Action] = []
         for host_id, datagram in self.packer.direct():
@@ -266,8 +240,7 @@
         member = self.membership.member(host_id)
         if member is None or not member.reachable:
             return []
-        address = member.addresses.peer_udp
-        return [SendPeer(address=address, datagram=datagram)]
+        return [SendPeer(address=member.addresses.peer_udp, datagram=datagram)]
 
     def send_to(self, host_id: HostId, body: Body) -> list[Action]:
         """Send a message to one host, if it is reachable."""
@@ -284,8 +257,8 @@
         datagram = event.datagram
         if datagram.sender == self.own.host_id:
             return []
-        for member in datagram.members:
-            self._learn_member(now, member)
+        for record in datagram.members:
+            self._learn_member(now, record)
         actions = self._learn_items(now, datagram)
         self._note_sender(now, datagram)
         handler = self._bodies[type(datagram.body)]
@@ -354,11 +327,6 @@
     ) -> list[Action]:
         return [LoanReceived(sender=event.datagram.sender, body=body)]
 
-    def _on_gossip(
-        self, now: float, event: DatagramReceived, body: Gossip
-    ) -> list[Action]:
-        return []
-
     def _on_sync_request(
         self, now: float, event: DatagramReceived, body: SyncRequest
     ) -> list[Action]:
@@ -400,39 +368,22 @@
     def _on_leave(self, now: float, event: Leave) -> list[Action]:
         self.membership.leave()
         self._left = True
-        body = Gossip(relay=True)
-        peers = self._some_peers(LEAVE_DATAGRAMS)
+        datagram = self.packer.datagram(Gossip(relay=True), introduce=True)
         return [
-            SendPeer(
-                address=peer.addresses.peer_udp,
-                datagram=self.packer.datagram(body, introduce=True),
-            )
-            for peer in peers
+            SendPeer(address=peer.addresses.peer_udp, datagram=datagram)
+            for peer in self._some_peers(LEAVE_DATAGRAMS)
         ]
 
     # -- settings
 
-    def _on_revision_read(
-        self, now: float, event: RevisionRead
-    ) -> list[Action]:
-        self.settings.on_revision_read(now, event)
-        return []
-
-    def _on_revision_unavailable(
-        self, now: float, event: RevisionUnavailable
-    ) -> list[Action]:
-        self.settings.on_revision_unavailable()
-        return []
-
-    def _on_settings_unavailable(
-        self, now: float, event: SettingsUnavailable
-    ) -> list[Action]:
-        self.settings.on_settings_unavailable(now)
-        return []
-
-    def _on_pull_failed(self, now: float, event: PullFailed) -> list[Action]:
-        self.settings.on_pull_failed(now, event)
-        return []
+    def _on_ask_applied(self, now: float, event: AskApplied) -> list[Action]:
+        behind = self.behind(event.revision)
+        others = [host for host in behind if host != self.own.host_id]
+        return self._send_all(
+            out
+            for host_id in others[:ASKED_AT_ONCE]
+            if (out := self.membership.ask(host_id)) is not None
+        )
 
     def _note_revision(self, now: float) -> list[Action]:
         """Keep gossip and settings at the same highest revision."""
@@ -463,7 +414,6 @@
             else:
                 self.settings.forget_peer(host_id)
         self._duties.clear()
-        self._watching = None
         return [MembersChanged(members=tuple(changed))]
 
     def _note_superseded(self) -> list[Action]:
--- a/waxwingarch/core/fleet.py
+++ b/waxwingarch/core/fleet.py
@@ -6,7 +6,10 @@
 from waxwingarch.core.admission import Admission
 from waxwingarch.core.base import Action, Event, HostId, ServerId, ServiceId
 from waxwingarch.core.chooser import Chooser
-from waxwingarch.core.cluster import Cluster, PublishItem
+from waxwingarch.core.cluster import Cluster
+from waxwingarch.core.cluster_events import (
+    PublishItem,
+)
 from waxwingarch.core.events import CacheRead, LoadRead
 from waxwingarch.core.items import CacheSummary, Item, LoadSummary
 from waxwingarch.core.members import MemberState
--- a/waxwingarch/core/limits.py
+++ b/waxwingarch/core/limits.py
@@ -16,7 +16,10 @@
 )
 from waxwingarch.core.admission import Admission
 from waxwingarch.core.base import AccountId, Action, HostId
-from waxwingarch.core.cluster import Cluster, LoanReceived
+from waxwingarch.core.cluster import Cluster
+from waxwingarch.core.cluster_events import (
+    LoanReceived,
+)
 from waxwingarch.core.contract import Contract
 from waxwingarch.core.messages import LoanAnswer, LoanAsk
 from waxwingarch.core.share_members import MembersRow
--- a/waxwingarch/core/moves.py
+++ b/waxwingarch/core/moves.py
@@ -17,7 +17,10 @@
     ServiceId,
     VersionId,
 )
-from waxwingarch.core.cluster import Cluster, PublishItem
+from waxwingarch.core.cluster import Cluster
+from waxwingarch.core.cluster_events import (
+    PublishItem,
+)
 from waxwingarch.core.evidence import EvidenceBook
 from waxwingarch.core.items import EvidenceCount, Item, StopMark
 from waxwingarch.core.merge import ItemKind
--- a/waxwingarch/core/node.py
+++ b/waxwingarch/core/node.py
@@ -11,8 +11,8 @@
 from waxwingarch.core.admission import Admission
 from waxwingarch.core.base import Action, Event, Ran
 from waxwingarch.core.chooser import Chooser
-from waxwingarch.core.cluster import (
-    Cluster,
+from waxwingarch.core.cluster import Cluster
+from waxwingarch.core.cluster_events import (
     ItemsChanged,
     Leave,
     LoanReceived,
@@ -31,7 +31,7 @@
 )
 from waxwingarch.core.desk import Desk
 from waxwingarch.core.directory import Directory
-from waxwingarch.core.duties import DutyLeases, LeaseReply
+from waxwingarch.core.duty_leases import DutyLeases, LeaseReply
 from waxwingarch.core.evacuation import Evacuation
 from waxwingarch.core.events import (
     CacheRead,
