Hold slowness against odds, and tell an overload from all places at once

Cause: two of three load-only faults that were moved were slow where half of the old version's answers counted as slow too: half as many again left nothing to tell a slow version by. A ratio of odds does. Change: slowness is held against 1.5 times the old version's odds. That alone stopped a sound version in the test with an overload of both, whose first second each place alone has too few requests to see; the old version's rate in this window over all places now counts as well.

--- a/waxwingarch/core/move_detector.py
+++ b/waxwingarch/core/move_detector.py
@@ -119,6 +119,17 @@
     return min(max(rate, tolerance), MAX_RATE - 0.02)
 
 
+def null_odds_rate(reference: float, tolerance: float) -> float:
+    """Return the same by the ratio of odds, which leaves room at the top.
+
+    Where half of the old version's answers are slow, a rate of half as
+    many again would leave next to nothing to tell a slow version by.
+    """
+    odds = RATIO_TOLERANCE * reference
+    rate = odds / (1 - reference + odds) + tolerance
+    return min(max(rate, tolerance), MAX_RATE - 0.02)
+
+
 def window_scores(sample: Sample, null: float) -> tuple[float, ...]:
     """Return the evidence of one window for each alternative."""
     return tuple(
--- a/waxwingarch/core/move_judge.py
+++ b/waxwingarch/core/move_judge.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from math import sqrt
 from typing import Final, Protocol
 
 from waxwingarch.core.base import HostId, ServiceId, VersionId
@@ -19,10 +20,12 @@
     ALTERNATIVES,
     BLIND_TOLERANCE,
     FAILURE_TOLERANCE,
+    MIN_WINDOW_REQUESTS,
     NOTABLE_EXCESS,
     Reference,
     Sample,
     Stream,
+    null_odds_rate,
     null_rate,
     threshold,
     trials_needed,
@@ -32,6 +35,10 @@
 ANY: Final = "*"
 CANARY_LABEL: Final = " (canary servers)"
 MIN_ROUTE_SHARE: Final = 0.01
+NULL_RATES: Final = {
+    Signal.FAILURE: null_rate,
+    Signal.SLOWNESS: null_odds_rate,
+}
 SUSPICION: Final = 0.5
 MIN_HIGH_LOAD_REQUESTS: Final = 60
 
@@ -100,6 +107,7 @@
     totals: dict[CountsKey, Cell] = field(default_factory=dict)
     references: dict[StreamKey, Reference] = field(default_factory=dict)
     streams: dict[StreamKey, Stream] = field(default_factory=dict)
+    common: dict[Signal, float] = field(default_factory=dict)
     judged_at: float | None = None
     last: Verdict | None = None
 
@@ -147,6 +155,7 @@
     gains: dict[StreamKey, tuple[float, ...]] = {}
     places = sorted({(route, band) for _, route, band in fresh})
     for signal in Signal:
+        watch.common[signal] = _common_rate(watch, fresh, signal)
         for route, band in places:
             old = sample_of(fresh.get((watch.old, route, band)), signal)
             new = sample_of(fresh.get((watch.new, route, band)), signal)
@@ -162,6 +171,23 @@
         stream.add(gain, watch.limit)
 
 
+def _common_rate(
+    watch: Watch, fresh: dict[CountsKey, Cell], signal: Signal
+) -> float:
+    """Return the old version's rate in this window over all places.
+
+    Less its spread. It tells at once of an overload, where each place
+    alone has too few requests in one window to tell.
+    """
+    cells = [c for (version, _, _), c in fresh.items() if version == watch.old]
+    samples = [sample_of(cell, signal) for cell in cells]
+    trials = sum(sample.trials for sample in samples)
+    if trials < MIN_WINDOW_REQUESTS:
+        return 0.0
+    rate = sum(sample.hits for sample in samples) / trials
+    return max(0.0, rate - sqrt(rate * (1 - rate) / trials))
+
+
 def _reference(
     watch: Watch, route: str, band: str, signal: Signal
 ) -> Reference:
@@ -216,7 +242,9 @@
     """
     reference = _reference(watch, route, band, signal)
     if reference.known:
-        return null_rate(reference.rate(), TOLERANCES[signal])
+        rate = max(reference.rate(), watch.common.get(signal, 0.0))
+        bound = NULL_RATES[signal]
+        return bound(rate, TOLERANCES[signal])
     if signal is Signal.SLOWNESS:
         return None
     rates = [
