--- a/tests/core/test_move_detector.py
+++ b/tests/core/test_move_detector.py
@@ -13,6 +13,7 @@
     Reference,
     Sample,
     Stream,
+    null_odds_rate,
     null_rate,
     threshold,
     trials_needed,
@@ -88,6 +89,11 @@
         reference.add(Sample(trials=20, hits=0))
         self.assertTrue(reference.known)
 
+    def test_odds_leave_room_at_the_top(self) -> None:
+        self.assertAlmostEqual(0.6, null_odds_rate(0.5, 0.0))
+        self.assertAlmostEqual(0.75, null_rate(0.5, 0.0))
+        self.assertLess(null_odds_rate(1.0, 0.0), MAX_RATE)
+
     def test_null_rate_stays_in_range(self) -> None:
         self.assertEqual(FAILURE_TOLERANCE, null_rate(0.0, FAILURE_TOLERANCE))
         self.assertLess(null_rate(1.0, FAILURE_TOLERANCE), MAX_RATE)
