--- a/waxwingarch/core/fleet.py
+++ b/waxwingarch/core/fleet.py
@@ -18,6 +18,7 @@
 from waxwingarch.core.watch import Duty, RoutedServer, Routing
 
 WATCHERS_PER_SERVER: Final = 2
+WORK_OUT_PERIOD_S: Final = 1.0
 KEEPERS: Final = 3
 DIRECT_FROM_HOSTS: Final = 17
 CACHE_PUBLISH_PERIOD_S: Final = 5.0
@@ -47,6 +48,8 @@
         self._own: HostId = cluster.own.host_id
         self._routing = Routing((), ())
         self._watched: tuple[ServerId, ...] = ()
+        self._stale = False
+        self._work_out_at = 0.0
         self._published_at: dict[ServerId, float] = {}
         self._takers: dict[type[Any], Callable[[float, Any], None]] = {
             LoadSummary: self._take_load,
@@ -82,8 +85,25 @@
             if m and m.host_id != self._own
         )
 
-    def changed(self) -> None:
-        """Work out subsets and duties anew: members or servers changed."""
+    def changed(self, now: float) -> None:
+        """Note that members or servers changed.
+
+        Subsets and duties are worked out at once, but not twice within
+        `WORK_OUT_PERIOD_S`: in a large cluster that is dear.
+        """
+        self._chooser.forget_views()
+        self._stale = True
+        self.tick(now)
+
+    def tick(self, now: float) -> None:
+        """Work out what is stale."""
+        if not self._stale or now < self._work_out_at:
+            return
+        self._stale = False
+        self._work_out_at = now + WORK_OUT_PERIOD_S
+        self._work_out()
+
+    def _work_out(self) -> None:
         hosts = self._hosts()
         servers = self._servers.all()
         routed = [
@@ -96,17 +116,11 @@
         ]
         self._routing = Routing(hosts, routed)
         self._chooser.set_peers(len(hosts))
-        duties = self._cluster.duties()
-        self._watched = tuple(
-            server.server_id
-            for server in servers
-            if duties.is_responsible(
-                self._own,
-                server.server_id,
-                Duty.WATCH_SERVER,
-                WATCHERS_PER_SERVER,
-            )
+        ids = [server.server_id for server in servers]
+        watchers = self._cluster.duties().assign(
+            ids, Duty.WATCH_SERVER, WATCHERS_PER_SERVER
         )
+        self._watched = tuple(i for i in ids if self._own in watchers[i])
         slots = sum(server.slots for server in servers)
         share = slots * SLOT_OVERCOMMIT / max(1, len(hosts))
         self._admission.set_capacity(min(slots, int(share) + 1))
--- a/waxwingarch/core/moves.py
+++ b/waxwingarch/core/moves.py
@@ -148,6 +148,7 @@
         latency_s: float,
     ) -> None:
         """Count the outcome of an attempt for the moves watched."""
+        record = self._records.get(server.service)
         self.book.record(
             now,
             server.service,
@@ -156,11 +157,14 @@
             load_band(running, server.slots),
             ok,
             latency_s,
+            record is not None and server.server_id in record.canary_servers,
         )
 
     def heard(self, now: float, items: Iterable[Item]) -> None:
         """Take counts of other hosts."""
         for item in items:
+            if isinstance(item, StopMark):
+                self.book.learn_stop(item.move_id)
             if isinstance(item, EvidenceCount) and item.host_id != self._own:
                 self._merge(item)
 
--- a/waxwingarch/core/node.py
+++ b/waxwingarch/core/node.py
@@ -245,7 +245,7 @@
         self.servers.starting = event.starting
         self.limits.set_listed(event.entry_hosts)
         if self.servers.generation != before:
-            self.fleet.changed()
+            self.fleet.changed(now)
         return self.desk.tick(now)
 
     def _server_leaving(
@@ -299,7 +299,7 @@
     def _members_changed(
         self, now: float, action: MembersChanged
     ) -> list[Action]:
-        self.fleet.changed()
+        self.fleet.changed(now)
         self.limits.members_changed()
         return []
 
@@ -328,6 +328,7 @@
     def _tick(self, now: float, event: Tick) -> list[Action]:
         heard = self._absorb(now, self.cluster.handle(now, event))
         judged = self._absorb(now, self.moves.tick(now))
+        self.fleet.tick(now)
         asked = self.limits.tick(now)
         duties = self.leases.tick(now) + self.move_duty.tick(now)
         duties += self.hand_off.tick(now)
