--- a/waxwingarch/tasks/operations.py
+++ b/waxwingarch/tasks/operations.py
@@ -1,8 +1,8 @@
-"""What operators ask of a daemon: contracts, hosts, servers, revisions."""
+"""What operators ask about contracts."""
 
 import asyncio
 import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any, Final, TypeVar
 from urllib.parse import unquote
@@ -293,101 +293,3 @@
         "removed": [n.removeprefix(CONTRACT_PREFIX) for n in change.removed],
         "warnings": warnings,
     }
-
-
-class StateOperations:
-    """Shows hosts, servers and the revisions in force."""
-
-    def __init__(self, node: Node, host_id: str) -> None:
-        self._node = node
-        self._host_id = host_id
-
-    def register(self, admin: Admin) -> None:
-        """Add the operations to the operators' interface."""
-        calls: dict[str, Callable[[], Any]] = {
-            "/admin/hosts": self.hosts,
-            "/admin/servers": self.servers,
-            "/admin/revision": self.revision,
-        }
-        for path, call in calls.items():
-            admin.add("GET", path, _as_admin_call(call))
-
-    def hosts(self) -> Any:
-        """Return the entry hosts as this one knows them."""
-        members = self._node.cluster.membership.members()
-        return {
-            "host": self._host_id,
-            "hosts": [
-                {
-                    "host_id": member.host_id,
-                    "state": member.state.value,
-                    "draining": member.draining,
-                    "region": member.region,
-                    "failure_domain": member.failure_domain,
-                    "http": member.addresses.http,
-                    "incarnation": member.incarnation,
-                    "applied_revision": self._applied(member.host_id)
-                    if member.reachable
-                    else None,
-                }
-                for member in sorted(members, key=lambda m: m.host_id)
-            ],
-        }
-
-    def _applied(self, host_id: str) -> int:
-        settings = self._node.cluster.settings
-        own = self._node.cluster.own.host_id
-        if host_id == own:
-            return settings.applied
-        return settings.applied_at(type(own)(host_id))
-
-    def servers(self) -> Any:
-        """Return the backend servers as this host knows them."""
-        return {
-            "host": self._host_id,
-            "servers": [
-                {
-                    "server_id": server.server_id,
-                    "service": server.service,
-                    "kind": server.kind.value,
-                    "version": server.version,
-                    "state": "leaving"
-                    if self._node.servers.departure(server.server_id)
-                    else "live",
-                    "failure_domain": server.failure_domain,
-                    "machine_class": server.machine_class,
-                    "reclaimable": server.reclaimable,
-                    "price": server.price,
-                    "slots": server.slots,
-                    "address": server.address,
-                    "incarnation": server.incarnation,
-                }
-                for server in self._node.servers.all()
-            ],
-        }
-
-    def revision(self) -> Any:
-        """Return the revision in force here and at the live hosts."""
-        settings = self._node.cluster.settings
-        members = self._node.cluster.membership.members()
-        return {
-            "host": self._host_id,
-            "applied": settings.applied,
-            "highest_known": max(settings.wanted, settings.applied),
-            "hosts": [
-                {
-                    "host_id": member.host_id,
-                    "state": member.state.value,
-                    "applied": self._applied(member.host_id),
-                }
-                for member in sorted(members, key=lambda m: m.host_id)
-                if member.reachable
-            ],
-        }
-
-
-def _as_admin_call(call: Callable[[], Any]) -> Any:
-    async def async_call(req: HttpRequest) -> Any:
-        return call()
-
-    return async_call
--- a/waxwingarch/tasks/operator_api.py
+++ b/waxwingarch/tasks/operator_api.py
@@ -5,9 +5,10 @@
 from waxwingarch.tasks.admin import Admin
 from waxwingarch.tasks.explain import ExplainOperations
 from waxwingarch.tasks.move_operations import MoveOperations
-from waxwingarch.tasks.operations import ContractOperations, StateOperations
+from waxwingarch.tasks.operations import ContractOperations
 from waxwingarch.tasks.request_log import RequestLog
 from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.state_operations import StateOperations
 
 
 def register(
