--- /dev/null
+++ b/waxwingarch/adapters/table_settings.py
@@ -0,0 +1,38 @@
+"""Reads and writes the settings in the table service."""
+
+from collections.abc import Sequence
+
+from waxwingarch.adapters.settings_store import SettingsStore
+from waxwingarch.adapters.settings_table import SettingsTableReader
+from waxwingarch.core.settings import Document, SettingsSnapshot
+from waxwingarch.ports.table import TableStore
+
+
+class TableSettings:
+    """Snapshots as hosts follow them, and changes on top of one."""
+
+    def __init__(self, table: TableStore) -> None:
+        self._reader = SettingsTableReader(table)
+        self._writer = SettingsStore(table)
+
+    async def async_read_settings(self, deadline: float) -> SettingsSnapshot:
+        """Return all documents; raises `PlatformUnavailableError`."""
+        return await self._reader.async_read_settings(deadline)
+
+    async def async_write(
+        self,
+        *,
+        change_id: str,
+        base_revision: int,
+        changed: Sequence[Document] = (),
+        removed: Sequence[str] = (),
+        deadline: float,
+    ) -> int:
+        """Commit a change; raises as `SettingsStore.async_write`."""
+        return await self._writer.async_write(
+            change_id=change_id,
+            base_revision=base_revision,
+            changed=changed,
+            removed=removed,
+            deadline=deadline,
+        )
--- a/waxwingarch/core/evidence.py
+++ b/waxwingarch/core/evidence.py
@@ -19,6 +19,7 @@
 )
 from waxwingarch.core.move_detector import WINDOW_S
 from waxwingarch.core.move_judge import (
+    ANY,
     Decision,
     Judge,
     SequentialJudge,
@@ -29,6 +30,7 @@
 
 MAX_ROUTES: Final = 16
 OTHER_ROUTES: Final = "(other)"
+STEPS_A_WINDOW: Final = 120
 
 
 class EvidenceBook:
@@ -63,9 +65,13 @@
         """
         if move_id in self._watches:
             return
-        looks = int(duration_s / WINDOW_S) + 1
+        steps = (int(duration_s / WINDOW_S) + 1) * STEPS_A_WINDOW
         self._watches[move_id] = Watch(
-            service=service, old=old, new=new, looks=looks, closed=closed
+            service=service,
+            old=old,
+            new=new,
+            planned_steps=steps,
+            closed=closed,
         )
 
     def watching(self, move_id: str) -> bool:
@@ -77,15 +83,26 @@
         self._watches.pop(move_id, None)
 
     def close(self, move_id: str) -> bool:
-        """Promise to set no stop mark any more, unless one was due."""
+        """Promise to set no stop mark any more, unless one is known."""
         watch = self._watches.get(move_id)
-        if watch is None:
+        if watch is None or watch.stopped:
             return False
         if watch.last and watch.last.decision is Decision.STOP:
             return False
         watch.closed = True
         return True
 
+    def learn_stop(self, move_id: str) -> None:
+        """Note that a stop mark is known here; the host is closed no more.
+
+        Otherwise the mark would be forgotten when the host that set it
+        restarts, though this one knows it.
+        """
+        watch = self._watches.get(move_id)
+        if watch is not None:
+            watch.stopped = True
+            watch.closed = False
+
     def record(
         self,
         now: float,
@@ -95,15 +112,22 @@
         band: LoadBand,
         ok: bool,
         latency_s: float,
+        on_canary: bool = False,
     ) -> None:
         """Count the outcome of one request at this host.
 
-        Outcomes that say nothing of the version (the caller went away,
-        the server's host was reclaimed) are not to be recorded.
+        `on_canary` says that one of the move's canary servers ran it:
+        these are the oldest of the new version, so a fault that comes
+        with a server's age shows there first. Outcomes that say nothing
+        of the version (the caller went away, the server's host was
+        reclaimed) are not to be recorded.
         """
         for watch in self._watches.values():
             if watch.service == service:
                 _count(watch, version, route, band, ok, latency_s)
+                if on_canary and version == watch.new:
+                    cohort = watch.canary
+                    _count(watch, cohort, route, band, ok, latency_s)
 
     def snapshot(self, move_id: str) -> HostEvidence | None:
         """Return this host's counts, to be spread to its peers."""
@@ -208,20 +232,25 @@
     ok: bool,
     latency_s: float,
 ) -> None:
-    if version not in (watch.old, watch.new):
+    if version not in (watch.old, watch.new, watch.canary):
         return
     if route not in watch.routes:
         if len(watch.routes) < MAX_ROUTES:
             watch.routes.append(route)
         else:
             route = OTHER_ROUTES
-    quantile = watch.quantiles.setdefault((route, band), Quantile())
-    outcome = _outcome(ok, latency_s, quantile.limit_s)
+    in_band = watch.quantiles.setdefault((route, band), Quantile())
+    in_all = watch.quantiles.setdefault((route, ANY), Quantile())
+    # Any limit will do that is the same for both versions, so a band
+    # that was seen too little takes the one of its route.
+    limit_s = in_band.limit_s or in_all.limit_s
+    outcome = _outcome(ok, latency_s, limit_s)
     key = (version, route, band)
     watch.own.setdefault(key, Cell()).add(outcome)
     watch.fresh.setdefault(key, Cell()).add(outcome)
     if ok and version == watch.old:
-        quantile.add(latency_s)
+        in_band.add(latency_s)
+        in_all.add(latency_s)
 
 
 def _outcome(ok: bool, latency_s: float, limit_s: float | None) -> Cell:
--- a/waxwingarch/daemon.py
+++ b/waxwingarch/daemon.py
@@ -18,9 +18,9 @@
 )
 from waxwingarch.adapters.platform_http import PlatformLink, TableBudget
 from waxwingarch.adapters.settings import Settings
-from waxwingarch.adapters.settings_store import TableSettings
+from waxwingarch.adapters.settings_store import SettingsStore
 from waxwingarch.adapters.settings_table import SettingsTableReader
-from waxwingarch.adapters.settings_writer import SettingsTableWriter
+from waxwingarch.adapters.table_settings import TableSettings
 from waxwingarch.adapters.ticket import TicketBook
 from waxwingarch.adapters.trace import TraceHeader, TraceWriter
 from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_FORCED_STOP, EXIT_OK
@@ -32,6 +32,7 @@
     ReadSettings,
 )
 from waxwingarch.core.events import Drained, DrainRequested
+from waxwingarch.core.handoff import OwnHostLeaving
 from waxwingarch.core.handover import HandOver
 from waxwingarch.core.members import Addresses, Member, MemberState
 from waxwingarch.core.messages import SendPeer
@@ -44,6 +45,7 @@
 from waxwingarch.tasks.control import Control
 from waxwingarch.tasks.entry import Entry
 from waxwingarch.tasks.exchange import Exchanges
+from waxwingarch.tasks.handovers import HandOverShelf, HandOverTasks
 from waxwingarch.tasks.intake import Intake
 from waxwingarch.tasks.operator_api import register
 from waxwingarch.tasks.peer_transport import PeerTransport, TransportConfig
@@ -82,7 +84,7 @@
         cloud = HttpCloud(link)
         self._platform = PlatformWatch(self._runner, cloud, self._host_id, rng)
         self._control = Control(
-            self._runner, self._table, cloud, SettingsTableWriter(self._table)
+            self._runner, self._table, cloud, SettingsStore(self._table)
         )
         self._platform.on_own_notice = self._own_notice
         self._servers = ServerWatch(self._runner, self._client, rng)
@@ -92,6 +94,7 @@
             self,
             self._runner.post,
         )
+        self._shelf = HandOverShelf()
         self._build_caller_side(HttpObjectStore(link))
         self._admin = Admin(settings.security.operator_key, on_error)
         self._admin.add("GET", "/admin/dump", self._async_dump)
@@ -155,6 +158,9 @@
         self._claims = ClaimTasks(
             self._runner, exchanges, self._client, self._table, objects
         )
+        self._hand_overs = HandOverTasks(
+            self._runner, exchanges, self._peers.peers, self._shelf
+        )
         id_prefix = f"{self._host_id}-{self._incarnation:x}"
         self._entry = Entry(
             self._runner,
@@ -174,11 +180,11 @@
 
     def keep_hand_over(self, hand_over: HandOver) -> bool:
         """Keep the progress of a request for a peer."""
-        return False
+        return self._shelf.keep(hand_over)
 
     def hand_over(self, request_id: RequestId) -> HandOver | None:
         """Return the progress of a request kept here."""
-        return None
+        return self._shelf.find(request_id)
 
     def dump_state(self) -> str:
         """Return the state of this process as JSON."""
@@ -225,6 +231,7 @@
 
     async def _async_unload(self) -> None:
         await self._entry.async_unload()
+        await self._hand_overs.async_unload()
         await self._attempts.async_unload()
         await self._claims.async_unload()
         await self._platform.async_unload()
@@ -259,8 +266,12 @@
     # Actions and calls
 
     def _own_notice(self, notice: Notice) -> None:
-        if not self.node.draining:
-            self.drain()
+        """Stop gracefully by a deadline: this host is reclaimed."""
+        log_message(
+            message_type="reclaimed", deadline_unix=notice.deadline_unix
+        )
+        self._entry.server.start_drain()
+        self._runner.post(OwnHostLeaving(deadline_unix=notice.deadline_unix))
 
     def _on_drained(self, action: Action) -> None:
         self._drained.set()
