--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -294,7 +294,10 @@
             {
                 "table": "settings",
                 "key": "revision",
-                "value": {"revision": known["revision"] + 1},
+                "value": {
+                    "revision": known["revision"] + 1,
+                    "change_id": f"put-{known['revision'] + 1}",
+                },
             }
         )
         answer = http_json(
--- a/tests/waxwingctl/test_commands.py
+++ b/tests/waxwingctl/test_commands.py
@@ -201,6 +201,18 @@
             err = await self.async_failed(api, EXIT_UNKNOWN_OPERATOR, *argv)
             self.assertIn("operator key", err)
 
+    @async_test
+    async def test_daemon_fails_over_it(self) -> None:
+        async with OperatorInterface() as api:
+            broken = mock.AsyncMock(side_effect=RuntimeError("broken"))
+            with mock.patch.object(api.store, "async_read_settings", broken):
+                result = await async_ctl(
+                    "move", "status", "--address", api.address
+                )
+            self.assertEqual(EXIT_FAILURE, result.code)
+            self.assertIn("its log says why", result.err)
+            self.assertEqual(["broken"], [str(exc) for exc in api.errors])
+
     @async_test
     async def test_what_cannot_be(self) -> None:
         missing = str(self.folder / "missing")
--- a/waxwingctl/client.py
+++ b/waxwingctl/client.py
@@ -147,6 +147,11 @@
         ) from None
     if answer.status == 200:
         return body
+    if answer.status == 500:
+        raise CtlError(
+            f"the daemon at {address} failed over this; its log says why:"
+            " report that"
+        )
     error = body.get("error") if isinstance(body, dict) else None
     message = str(error.get("message")) if error else str(body)
     kind = BY_STATUS.get(answer.status, CtlError)
