Ignore reclaim notices that ran out before a host was started

A host that is started again in a reclaimed one's place reads all notices anew, took the old one for its own and drained itself, for ever. Also adds the campaign's first form: stand-ins can append their journals to files, which kills leave behind.

--- a/standins/base.py
+++ b/standins/base.py
@@ -201,6 +201,9 @@
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--port", type=int, default=0, help="0: any")
     parser.add_argument("--port-file", help="file to write the port to")
+    parser.add_argument(
+        "--journal-file", help="file that the journal is also appended to"
+    )
     parser.add_argument(
         "--fault",
         action="append",
@@ -216,6 +219,8 @@
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    if args.journal_file:
+        stand_in.journal.mirror_to(Path(args.journal_file))
     _add_faults(stand_in, args.fault)
     port = await stand_in.async_setup(args.port)
     if args.port_file:
--- /dev/null
+++ b/standins/campaign.py
@@ -0,0 +1,73 @@
+"""A fault campaign over real processes, at random from a seed."""
+
+import argparse
+import asyncio
+import time
+from random import Random
+from typing import Final
+
+from standins.campaign_checks import Judge
+from standins.campaign_faults import Injector
+from standins.campaign_load import Load
+from standins.campaign_report import Report
+from standins.campaign_watch import Watch
+from standins.campaign_world import World
+from standins.cluster import Cluster
+from standins.deployment import Deployment
+
+MAX_MINUTES: Final = 60.0
+MAX_HOSTS: Final = 12
+MIN_HOSTS: Final = 3
+EXIT_BROKEN: Final = 1
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(prog="script/faults", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--minutes", type=float, default=1.0)
+    parser.add_argument("--hosts", type=int, default=4)
+    parser.add_argument(
+        "--log", action="store_true", help="also print each fault"
+    )
+    return parser
+
+
+async def async_campaign(
+    world: World, report: Report, seed: int, seconds: float
+) -> None:
+    """Run load and faults side by side, then judge."""
+    load = Load(world, report, seed)
+    watch = Watch(world)
+    injector = Injector(world, report, Random(seed))
+    watch.start()
+    try:
+        end = time.monotonic() + seconds
+        await asyncio.gather(
+            load.async_run(end), asyncio.to_thread(injector.run, end)
+        )
+    finally:
+        watch.stop()
+    Judge(world, report, load, watch).run()
+
+
+def main() -> int:
+    """Run a campaign; 1 where a promise was broken."""
+    args = build_parser().parse_args()
+    minutes = min(args.minutes, MAX_MINUTES)
+    hosts = max(MIN_HOSTS, min(args.hosts, MAX_HOSTS))
+    with Cluster() as cluster:
+        report = Report()
+        world = World(dep=Deployment(cluster=cluster), report=report)
+        world.setup(hosts)
+        report.began = time.time()
+        asyncio.run(async_campaign(world, report, args.seed, minutes * 60))
+    if args.log:
+        print(report.around(0, float("inf")).replace("; ", "\n"))
+    print(f"seed {args.seed}, {minutes:g} min, {hosts} entry hosts")
+    print(report.text())
+    return EXIT_BROKEN if report.broken_counts else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/standins/campaign_load.py
@@ -0,0 +1,265 @@
+"""Callers of a campaign: streams, whole answers, plain calls, changes."""
+
+import asyncio
+import json
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, Final
+
+import xxhash
+
+from standins.campaign_report import Promise, Report
+from standins.campaign_world import World
+from standins.client import Answer, Ask, Caller
+from standins.deployment import ACCOUNT_KEY, OPERATOR_KEY, contract_text
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_server import JSON_TYPE, json_body
+from waxwingarch.exceptions import LinkError
+
+ANSWER_LIMIT_S: Final = 30.0
+ATTEMPT_LIMIT_S: Final = 8.0
+MAX_ATTEMPTS: Final = 12
+RETRY_S: Final = 0.5
+STREAM_CALLERS: Final = 8
+PLAIN_CALLERS: Final = 2
+ONCE_CALLERS: Final = 5
+PAUSE_S: Final = (0.05, 0.4)
+CHANGE_EVERY_S: Final = 4.0
+ONCE_PATH: Final = "/ledger/disbursements"
+PLAIN_PATH: Final = "/ledger/pledges"
+AUTHORIZATION: Final = ("authorization", f"Bearer {ACCOUNT_KEY}")
+UNKNOWN: Final = "unknown"
+
+
+@dataclass(kw_only=True, slots=True)
+class Call:
+    """What came of one operation; times in Unix seconds.
+
+    `said` holds a status or "ran" word an attempt, "lost" where no
+    answer came.
+    """
+
+    digest: str
+    key: str
+    begin: float
+    path: str
+    said: list[str] = field(default_factory=list)
+
+    @property
+    def surely_not_run(self) -> bool:
+        """Tell whether all attempts were answered by "not run"."""
+        return bool(self.said) and set(self.said) == {"not run"}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Change:
+    """A change that an entry host accepted, in Unix seconds."""
+
+    revision: int
+    at: float
+
+
+class Load:
+    """Runs callers until an end and keeps what they saw."""
+
+    def __init__(self, world: World, report: Report, seed: int) -> None:
+        self._world = world
+        self._report = report
+        self._seed = seed
+        self._number = 0
+        self._end = 0.0
+        self._http = HttpClient()
+        self._bodies: dict[str, bytes] = {}
+        self.calls: list[Call] = []
+        self.asked: list[Call] = []
+        self.changes: list[Change] = []
+
+    async def async_run(self, end: float) -> None:
+        """Send requests until `end`, on the loop's clock."""
+        self._end = end
+        kinds: list[Callable[[Random], Awaitable[None]]] = [
+            *[self._async_ask] * STREAM_CALLERS,
+            *[self._async_plain] * PLAIN_CALLERS,
+            *[self._async_once] * ONCE_CALLERS,
+            self._async_change,
+        ]
+        await asyncio.gather(
+            *(
+                self._async_repeat(kind, Random(self._seed * 1000 + n))
+                for n, kind in enumerate(kinds)
+            )
+        )
+        await self._http.async_unload()
+
+    async def _async_repeat(
+        self, kind: Callable[[Random], Awaitable[None]], rng: Random
+    ) -> None:
+        while _now() < self._end:
+            await kind(rng)
+            await asyncio.sleep(rng.uniform(*PAUSE_S))
+
+    def _entries(self, rng: Random) -> list[str]:
+        entries = [host.http for host in self._world.dep.hosts.values()]
+        rng.shuffle(entries)
+        return entries
+
+    def _next(self) -> int:
+        self._number += 1
+        return self._number
+
+    # model requests
+
+    async def _async_ask(self, rng: Random) -> None:
+        ask = Ask(
+            prompt=f"campaign question {self._next()}",
+            max_tokens=rng.randint(4, 80),
+            stream=rng.random() < 0.75,
+        )
+        begin = time.time()
+        caller = Caller(self._entries(rng), ACCOUNT_KEY)
+        answer = await caller.async_ask(ask, _now() + ANSWER_LIMIT_S)
+        await caller.async_unload()
+        self._judge(ask, answer, begin)
+
+    def _judge(self, ask: Ask, answer: Answer, begin: float) -> None:
+        kind = "stream" if ask.stream else "whole"
+        self._report.count(kind)
+        digest = xxhash.xxh3_64_hexdigest(ask.prompt.encode())
+        call = Call(digest=digest, key="", begin=begin, path=ask.path)
+        ran = _ran(answer.error)
+        if answer.connections == 1 and ran:
+            call.said.append(ran)
+        self.asked.append(call)
+        known = ask.expected().startswith(answer.text)
+        fits = answer.right if answer.whole else known
+        self._report.check(Promise.WHOLE, fits, answer)
+        accepted = bool(answer.text) or answer.status == 200
+        if not accepted:
+            self._report.count(f"{kind} refused")
+            return
+        self._report.check(
+            Promise.SURVIVES,
+            answer.whole,
+            f"{answer} after {self._report.around(begin - 3, time.time())}",
+        )
+        self._check_stops(answer, begin)
+
+    def _check_stops(self, answer: Answer, begin: float) -> None:
+        """No connection may be cut by a host that only stops."""
+        for host in self._world.dep.hosts.values():
+            spells = self._world.disturbed(host.host_id, begin, time.time())
+            if [spell.kind for spell in spells] != ["stop"]:
+                continue
+            cuts = [
+                link
+                for link in answer.links
+                if link.startswith(f"CutLinkError: {host.http}")
+            ]
+            self._report.check(
+                Promise.STOP, not cuts, f"{host.host_id}: {answer}"
+            )
+
+    # plain requests
+
+    async def _async_plain(self, rng: Random) -> None:
+        self._report.count("plain")
+        call = self._new_call(PLAIN_PATH, "")
+        await self._async_attempt(call, self._entries(rng)[0])
+
+    async def _async_once(self, rng: Random) -> None:
+        keyed = rng.random() < 0.75
+        self._report.count("once" if keyed else "once without key")
+        number = self._next()
+        call = self._new_call(ONCE_PATH, f"key-{number}" if keyed else "")
+        if not keyed:
+            await self._async_attempt(call, self._entries(rng)[0])
+            return
+        if rng.random() < 0.3:
+            entries = self._entries(rng)[:2]
+            await asyncio.gather(
+                *(self._async_attempt(call, entry) for entry in entries)
+            )
+        for _ in range(MAX_ATTEMPTS):
+            if set(call.said) & {"200", UNKNOWN}:
+                break
+            await self._async_attempt(call, self._entries(rng)[0])
+            await asyncio.sleep(RETRY_S)
+
+    def _new_call(self, path: str, key: str) -> Call:
+        body = _body(self._next())
+        digest = xxhash.xxh3_64_hexdigest(body)
+        call = Call(digest=digest, key=key, begin=time.time(), path=path)
+        self._bodies[digest] = body
+        self.calls.append(call)
+        return call
+
+    async def _async_attempt(self, call: Call, entry: str) -> None:
+        headers = [JSON_TYPE, AUTHORIZATION]
+        if call.key:
+            headers.append(("idempotency-key", call.key))
+        body = self._bodies[call.digest]
+        try:
+            answer = await self._http.async_request(
+                "POST",
+                entry,
+                call.path,
+                deadline=_now() + ATTEMPT_LIMIT_S,
+                headers=headers,
+                body=body,
+            )
+            data = answer.json()
+        except (LinkError, ValueError) as exc:
+            refused = type(exc).__name__ == "ConnectFailedError"
+            call.said.append("not run" if refused else "lost")
+            return
+        if answer.status == 200:
+            call.said.append("200")
+            right = data["received"] == _json(body)
+            self._report.check(Promise.WHOLE, right, (call, data))
+            return
+        said = _ran(data.get("error")) or str(answer.status)
+        call.said.append("409" if answer.status == 409 else said)
+
+    # changes
+
+    async def _async_change(self, rng: Random) -> None:
+        await asyncio.sleep(CHANGE_EVERY_S)
+        calm = self._world.calm(kind="entry")
+        if not calm:
+            return
+        host = self._world.dep.hosts[rng.choice(calm)]
+        text = contract_text("changed", "key-of-changed", rate=self._next())
+        try:
+            answer = await self._http.async_request(
+                "POST",
+                host.admin,
+                "/admin/contracts",
+                deadline=_now() + ATTEMPT_LIMIT_S,
+                headers=[JSON_TYPE, ("x-operator-key", OPERATOR_KEY)],
+                body=json_body({"contracts": [{"text": text}]}),
+            )
+        except LinkError:
+            self._report.count("change lost")
+            return
+        self._report.count(f"change {answer.status}")
+        if answer.status == 200:
+            revision = int(answer.json()["revision"])
+            self.changes.append(Change(revision=revision, at=time.time()))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _body(number: int) -> bytes:
+    return json_body({"campaign": number, "amount": number * 10})
+
+
+def _json(body: bytes) -> Any:
+    return json.loads(body)
+
+
+def _ran(error: Any) -> str:
+    return str(error.get("ran", "")) if isinstance(error, dict) else ""
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -100,6 +100,13 @@
         time.sleep(POLL_S)
 
 
+OptionsOf = Callable[[str], tuple[str, ...]]
+
+
+def _no_options(_name: str) -> tuple[str, ...]:
+    return ()
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HostAddresses:
     """Where one entry host listens."""
@@ -133,6 +140,7 @@
         version: str = "v1",
         prefix: str = "engine",
         state: str = "live",
+        options_of: OptionsOf = _no_options,
     ) -> list[str]:
         """Start engines side by side; returns their server ids."""
         names = [f"{prefix}-{n}" for n in range(1, count + 1)]
@@ -145,18 +153,25 @@
                 "--platform",
                 self.platform,
                 *options,
+                *options_of(name),
                 wait=False,
             )
         for n, name in enumerate(names):
             self._add(name, "waxwing-pool", "engine", version, n, state)
         return names
 
-    def start_services(self, count: int, *options: str) -> list[str]:
+    def start_services(
+        self, count: int, *options: str, options_of: OptionsOf = _no_options
+    ) -> list[str]:
         """Start plain services side by side; returns their server ids."""
         names = [f"ledger-{n}" for n in range(1, count + 1)]
         for name in names:
             self.cluster.start_service(
-                name, "drive-ledger", *options, wait=False
+                name,
+                "drive-ledger",
+                *options,
+                *options_of(name),
+                wait=False,
             )
         for n, name in enumerate(names):
             self._add(name, "drive-ledger", "plain", "v1", n, "live")
@@ -254,7 +269,16 @@
 
     def publish(self) -> None:
         """Give the platform the present list of hosts."""
-        entry_hosts = [
+        self.cluster.put_hosts(
+            {
+                "hosts": list(self.servers.values()),
+                "entry_hosts": self.entry_host_rows(),
+            }
+        )
+
+    def entry_host_rows(self) -> list[dict[str, Any]]:
+        """Return the entry hosts as the platform lists them."""
+        return [
             {
                 "host_id": host.host_id,
                 "region": "hanoi",
@@ -266,12 +290,6 @@
             }
             for host in self.hosts.values()
         ]
-        self.cluster.put_hosts(
-            {
-                "hosts": list(self.servers.values()),
-                "entry_hosts": entry_hosts,
-            }
-        )
 
     def put_contracts(self, *texts: str) -> None:
         """Write contracts straight into the table, as one revision."""
--- a/standins/journal.py
+++ b/standins/journal.py
@@ -1,8 +1,10 @@
 """The execution journal of a stand-in."""
 
+import json
 import time
 from collections import deque
-from typing import Any, Final
+from pathlib import Path
+from typing import Any, Final, TextIO
 
 MAX_ENTRIES: Final = 200_000
 
@@ -13,12 +15,19 @@
     def __init__(self) -> None:
         self._entries: deque[dict[str, Any]] = deque(maxlen=MAX_ENTRIES)
         self._number = 0
+        self._mirror: TextIO | None = None
+
+    def mirror_to(self, path: Path) -> None:
+        """Also append each entry to a file, which a kill leaves behind."""
+        self._mirror = path.open("a", buffering=1)
 
     def add(self, what: str, **fields: Any) -> None:
         """Append an entry, stamped with its number and Unix seconds."""
         self._number += 1
         entry = {"n": self._number, "at": time.time(), "what": what}
         self._entries.append(entry | fields)
+        if self._mirror is not None:
+            self._mirror.write(json.dumps(entry | fields) + "\n")
 
     def after(self, number: int) -> list[dict[str, Any]]:
         """Return the entries with a number above `number`."""
--- a/tests/faults/test_entry_hosts.py
+++ b/tests/faults/test_entry_hosts.py
@@ -2,6 +2,7 @@
 
 import signal
 import threading
+import time
 from typing import Any
 
 from standins.client import Ask
@@ -125,3 +126,26 @@
             if entry["offset"]
         ]
         self.assertEqual(1, len(resumed), "it went on from its tokens")
+
+
+class ReplacedEntryHost(FaultCase):
+    engines = 1
+    services = 0
+    hosts = 1
+
+    def test_notice_of_the_host_before_it_is_not_its_own(self) -> None:
+        """A host that takes a reclaimed one's place stays."""
+        self.cluster.fault(
+            "platform", "notice", host_id="entry-1", deadline_s=1
+        )
+        wait_until(
+            lambda: not self.cluster.alive("entry-1"), "the first is gone"
+        )
+        deadline = time.time() + 1
+        wait_until(lambda: time.time() > deadline, "its notice has run out")
+        self.dep.start_host("entry-1")
+        heard = time.monotonic() + 1
+        wait_until(lambda: time.monotonic() > heard, "it hears all notices")
+        self.assertTrue(self.dep.is_ready("entry-1"))
+        [answer] = self.ask_all([WHOLE], [self.http_of("entry-1")])
+        self.assertTrue(answer.right, answer)
--- a/waxwingarch/tasks/platform_watch.py
+++ b/waxwingarch/tasks/platform_watch.py
@@ -44,6 +44,7 @@
         self._rng = rng
         self._tasks: list[asyncio.Task[None]] = []
         self._seq = 0
+        self._since_unix = time.time()
         self.entry_hosts: tuple[EntryHost, ...] = ()
         self.on_own_notice: Callable[[Notice], None] = lambda notice: None
         self.on_entry_hosts: Callable[[tuple[EntryHost, ...]], None] = (
@@ -124,9 +125,19 @@
             self._leaving(
                 notice.server_id, notice.incarnation, notice.deadline_unix
             )
-        elif notice.host_id == self._host_id:
+        elif self._is_own(notice):
             self.on_own_notice(notice)
 
+    def _is_own(self, notice: Notice) -> bool:
+        """Tell whether this process is told to go.
+
+        A process hears all notices anew: one that ran out before it was
+        started was for the host that stood in its place.
+        """
+        if notice.host_id != self._host_id:
+            return False
+        return notice.deadline_unix > self._since_unix
+
     def _leaving(
         self, server_id: ServerId, incarnation: int, deadline_unix: float
     ) -> None:
