Write whole revision rows from the test deployment

Settings written straight into the table left out the change id, so that each later change by an operator ended in an internal error (KeyError); tests/faults/test_operators.py shows it.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -300,11 +300,12 @@
         """Write settings documents into the table, as one revision."""
         row = http_json("GET", self.platform, "/v1/table/settings/revision")
         known = row.body["value"] or {"revision": 0}
+        revision = known["revision"] + 1
         writes: list[dict[str, Any]] = [
             {
                 "table": "settings",
                 "key": f"doc/{name}",
-                "value": {"text": text},
+                "value": {"text": text, "revision": revision},
             }
             for name, text in documents.items()
         ]
@@ -312,7 +313,11 @@
             {
                 "table": "settings",
                 "key": "revision",
-                "value": {"revision": known["revision"] + 1},
+                "value": {
+                    "revision": revision,
+                    "change_id": f"direct-{revision}",
+                    "changed": list(documents),
+                },
             }
         )
         answer = http_json(
