--- a/standins/campaign_faults.py
+++ b/standins/campaign_faults.py
@@ -266,7 +266,9 @@
         statuses: list[int] = []
 
         def change(n: int) -> None:
-            text = contract_text(account, f"key-of-{account}", rate=n + 1)
+            text = contract_text(
+                account, f"key-of-{account}", rate=n + 1, share=0.05
+            )
             body = {"contracts": [{"text": text, "expected": ""}]}
             host = names[n % len(names)]
             statuses.append(_status(self._world, host, body))
--- a/standins/campaign_load.py
+++ b/standins/campaign_load.py
@@ -230,7 +230,9 @@
         if not calm:
             return
         host = self._world.dep.hosts[rng.choice(calm)]
-        text = contract_text("changed", "key-of-changed", rate=self._next())
+        text = contract_text(
+            "changed", "key-of-changed", rate=self._next(), share=0.05
+        )
         try:
             answer = await self._http.async_request(
                 "POST",
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -49,7 +49,7 @@
 rate = {rate}
 burst = {burst}
 concurrency = {concurrency}
-share = 0.5
+share = {share}
 priority = 1
 [route text]
 path = /v1/
@@ -78,6 +78,7 @@
     rate: int = 1000,
     burst: int = 1000,
     concurrency: int = 1000,
+    share: float = 0.5,
 ) -> str:
     """Return a contract with model and ledger routes."""
     return CONTRACT.format(
@@ -86,6 +87,7 @@
         rate=rate,
         burst=burst,
         concurrency=concurrency,
+        share=share,
     )
 
 
