--- /dev/null
+++ b/script/red_runs.py
@@ -0,0 +1,168 @@
+"""Runs the tests of the promises with their guards removed.
+
+Each mutation is applied to a scratch copy of the committed tree; its
+test must fail there. Prints a line a mutation, with the failing
+assertion.
+"""
+
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+TEST_LIMIT_S: Final = 240
+FAILED: Final = 1
+ROOT: Final = Path(__file__).resolve().parent.parent
+FAULTS: Final = "tests/faults/"
+
+
+class MutationError(Exception):
+    """The old text isn't there once; adapt the table of mutations."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Mutation:
+    """A guard to remove and the test that must notice."""
+
+    promise: str
+    path: str
+    old: str
+    new: str
+    test: str
+
+    def apply(self, root: Path) -> None:
+        """Change the file in a copy of the tree."""
+        path = root / self.path
+        text = path.read_text()
+        if text.count(self.old) != 1:
+            found = text.count(self.old)
+            raise MutationError(f"{self.path}: {found} times: {self.old}")
+        path.write_text(text.replace(self.old, self.new))
+
+
+MUTATIONS: Final = (
+    Mutation(
+        promise="survives",
+        path="waxwingarch/core/handoff.py",
+        old="return [self._hand_over(m, close=False) for m in "
+        "self._streams()]",
+        new="return []",
+        test=FAULTS + "test_entry_hosts.py::ReclaimedEntryHost::"
+        "test_reclaimed_together_with_its_engine",
+    ),
+    Mutation(
+        promise="bad-version",
+        path="waxwingarch/core/move_split.py",
+        old="    if is_stopped(record, stop_marks):\n"
+        "        return Choice(version=record.old_version)\n",
+        new="",
+        test=FAULTS + "test_moves.py::BadVersion",
+    ),
+    Mutation(
+        promise="whole-answer",
+        path="waxwingarch/core/assembly.py",
+        old="fresh = tokens[self.offset - offset :]",
+        new="fresh = tokens",
+        test=FAULTS + "test_streams.py::EngineLost::test_broken_chunks",
+    ),
+    Mutation(
+        promise="not-run",
+        path="waxwingarch/tasks/claims.py",
+        old="        except LinkError:\n            return DispatchLost()",
+        new="        except LinkError:\n            return DispatchNotSent()",
+        test=FAULTS + "test_once.py::AtMostOnce::"
+        "test_reply_of_the_service_is_lost",
+    ),
+    Mutation(
+        promise="at-most-once",
+        path="waxwingarch/core/once.py",
+        old="return waiting and now < self._req.dispatch_deadline",
+        new="return waiting",
+        test=FAULTS + "test_once.py::AtMostOnce::"
+        "test_entry_host_frozen_before_dispatch",
+    ),
+    Mutation(
+        promise="leaving",
+        path="waxwingarch/core/servers.py",
+        old="            and self.departure(server.server_id) is None\n",
+        new="",
+        test=FAULTS + "test_leaving.py::LeavingServer::"
+        "test_nothing_after_the_limit_with_a_stale_list",
+    ),
+    Mutation(
+        promise="planned-stop",
+        path="waxwingarch/core/node.py",
+        old="done = self.draining and not self.desk.in_progress",
+        new="done = self.draining",
+        test=FAULTS + "test_entry_hosts.py::PlannedStop::"
+        "test_stop_with_a_stream_in_progress",
+    ),
+    Mutation(
+        promise="in-force",
+        path="waxwingarch/core/configsync.py",
+        old="        if revision <= self.wanted:\n            return",
+        new="        return",
+        test=FAULTS + "test_settings.py::SettingsInForce::"
+        "test_in_force_within_the_limit",
+    ),
+    Mutation(
+        promise="never-reverts",
+        path="waxwingarch/core/configsync.py",
+        old="        if not may_serve(",
+        new="        if False and may_serve(",
+        test=FAULTS + "test_settings.py::SettingsInForce::"
+        "test_stale_read_does_not_revert",
+    ),
+)
+
+
+def failing_line(output: str) -> str:
+    """Return the assertion or error that a test ended with."""
+    lines = [
+        line.strip()
+        for line in output.splitlines()
+        if "Error" in line or "Mismatch" in line or " != " in line
+    ]
+    return lines[-1][:150] if lines else "no assertion found"
+
+
+def run(mutation: Mutation) -> bool:
+    """Run one test on a mutated copy; returns whether it failed."""
+    with tempfile.TemporaryDirectory(prefix="red-") as scratch:
+        archive = subprocess.run(
+            ["git", "archive", "HEAD"],
+            cwd=ROOT,
+            check=True,
+            capture_output=True,
+        )
+        subprocess.run(
+            ["tar", "x", "-C", scratch], input=archive.stdout, check=True
+        )
+        mutation.apply(Path(scratch))
+        done = subprocess.run(
+            [sys.executable, "-m", "pytest", "-q", mutation.test],
+            cwd=scratch,
+            env={"PYTHONPATH": scratch, "PATH": "/usr/bin:/bin"},
+            capture_output=True,
+            text=True,
+            timeout=TEST_LIMIT_S,
+        )
+    red = done.returncode == FAILED
+    state = "red" if red else f"GREEN (exit {done.returncode})"
+    print(f"{mutation.promise}: {state}: {mutation.test}", flush=True)
+    print(f"    {failing_line(done.stdout)}", flush=True)
+    return red
+
+
+def main() -> int:
+    """Run all mutations, or those of the named promises."""
+    wanted = set(sys.argv[1:])
+    chosen = [m for m in MUTATIONS if not wanted or m.promise in wanted]
+    results = [run(mutation) for mutation in chosen]
+    return 0 if results and all(results) else 1
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
