--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -49,7 +49,7 @@
 rate = {rate}
 burst = {burst}
 concurrency = {concurrency}
-share = 0.5
+share = {share}
 priority = 1
 [route text]
 path = /v1/
@@ -78,6 +78,7 @@
     rate: int = 1000,
     burst: int = 1000,
     concurrency: int = 1000,
+    share: float = 0.5,
 ) -> str:
     """Return a contract with model and ledger routes."""
     return CONTRACT.format(
@@ -86,6 +87,7 @@
         rate=rate,
         burst=burst,
         concurrency=concurrency,
+        share=share,
     )
 
 
@@ -100,6 +102,13 @@
         time.sleep(POLL_S)
 
 
+OptionsOf = Callable[[str], tuple[str, ...]]
+
+
+def _no_options(_name: str) -> tuple[str, ...]:
+    return ()
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HostAddresses:
     """Where one entry host listens."""
@@ -133,6 +142,7 @@
         version: str = "v1",
         prefix: str = "engine",
         state: str = "live",
+        options_of: OptionsOf = _no_options,
     ) -> list[str]:
         """Start engines side by side; returns their server ids."""
         names = [f"{prefix}-{n}" for n in range(1, count + 1)]
@@ -145,18 +155,25 @@
                 "--platform",
                 self.platform,
                 *options,
+                *options_of(name),
                 wait=False,
             )
         for n, name in enumerate(names):
             self._add(name, "waxwing-pool", "engine", version, n, state)
         return names
 
-    def start_services(self, count: int, *options: str) -> list[str]:
+    def start_services(
+        self, count: int, *options: str, options_of: OptionsOf = _no_options
+    ) -> list[str]:
         """Start plain services side by side; returns their server ids."""
         names = [f"ledger-{n}" for n in range(1, count + 1)]
         for name in names:
             self.cluster.start_service(
-                name, "drive-ledger", *options, wait=False
+                name,
+                "drive-ledger",
+                *options,
+                *options_of(name),
+                wait=False,
             )
         for n, name in enumerate(names):
             self._add(name, "drive-ledger", "plain", "v1", n, "live")
@@ -254,7 +271,16 @@
 
     def publish(self) -> None:
         """Give the platform the present list of hosts."""
-        entry_hosts = [
+        self.cluster.put_hosts(
+            {
+                "hosts": list(self.servers.values()),
+                "entry_hosts": self.entry_host_rows(),
+            }
+        )
+
+    def entry_host_rows(self) -> list[dict[str, Any]]:
+        """Return the entry hosts as the platform lists them."""
+        return [
             {
                 "host_id": host.host_id,
                 "region": "hanoi",
@@ -266,12 +292,6 @@
             }
             for host in self.hosts.values()
         ]
-        self.cluster.put_hosts(
-            {
-                "hosts": list(self.servers.values()),
-                "entry_hosts": entry_hosts,
-            }
-        )
 
     def put_contracts(self, *texts: str) -> None:
         """Write contracts straight into the table, as one revision."""
@@ -282,11 +302,12 @@
         """Write settings documents into the table, as one revision."""
         row = http_json("GET", self.platform, "/v1/table/settings/revision")
         known = row.body["value"] or {"revision": 0}
+        revision = known["revision"] + 1
         writes: list[dict[str, Any]] = [
             {
                 "table": "settings",
                 "key": f"doc/{name}",
-                "value": {"text": text},
+                "value": {"text": text, "revision": revision},
             }
             for name, text in documents.items()
         ]
@@ -295,8 +316,9 @@
                 "table": "settings",
                 "key": "revision",
                 "value": {
-                    "revision": known["revision"] + 1,
-                    "change_id": f"put-{known['revision'] + 1}",
+                    "revision": revision,
+                    "change_id": f"direct-{revision}",
+                    "changed": list(documents),
                 },
             }
         )
