--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -83,3 +83,20 @@
             self.assertIn(b'"ran":"not run"', answer)
             writer.close()
         await server.async_unload()
+
+    @async_test
+    async def test_an_end_that_comes_with_the_last_piece(self) -> None:
+        server = HttpServer(_handle)
+        port = await server.async_setup("127.0.0.1", 0)
+        client = HttpClient()
+        deadline = asyncio.get_running_loop().time() + 5
+        address = f"127.0.0.1:{port}"
+        pieces = []
+        async with client.async_stream(
+            "GET", address, "/stream", deadline=deadline
+        ) as stream:
+            while (piece := await stream.async_read(deadline)) is not None:
+                pieces.append(piece)
+        self.assertEqual(b"abc", b"".join(pieces))
+        await client.async_unload()
+        await server.async_unload()
--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -67,6 +67,8 @@
         `deadline` is on the loop's clock. Raises `SilentLinkError`,
         `CutLinkError`.
         """
+        if self.whole:
+            return None
         parts: list[bytes] = []
         while True:
             event = await self._conn.async_event(deadline, wait=not parts)
