Work out capacity and subsets of a small fleet at once

Cause: a server list that came within a second of a change of members left the host without capacity, and it refused all, until the next round.

--- a/waxwingarch/core/fleet.py
+++ b/waxwingarch/core/fleet.py
@@ -19,6 +19,7 @@
 
 WATCHERS_PER_SERVER: Final = 2
 WORK_OUT_PERIOD_S: Final = 1.0
+MANY_SERVERS: Final = 100
 KEEPERS: Final = 3
 DIRECT_FROM_HOSTS: Final = 17
 CACHE_PUBLISH_PERIOD_S: Final = 5.0
@@ -88,8 +89,8 @@
     def changed(self, now: float) -> None:
         """Note that members or servers changed.
 
-        Subsets and duties are worked out at once, but not twice within
-        `WORK_OUT_PERIOD_S`: in a large cluster that is dear.
+        Subsets and duties are worked out at once; those of many servers
+        not twice within `WORK_OUT_PERIOD_S`, as that is dear.
         """
         self._chooser.forget_views()
         self._stale = True
@@ -100,10 +101,11 @@
         if not self._stale or now < self._work_out_at:
             return
         self._stale = False
-        self._work_out_at = now + WORK_OUT_PERIOD_S
-        self._work_out()
+        if self._work_out() >= MANY_SERVERS:
+            self._work_out_at = now + WORK_OUT_PERIOD_S
 
-    def _work_out(self) -> None:
+    def _work_out(self) -> int:
+        """Work all out; return for how many servers."""
         hosts = self._hosts()
         servers = self._servers.all()
         routed = [
@@ -124,6 +126,7 @@
         slots = sum(server.slots for server in servers)
         share = slots * SLOT_OVERCOMMIT / max(1, len(hosts))
         self._admission.set_capacity(min(slots, int(share) + 1))
+        return len(servers)
 
     def _hosts(self) -> list[HostId]:
         members = self._cluster.membership.members()
