--- a/tests/adapters/test_peer_codec.py
+++ b/tests/adapters/test_peer_codec.py
@@ -5,10 +5,12 @@
 from hypothesis import strategies as st
 
 from tests.core.test_spread import ITEMS
-from waxwingarch.adapters.peer_codec import (
+from waxwingarch.adapters.item_codec import (
     ITEM_FIELDS,
-    DatagramSeal,
     MalformedMessageError,
+)
+from waxwingarch.adapters.peer_codec import (
+    DatagramSeal,
     decode_datagram,
     encode_datagram,
 )
@@ -20,6 +22,8 @@
     Datagram,
     Gossip,
     IndirectProbe,
+    LoanAnswer,
+    LoanAsk,
     Probe,
     SyncRequest,
 )
@@ -51,6 +55,23 @@
         sums=st.lists(st.integers(0, 2**32 - 1), max_size=64).map(tuple),
         reply=st.booleans(),
     ),
+    st.builds(
+        LoanAsk,
+        account=TEXT,
+        resource=st.sampled_from(["rate", "concurrency"]),
+        incarnation=NUMBER,
+        loan_sequence=NUMBER,
+        units=NUMBER,
+    ),
+    st.builds(
+        LoanAnswer,
+        account=TEXT,
+        resource=st.sampled_from(["rate", "concurrency"]),
+        incarnation=NUMBER,
+        loan_sequence=NUMBER,
+        units=NUMBER,
+        spare=NUMBER,
+    ),
 )
 MEMBERS = st.builds(
     Member,
--- a/tests/core/test_spread.py
+++ b/tests/core/test_spread.py
@@ -11,6 +11,7 @@
 from waxwingarch.core.digest import BucketDigest
 from waxwingarch.core.items import (
     CacheSummary,
+    EvidenceCount,
     Item,
     LeavingServer,
     LoadSummary,
@@ -73,6 +74,21 @@
         sequence=SMALL,
         blocks=st.lists(SMALL, max_size=2).map(tuple),
     ),
+    st.builds(
+        EvidenceCount,
+        move_id=st.just("m1"),
+        host_id=st.sampled_from(["h1", "h2"]),
+        incarnation=SMALL,
+        sequence=SMALL,
+        closed=st.booleans(),
+        version=st.sampled_from(["v1", "v2"]),
+        route=st.just("/v1/"),
+        band=st.sampled_from(["low", "high"]),
+        requests=SMALL,
+        failures=SMALL,
+        timed=SMALL,
+        slow=SMALL,
+    ),
 )
 
 
--- /dev/null
+++ b/waxwingarch/adapters/item_codec.py
@@ -0,0 +1,206 @@
+"""Items that spread by gossip, to protocol messages and back."""
+
+import math
+from collections.abc import Callable, Sequence
+from typing import Any, Final
+
+from waxwingarch.core.base import (
+    AccountId,
+    HostId,
+    ServerId,
+    ServiceId,
+    VersionId,
+)
+from waxwingarch.core.items import (
+    CacheSummary,
+    EvidenceCount,
+    Item,
+    LeavingServer,
+    LoadSummary,
+    SettingsRevision,
+    SpentShare,
+    StopMark,
+)
+from waxwingarch.exceptions import LinkError
+from waxwingarch.protocol import peer_pb2 as pb
+
+
+class MalformedMessageError(LinkError):
+    """A message from a peer can't be read; check versions and keys."""
+
+
+def fields_of(source: Any, names: Sequence[str]) -> dict[str, Any]:
+    """Return the named attributes of a value."""
+    return {name: getattr(source, name) for name in names}
+
+
+ITEM_FIELDS: Final[dict[type, tuple[str, type, tuple[str, ...]]]] = {
+    SettingsRevision: ("revision", pb.SettingsRevision, ("revision",)),
+    LeavingServer: (
+        "leaving",
+        pb.LeavingServer,
+        ("server_id", "incarnation", "deadline_unix"),
+    ),
+    StopMark: (
+        "stop",
+        pb.StopMark,
+        ("service", "version", "move_id", "reason"),
+    ),
+    SpentShare: (
+        "share",
+        pb.SpentShare,
+        (
+            "account",
+            "host_id",
+            "incarnation",
+            "requests",
+            "wanted",
+            "running",
+            "sequence",
+        ),
+    ),
+    LoadSummary: (
+        "load",
+        pb.LoadSummary,
+        (
+            "server_id",
+            "incarnation",
+            "as_of_ms",
+            "running",
+            "waiting",
+            "kv_used",
+            "kv_total",
+        ),
+    ),
+    CacheSummary: (
+        "cache",
+        pb.CacheSummary,
+        ("server_id", "incarnation", "sequence", "blocks"),
+    ),
+    EvidenceCount: (
+        "evidence",
+        pb.EvidenceCount,
+        (
+            "move_id",
+            "host_id",
+            "incarnation",
+            "sequence",
+            "closed",
+            "version",
+            "route",
+            "band",
+            "requests",
+            "failures",
+            "timed",
+            "slow",
+        ),
+    ),
+}
+
+
+def _finite(value: float) -> float:
+    # Without an order hosts would not agree on what wins.
+    if not math.isfinite(value):
+        raise MalformedMessageError(
+            "a datagram holds a number that is not finite; "
+            "run the same version on all hosts"
+        )
+    return value
+
+
+def _read_revision(raw: pb.SettingsRevision) -> Item:
+    return SettingsRevision(revision=raw.revision)
+
+
+def _read_leaving(raw: pb.LeavingServer) -> Item:
+    return LeavingServer(
+        server_id=ServerId(raw.server_id),
+        incarnation=raw.incarnation,
+        deadline_unix=_finite(raw.deadline_unix),
+    )
+
+
+def _read_stop(raw: pb.StopMark) -> Item:
+    return StopMark(
+        service=ServiceId(raw.service),
+        version=VersionId(raw.version),
+        move_id=raw.move_id,
+        reason=raw.reason,
+    )
+
+
+def _read_share(raw: pb.SpentShare) -> Item:
+    return SpentShare(
+        account=AccountId(raw.account),
+        host_id=HostId(raw.host_id),
+        incarnation=raw.incarnation,
+        requests=raw.requests,
+        wanted=_finite(raw.wanted),
+        running=raw.running,
+        sequence=raw.sequence,
+    )
+
+
+def _read_load(raw: pb.LoadSummary) -> Item:
+    return LoadSummary(
+        server_id=ServerId(raw.server_id),
+        incarnation=raw.incarnation,
+        as_of_ms=raw.as_of_ms,
+        running=raw.running,
+        waiting=raw.waiting,
+        kv_used=raw.kv_used,
+        kv_total=raw.kv_total,
+    )
+
+
+def _read_cache(raw: pb.CacheSummary) -> Item:
+    return CacheSummary(
+        server_id=ServerId(raw.server_id),
+        incarnation=raw.incarnation,
+        sequence=raw.sequence,
+        blocks=tuple(raw.blocks),
+    )
+
+
+def _read_evidence(raw: pb.EvidenceCount) -> Item:
+    return EvidenceCount(
+        move_id=raw.move_id,
+        host_id=HostId(raw.host_id),
+        incarnation=raw.incarnation,
+        sequence=raw.sequence,
+        closed=raw.closed,
+        version=VersionId(raw.version),
+        route=raw.route,
+        band=raw.band,
+        requests=raw.requests,
+        failures=raw.failures,
+        timed=raw.timed,
+        slow=raw.slow,
+    )
+
+
+ITEM_READERS: Final[dict[str, Callable[[Any], Item]]] = {
+    "revision": _read_revision,
+    "leaving": _read_leaving,
+    "stop": _read_stop,
+    "share": _read_share,
+    "load": _read_load,
+    "cache": _read_cache,
+    "evidence": _read_evidence,
+}
+
+
+def encode_item(item: Item) -> pb.Item:
+    """Return the message of an item."""
+    field, message, names = ITEM_FIELDS[type(item)]
+    raw: dict[str, Any] = {field: message(**fields_of(item, names))}
+    return pb.Item(**raw)
+
+
+def decode_item(raw: pb.Item) -> Item | None:
+    """Return the item; raises MalformedMessageError.
+
+    None stands for a kind that only a later version knows.
+    """
+    field = raw.WhichOneof("kind")
+    return ITEM_READERS[field](getattr(raw, field)) if field else None
--- a/waxwingarch/adapters/peer_codec.py
+++ b/waxwingarch/adapters/peer_codec.py
@@ -1,31 +1,23 @@
 """Datagrams between entry hosts, to bytes and back."""
 
 import hmac
-import math
 from collections.abc import Callable, Sequence
 from hashlib import blake2s
 from typing import Any, Final
 
 from google.protobuf.message import DecodeError
 
+from waxwingarch.adapters.item_codec import (
+    MalformedMessageError,
+    decode_item,
+    encode_item,
+    fields_of,
+)
 from waxwingarch.core.account_shares import Resource
 from waxwingarch.core.base import (
     AccountId,
     FailureDomain,
     HostId,
-    ServerId,
-    ServiceId,
-    VersionId,
-)
-from waxwingarch.core.items import (
-    CacheSummary,
-    EvidenceCount,
-    Item,
-    LeavingServer,
-    LoadSummary,
-    SettingsRevision,
-    SpentShare,
-    StopMark,
 )
 from waxwingarch.core.members import Addresses, Member, MemberState
 from waxwingarch.core.messages import (
@@ -39,7 +31,6 @@
     Probe,
     SyncRequest,
 )
-from waxwingarch.exceptions import LinkError
 from waxwingarch.protocol import peer_pb2 as pb
 
 TAG_BYTES: Final = 16
@@ -48,77 +39,6 @@
 STATE_NUMBERS: Final = {state: n for n, state in enumerate(STATES)}
 
 
-class MalformedMessageError(LinkError):
-    """A message from a peer can't be read; check versions and keys."""
-
-
-def _fields(source: Any, names: Sequence[str]) -> dict[str, Any]:
-    return {name: getattr(source, name) for name in names}
-
-
-ITEM_FIELDS: Final[dict[type, tuple[str, type, tuple[str, ...]]]] = {
-    SettingsRevision: ("revision", pb.SettingsRevision, ("revision",)),
-    LeavingServer: (
-        "leaving",
-        pb.LeavingServer,
-        ("server_id", "incarnation", "deadline_unix"),
-    ),
-    StopMark: (
-        "stop",
-        pb.StopMark,
-        ("service", "version", "move_id", "reason"),
-    ),
-    SpentShare: (
-        "share",
-        pb.SpentShare,
-        (
-            "account",
-            "host_id",
-            "incarnation",
-            "requests",
-            "wanted",
-            "running",
-            "sequence",
-        ),
-    ),
-    LoadSummary: (
-        "load",
-        pb.LoadSummary,
-        (
-            "server_id",
-            "incarnation",
-            "as_of_ms",
-            "running",
-            "waiting",
-            "kv_used",
-            "kv_total",
-        ),
-    ),
-    CacheSummary: (
-        "cache",
-        pb.CacheSummary,
-        ("server_id", "incarnation", "sequence", "blocks"),
-    ),
-    EvidenceCount: (
-        "evidence",
-        pb.EvidenceCount,
-        (
-            "move_id",
-            "host_id",
-            "incarnation",
-            "sequence",
-            "closed",
-            "version",
-            "route",
-            "band",
-            "requests",
-            "failures",
-            "timed",
-            "slow",
-        ),
-    ),
-}
-
 BODY_FIELDS: Final[dict[type, tuple[str, type, tuple[str, ...]]]] = {
     Probe: ("probe", pb.Probe, ("sequence", "target", "incarnation")),
     Ack: ("ack", pb.Ack, ("sequence", "host_id", "incarnation")),
@@ -149,98 +69,6 @@
 }
 
 
-def _finite(value: float) -> float:
-    # Without an order hosts would not agree on what wins.
-    if not math.isfinite(value):
-        raise MalformedMessageError(
-            "a datagram holds a number that is not finite; "
-            "run the same version on all hosts"
-        )
-    return value
-
-
-def _read_revision(raw: pb.SettingsRevision) -> Item:
-    return SettingsRevision(revision=raw.revision)
-
-
-def _read_leaving(raw: pb.LeavingServer) -> Item:
-    return LeavingServer(
-        server_id=ServerId(raw.server_id),
-        incarnation=raw.incarnation,
-        deadline_unix=_finite(raw.deadline_unix),
-    )
-
-
-def _read_stop(raw: pb.StopMark) -> Item:
-    return StopMark(
-        service=ServiceId(raw.service),
-        version=VersionId(raw.version),
-        move_id=raw.move_id,
-        reason=raw.reason,
-    )
-
-
-def _read_share(raw: pb.SpentShare) -> Item:
-    return SpentShare(
-        account=AccountId(raw.account),
-        host_id=HostId(raw.host_id),
-        incarnation=raw.incarnation,
-        requests=raw.requests,
-        wanted=_finite(raw.wanted),
-        running=raw.running,
-        sequence=raw.sequence,
-    )
-
-
-def _read_load(raw: pb.LoadSummary) -> Item:
-    return LoadSummary(
-        server_id=ServerId(raw.server_id),
-        incarnation=raw.incarnation,
-        as_of_ms=raw.as_of_ms,
-        running=raw.running,
-        waiting=raw.waiting,
-        kv_used=raw.kv_used,
-        kv_total=raw.kv_total,
-    )
-
-
-def _read_cache(raw: pb.CacheSummary) -> Item:
-    return CacheSummary(
-        server_id=ServerId(raw.server_id),
-        incarnation=raw.incarnation,
-        sequence=raw.sequence,
-        blocks=tuple(raw.blocks),
-    )
-
-
-def _read_evidence(raw: pb.EvidenceCount) -> Item:
-    return EvidenceCount(
-        move_id=raw.move_id,
-        host_id=HostId(raw.host_id),
-        incarnation=raw.incarnation,
-        sequence=raw.sequence,
-        closed=raw.closed,
-        version=VersionId(raw.version),
-        route=raw.route,
-        band=raw.band,
-        requests=raw.requests,
-        failures=raw.failures,
-        timed=raw.timed,
-        slow=raw.slow,
-    )
-
-
-ITEM_READERS: Final[dict[str, Callable[[Any], Item]]] = {
-    "revision": _read_revision,
-    "leaving": _read_leaving,
-    "stop": _read_stop,
-    "share": _read_share,
-    "load": _read_load,
-    "cache": _read_cache,
-    "evidence": _read_evidence,
-}
-
-
 def _read_probe(raw: pb.Probe) -> Body:
     return Probe(
         sequence=raw.sequence,
@@ -308,18 +136,6 @@
 }
 
 
-def _item(item: Item) -> pb.Item:
-    field, message, names = ITEM_FIELDS[type(item)]
-    raw: dict[str, Any] = {field: message(**_fields(item, names))}
-    return pb.Item(**raw)
-
-
-def _read_item(raw: pb.Item) -> Item | None:
-    field = raw.WhichOneof("kind")
-    # A later version may know kinds that this one does not.
-    return ITEM_READERS[field](getattr(raw, field)) if field else None
-
-
 def _member(member: Member) -> pb.Member:
     return pb.Member(
         host_id=member.host_id,
@@ -358,13 +174,13 @@
 def encode_datagram(datagram: Datagram) -> bytes:
     """Return the bytes of a datagram, without authentication."""
     field, message, names = BODY_FIELDS[type(datagram.body)]
-    body: dict[str, Any] = {field: message(**_fields(datagram.body, names))}
+    body: dict[str, Any] = {field: message(**fields_of(datagram.body, names))}
     return pb.Datagram(
         sender=datagram.sender,
         incarnation=datagram.incarnation,
         applied_revision=datagram.applied_revision,
         members=[_member(member) for member in datagram.members],
-        items=[_item(item) for item in datagram.items],
+        items=[encode_item(item) for item in datagram.items],
         **body,
     ).SerializeToString()
 
@@ -384,7 +200,7 @@
             "a datagram has no body or no sender; "
             "run the same version on all hosts"
         )
-    items = [_read_item(item) for item in raw.items]
+    items = [decode_item(item) for item in raw.items]
     return Datagram(
         sender=HostId(raw.sender),
         incarnation=raw.incarnation,
--- a/waxwingarch/adapters/udp_peers.py
+++ b/waxwingarch/adapters/udp_peers.py
@@ -6,9 +6,9 @@
 from functools import lru_cache
 from typing import Any, cast
 
+from waxwingarch.adapters.item_codec import MalformedMessageError
 from waxwingarch.adapters.peer_codec import (
     DatagramSeal,
-    MalformedMessageError,
     decode_datagram,
     encode_datagram,
 )
--- a/waxwingarch/core/cluster.py
+++ b/waxwingarch/core/cluster.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import replace
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from waxwingarch.core.base import Action, Event, HostId
 from waxwingarch.core.cluster_events import (
@@ -52,6 +52,7 @@
     SyncRequest,
     Tick,
 )
+from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.sizes import (
     HEADER_BYTES,
     LOAN_HEADER_BYTES,
@@ -60,9 +61,6 @@
 from waxwingarch.core.spread import ItemStore, RecordKey
 from waxwingarch.core.watch import DutyTable
 
-if TYPE_CHECKING:
-    from random import Random
-
 SYNC_PERIOD_S: Final = 10.0
 SYNC_RETRY_S: Final = 0.5
 EXPIRY_PERIOD_S: Final = 5.0
@@ -77,7 +75,7 @@
     """
 
     def __init__(
-        self, own: Member, seeds: Iterable[str], rng: "Random"
+        self, own: Member, seeds: Iterable[str], rng: RandomSource
     ) -> None:
         digest: BucketDigest[RecordKey] = BucketDigest()
         self._digest = digest
--- a/waxwingarch/core/configsync.py
+++ b/waxwingarch/core/configsync.py
@@ -8,10 +8,11 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from waxwingarch.core.base import Action, Event, HostId
 from waxwingarch.core.members import Member
+from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.settings import (
     SettingsDelta,
     SettingsHistory,
@@ -19,9 +20,6 @@
     apply_delta,
 )
 
-if TYPE_CHECKING:
-    from random import Random
-
 POLL_PERIOD_S: Final = 1.0
 POLL_TIMEOUT_S: Final = 2.0
 PULL_TIMEOUT_S: Final = 1.0
@@ -153,7 +151,7 @@
 class ConfigSync:
     """Brings the highest revision in force on this host."""
 
-    def __init__(self, own: Member, rng: "Random") -> None:
+    def __init__(self, own: Member, rng: RandomSource) -> None:
         self._own = own
         self._rng = rng
         self.history = SettingsHistory()
--- a/waxwingarch/core/desk.py
+++ b/waxwingarch/core/desk.py
@@ -2,28 +2,28 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Final, Protocol
+from typing import Final
 
 from waxwingarch.core.admission import Admission
 from waxwingarch.core.admission_messages import (
-    PendingRequest,
     Queued,
 )
 from waxwingarch.core.admission_messages import Refusal as NotAdmitted
-from waxwingarch.core.base import Action, Ran, RequestId, Server, ServerId
+from waxwingarch.core.base import Action, RequestId, Server, ServerId
 from waxwingarch.core.base import ServerKind as Kind
 from waxwingarch.core.chooser import Chooser
 from waxwingarch.core.contract import Contract
+from waxwingarch.core.desk_refusals import no_server, not_admitted
+from waxwingarch.core.durations import Durations
 from waxwingarch.core.guarded import GuardedMachine, Identity, OnceReply
+from waxwingarch.core.observer import AttemptObserver
 from waxwingarch.core.once_state import OwnerView
 from waxwingarch.core.placement_messages import Outcome
 from waxwingarch.core.plain import PlainMachine
-from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.request import (
     AttemptEvent,
     FetchHandOver,
     HandOverFetched,
-    Refuse,
     Request,
 )
 from waxwingarch.core.retry_budget import RetryBudget
@@ -32,8 +32,6 @@
 
 RETRY_PAUSE_S: Final = 0.1
 FETCH_LIMIT_S: Final = 1.0
-DURATION_WEIGHT: Final = 0.1
-NO_SERVER_RETRY_AFTER_S: Final = 2.0
 
 ENDS: Final = {
     StreamState.DONE: Outcome.OK,
@@ -58,22 +56,6 @@
     tried: int = 0
 
 
-class AttemptObserver(Protocol):
-    """Learns how attempts ended; `latency_s` is per token of answer."""
-
-    def attempt_ended(
-        self,
-        now: float,
-        request: Request,
-        server: Server,
-        *,
-        running: int,
-        ok: bool,
-        latency_s: float,
-    ) -> None:
-        """Take the outcome of one attempt on a server."""
-
-
 class Desk:
     """Accepts requests and sees each through to its final answer."""
 
@@ -97,7 +79,7 @@
         self._budget = RetryBudget()
         self._queued: dict[RequestId, Request] = {}
         self._works: dict[RequestId, _Work] = {}
-        self._durations: dict[tuple[str, str], float] = {}
+        self._durations = Durations()
 
     @property
     def in_progress(self) -> int:
@@ -113,10 +95,10 @@
     def arrived(self, now: float, request: Request) -> list[Action]:
         """Admit, queue or refuse a request."""
         if not self._servers.candidates(request.service):
-            return [_no_server(request)]
-        verdict = self._admission.offer(now, self._pending(now, request))
+            return [no_server(request)]
+        verdict = self._admission.offer(now, self._durations.pending(request))
         if isinstance(verdict, NotAdmitted):
-            return [_not_admitted(verdict)]
+            return [not_admitted(verdict)]
         self._budget.note_fresh()
         self._queued[request.request_id] = request
         if isinstance(verdict, Queued):
@@ -222,7 +204,7 @@
     def _give_up_queued(self, refused: list[NotAdmitted]) -> list[Action]:
         for refusal in refused:
             self._queued.pop(refusal.request_id, None)
-        return [_not_admitted(refusal) for refusal in refused]
+        return [not_admitted(refusal) for refusal in refused]
 
     def _begin(self, now: float, request_id: RequestId) -> list[Action]:
         request = self._queued.pop(request_id)
@@ -291,7 +273,7 @@
             failed = work.machine.failed_servers
             server = self._chooser.choose(now, request, failed)
         if server is None:
-            return self._no_server(now, work)
+            return self._without_server(now, work)
         work.tried += 1
         self._note_attempt(now, work, server)
         return work.machine.assign(now, server)
@@ -303,7 +285,7 @@
             return None
         return self._servers.get(wanted)
 
-    def _no_server(self, now: float, work: _Work) -> list[Action]:
+    def _without_server(self, now: float, work: _Work) -> list[Action]:
         """Pause, then try all servers again; a claim ends at once."""
         if isinstance(work.machine, GuardedMachine):
             told = work.machine.no_server(now)
@@ -355,7 +337,7 @@
         done = machine.state is StreamState.DONE
         self._note_attempt_end(now, work, ENDS[machine.state])
         if done:
-            self._note_duration(request, now - machine.started_at)
+            self._durations.note(request, now - machine.started_at)
         self._works.pop(request.request_id, None)
         self._admission.release(now, request.request_id)
         return self._start_ready(now)
@@ -366,45 +348,8 @@
             actions += self._begin(now, admitted.request_id)
         return actions
 
-    # Estimates
-
-    def _pending(self, now: float, request: Request) -> PendingRequest:
-        key = (request.service, request.route)
-        return PendingRequest(
-            request_id=request.request_id,
-            account=request.account,
-            expected_s=self._durations.get(key, 0.0),
-            deadline=request.deadline,
-            streaming=request.kind is Kind.ENGINE,
-        )
-
-    def _note_duration(self, request: Request, took_s: float) -> None:
-        key = (request.service, request.route)
-        known = self._durations.get(key, took_s)
-        self._durations[key] = known + DURATION_WEIGHT * (took_s - known)
-
 
 def _tokens(machine: Machine) -> int:
     if isinstance(machine, StreamMachine):
         return machine.assembly.offset
     return 0
-
-
-def _no_server(request: Request) -> Refuse:
-    refusal = Refusal(
-        reason=RefusalReason.NO_SERVER,
-        ran=Ran.NOT_RUN,
-        message=f"no live server of {request.service}: send it again later",
-        retry_after_s=NO_SERVER_RETRY_AFTER_S,
-    )
-    return Refuse(request_id=request.request_id, refusal=refusal)
-
-
-def _not_admitted(verdict: NotAdmitted) -> Refuse:
-    refusal = Refusal(
-        reason=verdict.reason,
-        ran=verdict.ran,
-        message=verdict.message,
-        retry_after_s=verdict.retry_after_s,
-    )
-    return Refuse(request_id=verdict.request_id, refusal=refusal)
--- /dev/null
+++ b/waxwingarch/core/desk_refusals.py
@@ -0,0 +1,32 @@
+"""Refusals of requests that were not started."""
+
+from typing import Final
+
+from waxwingarch.core.admission_messages import Refusal as NotAdmitted
+from waxwingarch.core.base import Ran
+from waxwingarch.core.refusal import Refusal, RefusalReason
+from waxwingarch.core.request import Refuse, Request
+
+NO_SERVER_RETRY_AFTER_S: Final = 2.0
+
+
+def no_server(request: Request) -> Refuse:
+    """Refuse a request that no live server can take."""
+    refusal = Refusal(
+        reason=RefusalReason.NO_SERVER,
+        ran=Ran.NOT_RUN,
+        message=f"no live server of {request.service}: send it again later",
+        retry_after_s=NO_SERVER_RETRY_AFTER_S,
+    )
+    return Refuse(request_id=request.request_id, refusal=refusal)
+
+
+def not_admitted(verdict: NotAdmitted) -> Refuse:
+    """Pass on the refusal of the admission."""
+    refusal = Refusal(
+        reason=verdict.reason,
+        ran=verdict.ran,
+        message=verdict.message,
+        retry_after_s=verdict.retry_after_s,
+    )
+    return Refuse(request_id=verdict.request_id, refusal=refusal)
--- a/waxwingarch/core/gossip.py
+++ b/waxwingarch/core/gossip.py
@@ -1,7 +1,7 @@
 """Which records ride on which datagram, within a budget of bytes."""
 
 from collections.abc import Iterable, Sequence
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from waxwingarch.core.base import HostId
 from waxwingarch.core.digest import BucketDigest
@@ -10,6 +10,7 @@
 from waxwingarch.core.membership import Membership
 from waxwingarch.core.merge import ItemKey, item_key
 from waxwingarch.core.messages import Body, Datagram, Gossip
+from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.rumours import RumourQueue, Urgency, send_limit
 from waxwingarch.core.sizes import (
     HEADER_BYTES,
@@ -19,9 +20,6 @@
 )
 from waxwingarch.core.spread import URGENCY, ItemStore, RecordKey
 
-if TYPE_CHECKING:
-    from random import Random
-
 GOSSIP_PERIOD_S: Final = 0.2
 GOSSIP_PEERS: Final = 3
 # Records that are not urgent share this; urgent ones are few.
@@ -41,7 +39,7 @@
         membership: Membership,
         store: ItemStore,
         digest: BucketDigest[RecordKey],
-        rng: "Random",
+        rng: RandomSource,
     ) -> None:
         self._membership = membership
         self._store = store
--- a/waxwingarch/core/membership.py
+++ b/waxwingarch/core/membership.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from waxwingarch.core.base import HostId
 from waxwingarch.core.members import (
@@ -12,11 +12,9 @@
     supersedes,
 )
 from waxwingarch.core.messages import Ack, IndirectProbe, Outgoing, Probe
+from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.relays import RelayTable
 
-if TYPE_CHECKING:
-    from random import Random
-
 PROBE_PERIOD_S: Final = 1.0
 ACK_TIMEOUT_S: Final = 0.3
 INDIRECT_PROBES: Final = 3
@@ -54,7 +52,7 @@
     """
 
     def __init__(
-        self, own: Member, seeds: Iterable[str], rng: "Random"
+        self, own: Member, seeds: Iterable[str], rng: RandomSource
     ) -> None:
         self.own = own
         self.superseded = False
--- a/waxwingarch/core/node.py
+++ b/waxwingarch/core/node.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING, Any, Final
+from typing import Any, Final
 
 from waxwingarch.core.admission import Admission
 from waxwingarch.core.base import Action, Event, Ran
@@ -55,6 +55,7 @@
 from waxwingarch.core.moves import MoveBoard
 from waxwingarch.core.placement import CostPlacement
 from waxwingarch.core.prefix import PrefixIndex
+from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.request import (
     AttemptEnded,
@@ -69,9 +70,6 @@
 from waxwingarch.core.servers import ServerBook
 from waxwingarch.core.shares import LOAN_MARGIN_S
 
-if TYPE_CHECKING:
-    from random import Random
-
 COME_BACK_AFTER_S: Final = 1.0
 
 # The loans of a limit end at the borrower this much before the lender
@@ -97,7 +95,7 @@
         own: Member,
         seeds: Iterable[str],
         unix_offset: float,
-        rng: "Random",
+        rng: RandomSource,
     ) -> None:
         """Begin with nothing known.
 
--- /dev/null
+++ b/waxwingarch/core/observer.py
@@ -0,0 +1,22 @@
+"""Who learns how attempts ended."""
+
+from typing import Protocol
+
+from waxwingarch.core.base import Server
+from waxwingarch.core.request import Request
+
+
+class AttemptObserver(Protocol):
+    """Learns how attempts ended; `latency_s` is per token of answer."""
+
+    def attempt_ended(
+        self,
+        now: float,
+        request: Request,
+        server: Server,
+        *,
+        running: int,
+        ok: bool,
+        latency_s: float,
+    ) -> None:
+        """Take the outcome of one attempt on a server."""
--- a/waxwingarch/core/placement.py
+++ b/waxwingarch/core/placement.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from math import exp
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from waxwingarch.core.base import RequestId, ServerId
 from waxwingarch.core.placement_load import OwnLoad
@@ -15,9 +15,7 @@
 )
 from waxwingarch.core.placement_outlier import OutlierGate
 from waxwingarch.core.prefix import BLOCK_WORDS, PrefixIndex, PrefixMatch
-
-if TYPE_CHECKING:
-    from random import Random
+from waxwingarch.core.randomness import RandomSource
 
 SAMPLED: Final = 12
 MATCHED: Final = 4
@@ -62,7 +60,7 @@
 
     def __init__(
         self,
-        rng: "Random",
+        rng: RandomSource,
         prefixes: PrefixIndex,
         *,
         weights: Weights = DEFAULT_WEIGHTS,
--- a/waxwingarch/tasks/control.py
+++ b/waxwingarch/tasks/control.py
@@ -5,16 +5,14 @@
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, Final
 
-import orjson
 from eliot import log_message
 
 from waxwingarch.adapters.lease_store import LeaseStore
+from waxwingarch.adapters.settings_moves import move_document
 from waxwingarch.core.base import Action, ServerKind
 from waxwingarch.core.duty_leases import LeaseCall, LeaseReply
 from waxwingarch.core.move import StartServers, StopServers
 from waxwingarch.core.move_duty import MOVES_DUTY, CommitMove
-from waxwingarch.core.move_record import MoveRecord, to_json
-from waxwingarch.core.settings import Document
 from waxwingarch.exceptions import (
     ConflictError,
     PlatformUnavailableError,
@@ -25,7 +23,6 @@
 from waxwingarch.tasks.runner import Runner
 
 CALL_LIMIT_S: Final = 2.0
-MOVE_PREFIX: Final = "move/"
 
 
 class Control:
@@ -161,14 +158,6 @@
         return self._runner.node.leases.may_act(now, MOVES_DUTY)
 
 
-def move_document(record: MoveRecord) -> Document:
-    """Return the settings document of a move."""
-    return Document(
-        name=f"{MOVE_PREFIX}{record.service}",
-        text=orjson.dumps(to_json(record)).decode(),
-    )
-
-
 def _log_refused(order: str, exc: WaxwingError) -> None:
     log_message(message_type="order_refused", order=order, reason=str(exc))
 
--- a/waxwingarch/tasks/settings_apply.py
+++ b/waxwingarch/tasks/settings_apply.py
@@ -1,21 +1,22 @@
 """Parses the settings that come in force on this host."""
 
-from typing import Final
+from collections.abc import Callable
+from typing import Final, TypeVar
 
-import orjson
 from eliot import log_message
 
 from waxwingarch.adapters.contract_ini import parse_contract
+from waxwingarch.adapters.settings_moves import MOVE_PREFIX, read_move
 from waxwingarch.core.configsync import ApplySettings
 from waxwingarch.core.contract import Contract
 from waxwingarch.core.events import SettingsParsed
-from waxwingarch.core.move_record import MoveRecord, from_json
-from waxwingarch.core.settings import Document
+from waxwingarch.core.settings import Document, SettingsSnapshot
 from waxwingarch.exceptions import SettingsError
 from waxwingarch.tasks.runner import Runner
 
 CONTRACT_PREFIX: Final = "contract/"
-MOVE_PREFIX: Final = "move/"
+
+Parsed = TypeVar("Parsed")
 
 
 class SettingsApply:
@@ -28,38 +29,34 @@
 
     def _on_apply(self, action: ApplySettings) -> None:
         snapshot = action.snapshot
-        contracts = [
-            self._contract(document)
-            for document in snapshot.documents
-            if document.name.startswith(CONTRACT_PREFIX)
-        ]
-        moves = [
-            self._move(document)
-            for document in snapshot.documents
-            if document.name.startswith(MOVE_PREFIX)
-        ]
         self._runner.post(
             SettingsParsed(
                 revision=snapshot.revision,
-                contracts=tuple(c for c in contracts if c is not None),
-                moves=tuple(m for m in moves if m is not None),
+                contracts=_all(snapshot, CONTRACT_PREFIX, self._contract),
+                moves=_all(snapshot, MOVE_PREFIX, read_move),
             )
         )
 
-    def _move(self, document: Document) -> MoveRecord | None:
-        """Read a stored move; one that is broken is left out."""
-        try:
-            return from_json(orjson.loads(document.text))
-        except ValueError as exc:
-            log_message(message_type="move_broken", reason=str(exc))
-            return None
+    def _contract(self, document: Document) -> Contract:
+        return parse_contract(document.text, document.name, self._deployment)
+
 
-    def _contract(self, document: Document) -> Contract | None:
-        """Parse a stored contract; one that is broken is left out."""
+def _all(
+    snapshot: SettingsSnapshot,
+    prefix: str,
+    parse: Callable[[Document], Parsed],
+) -> tuple[Parsed, ...]:
+    """Parse the documents of one kind; leave out what is broken."""
+    parsed: list[Parsed] = []
+    for document in snapshot.documents:
+        if not document.name.startswith(prefix):
+            continue
         try:
-            return parse_contract(
-                document.text, document.name, self._deployment
-            )
+            parsed.append(parse(document))
         except SettingsError as exc:
-            log_message(message_type="contract_broken", reason=str(exc))
-            return None
+            log_message(
+                message_type="document_broken",
+                name=document.name,
+                reason=str(exc),
+            )
+    return tuple(parsed)
