Time an attach to a stream under way by its tokens, not the first one

Two faults together showed it: the engine frozen and its entry host killed. The host that the caller went on through waited for the first token's silence limit (1.7 s) on each of its attaches to the frozen engine, 5.1 s in all; the caller gives up a silent link after 5 s, comes back, and all began anew: the stream never ended. A caller that resumes has tokens already, so the gap between tokens counts. The new TwoFaults.test_engine_frozen_and_entry_host_killed failed before and passes now.

--- /dev/null
+++ b/tests/faults/test_together.py
@@ -0,0 +1,178 @@
+"""Two faults together, silent callers' links, and the platform away."""
+
+import signal
+import socket
+import threading
+import time
+
+from standins.client import Ask
+from standins.deployment import ACCOUNT_KEY, contract_text, wait_until
+from tests.faults.base import FaultCase
+
+LONG = Ask(prompt="draft a long appeal to our donors", max_tokens=80)
+WHOLE = Ask(prompt="one stage summary", max_tokens=60, stream=False)
+ONCE_PATH = "/ledger/disbursements"
+SILENT_LINKS = 16
+DRAIN_LIMIT_S = 15.0
+
+
+class TwoFaults(FaultCase):
+    engines = 3
+    services = 2
+    hosts = 3
+    service_options = ("--work-ms", "150")
+
+    def begun_ops(self) -> list[str]:
+        return [
+            entry["op"]
+            for name, row in self.dep.servers.items()
+            if row["kind"] == "plain"
+            for entry in self.cluster.journal(name, "begun")
+        ]
+
+    def test_engine_killed_and_platform_black_hole(self) -> None:
+        def harm() -> None:
+            engine = self.wait_for_tokens("entry-1")
+            self.cluster.fault("platform", "black_hole")
+            self.cluster.signal(engine, signal.SIGKILL)
+
+        answers = self.ask_all([LONG, WHOLE], [self.http_of("entry-1")], harm)
+        for answer in answers:
+            self.assertTrue(answer.right, answer)
+            self.assertEqual(1, answer.connections, answer)
+        refused = self.post("entry-1", ONCE_PATH, {"x": 1}, "k1")
+        self.assertEqual(503, refused.status, refused.body)
+        self.assertEqual("not run", refused.body["error"]["ran"])
+        self.assertEqual([], self.begun_ops())
+        self.cluster.clear_faults("platform")
+        wait_until(
+            lambda: (
+                self.post("entry-2", ONCE_PATH, {"x": 1}, "k1").status == 200
+            ),
+            "it runs once the platform is back",
+        )
+        self.assertEqual(1, len(self.begun_ops()))
+
+    def test_engine_frozen_and_entry_host_killed(self) -> None:
+        def harm() -> None:
+            engine = self.wait_for_tokens("entry-1")
+            self.cluster.signal(engine, signal.SIGSTOP)
+            self.cluster.kill("entry-1")
+
+        entries = [self.http_of("entry-1"), self.http_of("entry-2")]
+        [answer] = self.ask_all([LONG], entries, harm)
+        self.assertTrue(answer.right, answer)
+
+    def test_lost_reply_of_claim_and_service_killed(self) -> None:
+        """A retry through another host doesn't run it again."""
+        self.cluster.fault("platform", "lost_reply", part="table", count=1)
+        said: list[int] = []
+
+        def send() -> None:
+            said.append(self.post("entry-1", ONCE_PATH, {"x": 2}, "k").status)
+
+        thread = threading.Thread(target=send)
+        thread.start()
+        wait_until(self.begun_ops, "it was dispatched")
+        [op] = self.begun_ops()
+        [server] = [
+            name
+            for name in ("ledger-1", "ledger-2")
+            if self.cluster.journal(name, "begun")
+        ]
+        self.cluster.kill(server)
+        thread.join()
+        other = next(n for n in ("ledger-1", "ledger-2") if n != server)
+        answer = self.post("entry-2", ONCE_PATH, {"x": 2}, "k")
+        self.assertIn(answer.status, (200, 504), answer.body)
+        self.assertEqual([], self.cluster.journal(other, "begun"), op)
+        self.assertEqual([answer.status], said)
+
+
+class SilentCallers(FaultCase):
+    hosts = 2
+
+    def silent_link(self) -> socket.socket:
+        """Send half a request and say nothing more."""
+        host, _, port = self.http_of("entry-1").rpartition(":")
+        link = socket.create_connection((host, int(port)))
+        self.addCleanup(link.close)
+        link.sendall(
+            b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n"
+            b"authorization: Bearer " + ACCOUNT_KEY.encode() + b"\r\n"
+            b"content-length: 100\r\n\r\n{"
+        )
+        return link
+
+    def test_others_are_served_and_a_planned_stop_ends(self) -> None:
+        for _ in range(SILENT_LINKS):
+            self.silent_link()
+        answers = self.ask_all([LONG, WHOLE], [self.http_of("entry-1")])
+        for answer in answers:
+            self.assertTrue(answer.right, answer)
+        self.cluster.signal("entry-1", signal.SIGTERM)
+        self.assertEqual(0, self.cluster.wait("entry-1", DRAIN_LIMIT_S))
+
+    def test_frozen_entry_host_is_silent_to_its_caller(self) -> None:
+        def freeze() -> None:
+            self.wait_for_tokens("entry-1")
+            self.cluster.signal("entry-1", signal.SIGSTOP)
+
+        entries = [self.http_of("entry-1"), self.http_of("entry-2")]
+        [answer] = self.ask_all([LONG], entries, freeze)
+        self.assertTrue(answer.right, answer)
+        self.assertEqual(2, answer.connections, answer)
+
+
+class SettingsAndTwoFaults(FaultCase):
+    engines = 0
+    services = 0
+    hosts = 3
+
+    def revision(self, name: str) -> int:
+        dump = self.dep.admin(name, "GET", "/admin/dump").body
+        return int(dump["revision"])
+
+    def test_host_frozen_and_platform_gone_after_the_write(self) -> None:
+        self.cluster.signal("entry-3", signal.SIGSTOP)
+        text = contract_text("charity-2", "account-key-2", share=0.1)
+        body = {"contracts": [{"text": text, "expected": ""}]}
+        answer = self.dep.admin("entry-1", "POST", "/admin/contracts", body)
+        self.assertEqual(200, answer.status, answer.body)
+        revision = answer.body["revision"]
+        wait_until(
+            lambda: self.revision("entry-1") == revision, "in force", 6.0
+        )
+        self.cluster.fault("platform", "black_hole")
+        self.cluster.signal("entry-3", signal.SIGCONT)
+        began = time.monotonic()
+        for name in self.dep.hosts:
+            left_s = 6.0 - (time.monotonic() - began)
+            wait_until(
+                lambda name=name: self.revision(name) == revision,
+                f"in force at {name}",
+                left_s,
+            )
+
+    def test_late_and_stale_read_does_not_revert(self) -> None:
+        """A host that starts hears its peers first, then an old answer."""
+        self.dep.put_contracts(contract_text(), contract_text("more", "k" * 9))
+        names = list(self.dep.hosts)
+        wait_until(
+            lambda: {self.revision(name) for name in names} == {2},
+            "in force",
+        )
+        self.cluster.fault("platform", "stale_read")
+        self.cluster.fault("platform", "slow", part="table", delay_ms=400)
+        self.cluster.kill("entry-3")
+        self.dep.start_host("entry-3", wait=False)
+        known: list[int] = []
+        ends = time.monotonic() + 8.0
+
+        def over() -> bool:
+            if self.cluster.alive("entry-3") and self.dep.is_ready("entry-3"):
+                known.append(self.revision("entry-3"))
+            return time.monotonic() > ends
+
+        wait_until(over, "it was watched")
+        self.assertEqual({2}, set(known))
--- /dev/null
+++ b/tests/standins/test_campaign_checks.py
@@ -0,0 +1,109 @@
+"""A campaign's judge notices what it is there for."""
+
+import json
+import tempfile
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+from testtools import TestCase
+
+from standins.campaign_checks import Judge
+from standins.campaign_load import ONCE_PATH, Call, Change
+from standins.campaign_report import Promise, Report
+from standins.campaign_watch import Sample
+from standins.campaign_world import Spell, World
+
+
+class JudgeTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        scratch = tempfile.TemporaryDirectory()
+        self.addCleanup(scratch.cleanup)
+        cluster = SimpleNamespace(root=Path(scratch.name))
+        dep: Any = SimpleNamespace(
+            cluster=cluster, servers={"s": {}}, hosts={"h": {}}
+        )
+        self.report = Report()
+        self.world = World(dep=dep, report=self.report)
+        self.load = SimpleNamespace(calls=[], asked=[], changes=[])
+        self.samples: list[Sample] = []
+
+    def begun(self, *entries: tuple[float, str, str]) -> None:
+        lines = [
+            json.dumps(
+                {
+                    "what": "begun",
+                    "at": at,
+                    "op": op,
+                    "body_digest": digest,
+                    "path": ONCE_PATH,
+                }
+            )
+            for at, op, digest in entries
+        ]
+        text = "\n".join([*lines, "half a li"])
+        self.world.journal_path("s").write_text(text)
+
+    def sample(self, at: float, revision: int, *leaving: str) -> None:
+        self.samples.append(
+            Sample(
+                host="h",
+                at=at,
+                started=1.0,
+                ready=True,
+                revision=revision,
+                leaving=frozenset(leaving),
+            )
+        )
+
+    def broken(self) -> set[Promise]:
+        load: Any = self.load
+        watch: Any = SimpleNamespace(samples=self.samples)
+        Judge(self.world, self.report, load, watch).run()
+        return set(self.report.broken)
+
+    def call(self, *said: str) -> None:
+        call = Call(digest="d", key="k", begin=0.0, path=ONCE_PATH)
+        call.said.extend(said)
+        self.load.calls.append(call)
+
+    def test_all_kept(self) -> None:
+        self.call("200")
+        self.begun((1.0, "op", "d"))
+        self.sample(1.0, 1)
+        self.sample(2.0, 2)
+        self.assertEqual(set(), self.broken())
+
+    def test_runs_twice_under_one_operation(self) -> None:
+        self.begun((1.0, "op", "d"), (2.0, "op", "e"))
+        self.assertEqual({Promise.ONCE}, self.broken())
+
+    def test_runs_twice_under_two_operations(self) -> None:
+        self.call("lost", "200")
+        self.begun((1.0, "op", "d"), (2.0, "other", "d"))
+        self.assertEqual({Promise.ONCE}, self.broken())
+
+    def test_ran_though_not_run_was_said(self) -> None:
+        self.call("not run")
+        self.begun((1.0, "op", "d"))
+        self.assertEqual({Promise.NOT_RUN}, self.broken())
+
+    def test_new_work_on_a_leaving_server(self) -> None:
+        spell = Spell(name="s", kind="reclaim once", begin=1.0, end=9.0)
+        self.world.spells.append(spell)
+        self.sample(1.5, 1, "s")
+        self.begun((4.0, "op", "d"), (9.5, "op-2", "e"))
+        self.assertEqual(set(), self.broken())
+        self.begun((4.6, "op", "d"))
+        self.assertEqual({Promise.LEAVING}, self.broken())
+
+    def test_not_in_force_in_time(self) -> None:
+        self.load.changes.append(Change(revision=2, at=1.0))
+        self.sample(7.2, 1)
+        self.assertEqual({Promise.IN_FORCE}, self.broken())
+
+    def test_a_revision_reverts(self) -> None:
+        self.sample(1.0, 2)
+        self.sample(2.0, 1)
+        self.assertEqual({Promise.NO_REVERT}, self.broken())
--- a/waxwingarch/core/stream.py
+++ b/waxwingarch/core/stream.py
@@ -208,7 +208,7 @@
         )
         self.state = StreamState.RUNNING
         self.dispatched = True
-        self._note_progress(now)
+        self._note_progress(now, attached=mode is AttemptMode.ATTACH)
         kv_from, self._kv_from = self._kv_from, None
         resumed = mode is AttemptMode.RESUME
         return [
@@ -226,9 +226,15 @@
             )
         ]
 
-    def _note_progress(self, now: float) -> None:
+    def _note_progress(self, now: float, *, attached: bool = False) -> None:
+        """Set by when the next chunk must come.
+
+        A stream that its caller has tokens of is under way already: the
+        server that holds it owes no first token.
+        """
         limit = min(SILENCE_LIMIT_MAX_S, self.request.first_token_s * 2)
-        if self.assembly.offset:
+        under_way = attached and self.request.resume is not None
+        if self.assembly.offset or under_way:
             limit = self.request.between_tokens_s * BETWEEN_TOKENS_FACTOR
         limit = min(max(limit, SILENCE_LIMIT_MIN_S), SILENCE_LIMIT_MAX_S)
         self.progress_deadline = now + limit
