--- a/tests/core/test_configsync.py
+++ b/tests/core/test_configsync.py
@@ -17,6 +17,7 @@
     ReadSettings,
     Ready,
     RevisionRead,
+    RevisionUnavailable,
     SettingsPulled,
     SettingsRead,
 )
@@ -122,7 +123,7 @@
         sync = make_sync()
         for n in range(100):
             sync.tick(n / 2, False, [])
-            sync.on_revision_unavailable()
+            sync.on_revision_unavailable(n / 2, RevisionUnavailable())
         self.assertFalse(sync.ready)
 
     def test_only_watchers_go_on_polling(self) -> None:
@@ -154,6 +155,12 @@
 
 
 class TestSettingsHistory(testtools.TestCase):
+    def test_an_older_snapshot_is_ignored(self) -> None:
+        history = SettingsHistory()
+        history.advance(snapshot(2, a="2"))
+        history.advance(snapshot(1, a="1"))
+        self.assertEqual(snapshot(2, a="2"), history.snapshot)
+
     def test_a_delta_carries_only_what_changed(self) -> None:
         history = SettingsHistory()
         history.advance(snapshot(1, a="1", b="1", c="1"))
--- a/waxwingarch/core/fleet.py
+++ b/waxwingarch/core/fleet.py
@@ -6,7 +6,10 @@
 from waxwingarch.core.admission import Admission
 from waxwingarch.core.base import Action, Event, HostId, ServerId, ServiceId
 from waxwingarch.core.chooser import Chooser
-from waxwingarch.core.cluster import Cluster, PublishItem
+from waxwingarch.core.cluster import Cluster
+from waxwingarch.core.cluster_events import (
+    PublishItem,
+)
 from waxwingarch.core.events import CacheRead, LoadRead
 from waxwingarch.core.items import CacheSummary, Item, LoadSummary
 from waxwingarch.core.members import MemberState
@@ -15,6 +18,8 @@
 from waxwingarch.core.watch import Duty, RoutedServer, Routing
 
 WATCHERS_PER_SERVER: Final = 2
+WORK_OUT_PERIOD_S: Final = 1.0
+MANY_SERVERS: Final = 100
 KEEPERS: Final = 3
 DIRECT_FROM_HOSTS: Final = 17
 CACHE_PUBLISH_PERIOD_S: Final = 5.0
@@ -44,6 +49,8 @@
         self._own: HostId = cluster.own.host_id
         self._routing = Routing((), ())
         self._watched: tuple[ServerId, ...] = ()
+        self._stale = False
+        self._work_out_at = 0.0
         self._published_at: dict[ServerId, float] = {}
         self._takers: dict[type[Any], Callable[[float, Any], None]] = {
             LoadSummary: self._take_load,
@@ -79,8 +86,26 @@
             if m and m.host_id != self._own
         )
 
-    def changed(self) -> None:
-        """Work out subsets and duties anew: members or servers changed."""
+    def changed(self, now: float) -> None:
+        """Note that members or servers changed.
+
+        Subsets and duties are worked out at once; those of many servers
+        not twice within `WORK_OUT_PERIOD_S`, as that is dear.
+        """
+        self._chooser.forget_views()
+        self._stale = True
+        self.tick(now)
+
+    def tick(self, now: float) -> None:
+        """Work out what is stale."""
+        if not self._stale or now < self._work_out_at:
+            return
+        self._stale = False
+        if self._work_out() >= MANY_SERVERS:
+            self._work_out_at = now + WORK_OUT_PERIOD_S
+
+    def _work_out(self) -> int:
+        """Work all out; return for how many servers."""
         hosts = self._hosts()
         servers = self._servers.all()
         routed = [
@@ -93,20 +118,15 @@
         ]
         self._routing = Routing(hosts, routed)
         self._chooser.set_peers(len(hosts))
-        duties = self._cluster.duties()
-        self._watched = tuple(
-            server.server_id
-            for server in servers
-            if duties.is_responsible(
-                self._own,
-                server.server_id,
-                Duty.WATCH_SERVER,
-                WATCHERS_PER_SERVER,
-            )
+        ids = [server.server_id for server in servers]
+        watchers = self._cluster.duties().assign(
+            ids, Duty.WATCH_SERVER, WATCHERS_PER_SERVER
         )
+        self._watched = tuple(i for i in ids if self._own in watchers[i])
         slots = sum(server.slots for server in servers)
         share = slots * SLOT_OVERCOMMIT / max(1, len(hosts))
         self._admission.set_capacity(min(slots, int(share) + 1))
+        return len(servers)
 
     def _hosts(self) -> list[HostId]:
         members = self._cluster.membership.members()
--- a/waxwingarch/core/messages.py
+++ b/waxwingarch/core/messages.py
@@ -83,6 +83,17 @@
 
 
 Loan = LoanAsk | LoanAnswer
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Outgoing:
+    """A message to send; the target is None when only a seed is known."""
+
+    address: str
+    target: HostId | None
+    body: Probe | Ack | IndirectProbe
+
+
 Body = Probe | Ack | IndirectProbe | Gossip | SyncRequest | Loan
 
 
--- a/waxwingarch/core/move_duty.py
+++ b/waxwingarch/core/move_duty.py
@@ -6,7 +6,7 @@
 from waxwingarch.core.base import Action, Server, ServerId
 from waxwingarch.core.chooser import Chooser
 from waxwingarch.core.cluster import Cluster
-from waxwingarch.core.duties import DutyLeases
+from waxwingarch.core.duty_leases import DutyLeases
 from waxwingarch.core.move import MoveDriver, MoveView
 from waxwingarch.core.move_policy import PacedPolicy
 from waxwingarch.core.move_record import MoveRecord, WriteMove
--- a/waxwingarch/core/moves.py
+++ b/waxwingarch/core/moves.py
@@ -17,7 +17,10 @@
     ServiceId,
     VersionId,
 )
-from waxwingarch.core.cluster import Cluster, PublishItem
+from waxwingarch.core.cluster import Cluster
+from waxwingarch.core.cluster_events import (
+    PublishItem,
+)
 from waxwingarch.core.evidence import EvidenceBook
 from waxwingarch.core.items import EvidenceCount, Item, StopMark
 from waxwingarch.core.merge import ItemKind
@@ -145,6 +148,7 @@
         latency_s: float,
     ) -> None:
         """Count the outcome of an attempt for the moves watched."""
+        record = self._records.get(server.service)
         self.book.record(
             now,
             server.service,
@@ -153,11 +157,14 @@
             load_band(running, server.slots),
             ok,
             latency_s,
+            record is not None and server.server_id in record.canary_servers,
         )
 
     def heard(self, now: float, items: Iterable[Item]) -> None:
         """Take counts of other hosts."""
         for item in items:
+            if isinstance(item, StopMark):
+                self.book.learn_stop(item.move_id)
             if isinstance(item, EvidenceCount) and item.host_id != self._own:
                 self._merge(item)
 
--- a/waxwingarch/core/node.py
+++ b/waxwingarch/core/node.py
@@ -11,8 +11,8 @@
 from waxwingarch.core.admission import Admission
 from waxwingarch.core.base import Action, Event, Ran
 from waxwingarch.core.chooser import Chooser
-from waxwingarch.core.cluster import (
-    Cluster,
+from waxwingarch.core.cluster import Cluster
+from waxwingarch.core.cluster_events import (
     ItemsChanged,
     Leave,
     LoanReceived,
@@ -31,7 +31,7 @@
 )
 from waxwingarch.core.desk import Desk
 from waxwingarch.core.directory import Directory
-from waxwingarch.core.duties import DutyLeases, LeaseReply
+from waxwingarch.core.duty_leases import DutyLeases, LeaseReply
 from waxwingarch.core.evacuation import Evacuation
 from waxwingarch.core.events import (
     CacheRead,
@@ -245,7 +245,7 @@
         self.servers.starting = event.starting
         self.limits.set_listed(event.entry_hosts)
         if self.servers.generation != before:
-            self.fleet.changed()
+            self.fleet.changed(now)
         return self.desk.tick(now)
 
     def _server_leaving(
@@ -299,7 +299,7 @@
     def _members_changed(
         self, now: float, action: MembersChanged
     ) -> list[Action]:
-        self.fleet.changed()
+        self.fleet.changed(now)
         self.limits.members_changed()
         return []
 
@@ -328,6 +328,7 @@
     def _tick(self, now: float, event: Tick) -> list[Action]:
         heard = self._absorb(now, self.cluster.handle(now, event))
         judged = self._absorb(now, self.moves.tick(now))
+        self.fleet.tick(now)
         asked = self.limits.tick(now)
         duties = self.leases.tick(now) + self.move_duty.tick(now)
         duties += self.hand_off.tick(now)
--- a/waxwingarch/daemon.py
+++ b/waxwingarch/daemon.py
@@ -27,7 +27,7 @@
 from waxwingarch.adapters.trace import TraceHeader, TraceWriter
 from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_FORCED_STOP, EXIT_OK
 from waxwingarch.core.base import Action, FailureDomain, HostId, RequestId
-from waxwingarch.core.cluster import Leave, Superseded
+from waxwingarch.core.cluster_events import Leave, Superseded
 from waxwingarch.core.configsync import (
     PollRevision,
     PullSettings,
--- a/waxwingarch/tasks/control.py
+++ b/waxwingarch/tasks/control.py
@@ -10,7 +10,7 @@
 
 from waxwingarch.adapters.lease_store import LeaseStore
 from waxwingarch.core.base import Action, ServerKind
-from waxwingarch.core.duties import LeaseCall, LeaseReply
+from waxwingarch.core.duty_leases import LeaseCall, LeaseReply
 from waxwingarch.core.move import StartServers, StopServers
 from waxwingarch.core.move_duty import MOVES_DUTY, CommitMove
 from waxwingarch.core.move_record import MoveRecord, to_json
--- a/waxwingarch/tasks/peers.py
+++ b/waxwingarch/tasks/peers.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from waxwingarch.adapters.udp_peers import join_address, split_address
 from waxwingarch.core.base import (
     Action,
     Event,
@@ -12,12 +13,8 @@
     HostId,
     RequestId,
 )
-from waxwingarch.core.cluster import (
-    Cluster,
-    Leave,
-    PublishItem,
-    SetDraining,
-)
+from waxwingarch.core.cluster import Cluster
+from waxwingarch.core.cluster_events import Leave, PublishItem, SetDraining
 from waxwingarch.core.handover import HandOver
 from waxwingarch.core.items import Item
 from waxwingarch.core.members import Addresses, Member, MemberState
@@ -105,14 +102,19 @@
 
     async def async_setup(self) -> None:
         """Bind the sockets and join; raises OSError if one is taken."""
-        await self._transport.async_bind()
+        try:
+            await self._transport.async_bind()
+        except OSError:
+            await self._transport.async_stop()
+            raise
         seeds = self._cfg.seeds
         self._cluster = Cluster(self._own_record(), seeds, self._rng)
         self._transport.start()
 
     async def async_unload(self) -> None:
         """Tell the peers that this process ends, and close."""
-        self.dispatch(Leave())
+        if self._cluster is not None:
+            self.dispatch(Leave())
         await self._transport.async_stop()
 
     def members(self) -> tuple[Member, ...]:
@@ -179,4 +181,4 @@
     def _advertised(self, bound: str) -> str:
         if not self._cfg.advertised_ip:
             return bound
-        return f"{self._cfg.advertised_ip}:{bound.rpartition(':')[2]}"
+        return join_address(self._cfg.advertised_ip, split_address(bound)[1])
