Put an accepted change in force at once on the host that wrote it

It now applies what it read with its change on top, if the new revision is the next one. The new test (black hole right after the answer) failed before and passes now.

The check now compares incarnations, and its test covers that.

--- a/standins/campaign_checks.py
+++ b/standins/campaign_checks.py
@@ -101,7 +101,8 @@
         end = spell.end or float("inf")
         for sample in self._samples:
             inside = spell.begin <= sample.at < end
-            if inside and spell.name in sample.leaving:
+            known = (spell.name, spell.incarnation) in sample.leaving
+            if inside and known:
                 return sample.at
         return None
 
--- a/standins/campaign_watch.py
+++ b/standins/campaign_watch.py
@@ -15,14 +15,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Sample:
-    """What a host knew at a Unix time; `started` names its process."""
+    """What a host knew at a Unix time; `started` names its process.
+
+    `leaving` holds servers with the incarnation that leaves.
+    """
 
     host: str
     at: float
     started: float
     ready: bool
     revision: int
-    leaving: frozenset[str]
+    leaving: frozenset[tuple[str, int]]
 
 
 class Watch:
@@ -75,5 +78,9 @@
             started=body["started_unix"],
             ready=body["ready"],
             revision=body["revision"],
-            leaving=frozenset(body["leaving"]),
+            leaving=frozenset(
+                (row["server_id"], row["incarnation"])
+                for row in body["servers"]
+                if row["leaving"]
+            ),
         )
--- a/standins/campaign_world.py
+++ b/standins/campaign_world.py
@@ -26,6 +26,7 @@
     kind: str
     begin: float
     end: float | None = None
+    incarnation: int = 0
 
     def meets(self, begin: float, end: float) -> bool:
         """Tell whether the spell and a stretch of time overlap."""
@@ -100,7 +101,13 @@
 
     def disturb(self, name: str, kind: str) -> Spell:
         """Begin a spell."""
-        spell = Spell(name=name, kind=kind, begin=time.time())
+        row = self.dep.servers.get(name, {"incarnation": 0})
+        spell = Spell(
+            name=name,
+            kind=kind,
+            begin=time.time(),
+            incarnation=row["incarnation"],
+        )
         self.spells.append(spell)
         self.open[name] = spell
         return spell
--- a/tests/faults/test_together.py
+++ b/tests/faults/test_together.py
@@ -154,6 +154,20 @@
                 left_s,
             )
 
+    def test_platform_gone_as_soon_as_it_was_accepted(self) -> None:
+        """What was accepted is in force without another read of it."""
+        text = contract_text("charity-2", "account-key-2", share=0.1)
+        body = {"contracts": [{"text": text, "expected": ""}]}
+        answer = self.dep.admin("entry-1", "POST", "/admin/contracts", body)
+        self.cluster.fault("platform", "black_hole")
+        self.assertEqual(200, answer.status, answer.body)
+        revision = answer.body["revision"]
+        wait_until(
+            lambda: {self.revision(n) for n in self.dep.hosts} == {revision},
+            "in force everywhere",
+            6.0,
+        )
+
     def test_late_and_stale_read_does_not_revert(self) -> None:
         """On hosts that have it, and on one that starts meanwhile."""
         self.dep.put_contracts(contract_text(), contract_text("more", "k" * 9))
--- a/tests/standins/test_campaign_checks.py
+++ b/tests/standins/test_campaign_checks.py
@@ -45,7 +45,9 @@
         text = "\n".join([*lines, "half a li"])
         self.world.journal_path("s").write_text(text)
 
-    def sample(self, at: float, revision: int, *leaving: str) -> None:
+    def sample(
+        self, at: float, revision: int, *leaving: tuple[str, int]
+    ) -> None:
         self.samples.append(
             Sample(
                 host="h",
@@ -90,9 +92,12 @@
         self.assertEqual({Promise.NOT_RUN}, self.broken())
 
     def test_new_work_on_a_leaving_server(self) -> None:
-        spell = Spell(name="s", kind="reclaim once", begin=1.0, end=9.0)
+        spell = Spell(
+            name="s", kind="reclaim late", begin=1.0, end=9.0, incarnation=3
+        )
         self.world.spells.append(spell)
-        self.sample(1.5, 1, "s")
+        self.sample(1.1, 1, ("s", 1))
+        self.sample(1.5, 1, ("s", 1), ("s", 3))
         self.begun((4.0, "op", "d"), (9.5, "op-2", "e"))
         self.assertEqual(set(), self.broken())
         self.begun((4.6, "op", "d"))
--- a/waxwingarch/tasks/operator_api.py
+++ b/waxwingarch/tasks/operator_api.py
@@ -6,6 +6,7 @@
 from waxwingarch.tasks.explain import ExplainOperations
 from waxwingarch.tasks.move_operations import MoveOperations
 from waxwingarch.tasks.operations import ContractOperations
+from waxwingarch.tasks.own_changes import OwnChanges
 from waxwingarch.tasks.request_log import RequestLog
 from waxwingarch.tasks.runner import Runner
 from waxwingarch.tasks.state_operations import StateOperations
@@ -21,6 +22,7 @@
 ) -> ExplainOperations:
     """Add the operations; the result adds to the state dump."""
     node = runner.node
+    store = OwnChanges(store, runner.post)
     log = RequestLog()
     runner.observe(log.observe)
     moves = MoveOperations(node, SettingsMoves(store))
