--- /dev/null
+++ b/script/measure_tools.py
@@ -0,0 +1,34 @@
+"""What the measurements of real processes share."""
+
+import os
+from pathlib import Path
+from typing import Final
+
+from standins.deployment import Deployment, HostAddresses
+
+CLOCK_TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
+KB_PER_MB: Final = 1024
+
+
+def cpu_s(pid: int) -> float:
+    """Return user and system time of a process, in seconds."""
+    stat = Path(f"/proc/{pid}/stat").read_text()
+    fields = stat.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+
+def rss_mb(pid: int) -> float:
+    """Return the resident memory of a process, in MB."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / KB_PER_MB
+    return 0.0
+
+
+class LeanDeployment(Deployment):
+    """Entry hosts without the record of events, as they run by default."""
+
+    def settings_of(self, host: HostAddresses) -> str:
+        """Return the settings file of one entry host."""
+        text = super().settings_of(host)
+        return text[: text.rindex("trace =")] + "trace =\n"
--- a/waxwingarch/adapters/grpc_peers.py
+++ b/waxwingarch/adapters/grpc_peers.py
@@ -215,6 +215,7 @@
         self._keys = tuple(keys)
         self._tls = tls
         self._channels: OrderedDict[str, Channel] = OrderedDict()
+        self.calls = 0
 
     async def async_pull_settings(
         self, address: str, have_revision: int, deadline: float
@@ -281,6 +282,7 @@
         left = deadline - asyncio.get_running_loop().time()
         if left <= 0:
             raise LinkError(f"no time left to call {address}; try later")
+        self.calls += 1
         stub = PeerStub(self._channel(address))
         try:
             # Connecting is not covered by the timeout of the call.
--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -104,6 +104,7 @@
         self._reader = reader
         self._writer = writer
         self._conn = h11.Connection(h11.CLIENT)
+        self._needs_data = False
 
     async def async_send(
         self, method: str, target: str, headers: Headers, body: bytes
@@ -130,15 +131,21 @@
     async def async_event(self, deadline: float, *, wait: bool = True) -> Any:
         """Return the next h11 event; NEED_DATA only if not `wait`."""
         while True:
-            try:
-                event = self._conn.next_event()
-            except h11.RemoteProtocolError as exc:
-                raise CutLinkError(f"{self.address}: {exc}") from exc
-            if isinstance(event, h11.ConnectionClosed):
-                raise CutLinkError(f"{self.address}: closed")
-            if event is not h11.NEED_DATA or not wait:
+            if self._needs_data and wait:
+                self._conn.receive_data(await self._async_bytes(deadline))
+            event = self._next_event()
+            self._needs_data = event is h11.NEED_DATA
+            if not self._needs_data or not wait:
                 return event
-            self._conn.receive_data(await self._async_bytes(deadline))
+
+    def _next_event(self) -> Any:
+        try:
+            event = self._conn.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise CutLinkError(f"{self.address}: {exc}") from exc
+        if isinstance(event, h11.ConnectionClosed):
+            raise CutLinkError(f"{self.address}: closed")
+        return event
 
     async def _async_bytes(self, deadline: float) -> bytes:
         try:
@@ -166,6 +173,7 @@
             self._conn.start_next_cycle()
         except h11.LocalProtocolError:
             return False
+        self._needs_data = False
         return True
 
     @property
--- a/waxwingarch/adapters/platform_http.py
+++ b/waxwingarch/adapters/platform_http.py
@@ -1,6 +1,7 @@
 """Calls to the platform: deadlines, rate budget, jittered backoff."""
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass
 from random import Random
 from typing import Any, Final
@@ -85,6 +86,7 @@
         self._random = random
         self._reads = _bucket(budget.reads_per_s) if budget else None
         self._writes = _bucket(budget.writes_per_s) if budget else None
+        self.calls: Counter[str] = Counter()
 
     async def async_call(
         self,
@@ -129,8 +131,10 @@
     async def _async_send(
         self, method: str, target: str, body: bytes, deadline: float
     ) -> HttpAnswer:
+        sort = _sort_of(target)
+        self.calls[sort] += 1
         try:
-            return await self._client.async_request(
+            answer = await self._client.async_request(
                 method,
                 self._address,
                 target,
@@ -146,6 +150,8 @@
             raise TableReplyLostError(
                 f"{exc}; read back what was written"
             ) from exc
+        self.calls[f"{sort}_bytes"] += len(body) + len(answer.body)
+        return answer
 
     async def async_json(
         self,
@@ -172,6 +178,15 @@
             ) from exc
 
 
+def _sort_of(target: str) -> str:
+    """Return what a call is counted as: the service that it is for."""
+    path = target.partition("?")[0]
+    if path.startswith("/v1/table"):
+        writes = path == "/v1/table/transact"
+        return "table_writes" if writes else "table_reads"
+    return "_".join(path.split("/")[2:4])
+
+
 def _bucket(rate: float) -> TokenBucket:
     now = asyncio.get_running_loop().time()
     burst = max(MIN_BURST, rate * BURST_S)
--- a/waxwingarch/daemon.py
+++ b/waxwingarch/daemon.py
@@ -74,7 +74,7 @@
         self._runner = Runner(self.node, _recorder(settings, header))
         self._client = HttpClient()
         rng = Random()
-        link = PlatformLink(
+        self._link = link = PlatformLink(
             self._client,
             settings.platform.address,
             rng,
@@ -289,7 +289,8 @@
 
     def _dump(self) -> Any:
         state = dump(self._settings, self.node, self._started_unix)
-        return state | self._explain.dump_parts()
+        counters = self._peers.counters() | dict(self._link.calls)
+        return state | {"counters": counters} | self._explain.dump_parts()
 
 
 def _recorder(settings: Settings, header: TraceHeader) -> TraceWriter | None:
--- a/waxwingarch/tasks/peer_transport.py
+++ b/waxwingarch/tasks/peer_transport.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from ssl import SSLContext
 from typing import Any, Final, Protocol
 
@@ -109,6 +109,10 @@
         assert self._udp is not None
         return self._udp
 
+    def counters(self) -> dict[str, int]:
+        """Return the traffic with peers since the start."""
+        return {**asdict(self.udp.counters), "grpc_calls": self._peers.calls}
+
     @property
     def tcp_address(self) -> str:
         """Return where peers can call this host."""
