--- a/script/measure_tools.py
+++ b/script/measure_tools.py
@@ -1,10 +1,11 @@
 """What the measurements of real processes share."""
 
 import os
+from dataclasses import replace
 from pathlib import Path
 from typing import Final
 
-from standins.deployment import Deployment, HostAddresses
+from standins.deployment import Deployment, HostAddresses, free_address
 
 CLOCK_TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
 KB_PER_MB: Final = 1024
@@ -32,3 +33,18 @@
         """Return the settings file of one entry host."""
         text = super().settings_of(host)
         return text[: text.rindex("trace =")] + "trace =\n"
+
+    def start_again(self) -> None:
+        """Start hosts that found an address taken on other addresses."""
+        for name, host in list(self.hosts.items()):
+            if self.cluster.alive(name):
+                continue
+            self.hosts[name] = replace(
+                host,
+                http=free_address(),
+                admin=free_address(),
+                peer_udp=free_address(),
+                peer_tcp=free_address(),
+            )
+            self.start_host(name, wait=False)
+            self.publish()
