Give the tool's test interface the sinks that a daemon has

A host now puts its own change in force at once, so the interface of these tests gets ApplySettings, for which it had no sink: the call ended in an internal error (test_wait_has_an_end). The test itself is as it was.

--- a/tests/waxwingctl/helpers.py
+++ b/tests/waxwingctl/helpers.py
@@ -17,6 +17,7 @@
     ServiceId,
     VersionId,
 )
+from waxwingarch.core.configsync import ApplySettings, Ready
 from waxwingarch.core.members import Addresses, Member, MemberState
 from waxwingarch.core.node import Node
 from waxwingarch.core.settings import (
@@ -128,9 +129,13 @@
         self.store = MemoryStore(self.node)
         self.errors: list[Exception] = []
         self._admin = Admin(OPERATOR_KEY, self.errors.append)
+        runner = Runner(self.node)
+        # As in the daemon, which indexes the contracts here.
+        runner.connect(ApplySettings, lambda action: None)
+        runner.connect(Ready, lambda action: None)
         register(
             self._admin,
-            Runner(self.node),
+            runner,
             self.store,
             host_id=host_id,
             deployment=DEPLOYMENT,
