--- a/waxwingarch/core/membership.py
+++ b/waxwingarch/core/membership.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from waxwingarch.core.base import HostId
 from waxwingarch.core.members import (
@@ -11,10 +11,9 @@
     MemberState,
     supersedes,
 )
-from waxwingarch.core.messages import Ack, IndirectProbe, Probe
-
-if TYPE_CHECKING:
-    from random import Random
+from waxwingarch.core.messages import Ack, IndirectProbe, Outgoing, Probe
+from waxwingarch.core.randomness import RandomSource
+from waxwingarch.core.relays import RelayTable
 
 PROBE_PERIOD_S: Final = 1.0
 ACK_TIMEOUT_S: Final = 0.3
@@ -25,17 +24,6 @@
 DEAD_RETENTION_S: Final = 3_600.0
 # A gap this long between two ticks means that this process was paused.
 PAUSE_S: Final = 0.9
-RELAY_TTL_S: Final = 2.0
-MAX_RELAYS: Final = 256
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Outgoing:
-    """A message to send; the target is None when only a seed is known."""
-
-    address: str
-    target: HostId | None
-    body: Probe | Ack | IndirectProbe
 
 
 @dataclass(kw_only=True, slots=True)
@@ -50,15 +38,6 @@
     indirect_sent: bool = False
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Relay:
-    """An answer to be passed on to the host that asked for it."""
-
-    address: str
-    sequence: int
-    expires_at: float
-
-
 def suspicion_s(hosts: int) -> float:
     """Return how long a suspect among so many hosts may refute."""
     return SUSPICION_PERIODS * PROBE_PERIOD_S * math.log10(max(10, hosts))
@@ -73,7 +52,7 @@
     """
 
     def __init__(
-        self, own: Member, seeds: Iterable[str], rng: "Random"
+        self, own: Member, seeds: Iterable[str], rng: RandomSource
     ) -> None:
         self.own = own
         self.superseded = False
@@ -87,7 +66,7 @@
         self._gone_at: dict[HostId, float] = {}
         self._round: list[HostId] = []
         self._pending: _Pending | None = None
-        self._relays: dict[int, _Relay] = {}
+        self._relays = RelayTable()
         self._sequence = rng.getrandbits(24)
         self._next_probe_at = 0.0
         self._next_reconnect_at = 0.0
@@ -332,9 +311,7 @@
         for host_id, gone_at in list(self._gone_at.items()):
             if now >= gone_at + DEAD_RETENTION_S:
                 self._forget(host_id)
-        for sequence, relay in list(self._relays.items()):
-            if now >= relay.expires_at:
-                del self._relays[sequence]
+        self._relays.expire(now)
 
     def _forget(self, host_id: HostId) -> None:
         address = self._members[host_id].addresses.peer_udp
@@ -346,6 +323,16 @@
 
     # -- messages
 
+    def ask(self, host_id: HostId) -> Outgoing | None:
+        """Return a probe outside the rounds; silence blames nobody."""
+        member = self._members.get(host_id)
+        if member is None:
+            return None
+        probe = Probe(
+            sequence=0, target=host_id, incarnation=member.incarnation
+        )
+        return _outgoing(member, probe)
+
     def on_probe(self, source: str, sender: HostId, probe: Probe) -> Outgoing:
         """Answer a probe in this process's own name, whoever was meant."""
         body = Ack(
@@ -359,14 +346,9 @@
         self, now: float, source: str, probe: IndirectProbe
     ) -> list[Outgoing]:
         """Probe the target in the name of the host that asked."""
-        if len(self._relays) >= MAX_RELAYS:
-            return []
         self._sequence += 1
-        self._relays[self._sequence] = _Relay(
-            address=source,
-            sequence=probe.sequence,
-            expires_at=now + RELAY_TTL_S,
-        )
+        if not self._relays.put(now, self._sequence, source, probe.sequence):
+            return []
         body = Probe(
             sequence=self._sequence,
             target=probe.target,
@@ -378,7 +360,7 @@
 
     def on_ack(self, ack: Ack) -> list[Outgoing]:
         """Take an answer, or pass it on to the host that wants it."""
-        relay = self._relays.pop(ack.sequence, None)
+        relay = self._relays.pop(ack.sequence)
         if relay is not None:
             passed_on = replace(ack, sequence=relay.sequence)
             return [
--- a/waxwingarch/core/node.py
+++ b/waxwingarch/core/node.py
@@ -6,15 +6,16 @@
 """
 
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING, Any, Final
+from typing import Any, Final
 
 from waxwingarch.core.admission import Admission
 from waxwingarch.core.base import Action, Event, Ran
 from waxwingarch.core.chooser import Chooser
-from waxwingarch.core.cluster import (
-    Cluster,
+from waxwingarch.core.cluster import Cluster
+from waxwingarch.core.cluster_events import (
     ItemsChanged,
     Leave,
+    LoanReceived,
     MembersChanged,
     PublishItem,
     SetDraining,
@@ -30,7 +31,7 @@
 )
 from waxwingarch.core.desk import Desk
 from waxwingarch.core.directory import Directory
-from waxwingarch.core.duties import DutyLeases, LeaseReply
+from waxwingarch.core.duty_leases import DutyLeases, LeaseReply
 from waxwingarch.core.evacuation import Evacuation
 from waxwingarch.core.events import (
     CacheRead,
@@ -47,12 +48,14 @@
 from waxwingarch.core.guarded import Identity, OnceReply
 from waxwingarch.core.handoff import HandOff, OwnHostLeaving
 from waxwingarch.core.items import LeavingServer
+from waxwingarch.core.limits import HostLimits
 from waxwingarch.core.members import Member
 from waxwingarch.core.messages import DatagramReceived, Tick
 from waxwingarch.core.move_duty import MOVES_DUTY, MoveDuty
 from waxwingarch.core.moves import MoveBoard
 from waxwingarch.core.placement import CostPlacement
 from waxwingarch.core.prefix import PrefixIndex
+from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.request import (
     AttemptEnded,
@@ -65,12 +68,14 @@
     Request,
 )
 from waxwingarch.core.servers import ServerBook
-
-if TYPE_CHECKING:
-    from random import Random
+from waxwingarch.core.shares import LOAN_MARGIN_S
 
 COME_BACK_AFTER_S: Final = 1.0
 
+# The loans of a limit end at the borrower this much before the lender
+# may use them again.
+PAUSE_S: Final = LOAN_MARGIN_S
+
 CLUSTER_EVENTS: Final = (
     DatagramReceived,
     RevisionRead,
@@ -90,7 +95,7 @@
         own: Member,
         seeds: Iterable[str],
         unix_offset: float,
-        rng: "Random",
+        rng: RandomSource,
     ) -> None:
         """Begin with nothing known.
 
@@ -126,6 +131,7 @@
             self.moves,
             self.fleet.keepers,
         )
+        self.limits = HostLimits(self.cluster, self.admission)
         self.hand_off = HandOff(self.desk, self.fleet.keepers, unix_offset)
         self.leases = DutyLeases(self.cluster, (MOVES_DUTY,))
         self.move_duty = MoveDuty(
@@ -141,6 +147,7 @@
         self._settings_known = False
         self._drained = False
         self._unix_offset = unix_offset
+        self._handled_at = float("-inf")
         self._handlers: dict[
             type[Event], Callable[[float, Any], list[Action]]
         ] = {
@@ -170,6 +177,7 @@
         ] = {
             ItemsChanged: self._items_changed,
             MembersChanged: self._members_changed,
+            LoanReceived: self.limits.loan_received,
             Ready: self._on_ready,
         }
 
@@ -187,6 +195,9 @@
 
         `now` is the monotonic clock in seconds and never goes back.
         """
+        if now - self._handled_at > PAUSE_S:
+            self.limits.resumed(now)
+        self._handled_at = now
         return self._handlers[type(event)](now, event)
 
     # Requests
@@ -210,6 +221,7 @@
                     "this host has no settings yet: send it again",
                 )
             ]
+        self.limits.arrived(now, event.request.account)
         return self.desk.arrived(now, event.request)
 
     def _attempt_event(self, now: float, event: AttemptEvent) -> list[Action]:
@@ -229,8 +241,9 @@
         before = self.servers.generation
         self.servers.listed(event.servers)
         self.servers.starting = event.starting
+        self.limits.set_listed(event.entry_hosts)
         if self.servers.generation != before:
-            self.fleet.changed()
+            self.fleet.changed(now)
         return self.desk.tick(now)
 
     def _server_leaving(
@@ -284,7 +297,8 @@
     def _members_changed(
         self, now: float, action: MembersChanged
     ) -> list[Action]:
-        self.fleet.changed()
+        self.fleet.changed(now)
+        self.limits.members_changed()
         return []
 
     # Settings
@@ -299,6 +313,7 @@
         if not self.directory.apply(event.revision, event.contracts):
             return []
         self.moves.apply(now, event.moves)
+        self.limits.set_contracts(event.contracts)
         return self.desk.contracts_applied(now, event.contracts)
 
     # Duties
@@ -311,10 +326,12 @@
     def _tick(self, now: float, event: Tick) -> list[Action]:
         heard = self._absorb(now, self.cluster.handle(now, event))
         judged = self._absorb(now, self.moves.tick(now))
+        self.fleet.tick(now)
+        asked = self.limits.tick(now)
         duties = self.leases.tick(now) + self.move_duty.tick(now)
         duties += self.hand_off.tick(now)
         moved = self.evacuation.tick(now)
-        done = heard + judged + duties + moved + self.desk.tick(now)
+        done = heard + judged + asked + duties + moved + self.desk.tick(now)
         return self._checked(done)
 
     def _drain_requested(
