--- a/waxwingarch/core/stream.py
+++ b/waxwingarch/core/stream.py
@@ -91,7 +91,7 @@
         self.first_token_at: float | None = None
         self.started_at = now
         self._attempts = 0
-        self._attaches = 0
+        self.attaches = 0
         self._kv_from: KvSource | None = None
         self._undelivered: tuple[str, ...] = ()
         self._handlers: dict[
@@ -254,7 +254,7 @@
     def _wait(self) -> None:
         self.state = StreamState.WAITING
         self.attempt = None
-        self._attaches = 0
+        self.attaches = 0
         self.progress_deadline = self.request.deadline
 
     # Events of the present attempt
@@ -272,7 +272,7 @@
             )
         fresh, self._undelivered = self._undelivered + fresh, ()
         self._note_progress(now)
-        self._attaches = 0
+        self.attaches = 0
         if fresh and self.first_token_at is None:
             self.first_token_at = now
         return self._deliver(fresh)
@@ -326,9 +326,9 @@
                 "send the request again: the answer failed its check",
             )
         attempt = self.attempt
-        again = self._attaches < MAX_ATTACHES_IN_A_ROW
+        again = self.attaches < MAX_ATTACHES_IN_A_ROW
         if ATTACHABLE[event.kind] and again:
-            self._attaches += 1
+            self.attaches += 1
             drop = self._drop(cancel=False)
             return drop + self._start(
                 now, attempt.server, attempt.stream_id, AttemptMode.ATTACH
