Hear peers before serving; let requests on their way be answered at a stop

It is ready now once it has heard a peer, or 1 s has passed; requests before that get 503, not ready. The old expectation of one test (ready on the table's word alone) is replaced by two: not before peers had the time to speak, and not on a stale first read. - A stopping host closed idle connections at once; a request on its way over one met a reset. They stay open for one more answer. - A host that was alone when it started stayed a contender for every lease and read its row for ever. It retires when others are the candidates. - The rate budget towards the table was that of nine hosts for ever; it follows the platform's list.

--- a/tests/core/test_configsync.py
+++ b/tests/core/test_configsync.py
@@ -9,6 +9,7 @@
 from tests.core.clusters import make_member
 from waxwingarch.core.base import Action, HostId
 from waxwingarch.core.configsync import (
+    PEER_WAIT_S,
     ApplySettings,
     ConfigSync,
     PollRevision,
@@ -68,6 +69,21 @@
         fresh = sync.on_settings_read(
             0.4, SettingsRead(snapshot=snapshot(5, a="y"))
         )
+        self.assertEqual([ApplySettings], kinds(fresh))
+        # Peers have had the time to tell of a later revision.
+        self.assertEqual([], kinds(sync.tick(PEER_WAIT_S - 0.1, False, [])))
+        self.assertIn(Ready, kinds(sync.tick(PEER_WAIT_S, False, [])))
+
+    def test_a_stale_first_read_does_not_make_it_ready(self) -> None:
+        sync = make_sync()
+        sync.tick(0.0, False, [])
+        sync.on_revision_read(0.1, RevisionRead(revision=4))
+        sync.on_settings_read(0.2, SettingsRead(snapshot=snapshot(4, a="x")))
+        sync.note_peer(0.3, NEAR.host_id, 5)
+        self.assertNotIn(Ready, kinds(sync.tick(0.4, False, PEERS)))
+        fresh = sync.on_settings_read(
+            0.5, SettingsRead(snapshot=snapshot(5, a="y"))
+        )
         self.assertEqual([ApplySettings, Ready], kinds(fresh))
 
     def test_stale_reads_never_revert(self) -> None:
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -14,6 +14,8 @@
 REQUEST_READ_LIMIT_S: Final = 10.0
 IDLE_LIMIT_S: Final = 75.0
 WRITE_STALL_LIMIT_S: Final = 20.0
+STOP_GRACE_S: Final = 1.0
+STOP_POLL_S: Final = 0.02
 WRITE_HIGH_WATER_BYTES: Final = 256 * 1024
 
 JSON_TYPE: Final = ("content-type", "application/json")
@@ -338,6 +340,11 @@
         if self._task is None and self._conn.their_state is h11.IDLE:
             self._transport.close()
 
+    def abort_if_busy(self) -> None:
+        """Cut a request in progress off."""
+        if self.busy:
+            self._transport.abort()
+
     @property
     def busy(self) -> bool:
         """Whether a request is in progress on this connection."""
@@ -367,17 +374,28 @@
         return int(self._server.sockets[0].getsockname()[1])
 
     def start_drain(self) -> None:
-        """Close idle connections; busy ones close after their answer."""
+        """Close each connection after its next answer.
+
+        An idle one stays open for it: a request may be on its way, and
+        is to get an answer, not a reset.
+        """
         self.draining = True
-        for conn in list(self.connections):
-            conn.close_if_idle()
 
     async def async_unload(self) -> None:
-        """Stop listening and drop what connections remain."""
+        """Stop listening; let answers under way end, drop the rest."""
         if self._server:
             self._server.close()
+        self.draining = True
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + STOP_GRACE_S
+        while loop.time() < deadline:
+            await asyncio.sleep(STOP_POLL_S)
+            if not any(conn.busy for conn in self.connections):
+                break
+        for conn in list(self.connections):
+            conn.close_if_idle()
         for conn in list(self.connections):
-            conn.abort()
+            conn.abort_if_busy()
 
 
 def _request_of(head: h11.Request, body: bytes) -> HttpRequest:
--- a/waxwingarch/adapters/platform_http.py
+++ b/waxwingarch/adapters/platform_http.py
@@ -88,6 +88,11 @@
         self._writes = _bucket(budget.writes_per_s) if budget else None
         self.calls: Counter[str] = Counter()
 
+    def set_budget(self, budget: TableBudget) -> None:
+        """Keep to another part of the table's limits from now on."""
+        self._reads = _bucket(budget.reads_per_s)
+        self._writes = _bucket(budget.writes_per_s)
+
     async def async_call(
         self,
         method: str,
--- a/waxwingarch/core/configsync.py
+++ b/waxwingarch/core/configsync.py
@@ -168,6 +168,8 @@
         self._next_poll_at = 0.0
         self._poll_expires_at: float | None = None
         self._poll_failures = 0
+        self._heard_by: float | None = None
+        self._peers_heard = False
 
     @property
     def applied(self) -> int:
@@ -213,9 +215,20 @@
         actions = self._poll(now, watching)
         self._rest_on_peers(peers)
         actions.extend(self._next_fetch(now, peers))
+        self._note_heard(now)
         actions.extend(self._check_ready())
         return actions
 
+    def _note_heard(self, now: float) -> None:
+        """Note that peers were heard, or had the time to be.
+
+        What a host that starts reads from the table may be stale.
+        """
+        if self._heard_by is None:
+            self._heard_by = now + PEER_WAIT_S
+        if self._applied_at or now >= self._heard_by:
+            self._peers_heard = True
+
     # -- the revision row
 
     def _poll(self, now: float, watching: bool) -> list[Action]:
@@ -376,7 +389,7 @@
         return [ApplySettings(snapshot=snapshot), *self._check_ready()]
 
     def _check_ready(self) -> list[Action]:
-        if self.ready:
+        if self.ready or not self._peers_heard:
             return []
         highest = max(self._applied_at.values(), default=0)
         if not may_serve(self._basis, self.applied, self.wanted, highest):
--- a/waxwingarch/core/duty_leases.py
+++ b/waxwingarch/core/duty_leases.py
@@ -54,12 +54,13 @@
     def __init__(self, cluster: Cluster, duties: Iterable[str]) -> None:
         self._cluster = cluster
         own = cluster.own
-        self._leases = {
-            duty: _Held(
-                machine=LeaseMachine(duty, own.host_id, own.incarnation)
-            )
-            for duty in duties
-        }
+        self._own = own.host_id
+        self._incarnation = own.incarnation
+        self._leases = {duty: self._fresh(duty) for duty in duties}
+
+    def _fresh(self, duty: str) -> _Held:
+        machine = LeaseMachine(duty, self._own, self._incarnation)
+        return _Held(machine=machine)
 
     def may_act(self, now: float, duty: str) -> bool:
         """Return whether this host may act for a duty at this moment."""
@@ -77,11 +78,14 @@
     def tick(self, now: float) -> list[Action]:
         """Start where this host is a candidate; fire due timers."""
         actions: list[Action] = []
-        for duty, lease in self._leases.items():
+        for duty, lease in list(self._leases.items()):
             if not lease.started:
                 actions += self._start(now, duty, lease)
             elif lease.wake_at is not None and now >= lease.wake_at:
                 lease.wake_at = None
+                if self._may_retire(duty, lease):
+                    self._leases[duty] = self._fresh(duty)
+                    continue
                 woken = lease.machine.handle(now, LeaseTimer())
                 actions += self._translate(lease, woken)
         return actions
@@ -95,14 +99,23 @@
             for action in self._translate(lease, lease.machine.resign(now))
         ]
 
-    def _start(self, now: float, duty: str, lease: _Held) -> list[Action]:
-        candidate = self._cluster.duties().is_responsible(
-            self._cluster.own.host_id,
+    def _is_candidate(self, duty: str) -> bool:
+        return self._cluster.duties().is_responsible(
+            self._own,
             f"lease/{duty}",
             Duty.POLL_TABLE,
             CANDIDATES_PER_DUTY,
         )
-        if not candidate:
+
+    def _may_retire(self, duty: str, lease: _Held) -> bool:
+        """Tell whether a host may stop reading the row.
+
+        It was a candidate among fewer hosts, and holds nothing.
+        """
+        return not lease.machine.memory.held and not self._is_candidate(duty)
+
+    def _start(self, now: float, duty: str, lease: _Held) -> list[Action]:
+        if not self._is_candidate(duty):
             return []
         lease.started = True
         return self._translate(lease, lease.machine.start(now))
--- a/waxwingarch/core/node.py
+++ b/waxwingarch/core/node.py
@@ -184,10 +184,11 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer may send requests here."""
-        return self._serving and not self.draining
+        return self.serving and not self.draining
 
     @property
-    def _serving(self) -> bool:
+    def serving(self) -> bool:
+        """Whether the settings in force are known here."""
         return self._settings_known and self.directory.revision > 0
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -213,7 +214,7 @@
                     "this host is stopping: send it again, another answers",
                 )
             ]
-        if not self._serving:
+        if not self.serving:
             return [
                 _refuse(
                     event.request,
--- a/waxwingarch/daemon.py
+++ b/waxwingarch/daemon.py
@@ -40,7 +40,7 @@
 from waxwingarch.core.messages import SendPeer
 from waxwingarch.core.settings import SettingsDelta
 from waxwingarch.diagnostics import dump
-from waxwingarch.ports.cloud import Notice
+from waxwingarch.ports.cloud import EntryHost, Notice
 from waxwingarch.tasks.admin import Admin
 from waxwingarch.tasks.attempts import AttemptRunner
 from waxwingarch.tasks.claims import ClaimTasks
@@ -92,6 +92,9 @@
             SettingsStore(self._table),
         )
         self._platform.on_own_notice = self._own_notice
+        self._platform.on_entry_hosts = self._on_entry_hosts
+        self._link = link
+        self._hosts = EXPECTED_HOSTS
         self._servers = ServerWatch(self._runner, self._client, rng)
         self._peers = PeerTransport(
             self._transport_config(),
@@ -174,7 +177,12 @@
         self._entry = Entry(
             self._runner,
             exchanges,
-            Intake(id_prefix, self.node.directory, tickets),
+            Intake(
+                id_prefix,
+                self.node.directory,
+                tickets,
+                lambda: self.node.serving,
+            ),
             tickets,
             objects,
             on_error,
@@ -283,6 +291,13 @@
         self._entry.server.start_drain()
         self._runner.post(OwnHostLeaving(deadline_unix=notice.deadline_unix))
 
+    def _on_entry_hosts(self, hosts: tuple[EntryHost, ...]) -> None:
+        """Keep to this host's part of the table's limits."""
+        count = max(len(hosts), EXPECTED_HOSTS)
+        if count != self._hosts:
+            self._hosts = count
+            self._link.set_budget(TableBudget.for_hosts(count))
+
     def _on_drained(self, action: Action) -> None:
         self._drained.set()
 
--- a/waxwingarch/tasks/intake.py
+++ b/waxwingarch/tasks/intake.py
@@ -1,6 +1,7 @@
 """Turns a caller's HTTP request into an exchange, or refuses it."""
 
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -65,8 +66,13 @@
     """Identifies callers and builds exchanges."""
 
     def __init__(
-        self, id_prefix: str, directory: Directory, tickets: TicketBook
+        self,
+        id_prefix: str,
+        directory: Directory,
+        tickets: TicketBook,
+        is_serving: Callable[[], bool],
     ) -> None:
+        self._is_serving = is_serving
         self._id_prefix = id_prefix
         self._directory = directory
         self._tickets = tickets
@@ -80,7 +86,7 @@
         self, now: float, request_id: RequestId, req: HttpRequest
     ) -> Exchange:
         """Return the exchange of a request; raises `IntakeError`."""
-        if not self._directory.revision:
+        if not self._is_serving():
             raise IntakeError(
                 RefusalReason.NOT_READY,
                 "this host has no settings yet: send it again",
--- a/waxwingarch/tasks/settings_apply.py
+++ b/waxwingarch/tasks/settings_apply.py
@@ -55,7 +55,7 @@
             parsed.append(parse(document))
         except SettingsError as exc:
             log_message(
-                message_type="document_broken",
+                message_type=f"{prefix.rstrip('/')}_broken",
                 name=document.name,
                 reason=str(exc),
             )
