--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -100,3 +100,22 @@
         self.assertEqual(b"abc", b"".join(pieces))
         await client.async_unload()
         await server.async_unload()
+
+
+class StoppingServer(testtools.TestCase):
+    @async_test
+    async def test_a_request_on_its_way_is_answered(self) -> None:
+        server = HttpServer(_handle)
+        port = await server.async_setup("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        answers = []
+        for _ in range(2):
+            writer.write(b"POST /echo HTTP/1.1\r\nhost: x\r\n")
+            writer.write(b"content-length: 2\r\n\r\nhi")
+            answers.append(await reader.readuntil(b"hi"))
+            server.start_drain()
+        self.assertNotIn(b"connection: close", answers[0])
+        self.assertIn(b"connection: close", answers[1])
+        self.assertEqual(b"", await reader.read())
+        writer.close()
+        await server.async_unload()
--- a/waxwingarch/tasks/handovers.py
+++ b/waxwingarch/tasks/handovers.py
@@ -18,7 +18,7 @@
 from waxwingarch.tasks.runner import Runner
 
 MAX_KEPT: Final = 2000
-MAX_KEPT_BYTES: Final = 16 * 1024 * 1024
+MAX_KEPT_BYTES: Final = 8 * 1024 * 1024
 CALL_LIMIT_S: Final = 0.7
 
 
