--- a/standins/base.py
+++ b/standins/base.py
@@ -14,14 +14,16 @@
 
 from standins.faults import Fault, FaultRequest, Faults
 from standins.journal import Journal
-from waxwingarch.adapters.http_server import (
+from waxwingarch.adapters.http_messages import (
     JSON_TYPE,
     Headers,
     HttpRequest,
     HttpResponder,
-    HttpServer,
     json_body,
 )
+from waxwingarch.adapters.http_server import (
+    HttpServer,
+)
 
 LISTEN_IP: Final = "127.0.0.1"
 CONTROL_PATHS: Final = ("/faults", "/journal", "/admin/")
--- a/standins/campaign_load.py
+++ b/standins/campaign_load.py
@@ -15,7 +15,10 @@
 from standins.client import Answer, Ask, Caller
 from standins.deployment import ACCOUNT_KEY, OPERATOR_KEY, contract_text
 from waxwingarch.adapters.http_client import HttpClient
-from waxwingarch.adapters.http_server import JSON_TYPE, json_body
+from waxwingarch.adapters.http_messages import (
+    JSON_TYPE,
+    json_body,
+)
 from waxwingarch.exceptions import LinkError
 
 ANSWER_LIMIT_S: Final = 30.0
--- a/standins/client.py
+++ b/standins/client.py
@@ -16,7 +16,11 @@
 from standins.answers import chat_text, expected_tokens
 from standins.sse import SseEvent, SseReader
 from waxwingarch.adapters.http_client import ClientStream, HttpClient
-from waxwingarch.adapters.http_server import JSON_TYPE, Headers, json_body
+from waxwingarch.adapters.http_messages import (
+    JSON_TYPE,
+    Headers,
+    json_body,
+)
 from waxwingarch.exceptions import LinkError
 
 CHAT_PATH: Final = "/v1/chat/completions"
--- a/standins/event_stream.py
+++ b/standins/event_stream.py
@@ -6,7 +6,9 @@
 
 from standins.base import Exchange
 from standins.batch import NEVER, Phase, Stream
-from waxwingarch.adapters.http_server import json_body
+from waxwingarch.adapters.http_messages import (
+    json_body,
+)
 
 EVENT_STREAM: Final = (
     ("content-type", "text/event-stream"),
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -17,7 +17,9 @@
 from standins.limits import RateLimit, SharedBandwidth
 from standins.table import Outcome, Tables, Transaction
 from waxwingarch.adapters.http_client import HttpClient
-from waxwingarch.adapters.http_server import json_body
+from waxwingarch.adapters.http_messages import (
+    json_body,
+)
 from waxwingarch.exceptions import LinkError
 
 ADMIN_LIMIT_S: Final = 2.0
--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -11,9 +11,11 @@
     HttpClient,
     SilentLinkError,
 )
-from waxwingarch.adapters.http_server import (
+from waxwingarch.adapters.http_messages import (
     HttpRequest,
     HttpResponder,
+)
+from waxwingarch.adapters.http_server import (
     HttpServer,
 )
 
--- a/tests/adapters/test_platform.py
+++ b/tests/adapters/test_platform.py
@@ -8,9 +8,11 @@
 
 from tests.helpers import async_test
 from waxwingarch.adapters.http_client import HttpClient
-from waxwingarch.adapters.http_server import (
+from waxwingarch.adapters.http_messages import (
     HttpRequest,
     HttpResponder,
+)
+from waxwingarch.adapters.http_server import (
     HttpServer,
 )
 from waxwingarch.adapters.platform import (
--- a/tests/standins/helpers.py
+++ b/tests/standins/helpers.py
@@ -9,7 +9,9 @@
 from standins.base import StandIn
 from standins.sse import SseReader
 from waxwingarch.adapters.http_client import HttpAnswer, HttpClient
-from waxwingarch.adapters.http_server import json_body
+from waxwingarch.adapters.http_messages import (
+    json_body,
+)
 
 LIMIT_S = 10.0
 POLL_S = 0.005
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -1,14 +1,22 @@
 """HTTP/1.1 server side over h11, one asyncio protocol a connection."""
 
 import asyncio
-import json
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, Final, Protocol
+from typing import Any, Final
 from urllib.parse import parse_qsl, urlsplit
 
 import h11
 
+from waxwingarch.adapters.http_messages import (
+    JSON_TYPE,
+    CallerGoneError,
+    Handler,
+    Headers,
+    HttpRequest,
+    json_body,
+)
+
 MAX_HEADER_BYTES: Final = 32 * 1024
 MAX_BODY_BYTES: Final = 8 * 1024 * 1024
 REQUEST_READ_LIMIT_S: Final = 10.0
@@ -18,67 +26,6 @@
 STOP_POLL_S: Final = 0.02
 WRITE_HIGH_WATER_BYTES: Final = 256 * 1024
 
-JSON_TYPE: Final = ("content-type", "application/json")
-
-Headers = Sequence[tuple[str, str]]
-
-
-class CallerGoneError(ConnectionError):
-    """The caller closed or stalled; stop the work, nothing can be sent."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class HttpRequest:
-    """One request as read from the wire; header names are lower-case."""
-
-    method: str
-    target: str
-    path: str
-    query: dict[str, str]
-    headers: dict[str, str]
-    body: bytes
-
-    def json(self) -> Any:
-        """Return the body parsed as JSON; raises `ValueError`."""
-        return json.loads(self.body) if self.body else None
-
-
-class HttpResponder(Protocol):
-    """Sends the answer to one request."""
-
-    @property
-    def started(self) -> bool:
-        """Whether the status line was sent."""
-
-    @property
-    def gone(self) -> asyncio.Event:
-        """Set once the caller closed its connection."""
-
-    async def async_start(self, status: int, headers: Headers) -> None:
-        """Send the status line and headers of a chunked answer."""
-
-    async def async_write(self, data: bytes) -> None:
-        """Send a piece of the body; raises `CallerGoneError`."""
-
-    async def async_end(self) -> None:
-        """End a chunked answer."""
-
-    async def async_send(
-        self, status: int, body: bytes, headers: Headers = ()
-    ) -> None:
-        """Send a whole answer."""
-
-    def abort(self) -> None:
-        """Close the connection at once."""
-
-
-Handler = Callable[[HttpRequest, HttpResponder], Awaitable[None]]
-
-
-def json_body(value: object) -> bytes:
-    """Return `value` as compact JSON bytes."""
-    return json.dumps(value, separators=(",", ":")).encode()
-
 
 @dataclass(slots=True)
 class _Reading:
--- a/waxwingarch/adapters/platform_http.py
+++ b/waxwingarch/adapters/platform_http.py
@@ -11,7 +11,10 @@
     HttpAnswer,
     HttpClient,
 )
-from waxwingarch.adapters.http_server import JSON_TYPE, json_body
+from waxwingarch.adapters.http_messages import (
+    JSON_TYPE,
+    json_body,
+)
 from waxwingarch.core.budget import TokenBucket
 from waxwingarch.exceptions import LinkError
 from waxwingarch.ports.table import (
--- a/waxwingarch/daemon.py
+++ b/waxwingarch/daemon.py
@@ -11,7 +11,9 @@
 
 from waxwingarch.adapters.claim_store import ClaimStore
 from waxwingarch.adapters.http_client import HttpClient
-from waxwingarch.adapters.http_server import HttpRequest
+from waxwingarch.adapters.http_messages import (
+    HttpRequest,
+)
 from waxwingarch.adapters.lease_store import LeaseStore
 from waxwingarch.adapters.platform import (
     HttpCloud,
--- a/waxwingarch/tasks/admin.py
+++ b/waxwingarch/tasks/admin.py
@@ -7,9 +7,11 @@
 
 import orjson
 
-from waxwingarch.adapters.http_server import (
+from waxwingarch.adapters.http_messages import (
     HttpRequest,
     HttpResponder,
+)
+from waxwingarch.adapters.http_server import (
     HttpServer,
 )
 from waxwingarch.exceptions import (
--- a/waxwingarch/tasks/entry.py
+++ b/waxwingarch/tasks/entry.py
@@ -14,10 +14,12 @@
     usage_of,
     whole_body,
 )
-from waxwingarch.adapters.http_server import (
+from waxwingarch.adapters.http_messages import (
     CallerGoneError,
     HttpRequest,
     HttpResponder,
+)
+from waxwingarch.adapters.http_server import (
     HttpServer,
 )
 from waxwingarch.adapters.sse import sse_event
--- a/waxwingarch/tasks/explain.py
+++ b/waxwingarch/tasks/explain.py
@@ -2,7 +2,9 @@
 
 from typing import Any, Final
 
-from waxwingarch.adapters.http_server import HttpRequest
+from waxwingarch.adapters.http_messages import (
+    HttpRequest,
+)
 from waxwingarch.adapters.metrics import Metrics, Sample
 from waxwingarch.core.node import Node
 from waxwingarch.tasks.admin import Admin, NotFoundError
--- a/waxwingarch/tasks/intake.py
+++ b/waxwingarch/tasks/intake.py
@@ -11,7 +11,9 @@
     parse_engine_body,
 )
 from waxwingarch.adapters.contract_ini import key_digest
-from waxwingarch.adapters.http_server import HttpRequest
+from waxwingarch.adapters.http_messages import (
+    HttpRequest,
+)
 from waxwingarch.adapters.ticket import BadTicketError, TicketBook
 from waxwingarch.const import (
     HEADER_DEADLINE_MS,
--- a/waxwingarch/tasks/move_operations.py
+++ b/waxwingarch/tasks/move_operations.py
@@ -9,7 +9,9 @@
 from pydantic import BaseModel, ConfigDict, Field
 from returns.result import Failure, Result, Success
 
-from waxwingarch.adapters.http_server import HttpRequest
+from waxwingarch.adapters.http_messages import (
+    HttpRequest,
+)
 from waxwingarch.adapters.settings import Name
 from waxwingarch.adapters.settings_moves import moves_of
 from waxwingarch.core.base import ServiceId, VersionId
--- a/waxwingarch/tasks/operations.py
+++ b/waxwingarch/tasks/operations.py
@@ -17,7 +17,9 @@
     without_plain_key,
 )
 from waxwingarch.adapters.contract_ini import parse_contract
-from waxwingarch.adapters.http_server import HttpRequest
+from waxwingarch.adapters.http_messages import (
+    HttpRequest,
+)
 from waxwingarch.core.node import Node
 from waxwingarch.core.settings import Document, SettingsSnapshot
 from waxwingarch.exceptions import ConflictError, SettingsError
--- a/waxwingarch/tasks/state_operations.py
+++ b/waxwingarch/tasks/state_operations.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from waxwingarch.adapters.http_server import HttpRequest
+from waxwingarch.adapters.http_messages import (
+    HttpRequest,
+)
 from waxwingarch.core.base import HostId
 from waxwingarch.core.node import Node
 from waxwingarch.tasks.admin import Admin, AdminCall
