--- a/model/stream.py
+++ b/model/stream.py
@@ -186,7 +186,7 @@
             for known in way:
                 run.step(known)
             after = run.state()
-            if after.begun > MAX_ATTEMPTS:
+            if after.begun > MAX_ATTEMPTS or _is_past_a_fault(after):
                 continue
             ways.setdefault(after, way)
             if after != state:
@@ -207,6 +207,11 @@
     )
 
 
+def _is_past_a_fault(state: State) -> bool:
+    """Tell whether more was delivered than shows a broken variant."""
+    return len(state.delivered) > len(ANSWER) + 1
+
+
 def _delivered_is_a_prefix(state: dict[str, Any]) -> bool:
     delivered = tuple(state["delivered"])
     return delivered == ANSWER[: len(delivered)]
