Derive the key of a hand-over in one place

The desk took the request id off a stream id by hand, beside the function that the sending side and the shelf use; were one changed alone, a host would ask the keepers under another key. Behaviour is the same: the recorded trace replays byte for byte, the hand-over tests are green.

--- a/waxwingarch/core/desk.py
+++ b/waxwingarch/core/desk.py
@@ -16,6 +16,7 @@
 from waxwingarch.core.desk_refusals import no_server, not_admitted
 from waxwingarch.core.durations import Durations
 from waxwingarch.core.guarded import GuardedMachine, Identity, OnceReply
+from waxwingarch.core.handover import hand_over_key
 from waxwingarch.core.observer import AttemptObserver
 from waxwingarch.core.once_state import OwnerView
 from waxwingarch.core.placement_messages import Outcome
@@ -255,7 +256,7 @@
         assert resume is not None
         work.fetched = True
         work.retry_at = now + FETCH_LIMIT_S
-        key = RequestId(resume.stream_id.rpartition("-")[0])
+        key = hand_over_key(resume.stream_id)
         return FetchHandOver(
             request_id=work.machine.request.request_id,
             key=key,
--- a/waxwingarch/core/handoff.py
+++ b/waxwingarch/core/handoff.py
@@ -17,6 +17,7 @@
     ServerId,
 )
 from waxwingarch.core.desk import Desk
+from waxwingarch.core.handover import hand_over_key
 from waxwingarch.core.stream import StreamMachine
 
 CLOSE_LEAD_S: Final = 1.0
@@ -101,8 +102,3 @@
             digest=machine.assembly.digest,
             close=close,
         )
-
-
-def hand_over_key(stream_id: str) -> RequestId:
-    """Return the request that a stream was first begun for."""
-    return RequestId(stream_id.rpartition("-")[0])
--- a/waxwingarch/core/handover.py
+++ b/waxwingarch/core/handover.py
@@ -36,3 +36,8 @@
 def tokens_digest(tokens: Iterable[str]) -> str:
     """Return the digest of tokens in the order given."""
     return xxhash.xxh3_64_hexdigest("".join(tokens).encode())
+
+
+def hand_over_key(stream_id: str) -> RequestId:
+    """Return the request that a stream was first begun for."""
+    return RequestId(stream_id.rpartition("-")[0])
