--- a/model/admission.py
+++ b/model/admission.py
@@ -13,14 +13,14 @@
 
 from minicheck import Protocol as Spec
 
-from waxwingarch.core.admission import Admission
-from waxwingarch.core.admission_messages import (
+from waxwingarch.core.base import AccountId, RequestId
+from waxwingarch.core.contracts.contract import Contract
+from waxwingarch.core.limits.admission import Admission
+from waxwingarch.core.limits.admission_messages import (
     Admitted,
     PendingRequest,
     Refusal,
 )
-from waxwingarch.core.base import AccountId, RequestId
-from waxwingarch.core.contract import Contract
 
 A: Final = AccountId("a")
 B: Final = AccountId("b")
--- a/model/lease.py
+++ b/model/lease.py
@@ -12,7 +12,7 @@
 from minicheck import Protocol as Spec
 
 from waxwingarch.core.base import Action, Event, HostId
-from waxwingarch.core.lease import (
+from waxwingarch.core.duties.lease import (
     LeaseConflict,
     LeaseMachine,
     LeaseMemory,
--- a/model/leaving.py
+++ b/model/leaving.py
@@ -6,8 +6,8 @@
 from minicheck import Protocol, check_safety
 
 from waxwingarch.core.base import ServerId
-from waxwingarch.core.items import Item, LeavingServer
-from waxwingarch.core.merge import item_key, merge
+from waxwingarch.core.cluster.items import Item, LeavingServer
+from waxwingarch.core.cluster.merge import item_key, merge
 
 Marks = tuple[Item, ...]
 # What a host keeps of its marks when it reads the list of live servers.
--- a/model/membership.py
+++ b/model/membership.py
@@ -11,7 +11,7 @@
 from minicheck import Protocol, check_safety
 
 from waxwingarch.core.base import FailureDomain, HostId
-from waxwingarch.core.members import (
+from waxwingarch.core.cluster.members import (
     Addresses,
     Member,
     MemberState,
--- a/model/move.py
+++ b/model/move.py
@@ -12,18 +12,18 @@
 from minicheck import Protocol
 
 from waxwingarch.core.base import ServiceId, VersionId
-from waxwingarch.core.items import StopMark
-from waxwingarch.core.move import stop_version
-from waxwingarch.core.move_counts import Signal
-from waxwingarch.core.move_judge import Decision, Verdict
-from waxwingarch.core.move_record import (
+from waxwingarch.core.cluster.items import StopMark
+from waxwingarch.core.moves.move import stop_version
+from waxwingarch.core.moves.move_counts import Signal
+from waxwingarch.core.moves.move_judge import Decision, Verdict
+from waxwingarch.core.moves.move_record import (
     ACTIVE_STATES,
     TRANSITIONS,
     MoveEvent,
     MoveRecord,
     MoveState,
 )
-from waxwingarch.core.move_split import choose_version
+from waxwingarch.core.moves.move_split import choose_version
 
 HOSTS: Final = (0, 1)
 OLD: Final = VersionId("v1")
--- a/model/once.py
+++ b/model/once.py
@@ -13,7 +13,7 @@
 from minicheck import Protocol as Spec
 
 from waxwingarch.core.base import Action, Event, HostId, Ran
-from waxwingarch.core.claim import (
+from waxwingarch.core.once.claim import (
     ClaimRow,
     ClaimState,
     StoredAnswer,
@@ -21,8 +21,8 @@
     may_write,
     row_state,
 )
-from waxwingarch.core.once import OnceMachine
-from waxwingarch.core.once_messages import (
+from waxwingarch.core.once.once import OnceMachine
+from waxwingarch.core.once.once_messages import (
     Answer,
     ClaimConflict,
     ClaimRead,
@@ -43,7 +43,7 @@
     TableUnavailable,
     WriteClaim,
 )
-from waxwingarch.core.once_state import Memory
+from waxwingarch.core.once.once_state import Memory
 
 TIMES: Final = (0.0, 10.0, 30.0)
 ANSWER: Final = StoredAnswer(status=200, content_type="text/plain")
--- a/model/revision.py
+++ b/model/revision.py
@@ -11,7 +11,7 @@
 from minicheck import Protocol as Spec
 
 from waxwingarch.core.base import Action, Event
-from waxwingarch.core.revision import (
+from waxwingarch.core.settings.revision import (
     ChangeCommitted,
     ChangedDocument,
     ChangeEnd,
--- a/model/settings_spread.py
+++ b/model/settings_spread.py
@@ -5,7 +5,7 @@
 
 from minicheck import Protocol, check_safety
 
-from waxwingarch.core.configsync import Basis, is_newer, may_serve
+from waxwingarch.core.cluster.configsync import Basis, is_newer, may_serve
 
 IsNewer = Callable[[int, int], bool]
 MayServe = Callable[[Basis, int, int, int], bool]
--- a/model/shares.py
+++ b/model/shares.py
@@ -11,7 +11,7 @@
 from minicheck import Protocol as Spec
 
 from waxwingarch.core.base import HostId
-from waxwingarch.core.shares import LoanGrant, LoanRequest, ShareLedger
+from waxwingarch.core.limits.shares import LoanGrant, LoanRequest, ShareLedger
 
 TIMES: Final = (0.0, 1.0, 3.1, 4.2, 7.0)
 LIMIT: Final = 4
--- a/model/stream.py
+++ b/model/stream.py
@@ -11,7 +11,6 @@
 import xxhash
 from minicheck import Protocol, check_safety
 
-from waxwingarch.core.assembly import Prefix, TokenAssembly
 from waxwingarch.core.base import (
     AccountId,
     Action,
@@ -35,7 +34,8 @@
     Refuse,
     Request,
 )
-from waxwingarch.core.stream import StreamMachine
+from waxwingarch.core.requests.assembly import Prefix, TokenAssembly
+from waxwingarch.core.requests.stream import StreamMachine
 
 ANSWER = ("a", "b")
 DIGEST = xxhash.xxh3_64_hexdigest("".join(ANSWER).encode())
--- a/script/made_move.py
+++ b/script/made_move.py
@@ -9,8 +9,8 @@
 from random import Random
 
 from waxwingarch.core.base import HostId, ServerId, ServiceId, VersionId
-from waxwingarch.core.evidence import EvidenceBook
-from waxwingarch.core.move import (
+from waxwingarch.core.moves.evidence import EvidenceBook
+from waxwingarch.core.moves.move import (
     MoveDriver,
     MoveView,
     StartServers,
@@ -18,15 +18,15 @@
     plan_move,
     stop_version,
 )
-from waxwingarch.core.move_baseline import (
+from waxwingarch.core.moves.move_baseline import (
     FixedStepPolicy,
     FixedThresholdJudge,
 )
-from waxwingarch.core.move_counts import load_band
-from waxwingarch.core.move_judge import SequentialJudge
-from waxwingarch.core.move_policy import PacedPolicy
-from waxwingarch.core.move_record import OutcomeKind, WriteMove
-from waxwingarch.core.move_split import choose_version, is_stopped
+from waxwingarch.core.moves.move_counts import load_band
+from waxwingarch.core.moves.move_judge import SequentialJudge
+from waxwingarch.core.moves.move_policy import PacedPolicy
+from waxwingarch.core.moves.move_record import OutcomeKind, WriteMove
+from waxwingarch.core.moves.move_split import choose_version, is_stopped
 
 SERVICE = ServiceId("waxwing-pool")
 OLD, NEW = VersionId("v1"), VersionId("v2")
--- a/script/measure_claims.py
+++ b/script/measure_claims.py
@@ -9,12 +9,12 @@
 from random import Random
 from typing import Final
 
-from waxwingarch.core.claim_batch import (
+from waxwingarch.core.once.claim_batch import (
     RECORD_LINGER_MAX_S,
     BatchedWrite,
     ClaimBatcher,
 )
-from waxwingarch.core.rows import Committed, Condition, Write
+from waxwingarch.core.settings.rows import Committed, Condition, Write
 
 REQUESTS_PER_S: Final = 11_000
 COMMIT_S: Final = 0.02
--- a/script/policy_feed.py
+++ b/script/policy_feed.py
@@ -26,13 +26,13 @@
     ServiceId,
     VersionId,
 )
-from waxwingarch.core.placement_messages import (
+from waxwingarch.core.placement.placement_messages import (
     Outcome,
     Placement,
     PlacementRequest,
     ServerView,
 )
-from waxwingarch.core.prefix import CacheEvent, CacheOp, PrefixIndex
+from waxwingarch.core.placement.prefix import CacheEvent, CacheOp, PrefixIndex
 
 SLOTS = 8
 CACHE_BLOCKS = 1500
--- a/script/policy_noise.py
+++ b/script/policy_noise.py
@@ -3,11 +3,11 @@
 import heapq
 from random import Random
 
-from waxwingarch.core.admission import Admission
-from waxwingarch.core.admission_messages import Admitted, PendingRequest
 from waxwingarch.core.base import AccountId, RequestId
-from waxwingarch.core.contract import Contract
-from waxwingarch.core.fair_queue import FairQueue
+from waxwingarch.core.contracts.contract import Contract
+from waxwingarch.core.limits.admission import Admission
+from waxwingarch.core.limits.admission_messages import Admitted, PendingRequest
+from waxwingarch.core.limits.fair_queue import FairQueue
 
 SLOTS = 48
 RUN_S = 120.0
--- a/script/policy_reclaim.py
+++ b/script/policy_reclaim.py
@@ -7,7 +7,7 @@
 from policy_workload import BLOCK_TOKENS
 
 from waxwingarch.core.base import RequestId, ServerId
-from waxwingarch.core.reclaim import (
+from waxwingarch.core.servers.reclaim import (
     ReclaimStep,
     ReclaimWay,
     StreamView,
--- a/script/policy_report.py
+++ b/script/policy_report.py
@@ -10,10 +10,13 @@
 from policy_reclaim import Loss
 from policy_workload import DEPLOYMENTS, Deployment
 
-from waxwingarch.core.placement import CostPlacement
-from waxwingarch.core.placement_baseline import LeastLoaded, RoundRobin
-from waxwingarch.core.prefix import PrefixIndex
-from waxwingarch.core.reclaim import plan, plan_recompute
+from waxwingarch.core.placement.placement import CostPlacement
+from waxwingarch.core.placement.placement_baseline import (
+    LeastLoaded,
+    RoundRobin,
+)
+from waxwingarch.core.placement.prefix import PrefixIndex
+from waxwingarch.core.servers.reclaim import plan, plan_recompute
 
 NOTICE_EVERY_S = 10.0
 BYTES_PER_GBIT = 125e6
--- a/script/red_runs.py
+++ b/script/red_runs.py
@@ -45,7 +45,7 @@
 MUTATIONS: Final = (
     Mutation(
         promise="survives",
-        path="waxwingarch/core/handoff.py",
+        path="waxwingarch/core/requests/handoff.py",
         old="peers=self._keepers(hand_over_key(attempt.stream_id))",
         new="peers=()",
         test=FAULTS + "test_entry_hosts.py::ReclaimedEntryHost::"
@@ -53,7 +53,7 @@
     ),
     Mutation(
         promise="bad-version",
-        path="waxwingarch/core/move_split.py",
+        path="waxwingarch/core/moves/move_split.py",
         old="    if is_stopped(record, stop_marks):\n"
         "        return Choice(version=record.old_version)\n",
         new="",
@@ -61,7 +61,7 @@
     ),
     Mutation(
         promise="whole-answer",
-        path="waxwingarch/core/assembly.py",
+        path="waxwingarch/core/requests/assembly.py",
         old="fresh = tokens[self.offset - offset :]",
         new="fresh = tokens",
         test=FAULTS + "test_streams.py::EngineLost::test_broken_chunks",
@@ -76,14 +76,14 @@
     ),
     Mutation(
         promise="at-most-once",
-        path="waxwingarch/core/once.py",
+        path="waxwingarch/core/once/once.py",
         old='(_P.CLAIMING, ClaimConflict): "_on_row"',
         new='(_P.CLAIMING, ClaimConflict): "_on_claimed"',
         test=FAULTS + "test_once.py::AtMostOnce::test_two_entries_at_once",
     ),
     Mutation(
         promise="leaving",
-        path="waxwingarch/core/servers.py",
+        path="waxwingarch/core/servers/servers.py",
         old="            and self.departure(server.server_id) is None\n",
         new="",
         test=FAULTS + "test_leaving.py::LeavingServer::"
@@ -99,7 +99,7 @@
     ),
     Mutation(
         promise="in-force",
-        path="waxwingarch/core/configsync.py",
+        path="waxwingarch/core/cluster/configsync.py",
         old="peer = None if self._from_table else self._nearest(peers)",
         new="peer = None",
         test=FAULTS + "test_together.py::SettingsAndTwoFaults::"
@@ -107,7 +107,7 @@
     ),
     Mutation(
         promise="never-reverts",
-        path="waxwingarch/core/configsync.py",
+        path="waxwingarch/core/cluster/configsync.py",
         old="return candidate > applied",
         new="return candidate != applied",
         test="tests/model/test_settings_spread.py",
--- a/standins/trace_outcomes.py
+++ b/standins/trace_outcomes.py
@@ -6,8 +6,8 @@
 from waxwingarch.adapters.trace import Step, TraceHeader
 from waxwingarch.core.base import Action
 from waxwingarch.core.events import RequestArrived, ServerLeaving
-from waxwingarch.core.guarded import OnceAnswer, OnceDispatch
 from waxwingarch.core.request import Complete, Refuse, StartAttempt
+from waxwingarch.core.requests.guarded import OnceAnswer, OnceDispatch
 
 
 def outcomes_of(steps: Iterable[Step], header: TraceHeader) -> Any:
--- a/tests/adapters/test_claim_runs.py
+++ b/tests/adapters/test_claim_runs.py
@@ -7,13 +7,13 @@
 import testtools
 
 from tests.adapters.fake_table import FakeTable
-from tests.core.test_once import ANSWER, REQ
+from tests.core.once.test_once import ANSWER, REQ
 from tests.helpers import async_test
 from waxwingarch.adapters.claim_store import ClaimStore
 from waxwingarch.core.base import Action, Event, HostId, Ran
-from waxwingarch.core.claim import StoredAnswer
-from waxwingarch.core.once import OnceMachine
-from waxwingarch.core.once_messages import (
+from waxwingarch.core.once.claim import StoredAnswer
+from waxwingarch.core.once.once import OnceMachine
+from waxwingarch.core.once.once_messages import (
     Answer,
     AnswerStored,
     Dispatch,
--- a/tests/adapters/test_claim_store.py
+++ b/tests/adapters/test_claim_store.py
@@ -6,13 +6,13 @@
 import testtools
 
 from tests.adapters.fake_table import FakeTable
-from tests.core.test_once import OTHERS, REQ
+from tests.core.once.test_once import OTHERS, REQ
 from tests.helpers import async_test
 from waxwingarch.adapters.claim_store import ClaimStore
 from waxwingarch.adapters.claim_sweep import Swept, async_sweep
 from waxwingarch.adapters.lease_store import LeaseStore
 from waxwingarch.core.base import HostId
-from waxwingarch.core.lease import (
+from waxwingarch.core.duties.lease import (
     LeaseConflict,
     LeaseRead,
     LeaseReplyLost,
@@ -22,7 +22,7 @@
     ReadLease,
     WriteLease,
 )
-from waxwingarch.core.once_messages import (
+from waxwingarch.core.once.once_messages import (
     ClaimConflict,
     ClaimRead,
     ClaimWritten,
--- a/tests/adapters/test_grpc_peers.py
+++ b/tests/adapters/test_grpc_peers.py
@@ -7,8 +7,8 @@
 from tests.helpers import async_test
 from waxwingarch.adapters.grpc_peers import GrpcPeers, GrpcPeerServer
 from waxwingarch.core.base import AccountId, RequestId, ServerId
-from waxwingarch.core.handover import HandOver, tokens_digest
-from waxwingarch.core.settings import (
+from waxwingarch.core.requests.handover import HandOver, tokens_digest
+from waxwingarch.core.settings.settings import (
     Document,
     SettingsDelta,
     SettingsHistory,
--- a/tests/adapters/test_move_trace.py
+++ b/tests/adapters/test_move_trace.py
@@ -7,7 +7,7 @@
 from testtools import TestCase
 
 from waxwingarch.adapters.move_trace import MoveReplay, load_trace
-from waxwingarch.core.move_record import MoveState
+from waxwingarch.core.moves.move_record import MoveState
 from waxwingarch.exceptions import SettingsError
 
 TRACES = Path(__file__).parents[2] / "traces"
--- a/tests/adapters/test_peer_codec.py
+++ b/tests/adapters/test_peer_codec.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.core.test_spread import ITEMS
+from tests.core.cluster.test_spread import ITEMS
 from waxwingarch.adapters.item_codec import (
     ITEM_FIELDS,
     MalformedMessageError,
@@ -15,9 +15,9 @@
     encode_datagram,
 )
 from waxwingarch.core.base import HostId, ServerId
-from waxwingarch.core.items import CacheSummary, Item, LoadSummary
-from waxwingarch.core.members import Addresses, Member, MemberState
-from waxwingarch.core.messages import (
+from waxwingarch.core.cluster.items import CacheSummary, Item, LoadSummary
+from waxwingarch.core.cluster.members import Addresses, Member, MemberState
+from waxwingarch.core.cluster.messages import (
     Ack,
     Datagram,
     Gossip,
@@ -27,7 +27,7 @@
     Probe,
     SyncRequest,
 )
-from waxwingarch.core.sizes import (
+from waxwingarch.core.cluster.sizes import (
     HEADER_BYTES,
     SYNC_HEADER_BYTES,
     item_bytes,
--- a/tests/adapters/test_platform_standin.py
+++ b/tests/adapters/test_platform_standin.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from tests.core.test_once import REQ
+from tests.core.once.test_once import REQ
 from tests.helpers import async_test
 from tests.standins.helpers import Peer, running_platform
 from waxwingarch.adapters.claim_store import ClaimStore
@@ -17,8 +17,8 @@
     SettingsStore,
 )
 from waxwingarch.core.base import AccountId
-from waxwingarch.core.claim import claim_key
-from waxwingarch.core.once_messages import (
+from waxwingarch.core.once.claim import claim_key
+from waxwingarch.core.once.once_messages import (
     ClaimConflict,
     ClaimRead,
     ClaimWritten,
@@ -27,7 +27,7 @@
     TableUnavailable,
     WriteClaim,
 )
-from waxwingarch.core.settings import Document
+from waxwingarch.core.settings.settings import Document
 
 LIMIT_S = 10.0
 KEY = claim_key(AccountId("acc"), "pledge 7/ü")
--- a/tests/adapters/test_settings_store.py
+++ b/tests/adapters/test_settings_store.py
@@ -13,13 +13,13 @@
     StoredDocument,
 )
 from waxwingarch.adapters.settings_table import SettingsTableReader
-from waxwingarch.core.revision import (
+from waxwingarch.core.settings.revision import (
     MAX_DOCUMENTS_A_CHANGE,
     ChangedDocument,
     RevisionRow,
     SettingsChange,
 )
-from waxwingarch.core.settings import Document
+from waxwingarch.core.settings.settings import Document
 from waxwingarch.exceptions import SettingsError
 from waxwingarch.ports.settings import SettingsWriter
 from waxwingarch.ports.table import TableUnavailableError
--- a/tests/adapters/test_udp_peers.py
+++ b/tests/adapters/test_udp_peers.py
@@ -12,7 +12,7 @@
     split_address,
 )
 from waxwingarch.core.base import HostId
-from waxwingarch.core.messages import Datagram, Gossip
+from waxwingarch.core.cluster.messages import Datagram, Gossip
 
 LOOPBACK = "127.0.0.1:0"
 GOSSIP = Datagram(
--- a/tests/core/bus.py
+++ b/tests/core/bus.py
@@ -17,7 +17,7 @@
     ServiceId,
     VersionId,
 )
-from waxwingarch.core.configsync import (
+from waxwingarch.core.cluster.configsync import (
     ApplySettings,
     PollRevision,
     PullSettings,
@@ -25,13 +25,13 @@
     RevisionRead,
     SettingsRead,
 )
-from waxwingarch.core.contract import Contract, RouteRule
+from waxwingarch.core.cluster.members import Addresses, Member, MemberState
+from waxwingarch.core.cluster.messages import DatagramReceived, SendPeer, Tick
+from waxwingarch.core.contracts.contract import Contract, RouteRule
 from waxwingarch.core.events import ServersListed, SettingsParsed
-from waxwingarch.core.members import Addresses, Member, MemberState
-from waxwingarch.core.messages import DatagramReceived, SendPeer, Tick
 from waxwingarch.core.node import Node
 from waxwingarch.core.request import Request
-from waxwingarch.core.settings import Document, make_snapshot
+from waxwingarch.core.settings.settings import Document, make_snapshot
 
 TICK_S = 0.1
 DELAY_S = 0.002
--- a/tests/core/test_capacity.py
+++ b/tests/core/capacity/test_capacity.py
@@ -11,7 +11,7 @@
     ServiceId,
     VersionId,
 )
-from waxwingarch.core.capacity import (
+from waxwingarch.core.capacity.capacity import (
     CHEAPER_S,
     MIN_LIFE_S,
     ORDER_SETTLE_S,
@@ -25,7 +25,7 @@
     StartServer,
     StopServer,
 )
-from waxwingarch.core.capacity_mix import Offer
+from waxwingarch.core.capacity.capacity_mix import Offer
 
 
 def demand(units: float) -> Demand:
--- a/tests/core/test_capacity_mix.py
+++ b/tests/core/capacity/test_capacity_mix.py
@@ -7,7 +7,7 @@
 from testtools import TestCase
 
 from waxwingarch.core.base import FailureDomain
-from waxwingarch.core.capacity_mix import (
+from waxwingarch.core.capacity.capacity_mix import (
     Candidate,
     cheapest_mix,
     surviving,
--- a/tests/core/test_cluster.py
+++ b/tests/core/cluster/test_cluster.py
@@ -4,23 +4,23 @@
 
 from tests.core.clusters import UNIX_0, Bench, make_member
 from waxwingarch.core.base import HostId, ServerId, ServiceId, VersionId
-from waxwingarch.core.cluster_events import (
+from waxwingarch.core.cluster.cluster_events import (
     AskApplied,
     Leave,
     PublishItem,
     SetDraining,
     Superseded,
 )
-from waxwingarch.core.items import (
+from waxwingarch.core.cluster.items import (
     LeavingServer,
     LoadSummary,
     SpentShare,
     StopMark,
 )
-from waxwingarch.core.members import MemberState
-from waxwingarch.core.settings import Document, make_snapshot
-from waxwingarch.core.sizes import MAX_DATAGRAM_BYTES, member_bytes
-from waxwingarch.core.watch import Duty
+from waxwingarch.core.cluster.members import MemberState
+from waxwingarch.core.cluster.sizes import MAX_DATAGRAM_BYTES, member_bytes
+from waxwingarch.core.cluster.watch import Duty
+from waxwingarch.core.settings.settings import Document, make_snapshot
 
 S1 = ServerId("s1")
 LEAVING = LeavingServer(
--- a/tests/core/test_configsync.py
+++ b/tests/core/cluster/test_configsync.py
@@ -8,7 +8,7 @@
 
 from tests.core.clusters import make_member
 from waxwingarch.core.base import Action, HostId
-from waxwingarch.core.configsync import (
+from waxwingarch.core.cluster.configsync import (
     PEER_WAIT_S,
     ApplySettings,
     ConfigSync,
@@ -22,7 +22,7 @@
     SettingsPulled,
     SettingsRead,
 )
-from waxwingarch.core.settings import (
+from waxwingarch.core.settings.settings import (
     Document,
     SettingsDelta,
     SettingsHistory,
--- a/tests/core/test_membership.py
+++ b/tests/core/cluster/test_membership.py
@@ -6,13 +6,18 @@
 
 from tests.core.clusters import Bench, make_member
 from waxwingarch.core.base import HostId
-from waxwingarch.core.members import Member, MemberState
-from waxwingarch.core.membership import (
+from waxwingarch.core.cluster.members import Member, MemberState
+from waxwingarch.core.cluster.membership import (
     DEAD_RETENTION_S,
     Membership,
     suspicion_s,
 )
-from waxwingarch.core.messages import Ack, IndirectProbe, Outgoing, Probe
+from waxwingarch.core.cluster.messages import (
+    Ack,
+    IndirectProbe,
+    Outgoing,
+    Probe,
+)
 
 PEER = make_member("h1")
 
--- a/tests/core/test_spread.py
+++ b/tests/core/cluster/test_spread.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 
 from waxwingarch.core.base import HostId, ServerId
-from waxwingarch.core.digest import BucketDigest
-from waxwingarch.core.items import (
+from waxwingarch.core.cluster.digest import BucketDigest
+from waxwingarch.core.cluster.items import (
     CacheSummary,
     EvidenceCount,
     Item,
@@ -19,9 +19,9 @@
     SpentShare,
     StopMark,
 )
-from waxwingarch.core.merge import ItemKind, item_key, merge
-from waxwingarch.core.rumours import RumourQueue, Urgency, send_limit
-from waxwingarch.core.spread import (
+from waxwingarch.core.cluster.merge import ItemKind, item_key, merge
+from waxwingarch.core.cluster.rumours import RumourQueue, Urgency, send_limit
+from waxwingarch.core.cluster.spread import (
     LEAVING_RETENTION_S,
     MAX_ITEMS,
     VOLATILE_TTL_S,
--- a/tests/core/test_watch.py
+++ b/tests/core/cluster/test_watch.py
@@ -5,7 +5,7 @@
 import testtools
 
 from waxwingarch.core.base import FailureDomain, HostId, ServerId, ServiceId
-from waxwingarch.core.watch import (
+from waxwingarch.core.cluster.watch import (
     Duty,
     DutyTable,
     Place,
--- a/tests/core/clusters.py
+++ b/tests/core/clusters.py
@@ -7,9 +7,9 @@
 from itertools import count
 
 from waxwingarch.core.base import Action, Event, FailureDomain, HostId
-from waxwingarch.core.cluster import Cluster
-from waxwingarch.core.cluster_events import ItemsChanged, Superseded
-from waxwingarch.core.configsync import (
+from waxwingarch.core.cluster.cluster import Cluster
+from waxwingarch.core.cluster.cluster_events import ItemsChanged, Superseded
+from waxwingarch.core.cluster.configsync import (
     ApplySettings,
     PollRevision,
     PullFailed,
@@ -22,9 +22,9 @@
     SettingsRead,
     SettingsUnavailable,
 )
-from waxwingarch.core.members import Addresses, Member, MemberState
-from waxwingarch.core.messages import DatagramReceived, SendPeer, Tick
-from waxwingarch.core.settings import SettingsSnapshot, make_snapshot
+from waxwingarch.core.cluster.members import Addresses, Member, MemberState
+from waxwingarch.core.cluster.messages import DatagramReceived, SendPeer, Tick
+from waxwingarch.core.settings.settings import SettingsSnapshot, make_snapshot
 
 TICK_S = 0.1
 UNIX_0 = 1_000.0
--- a/tests/core/test_duty_leases.py
+++ b/tests/core/duties/test_duty_leases.py
@@ -3,9 +3,9 @@
 import testtools
 
 from tests.core.bus import Bus, a_contract
-from waxwingarch.core.duty_leases import LeaseCall, LeaseReply
-from waxwingarch.core.lease import LeaseRead, LeaseRow, ReadLease
-from waxwingarch.core.move_duty import MOVES_DUTY
+from waxwingarch.core.duties.duty_leases import LeaseCall, LeaseReply
+from waxwingarch.core.duties.lease import LeaseRead, LeaseRow, ReadLease
+from waxwingarch.core.moves.move_duty import MOVES_DUTY
 
 HOSTS = 9
 LATER_S = 60.0
--- a/tests/core/test_lease.py
+++ b/tests/core/duties/test_lease.py
@@ -3,7 +3,7 @@
 import testtools
 
 from waxwingarch.core.base import Action, HostId, ServerId, VersionId
-from waxwingarch.core.lease import (
+from waxwingarch.core.duties.lease import (
     LEASE_MARGIN_S,
     LEASE_TERM_S,
     LONGEST_ORDER_S,
@@ -21,7 +21,7 @@
     SetLeaseTimer,
     WriteLease,
 )
-from waxwingarch.core.orders import (
+from waxwingarch.core.servers.orders import (
     KEEP_WATCH_S,
     OrderDone,
     OrderRefused,
--- /dev/null
+++ b/tests/core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of limits."""
--- a/tests/core/test_account_shares.py
+++ b/tests/core/limits/test_account_shares.py
@@ -2,12 +2,12 @@
 
 import testtools
 
-from waxwingarch.core.account_shares import AccountShares, Limits
 from waxwingarch.core.base import AccountId, HostId
-from waxwingarch.core.contract import Contract
-from waxwingarch.core.items import SpentShare
-from waxwingarch.core.share_members import MembersRow
-from waxwingarch.core.shares import ASK_INTERVAL_S, LOAN_TERM_S
+from waxwingarch.core.cluster.items import SpentShare
+from waxwingarch.core.contracts.contract import Contract
+from waxwingarch.core.limits.account_shares import AccountShares, Limits
+from waxwingarch.core.limits.share_members import MembersRow
+from waxwingarch.core.limits.shares import ASK_INTERVAL_S, LOAN_TERM_S
 
 ACCOUNT = AccountId("acc")
 CONTRACT = Contract(
--- a/tests/core/test_admission.py
+++ b/tests/core/limits/test_admission.py
@@ -7,17 +7,17 @@
 import testtools
 
 from script.policy_noise import quiet_p99_s
-from waxwingarch.core.admission import Admission
-from waxwingarch.core.admission_messages import (
+from waxwingarch.core.base import AccountId, Ran, RequestId
+from waxwingarch.core.contracts.contract import Contract
+from waxwingarch.core.limits.admission import Admission
+from waxwingarch.core.limits.admission_messages import (
     Admitted,
     PendingRequest,
     Queued,
     Refusal,
     RefusalReason,
 )
-from waxwingarch.core.base import AccountId, Ran, RequestId
-from waxwingarch.core.contract import Contract
-from waxwingarch.core.fair_queue import FairQueue
+from waxwingarch.core.limits.fair_queue import FairQueue
 
 DRIVE = AccountId("drive")
 RACE = AccountId("race")
--- a/tests/core/test_budget.py
+++ b/tests/core/limits/test_budget.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from waxwingarch.core.budget import TokenBucket
+from waxwingarch.core.limits.budget import TokenBucket
 
 
 class TokenBucketRate(testtools.TestCase):
--- a/tests/core/test_retry_budget.py
+++ b/tests/core/limits/test_retry_budget.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from waxwingarch.core.retry_budget import RetryBudget
+from waxwingarch.core.limits.retry_budget import RetryBudget
 
 
 class RetryBudgetTest(testtools.TestCase):
--- a/tests/core/test_shares.py
+++ b/tests/core/limits/test_shares.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 
 from waxwingarch.core.base import HostId
-from waxwingarch.core.share_members import MembersRow, next_members
-from waxwingarch.core.shares import (
+from waxwingarch.core.limits.share_members import MembersRow, next_members
+from waxwingarch.core.limits.shares import (
     ASK_INTERVAL_S,
     LOAN_TERM_S,
     RATE_UNITS,
--- a/tests/core/test_evidence.py
+++ b/tests/core/moves/test_evidence.py
@@ -6,9 +6,9 @@
 from testtools import TestCase
 
 from waxwingarch.core.base import HostId, ServiceId, VersionId
-from waxwingarch.core.evidence import MAX_ROUTES, EvidenceBook
-from waxwingarch.core.move_counts import LoadBand, Signal, load_band
-from waxwingarch.core.move_judge import Decision, Verdict
+from waxwingarch.core.moves.evidence import MAX_ROUTES, EvidenceBook
+from waxwingarch.core.moves.move_counts import LoadBand, Signal, load_band
+from waxwingarch.core.moves.move_judge import Decision, Verdict
 
 SERVICE = ServiceId("waxwing-pool")
 OLD = VersionId("v1")
--- a/tests/core/test_move.py
+++ b/tests/core/moves/test_move.py
@@ -8,8 +8,8 @@
 from testtools import TestCase
 
 from waxwingarch.core.base import HostId, ServerId, ServiceId, VersionId
-from waxwingarch.core.items import StopMark
-from waxwingarch.core.move import (
+from waxwingarch.core.cluster.items import StopMark
+from waxwingarch.core.moves.move import (
     MoveDriver,
     MoveView,
     StartServers,
@@ -18,10 +18,10 @@
     plan_move,
     stop_version,
 )
-from waxwingarch.core.move_counts import Signal
-from waxwingarch.core.move_judge import Decision, Verdict
-from waxwingarch.core.move_policy import HELD_SHARE, PacedPolicy
-from waxwingarch.core.move_record import (
+from waxwingarch.core.moves.move_counts import Signal
+from waxwingarch.core.moves.move_judge import Decision, Verdict
+from waxwingarch.core.moves.move_policy import HELD_SHARE, PacedPolicy
+from waxwingarch.core.moves.move_record import (
     MoveRecord,
     MoveState,
     OutcomeKind,
--- a/tests/core/test_move_baseline.py
+++ b/tests/core/moves/test_move_baseline.py
@@ -2,15 +2,22 @@
 
 from testtools import TestCase
 
-from tests.core.test_evidence import MOVE, NEW, OLD, SERVICE, drive, sound
-from tests.core.test_move import record, verdict
+from tests.core.moves.test_evidence import (
+    MOVE,
+    NEW,
+    OLD,
+    SERVICE,
+    drive,
+    sound,
+)
+from tests.core.moves.test_move import record, verdict
 from waxwingarch.core.base import HostId
-from waxwingarch.core.evidence import EvidenceBook
-from waxwingarch.core.move_baseline import (
+from waxwingarch.core.moves.evidence import EvidenceBook
+from waxwingarch.core.moves.move_baseline import (
     FixedStepPolicy,
     FixedThresholdJudge,
 )
-from waxwingarch.core.move_judge import Decision
+from waxwingarch.core.moves.move_judge import Decision
 
 
 def book() -> EvidenceBook:
--- a/tests/core/test_move_detector.py
+++ b/tests/core/moves/test_move_detector.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from waxwingarch.core.move_detector import (
+from waxwingarch.core.moves.move_detector import (
     ALTERNATIVES,
     FAILURE_TOLERANCE,
     MAX_RATE,
--- a/tests/core/test_move_split.py
+++ b/tests/core/moves/test_move_split.py
@@ -4,11 +4,15 @@
 
 from testtools import TestCase
 
-from tests.core.test_move import mark, record
+from tests.core.moves.test_move import mark, record
 from waxwingarch.core.base import ServerId, VersionId
-from waxwingarch.core.move_policy import PacedPolicy
-from waxwingarch.core.move_record import MoveRecord, MoveState, RouteShare
-from waxwingarch.core.move_split import (
+from waxwingarch.core.moves.move_policy import PacedPolicy
+from waxwingarch.core.moves.move_record import (
+    MoveRecord,
+    MoveState,
+    RouteShare,
+)
+from waxwingarch.core.moves.move_split import (
     BURST_PERIOD_S,
     HASH_RANGE,
     choose_version,
--- a/tests/core/test_claim_batch.py
+++ b/tests/core/once/test_claim_batch.py
@@ -6,13 +6,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waxwingarch.core.claim_batch import (
+from waxwingarch.core.once.claim_batch import (
     BatchedWrite,
     BatchFailure,
     ClaimBatcher,
     WriteResult,
 )
-from waxwingarch.core.rows import (
+from waxwingarch.core.settings.rows import (
     MAX_TRANSACTION_WRITES,
     Committed,
     Condition,
--- a/tests/core/test_once.py
+++ b/tests/core/once/test_once.py
@@ -5,7 +5,7 @@
 import testtools
 
 from waxwingarch.core.base import AccountId, Action, Event, HostId, Ran
-from waxwingarch.core.claim import (
+from waxwingarch.core.once.claim import (
     INLINE_ANSWER_MAX_BYTES,
     ClaimRow,
     ClaimState,
@@ -13,8 +13,8 @@
     claim_key,
     operation_id,
 )
-from waxwingarch.core.once import OnceMachine
-from waxwingarch.core.once_messages import (
+from waxwingarch.core.once.once import OnceMachine
+from waxwingarch.core.once.once_messages import (
     Answer,
     AnswerNotStored,
     AnswerStored,
@@ -40,7 +40,7 @@
     TableUnavailable,
     WriteClaim,
 )
-from waxwingarch.core.once_unkeyed import UnkeyedMachine
+from waxwingarch.core.once.once_unkeyed import UnkeyedMachine
 
 REQ = OnceRequest(
     key="acc/k",
--- a/tests/core/test_once_trace.py
+++ b/tests/core/once/test_once_trace.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from waxwingarch.core.once_trace import Replayed, replay_once
+from waxwingarch.core.once.once_trace import Replayed, replay_once
 
 TRACES = Path(__file__).parents[2] / "traces"
 
--- a/tests/core/test_placement.py
+++ b/tests/core/placement/test_placement.py
@@ -15,20 +15,23 @@
     ServiceId,
     VersionId,
 )
-from waxwingarch.core.placement import CostPlacement, Weights
-from waxwingarch.core.placement_baseline import LeastLoaded, RoundRobin
-from waxwingarch.core.placement_messages import (
+from waxwingarch.core.placement.placement import CostPlacement, Weights
+from waxwingarch.core.placement.placement_baseline import (
+    LeastLoaded,
+    RoundRobin,
+)
+from waxwingarch.core.placement.placement_messages import (
     Outcome,
     PlacementRequest,
     ServerView,
 )
-from waxwingarch.core.placement_outlier import (
+from waxwingarch.core.placement.placement_outlier import (
     EJECT_S,
     FAILURES_TO_EJECT,
     Health,
     OutlierGate,
 )
-from waxwingarch.core.prefix import PrefixIndex
+from waxwingarch.core.placement.prefix import PrefixIndex
 
 GREEDY = Weights(spread_s=0.0)
 
--- a/tests/core/test_prefix.py
+++ b/tests/core/placement/test_prefix.py
@@ -7,8 +7,8 @@
 import xxhash
 
 from waxwingarch.core.base import ServerId
-from waxwingarch.core.items import CacheSummary
-from waxwingarch.core.prefix import (
+from waxwingarch.core.cluster.items import CacheSummary
+from waxwingarch.core.placement.prefix import (
     CacheEvent,
     CacheOp,
     PrefixIndex,
--- a/tests/core/test_reclaim.py
+++ b/tests/core/servers/test_reclaim.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from waxwingarch.core.base import RequestId, ServerId
-from waxwingarch.core.reclaim import (
+from waxwingarch.core.servers.reclaim import (
     MARGIN_S,
     ReclaimStep,
     ReclaimWay,
--- a/tests/faults/test_moves.py
+++ b/tests/faults/test_moves.py
@@ -10,9 +10,9 @@
 from standins.deployment import wait_until
 from tests.faults.base import FaultCase
 from waxwingarch.core.base import ServiceId, VersionId
-from waxwingarch.core.move import plan_move
-from waxwingarch.core.move_policy import PacedPolicy
-from waxwingarch.core.move_record import to_json
+from waxwingarch.core.moves.move import plan_move
+from waxwingarch.core.moves.move_policy import PacedPolicy
+from waxwingarch.core.moves.move_record import to_json
 
 QUIET_AFTER_S = 3.0
 SMALL_SHARE = 0.1
--- a/tests/model/test_admission.py
+++ b/tests/model/test_admission.py
@@ -4,9 +4,9 @@
 from minicheck import check_safety
 
 from model.admission import admission_spec
-from waxwingarch.core.admission import Admission
-from waxwingarch.core.admission_messages import Refusal
 from waxwingarch.core.base import AccountId
+from waxwingarch.core.limits.admission import Admission
+from waxwingarch.core.limits.admission_messages import Refusal
 
 
 class _IgnoresConcurrency(Admission):
--- a/tests/model/test_lease.py
+++ b/tests/model/test_lease.py
@@ -7,7 +7,7 @@
 
 from model.lease import LONG_TIMES, lease_spec
 from waxwingarch.core.base import Action, Event
-from waxwingarch.core.lease import LeaseMachine, LeaseWritten
+from waxwingarch.core.duties.lease import LeaseMachine, LeaseWritten
 
 
 class _CountsFromReply(LeaseMachine):
--- a/tests/model/test_leaving.py
+++ b/tests/model/test_leaving.py
@@ -3,7 +3,7 @@
 import testtools
 
 from model.leaving import Marks, check
-from waxwingarch.core.items import LeavingServer
+from waxwingarch.core.cluster.items import LeavingServer
 
 
 def list_clears_marks(marks: Marks, listed: int) -> Marks:
--- a/tests/model/test_membership.py
+++ b/tests/model/test_membership.py
@@ -5,7 +5,7 @@
 import testtools
 
 from model.membership import check
-from waxwingarch.core.members import STATE_RANK, Member
+from waxwingarch.core.cluster.members import STATE_RANK, Member
 
 # The shortest counterexamples come early in the search.
 SOON = 3_000
--- a/tests/model/test_once.py
+++ b/tests/model/test_once.py
@@ -7,8 +7,8 @@
 
 from model.once import once_spec
 from waxwingarch.core.base import Action, Event
-from waxwingarch.core.once import OnceMachine, RefusalKind
-from waxwingarch.core.once_messages import ClaimWritten
+from waxwingarch.core.once.once import OnceMachine, RefusalKind
+from waxwingarch.core.once.once_messages import ClaimWritten
 
 MAX_STATES = 1_000_000
 
--- a/tests/model/test_revision.py
+++ b/tests/model/test_revision.py
@@ -5,7 +5,7 @@
 
 from model.revision import revision_spec
 from waxwingarch.core.base import Action, Event
-from waxwingarch.core.revision import ChangeMachine, RevisionRead
+from waxwingarch.core.settings.revision import ChangeMachine, RevisionRead
 
 
 class _TakesLostForNotApplied(ChangeMachine):
--- a/tests/model/test_settings_spread.py
+++ b/tests/model/test_settings_spread.py
@@ -5,7 +5,7 @@
 import testtools
 
 from model.settings_spread import check
-from waxwingarch.core.configsync import Basis
+from waxwingarch.core.cluster.configsync import Basis
 
 
 def steps(result: dict[str, Any], name: str) -> list[str]:
--- a/tests/model/test_shares.py
+++ b/tests/model/test_shares.py
@@ -4,8 +4,8 @@
 from minicheck import check_safety
 
 from model.shares import shares_spec
-from tests.core.test_shares import CountsFromReply, TakesAnyAnswer
-from waxwingarch.core.shares import LoanRequest, ShareLedger
+from tests.core.limits.test_shares import CountsFromReply, TakesAnyAnswer
+from waxwingarch.core.limits.shares import LoanRequest, ShareLedger
 
 
 class _TakesOldRequests(ShareLedger):
--- a/tests/model/test_stream.py
+++ b/tests/model/test_stream.py
@@ -3,7 +3,7 @@
 import testtools
 
 from model.stream import check
-from waxwingarch.core.assembly import TokenAssembly
+from waxwingarch.core.requests.assembly import TokenAssembly
 
 PROPERTIES = (
     "delivered_is_a_prefix",
--- a/tests/tasks/test_peers.py
+++ b/tests/tasks/test_peers.py
@@ -14,12 +14,12 @@
     RequestId,
     ServerId,
 )
-from waxwingarch.core.cluster_events import ItemsChanged
-from waxwingarch.core.configsync import Ready
-from waxwingarch.core.handover import HandOver
-from waxwingarch.core.items import LeavingServer
-from waxwingarch.core.members import MemberState
-from waxwingarch.core.settings import (
+from waxwingarch.core.cluster.cluster_events import ItemsChanged
+from waxwingarch.core.cluster.configsync import Ready
+from waxwingarch.core.cluster.items import LeavingServer
+from waxwingarch.core.cluster.members import MemberState
+from waxwingarch.core.requests.handover import HandOver
+from waxwingarch.core.settings.settings import (
     Document,
     SettingsSnapshot,
     make_snapshot,
--- a/tests/tasks/test_request_log.py
+++ b/tests/tasks/test_request_log.py
@@ -16,10 +16,9 @@
     ServerKind,
     ServiceId,
 )
-from waxwingarch.core.claim import StoredAnswer
+from waxwingarch.core.cluster.messages import Tick
 from waxwingarch.core.events import CallerGone, RequestArrived
-from waxwingarch.core.guarded import OnceAnswer, OnceDispatch
-from waxwingarch.core.messages import Tick
+from waxwingarch.core.once.claim import StoredAnswer
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.request import (
     AttemptLost,
@@ -32,6 +31,7 @@
     Request,
     StartAttempt,
 )
+from waxwingarch.core.requests.guarded import OnceAnswer, OnceDispatch
 from waxwingarch.tasks.request_log import (
     STEPS_KEPT,
     RequestEntry,
--- a/tests/waxwingctl/helpers.py
+++ b/tests/waxwingctl/helpers.py
@@ -17,10 +17,10 @@
     ServiceId,
     VersionId,
 )
-from waxwingarch.core.configsync import ApplySettings, Ready
-from waxwingarch.core.members import Addresses, Member, MemberState
+from waxwingarch.core.cluster.configsync import ApplySettings, Ready
+from waxwingarch.core.cluster.members import Addresses, Member, MemberState
 from waxwingarch.core.node import Node
-from waxwingarch.core.settings import (
+from waxwingarch.core.settings.settings import (
     EMPTY,
     Document,
     SettingsSnapshot,
--- a/tests/waxwingctl/test_commands.py
+++ b/tests/waxwingctl/test_commands.py
@@ -31,8 +31,8 @@
     EXIT_USAGE,
     EXIT_WAIT_ENDED,
 )
-from waxwingarch.core.messages import Tick
-from waxwingarch.core.settings import Document
+from waxwingarch.core.cluster.messages import Tick
+from waxwingarch.core.settings.settings import Document
 from waxwingctl.commands.move import parse_time
 from waxwingctl.errors import UsageError
 
--- a/waxwingarch/adapters/claim_store.py
+++ b/waxwingarch/adapters/claim_store.py
@@ -6,15 +6,15 @@
 from typing import Final
 
 from waxwingarch.core.base import Event
-from waxwingarch.core.claim import CLAIM_TABLE, ClaimRow, ClaimState
-from waxwingarch.core.claim_batch import (
+from waxwingarch.core.once.claim import CLAIM_TABLE, ClaimRow, ClaimState
+from waxwingarch.core.once.claim_batch import (
     Batch,
     BatchedWrite,
     BatchFailure,
     ClaimBatcher,
     WriteResult,
 )
-from waxwingarch.core.once_messages import (
+from waxwingarch.core.once.once_messages import (
     ClaimConflict,
     ClaimRead,
     ClaimWritten,
@@ -23,7 +23,13 @@
     TableUnavailable,
     WriteClaim,
 )
-from waxwingarch.core.rows import Committed, Condition, Conflict, Row, Write
+from waxwingarch.core.settings.rows import (
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    Write,
+)
 from waxwingarch.ports.table import (
     TableReplyLostError,
     TableStore,
--- a/waxwingarch/adapters/claim_sweep.py
+++ b/waxwingarch/adapters/claim_sweep.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from waxwingarch.core.claim import CLAIM_TABLE, ClaimRow, may_delete
-from waxwingarch.core.rows import (
+from waxwingarch.core.once.claim import CLAIM_TABLE, ClaimRow, may_delete
+from waxwingarch.core.settings.rows import (
     MAX_TRANSACTION_WRITES,
     Committed,
     Condition,
--- a/waxwingarch/adapters/contract_check.py
+++ b/waxwingarch/adapters/contract_check.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from waxwingarch.adapters.contract_ini import key_digest, parse_contract
-from waxwingarch.core.contract import Contract
+from waxwingarch.core.contracts.contract import Contract
 from waxwingarch.exceptions import SettingsError
 
 # A round trip to an engine in another failure domain and its first step.
--- a/waxwingarch/adapters/contract_ini.py
+++ b/waxwingarch/adapters/contract_ini.py
@@ -14,7 +14,7 @@
 from waxwingarch.adapters.ini import parse_ini, validate
 from waxwingarch.adapters.settings import Name
 from waxwingarch.core.base import AccountId, ServiceId
-from waxwingarch.core.contract import Contract, RouteRule
+from waxwingarch.core.contracts.contract import Contract, RouteRule
 from waxwingarch.exceptions import SettingsError
 
 ROUTE_PREFIX: Final = "route "
--- a/waxwingarch/adapters/grpc_peers.py
+++ b/waxwingarch/adapters/grpc_peers.py
@@ -17,8 +17,8 @@
 
 from waxwingarch.adapters.udp_peers import join_address, split_address
 from waxwingarch.core.base import AccountId, RequestId, ServerId
-from waxwingarch.core.handover import HandOver
-from waxwingarch.core.settings import Document, SettingsDelta
+from waxwingarch.core.requests.handover import HandOver
+from waxwingarch.core.settings.settings import Document, SettingsDelta
 from waxwingarch.exceptions import LinkError
 from waxwingarch.protocol import peer_pb2 as pb
 from waxwingarch.protocol.peer_grpc import PeerBase, PeerStub
--- a/waxwingarch/adapters/item_codec.py
+++ b/waxwingarch/adapters/item_codec.py
@@ -11,7 +11,7 @@
     ServiceId,
     VersionId,
 )
-from waxwingarch.core.items import (
+from waxwingarch.core.cluster.items import (
     CacheSummary,
     EvidenceCount,
     Item,
--- a/waxwingarch/adapters/lease_store.py
+++ b/waxwingarch/adapters/lease_store.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from waxwingarch.core.base import Event
-from waxwingarch.core.lease import (
+from waxwingarch.core.duties.lease import (
     LEASE_TABLE,
     LeaseConflict,
     LeaseRead,
@@ -15,7 +15,7 @@
     ReadLease,
     WriteLease,
 )
-from waxwingarch.core.rows import Condition, Conflict, Row, Write
+from waxwingarch.core.settings.rows import Condition, Conflict, Row, Write
 from waxwingarch.ports.table import (
     TableReplyLostError,
     TableStore,
--- a/waxwingarch/adapters/move_trace.py
+++ b/waxwingarch/adapters/move_trace.py
@@ -12,18 +12,18 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from waxwingarch.core.base import HostId, ServerId, ServiceId, VersionId
-from waxwingarch.core.evidence import EvidenceBook
-from waxwingarch.core.items import StopMark
-from waxwingarch.core.move import (
+from waxwingarch.core.cluster.items import StopMark
+from waxwingarch.core.moves.evidence import EvidenceBook
+from waxwingarch.core.moves.move import (
     MoveDriver,
     MoveView,
     may_close,
     plan_move,
     stop_version,
 )
-from waxwingarch.core.move_counts import LoadBand
-from waxwingarch.core.move_policy import PacedPolicy
-from waxwingarch.core.move_record import MoveRecord, MoveState, WriteMove
+from waxwingarch.core.moves.move_counts import LoadBand
+from waxwingarch.core.moves.move_policy import PacedPolicy
+from waxwingarch.core.moves.move_record import MoveRecord, MoveState, WriteMove
 from waxwingarch.exceptions import SettingsError
 
 HOST: Final = HostId("replay")
--- a/waxwingarch/adapters/peer_codec.py
+++ b/waxwingarch/adapters/peer_codec.py
@@ -13,14 +13,13 @@
     encode_item,
     fields_of,
 )
-from waxwingarch.core.account_shares import Resource
 from waxwingarch.core.base import (
     AccountId,
     FailureDomain,
     HostId,
 )
-from waxwingarch.core.members import Addresses, Member, MemberState
-from waxwingarch.core.messages import (
+from waxwingarch.core.cluster.members import Addresses, Member, MemberState
+from waxwingarch.core.cluster.messages import (
     Ack,
     Body,
     Datagram,
@@ -31,6 +30,7 @@
     Probe,
     SyncRequest,
 )
+from waxwingarch.core.limits.account_shares import Resource
 from waxwingarch.protocol import peer_pb2 as pb
 
 TAG_BYTES: Final = 16
--- a/waxwingarch/adapters/settings_moves.py
+++ b/waxwingarch/adapters/settings_moves.py
@@ -6,13 +6,13 @@
 import orjson
 
 from waxwingarch.core.base import ServiceId
-from waxwingarch.core.move_record import (
+from waxwingarch.core.moves.move_record import (
     MoveRecord,
     WriteMove,
     from_json,
     to_json,
 )
-from waxwingarch.core.settings import Document, SettingsSnapshot
+from waxwingarch.core.settings.settings import Document, SettingsSnapshot
 from waxwingarch.exceptions import SettingsError
 from waxwingarch.ports.settings_store import SettingsStore, StoredMove
 
--- a/waxwingarch/adapters/settings_store.py
+++ b/waxwingarch/adapters/settings_store.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from waxwingarch.core.base import Action, Event
-from waxwingarch.core.revision import (
+from waxwingarch.core.settings.revision import (
     DOCUMENT_PREFIX,
     MAX_DOCUMENTS_A_CHANGE,
     REVISION_KEY,
@@ -25,7 +25,7 @@
     SettingsChange,
     revision_of,
 )
-from waxwingarch.core.settings import Document
+from waxwingarch.core.settings.settings import Document
 from waxwingarch.exceptions import ConflictError, SettingsError
 from waxwingarch.ports.table import (
     Conflict,
--- a/waxwingarch/adapters/settings_table.py
+++ b/waxwingarch/adapters/settings_table.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from waxwingarch.core.settings import (
+from waxwingarch.core.settings.settings import (
     Document,
     SettingsSnapshot,
     make_snapshot,
--- a/waxwingarch/adapters/table_settings.py
+++ b/waxwingarch/adapters/table_settings.py
@@ -4,7 +4,7 @@
 
 from waxwingarch.adapters.settings_store import SettingsStore
 from waxwingarch.adapters.settings_table import SettingsTableReader
-from waxwingarch.core.settings import Document, SettingsSnapshot
+from waxwingarch.core.settings.settings import Document, SettingsSnapshot
 from waxwingarch.ports.table import TableStore
 
 
--- a/waxwingarch/adapters/trace.py
+++ b/waxwingarch/adapters/trace.py
@@ -20,7 +20,7 @@
 
 import waxwingarch.core
 from waxwingarch.core.base import Action, Event
-from waxwingarch.core.members import Member
+from waxwingarch.core.cluster.members import Member
 from waxwingarch.core.node import Node
 from waxwingarch.exceptions import WaxwingError
 
@@ -193,8 +193,9 @@
     """Return the data classes of the core, and the header, by name."""
     found: dict[str, type] = {_name_of(TraceHeader): TraceHeader}
     package = waxwingarch.core
-    for info in pkgutil.iter_modules(package.__path__):
-        module = importlib.import_module(f"{package.__name__}.{info.name}")
+    prefix = f"{package.__name__}."
+    for info in pkgutil.walk_packages(package.__path__, prefix):
+        module = importlib.import_module(info.name)
         for value in vars(module).values():
             if isinstance(value, type) and is_dataclass(value):
                 found[_name_of(value)] = value
--- a/waxwingarch/adapters/udp_peers.py
+++ b/waxwingarch/adapters/udp_peers.py
@@ -12,7 +12,7 @@
     decode_datagram,
     encode_datagram,
 )
-from waxwingarch.core.messages import Datagram
+from waxwingarch.core.cluster.messages import Datagram
 
 Receive = Callable[[str, Datagram], None]
 
--- /dev/null
+++ b/waxwingarch/core/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""How many hosts of which class to run."""
--- a/waxwingarch/core/capacity.py
+++ b/waxwingarch/core/capacity/capacity.py
@@ -18,7 +18,7 @@
     ServiceId,
     VersionId,
 )
-from waxwingarch.core.capacity_mix import (
+from waxwingarch.core.capacity.capacity_mix import (
     Candidate,
     Mix,
     Offer,
--- /dev/null
+++ b/waxwingarch/core/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""How the entry hosts act together."""
--- a/waxwingarch/core/cluster.py
+++ b/waxwingarch/core/cluster/cluster.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from waxwingarch.core.base import Action, Event, HostId
-from waxwingarch.core.cluster_events import (
+from waxwingarch.core.cluster.cluster_events import (
     AskApplied,
     ClusterDump,
     ItemsChanged,
@@ -16,7 +16,7 @@
     SetDraining,
     Superseded,
 )
-from waxwingarch.core.configsync import (
+from waxwingarch.core.cluster.configsync import (
     ConfigSync,
     PullFailed,
     RevisionRead,
@@ -25,18 +25,18 @@
     SettingsRead,
     SettingsUnavailable,
 )
-from waxwingarch.core.digest import BucketDigest
-from waxwingarch.core.duties import Duties
-from waxwingarch.core.gossip import (
+from waxwingarch.core.cluster.digest import BucketDigest
+from waxwingarch.core.cluster.duties import Duties
+from waxwingarch.core.cluster.gossip import (
     GOSSIP_PEERS,
     GOSSIP_PERIOD_S,
     Packer,
 )
-from waxwingarch.core.items import Item, SettingsRevision, SpentShare
-from waxwingarch.core.members import Member, MemberState
-from waxwingarch.core.membership import Membership
-from waxwingarch.core.merge import item_key
-from waxwingarch.core.messages import (
+from waxwingarch.core.cluster.items import Item, SettingsRevision, SpentShare
+from waxwingarch.core.cluster.members import Member, MemberState
+from waxwingarch.core.cluster.membership import Membership
+from waxwingarch.core.cluster.merge import item_key
+from waxwingarch.core.cluster.messages import (
     Ack,
     Body,
     Datagram,
@@ -52,14 +52,14 @@
     SyncRequest,
     Tick,
 )
-from waxwingarch.core.randomness import RandomSource
-from waxwingarch.core.sizes import (
+from waxwingarch.core.cluster.sizes import (
     HEADER_BYTES,
     LOAN_HEADER_BYTES,
     SYNC_HEADER_BYTES,
 )
-from waxwingarch.core.spread import ItemStore, RecordKey
-from waxwingarch.core.watch import DutyTable
+from waxwingarch.core.cluster.spread import ItemStore, RecordKey
+from waxwingarch.core.cluster.watch import DutyTable
+from waxwingarch.core.randomness import RandomSource
 
 SYNC_PERIOD_S: Final = 10.0
 SYNC_RETRY_S: Final = 0.5
--- a/waxwingarch/core/cluster_events.py
+++ b/waxwingarch/core/cluster/cluster_events.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 from waxwingarch.core.base import Action, Event, HostId
-from waxwingarch.core.configsync import Basis
-from waxwingarch.core.items import Item
-from waxwingarch.core.members import Member
-from waxwingarch.core.messages import Loan
+from waxwingarch.core.cluster.configsync import Basis
+from waxwingarch.core.cluster.items import Item
+from waxwingarch.core.cluster.members import Member
+from waxwingarch.core.cluster.messages import Loan
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/configsync.py
+++ b/waxwingarch/core/cluster/configsync.py
@@ -11,9 +11,9 @@
 from typing import Final
 
 from waxwingarch.core.base import Action, Event, HostId
-from waxwingarch.core.members import Member
+from waxwingarch.core.cluster.members import Member
 from waxwingarch.core.randomness import RandomSource
-from waxwingarch.core.settings import (
+from waxwingarch.core.settings.settings import (
     SettingsDelta,
     SettingsHistory,
     SettingsSnapshot,
--- a/waxwingarch/core/duties.py
+++ b/waxwingarch/core/cluster/duties.py
@@ -2,8 +2,8 @@
 
 from typing import Final
 
-from waxwingarch.core.membership import Membership
-from waxwingarch.core.watch import Duty, DutyTable, Place
+from waxwingarch.core.cluster.membership import Membership
+from waxwingarch.core.cluster.watch import Duty, DutyTable, Place
 
 TABLE_WATCHERS_PER_REGION: Final = 2
 
--- a/waxwingarch/core/gossip.py
+++ b/waxwingarch/core/cluster/gossip.py
@@ -4,21 +4,21 @@
 from typing import Final
 
 from waxwingarch.core.base import HostId
-from waxwingarch.core.digest import BucketDigest
-from waxwingarch.core.items import Item
-from waxwingarch.core.members import Member, MemberState
-from waxwingarch.core.membership import Membership
-from waxwingarch.core.merge import ItemKey, item_key
-from waxwingarch.core.messages import Body, Datagram, Gossip
-from waxwingarch.core.randomness import RandomSource
-from waxwingarch.core.rumours import RumourQueue, Urgency, send_limit
-from waxwingarch.core.sizes import (
+from waxwingarch.core.cluster.digest import BucketDigest
+from waxwingarch.core.cluster.items import Item
+from waxwingarch.core.cluster.members import Member, MemberState
+from waxwingarch.core.cluster.membership import Membership
+from waxwingarch.core.cluster.merge import ItemKey, item_key
+from waxwingarch.core.cluster.messages import Body, Datagram, Gossip
+from waxwingarch.core.cluster.rumours import RumourQueue, Urgency, send_limit
+from waxwingarch.core.cluster.sizes import (
     HEADER_BYTES,
     MAX_DATAGRAM_BYTES,
     item_bytes,
     member_bytes,
 )
-from waxwingarch.core.spread import URGENCY, ItemStore, RecordKey
+from waxwingarch.core.cluster.spread import URGENCY, ItemStore, RecordKey
+from waxwingarch.core.randomness import RandomSource
 
 GOSSIP_PERIOD_S: Final = 0.2
 GOSSIP_PEERS: Final = 3
--- a/waxwingarch/core/membership.py
+++ b/waxwingarch/core/cluster/membership.py
@@ -6,14 +6,19 @@
 from typing import Final
 
 from waxwingarch.core.base import HostId
-from waxwingarch.core.members import (
+from waxwingarch.core.cluster.members import (
     Member,
     MemberState,
     supersedes,
 )
-from waxwingarch.core.messages import Ack, IndirectProbe, Outgoing, Probe
+from waxwingarch.core.cluster.messages import (
+    Ack,
+    IndirectProbe,
+    Outgoing,
+    Probe,
+)
+from waxwingarch.core.cluster.relays import RelayTable
 from waxwingarch.core.randomness import RandomSource
-from waxwingarch.core.relays import RelayTable
 
 PROBE_PERIOD_S: Final = 1.0
 ACK_TIMEOUT_S: Final = 0.3
--- a/waxwingarch/core/merge.py
+++ b/waxwingarch/core/cluster/merge.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 from typing import Any, Final, NamedTuple
 
-from waxwingarch.core.items import (
+from waxwingarch.core.cluster.items import (
     CacheSummary,
     EvidenceCount,
     Item,
--- a/waxwingarch/core/messages.py
+++ b/waxwingarch/core/cluster/messages.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from waxwingarch.core.base import AccountId, Action, Event, HostId
-from waxwingarch.core.items import Item
-from waxwingarch.core.members import Member
+from waxwingarch.core.cluster.items import Item
+from waxwingarch.core.cluster.members import Member
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/sizes.py
+++ b/waxwingarch/core/cluster/sizes.py
@@ -6,7 +6,7 @@
 
 from typing import Final
 
-from waxwingarch.core.items import (
+from waxwingarch.core.cluster.items import (
     CacheSummary,
     EvidenceCount,
     Item,
@@ -16,7 +16,7 @@
     SpentShare,
     StopMark,
 )
-from waxwingarch.core.members import Member
+from waxwingarch.core.cluster.members import Member
 
 MAX_DATAGRAM_BYTES: Final = 1_200
 # Sender, incarnation, revision, authentication code and the body.
--- a/waxwingarch/core/spread.py
+++ b/waxwingarch/core/cluster/spread.py
@@ -5,8 +5,8 @@
 from typing import Final, Protocol
 
 from waxwingarch.core.base import HostId, ServerId
-from waxwingarch.core.digest import BucketDigest
-from waxwingarch.core.items import (
+from waxwingarch.core.cluster.digest import BucketDigest
+from waxwingarch.core.cluster.items import (
     CacheSummary,
     EvidenceCount,
     Item,
@@ -16,8 +16,8 @@
     SpentShare,
     StopMark,
 )
-from waxwingarch.core.merge import ItemKey, ItemKind, item_key, wins
-from waxwingarch.core.rumours import Urgency
+from waxwingarch.core.cluster.merge import ItemKey, ItemKind, item_key, wins
+from waxwingarch.core.cluster.rumours import Urgency
 
 # A leaving server stays leaving long after any lagging list has caught up.
 LEAVING_RETENTION_S: Final = 86_400.0
--- /dev/null
+++ b/waxwingarch/core/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Contracts of client accounts in force."""
--- a/waxwingarch/core/directory.py
+++ b/waxwingarch/core/contracts/directory.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from waxwingarch.core.base import AccountId
-from waxwingarch.core.contract import Contract
+from waxwingarch.core.contracts.contract import Contract
 
 
 class Directory:
--- /dev/null
+++ b/waxwingarch/core/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Control duties and the leases on them."""
--- a/waxwingarch/core/duty_leases.py
+++ b/waxwingarch/core/duties/duty_leases.py
@@ -5,8 +5,9 @@
 from typing import Final
 
 from waxwingarch.core.base import Action, Event
-from waxwingarch.core.cluster import Cluster
-from waxwingarch.core.lease import (
+from waxwingarch.core.cluster.cluster import Cluster
+from waxwingarch.core.cluster.watch import Duty
+from waxwingarch.core.duties.lease import (
     LeaseHeld,
     LeaseLost,
     LeaseMachine,
@@ -15,7 +16,6 @@
     SetLeaseTimer,
     WriteLease,
 )
-from waxwingarch.core.watch import Duty
 
 CANDIDATES_PER_DUTY: Final = 3
 
--- a/waxwingarch/core/events.py
+++ b/waxwingarch/core/events.py
@@ -10,10 +10,10 @@
     Server,
     ServerId,
 )
-from waxwingarch.core.contract import Contract
-from waxwingarch.core.items import LoadSummary
-from waxwingarch.core.move_record import MoveRecord
-from waxwingarch.core.prefix import CacheEvent
+from waxwingarch.core.cluster.items import LoadSummary
+from waxwingarch.core.contracts.contract import Contract
+from waxwingarch.core.moves.move_record import MoveRecord
+from waxwingarch.core.placement.prefix import CacheEvent
 from waxwingarch.core.request import Request
 
 
--- a/waxwingarch/core/fleet.py
+++ b/waxwingarch/core/fleet.py
@@ -3,19 +3,19 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Final
 
-from waxwingarch.core.admission import Admission
 from waxwingarch.core.base import Action, Event, HostId, ServerId, ServiceId
-from waxwingarch.core.chooser import Chooser
-from waxwingarch.core.cluster import Cluster
-from waxwingarch.core.cluster_events import (
+from waxwingarch.core.cluster.cluster import Cluster
+from waxwingarch.core.cluster.cluster_events import (
     PublishItem,
 )
+from waxwingarch.core.cluster.items import CacheSummary, Item, LoadSummary
+from waxwingarch.core.cluster.members import MemberState
+from waxwingarch.core.cluster.watch import Duty, RoutedServer, Routing
 from waxwingarch.core.events import CacheRead, LoadRead
-from waxwingarch.core.items import CacheSummary, Item, LoadSummary
-from waxwingarch.core.members import MemberState
-from waxwingarch.core.prefix import PrefixIndex
-from waxwingarch.core.servers import ServerBook
-from waxwingarch.core.watch import Duty, RoutedServer, Routing
+from waxwingarch.core.limits.admission import Admission
+from waxwingarch.core.placement.chooser import Chooser
+from waxwingarch.core.placement.prefix import PrefixIndex
+from waxwingarch.core.servers.servers import ServerBook
 
 WATCHERS_PER_SERVER: Final = 2
 WORK_OUT_PERIOD_S: Final = 1.0
--- /dev/null
+++ b/waxwingarch/core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits, fair shares and budgets."""
--- a/waxwingarch/core/account_limit.py
+++ b/waxwingarch/core/limits/account_limit.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from waxwingarch.core.contract import Contract
+from waxwingarch.core.contracts.contract import Contract
 
 NO_TOKENS_WAIT_S: Final = 60.0
 TOKEN_ROUNDING: Final = 1e-9
--- a/waxwingarch/core/account_shares.py
+++ b/waxwingarch/core/limits/account_shares.py
@@ -12,10 +12,10 @@
 from typing import Final
 
 from waxwingarch.core.base import AccountId, Action, HostId
-from waxwingarch.core.contract import Contract
-from waxwingarch.core.items import SpentShare
-from waxwingarch.core.share_members import Member, MembersRow
-from waxwingarch.core.shares import (
+from waxwingarch.core.cluster.items import SpentShare
+from waxwingarch.core.contracts.contract import Contract
+from waxwingarch.core.limits.share_members import Member, MembersRow
+from waxwingarch.core.limits.shares import (
     ASK_INTERVAL_S,
     RATE_UNITS,
     LoanGrant,
--- a/waxwingarch/core/admission.py
+++ b/waxwingarch/core/limits/admission.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass
 from typing import Final
 
-from waxwingarch.core.account_limit import AccountLimit
-from waxwingarch.core.admission_messages import (
+from waxwingarch.core.base import AccountId, RequestId
+from waxwingarch.core.contracts.contract import Contract
+from waxwingarch.core.limits.account_limit import AccountLimit
+from waxwingarch.core.limits.admission_messages import (
     MAX_RETRY_AFTER_S,
     Admitted,
     Deadlines,
@@ -15,9 +17,7 @@
     Refusal,
     refuse,
 )
-from waxwingarch.core.base import AccountId, RequestId
-from waxwingarch.core.contract import Contract
-from waxwingarch.core.fair_queue import FairQueue
+from waxwingarch.core.limits.fair_queue import FairQueue
 from waxwingarch.core.refusal import RefusalReason
 
 QUEUE_LIMIT: Final = 1024
--- a/waxwingarch/core/limits.py
+++ b/waxwingarch/core/limits/limits.py
@@ -7,23 +7,23 @@
 from collections.abc import Iterable
 from typing import Final
 
-from waxwingarch.core.account_shares import (
+from waxwingarch.core.base import AccountId, Action, HostId
+from waxwingarch.core.cluster.cluster import Cluster
+from waxwingarch.core.cluster.cluster_events import (
+    LoanReceived,
+)
+from waxwingarch.core.cluster.messages import LoanAnswer, LoanAsk
+from waxwingarch.core.contracts.contract import Contract
+from waxwingarch.core.limits.account_shares import (
     AccountShares,
     Limits,
     LoanMessage,
     Resource,
     SendLoan,
 )
-from waxwingarch.core.admission import Admission
-from waxwingarch.core.base import AccountId, Action, HostId
-from waxwingarch.core.cluster import Cluster
-from waxwingarch.core.cluster_events import (
-    LoanReceived,
-)
-from waxwingarch.core.contract import Contract
-from waxwingarch.core.messages import LoanAnswer, LoanAsk
-from waxwingarch.core.share_members import MembersRow
-from waxwingarch.core.shares import LoanGrant, LoanRequest
+from waxwingarch.core.limits.admission import Admission
+from waxwingarch.core.limits.share_members import MembersRow
+from waxwingarch.core.limits.shares import LoanGrant, LoanRequest
 
 NO_END: Final = float("inf")
 DEMAND_WINDOW_S: Final = 1.0
--- a/waxwingarch/core/share_members.py
+++ b/waxwingarch/core/limits/share_members.py
@@ -12,7 +12,7 @@
 from typing import Any, Final
 
 from waxwingarch.core.base import HostId
-from waxwingarch.core.shares import entitlements
+from waxwingarch.core.limits.shares import entitlements
 
 SHARES_TABLE: Final = "shares"
 MEMBERS_KEY: Final = "members"
--- /dev/null
+++ b/waxwingarch/core/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Version moves."""
--- a/waxwingarch/core/evidence.py
+++ b/waxwingarch/core/moves/evidence.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from waxwingarch.core.base import HostId, ServiceId, VersionId
-from waxwingarch.core.move_counts import (
+from waxwingarch.core.moves.move_counts import (
     Cell,
     CellCounts,
     CountsKey,
@@ -17,8 +17,8 @@
     LoadBand,
     Quantile,
 )
-from waxwingarch.core.move_detector import WINDOW_S
-from waxwingarch.core.move_judge import (
+from waxwingarch.core.moves.move_detector import WINDOW_S
+from waxwingarch.core.moves.move_judge import (
     ANY,
     Decision,
     Judge,
--- a/waxwingarch/core/move.py
+++ b/waxwingarch/core/moves/move.py
@@ -17,10 +17,10 @@
     ServiceId,
     VersionId,
 )
-from waxwingarch.core.items import StopMark
-from waxwingarch.core.move_judge import Decision, Verdict
-from waxwingarch.core.move_policy import MovePolicy
-from waxwingarch.core.move_record import (
+from waxwingarch.core.cluster.items import StopMark
+from waxwingarch.core.moves.move_judge import Decision, Verdict
+from waxwingarch.core.moves.move_policy import MovePolicy
+from waxwingarch.core.moves.move_record import (
     TRANSITIONS,
     MoveEvent,
     MoveRecord,
@@ -28,7 +28,7 @@
     WriteMove,
     end_move,
 )
-from waxwingarch.core.move_split import in_burst, is_stopped
+from waxwingarch.core.moves.move_split import in_burst, is_stopped
 
 ORDER_SETTLE_S: Final = 15.0
 MIN_STEP: Final = 0.05
--- a/waxwingarch/core/move_baseline.py
+++ b/waxwingarch/core/moves/move_baseline.py
@@ -10,16 +10,16 @@
 from typing import Final
 
 from waxwingarch.core.base import VersionId
-from waxwingarch.core.move_counts import Cell, CountsKey, Signal
-from waxwingarch.core.move_judge import (
+from waxwingarch.core.moves.move_counts import Cell, CountsKey, Signal
+from waxwingarch.core.moves.move_judge import (
     ANY,
     Decision,
     Verdict,
     Watch,
     add_totals,
 )
-from waxwingarch.core.move_policy import CanaryPlan, MovePlan
-from waxwingarch.core.move_record import MoveRecord
+from waxwingarch.core.moves.move_policy import CanaryPlan, MovePlan
+from waxwingarch.core.moves.move_record import MoveRecord
 
 FIXED_STEPS: Final = (0.1, 0.25, 0.5, 0.75, 1.0)
 STEPS_FRACTION: Final = 0.8
--- a/waxwingarch/core/move_counts.py
+++ b/waxwingarch/core/moves/move_counts.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from waxwingarch.core.base import HostId, VersionId
-from waxwingarch.core.move_detector import (
+from waxwingarch.core.moves.move_detector import (
     FAILURE_TOLERANCE,
     SLOWNESS_TOLERANCE,
     Sample,
--- a/waxwingarch/core/move_duty.py
+++ b/waxwingarch/core/moves/move_duty.py
@@ -4,14 +4,14 @@
 from typing import Final
 
 from waxwingarch.core.base import Action, Server, ServerId
-from waxwingarch.core.chooser import Chooser
-from waxwingarch.core.cluster import Cluster
-from waxwingarch.core.duty_leases import DutyLeases
-from waxwingarch.core.move import MoveDriver, MoveView
-from waxwingarch.core.move_policy import PacedPolicy
-from waxwingarch.core.move_record import MoveRecord, WriteMove
-from waxwingarch.core.moves import MoveBoard
-from waxwingarch.core.servers import ServerBook
+from waxwingarch.core.cluster.cluster import Cluster
+from waxwingarch.core.duties.duty_leases import DutyLeases
+from waxwingarch.core.moves.move import MoveDriver, MoveView
+from waxwingarch.core.moves.move_policy import PacedPolicy
+from waxwingarch.core.moves.move_record import MoveRecord, WriteMove
+from waxwingarch.core.moves.moves import MoveBoard
+from waxwingarch.core.placement.chooser import Chooser
+from waxwingarch.core.servers.servers import ServerBook
 
 MOVES_DUTY: Final = "moves"
 TICK_PERIOD_S: Final = 1.0
--- a/waxwingarch/core/move_judge.py
+++ b/waxwingarch/core/moves/move_judge.py
@@ -6,7 +6,7 @@
 from typing import Final, Protocol
 
 from waxwingarch.core.base import HostId, ServiceId, VersionId
-from waxwingarch.core.move_counts import (
+from waxwingarch.core.moves.move_counts import (
     TOLERANCES,
     Cell,
     CountsKey,
@@ -16,7 +16,7 @@
     Signal,
     sample_of,
 )
-from waxwingarch.core.move_detector import (
+from waxwingarch.core.moves.move_detector import (
     ALTERNATIVES,
     BLIND_TOLERANCE,
     FAILURE_TOLERANCE,
--- a/waxwingarch/core/move_policy.py
+++ b/waxwingarch/core/moves/move_policy.py
@@ -5,9 +5,9 @@
 from math import floor
 from typing import Final, Protocol
 
-from waxwingarch.core.move_judge import Decision, Verdict
-from waxwingarch.core.move_record import MoveRecord, RouteShare
-from waxwingarch.core.move_split import BURST_PERIOD_S
+from waxwingarch.core.moves.move_judge import Decision, Verdict
+from waxwingarch.core.moves.move_record import MoveRecord, RouteShare
+from waxwingarch.core.moves.move_split import BURST_PERIOD_S
 
 CANARY_SHARE: Final = 0.045
 TRICKLE_SHARE: Final = 0.018
--- a/waxwingarch/core/move_split.py
+++ b/waxwingarch/core/moves/move_split.py
@@ -5,8 +5,8 @@
 from typing import Final
 
 from waxwingarch.core.base import ServerId, VersionId
-from waxwingarch.core.items import StopMark
-from waxwingarch.core.move_record import MoveRecord, MoveState
+from waxwingarch.core.cluster.items import StopMark
+from waxwingarch.core.moves.move_record import MoveRecord, MoveState
 
 BURST_PERIOD_S: Final = 90.0
 HASH_RANGE: Final = 1 << 32
--- a/waxwingarch/core/moves.py
+++ b/waxwingarch/core/moves/moves.py
@@ -17,24 +17,24 @@
     ServiceId,
     VersionId,
 )
-from waxwingarch.core.cluster import Cluster
-from waxwingarch.core.cluster_events import (
+from waxwingarch.core.cluster.cluster import Cluster
+from waxwingarch.core.cluster.cluster_events import (
     PublishItem,
 )
-from waxwingarch.core.evidence import EvidenceBook
-from waxwingarch.core.items import EvidenceCount, Item, StopMark
-from waxwingarch.core.merge import ItemKind
-from waxwingarch.core.move import may_close, stop_version
-from waxwingarch.core.move_counts import (
+from waxwingarch.core.cluster.items import EvidenceCount, Item, StopMark
+from waxwingarch.core.cluster.merge import ItemKind
+from waxwingarch.core.moves.evidence import EvidenceBook
+from waxwingarch.core.moves.move import may_close, stop_version
+from waxwingarch.core.moves.move_counts import (
     CellCounts,
     HostEvidence,
     LoadBand,
     load_band,
 )
-from waxwingarch.core.move_judge import Verdict
-from waxwingarch.core.move_record import MoveRecord
-from waxwingarch.core.move_split import choose_version, is_stopped
-from waxwingarch.core.placement_messages import ServerView
+from waxwingarch.core.moves.move_judge import Verdict
+from waxwingarch.core.moves.move_record import MoveRecord
+from waxwingarch.core.moves.move_split import choose_version, is_stopped
+from waxwingarch.core.placement.placement_messages import ServerView
 from waxwingarch.core.request import Request
 
 PUBLISH_PERIOD_S: Final = 1.0
--- a/waxwingarch/core/node.py
+++ b/waxwingarch/core/node.py
@@ -8,11 +8,9 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Final
 
-from waxwingarch.core.admission import Admission
 from waxwingarch.core.base import Action, Event, Ran
-from waxwingarch.core.chooser import Chooser
-from waxwingarch.core.cluster import Cluster
-from waxwingarch.core.cluster_events import (
+from waxwingarch.core.cluster.cluster import Cluster
+from waxwingarch.core.cluster.cluster_events import (
     ItemsChanged,
     Leave,
     LoanReceived,
@@ -20,7 +18,7 @@
     PublishItem,
     SetDraining,
 )
-from waxwingarch.core.configsync import (
+from waxwingarch.core.cluster.configsync import (
     PullFailed,
     Ready,
     RevisionRead,
@@ -29,10 +27,11 @@
     SettingsRead,
     SettingsUnavailable,
 )
-from waxwingarch.core.desk import Desk
-from waxwingarch.core.directory import Directory
-from waxwingarch.core.duty_leases import DutyLeases, LeaseReply
-from waxwingarch.core.evacuation import Evacuation
+from waxwingarch.core.cluster.items import LeavingServer
+from waxwingarch.core.cluster.members import Member
+from waxwingarch.core.cluster.messages import DatagramReceived, Tick
+from waxwingarch.core.contracts.directory import Directory
+from waxwingarch.core.duties.duty_leases import DutyLeases, LeaseReply
 from waxwingarch.core.events import (
     CacheRead,
     CallerGone,
@@ -45,16 +44,14 @@
     SettingsParsed,
 )
 from waxwingarch.core.fleet import Fleet
-from waxwingarch.core.guarded import Identity, OnceReply
-from waxwingarch.core.handoff import HandOff, OwnHostLeaving
-from waxwingarch.core.items import LeavingServer
-from waxwingarch.core.limits import HostLimits
-from waxwingarch.core.members import Member
-from waxwingarch.core.messages import DatagramReceived, Tick
-from waxwingarch.core.move_duty import MOVES_DUTY, MoveDuty
-from waxwingarch.core.moves import MoveBoard
-from waxwingarch.core.placement import CostPlacement
-from waxwingarch.core.prefix import PrefixIndex
+from waxwingarch.core.limits.admission import Admission
+from waxwingarch.core.limits.limits import HostLimits
+from waxwingarch.core.limits.shares import LOAN_MARGIN_S
+from waxwingarch.core.moves.move_duty import MOVES_DUTY, MoveDuty
+from waxwingarch.core.moves.moves import MoveBoard
+from waxwingarch.core.placement.chooser import Chooser
+from waxwingarch.core.placement.placement import CostPlacement
+from waxwingarch.core.placement.prefix import PrefixIndex
 from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.request import (
@@ -67,8 +64,11 @@
     Refuse,
     Request,
 )
-from waxwingarch.core.servers import ServerBook
-from waxwingarch.core.shares import LOAN_MARGIN_S
+from waxwingarch.core.requests.desk import Desk
+from waxwingarch.core.requests.evacuation import Evacuation
+from waxwingarch.core.requests.guarded import Identity, OnceReply
+from waxwingarch.core.requests.handoff import HandOff, OwnHostLeaving
+from waxwingarch.core.servers.servers import ServerBook
 
 COME_BACK_AFTER_S: Final = 1.0
 
--- /dev/null
+++ b/waxwingarch/core/once/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that run at most once."""
--- a/waxwingarch/core/claim_batch.py
+++ b/waxwingarch/core/once/claim_batch.py
@@ -10,7 +10,7 @@
 from enum import StrEnum
 from typing import Final
 
-from waxwingarch.core.rows import (
+from waxwingarch.core.settings.rows import (
     MAX_TRANSACTION_WRITES,
     Committed,
     Condition,
--- a/waxwingarch/core/once.py
+++ b/waxwingarch/core/once/once.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 from waxwingarch.core.base import Action, Event, Ran
-from waxwingarch.core.claim import (
+from waxwingarch.core.once.claim import (
     INLINE_ANSWER_MAX_BYTES,
     ClaimRow,
     ClaimState,
@@ -21,7 +21,7 @@
     may_write,
     row_state,
 )
-from waxwingarch.core.once_messages import (
+from waxwingarch.core.once.once_messages import (
     Answer,
     AnswerNotStored,
     AnswerStored,
@@ -47,7 +47,7 @@
     TableUnavailable,
     WriteClaim,
 )
-from waxwingarch.core.once_state import Memory, OwnerView, Phase
+from waxwingarch.core.once.once_state import Memory, OwnerView, Phase
 
 RETRY_DELAY_S: Final = 0.5
 RETRY_AFTER_S: Final = 1.0
--- a/waxwingarch/core/once_messages.py
+++ b/waxwingarch/core/once/once_messages.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 
 from waxwingarch.core.base import Action, Event, HostId, Ran
-from waxwingarch.core.claim import (
+from waxwingarch.core.once.claim import (
     ClaimRow,
     ClaimState,
     StoredAnswer,
--- a/waxwingarch/core/once_state.py
+++ b/waxwingarch/core/once/once_state.py
@@ -5,8 +5,8 @@
 from typing import Protocol
 
 from waxwingarch.core.base import HostId
-from waxwingarch.core.claim import ClaimRow, Writer
-from waxwingarch.core.once_messages import StoreAnswer
+from waxwingarch.core.once.claim import ClaimRow, Writer
+from waxwingarch.core.once.once_messages import StoreAnswer
 
 
 class OwnerView(Protocol):
--- a/waxwingarch/core/once_trace.py
+++ b/waxwingarch/core/once/once_trace.py
@@ -11,9 +11,9 @@
 from typing import Any, Final
 
 from waxwingarch.core.base import Action, Event, HostId
-from waxwingarch.core.claim import ClaimRow, StoredAnswer
-from waxwingarch.core.once import OnceMachine
-from waxwingarch.core.once_messages import (
+from waxwingarch.core.once.claim import ClaimRow, StoredAnswer
+from waxwingarch.core.once.once import OnceMachine
+from waxwingarch.core.once.once_messages import (
     Answer,
     AnswerNotStored,
     AnswerStored,
--- a/waxwingarch/core/once_unkeyed.py
+++ b/waxwingarch/core/once/once_unkeyed.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from waxwingarch.core.base import Action, Event, Ran
-from waxwingarch.core.once_messages import (
+from waxwingarch.core.once.once_messages import (
     Answer,
     Dispatch,
     DispatchAnswered,
@@ -24,7 +24,7 @@
     RefuseRequest,
     SetOnceTimer,
 )
-from waxwingarch.core.once_state import Phase
+from waxwingarch.core.once.once_state import Phase
 
 RETRY_DELAY_S: Final = 0.5
 RETRY_AFTER_S: Final = 1.0
--- /dev/null
+++ b/waxwingarch/core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a backend server for an attempt."""
--- a/waxwingarch/core/chooser.py
+++ b/waxwingarch/core/placement/chooser.py
@@ -5,15 +5,15 @@
 from typing import Final
 
 from waxwingarch.core.base import Server, ServerId, ServiceId
-from waxwingarch.core.items import LoadSummary
-from waxwingarch.core.placement_messages import (
+from waxwingarch.core.cluster.items import LoadSummary
+from waxwingarch.core.placement.placement_messages import (
     Outcome,
     Placement,
     PlacementRequest,
     ServerView,
 )
 from waxwingarch.core.request import Request
-from waxwingarch.core.servers import ServerBook
+from waxwingarch.core.servers.servers import ServerBook
 
 DEFAULT_SLOT_S: Final = 2.0
 
--- a/waxwingarch/core/placement.py
+++ b/waxwingarch/core/placement/placement.py
@@ -6,15 +6,19 @@
 from typing import Final
 
 from waxwingarch.core.base import RequestId, ServerId
-from waxwingarch.core.placement_load import OwnLoad
-from waxwingarch.core.placement_messages import (
+from waxwingarch.core.placement.placement_load import OwnLoad
+from waxwingarch.core.placement.placement_messages import (
     Choice,
     Outcome,
     PlacementRequest,
     ServerView,
 )
-from waxwingarch.core.placement_outlier import OutlierGate
-from waxwingarch.core.prefix import BLOCK_WORDS, PrefixIndex, PrefixMatch
+from waxwingarch.core.placement.placement_outlier import OutlierGate
+from waxwingarch.core.placement.prefix import (
+    BLOCK_WORDS,
+    PrefixIndex,
+    PrefixMatch,
+)
 from waxwingarch.core.randomness import RandomSource
 
 SAMPLED: Final = 12
--- a/waxwingarch/core/placement_baseline.py
+++ b/waxwingarch/core/placement/placement_baseline.py
@@ -3,8 +3,8 @@
 from collections.abc import Sequence
 
 from waxwingarch.core.base import RequestId, ServerId
-from waxwingarch.core.placement_load import OwnLoad
-from waxwingarch.core.placement_messages import (
+from waxwingarch.core.placement.placement_load import OwnLoad
+from waxwingarch.core.placement.placement_messages import (
     Choice,
     Outcome,
     PlacementRequest,
--- a/waxwingarch/core/placement_load.py
+++ b/waxwingarch/core/placement/placement_load.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from waxwingarch.core.base import RequestId, ServerId
-from waxwingarch.core.placement_messages import ServerView
+from waxwingarch.core.placement.placement_messages import ServerView
 
 MAX_ENDED: Final = 128
 PEER_FRACTION: Final = 0.5
--- a/waxwingarch/core/placement_outlier.py
+++ b/waxwingarch/core/placement/placement_outlier.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from waxwingarch.core.base import RequestId, ServerId
-from waxwingarch.core.placement_messages import ServerView
+from waxwingarch.core.placement.placement_messages import ServerView
 
 FAILURES_TO_EJECT: Final = 3
 EJECT_S: Final = 2.0
--- a/waxwingarch/core/prefix.py
+++ b/waxwingarch/core/placement/prefix.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from waxwingarch.core.base import ServerId
-from waxwingarch.core.items import CacheSummary
+from waxwingarch.core.cluster.items import CacheSummary
 
 BLOCK_WORDS: Final = 16
 BLOCK_MASK: Final = 0xFFFFFFFF
--- /dev/null
+++ b/waxwingarch/core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests in progress, from arrival to the final answer."""
--- a/waxwingarch/core/desk.py
+++ b/waxwingarch/core/requests/desk.py
@@ -4,32 +4,36 @@
 from dataclasses import dataclass
 from typing import Final
 
-from waxwingarch.core.admission import Admission
-from waxwingarch.core.admission_messages import (
-    Queued,
-)
-from waxwingarch.core.admission_messages import Refusal as NotAdmitted
 from waxwingarch.core.base import Action, RequestId, Server, ServerId
 from waxwingarch.core.base import ServerKind as Kind
-from waxwingarch.core.chooser import Chooser
-from waxwingarch.core.contract import Contract
-from waxwingarch.core.desk_refusals import no_server, not_admitted
-from waxwingarch.core.durations import Durations
-from waxwingarch.core.guarded import GuardedMachine, Identity, OnceReply
-from waxwingarch.core.handover import hand_over_key
-from waxwingarch.core.observer import AttemptObserver
-from waxwingarch.core.once_state import OwnerView
-from waxwingarch.core.placement_messages import Outcome
-from waxwingarch.core.plain import PlainMachine
+from waxwingarch.core.contracts.contract import Contract
+from waxwingarch.core.limits.admission import Admission
+from waxwingarch.core.limits.admission_messages import (
+    Queued,
+)
+from waxwingarch.core.limits.admission_messages import Refusal as NotAdmitted
+from waxwingarch.core.limits.retry_budget import RetryBudget
+from waxwingarch.core.once.once_state import OwnerView
+from waxwingarch.core.placement.chooser import Chooser
+from waxwingarch.core.placement.placement_messages import Outcome
 from waxwingarch.core.request import (
     AttemptEvent,
     FetchHandOver,
     HandOverFetched,
     Request,
 )
-from waxwingarch.core.retry_budget import RetryBudget
-from waxwingarch.core.servers import ServerBook
-from waxwingarch.core.stream import StreamMachine, StreamState
+from waxwingarch.core.requests.desk_refusals import no_server, not_admitted
+from waxwingarch.core.requests.durations import Durations
+from waxwingarch.core.requests.guarded import (
+    GuardedMachine,
+    Identity,
+    OnceReply,
+)
+from waxwingarch.core.requests.handover import hand_over_key
+from waxwingarch.core.requests.observer import AttemptObserver
+from waxwingarch.core.requests.plain import PlainMachine
+from waxwingarch.core.requests.stream import StreamMachine, StreamState
+from waxwingarch.core.servers.servers import ServerBook
 
 RETRY_PAUSE_S: Final = 0.1
 FETCH_LIMIT_S: Final = 1.0
--- a/waxwingarch/core/desk_refusals.py
+++ b/waxwingarch/core/requests/desk_refusals.py
@@ -2,8 +2,8 @@
 
 from typing import Final
 
-from waxwingarch.core.admission_messages import Refusal as NotAdmitted
 from waxwingarch.core.base import Ran
+from waxwingarch.core.limits.admission_messages import Refusal as NotAdmitted
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.request import Refuse, Request
 
--- a/waxwingarch/core/durations.py
+++ b/waxwingarch/core/requests/durations.py
@@ -2,8 +2,8 @@
 
 from typing import Final
 
-from waxwingarch.core.admission_messages import PendingRequest
 from waxwingarch.core.base import ServerKind
+from waxwingarch.core.limits.admission_messages import PendingRequest
 from waxwingarch.core.request import Request
 
 WEIGHT: Final = 0.1
--- a/waxwingarch/core/evacuation.py
+++ b/waxwingarch/core/requests/evacuation.py
@@ -4,18 +4,18 @@
 from typing import Final
 
 from waxwingarch.core.base import Action, RequestId, Server, ServerId
-from waxwingarch.core.chooser import Chooser
-from waxwingarch.core.desk import Desk
-from waxwingarch.core.placement_messages import ServerView
-from waxwingarch.core.reclaim import (
+from waxwingarch.core.placement.chooser import Chooser
+from waxwingarch.core.placement.placement_messages import ServerView
+from waxwingarch.core.requests.desk import Desk
+from waxwingarch.core.requests.stream import StreamMachine, StreamState
+from waxwingarch.core.servers.reclaim import (
     ReclaimStep,
     ReclaimWay,
     StreamView,
     TargetView,
     plan,
 )
-from waxwingarch.core.servers import Departure, ServerBook
-from waxwingarch.core.stream import StreamMachine, StreamState
+from waxwingarch.core.servers.servers import Departure, ServerBook
 
 REPLAN_S: Final = 0.25
 KV_BYTES_PER_TOKEN: Final = 160_000
--- a/waxwingarch/core/guarded.py
+++ b/waxwingarch/core/requests/guarded.py
@@ -17,9 +17,9 @@
     Server,
     ServerId,
 )
-from waxwingarch.core.claim import StoredAnswer, claim_key, operation_id
-from waxwingarch.core.once import OnceMachine
-from waxwingarch.core.once_messages import (
+from waxwingarch.core.once.claim import StoredAnswer, claim_key, operation_id
+from waxwingarch.core.once.once import OnceMachine
+from waxwingarch.core.once.once_messages import (
     Answer,
     Dispatch,
     DispatchNotSent,
@@ -35,11 +35,11 @@
     StoreAnswer,
     WriteClaim,
 )
-from waxwingarch.core.once_state import OwnerView
-from waxwingarch.core.once_unkeyed import UnkeyedMachine
+from waxwingarch.core.once.once_state import OwnerView
+from waxwingarch.core.once.once_unkeyed import UnkeyedMachine
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.request import Refuse, Request
-from waxwingarch.core.stream import Attempt, StreamState
+from waxwingarch.core.requests.stream import Attempt, StreamState
 
 DISPATCH_WINDOW_S: Final = 5.0
 RECORD_WINDOW_S: Final = 30.0
--- a/waxwingarch/core/handoff.py
+++ b/waxwingarch/core/requests/handoff.py
@@ -16,9 +16,9 @@
     RequestId,
     ServerId,
 )
-from waxwingarch.core.desk import Desk
-from waxwingarch.core.handover import hand_over_key
-from waxwingarch.core.stream import StreamMachine
+from waxwingarch.core.requests.desk import Desk
+from waxwingarch.core.requests.handover import hand_over_key
+from waxwingarch.core.requests.stream import StreamMachine
 
 CLOSE_LEAD_S: Final = 1.0
 
--- a/waxwingarch/core/plain.py
+++ b/waxwingarch/core/requests/plain.py
@@ -21,7 +21,7 @@
     Request,
     StartAttempt,
 )
-from waxwingarch.core.stream import FINAL_STATES, Attempt, StreamState
+from waxwingarch.core.requests.stream import FINAL_STATES, Attempt, StreamState
 
 MAX_ATTEMPTS: Final = 3
 RETRY_AFTER_S: Final = 1.0
--- a/waxwingarch/core/stream.py
+++ b/waxwingarch/core/requests/stream.py
@@ -9,7 +9,6 @@
 from enum import StrEnum
 from typing import Final
 
-from waxwingarch.core.assembly import GapError, Prefix, TokenAssembly
 from waxwingarch.core.base import Action, AttemptId, Ran, Server, ServerId
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.request import (
@@ -27,6 +26,7 @@
     Request,
     StartAttempt,
 )
+from waxwingarch.core.requests.assembly import GapError, Prefix, TokenAssembly
 
 SILENCE_LIMIT_MAX_S: Final = 2.0
 SILENCE_LIMIT_MIN_S: Final = 0.5
--- /dev/null
+++ b/waxwingarch/core/servers/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers: the book of them, reclaim and orders."""
--- a/waxwingarch/core/orders.py
+++ b/waxwingarch/core/servers/orders.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from waxwingarch.core.base import Action, Event, ServerId, VersionId
-from waxwingarch.core.lease import LONGEST_ORDER_S, LeaseMachine
+from waxwingarch.core.duties.lease import LONGEST_ORDER_S, LeaseMachine
 
 READ_BACK_INTERVAL_S: Final = 2.0
 KEEP_WATCH_S: Final = 2 * LONGEST_ORDER_S
--- /dev/null
+++ b/waxwingarch/core/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings revisions and the rows they are kept in."""
--- a/waxwingarch/core/revision.py
+++ b/waxwingarch/core/settings/revision.py
@@ -11,7 +11,7 @@
 from typing import Any, Final
 
 from waxwingarch.core.base import Action, Event
-from waxwingarch.core.rows import (
+from waxwingarch.core.settings.rows import (
     MAX_TRANSACTION_WRITES,
     Condition,
     Row,
--- a/waxwingarch/daemon.py
+++ b/waxwingarch/daemon.py
@@ -29,18 +29,18 @@
 from waxwingarch.adapters.trace import TraceHeader, TraceWriter
 from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_FORCED_STOP, EXIT_OK
 from waxwingarch.core.base import Action, FailureDomain, HostId, RequestId
-from waxwingarch.core.cluster_events import Leave, Superseded
-from waxwingarch.core.configsync import (
+from waxwingarch.core.cluster.cluster_events import Leave, Superseded
+from waxwingarch.core.cluster.configsync import (
     PollRevision,
     PullSettings,
     ReadSettings,
 )
+from waxwingarch.core.cluster.members import Addresses, Member, MemberState
+from waxwingarch.core.cluster.messages import SendPeer
 from waxwingarch.core.events import Drained, DrainRequested
-from waxwingarch.core.handoff import OwnHostLeaving
-from waxwingarch.core.handover import HandOver
-from waxwingarch.core.members import Addresses, Member, MemberState
-from waxwingarch.core.messages import SendPeer
-from waxwingarch.core.settings import SettingsDelta
+from waxwingarch.core.requests.handoff import OwnHostLeaving
+from waxwingarch.core.requests.handover import HandOver
+from waxwingarch.core.settings.settings import SettingsDelta
 from waxwingarch.diagnostics import dump
 from waxwingarch.ports.cloud import EntryHost, Notice
 from waxwingarch.tasks.admin import Admin
--- a/waxwingarch/diagnostics.py
+++ b/waxwingarch/diagnostics.py
@@ -6,10 +6,10 @@
 
 from waxwingarch.adapters.settings import Settings
 from waxwingarch.const import VERSION
-from waxwingarch.core.items import LeavingServer
-from waxwingarch.core.merge import ItemKind
+from waxwingarch.core.cluster.items import LeavingServer
+from waxwingarch.core.cluster.merge import ItemKind
 from waxwingarch.core.node import Node
-from waxwingarch.core.stream import StreamMachine
+from waxwingarch.core.requests.stream import StreamMachine
 
 KB_PER_MB = 1024
 
--- a/waxwingarch/ports/settings.py
+++ b/waxwingarch/ports/settings.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from waxwingarch.core.settings import Document
+from waxwingarch.core.settings.settings import Document
 
 
 class SettingsWriter(Protocol):
--- a/waxwingarch/ports/settings_store.py
+++ b/waxwingarch/ports/settings_store.py
@@ -4,8 +4,8 @@
 from typing import Protocol
 
 from waxwingarch.core.base import ServiceId
-from waxwingarch.core.move_record import MoveRecord, WriteMove
-from waxwingarch.core.settings import SettingsSnapshot
+from waxwingarch.core.moves.move_record import MoveRecord, WriteMove
+from waxwingarch.core.settings.settings import SettingsSnapshot
 from waxwingarch.ports.settings import SettingsWriter
 
 
--- a/waxwingarch/ports/table.py
+++ b/waxwingarch/ports/table.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from waxwingarch.core.rows import (
+from waxwingarch.core.settings.rows import (
     Committed,
     Condition,
     Conflict,
--- a/waxwingarch/tasks/claims.py
+++ b/waxwingarch/tasks/claims.py
@@ -13,14 +13,8 @@
     HttpClient,
 )
 from waxwingarch.core.base import Event, RequestId, ServerKind
-from waxwingarch.core.claim import StoredAnswer
-from waxwingarch.core.guarded import (
-    OnceCall,
-    OnceDispatch,
-    OnceQuery,
-    OnceReply,
-)
-from waxwingarch.core.once_messages import (
+from waxwingarch.core.once.claim import StoredAnswer
+from waxwingarch.core.once.once_messages import (
     AnswerNotStored,
     AnswerStored,
     DispatchAnswered,
@@ -32,6 +26,12 @@
     StoreAnswer,
     WriteClaim,
 )
+from waxwingarch.core.requests.guarded import (
+    OnceCall,
+    OnceDispatch,
+    OnceQuery,
+    OnceReply,
+)
 from waxwingarch.exceptions import LinkError, PlatformUnavailableError
 from waxwingarch.ports.objects import ObjectStore
 from waxwingarch.tasks.exchange import Exchange, Exchanges
--- a/waxwingarch/tasks/control.py
+++ b/waxwingarch/tasks/control.py
@@ -10,9 +10,9 @@
 from waxwingarch.adapters.lease_store import LeaseStore
 from waxwingarch.adapters.settings_moves import move_document
 from waxwingarch.core.base import Action, ServerKind
-from waxwingarch.core.duty_leases import LeaseCall, LeaseReply
-from waxwingarch.core.move import StartServers, StopServers
-from waxwingarch.core.move_duty import MOVES_DUTY, CommitMove
+from waxwingarch.core.duties.duty_leases import LeaseCall, LeaseReply
+from waxwingarch.core.moves.move import StartServers, StopServers
+from waxwingarch.core.moves.move_duty import MOVES_DUTY, CommitMove
 from waxwingarch.exceptions import (
     ConflictError,
     PlatformUnavailableError,
--- a/waxwingarch/tasks/entry.py
+++ b/waxwingarch/tasks/entry.py
@@ -31,9 +31,9 @@
 )
 from waxwingarch.core.base import Ran, ServerKind
 from waxwingarch.core.events import CallerGone, RequestArrived
-from waxwingarch.core.guarded import OnceAnswer
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.request import Complete, Deliver, Refuse, ResumeFrom
+from waxwingarch.core.requests.guarded import OnceAnswer
 from waxwingarch.exceptions import PlatformUnavailableError
 from waxwingarch.ports.objects import ObjectStore
 from waxwingarch.tasks.exchange import CallerClosed, Exchange, Exchanges
--- a/waxwingarch/tasks/exchange.py
+++ b/waxwingarch/tasks/exchange.py
@@ -7,8 +7,8 @@
 
 from waxwingarch.adapters.http_client import HttpAnswer
 from waxwingarch.core.base import AttemptId, RequestId, ServerId
-from waxwingarch.core.guarded import OnceAnswer
 from waxwingarch.core.request import Complete, Deliver, Refuse, Request
+from waxwingarch.core.requests.guarded import OnceAnswer
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/tasks/handovers.py
+++ b/waxwingarch/tasks/handovers.py
@@ -10,9 +10,9 @@
 
 from waxwingarch.adapters.grpc_peers import GrpcPeers
 from waxwingarch.core.base import RequestId
-from waxwingarch.core.handoff import SendHandOver
-from waxwingarch.core.handover import HandOver, hand_over_key
 from waxwingarch.core.request import FetchHandOver, HandOverFetched
+from waxwingarch.core.requests.handoff import SendHandOver
+from waxwingarch.core.requests.handover import HandOver, hand_over_key
 from waxwingarch.exceptions import LinkError
 from waxwingarch.tasks.exchange import CallerClosed, Exchange, Exchanges
 from waxwingarch.tasks.runner import Runner
--- a/waxwingarch/tasks/intake.py
+++ b/waxwingarch/tasks/intake.py
@@ -22,10 +22,10 @@
     HEADER_NON_IDEMPOTENT,
 )
 from waxwingarch.core.base import Ran, RequestId, ServerKind
-from waxwingarch.core.claim import body_digest
-from waxwingarch.core.contract import Contract, RouteRule
-from waxwingarch.core.directory import Directory
-from waxwingarch.core.prefix import prompt_blocks
+from waxwingarch.core.contracts.contract import Contract, RouteRule
+from waxwingarch.core.contracts.directory import Directory
+from waxwingarch.core.once.claim import body_digest
+from waxwingarch.core.placement.prefix import prompt_blocks
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.request import Request, ResumeFrom
 from waxwingarch.exceptions import WaxwingError
--- a/waxwingarch/tasks/move_operations.py
+++ b/waxwingarch/tasks/move_operations.py
@@ -15,9 +15,9 @@
 from waxwingarch.adapters.settings import Name
 from waxwingarch.adapters.settings_moves import moves_of
 from waxwingarch.core.base import ServiceId, VersionId
-from waxwingarch.core.move import plan_move
-from waxwingarch.core.move_policy import PacedPolicy
-from waxwingarch.core.move_record import (
+from waxwingarch.core.moves.move import plan_move
+from waxwingarch.core.moves.move_policy import PacedPolicy
+from waxwingarch.core.moves.move_record import (
     MoveConflict,
     MoveRecord,
     MoveState,
--- a/waxwingarch/tasks/operations.py
+++ b/waxwingarch/tasks/operations.py
@@ -21,7 +21,7 @@
     HttpRequest,
 )
 from waxwingarch.core.node import Node
-from waxwingarch.core.settings import Document, SettingsSnapshot
+from waxwingarch.core.settings.settings import Document, SettingsSnapshot
 from waxwingarch.exceptions import ConflictError, SettingsError
 from waxwingarch.ports.settings_store import SettingsStore
 from waxwingarch.tasks.admin import Admin, NotFoundError
--- a/waxwingarch/tasks/own_changes.py
+++ b/waxwingarch/tasks/own_changes.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Sequence
 
 from waxwingarch.core.base import Event
-from waxwingarch.core.configsync import SettingsRead
-from waxwingarch.core.settings import (
+from waxwingarch.core.cluster.configsync import SettingsRead
+from waxwingarch.core.settings.settings import (
     Document,
     SettingsSnapshot,
     make_snapshot,
--- a/waxwingarch/tasks/peer_transport.py
+++ b/waxwingarch/tasks/peer_transport.py
@@ -15,7 +15,7 @@
 from waxwingarch.adapters.peer_codec import DatagramSeal
 from waxwingarch.adapters.udp_peers import UdpPeers, async_open_udp
 from waxwingarch.core.base import Action, Event
-from waxwingarch.core.configsync import (
+from waxwingarch.core.cluster.configsync import (
     POLL_TIMEOUT_S,
     PULL_TIMEOUT_S,
     READ_TIMEOUT_S,
@@ -29,13 +29,13 @@
     SettingsRead,
     SettingsUnavailable,
 )
-from waxwingarch.core.messages import (
+from waxwingarch.core.cluster.messages import (
     Datagram,
     DatagramReceived,
     SendPeer,
     Tick,
 )
-from waxwingarch.core.settings import SettingsSnapshot
+from waxwingarch.core.settings.settings import SettingsSnapshot
 from waxwingarch.exceptions import LinkError, PlatformUnavailableError
 
 TICK_PERIOD_S: Final = 0.1
--- a/waxwingarch/tasks/peers.py
+++ b/waxwingarch/tasks/peers.py
@@ -13,12 +13,16 @@
     HostId,
     RequestId,
 )
-from waxwingarch.core.cluster import Cluster
-from waxwingarch.core.cluster_events import Leave, PublishItem, SetDraining
-from waxwingarch.core.handover import HandOver
-from waxwingarch.core.items import Item
-from waxwingarch.core.members import Addresses, Member, MemberState
-from waxwingarch.core.settings import SettingsDelta
+from waxwingarch.core.cluster.cluster import Cluster
+from waxwingarch.core.cluster.cluster_events import (
+    Leave,
+    PublishItem,
+    SetDraining,
+)
+from waxwingarch.core.cluster.items import Item
+from waxwingarch.core.cluster.members import Addresses, Member, MemberState
+from waxwingarch.core.requests.handover import HandOver
+from waxwingarch.core.settings.settings import SettingsDelta
 from waxwingarch.tasks.peer_transport import (
     PeerTransport,
     SettingsTable,
--- a/waxwingarch/tasks/request_log.py
+++ b/waxwingarch/tasks/request_log.py
@@ -14,7 +14,6 @@
     ServerId,
 )
 from waxwingarch.core.events import CallerGone, RequestArrived
-from waxwingarch.core.guarded import OnceAnswer, OnceDispatch, OnceQuery
 from waxwingarch.core.refusal import Refusal
 from waxwingarch.core.request import (
     AttemptLost,
@@ -25,6 +24,11 @@
     Request,
     StartAttempt,
 )
+from waxwingarch.core.requests.guarded import (
+    OnceAnswer,
+    OnceDispatch,
+    OnceQuery,
+)
 
 FINISHED_KEPT: Final = 512
 STEPS_KEPT: Final = 32
--- a/waxwingarch/tasks/server_watch.py
+++ b/waxwingarch/tasks/server_watch.py
@@ -6,9 +6,9 @@
 
 from waxwingarch.adapters.http_client import HttpClient
 from waxwingarch.core.base import Server, ServerId, ServerKind
+from waxwingarch.core.cluster.items import LoadSummary
 from waxwingarch.core.events import CacheRead, LoadRead
-from waxwingarch.core.items import LoadSummary
-from waxwingarch.core.prefix import CacheEvent, CacheOp
+from waxwingarch.core.placement.prefix import CacheEvent, CacheOp
 from waxwingarch.exceptions import LinkError
 from waxwingarch.tasks.runner import Runner
 
--- a/waxwingarch/tasks/settings_apply.py
+++ b/waxwingarch/tasks/settings_apply.py
@@ -7,10 +7,10 @@
 
 from waxwingarch.adapters.contract_ini import parse_contract
 from waxwingarch.adapters.settings_moves import MOVE_PREFIX, read_move
-from waxwingarch.core.configsync import ApplySettings
-from waxwingarch.core.contract import Contract
+from waxwingarch.core.cluster.configsync import ApplySettings
+from waxwingarch.core.contracts.contract import Contract
 from waxwingarch.core.events import SettingsParsed
-from waxwingarch.core.settings import Document, SettingsSnapshot
+from waxwingarch.core.settings.settings import Document, SettingsSnapshot
 from waxwingarch.exceptions import SettingsError
 from waxwingarch.tasks.runner import Runner
 
