--- a/tests/core/once/test_once_trace.py
+++ b/tests/core/once/test_once_trace.py
@@ -7,7 +7,7 @@
 
 from waxwingarch.core.once.once_trace import Replayed, replay_once
 
-TRACES = Path(__file__).parents[2] / "traces"
+TRACES = Path(__file__).parents[3] / "traces"
 
 
 def _lines(name: str) -> list[str]:
