--- /dev/null
+++ b/waxwingarch/adapters/front_settings.py
@@ -0,0 +1,114 @@
+"""Settings of a host with routed exchanges, read from an INI file."""
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+
+from waxwingarch.adapters.ini import parse_ini, validate
+from waxwingarch.adapters.settings import Address, Name, read_text
+from waxwingarch.core.base import FailureDomain, HostId
+from waxwingarch.core.front import FrontBounds, FrontIdentity
+
+PositiveSeconds = Annotated[float, Field(gt=0)]
+NotNegative = Annotated[float, Field(ge=0)]
+MS_PER_S = 1000
+
+
+def _commas(value: str) -> str:
+    return " ".join(value.replace(",", " ").split())
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class HostSection(_Section):
+    """Who this host is; `first_start` is true when all hosts are new."""
+
+    name: Name
+    failure_domain: Name
+    first_start: bool = False
+
+
+class ListenSection(_Section):
+    """Addresses this host listens on."""
+
+    callers: Address
+    readiness: Address
+    peers: Address
+    metrics: Address
+
+
+class StoreSection(_Section):
+    """Where the platform's row store is."""
+
+    address: Address
+
+
+class DutiesSection(_Section):
+    """Where singleton duties are carried out, and which there are."""
+
+    address: Address | Literal[""] = ""
+    kinds: Annotated[str, AfterValidator(_commas)] = ""
+
+
+class BoundsSection(_Section):
+    """Limits that a deployment sets."""
+
+    resend_ratio: NotNegative = 0.2
+    resend_extra: NotNegative = 50.0
+    resend_window_s: PositiveSeconds = 10.0
+    rate_window_s: PositiveSeconds = 8.0
+    lease_ms: PositiveSeconds = 3000.0
+    usage_window_s: PositiveSeconds = 5.0
+    stop_grace_s: PositiveSeconds = 8.0
+
+
+class LogSection(_Section):
+    """What is logged: lines a second of one kind at most."""
+
+    lines_per_s: Annotated[int, Field(gt=0)] = 50
+
+
+class FrontSettings(BaseModel):
+    """All settings of the daemon on a platform with routed exchanges."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    host: HostSection
+    listen: ListenSection
+    store: StoreSection
+    duties: DutiesSection = DutiesSection()
+    bounds: BoundsSection = BoundsSection()
+    log: LogSection = LogSection()
+
+    def identity(self, incarnation: int) -> FrontIdentity:
+        """Return who this host is, for the decisions."""
+        kinds = self.duties.kinds.split() if self.duties.address else []
+        return FrontIdentity(
+            host=HostId(self.host.name),
+            incarnation=incarnation,
+            domain=FailureDomain(self.host.failure_domain),
+            address=self.listen.peers,
+            first_start=self.host.first_start,
+            duties=frozenset(kinds),
+        )
+
+    def front_bounds(self) -> FrontBounds:
+        """Return the limits, for the decisions."""
+        bounds = self.bounds
+        return FrontBounds(
+            resend_ratio=bounds.resend_ratio,
+            resend_extra=bounds.resend_extra,
+            resend_window_s=bounds.resend_window_s,
+            rate_window_s=bounds.rate_window_s,
+            lease_s=bounds.lease_ms / MS_PER_S,
+            usage_window_s=bounds.usage_window_s,
+        )
+
+
+def read_front_settings(path: Path) -> FrontSettings:
+    """Return the settings in a file; raises `SettingsError`."""
+    source = str(path)
+    return validate(FrontSettings, parse_ini(read_text(path), source), source)
--- a/waxwingarch/adapters/http_messages.py
+++ b/waxwingarch/adapters/http_messages.py
@@ -17,7 +17,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HttpRequest:
-    """One request as read from the wire; header names are lower-case."""
+    """One request as read from the wire; header names are lower-case.
+
+    `pairs` are the headers in their order and spelling.
+    """
 
     method: str
     target: str
@@ -25,6 +28,7 @@
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    pairs: tuple[tuple[str, str], ...] = ()
 
     def json(self) -> Any:
         """Return the body parsed as JSON; raises `ValueError`."""
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -357,6 +357,10 @@
         query=dict(parse_qsl(target.query)),
         headers={n.decode().lower(): v.decode("latin-1") for n, v in fields},
         body=body,
+        pairs=tuple(
+            (n.decode("ascii"), v.decode("latin-1"))
+            for n, v in fields.raw_items()
+        ),
     )
 
 
--- /dev/null
+++ b/waxwingarch/adapters/report_codec.py
@@ -0,0 +1,72 @@
+"""Reports between hosts as datagrams of JSON."""
+
+from typing import Any
+
+import orjson
+
+from waxwingarch.core.backends.load import ServerLoad
+from waxwingarch.core.base import AccountId, HostId, ServerId
+from waxwingarch.core.peers.report import HostReport
+from waxwingarch.exceptions import WaxwingError
+
+
+class BadReportError(WaxwingError):
+    """A datagram is not a report; check who sends to the peers' port."""
+
+
+def encode_report(report: HostReport) -> bytes:
+    """Return a report as one datagram."""
+    return orjson.dumps(
+        {
+            "host": report.host,
+            "inc": report.incarnation,
+            "seq": report.sequence,
+            "addr": report.address,
+            "unix": round(report.unix_now, 3),
+            "cfg": report.config_version,
+            "list": report.listing_version,
+            "drain": report.draining,
+            "duty": report.holds_duties,
+            "loads": {
+                server: [load.running, load.prefill_tokens, load.kv_tokens]
+                for server, load in report.loads.items()
+            },
+            "adm": report.admitted,
+            "began": {str(w): c for w, c in report.began.items()},
+        }
+    )
+
+
+def decode_report(data: bytes) -> HostReport:
+    """Return the report in a datagram; raises `BadReportError`."""
+    try:
+        return _report(orjson.loads(data))
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        raise BadReportError(f"not a report: {exc!r}") from exc
+
+
+def _report(raw: dict[str, Any]) -> HostReport:
+    return HostReport(
+        host=HostId(str(raw["host"])),
+        incarnation=int(raw["inc"]),
+        sequence=int(raw["seq"]),
+        address=str(raw["addr"]),
+        unix_now=float(raw["unix"]),
+        config_version=int(raw["cfg"]),
+        listing_version=int(raw["list"]),
+        draining=bool(raw["drain"]),
+        holds_duties=bool(raw["duty"]),
+        loads={
+            ServerId(server): ServerLoad(
+                running=int(load[0]),
+                prefill_tokens=int(load[1]),
+                kv_tokens=int(load[2]),
+            )
+            for server, load in raw["loads"].items()
+        },
+        admitted={AccountId(a): float(n) for a, n in raw["adm"].items()},
+        began={
+            int(window): {AccountId(a): int(n) for a, n in counts.items()}
+            for window, counts in raw["began"].items()
+        },
+    )
--- a/waxwingarch/adapters/settings.py
+++ b/waxwingarch/adapters/settings.py
@@ -102,8 +102,13 @@
 
 def read_settings(path: Path) -> Settings:
     """Return the settings in a file; raises `SettingsError`."""
+    return parse_settings(read_text(path), str(path))
+
+
+def read_text(path: Path) -> str:
+    """Return the text of a settings file; raises `SettingsError`."""
     try:
-        text = path.read_text(encoding="utf-8")
+        return path.read_text(encoding="utf-8")
     except UnicodeDecodeError as exc:
         raise SettingsError(
             f"{path}: is not UTF-8 text ({exc.reason}); save it as UTF-8"
@@ -112,4 +117,3 @@
         raise SettingsError(
             f"{path}: cannot be read ({exc.strerror}); name a settings file"
         ) from exc
-    return parse_settings(text, str(path))
--- /dev/null
+++ b/waxwingarch/core/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers that exchanges are sent to: who, how loaded, how sound."""
--- /dev/null
+++ b/waxwingarch/core/backends/listing.py
@@ -0,0 +1,160 @@
+"""The listed servers: who may get requests, who is leaving."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from waxwingarch.core.base import Action, Event, Server, ServerId, ServiceId
+
+# Servers that a listing lost while the store was away register again
+# within about two heartbeats of its return.
+RELIST_GRACE_S: Final = 2.5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ListedBackend:
+    """A server as it registered itself.
+
+    `leaves_in_s` is how long it will still be there, where it says so.
+    """
+
+    server: Server
+    draining: bool = False
+    leaves_in_s: float | None = None
+    cold_s: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BackendsListed(Event):
+    """All servers that are registered now.
+
+    `version` grows with each change of the listing; `after_outage` says
+    that changes may have been missed before.
+    """
+
+    version: int
+    backends: tuple[ListedBackend, ...]
+    after_outage: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BackendLeaving(Action):
+    """A server was seen to leave; `leaves_at` is on the node's clock."""
+
+    server: Server
+    leaves_at: float | None
+
+
+@dataclass(kw_only=True, slots=True)
+class Backend:
+    """A server, as this host knows it now."""
+
+    server: Server
+    listed_at: float
+    leaving_since: float | None = None
+    leaves_at: float | None = None
+    unlisted_since: float | None = None
+
+    @property
+    def usable(self) -> bool:
+        """Whether it may get new requests."""
+        return self.leaving_since is None
+
+
+class BackendBook:
+    """Servers by id; an incarnation that leaves stays leaving."""
+
+    def __init__(self, linger_s: float) -> None:
+        """Begin empty; what has left is forgotten after `linger_s`."""
+        self._linger_s = linger_s
+        self._known: dict[ServerId, Backend] = {}
+        self.version = 0
+        self.listed_at = float("-inf")
+
+    def __len__(self) -> int:
+        return len(self._known)
+
+    def get(self, server_id: ServerId) -> Backend | None:
+        """Return a server by its id."""
+        return self._known.get(server_id)
+
+    def all(self) -> Iterable[Backend]:
+        """Return all servers that are not forgotten."""
+        return self._known.values()
+
+    def of_service(self, service: ServiceId) -> list[Backend]:
+        """Return the servers of a service that may get requests."""
+        return [
+            backend
+            for backend in self._known.values()
+            if backend.server.service == service and backend.usable
+        ]
+
+    def listed(
+        self, now: float, event: BackendsListed
+    ) -> list[BackendLeaving]:
+        """Take a listing; returns the servers newly seen to leave."""
+        if event.version < self.version:
+            return []
+        self.version = event.version
+        self.listed_at = now
+        leaving = []
+        present = set()
+        for listed in event.backends:
+            present.add(listed.server.server_id)
+            if self._take(now, listed):
+                leaving.append(self._departure(listed.server.server_id))
+        for server_id, backend in self._known.items():
+            if server_id in present:
+                backend.unlisted_since = None
+            elif self._unlist(now, backend, event.after_outage):
+                leaving.append(self._departure(server_id))
+        return leaving
+
+    def tick(self, now: float) -> list[BackendLeaving]:
+        """Forget who has left; returns who did not register again."""
+        leaving = []
+        for server_id, backend in list(self._known.items()):
+            since = backend.unlisted_since
+            if since is not None and backend.usable:
+                if now - since >= RELIST_GRACE_S:
+                    backend.leaving_since = now
+                    leaving.append(self._departure(server_id))
+            elif since is not None and now - since > self._linger_s:
+                del self._known[server_id]
+        return leaving
+
+    def _take(self, now: float, listed: ListedBackend) -> bool:
+        """Take one entry; True if the server is newly leaving."""
+        server = listed.server
+        known = self._known.get(server.server_id)
+        if known is not None and known.server.incarnation > server.incarnation:
+            return False
+        if known is None or known.server.incarnation < server.incarnation:
+            known = Backend(server=server, listed_at=now)
+            self._known[server.server_id] = known
+        known.server = server
+        if not listed.draining:
+            return False
+        if listed.leaves_in_s is not None and known.leaves_at is None:
+            known.leaves_at = now + listed.leaves_in_s
+        if known.leaving_since is not None:
+            return False
+        known.leaving_since = now
+        return True
+
+    def _unlist(self, now: float, backend: Backend, late: bool) -> bool:
+        """Note that a server is not listed; True if it is leaving."""
+        if backend.unlisted_since is not None:
+            return False
+        backend.unlisted_since = now
+        if late or not backend.usable:
+            return False
+        backend.leaving_since = now
+        return True
+
+    def _departure(self, server_id: ServerId) -> BackendLeaving:
+        backend = self._known[server_id]
+        return BackendLeaving(
+            server=backend.server, leaves_at=backend.leaves_at
+        )
--- /dev/null
+++ b/waxwingarch/core/backends/load.py
@@ -0,0 +1,212 @@
+"""What runs on the servers: own sends, and what peers report of theirs."""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from waxwingarch.core.base import HostId, RequestId, ServerId
+from waxwingarch.core.exchange.messages import PromptPart
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerLoad:
+    """Requests of one host on one server.
+
+    `prefill_tokens` are those of requests that have no token yet,
+    `kv_tokens` what all of them may occupy.
+    """
+
+    running: int = 0
+    prefill_tokens: int = 0
+    kv_tokens: int = 0
+
+    def plus(self, other: "ServerLoad") -> "ServerLoad":
+        """Return the sum of two loads."""
+        return ServerLoad(
+            running=self.running + other.running,
+            prefill_tokens=self.prefill_tokens + other.prefill_tokens,
+            kv_tokens=self.kv_tokens + other.kv_tokens,
+        )
+
+
+NO_LOAD = ServerLoad()
+
+
+@dataclass(kw_only=True, slots=True)
+class Sent:
+    """One request on a server."""
+
+    server_id: ServerId
+    sent_at: float
+    prefill_tokens: int
+    kv_tokens: int
+    expected_s: float
+    began: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class _Own:
+    running: int = 0
+    prefill_tokens: int = 0
+    kv_tokens: int = 0
+    heard_at: float = float("-inf")
+
+
+class LoadBook:
+    """Loads by server."""
+
+    def __init__(self) -> None:
+        self._sent: dict[RequestId, Sent] = {}
+        self._own: dict[ServerId, _Own] = {}
+        self._peers: dict[HostId, Mapping[ServerId, ServerLoad]] = {}
+        self._sums: dict[ServerId, ServerLoad] = {}
+
+    def sent(self, request_id: RequestId, sent: Sent) -> None:
+        """Count a request as sent."""
+        self.ended(request_id)
+        self._sent[request_id] = sent
+        own = self._own.setdefault(sent.server_id, _Own())
+        own.running += 1
+        own.prefill_tokens += sent.prefill_tokens
+        own.kv_tokens += sent.kv_tokens
+
+    def began(self, now: float, request_id: RequestId) -> Sent | None:
+        """Count a request's prompt as read; returns it the first time."""
+        sent = self._sent.get(request_id)
+        if sent is None:
+            return None
+        self._own[sent.server_id].heard_at = now
+        if sent.began:
+            return None
+        sent.began = True
+        self._own[sent.server_id].prefill_tokens -= sent.prefill_tokens
+        return sent
+
+    def ended(self, request_id: RequestId) -> Sent | None:
+        """Count a request as ended."""
+        sent = self._sent.pop(request_id, None)
+        if sent is None:
+            return None
+        own = self._own[sent.server_id]
+        own.running -= 1
+        own.kv_tokens -= sent.kv_tokens
+        if not sent.began:
+            own.prefill_tokens -= sent.prefill_tokens
+        return sent
+
+    def on_server(self, request_id: RequestId) -> ServerId | None:
+        """Return the server that a request is on."""
+        sent = self._sent.get(request_id)
+        return sent.server_id if sent else None
+
+    def requests_on(self, server_id: ServerId) -> list[RequestId]:
+        """Return this host's requests on a server."""
+        return [r for r, s in self._sent.items() if s.server_id == server_id]
+
+    def heard(self, now: float, server_id: ServerId) -> None:
+        """Note that bytes came from a server."""
+        own = self._own.get(server_id)
+        if own is not None:
+            own.heard_at = now
+
+    def heard_at(self, server_id: ServerId) -> float:
+        """Return when bytes last came from a server."""
+        own = self._own.get(server_id)
+        return own.heard_at if own else float("-inf")
+
+    def set_peer(
+        self, host: HostId, loads: Mapping[ServerId, ServerLoad]
+    ) -> None:
+        """Take what a peer reports of its requests."""
+        self._peers[host] = loads
+        self._add_up()
+
+    def drop_peer(self, host: HostId) -> None:
+        """Forget a peer that is not heard of any more."""
+        if self._peers.pop(host, None) is not None:
+            self._add_up()
+
+    def own(self) -> dict[ServerId, ServerLoad]:
+        """Return this host's loads, for the peers."""
+        return {
+            server_id: _load(own)
+            for server_id, own in self._own.items()
+            if own.running
+        }
+
+    def total(self, server_id: ServerId) -> ServerLoad:
+        """Return the load by all hosts, as far as known."""
+        own = self._own.get(server_id)
+        peers = self._sums.get(server_id, NO_LOAD)
+        return peers.plus(_load(own)) if own else peers
+
+    def forget(self, server_id: ServerId) -> None:
+        """Drop a server that is gone and has no requests of this host."""
+        own = self._own.get(server_id)
+        if own is not None and not own.running:
+            del self._own[server_id]
+
+    def _add_up(self) -> None:
+        sums: dict[ServerId, ServerLoad] = {}
+        for loads in self._peers.values():
+            for server_id, load in loads.items():
+                sums[server_id] = sums.get(server_id, NO_LOAD).plus(load)
+        self._sums = sums
+
+
+def _load(own: _Own) -> ServerLoad:
+    return ServerLoad(
+        running=own.running,
+        prefill_tokens=own.prefill_tokens,
+        kv_tokens=own.kv_tokens,
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class _Cache:
+    held: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    tokens: int = 0
+
+
+class PartBook:
+    """Which prompt parts a server has read, by what this host sent there.
+
+    A part counts only if all parts before it are held; the least
+    recently used yield when the server's memory is full.
+    """
+
+    def __init__(self) -> None:
+        self._caches: dict[ServerId, _Cache] = {}
+
+    def held_tokens(
+        self, server_id: ServerId, parts: Iterable[PromptPart]
+    ) -> int:
+        """Return how many of a prompt's tokens a server has read."""
+        cache = self._caches.get(server_id)
+        if cache is None:
+            return 0
+        tokens = 0
+        for part in parts:
+            if part.part not in cache.held:
+                break
+            tokens += part.tokens
+        return tokens
+
+    def read(
+        self, server_id: ServerId, parts: Iterable[PromptPart], room: int
+    ) -> None:
+        """Note that a server reads parts; it has room for so many tokens."""
+        cache = self._caches.setdefault(server_id, _Cache())
+        for part in parts:
+            if part.part in cache.held:
+                cache.held.move_to_end(part.part)
+                continue
+            cache.held[part.part] = part.tokens
+            cache.tokens += part.tokens
+        while cache.tokens > room and cache.held:
+            _, tokens = cache.held.popitem(last=False)
+            cache.tokens -= tokens
+
+    def forget(self, server_id: ServerId) -> None:
+        """Drop a server that is gone or has started again."""
+        self._caches.pop(server_id, None)
--- /dev/null
+++ b/waxwingarch/core/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""Opaque HTTP exchanges: passed on unchanged, repeated only if allowed."""
--- /dev/null
+++ b/waxwingarch/core/exchange/board.py
@@ -0,0 +1,419 @@
+"""All exchanges in progress on this host, from arrival to the end."""
+
+from typing import Any, Final
+
+from waxwingarch.core.backends.chooser import BackendChooser, Pick
+from waxwingarch.core.backends.listing import BackendLeaving
+from waxwingarch.core.base import (
+    Action,
+    Ran,
+    RequestId,
+    Server,
+    ServiceId,
+)
+from waxwingarch.core.exchange.machine import (
+    COME_BACK_S,
+    ExchangeState,
+    Next,
+    not_served,
+)
+from waxwingarch.core.exchange.messages import (
+    Answer,
+    AnswerBegan,
+    CutCaller,
+    End,
+    Exchange,
+    ExchangeGone,
+    ExchangeHead,
+    MoveRun,
+    PassFailure,
+    RunMoved,
+    Send,
+    SendEnded,
+)
+from waxwingarch.core.limits.resend_budget import ResendBudget
+from waxwingarch.core.limits.shared_rate import SharedRates
+from waxwingarch.core.randomness import RandomSource
+from waxwingarch.core.refusal import Refusal, RefusalReason
+from waxwingarch.core.routing.config import (
+    EngineTraits,
+    Repeat,
+    Route,
+    RoutedAccount,
+)
+from waxwingarch.core.routing.table import RoutingTable
+from waxwingarch.exceptions import WaxwingError
+
+# A request that can go elsewhere waits this many latency objectives for
+# its first byte, and at least so long, before its server is given up.
+PATIENCE_OBJECTIVES: Final = 2.0
+SHORTEST_PATIENCE_S: Final = 0.8
+# A stream is silent when nothing came for this many of the route's
+# longest pauses, and at least so long.
+SILENT_PAUSES: Final = 4.0
+SHORTEST_SILENCE_S: Final = 1.2
+# Runs are moved off a leaving server this long before it goes.
+MOVE_BEFORE_S: Final = 0.9
+# Where a server does not say when it goes, its runs are moved this long
+# after it was seen to leave.
+MOVE_AFTER_S: Final = 1.0
+
+
+class RefusedError(WaxwingError):
+    """A request is refused before it was accepted."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+class ExchangeBoard:
+    """Accepts exchanges, sends them on, and follows each to its end."""
+
+    def __init__(
+        self,
+        table: RoutingTable,
+        chooser: BackendChooser,
+        rates: SharedRates,
+        resends: ResendBudget,
+        rng: RandomSource,
+    ) -> None:
+        self._table = table
+        self._chooser = chooser
+        self._rates = rates
+        self._resends = resends
+        self._rng = rng
+        self._open: dict[RequestId, ExchangeState] = {}
+        self._moves: dict[RequestId, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def get(self, request_id: RequestId) -> ExchangeState | None:
+        """Return an exchange in progress."""
+        return self._open.get(request_id)
+
+    def states(self) -> list[ExchangeState]:
+        """Return all exchanges in progress."""
+        return list(self._open.values())
+
+    # Arrival
+
+    def arrived(self, now: float, head: ExchangeHead) -> list[Action]:
+        """Accept a request and send it on, or refuse it."""
+        try:
+            exchange, cost = self._accept(now, head)
+        except RefusedError as exc:
+            return [Answer(request_id=head.request_id, refusal=exc.refusal)]
+        self._resends.count(now, exchange.service)
+        state = ExchangeState(exchange=exchange)
+        sent = self._send(now, state, None)
+        if sent is None:
+            self._give_back(now, exchange, cost)
+            return [Answer(request_id=head.request_id, refusal=not_served())]
+        self._open[exchange.request_id] = state
+        return [sent]
+
+    def _accept(
+        self, now: float, head: ExchangeHead
+    ) -> tuple[Exchange, float]:
+        """Return the exchange and what it counts; raises `RefusedError`."""
+        if not self._table.known:
+            raise _refused(
+                RefusalReason.NOT_READY,
+                "this host has no configuration yet: send it again",
+                COME_BACK_S,
+            )
+        route = self._table.find(head.host, head.path)
+        if route is None:
+            raise _refused(
+                RefusalReason.UNKNOWN_ROUTE,
+                f"no route for {head.host}{head.path}: add one",
+            )
+        account = self._account(head, route)
+        cost = self._admit(now, head, account)
+        patience_s = head.patience_s or route.timeout_s
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        exchange = Exchange(
+            head=head,
+            route=route,
+            service=self._service(route),
+            account=account.account if account else None,
+            priority=priority,
+            arrived_at=now,
+            deadline=now + patience_s,
+            expires_at=now + min(patience_s, route.timeout_s),
+        )
+        return exchange, cost
+
+    def _account(
+        self, head: ExchangeHead, route: Route
+    ) -> RoutedAccount | None:
+        if not self._table.wants_keys or (route.public and not head.key):
+            return None
+        account = self._table.account_of(head.key)
+        if account is None and not route.public:
+            raise _refused(
+                RefusalReason.UNKNOWN_KEY, "send a key of a client account"
+            )
+        return account
+
+    def _admit(
+        self, now: float, head: ExchangeHead, account: RoutedAccount | None
+    ) -> float:
+        if account is None:
+            return 0.0
+        cost = 1.0
+        if account.counts_tokens:
+            stated = head.prompt_tokens + head.output_tokens
+            cost = stated if head.states_tokens else account.default_tokens
+        wait_s = self._rates.admit(now, account, cost)
+        if wait_s is not None:
+            raise _refused(
+                RefusalReason.RATE_LIMIT,
+                f"account {account.account} is over its rate limit",
+                wait_s,
+            )
+        return cost
+
+    def _give_back(self, now: float, exchange: Exchange, cost: float) -> None:
+        if exchange.account is not None:
+            account = self._table.accounts[exchange.account]
+            self._rates.give_back(now, account, cost)
+
+    def _service(self, route: Route) -> ServiceId:
+        """Return the service that a request goes to, by weight."""
+        if len(route.splits) == 1:
+            return route.splits[0].service
+        weights = [split.weight for split in route.splits]
+        return self._rng.choices(route.splits, weights=weights)[0].service
+
+    # Sending
+
+    def _send(
+        self, now: float, state: ExchangeState, target: Server | None
+    ) -> Send | None:
+        """Choose a server and send there; None if there is none."""
+        exchange = state.exchange
+        traits = self._traits(exchange.service)
+        pick = self._pick(now, state, target, traits)
+        if pick is None:
+            return None
+        self._chooser.sent(now, exchange, pick, traits)
+        state.tried.add(pick.server.server_id)
+        moved, state.moved = state.moved, None
+        state.began = False
+        return self._order(now, state, pick, moved)
+
+    def _pick(
+        self,
+        now: float,
+        state: ExchangeState,
+        target: Server | None,
+        traits: EngineTraits | None,
+    ) -> Pick | None:
+        if target is None:
+            return self._chooser.choose(
+                now, state.exchange, traits, state.tried
+            )
+        return Pick(
+            server=target, expected_s=0.1, uncached_tokens=0, considered=1
+        )
+
+    def _order(
+        self,
+        now: float,
+        state: ExchangeState,
+        pick: Pick,
+        moved: Any,
+    ) -> Send:
+        exchange = state.exchange
+        route = exchange.route
+        patience_s = max(
+            SHORTEST_PATIENCE_S, PATIENCE_OBJECTIVES * route.objective_s
+        )
+        answer_by = exchange.expires_at
+        if exchange.repeat is not Repeat.ONCE:
+            answer_by = min(answer_by, now + patience_s)
+        silence_s = max(SHORTEST_SILENCE_S, SILENT_PAUSES * route.gap_s)
+        return Send(
+            request_id=exchange.request_id,
+            server=pick.server,
+            account=exchange.account,
+            priority=exchange.priority,
+            deadline=exchange.expires_at,
+            expires_at=exchange.expires_at,
+            answer_by=answer_by,
+            silence_s=silence_s,
+            resume_after=state.last_event,
+            moved=moved,
+            fresh=exchange.repeat is Repeat.ONCE,
+            streaming=route.streaming,
+        )
+
+    def _traits(self, service: ServiceId) -> EngineTraits | None:
+        known = self._table.services.get(service)
+        return known.engine if known else None
+
+    # Progress
+
+    def began(self, now: float, event: AnswerBegan) -> ExchangeState | None:
+        """Note the first byte; returns the state if the run is new."""
+        state = self._open.get(event.request_id)
+        if state is None:
+            return None
+        self._chooser.began(now, state.exchange)
+        state.began = True
+        if state.counted:
+            return None
+        state.counted = True
+        return state
+
+    def ended(self, now: float, event: SendEnded) -> list[Action]:
+        """Take the end of an attempt."""
+        state = self._open.get(event.request_id)
+        if state is None:
+            return []
+        if event.last_event is not None:
+            state.last_event = event.last_event
+        if state.moving and event.end is End.BROKEN:
+            # A run that is moved is stopped first: where it goes on is
+            # known when the move has ended.
+            state.held_end = event
+            return []
+        sent = self._chooser.loads.ended(event.request_id)
+        if sent is None:
+            return self._final(state, event, state.give_up(event))
+        self._judge(now, state, event, sent.server_id)
+        step = state.after(now, event, sent.server_id)
+        if step is Next.SEND_AGAIN:
+            again = self._send_again(now, state)
+            if again is not None:
+                return [again]
+            step = state.give_up(event)
+        return self._final(state, event, step)
+
+    def _send_again(self, now: float, state: ExchangeState) -> Send | None:
+        service = state.exchange.service
+        if state.moved is not None:
+            backend = self._chooser.book.get(state.moved.target)
+            if backend is not None:
+                return self._send(now, state, backend.server)
+            state.moved = None
+            return None
+        if not self._resends.spend(now, service):
+            return None
+        return self._send(now, state, None)
+
+    def _judge(
+        self, now: float, state: ExchangeState, event: SendEnded, server: Any
+    ) -> None:
+        """Tell the book of healthy servers how an attempt ended."""
+        health = self._chooser.health
+        if event.end is End.DONE:
+            health.ok(now, server)
+        elif event.end is End.REJECTED or state.moved is not None:
+            health.given_up(server)
+        elif event.end is End.EXPIRED:
+            heard_at = self._chooser.loads.heard_at(server)
+            if state.began or heard_at > state.exchange.arrived_at:
+                health.given_up(server)
+            else:
+                health.failed(now, server, sure=False)
+        else:
+            sure = event.end is End.NOT_SENT
+            health.failed(now, server, sure=sure)
+
+    def _final(
+        self, state: ExchangeState, event: SendEnded, step: Next
+    ) -> list[Action]:
+        request_id = event.request_id
+        del self._open[request_id]
+        self._moves.pop(request_id, None)
+        if step is Next.CUT:
+            return [CutCaller(request_id=request_id)]
+        if step is Next.PASS_FAILURE:
+            return [PassFailure(request_id=request_id)]
+        if step is Next.REFUSE:
+            refusal = state.refusal(event)
+            return [Answer(request_id=request_id, refusal=refusal)]
+        return []
+
+    def gone(self, now: float, event: ExchangeGone) -> list[Action]:
+        """Forget an exchange whose caller has left."""
+        state = self._open.pop(event.request_id, None)
+        self._moves.pop(event.request_id, None)
+        sent = self._chooser.loads.ended(event.request_id)
+        if state is not None and sent is not None:
+            self._chooser.health.given_up(sent.server_id)
+        return []
+
+    # Leaving servers
+
+    def leaving(self, now: float, event: BackendLeaving) -> list[Action]:
+        """Plan the moves of runs off a server that leaves."""
+        server = event.server
+        traits = self._traits(server.service)
+        if traits is None or not traits.can_move:
+            return []
+        at = now + MOVE_AFTER_S
+        if event.leaves_at is not None:
+            at = max(now, event.leaves_at - MOVE_BEFORE_S)
+        for request_id in self._chooser.loads.requests_on(server.server_id):
+            self._moves.setdefault(request_id, at)
+        return []
+
+    def tick(self, now: float) -> list[Action]:
+        """Start the moves that are due."""
+        if not self._moves:
+            return []
+        due = [r for r, at in self._moves.items() if at <= now]
+        actions: list[Action] = []
+        for request_id in due:
+            del self._moves[request_id]
+            actions += self._move(now, request_id)
+        return actions
+
+    def _move(self, now: float, request_id: RequestId) -> list[Action]:
+        state = self._open.get(request_id)
+        server_id = self._chooser.loads.on_server(request_id)
+        if state is None or server_id is None or state.moving:
+            return []
+        source = self._chooser.book.get(server_id)
+        traits = self._traits(state.exchange.service)
+        pick = self._chooser.choose(now, state.exchange, traits, {server_id})
+        if source is None or pick is None or not state.began:
+            return []
+        state.moving = True
+        return [
+            MoveRun(
+                request_id=request_id,
+                source=source.server,
+                target=pick.server,
+            )
+        ]
+
+    def run_moved(self, now: float, event: RunMoved) -> list[Action]:
+        """Take the outcome of a move; the stream's end follows it."""
+        state = self._open.get(event.request_id)
+        if state is None:
+            return []
+        state.moving = False
+        state.moved = event.state
+        held, state.held_end = state.held_end, None
+        return self.ended(now, held) if held is not None else []
+
+
+def _refused(
+    reason: RefusalReason, message: str, retry_after_s: float | None = None
+) -> RefusedError:
+    return RefusedError(
+        Refusal(
+            reason=reason,
+            ran=Ran.NOT_RUN,
+            message=message,
+            retry_after_s=retry_after_s,
+        )
+    )
--- /dev/null
+++ b/waxwingarch/core/exchange/machine.py
@@ -0,0 +1,120 @@
+"""One exchange: what follows from how each attempt ended."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Final
+
+from waxwingarch.core.base import Ran, ServerId
+from waxwingarch.core.exchange.messages import (
+    NOT_RUN_ENDS,
+    End,
+    Exchange,
+    MovedState,
+    SendEnded,
+)
+from waxwingarch.core.refusal import Refusal, RefusalReason
+from waxwingarch.core.routing.config import Repeat
+
+# When to come back after a refusal, in seconds: the time in which load
+# falls or a server that crashed is replaced by another choice.
+COME_BACK_S: Final = 0.5
+# Sends of one request that the servers' refusals may cause, besides
+# those that the route allows to run.
+MAX_REJECTED: Final = 3
+
+
+class Next(StrEnum):
+    """What to do after an attempt ended."""
+
+    FINISH = "finish"
+    SEND_AGAIN = "send again"
+    PASS_FAILURE = "pass failure"
+    REFUSE = "refuse"
+    CUT = "cut"
+
+
+@dataclass(kw_only=True, slots=True)
+class ExchangeState:
+    """What is remembered of an exchange in progress.
+
+    `ran_on` are the servers that may have run it, `tried` all that it
+    was sent to. `moved` is where its run was moved to, `held_end` the end of
+    an attempt that waits for the outcome of a move.
+    """
+
+    exchange: Exchange
+    tried: set[ServerId] = field(default_factory=set)
+    ran_on: set[ServerId] = field(default_factory=set)
+    rejections: int = 0
+    began: bool = False
+    counted: bool = False
+    last_event: int | None = None
+    moved: MovedState | None = None
+    moving: bool = False
+    held_end: SendEnded | None = None
+
+    def after(self, now: float, ended: SendEnded, server: ServerId) -> Next:
+        """Take the end of an attempt; return what may follow.
+
+        Sending again still needs a server and a unit of the budget.
+        """
+        not_run = ended.end in NOT_RUN_ENDS
+        if not_run:
+            self.rejections += ended.end is not End.NOT_SENT
+        else:
+            self.ran_on.add(server)
+        if ended.end is End.DONE:
+            return Next.FINISH
+        if ended.end is not End.EXPIRED and self._may_repeat(
+            now, ended, not_run
+        ):
+            return Next.SEND_AGAIN
+        return self.give_up(ended)
+
+    def _may_repeat(self, now: float, ended: SendEnded, not_run: bool) -> bool:
+        exchange = self.exchange
+        if now >= exchange.expires_at:
+            return False
+        if not_run:
+            return self.rejections <= MAX_REJECTED
+        if self.moved is not None:
+            return True
+        if exchange.repeat is Repeat.ONCE:
+            return False
+        if ended.started and exchange.repeat is not Repeat.RESUME:
+            return False
+        return len(self.ran_on) < exchange.route.max_attempts
+
+    def give_up(self, ended: SendEnded) -> Next:
+        """Return the final step where nothing is sent again."""
+        if ended.started:
+            return Next.CUT
+        if ended.has_answer:
+            return Next.PASS_FAILURE
+        return Next.REFUSE
+
+    def refusal(self, ended: SendEnded) -> Refusal:
+        """Return the final answer of this host's own."""
+        if not self.ran_on:
+            return not_served(ended.retry_after_s)
+        if ended.end is End.EXPIRED:
+            return Refusal(
+                reason=RefusalReason.DEADLINE_UNREACHABLE,
+                ran=Ran.UNKNOWN,
+                message="no answer in the time allowed: raise the timeout",
+            )
+        return Refusal(
+            reason=RefusalReason.BACKEND_FAILED,
+            ran=Ran.UNKNOWN,
+            message="the backend server failed; it may have run",
+        )
+
+
+def not_served(retry_after_s: float | None = None) -> Refusal:
+    """Return the refusal of a request that no server took."""
+    return Refusal(
+        reason=RefusalReason.NO_SERVER,
+        ran=Ran.NOT_RUN,
+        message="no backend server has room: send it again later",
+        retry_after_s=retry_after_s or COME_BACK_S,
+    )
--- /dev/null
+++ b/waxwingarch/core/exchange/messages.py
@@ -0,0 +1,230 @@
+"""What an exchange is, and the events and actions of one."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from waxwingarch.core.base import (
+    AccountId,
+    Action,
+    Event,
+    RequestId,
+    Server,
+    ServerId,
+    ServiceId,
+)
+from waxwingarch.core.refusal import Refusal
+from waxwingarch.core.routing.config import Repeat, Route
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PromptPart:
+    """A part of a prompt that requests can share, by its id."""
+
+    part: str
+    tokens: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ExchangeHead:
+    """What the head of a caller's request says.
+
+    `patience_s` is how long the caller waits. Token counts are 0 where
+    the caller states none. `last_event` is the id of the event after
+    which the caller goes on.
+    """
+
+    request_id: RequestId
+    host: str
+    path: str
+    key: str
+    patience_s: float | None
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    states_tokens: bool = False
+    parts: tuple[PromptPart, ...] = ()
+    last_event: int | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Exchange:
+    """One accepted request; times are on the node's clock.
+
+    `deadline` is the caller's, `expires_at` the earlier of it and of the
+    route's timeout: by then the caller has its final answer.
+    """
+
+    head: ExchangeHead
+    route: Route
+    service: ServiceId
+    account: AccountId | None
+    priority: int
+    arrived_at: float
+    deadline: float
+    expires_at: float
+
+    @property
+    def request_id(self) -> RequestId:
+        """Return the id that the caller gave its attempt."""
+        return self.head.request_id
+
+    @property
+    def repeat(self) -> Repeat:
+        """Return what may be done again."""
+        return self.route.repeat
+
+    @property
+    def objective_at(self) -> float:
+        """Return by when the answer or its first event is wanted."""
+        return self.arrived_at + self.route.objective_s
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens that the request may take in all."""
+        return self.head.prompt_tokens + self.head.output_tokens
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MovedState:
+    """Where the KV cache of a stopped run can be taken up.
+
+    `address` is the server that was stopped, `handle` names the copy,
+    `target` the server that holds it.
+    """
+
+    address: str
+    handle: str
+    target: ServerId
+
+
+class End(StrEnum):
+    """How an attempt ended."""
+
+    DONE = "done"
+    NOT_SENT = "not sent"
+    REJECTED = "rejected"
+    MISDIRECTED = "misdirected"
+    FAILED = "failed"
+    BROKEN = "broken"
+    SILENT = "silent"
+    EXPIRED = "expired"
+
+
+# Ends of which it is certain that the request did not run.
+NOT_RUN_ENDS = frozenset({End.NOT_SENT, End.REJECTED, End.MISDIRECTED})
+
+
+# Events
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ExchangeArrived(Event):
+    """A caller's request was read."""
+
+    head: ExchangeHead
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ExchangeEvent(Event):
+    """An event of one exchange."""
+
+    request_id: RequestId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerBegan(ExchangeEvent):
+    """The first byte of an answer or the first event came."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerHeard(Event):
+    """Bytes came from a server; told a few times a second at most."""
+
+    server_id: ServerId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SendEnded(ExchangeEvent):
+    """An attempt ended.
+
+    `started` says that the caller has seen a part of the answer already;
+    `has_answer` that a whole failure of the server is at hand, which can
+    be passed on. `retry_after_s` is what the server asked for,
+    `last_event` the id of the last event that the caller has.
+    """
+
+    end: End
+    last_event: int | None = None
+    started: bool = False
+    has_answer: bool = False
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ExchangeGone(ExchangeEvent):
+    """The caller closed its connection."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunMoved(ExchangeEvent):
+    """A move of a run ended; `state` is None if it did not succeed."""
+
+    state: MovedState | None
+
+
+# Actions
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Send(Action):
+    """Send the request to a server.
+
+    Times are on the node's clock. `answer_by` bounds the wait for the
+    first byte where the request can go elsewhere, `silence_s` a pause in
+    a stream. `resume_after` is the last event passed on; with `moved`
+    the server goes on with a run whose KV cache was moved.
+    `fresh` asks for a connection that was not idle for long.
+    """
+
+    request_id: RequestId
+    server: Server
+    account: AccountId | None
+    priority: int
+    deadline: float
+    expires_at: float
+    answer_by: float
+    silence_s: float
+    resume_after: int | None
+    moved: MovedState | None
+    fresh: bool
+    streaming: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answer(Action):
+    """Send a final answer of this host's own."""
+
+    request_id: RequestId
+    refusal: Refusal
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PassFailure(Action):
+    """Pass the server's failure on as it came."""
+
+    request_id: RequestId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CutCaller(Action):
+    """Close the caller's connection: the answer cannot be completed."""
+
+    request_id: RequestId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MoveRun(Action):
+    """Stop a run and copy its KV cache to another server."""
+
+    request_id: RequestId
+    source: Server
+    target: Server
--- a/waxwingarch/core/node.py
+++ b/waxwingarch/core/node.py
@@ -44,6 +44,7 @@
     SettingsParsed,
 )
 from waxwingarch.core.fleet import Fleet
+from waxwingarch.core.front import Front
 from waxwingarch.core.limits.admission import Admission
 from waxwingarch.core.limits.limits import HostLimits
 from waxwingarch.core.limits.shares import LOAN_MARGIN_S
@@ -96,11 +97,13 @@
         seeds: Iterable[str],
         unix_offset: float,
         rng: RandomSource,
+        front: Front | None = None,
     ) -> None:
         """Begin with nothing known.
 
         `seeds` are UDP addresses of other hosts; `unix_offset` is Unix
-        time less the monotonic clock, in seconds.
+        time less the monotonic clock, in seconds. With `front` the node
+        also takes the events of opaque exchanges.
         """
         self.directory = Directory()
         self.servers = ServerBook()
@@ -172,6 +175,9 @@
         }
         for kind in CLUSTER_EVENTS:
             self._handlers[kind] = self._cluster_event
+        self.front = front
+        if front is not None:
+            self._handlers.update(front.handlers())
         self._absorbers: dict[
             type[Action], Callable[[float, Any], list[Action]]
         ] = {
--- /dev/null
+++ b/waxwingarch/core/peers/report.py
@@ -0,0 +1,67 @@
+"""The report that a host sends to the others."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from waxwingarch.core.backends.load import ServerLoad
+from waxwingarch.core.base import AccountId, Action, Event, HostId, ServerId
+
+# Requests that began to run, by usage window and account.
+WindowCounts = Mapping[int, Mapping[AccountId, int]]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostReport:
+    """What one host knows and does; each report replaces the last.
+
+    `address` is where the host takes reports and answers pulls.
+    `unix_now` is its idea of the time of day in seconds. `admitted`
+    counts since the start of the process, `began` by usage window.
+    `config_version` and `listing_version` say how new its beliefs are.
+    """
+
+    host: HostId
+    incarnation: int
+    sequence: int
+    address: str
+    unix_now: float
+    config_version: int
+    listing_version: int
+    draining: bool = False
+    holds_duties: bool = False
+    loads: Mapping[ServerId, ServerLoad] = field(default_factory=dict)
+    admitted: Mapping[AccountId, float] = field(default_factory=dict)
+    began: WindowCounts = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReportReceived(Event):
+    """A report came from another host."""
+
+    report: HostReport
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostsListed(Event):
+    """Addresses of hosts, as they were written down at their starts."""
+
+    addresses: Mapping[HostId, str]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SendReport(Action):
+    """Send a report to some addresses."""
+
+    report: HostReport
+    addresses: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PullState(Action):
+    """Ask a peer for what it knows newer than this host.
+
+    It is sent when a peer's configuration or listing is newer for a
+    while, which means that this host's own watch has stalled.
+    """
+
+    address: str
--- /dev/null
+++ b/waxwingarch/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, services and accounts of the configuration in force."""
--- /dev/null
+++ b/waxwingarch/front_daemon.py
@@ -0,0 +1,270 @@
+"""Wiring of the daemon on a platform with routed exchanges."""
+
+import asyncio
+import gc
+import signal
+import time
+from random import Random
+from typing import Final
+
+import orjson
+from eliot import log_message, write_traceback
+
+from waxwingarch.adapters.front_settings import (
+    FrontSettings,
+)
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.udp_peers import split_address
+from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_OK
+from waxwingarch.core.backends.listing import (
+    BackendLeaving,
+    BackendsListed,
+)
+from waxwingarch.core.base import HostId
+from waxwingarch.core.cluster.members import Addresses, Member, MemberState
+from waxwingarch.core.front import (
+    ConfigApplied,
+    ConfigRead,
+    Front,
+    FrontTick,
+    StopBegan,
+)
+from waxwingarch.core.node import Node
+from waxwingarch.core.peers.report import HostsListed
+from waxwingarch.ports.front import (
+    BadRowError,
+    FrontPorts,
+    RowWrite,
+    StoreUnavailableError,
+)
+from waxwingarch.tasks.front_duties import FrontDuties, boot_now
+from waxwingarch.tasks.front_entry import FrontEntry, Readiness
+from waxwingarch.tasks.front_peers import FrontPeers
+from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.table_watch import TableWatch
+
+MS_PER_S: Final = 1000
+TICK_S: Final = 0.1
+HOSTS_TABLE: Final = "waxwing-hosts"
+REGISTER_LIMIT_S: Final = 1.0
+REGISTER_PAUSE_S: Final = 0.5
+# After the signal to stop the balancer needs two missed checks, a second
+# apart, before it sends no new connections.
+BALANCER_S: Final = 2.6
+# What is left of the grace period when the process ends by itself.
+STOP_MARGIN_S: Final = 0.6
+STOP_POLL_S: Final = 0.05
+
+
+class FrontDaemon:
+    """All parts of one host's process."""
+
+    def __init__(
+        self, settings: FrontSettings, client: HttpClient, ports: FrontPorts
+    ) -> None:
+        self._settings = settings
+        self._client = client
+        self._ports = ports
+        incarnation = int(time.time() * MS_PER_S)
+        identity = settings.identity(incarnation)
+        rng = Random()
+        self.front = Front(identity, settings.front_bounds(), rng)
+        own = _member(settings, incarnation)
+        self._runner = Runner(Node(own, (), 0.0, rng, self.front))
+        self._config_watch = TableWatch(
+            ports.store, ports.rows.config_table, rng, self._on_config
+        )
+        self._servers_watch = TableWatch(
+            ports.store, ports.rows.servers_table, rng, self._on_servers
+        )
+        watches = [self._config_watch, self._servers_watch]
+        self._peers = FrontPeers(self._runner, client, watches)
+        self._duties = FrontDuties(self._runner, ports, identity.host)
+        self._entry = FrontEntry(
+            self._runner, client, ports.exchanges, on_error
+        )
+        self._readiness = Readiness(lambda: self.front.ready, on_error)
+        self._stopping = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._runner.connect(ConfigApplied, self._on_applied)
+        self._runner.connect(BackendLeaving, self._on_leaving)
+
+    async def async_run(self) -> int:
+        """Serve until stopped; returns the exit code."""
+        self._catch_signals()
+        try:
+            await self._async_setup()
+        except OSError as exc:
+            log_message(
+                message_type="address_in_use",
+                reason=f"{exc}; free the address or change [listen]",
+            )
+            return EXIT_ADDRESS_IN_USE
+        log_message(message_type="started", host=self._settings.host.name)
+        gc.collect()
+        gc.freeze()
+        await self._stopping.wait()
+        await self._async_drain()
+        await self._async_unload()
+        log_message(message_type="stopped", exit_code=EXIT_OK)
+        return EXIT_OK
+
+    async def _async_setup(self) -> None:
+        listen = self._settings.listen
+        await self._peers.async_setup(*split_address(listen.peers))
+        await self._readiness.server.async_setup(
+            *split_address(listen.readiness)
+        )
+        await self._entry.async_setup(*split_address(listen.callers))
+        await self._config_watch.async_setup()
+        await self._servers_watch.async_setup()
+        for work in (self._async_tick(), self._async_register()):
+            self._tasks.append(asyncio.create_task(work))
+
+    async def _async_drain(self) -> None:
+        """Let what is in progress end, within the grace period."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        end = began + self._settings.bounds.stop_grace_s - STOP_MARGIN_S
+        log_message(
+            message_type="stopping", in_progress=self._entry.in_progress
+        )
+        self._runner.post(StopBegan())
+        self._entry.server.start_drain()
+        while loop.time() < end:
+            await asyncio.sleep(STOP_POLL_S)
+            quiet = loop.time() - began > BALANCER_S
+            if quiet and not self._entry.in_progress:
+                break
+
+    async def _async_unload(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._entry.async_unload()
+        await self._readiness.server.async_unload()
+        await self._config_watch.async_unload()
+        await self._servers_watch.async_unload()
+        await self._duties.async_unload()
+        await self._peers.async_unload()
+        await self._client.async_unload()
+
+    def _catch_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+
+    def _on_hangup(self) -> None:
+        log_message(message_type="reload", reason="nothing changes in place")
+
+    # Work of its own
+
+    async def _async_tick(self) -> None:
+        while True:
+            self._runner.post(
+                FrontTick(boot_now=boot_now(), unix_now=time.time())
+            )
+            await asyncio.sleep(TICK_S)
+
+    async def _async_register(self) -> None:
+        """Write this host's address down, and learn those of others."""
+        loop = asyncio.get_running_loop()
+        identity = self.front.identity
+        row = RowWrite(
+            table=HOSTS_TABLE,
+            key=identity.host,
+            value=identity.address.encode(),
+        )
+        while True:
+            deadline = loop.time() + REGISTER_LIMIT_S
+            try:
+                await self._ports.store.async_write([row], deadline=deadline)
+                rows = await self._ports.store.async_read(
+                    HOSTS_TABLE, deadline=deadline
+                )
+            except StoreUnavailableError as exc:
+                log_message(message_type="not_registered", reason=str(exc))
+                await asyncio.sleep(REGISTER_PAUSE_S)
+                continue
+            addresses = {
+                HostId(r.key): r.value.decode()
+                for r in rows.rows
+                if r.value is not None
+            }
+            self._runner.post(HostsListed(addresses=addresses))
+            return
+
+    # What the tables say
+
+    def _on_config(self, watch: TableWatch) -> None:
+        row = watch.rows.get(self._ports.rows.config_key)
+        if row is None or row.value is None:
+            return
+        try:
+            cfg = self._ports.rows.config(row.value)
+        except BadRowError as exc:
+            log_message(message_type="bad_config", reason=str(exc))
+            return
+        self._runner.post(ConfigRead(cfg=cfg))
+
+    def _on_servers(self, watch: TableWatch) -> None:
+        backends = []
+        for row in watch.rows.values():
+            if row.value is None:
+                continue
+            try:
+                backends.append(self._ports.rows.backend(row.key, row.value))
+            except BadRowError as exc:
+                log_message(
+                    message_type="bad_server_row", key=row.key, reason=str(exc)
+                )
+        self._runner.post(
+            BackendsListed(
+                version=watch.version,
+                backends=tuple(backends),
+                after_outage=watch.after_outage,
+            )
+        )
+
+    def _on_applied(self, action: ConfigApplied) -> None:
+        log_message(message_type="config_applied", version=action.version)
+
+    def _on_leaving(self, action: BackendLeaving) -> None:
+        log_message(
+            message_type="server_leaving",
+            server=action.server.server_id,
+            leaves_at=action.leaves_at,
+        )
+
+
+def _member(settings: FrontSettings, incarnation: int) -> Member:
+    listen = settings.listen
+    return Member(
+        host_id=HostId(settings.host.name),
+        incarnation=incarnation,
+        refutation=0,
+        region="",
+        failure_domain=settings.identity(incarnation).domain,
+        addresses=Addresses(
+            http=listen.callers, peer_tcp=listen.peers, peer_udp=listen.peers
+        ),
+        state=MemberState.ALIVE,
+    )
+
+
+def on_error(exc: Exception) -> None:
+    """Log an error that no one expected."""
+    write_traceback(exc_info=(type(exc), exc, exc.__traceback__))
+
+
+def dump(front: Front) -> bytes:
+    """Return the state of the decisions as JSON, for operators."""
+    return orjson.dumps(
+        {
+            "config_version": front.table.version,
+            "servers": len(front.chooser.book),
+            "in_progress": len(front.board),
+            "hosts": front.peers.known,
+        }
+    )
--- /dev/null
+++ b/waxwingarch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and waxwingarch's own types."""
--- /dev/null
+++ b/waxwingarch/platform/rows_codec.py
@@ -0,0 +1,255 @@
+"""Rows that the operator and the servers write, as our types."""
+
+from typing import Any, TypeVar
+
+import orjson
+from pydantic import BaseModel, Field, ValidationError
+
+from waxwingarch.core.backends.listing import ListedBackend
+from waxwingarch.core.base import (
+    AccountId,
+    FailureDomain,
+    Server,
+    ServerId,
+    ServerKind,
+    ServiceId,
+    VersionId,
+)
+from waxwingarch.core.routing.config import (
+    EngineTraits,
+    Repeat,
+    Route,
+    RoutedAccount,
+    RoutedService,
+    RoutingConfig,
+    ScalingBounds,
+    Split,
+)
+from waxwingarch.platform.const import (
+    KEY_CONFIG,
+    MS_PER_S,
+    TABLE_OPERATOR,
+    TABLE_SERVERS,
+)
+from waxwingarch.ports.front import BadRowError
+
+KIND_IDEMPOTENT = "idempotent"
+KIND_STREAMING = "streaming"
+STATE_READY = "ready"
+STATE_DRAINING = "draining"
+UNIT_TOKENS = "tokens"
+# What the objective and the longest pause are where a route has none.
+DEFAULT_OBJECTIVE_MS = 1000
+DEFAULT_GAP_MS = 300
+
+
+Model = TypeVar("Model", bound=BaseModel)
+
+
+class _SplitRow(BaseModel):
+    service: str
+    weight: int
+
+
+class _RouteRow(BaseModel):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = DEFAULT_OBJECTIVE_MS
+    target_gap_ms: float = DEFAULT_GAP_MS
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_SplitRow] | None = None
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+
+class _EngineRow(BaseModel):
+    slots: int = 1
+    kv_cache_tokens: int = 0
+    moves: bool = False
+    backups: bool = False
+
+
+class _ScalingRow(BaseModel):
+    minimum: int
+    maximum: int
+    boot_time_s: float = 0.0
+    spot_price: float = 1.0
+    zone_prices: dict[str, float] = Field(default_factory=dict)
+
+
+class _ServiceRow(BaseModel):
+    name: str
+    health_path: str = "/health"
+    max_connections: int = 0
+    engine: _EngineRow | None = None
+    scaling: _ScalingRow | None = None
+
+
+class _TenantRow(BaseModel):
+    name: str
+    api_keys: list[str] = Field(default_factory=list)
+    priority: int | None = None
+    unit: str = ""
+    uncached_tokens: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class _LimitsRow(BaseModel):
+    idle_timeout_ms: float = 15_000
+
+
+class _ConfigRow(BaseModel):
+    version: int
+    routes: list[_RouteRow]
+    services: list[_ServiceRow]
+    tenants: list[_TenantRow] = Field(default_factory=list)
+    limits: _LimitsRow = Field(default_factory=_LimitsRow)
+
+
+class _ServerRow(BaseModel):
+    service: str
+    address: str
+    zone: str
+    state: str
+    version: str = ""
+    slots: int = 1
+    cold_remaining_ms: float = 0
+    # When the process started, in Unix milliseconds.
+    born: int = 0
+    spot: bool = False
+    # How long a server that is taken away still serves.
+    leaves_ms: float | None = None
+    # A model engine says which models it serves.
+    models: list[dict[str, Any]] | None = None
+
+
+class PlatformRows:
+    """`RowCodec` over the platform's rows."""
+
+    config_table = TABLE_OPERATOR
+    config_key = KEY_CONFIG
+    servers_table = TABLE_SERVERS
+
+    def config(self, value: bytes) -> RoutingConfig:
+        """Return the configuration; raises `BadRowError`."""
+        row = _validated(_ConfigRow, value)
+        return RoutingConfig(
+            version=row.version,
+            routes=tuple(_route(route) for route in row.routes),
+            services=tuple(_service(service) for service in row.services),
+            accounts=tuple(_account(tenant) for tenant in row.tenants),
+            idle_timeout_s=row.limits.idle_timeout_ms / MS_PER_S,
+        )
+
+    def backend(self, key: str, value: bytes) -> ListedBackend:
+        """Return a server's registration; raises `BadRowError`."""
+        row = _validated(_ServerRow, value)
+        if row.state not in (STATE_READY, STATE_DRAINING):
+            raise BadRowError(f"state {row.state!r} is unknown")
+        host, colon, port = row.address.rpartition(":")
+        if not (host and colon and port.isdigit()):
+            raise BadRowError(f"address {row.address!r} is not IP:PORT")
+        kind = ServerKind.ENGINE if row.models else ServerKind.PLAIN
+        server = Server(
+            server_id=ServerId(key),
+            address=row.address,
+            failure_domain=FailureDomain(row.zone),
+            service=ServiceId(row.service),
+            kind=kind,
+            version=VersionId(row.version),
+            machine_class="",
+            reclaimable=row.spot,
+            price=0.0,
+            slots=row.slots,
+            incarnation=row.born,
+        )
+        leaves_ms = row.leaves_ms
+        return ListedBackend(
+            server=server,
+            draining=row.state == STATE_DRAINING,
+            leaves_in_s=None if leaves_ms is None else leaves_ms / MS_PER_S,
+            cold_s=row.cold_remaining_ms / MS_PER_S,
+        )
+
+
+def _validated(model: type[Model], value: bytes) -> Model:
+    try:
+        return model.model_validate(orjson.loads(value))
+    except (ValidationError, orjson.JSONDecodeError) as exc:
+        raise BadRowError(f"not a {model.__name__}: {exc}") from exc
+
+
+def _route(row: _RouteRow) -> Route:
+    streaming = row.kind == KIND_STREAMING
+    repeat = Repeat.ONCE
+    if row.kind == KIND_IDEMPOTENT:
+        repeat = Repeat.FREELY
+    elif streaming and row.resumable:
+        repeat = Repeat.RESUME
+    splits = tuple(
+        Split(service=ServiceId(split.service), weight=split.weight)
+        for split in row.traffic_split or ()
+    )
+    if not splits and row.service:
+        splits = (Split(service=ServiceId(row.service), weight=1),)
+    return Route(
+        name=row.name,
+        host=row.host,
+        prefix=row.prefix,
+        streaming=streaming,
+        repeat=repeat,
+        timeout_s=row.timeout_ms / MS_PER_S,
+        objective_s=row.target_latency_ms / MS_PER_S,
+        gap_s=row.target_gap_ms / MS_PER_S,
+        priority=row.priority,
+        splits=splits,
+        max_attempts=row.max_attempts,
+        public=row.public,
+    )
+
+
+def _service(row: _ServiceRow) -> RoutedService:
+    engine = scaling = None
+    if row.engine is not None:
+        engine = EngineTraits(
+            slots=row.engine.slots,
+            kv_tokens=row.engine.kv_cache_tokens,
+            can_move=row.engine.moves,
+            can_back_up=row.engine.backups,
+        )
+    if row.scaling is not None:
+        scaling = ScalingBounds(
+            minimum=row.scaling.minimum,
+            maximum=row.scaling.maximum,
+            boot_s=row.scaling.boot_time_s,
+            reclaimable_price=row.scaling.spot_price,
+            domain_prices={
+                FailureDomain(zone): price
+                for zone, price in row.scaling.zone_prices.items()
+            },
+        )
+    return RoutedService(
+        service=ServiceId(row.name),
+        health_path=row.health_path,
+        max_connections=row.max_connections,
+        engine=engine,
+        scaling=scaling,
+    )
+
+
+def _account(row: _TenantRow) -> RoutedAccount:
+    return RoutedAccount(
+        account=AccountId(row.name),
+        keys=tuple(row.api_keys),
+        priority=row.priority,
+        counts_tokens=row.unit == UNIT_TOKENS,
+        default_tokens=row.uncached_tokens,
+        rate=row.rate_per_s,
+        burst=row.burst,
+    )
