--- a/tests/adapters/test_udp_peers.py
+++ b/tests/adapters/test_udp_peers.py
@@ -5,11 +5,10 @@
 import testtools
 
 from tests.helpers import async_test
+from waxwingarch.adapters.addresses import join_address, split_address
 from waxwingarch.adapters.peer_codec import DatagramSeal
 from waxwingarch.adapters.udp_peers import (
     async_open_udp,
-    join_address,
-    split_address,
 )
 from waxwingarch.core.base import HostId
 from waxwingarch.core.cluster.messages import Datagram, Gossip
--- a/tests/core/bus.py
+++ b/tests/core/bus.py
@@ -27,9 +27,9 @@
 )
 from waxwingarch.core.cluster.members import Addresses, Member, MemberState
 from waxwingarch.core.cluster.messages import DatagramReceived, SendPeer, Tick
+from waxwingarch.core.contract_node import ContractNode
 from waxwingarch.core.contracts.contract import Contract, RouteRule
 from waxwingarch.core.events import ServersListed, SettingsParsed
-from waxwingarch.core.node import Node
 from waxwingarch.core.request import Request
 from waxwingarch.core.settings.settings import Document, make_snapshot
 
@@ -89,7 +89,7 @@
         self._ids = itertools.count()
         self._tick_at = 0.0
         self.nodes = {
-            f"h{n}": Node(
+            f"h{n}": ContractNode(
                 _member(n), [f"h{n - 1}"] if n else [], UNIX_OFFSET, Random(n)
             )
             for n in range(hosts)
--- a/tests/waxwingctl/helpers.py
+++ b/tests/waxwingctl/helpers.py
@@ -19,7 +19,7 @@
 )
 from waxwingarch.core.cluster.configsync import ApplySettings, Ready
 from waxwingarch.core.cluster.members import Addresses, Member, MemberState
-from waxwingarch.core.node import Node
+from waxwingarch.core.contract_node import ContractNode
 from waxwingarch.core.settings.settings import (
     EMPTY,
     Document,
@@ -53,7 +53,7 @@
     )
 
 
-def make_node(host_id: str = "entry-1") -> Node:
+def make_node(host_id: str = "entry-1") -> ContractNode:
     """Return a node that knows two services."""
     own = Member(
         host_id=HostId(host_id),
@@ -66,7 +66,7 @@
         ),
         state=MemberState.ALIVE,
     )
-    node = Node(own, (), 0.0, Random(1))
+    node = ContractNode(own, (), 0.0, Random(1))
     node.servers.listed(
         [make_server(1, "waxwing-pool"), make_server(2, "drive-ledger")]
     )
@@ -79,7 +79,7 @@
     `before_write` is put in first, as by another operator who is faster.
     """
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: ContractNode) -> None:
         self._node = node
         self.snapshot: SettingsSnapshot = EMPTY
         self.before_write: list[Document] = []
--- /dev/null
+++ b/waxwingarch/adapters/addresses.py
@@ -0,0 +1,15 @@
+"""Socket addresses as text."""
+
+from functools import lru_cache
+
+
+@lru_cache(maxsize=4096)
+def split_address(address: str) -> tuple[str, int]:
+    """Return ip and port of "ip:port" or "[ip]:port"."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def join_address(host: str, port: int) -> str:
+    """Return "ip:port", with brackets around an IPv6 address."""
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/waxwingarch/adapters/contract_ini.py
+++ b/waxwingarch/adapters/contract_ini.py
@@ -11,8 +11,7 @@
     model_validator,
 )
 
-from waxwingarch.adapters.ini import parse_ini, validate
-from waxwingarch.adapters.settings import Name
+from waxwingarch.adapters.ini import Name, parse_ini, validate
 from waxwingarch.core.base import AccountId, ServiceId
 from waxwingarch.core.contracts.contract import Contract, RouteRule
 from waxwingarch.exceptions import SettingsError
--- a/waxwingarch/adapters/front_settings.py
+++ b/waxwingarch/adapters/front_settings.py
@@ -5,8 +5,13 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
-from waxwingarch.adapters.ini import parse_ini, validate
-from waxwingarch.adapters.settings import Address, Name, read_text
+from waxwingarch.adapters.ini import (
+    Address,
+    Name,
+    parse_ini,
+    read_text,
+    validate,
+)
 from waxwingarch.core.base import FailureDomain, HostId
 from waxwingarch.core.front import FrontBounds, FrontIdentity
 
--- a/waxwingarch/adapters/grpc_peers.py
+++ b/waxwingarch/adapters/grpc_peers.py
@@ -15,7 +15,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
 
-from waxwingarch.adapters.udp_peers import join_address, split_address
+from waxwingarch.adapters.addresses import join_address, split_address
 from waxwingarch.core.base import AccountId, RequestId, ServerId
 from waxwingarch.core.requests.handover import HandOver
 from waxwingarch.core.settings.settings import Document, SettingsDelta
--- a/waxwingarch/adapters/ini.py
+++ b/waxwingarch/adapters/ini.py
@@ -2,9 +2,10 @@
 
 from configparser import ConfigParser
 from configparser import Error as IniError
-from typing import Any, Final, TypeVar
+from pathlib import Path
+from typing import Annotated, Any, Final, TypeVar
 
-from pydantic import BaseModel, ValidationError
+from pydantic import AfterValidator, BaseModel, Field, ValidationError
 
 from waxwingarch.exceptions import SettingsError
 
@@ -16,6 +17,24 @@
 Model = TypeVar("Model", bound=BaseModel)
 
 
+def _check_address(value: str) -> str:
+    host, colon, port = value.rpartition(":")
+    if not colon or not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError("want IP:PORT, as in 10.0.0.1:8080")
+    return value
+
+
+def _check_addresses(value: str) -> str:
+    for part in value.split():
+        _check_address(part)
+    return value
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+Addresses = Annotated[str, AfterValidator(_check_addresses)]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$")]
+
+
 def parse_ini(text: str, source: str) -> dict[str, dict[str, str]]:
     """Return sections by name; raises `SettingsError`.
 
@@ -89,3 +108,17 @@
     if any(SECRET in str(part) for part in loc):
         return f"{len(value)} characters"
     return repr(value)
+
+
+def read_text(path: Path) -> str:
+    """Return the text of a settings file; raises `SettingsError`."""
+    try:
+        return path.read_text(encoding="utf-8")
+    except UnicodeDecodeError as exc:
+        raise SettingsError(
+            f"{path}: is not UTF-8 text ({exc.reason}); save it as UTF-8"
+        ) from exc
+    except OSError as exc:
+        raise SettingsError(
+            f"{path}: cannot be read ({exc.strerror}); name a settings file"
+        ) from exc
--- a/waxwingarch/adapters/settings.py
+++ b/waxwingarch/adapters/settings.py
@@ -5,25 +5,18 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
-from waxwingarch.adapters.ini import parse_ini, validate
-from waxwingarch.exceptions import SettingsError
+from waxwingarch.adapters.ini import (
+    Address,
+    Addresses,
+    Name,
+    parse_ini,
+    read_text,
+    validate,
+)
 
 MIN_KEY_HEX_DIGITS = 32
 
 
-def _check_address(value: str) -> str:
-    host, colon, port = value.rpartition(":")
-    if not colon or not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError("want IP:PORT, as in 10.0.0.1:8080")
-    return value
-
-
-def _check_addresses(value: str) -> str:
-    for part in value.split():
-        _check_address(part)
-    return value
-
-
 def _check_hex_key(value: str) -> str:
     try:
         bytes.fromhex(value)
@@ -32,12 +25,9 @@
     return value
 
 
-Address = Annotated[str, AfterValidator(_check_address)]
-Addresses = Annotated[str, AfterValidator(_check_addresses)]
 HexKey = Annotated[
     str, Field(min_length=MIN_KEY_HEX_DIGITS), AfterValidator(_check_hex_key)
 ]
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$")]
 
 
 class _Section(BaseModel):
@@ -103,17 +93,3 @@
 def read_settings(path: Path) -> Settings:
     """Return the settings in a file; raises `SettingsError`."""
     return parse_settings(read_text(path), str(path))
-
-
-def read_text(path: Path) -> str:
-    """Return the text of a settings file; raises `SettingsError`."""
-    try:
-        return path.read_text(encoding="utf-8")
-    except UnicodeDecodeError as exc:
-        raise SettingsError(
-            f"{path}: is not UTF-8 text ({exc.reason}); save it as UTF-8"
-        ) from exc
-    except OSError as exc:
-        raise SettingsError(
-            f"{path}: cannot be read ({exc.strerror}); name a settings file"
-        ) from exc
--- a/waxwingarch/adapters/trace.py
+++ b/waxwingarch/adapters/trace.py
@@ -21,7 +21,7 @@
 import waxwingarch.core
 from waxwingarch.core.base import Action, Event
 from waxwingarch.core.cluster.members import Member
-from waxwingarch.core.node import Node
+from waxwingarch.core.contract_node import ContractNode
 from waxwingarch.exceptions import WaxwingError
 
 TYPE_KEY: Final = "!"
@@ -41,9 +41,11 @@
     unix_offset: float
     seed: int
 
-    def node(self) -> Node:
+    def node(self) -> ContractNode:
         """Return a node in the same first state."""
-        return Node(self.own, self.seeds, self.unix_offset, Random(self.seed))
+        return ContractNode(
+            self.own, self.seeds, self.unix_offset, Random(self.seed)
+        )
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/adapters/udp_peers.py
+++ b/waxwingarch/adapters/udp_peers.py
@@ -3,9 +3,9 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import lru_cache
 from typing import Any, cast
 
+from waxwingarch.adapters.addresses import join_address, split_address
 from waxwingarch.adapters.item_codec import MalformedMessageError
 from waxwingarch.adapters.peer_codec import (
     DatagramSeal,
@@ -29,18 +29,6 @@
     errors: int = 0
 
 
-@lru_cache(maxsize=4096)
-def split_address(address: str) -> tuple[str, int]:
-    """Return ip and port of "ip:port" or "[ip]:port"."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
-def join_address(host: str, port: int) -> str:
-    """Return "ip:port", with brackets around an IPv6 address."""
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
-
-
 class UdpPeers(asyncio.DatagramProtocol):
     """Sends and receives datagrams; made by `async_open_udp`."""
 
--- a/waxwingarch/core/front.py
+++ b/waxwingarch/core/front.py
@@ -1,12 +1,11 @@
 """The decisions of a host whose routes come from one configuration row.
 
-Composes routing, exchanges, servers, limits, peers and duties; the node
-passes their events on to it.
+Composes routing, exchanges, servers, limits, peers and duties.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Any, Final
+from typing import Final
 
 import xxhash
 
@@ -37,6 +36,7 @@
 )
 from waxwingarch.core.limits.resend_budget import ResendBudget
 from waxwingarch.core.limits.shared_rate import SharedRates
+from waxwingarch.core.node import Handler, Node
 from waxwingarch.core.peers.book import PeerBook
 from waxwingarch.core.peers.report import (
     HostReport,
@@ -117,10 +117,7 @@
     idle_timeout_s: float
 
 
-Handler = Callable[[float, Any], list[Action]]
-
-
-class Front:
+class Front(Node):
     """All decisions about exchanges, and what they rest on."""
 
     def __init__(
@@ -157,9 +154,9 @@
         self._behind_since: float | None = None
         self._was_holder = False
         self._begun = False
+        super().__init__(self._table_of_handlers())
 
-    def handlers(self) -> Mapping[type[Event], Handler]:
-        """Return who takes which event."""
+    def _table_of_handlers(self) -> Mapping[type[Event], Handler]:
         return {
             FrontTick: self._tick,
             ConfigRead: self._config_read,
--- a/waxwingarch/diagnostics.py
+++ b/waxwingarch/diagnostics.py
@@ -8,7 +8,7 @@
 from waxwingarch.const import VERSION
 from waxwingarch.core.cluster.items import LeavingServer
 from waxwingarch.core.cluster.merge import ItemKind
-from waxwingarch.core.node import Node
+from waxwingarch.core.contract_node import ContractNode
 from waxwingarch.core.requests.stream import StreamMachine
 
 KB_PER_MB = 1024
@@ -20,7 +20,7 @@
     return usage.ru_maxrss / KB_PER_MB
 
 
-def dump(settings: Settings, node: Node, started_unix: float) -> Any:
+def dump(settings: Settings, node: ContractNode, started_unix: float) -> Any:
     """Return the state of this process as plain JSON values."""
     return {
         "version": VERSION,
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -10,18 +10,17 @@
 import orjson
 from eliot import log_message, write_traceback
 
+from waxwingarch.adapters.addresses import split_address
 from waxwingarch.adapters.front_settings import (
     FrontSettings,
 )
 from waxwingarch.adapters.http_client import HttpClient
-from waxwingarch.adapters.udp_peers import split_address
 from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_OK
 from waxwingarch.core.backends.listing import (
     BackendLeaving,
     BackendsListed,
 )
 from waxwingarch.core.base import HostId
-from waxwingarch.core.cluster.members import Addresses, Member, MemberState
 from waxwingarch.core.front import (
     ConfigApplied,
     ConfigRead,
@@ -29,7 +28,6 @@
     FrontTick,
     StopBegan,
 )
-from waxwingarch.core.node import Node
 from waxwingarch.core.peers.report import HostsListed
 from waxwingarch.ports.front import (
     BadRowError,
@@ -69,8 +67,7 @@
         identity = settings.identity(incarnation)
         rng = Random()
         self.front = Front(identity, settings.front_bounds(), rng)
-        own = _member(settings, incarnation)
-        self._runner = Runner(Node(own, (), 0.0, rng, self.front))
+        self._runner = Runner(self.front)
         self._config_watch = TableWatch(
             ports.store, ports.rows.config_table, rng, self._on_config
         )
@@ -238,21 +235,6 @@
         )
 
 
-def _member(settings: FrontSettings, incarnation: int) -> Member:
-    listen = settings.listen
-    return Member(
-        host_id=HostId(settings.host.name),
-        incarnation=incarnation,
-        refutation=0,
-        region="",
-        failure_domain=settings.identity(incarnation).domain,
-        addresses=Addresses(
-            http=listen.callers, peer_tcp=listen.peers, peer_udp=listen.peers
-        ),
-        state=MemberState.ALIVE,
-    )
-
-
 def on_error(exc: Exception) -> None:
     """Log an error that no one expected."""
     write_traceback(exc_info=(type(exc), exc, exc.__traceback__))
--- a/waxwingarch/tasks/attempts.py
+++ b/waxwingarch/tasks/attempts.py
@@ -30,7 +30,7 @@
 )
 from waxwingarch.exceptions import LinkError
 from waxwingarch.tasks.exchange import Exchange, Exchanges
-from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.runner import ContractRunner
 
 CONNECT_LIMIT_S: Final = 1.0
 CANCEL_LIMIT_S: Final = 2.0
@@ -55,7 +55,7 @@
     """Starts and drops attempts on the node's word."""
 
     def __init__(
-        self, runner: Runner, exchanges: Exchanges, client: HttpClient
+        self, runner: ContractRunner, exchanges: Exchanges, client: HttpClient
     ) -> None:
         self._runner = runner
         self._exchanges = exchanges
--- a/waxwingarch/tasks/claims.py
+++ b/waxwingarch/tasks/claims.py
@@ -35,7 +35,7 @@
 from waxwingarch.exceptions import LinkError, PlatformUnavailableError
 from waxwingarch.ports.objects import ObjectStore
 from waxwingarch.tasks.exchange import Exchange, Exchanges
-from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.runner import ContractRunner
 
 TABLE_CALL_LIMIT_S: Final = 2.0
 QUERY_LIMIT_S: Final = 2.0
@@ -48,7 +48,7 @@
 
     def __init__(
         self,
-        runner: Runner,
+        runner: ContractRunner,
         exchanges: Exchanges,
         client: HttpClient,
         claims: ClaimStore,
--- a/waxwingarch/tasks/control.py
+++ b/waxwingarch/tasks/control.py
@@ -20,7 +20,7 @@
 )
 from waxwingarch.ports.cloud import Cloud, Offer, StartOrder
 from waxwingarch.ports.settings import SettingsWriter
-from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.runner import ContractRunner
 
 CALL_LIMIT_S: Final = 2.0
 
@@ -30,7 +30,7 @@
 
     def __init__(
         self,
-        runner: Runner,
+        runner: ContractRunner,
         leases: LeaseStore,
         cloud: Cloud,
         settings: SettingsWriter,
--- a/waxwingarch/tasks/entry.py
+++ b/waxwingarch/tasks/entry.py
@@ -38,7 +38,7 @@
 from waxwingarch.ports.objects import ObjectStore
 from waxwingarch.tasks.exchange import CallerClosed, Exchange, Exchanges
 from waxwingarch.tasks.intake import Intake, IntakeError
-from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.runner import ContractRunner
 
 DONE_EVENT: Final = sse_event(b"[DONE]")
 SSE_HEADERS: Final = (
@@ -61,7 +61,7 @@
 
     def __init__(
         self,
-        runner: Runner,
+        runner: ContractRunner,
         exchanges: Exchanges,
         intake: Intake,
         tickets: TicketBook,
--- a/waxwingarch/tasks/explain.py
+++ b/waxwingarch/tasks/explain.py
@@ -6,7 +6,7 @@
     HttpRequest,
 )
 from waxwingarch.adapters.metrics import Metrics, Sample
-from waxwingarch.core.node import Node
+from waxwingarch.core.contract_node import ContractNode
 from waxwingarch.tasks.admin import Admin, NotFoundError
 from waxwingarch.tasks.move_operations import MoveOperations, move_view
 from waxwingarch.tasks.operations import last_part
@@ -21,7 +21,7 @@
     """Answers `waxwingctl explain`, and adds to the state dump."""
 
     def __init__(
-        self, node: Node, log: RequestLog, moves: MoveOperations
+        self, node: ContractNode, log: RequestLog, moves: MoveOperations
     ) -> None:
         self._node = node
         self._log = log
--- a/waxwingarch/tasks/front_duties.py
+++ b/waxwingarch/tasks/front_duties.py
@@ -32,7 +32,7 @@
     StoredRow,
     StoreUnavailableError,
 )
-from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.runner import FrontRunner
 
 LEASE_TABLE: Final = "waxwing-lease"
 LEASE_KEY: Final = "duties"
@@ -51,7 +51,9 @@
 class FrontDuties:
     """One task for each call; their outcomes go back to the node."""
 
-    def __init__(self, runner: Runner, ports: FrontPorts, own: HostId) -> None:
+    def __init__(
+        self, runner: FrontRunner, ports: FrontPorts, own: HostId
+    ) -> None:
         self._runner = runner
         self._ports = ports
         self._own = own
@@ -198,9 +200,7 @@
 
     def _may_act(self) -> bool:
         """Ask right before a call: the lease may have ended meanwhile."""
-        front = self._runner.node.front
-        assert front is not None
-        return front.may_act(boot_now())
+        return self._runner.node.may_act(boot_now())
 
     # Servers
 
--- a/waxwingarch/tasks/front_entry.py
+++ b/waxwingarch/tasks/front_entry.py
@@ -31,7 +31,7 @@
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.ports.front import BadHeadError, ExchangeCodec
 from waxwingarch.tasks.front_exchange import ExchangeCarrier
-from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.runner import FrontRunner
 
 # Statuses of this host's own answers.
 STATUS: Final[dict[RefusalReason, int]] = {
@@ -67,7 +67,7 @@
 
     def __init__(
         self,
-        runner: Runner,
+        runner: FrontRunner,
         client: HttpClient,
         codec: ExchangeCodec,
         on_error: Callable[[Exception], None],
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -26,7 +26,7 @@
 )
 from waxwingarch.exceptions import LinkError
 from waxwingarch.ports.front import AnswerHead, ExchangeCodec
-from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.runner import FrontRunner
 
 # A connection within a region is there within a few milliseconds; a lost
 # opening packet is sent again only after a second.
@@ -75,7 +75,7 @@
 
     def __init__(
         self,
-        runner: Runner,
+        runner: FrontRunner,
         client: HttpClient,
         codec: ExchangeCodec,
         req: HttpRequest,
@@ -141,9 +141,9 @@
         now = asyncio.get_running_loop().time()
         if now < send.answer_by:
             return min(send.answer_by, now + WAIT_STEP_S)
-        front = self._runner.node.front
-        assert front is not None
-        heard_at = front.chooser.loads.heard_at(send.server.server_id)
+        heard_at = self._runner.node.chooser.loads.heard_at(
+            send.server.server_id
+        )
         if now - heard_at > HEARD_WITHIN_S or now >= send.expires_at:
             return None
         return now + WAIT_STEP_S
--- a/waxwingarch/tasks/front_peers.py
+++ b/waxwingarch/tasks/front_peers.py
@@ -8,6 +8,7 @@
 import orjson
 from eliot import log_message
 
+from waxwingarch.adapters.addresses import split_address
 from waxwingarch.adapters.http_client import HttpClient
 from waxwingarch.adapters.http_messages import (
     JSON_TYPE,
@@ -20,7 +21,6 @@
     decode_report,
     encode_report,
 )
-from waxwingarch.adapters.udp_peers import split_address
 from waxwingarch.core.peers.report import (
     PullState,
     ReportReceived,
@@ -28,7 +28,7 @@
 )
 from waxwingarch.exceptions import LinkError
 from waxwingarch.ports.front import Rows, StoredRow
-from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.runner import FrontRunner
 from waxwingarch.tasks.table_watch import TableWatch
 
 PULL_LIMIT_S: Final = 0.6
@@ -52,7 +52,10 @@
     """Speaks to the other hosts on one address, by UDP and HTTP."""
 
     def __init__(
-        self, runner: Runner, client: HttpClient, watches: list[TableWatch]
+        self,
+        runner: FrontRunner,
+        client: HttpClient,
+        watches: list[TableWatch],
     ) -> None:
         self.counts: Counter[str] = Counter()
         self._runner = runner
--- a/waxwingarch/tasks/handovers.py
+++ b/waxwingarch/tasks/handovers.py
@@ -15,7 +15,7 @@
 from waxwingarch.core.requests.handover import HandOver, hand_over_key
 from waxwingarch.exceptions import LinkError
 from waxwingarch.tasks.exchange import CallerClosed, Exchange, Exchanges
-from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.runner import ContractRunner
 
 MAX_KEPT: Final = 2000
 MAX_KEPT_BYTES: Final = 8 * 1024 * 1024
@@ -63,7 +63,7 @@
 
     def __init__(
         self,
-        runner: Runner,
+        runner: ContractRunner,
         exchanges: Exchanges,
         peers: GrpcPeers,
         shelf: HandOverShelf,
--- a/waxwingarch/tasks/move_operations.py
+++ b/waxwingarch/tasks/move_operations.py
@@ -12,9 +12,10 @@
 from waxwingarch.adapters.http_messages import (
     HttpRequest,
 )
-from waxwingarch.adapters.settings import Name
+from waxwingarch.adapters.ini import Name
 from waxwingarch.adapters.settings_moves import moves_of
 from waxwingarch.core.base import ServiceId, VersionId
+from waxwingarch.core.contract_node import ContractNode
 from waxwingarch.core.moves.move import plan_move
 from waxwingarch.core.moves.move_policy import PacedPolicy
 from waxwingarch.core.moves.move_record import (
@@ -26,7 +27,6 @@
     take_back,
     to_json,
 )
-from waxwingarch.core.node import Node
 from waxwingarch.exceptions import (
     ConflictError,
     PlatformUnavailableError,
@@ -78,7 +78,7 @@
 
     def __init__(
         self,
-        node: Node,
+        node: ContractNode,
         moves: MoveStore,
         unix_now: Callable[[], float] = time.time,
     ) -> None:
--- a/waxwingarch/tasks/operations.py
+++ b/waxwingarch/tasks/operations.py
@@ -20,7 +20,7 @@
 from waxwingarch.adapters.http_messages import (
     HttpRequest,
 )
-from waxwingarch.core.node import Node
+from waxwingarch.core.contract_node import ContractNode
 from waxwingarch.core.settings.settings import Document, SettingsSnapshot
 from waxwingarch.exceptions import ConflictError, SettingsError
 from waxwingarch.ports.settings_store import SettingsStore
@@ -108,7 +108,7 @@
     """Shows and writes contracts."""
 
     def __init__(
-        self, node: Node, store: SettingsStore, deployment: str
+        self, node: ContractNode, store: SettingsStore, deployment: str
     ) -> None:
         self._node = node
         self._store = store
--- a/waxwingarch/tasks/operator_api.py
+++ b/waxwingarch/tasks/operator_api.py
@@ -8,13 +8,13 @@
 from waxwingarch.tasks.operations import ContractOperations
 from waxwingarch.tasks.own_changes import OwnChanges
 from waxwingarch.tasks.request_log import RequestLog
-from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.runner import ContractRunner
 from waxwingarch.tasks.state_operations import StateOperations
 
 
 def register(
     admin: Admin,
-    runner: Runner,
+    runner: ContractRunner,
     store: SettingsStore,
     *,
     host_id: str,
--- a/waxwingarch/tasks/peers.py
+++ b/waxwingarch/tasks/peers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
-from waxwingarch.adapters.udp_peers import join_address, split_address
+from waxwingarch.adapters.addresses import join_address, split_address
 from waxwingarch.core.base import (
     Action,
     Event,
--- a/waxwingarch/tasks/platform_watch.py
+++ b/waxwingarch/tasks/platform_watch.py
@@ -19,7 +19,7 @@
     Notice,
     ServerState,
 )
-from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.runner import ContractRunner
 
 LIST_INTERVAL_MIN_S: Final = 1.0
 LIST_BYTES_PER_S: Final = 3000.0
@@ -36,7 +36,11 @@
     """
 
     def __init__(
-        self, runner: Runner, cloud: Cloud, host_id: HostId, rng: Random
+        self,
+        runner: ContractRunner,
+        cloud: Cloud,
+        host_id: HostId,
+        rng: Random,
     ) -> None:
         self._runner = runner
         self._cloud = cloud
--- a/waxwingarch/tasks/runner.py
+++ b/waxwingarch/tasks/runner.py
@@ -3,11 +3,17 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Generic, Protocol, TypeAlias, TypeVar
 
 from waxwingarch.core.base import Action, Event
 from waxwingarch.core.node import Node
 
+if TYPE_CHECKING:
+    from waxwingarch.core.contract_node import ContractNode
+    from waxwingarch.core.front import Front
+
+NodeT = TypeVar("NodeT", bound=Node)
+
 
 class Recorder(Protocol):
     """Keeps a record of what a node saw and did."""
@@ -19,10 +25,10 @@
 Observer = Callable[[float, Event, list[Action]], None]
 
 
-class Runner:
+class Runner(Generic[NodeT]):
     """The one place where a node's decisions meet the real clock."""
 
-    def __init__(self, node: Node, recorder: Recorder | None = None) -> None:
+    def __init__(self, node: NodeT, recorder: Recorder | None = None) -> None:
         self.node = node
         self._recorder = recorder
         self._observers: list[Observer] = []
@@ -61,3 +67,7 @@
             observer(now, event, actions)
         for action in actions:
             self._sinks[type(action)](action)
+
+
+ContractRunner: TypeAlias = "Runner[ContractNode]"
+FrontRunner: TypeAlias = "Runner[Front]"
--- a/waxwingarch/tasks/server_watch.py
+++ b/waxwingarch/tasks/server_watch.py
@@ -10,7 +10,7 @@
 from waxwingarch.core.events import CacheRead, LoadRead
 from waxwingarch.core.placement.prefix import CacheEvent, CacheOp
 from waxwingarch.exceptions import LinkError
-from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.runner import ContractRunner
 
 PERIOD_S: Final = 1.0
 CALL_LIMIT_S: Final = 1.0
@@ -21,7 +21,7 @@
     """Polls each watched engine once a period, spread over the period."""
 
     def __init__(
-        self, runner: Runner, client: HttpClient, rng: Random
+        self, runner: ContractRunner, client: HttpClient, rng: Random
     ) -> None:
         self._runner = runner
         self._client = client
--- a/waxwingarch/tasks/settings_apply.py
+++ b/waxwingarch/tasks/settings_apply.py
@@ -12,7 +12,7 @@
 from waxwingarch.core.events import SettingsParsed
 from waxwingarch.core.settings.settings import Document, SettingsSnapshot
 from waxwingarch.exceptions import SettingsError
-from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.runner import ContractRunner
 
 CONTRACT_PREFIX: Final = "contract/"
 
@@ -22,7 +22,7 @@
 class SettingsApply:
     """Turns the documents of a revision into what decisions need."""
 
-    def __init__(self, runner: Runner, deployment: str) -> None:
+    def __init__(self, runner: ContractRunner, deployment: str) -> None:
         self._runner = runner
         self._deployment = deployment
         runner.connect(ApplySettings, self._on_apply)
--- a/waxwingarch/tasks/state_operations.py
+++ b/waxwingarch/tasks/state_operations.py
@@ -7,14 +7,14 @@
     HttpRequest,
 )
 from waxwingarch.core.base import HostId
-from waxwingarch.core.node import Node
+from waxwingarch.core.contract_node import ContractNode
 from waxwingarch.tasks.admin import Admin, AdminCall
 
 
 class StateOperations:
     """Shows hosts, servers and the revisions in force."""
 
-    def __init__(self, node: Node, host_id: str) -> None:
+    def __init__(self, node: ContractNode, host_id: str) -> None:
         self._node = node
         self._host_id = host_id
 
--- a/waxwingarch/tasks/table_watch.py
+++ b/waxwingarch/tasks/table_watch.py
@@ -28,8 +28,9 @@
 class TableWatch:
     """The rows of a table as this process last knew them.
 
-    `on_rows` is called after each change; `after_outage` tells whether
-    changes may have been missed before the rows now known.
+    `version` is that of the newest row. `on_rows` is called after each
+    change; `after_outage` tells whether changes may have been missed
+    before the rows now known.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         self.table = table
         self.rows: dict[str, StoredRow] = {}
         self.version = 0
+        self._cursor = 0
         self.after_outage = False
         self._store = store
         self._on_rows = on_rows
@@ -94,7 +96,7 @@
             )
         return await self._store.async_changes(
             self.table,
-            self.version,
+            self._cursor,
             HOLD_S,
             deadline=now + HOLD_S + GRACE_S,
         )
@@ -103,16 +105,19 @@
         self._regained()
         first = not self._synced
         self._synced = True
-        if rows.version < self.version:
+        self._cursor = max(self._cursor, rows.version)
+        newest = max((row.version for row in rows.rows), default=0)
+        if first and newest < self.version:
+            # A peer has shown newer rows than this read.
             return
         if first:
-            self.rows = {row.key: row for row in rows.rows}
+            self.rows = {}
         for row in rows.rows:
             if row.value is None:
                 self.rows.pop(row.key, None)
             else:
                 self.rows[row.key] = row
-        self.version = rows.version
+        self.version = max(self.version, newest)
         if first or rows.rows:
             self._on_rows(self)
             self.after_outage = False
