--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,213 @@
+"""The users' platform in small: store, duties and servers together."""
+
+import argparse
+import asyncio
+from base64 import b64encode
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import orjson
+
+from standins.fleet_server import FleetServer, Run
+from standins.fleet_store import LISTEN_IP, FleetStore
+from waxwingarch.adapters.http_messages import HttpRequest, HttpResponder
+from waxwingarch.adapters.http_server import HttpServer
+
+ENGINE_SERVICE: Final = "pool"
+PLAIN_SERVICE: Final = "ledger"
+HOST_NAME: Final = "calls.example"
+ZONES: Final = ("za", "zb")
+
+
+@dataclass(kw_only=True, slots=True)
+class DutyCall:
+    """One call of a duty, as the platform got it."""
+
+    path: str
+    holder: str
+    fence: int
+    body: Any
+
+
+@dataclass(kw_only=True, slots=True)
+class FleetConfig:
+    """The configuration that the operator writes, to be changed."""
+
+    version: int = 1
+    rate: float = 0.0
+    keys: tuple[str, ...] = ("key-1",)
+    plain_timeout_ms: int = 2000
+    extra_routes: list[dict[str, Any]] = field(default_factory=list)
+
+    def row(self) -> bytes:
+        """Return the operator's row."""
+        streaming = {
+            "host": HOST_NAME,
+            "kind": "streaming",
+            "timeout_ms": 5000,
+            "target_latency_ms": 500,
+            "priority": 1,
+            "service": ENGINE_SERVICE,
+            "max_attempts": 2,
+            "target_gap_ms": 200,
+        }
+        plain = {
+            "host": HOST_NAME,
+            "timeout_ms": self.plain_timeout_ms,
+            "target_latency_ms": 300,
+            "service": PLAIN_SERVICE,
+            "max_attempts": 2,
+        }
+        routes = [
+            {"name": "draft", "prefix": "/draft/", "resumable": True}
+            | streaming,
+            {"name": "chat", "prefix": "/chat/"} | streaming,
+            {"name": "read", "prefix": "/read/", "kind": "idempotent"} | plain,
+            {"name": "pay", "prefix": "/pay/", "kind": "non_idempotent"}
+            | plain
+            | {"max_attempts": 1},
+            *self.extra_routes,
+        ]
+        tenant = {
+            "name": "account-1",
+            "api_keys": list(self.keys),
+            "unit": "tokens",
+            "uncached_tokens": 10,
+            "rate_per_s": self.rate,
+            "burst": self.rate,
+        }
+        engine = {
+            "slots": 8,
+            "kv_cache_tokens": 100_000,
+            "moves": True,
+            "backups": True,
+        }
+        services = [
+            {"name": ENGINE_SERVICE, "max_connections": 100, "engine": engine},
+            {"name": PLAIN_SERVICE, "max_connections": 100},
+        ]
+        return orjson.dumps(
+            {
+                "version": self.version,
+                "routes": routes,
+                "services": services,
+                "limits": {"idle_timeout_ms": 15000},
+                "tenants": [tenant],
+            }
+        )
+
+
+class Fleet:
+    """A platform with servers, all in this process."""
+
+    def __init__(self) -> None:
+        self.store = FleetStore()
+        self.servers: list[FleetServer] = []
+        self.runs: list[Run] = []
+        self.duty_calls: list[DutyCall] = []
+        self.duty_status = 200
+        self.config = FleetConfig()
+        self.cloud_address = ""
+        self._cloud = HttpServer(self._async_duty)
+
+    async def async_setup(self, engines: int = 2, plain: int = 2) -> None:
+        """Start everything; the servers register, a configuration is there."""
+        await self.store.async_setup()
+        port = await self._cloud.async_setup(LISTEN_IP, 0)
+        self.cloud_address = f"{LISTEN_IP}:{port}"
+        for n in range(engines):
+            await self.async_add_server(f"e-{n}", ENGINE_SERVICE, engine=True)
+        for n in range(plain):
+            await self.async_add_server(f"p-{n}", PLAIN_SERVICE, engine=False)
+        self.put_config()
+
+    async def async_unload(self) -> None:
+        """Stop everything."""
+        for server in self.servers:
+            await server.async_unload()
+        await self._cloud.async_unload()
+        await self.store.async_unload()
+
+    async def async_add_server(
+        self, server_id: str, service: str, *, engine: bool
+    ) -> FleetServer:
+        """Start a server and register it."""
+        zone = ZONES[len(self.servers) % len(ZONES)]
+        server = FleetServer(
+            server_id, service, zone, engine=engine, runs=self.runs
+        )
+        await server.async_setup()
+        self.servers.append(server)
+        self.register(server)
+        return server
+
+    def register(
+        self, server: FleetServer, state: str = "ready", **more: Any
+    ) -> None:
+        """Write a server's row."""
+        value = b64encode(server.row(state, **more)).decode()
+        self.store.put("servers", server.server_id, value)
+
+    def put_config(self) -> None:
+        """Write the operator's configuration."""
+        value = b64encode(self.config.row()).decode()
+        self.store.put("op", "config", value)
+
+    def engines(self) -> list[FleetServer]:
+        """Return the model engines."""
+        return [server for server in self.servers if server.engine]
+
+    def plain(self) -> list[FleetServer]:
+        """Return the plain servers."""
+        return [server for server in self.servers if not server.engine]
+
+    def settings(self, name: str, ports: Sequence[int]) -> str:
+        """Return the settings of a host on four ports."""
+        keys = ("callers", "readiness", "peers", "metrics")
+        listen = "".join(
+            f"{key} = {LISTEN_IP}:{port}\n"
+            for key, port in zip(keys, ports, strict=True)
+        )
+        return (
+            f"[host]\nname = {name}\nfailure_domain = za\n"
+            f"first_start = true\n[listen]\n{listen}"
+            f"[store]\naddress = {self.store.address}\n"
+            f"[duties]\naddress = {self.cloud_address}\n"
+            "kinds = usage_report,scaling\n"
+        )
+
+    async def _async_duty(self, req: HttpRequest, resp: HttpResponder) -> None:
+        self.duty_calls.append(
+            DutyCall(
+                path=req.path,
+                holder=req.headers.get("x-waxwingarch-duty-holder", ""),
+                fence=int(req.headers.get("x-waxwingarch-fencing-token", 0)),
+                body=orjson.loads(req.body),
+            )
+        )
+        await resp.async_send(self.duty_status, b"")
+
+
+async def _async_main(args: argparse.Namespace) -> None:
+    fleet = Fleet()
+    await fleet.async_setup(args.engines, args.plain)
+    for server in fleet.engines():
+        server.behaviour.events = args.events
+    ports = [args.port + n for n in range(4)]
+    print(fleet.settings("host-1", ports), flush=True)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run the emulator and print the settings of a host for it."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--engines", type=int, default=2)
+    parser.add_argument("--plain", type=int, default=2)
+    parser.add_argument("--events", type=int, default=20)
+    parser.add_argument("--port", type=int, required=True)
+    asyncio.run(_async_main(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/fleet_server.py
@@ -0,0 +1,210 @@
+"""The users' platform in small: one model engine or plain server."""
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import orjson
+
+from standins.fleet_store import LISTEN_IP
+from waxwingarch.adapters.http_messages import (
+    JSON_TYPE,
+    HttpRequest,
+    HttpResponder,
+)
+from waxwingarch.adapters.http_server import HttpServer
+
+ID: Final = "X-Waxwingarch-Request-Id"
+STAMP: Final = "X-Waxwingarch-Server-Stamp"
+NOT_RUN: Final = "X-Waxwingarch-Not-Executed"
+
+
+@dataclass(kw_only=True, slots=True)
+class Run:
+    """One request as a server ran it."""
+
+    request_id: str
+    server_id: str
+    headers: dict[str, str]
+    target: str
+    body: bytes
+    events: int = 0
+    ended: str = ""
+
+
+@dataclass(kw_only=True, slots=True)
+class Behaviour:
+    """How a server answers; `how` applies to the next `count` requests.
+
+    `how` is one of: error (500), shed (503, not run), mute (no answer),
+    cut (the connection closes in mid-answer), lost (runs, then closes),
+    unsigned (no signature), stray (an answer to another request first).
+    `event_s` is the pause between events, `work_s` the time of a plain
+    answer.
+    """
+
+    events: int = 5
+    event_s: float = 0.002
+    work_s: float = 0.002
+    how: str = ""
+    count: int = 0
+    handles: dict[str, int] = field(default_factory=dict)
+
+
+class FleetServer:
+    """A server that speaks the platform's entry protocol."""
+
+    def __init__(
+        self,
+        server_id: str,
+        service: str,
+        zone: str,
+        *,
+        engine: bool,
+        runs: list[Run],
+    ) -> None:
+        self.server_id = server_id
+        self.service = service
+        self.zone = zone
+        self.engine = engine
+        self.runs = runs
+        self.behaviour = Behaviour()
+        self.address = ""
+        self.spot = False
+        self.born = 1_000
+        self._running: dict[str, tuple[Run, asyncio.Event]] = {}
+        self.server = HttpServer(self._async_handle)
+
+    async def async_setup(self) -> None:
+        """Listen on a free port."""
+        port = await self.server.async_setup(LISTEN_IP, 0)
+        self.address = f"{LISTEN_IP}:{port}"
+
+    async def async_unload(self) -> None:
+        """Stop at once, as in a crash."""
+        for conn in list(self.server.connections):
+            conn.abort()
+        await self.server.async_unload()
+
+    def row(self, state: str = "ready", **more: Any) -> bytes:
+        """Return this server's registration."""
+        row: dict[str, Any] = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": self.born,
+        }
+        if self.engine:
+            model = {"name": "m", "version": 1, "adapters": []}
+            row |= {"stage": "both", "models": [model]}
+        if self.spot:
+            row["spot"] = True
+        return orjson.dumps(row | more)
+
+    async def _async_handle(
+        self, req: HttpRequest, resp: HttpResponder
+    ) -> None:
+        if req.path == "/-/kv-move":
+            await self._async_kv_move(orjson.loads(req.body), resp)
+            return
+        target = req.headers.get("x-waxwingarch-target-instance")
+        if target not in (None, self.server_id):
+            await resp.async_send(421, b"", [(ID, req.headers[ID.lower()])])
+            return
+        how = self._how()
+        headers = [(ID, req.headers.get(ID.lower(), ""))]
+        if how == "shed":
+            await resp.async_send(503, b"", [*headers, (NOT_RUN, "1")])
+            return
+        if how == "mute":
+            await resp.gone.wait()
+            return
+        await self._async_run(req, resp, how, headers)
+
+    def _how(self) -> str:
+        if not self.behaviour.count:
+            return ""
+        self.behaviour.count -= 1
+        return self.behaviour.how
+
+    async def _async_run(
+        self,
+        req: HttpRequest,
+        resp: HttpResponder,
+        how: str,
+        headers: list[tuple[str, str]],
+    ) -> None:
+        run = Run(
+            request_id=req.headers.get(ID.lower(), ""),
+            server_id=self.server_id,
+            headers=req.headers,
+            target=req.target,
+            body=req.body,
+        )
+        self.runs.append(run)
+        if how == "lost":
+            resp.abort()
+            return
+        if how != "unsigned":
+            headers.append((STAMP, f"stamp-{self.server_id}"))
+        if how == "error":
+            run.ended = "error"
+            await resp.async_send(500, b"failed", headers)
+            return
+        if how == "stray":
+            headers[0] = (ID, "another-request")
+        if self.engine:
+            await self._async_events(run, resp, how, headers)
+            return
+        await asyncio.sleep(self.behaviour.work_s)
+        run.ended = "done"
+        body = orjson.dumps({"echo": len(req.body)})
+        await resp.async_send(200, body, [JSON_TYPE, *headers])
+
+    async def _async_events(
+        self,
+        run: Run,
+        resp: HttpResponder,
+        how: str,
+        headers: list[tuple[str, str]],
+    ) -> None:
+        begin = int(run.headers.get("last-event-id", 0)) + 1
+        stop = asyncio.Event()
+        self._running[run.request_id] = (run, stop)
+        kind = ("Content-Type", "text/event-stream")
+        try:
+            await resp.async_start(200, [kind, *headers])
+            for number in range(begin, self.behaviour.events + 1):
+                await asyncio.sleep(self.behaviour.event_s)
+                if stop.is_set():
+                    run.ended = "moved"
+                    resp.abort()
+                    return
+                event = f"id: {number}\ndata: token {number}\n\n"
+                run.events = number
+                if how == "cut" and number == begin + 1:
+                    await resp.async_write(event[:6].encode())
+                    resp.abort()
+                    return
+                await resp.async_write(event.encode())
+            run.ended = "done"
+            await resp.async_end()
+        finally:
+            self._running.pop(run.request_id, None)
+
+    async def _async_kv_move(self, order: Any, resp: HttpResponder) -> None:
+        found = self._running.get(order["id"])
+        if found is None:
+            await resp.async_send(404, b"")
+            return
+        run, stop = found
+        stop.set()
+        handle = f"h-{order['id']}"
+        self.behaviour.handles[handle] = run.events
+        body = {"handle": handle, "created": run.events}
+        await resp.async_send(200, orjson.dumps(body), [JSON_TYPE])
--- a/waxwingarch/tasks/table_watch.py
+++ b/waxwingarch/tasks/table_watch.py
@@ -83,7 +83,9 @@
                 self._lost(exc)
                 await asyncio.sleep(self._backoff.next_s())
             except asyncio.CancelledError:
-                if not self._call.cancelled():
+                # Only the call was cancelled where a peer was newer.
+                this = asyncio.current_task()
+                if this is None or this.cancelling():
                     raise
             else:
                 self._take(rows)
