--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import sys
 from base64 import b64encode
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -195,7 +196,8 @@
     for server in fleet.engines():
         server.behaviour.events = args.events
     ports = [args.port + n for n in range(4)]
-    print(fleet.settings("host-1", ports), flush=True)
+    sys.stdout.write(fleet.settings("host-1", ports))
+    sys.stdout.flush()
     await asyncio.Event().wait()
 
 
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -75,9 +75,7 @@
     def put(self, table: str, key: str, value: str | None) -> int:
         """Write or remove one row; `value` is base64 text."""
         self.version += 1
-        row = StoreRow(
-            table=table, key=key, value=value, version=self.version
-        )
+        row = StoreRow(table=table, key=key, value=value, version=self.version)
         self._apply([row])
         return self.version
 
@@ -172,16 +170,16 @@
                     version=self.version,
                 )
             )
-        for drop in body.get("remove", ()):
-            if (drop["table"], drop["key"]) in self.rows:
-                rows.append(
-                    StoreRow(
-                        table=drop["table"],
-                        key=drop["key"],
-                        value=None,
-                        version=self.version,
-                    )
-                )
+        rows += [
+            StoreRow(
+                table=drop["table"],
+                key=drop["key"],
+                value=None,
+                version=self.version,
+            )
+            for drop in body.get("remove", ())
+            if (drop["table"], drop["key"]) in self.rows
+        ]
         self._apply(rows)
 
     async def _async_get(
--- a/waxwingarch/core/duties/scaling.py
+++ b/waxwingarch/core/duties/scaling.py
@@ -1,13 +1,13 @@
 """Orders of servers: mostly reclaimable, enough left when a domain's go.
 
 Reclaimable servers are spread over the failure domains so that the rest
-carries the load when one domain loses all of them at once. Others are
-kept until the reclaimable ones serve, and come back while none are to be
-had.
+carries the load when one domain loses all of them at once. Others fill
+what the reclaimable ones do not reach, in the cheapest domains, and go
+when those serve again.
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import ceil
 from typing import Final
 
@@ -20,14 +20,13 @@
 )
 from waxwingarch.core.routing.config import RoutedService, ScalingBounds
 
-# An order is repeated when the listing does not show it after the boot
-# time and this.
-SHOW_S: Final = 3.0
-# After a refusal nothing more is asked of a domain for this long.
-REFUSED_S: Final = 3.0
-# Servers that are taken away get no work while they drain: the number is
-# lowered only after the others have served for this long.
-SETTLE_S: Final = 1.0
+# A server that was ordered is listed within its boot time and this.
+SHOW_S: Final = 1.5
+# An order that failed or was refused is repeated after this long.
+REPEAT_S: Final = 2.0
+# The others are taken away only after the reclaimable servers have been
+# enough for this long: they may just have started.
+SETTLE_S: Final = 2.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -60,19 +59,28 @@
 
 @dataclass(kw_only=True, slots=True)
 class _Order:
+    """The last order about a key; `desired` is what was accepted."""
+
     desired: int | None = None
-    asked_at: float = float("-inf")
+    accepted_at: float = float("-inf")
+    next_at: float = float("-inf")
     pending: bool = False
-    blocked_until: float = float("-inf")
+
+
+@dataclass(kw_only=True, slots=True)
+class _Service:
+    """What is remembered of one service."""
+
+    needed: int
+    enough_since: float
+    orders: dict[OrderKey, _Order] = field(default_factory=dict)
 
 
 class ScalingDuty:
     """Works out and places the orders; only the holder acts."""
 
     def __init__(self) -> None:
-        self._orders: dict[OrderKey, _Order] = {}
-        self._enough_since: dict[ServiceId, float] = {}
-        self._needed: dict[ServiceId, int] = {}
+        self._services: dict[ServiceId, _Service] = {}
 
     def tick(
         self,
@@ -85,73 +93,126 @@
         known = list(backends)
         actions: list[Action] = []
         for service in services:
-            if service.scaling is not None:
-                actions += self._service(now, fence, service, known)
+            if service.scaling is None:
+                continue
+            usable = [
+                b
+                for b in known
+                if b.server.service == service.service and b.usable
+            ]
+            actions += self._service(
+                now, fence, service.service, service.scaling, usable
+            )
         return actions
 
     def ordered(self, now: float, event: ServersOrdered) -> None:
         """Take the reply to an order."""
-        order = self._orders.setdefault(event.key, _Order())
+        state = self._services.get(event.key.service)
+        order = state.orders.get(event.key) if state else None
+        if order is None:
+            return
         order.pending = False
         if event.accepted:
             order.desired = event.desired
-            return
-        order.desired = None
-        order.blocked_until = now + REFUSED_S
+            order.accepted_at = now
+        else:
+            order.next_at = now + REPEAT_S
 
     def lost(self) -> None:
         """Forget all orders: another host holds the duty."""
-        self._orders.clear()
-        self._enough_since.clear()
+        for state in self._services.values():
+            state.orders.clear()
 
     def _service(
         self,
         now: float,
         fence: int,
-        service: RoutedService,
-        known: list[Backend],
+        service: ServiceId,
+        bounds: ScalingBounds,
+        usable: list[Backend],
     ) -> list[Action]:
-        bounds = service.scaling
-        assert bounds is not None
-        own = [b for b in known if b.server.service == service.service]
-        usable = [b for b in own if b.usable]
-        needed = self._needed.setdefault(service.service, len(usable))
-        each = _reclaimable_each(needed, bounds)
-        ready = sum(b.server.reclaimable for b in usable)
-        enough = ready >= each * (len(bounds.domain_prices) - 1)
-        since = self._enough_since.setdefault(service.service, now)
-        if not enough:
-            self._enough_since[service.service] = now
-        lower = enough and now - since >= SETTLE_S
+        state = self._services.get(service)
+        if state is None:
+            if not usable:
+                return []
+            state = _Service(needed=len(usable), enough_since=now)
+            self._services[service] = state
+        running = _count(service, usable)
+        wanted = self._wanted(now, service, state, bounds, running)
         actions: list[Action] = []
-        for domain in sorted(bounds.domain_prices):
-            key = OrderKey(
-                service=service.service, domain=domain, reclaimable=True
-            )
-            actions += self._place(now, fence, key, each, bounds)
-            if lower:
-                key = OrderKey(
-                    service=service.service, domain=domain, reclaimable=False
+        for key, desired in wanted.items():
+            order = state.orders.setdefault(key, _Order())
+            if self._is_due(now, order, desired, running.get(key, 0), bounds):
+                order.pending = True
+                actions.append(
+                    OrderServers(key=key, desired=desired, fence=fence)
                 )
-                actions += self._place(now, fence, key, 0, bounds)
         return actions
 
-    def _place(
+    def _wanted(
         self,
         now: float,
-        fence: int,
-        key: OrderKey,
+        service: ServiceId,
+        state: _Service,
+        bounds: ScalingBounds,
+        running: dict[OrderKey, int],
+    ) -> dict[OrderKey, int]:
+        """Return the number of servers to run, by order."""
+        each = _reclaimable_each(state.needed, bounds)
+        wanted: dict[OrderKey, int] = {}
+        reclaimable = 0
+        for domain in bounds.domain_prices:
+            key = OrderKey(service=service, domain=domain, reclaimable=True)
+            wanted[key] = each
+            reclaimable += running.get(key, 0)
+        lacking = state.needed - reclaimable
+        if lacking > 0:
+            state.enough_since = now
+        settled = now - state.enough_since >= SETTLE_S
+        for domain in sorted(
+            bounds.domain_prices, key=lambda d: bounds.domain_prices[d]
+        ):
+            key = OrderKey(service=service, domain=domain, reclaimable=False)
+            have = running.get(key, 0)
+            taken = running.get(
+                OrderKey(service=service, domain=domain, reclaimable=True), 0
+            )
+            room = max(0, bounds.maximum - max(each, taken))
+            share = min(max(0, lacking), room)
+            lacking -= max(share, have)
+            wanted[key] = share if settled else max(share, have)
+        return wanted
+
+    def _is_due(
+        self,
+        now: float,
+        order: _Order,
         desired: int,
+        running: int,
         bounds: ScalingBounds,
-    ) -> list[Action]:
-        order = self._orders.setdefault(key, _Order())
-        if order.pending or now < order.blocked_until:
-            return []
-        if order.desired == desired:
-            return []
-        order.pending = True
-        order.asked_at = now
-        return [OrderServers(key=key, desired=desired, fence=fence)]
+    ) -> bool:
+        if order.pending or now < order.next_at:
+            return False
+        if order.desired is None:
+            return desired != running
+        if order.desired != desired:
+            return True
+        shown_by = order.accepted_at + bounds.boot_s + SHOW_S
+        return running < desired and now >= shown_by
+
+
+def _count(
+    service: ServiceId, usable: Iterable[Backend]
+) -> dict[OrderKey, int]:
+    running: dict[OrderKey, int] = {}
+    for backend in usable:
+        key = OrderKey(
+            service=service,
+            domain=backend.server.failure_domain,
+            reclaimable=backend.server.reclaimable,
+        )
+        running[key] = running.get(key, 0) + 1
+    return running
 
 
 def _reclaimable_each(needed: int, bounds: ScalingBounds) -> int:
