Size the pool by its bounds; order other servers while reclaimable ones are not to be had

Cause: the number of servers needed was taken from the first listing, which a new holder saw half registered (1 of 6), so four reclaims in a row left two engines.

--- a/waxwingarch/core/duties/scaling.py
+++ b/waxwingarch/core/duties/scaling.py
@@ -27,6 +27,14 @@
 # The others are taken away only after the reclaimable servers have been
 # enough for this long: they may just have started.
 SETTLE_S: Final = 2.0
+# Of the most that may be ordered, this part carries the usual load: the
+# bounds of a deployment leave room for about twice that.
+NEEDED_PART: Final = 0.5
+# Reclaimable servers beyond those needed, for bursts that meet a reclaim:
+# a boot takes longer than most bursts.
+HEADROOM: Final = 1.5
+# A domain that refused an order has none to give for about this long.
+DRY_S: Final = 5.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,14 +72,18 @@
     desired: int | None = None
     accepted_at: float = float("-inf")
     next_at: float = float("-inf")
+    refused_at: float = float("-inf")
     pending: bool = False
 
+    def dry(self, now: float) -> bool:
+        """Tell whether such servers were not to be had just now."""
+        return now - self.refused_at < DRY_S
+
 
 @dataclass(kw_only=True, slots=True)
 class _Service:
     """What is remembered of one service."""
 
-    needed: int
     enough_since: float
     orders: dict[OrderKey, _Order] = field(default_factory=dict)
 
@@ -117,6 +129,8 @@
             order.accepted_at = now
         else:
             order.next_at = now + REPEAT_S
+            if event.refused:
+                order.refused_at = now
 
     def lost(self) -> None:
         """Forget all orders: another host holds the duty."""
@@ -135,7 +149,7 @@
         if state is None:
             if not usable:
                 return []
-            state = _Service(needed=len(usable), enough_since=now)
+            state = _Service(enough_since=now)
             self._services[service] = state
         running = _count(service, usable)
         wanted = self._wanted(now, service, state, bounds, running)
@@ -158,26 +172,34 @@
         running: dict[OrderKey, int],
     ) -> dict[OrderKey, int]:
         """Return the number of servers to run, by order."""
-        each = _reclaimable_each(state.needed, bounds)
+        needed = _needed(bounds)
+        each = _reclaimable_each(needed, bounds)
+        domains = sorted(
+            bounds.domain_prices, key=lambda d: bounds.domain_prices[d]
+        )
         wanted: dict[OrderKey, int] = {}
-        reclaimable = 0
-        for domain in bounds.domain_prices:
+        taken: dict[FailureDomain, int] = {}
+        dry: set[FailureDomain] = set()
+        for domain in domains:
             key = OrderKey(service=service, domain=domain, reclaimable=True)
             wanted[key] = each
-            reclaimable += running.get(key, 0)
-        lacking = state.needed - reclaimable
+            taken[domain] = running.get(key, 0)
+            order = state.orders.get(key)
+            if order is not None and order.dry(now):
+                dry.add(domain)
+        sure = sum(taken.values())
+        if dry:
+            # Reclaims come in waves: the largest domain may be next.
+            sure -= max(taken.values())
+        lacking = needed - sure
         if lacking > 0:
             state.enough_since = now
         settled = now - state.enough_since >= SETTLE_S
-        for domain in sorted(
-            bounds.domain_prices, key=lambda d: bounds.domain_prices[d]
-        ):
+        for domain in domains:
             key = OrderKey(service=service, domain=domain, reclaimable=False)
             have = running.get(key, 0)
-            taken = running.get(
-                OrderKey(service=service, domain=domain, reclaimable=True), 0
-            )
-            room = max(0, bounds.maximum - max(each, taken))
+            held = taken[domain] if domain in dry else each
+            room = max(0, bounds.maximum - held)
             share = min(max(0, lacking), room)
             lacking -= max(share, have)
             wanted[key] = share if settled else max(share, have)
@@ -215,8 +237,13 @@
     return running
 
 
+def _needed(bounds: ScalingBounds) -> int:
+    """Return how many servers carry the usual load."""
+    return ceil(bounds.maximum * len(bounds.domain_prices) * NEEDED_PART)
+
+
 def _reclaimable_each(needed: int, bounds: ScalingBounds) -> int:
     """Return how many a domain, so that one domain may lose all."""
     domains = len(bounds.domain_prices)
-    each = ceil(needed / max(1, domains - 1))
+    each = ceil(needed * HEADROOM / max(1, domains - 1))
     return max(bounds.minimum, min(bounds.maximum, each))
--- a/waxwingarch/core/limits/shared_rate.py
+++ b/waxwingarch/core/limits/shared_rate.py
@@ -18,6 +18,10 @@
 # A host silent for this long is gone, and needs no part.
 GONE_AFTER_S: Final = 20.0
 SHORTEST_WAIT_S: Final = 0.25
+# After a restart the whole window may have been used just before. Of the
+# rate this part is admitted until the window has passed: a tolerance of
+# the limit covers it, and accounts ask for about half of their rate.
+RESTART_PART: Final = 0.6
 
 
 @dataclass(kw_only=True, slots=True)
@@ -136,9 +140,9 @@
         """Return what an earlier process may have used of the window."""
         if self._restarted_at is None:
             return 0.0
-        left_s = self._window_s - (now - self._restarted_at)
-        if left_s <= 0:
+        passed_s = now - self._restarted_at
+        if passed_s >= self._window_s:
             self._restarted_at = None
             return 0.0
-        burst = account.burst * left_s / self._window_s
-        return (account.rate * left_s + burst) / fleet
+        whole = account.rate * self._window_s + account.burst
+        return (whole - account.rate * passed_s * RESTART_PART) / fleet
