--- a/waxwingarch/adapters/report_codec.py
+++ b/waxwingarch/adapters/report_codec.py
@@ -31,7 +31,7 @@
                 server: [load.running, load.prefill_tokens, load.kv_tokens]
                 for server, load in report.loads.items()
             },
-            "adm": report.admitted,
+            "adm": {a: round(n, 1) for a, n in report.admitted.items()},
             "began": {str(w): c for w, c in report.began.items()},
         }
     )
--- a/waxwingarch/core/front.py
+++ b/waxwingarch/core/front.py
@@ -253,9 +253,7 @@
             return []
         self._fleet_changed(now)
         self.chooser.loads.set_peer(report.host, report.loads)
-        self.rates.reported(
-            now, report.host, report.incarnation, report.admitted
-        )
+        self.rates.reported(now, report.host, report.admitted)
         if report.holds_duties:
             self.lease.holder_heard(self._boot_now)
         return self._check_behind(now, report)
@@ -295,7 +293,7 @@
             draining=self.stopping,
             holds_duties=self.lease.may_act(self._boot_now),
             loads=self.chooser.loads.own(),
-            admitted=dict(self.rates.totals()),
+            admitted=self.rates.used(now, self.table.accounts.values()),
             began=self.usage.counts,
         )
         return [SendReport(report=report, addresses=tuple(due))]
--- a/waxwingarch/core/limits/shared_rate.py
+++ b/waxwingarch/core/limits/shared_rate.py
@@ -1,11 +1,11 @@
 """Rate limits of accounts that all hosts keep together.
 
-Every host counts what it admits and tells the others. A host admits what
-is left of a limit over a sliding window after its own use and that of
-the hosts it hears; for a host it does not hear it leaves an even part.
+Every host counts what it admits over a sliding window and tells the
+others. A host admits what is left of a limit after its own use and that
+of the hosts it hears; for a host it does not hear it leaves an even part.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -21,17 +21,21 @@
 # After a restart the whole window may have been used just before. Of the
 # rate this part is admitted until the window has passed: a tolerance of
 # the limit covers it, and accounts ask for about half of their rate.
-RESTART_PART: Final = 0.6
+RESTART_PART: Final = 0.5
+# Two reports that come together tell nothing of the speed between them.
+SHORTEST_PAUSE_S: Final = 0.1
 
 
 @dataclass(kw_only=True, slots=True)
 class _Peer:
-    """What one other host has admitted, by its reports."""
+    """What one other host admitted over the window, by its last report.
+
+    `speeds` is by how much that grew a second since the one before.
+    """
 
-    incarnation: int
     heard_at: float
-    totals: dict[AccountId, float] = field(default_factory=dict)
-    windows: dict[AccountId, WindowSum] = field(default_factory=dict)
+    used: Mapping[AccountId, float]
+    speeds: dict[AccountId, float] = field(default_factory=dict)
 
 
 class SharedRates:
@@ -39,7 +43,6 @@
 
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
-        self._totals: dict[AccountId, float] = {}
         self._own: dict[AccountId, WindowSum] = {}
         self._peers: dict[HostId, _Peer] = {}
         self._fleet = 1
@@ -56,37 +59,26 @@
         """Set how many hosts there are, by the last word."""
         self._fleet = max(1, hosts)
 
-    def totals(self) -> Mapping[AccountId, float]:
-        """Return what this process has admitted since its start."""
-        return self._totals
+    def used(
+        self, now: float, accounts: Iterable[RoutedAccount]
+    ) -> dict[AccountId, float]:
+        """Return what this host used of the window, for the others."""
+        used = {a.account: self._own_use(now, a) for a in accounts}
+        return {account: use for account, use in used.items() if use > 0}
 
     def reported(
-        self,
-        now: float,
-        host: HostId,
-        incarnation: int,
-        totals: Mapping[AccountId, float],
+        self, now: float, host: HostId, used: Mapping[AccountId, float]
     ) -> None:
-        """Take a host's report of what it has admitted."""
-        peer = self._peers.get(host)
-        if peer is None:
-            self._peers[host] = _Peer(
-                incarnation=incarnation, heard_at=now, totals=dict(totals)
-            )
-            return
-        if incarnation != peer.incarnation:
-            peer.incarnation = incarnation
-            peer.totals = {}
-        peer.heard_at = now
-        for account, total in totals.items():
-            more = total - peer.totals.get(account, 0.0)
-            if more > 0:
-                window = peer.windows.get(account)
-                if window is None:
-                    window = WindowSum(self._window_s)
-                    peer.windows[account] = window
-                window.add(now, more)
-                peer.totals[account] = total
+        """Take a host's report of what it used of the window."""
+        before = self._peers.get(host)
+        peer = _Peer(heard_at=now, used=used)
+        if before is not None:
+            passed_s = max(SHORTEST_PAUSE_S, now - before.heard_at)
+            for account, use in used.items():
+                more = use - before.used.get(account, 0.0)
+                if more > 0:
+                    peer.speeds[account] = more / passed_s
+        self._peers[host] = peer
 
     def admit(
         self, now: float, account: RoutedAccount, cost: float
@@ -94,30 +86,28 @@
         """Count a request; returns None, or how long to wait if refused."""
         if account.rate <= 0:
             return None
-        allowed = self._allowed(now, account)
-        own = self._own.get(account.account)
-        if own is None:
-            own = WindowSum(self._window_s)
-            self._own[account.account] = own
-        surplus = own.at(now) + cost - allowed
+        surplus = self._own_use(now, account) + cost
+        surplus -= self._left_by_others(now, account)
+        window = self._own.setdefault(
+            account.account, WindowSum(self._window_s)
+        )
         if surplus > 0:
             refill_s = surplus / account.rate
-            return max(SHORTEST_WAIT_S, min(refill_s, own.wait_s(now, cost)))
-        own.add(now, cost)
-        total = self._totals.get(account.account, 0.0)
-        self._totals[account.account] = total + cost
+            wait_s = min(refill_s, window.wait_s(now, cost))
+            return max(SHORTEST_WAIT_S, wait_s)
+        window.add(now, cost)
         return None
 
     def give_back(
         self, now: float, account: RoutedAccount, cost: float
     ) -> None:
         """Return what a request that did not run had counted."""
-        own = self._own.get(account.account)
-        if own is not None:
-            own.add(now, -cost)
+        window = self._own.get(account.account)
+        if window is not None:
+            window.add(now, -cost)
 
-    def _allowed(self, now: float, account: RoutedAccount) -> float:
-        """Return what this host may have admitted over the window."""
+    def _left_by_others(self, now: float, account: RoutedAccount) -> float:
+        """Return what the other hosts leave of a window to this one."""
         whole = account.rate * self._window_s + account.burst
         heard = 0
         used = 0.0
@@ -127,22 +117,23 @@
                 del self._peers[host]
             elif silent_s <= HEARD_WITHIN_S:
                 heard += 1
-                window = peer.windows.get(account.account)
-                used += window.at(now) if window else 0.0
+                used += peer.used.get(account.account, 0.0)
+                # What it admits until its next report is not known yet.
+                used += peer.speeds.get(account.account, 0.0) * silent_s
         fleet = max(self._fleet, len(self._peers) + 1)
         unheard = max(0, fleet - 1 - heard)
-        used += unheard * whole / fleet
-        return whole - used - self._used_before(now, account, fleet)
+        return whole - used - unheard * whole / fleet
 
-    def _used_before(
-        self, now: float, account: RoutedAccount, fleet: int
-    ) -> float:
-        """Return what an earlier process may have used of the window."""
+    def _own_use(self, now: float, account: RoutedAccount) -> float:
+        """Return what this host used, an earlier process included."""
+        window = self._own.get(account.account)
+        use = window.at(now) if window else 0.0
         if self._restarted_at is None:
-            return 0.0
+            return use
         passed_s = now - self._restarted_at
         if passed_s >= self._window_s:
             self._restarted_at = None
-            return 0.0
+            return use
         whole = account.rate * self._window_s + account.burst
-        return (whole - account.rate * passed_s * RESTART_PART) / fleet
+        free = account.rate * passed_s * RESTART_PART
+        return use + (whole - free) / self._fleet
--- a/waxwingarch/core/peers/report.py
+++ b/waxwingarch/core/peers/report.py
@@ -15,8 +15,9 @@
     """What one host knows and does; each report replaces the last.
 
     `address` is where the host takes reports and answers pulls.
-    `unix_now` is its idea of the time of day in seconds. `admitted`
-    counts since the start of the process, `began` by usage window.
+    `unix_now` is its idea of the time of day in seconds. `admitted` is
+    what it used of the accounts' rates over their window, `began` counts
+    the requests that began to run by usage window.
     `config_version` and `listing_version` say how new its beliefs are.
     """
 
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -97,7 +97,12 @@
                 reason=f"{exc}; free the address or change [listen]",
             )
             return EXIT_ADDRESS_IN_USE
-        log_message(message_type="started", host=self._settings.host.name)
+        log_message(
+            message_type="started",
+            host=self._settings.host.name,
+            incarnation=self.front.identity.incarnation,
+            first_start=self.front.identity.first_start,
+        )
         gc.collect()
         gc.freeze()
         await self._stopping.wait()
