Test the front on made time and on the emulated platform; use unlisted servers last

Unlisted servers are now used only where a listing lost all of them. Found by the new tests: a stray answer with none after it was waited for until the route's timeout.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -163,6 +163,10 @@
         """Return the plain servers."""
         return [server for server in self.servers if not server.engine]
 
+    def running(self, request_id: str) -> bool:
+        """Tell whether a run is in progress on any server."""
+        return any(server.running(request_id) for server in self.servers)
+
     def settings(self, name: str, ports: Sequence[int]) -> str:
         """Return the settings of a host on four ports."""
         keys = ("callers", "readiness", "peers", "metrics")
--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -86,6 +86,10 @@
             conn.abort()
         await self.server.async_unload()
 
+    def running(self, request_id: str) -> bool:
+        """Tell whether a run is in progress here."""
+        return request_id in self._running
+
     def row(self, state: str = "ready", **more: Any) -> bytes:
         """Return this server's registration."""
         row: dict[str, Any] = {
--- /dev/null
+++ b/tests/core/front/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions about routed exchanges."""
--- /dev/null
+++ b/tests/core/front/made.py
@@ -0,0 +1,223 @@
+"""Made routes, servers and requests for the tests."""
+
+from random import Random
+from typing import Any
+
+from waxwingarch.core.backends.listing import BackendsListed, ListedBackend
+from waxwingarch.core.base import (
+    AccountId,
+    Action,
+    FailureDomain,
+    HostId,
+    RequestId,
+    Server,
+    ServerId,
+    ServerKind,
+    ServiceId,
+    VersionId,
+)
+from waxwingarch.core.exchange.messages import (
+    ExchangeArrived,
+    ExchangeHead,
+    PromptPart,
+)
+from waxwingarch.core.front import (
+    ConfigRead,
+    Front,
+    FrontBounds,
+    FrontIdentity,
+)
+from waxwingarch.core.routing.config import (
+    EngineTraits,
+    Repeat,
+    Route,
+    RoutedAccount,
+    RoutedService,
+    RoutingConfig,
+    ScalingBounds,
+    Split,
+)
+
+POOL = ServiceId("pool")
+LEDGER = ServiceId("ledger")
+DOMAINS = tuple(FailureDomain(f"z{n}") for n in range(4))
+
+
+def server(
+    name: str,
+    service: ServiceId = POOL,
+    *,
+    domain: FailureDomain = DOMAINS[0],
+    reclaimable: bool = False,
+    incarnation: int = 1,
+) -> Server:
+    """Return a server."""
+    engine = service == POOL
+    return Server(
+        server_id=ServerId(name),
+        address=f"10.0.0.1:{len(name)}",
+        failure_domain=domain,
+        service=service,
+        kind=ServerKind.ENGINE if engine else ServerKind.PLAIN,
+        version=VersionId("v1"),
+        machine_class="",
+        reclaimable=reclaimable,
+        price=0.0,
+        slots=8,
+        incarnation=incarnation,
+    )
+
+
+def listed(
+    version: int, *servers: Server, after_outage: bool = False, **draining: Any
+) -> BackendsListed:
+    """Return a listing; `draining` maps names to seconds left."""
+    backends = tuple(
+        ListedBackend(
+            server=s,
+            draining=s.server_id in draining,
+            leaves_in_s=draining.get(s.server_id),
+        )
+        for s in servers
+    )
+    return BackendsListed(
+        version=version, backends=backends, after_outage=after_outage
+    )
+
+
+def route(name: str, **changes: Any) -> Route:
+    """Return a route to `/name/`."""
+    values: dict[str, Any] = {
+        "name": name,
+        "host": "h.example",
+        "prefix": f"/{name}/",
+        "streaming": True,
+        "repeat": Repeat.RESUME,
+        "timeout_s": 5.0,
+        "objective_s": 0.5,
+        "gap_s": 0.2,
+        "priority": 1,
+        "splits": (Split(service=POOL, weight=1),),
+        "max_attempts": 2,
+        "public": False,
+    }
+    return Route(**(values | changes))
+
+
+def scaling(maximum: int = 3) -> ScalingBounds:
+    """Return bounds over four domains."""
+    return ScalingBounds(
+        minimum=1,
+        maximum=maximum,
+        boot_s=4.0,
+        reclaimable_price=0.2,
+        domain_prices={d: 1.0 + n for n, d in enumerate(DOMAINS)},
+    )
+
+
+def config(
+    version: int = 1, *, rate: float = 0.0, keys: tuple[str, ...] = ("k",)
+) -> RoutingConfig:
+    """Return a configuration with one route of each kind."""
+    plain = {
+        "streaming": False,
+        "splits": (Split(service=LEDGER, weight=1),),
+    }
+    return RoutingConfig(
+        version=version,
+        routes=(
+            route("draft"),
+            route("chat", repeat=Repeat.ONCE),
+            route("read", repeat=Repeat.FREELY, **plain),
+            route("pay", repeat=Repeat.ONCE, max_attempts=1, **plain),
+        ),
+        services=(
+            RoutedService(
+                service=POOL,
+                health_path="/health",
+                max_connections=100,
+                engine=EngineTraits(
+                    slots=8, kv_tokens=100_000, can_move=True, can_back_up=True
+                ),
+                scaling=scaling(),
+            ),
+            RoutedService(
+                service=LEDGER, health_path="/health", max_connections=100
+            ),
+        ),
+        accounts=(
+            RoutedAccount(
+                account=AccountId("a"),
+                keys=keys,
+                priority=None,
+                counts_tokens=True,
+                default_tokens=10,
+                rate=rate,
+                burst=rate,
+            ),
+        ),
+    )
+
+
+def head(name: str, path: str = "/draft/x", **changes: Any) -> ExchangeHead:
+    """Return the head of a request."""
+    values: dict[str, Any] = {
+        "request_id": RequestId(name),
+        "host": "h.example",
+        "path": path,
+        "key": "k",
+        "patience_s": 4.0,
+        "prompt_tokens": 1000,
+        "output_tokens": 100,
+        "states_tokens": True,
+        "parts": (
+            PromptPart(part="p0", tokens=300),
+            PromptPart(part=f"own-{name}", tokens=700),
+        ),
+    }
+    return ExchangeHead(**(values | changes))
+
+
+def front(
+    *,
+    host: str = "h1",
+    first_start: bool = True,
+    duties: frozenset[str] = frozenset(),
+    **bounds: float,
+) -> Front:
+    """Return the decisions of a host."""
+    identity = FrontIdentity(
+        host=HostId(host),
+        incarnation=1,
+        domain=DOMAINS[0],
+        address=f"10.0.0.9:{len(host)}",
+        first_start=first_start,
+        duties=duties,
+    )
+    return Front(identity, FrontBounds(**bounds), Random(1))
+
+
+def serving_front(*servers: Server, rate: float = 0.0) -> Front:
+    """Return a host that knows a configuration and servers."""
+    made = front()
+    made.handle(0.0, ConfigRead(cfg=config(rate=rate)))
+    known = servers or (
+        server("e1"),
+        server("e2"),
+        server("p1", LEDGER),
+        server("p2", LEDGER),
+    )
+    made.handle(0.0, listed(1, *known))
+    return made
+
+
+def arrive(
+    made: Front,
+    name: str,
+    path: str = "/draft/x",
+    now: float = 1.0,
+    **more: Any,
+) -> Action:
+    """Let a request arrive; return the one action that follows."""
+    [action] = made.handle(now, ExchangeArrived(head=head(name, path, **more)))
+    return action
--- /dev/null
+++ b/tests/core/front/test_exchanges.py
@@ -0,0 +1,248 @@
+"""Tests of exchanges: what is sent where, and what follows a failure."""
+
+import testtools
+
+from tests.core.front.made import (
+    LEDGER,
+    arrive,
+    config,
+    front,
+    listed,
+    server,
+    serving_front,
+)
+from waxwingarch.core.base import Ran, RequestId, ServerId
+from waxwingarch.core.exchange.messages import (
+    Answer,
+    AnswerBegan,
+    CutCaller,
+    End,
+    ExchangeGone,
+    MovedState,
+    MoveRun,
+    PassFailure,
+    RunMoved,
+    Send,
+    SendEnded,
+)
+from waxwingarch.core.front import ConfigRead, Front, FrontTick, StopBegan
+from waxwingarch.core.refusal import RefusalReason
+
+
+def ended(name: str, end: End, **more: object) -> SendEnded:
+    return SendEnded(request_id=RequestId(name), end=end, **more)  # type: ignore[arg-type]
+
+
+class Refusals(testtools.TestCase):
+    def refused(self, made: Front, **more: object) -> Answer:
+        action = arrive(made, "r", **more)  # type: ignore[arg-type]
+        assert isinstance(action, Answer)
+        self.assertEqual(Ran.NOT_RUN, action.refusal.ran)
+        return action
+
+    def test_without_a_configuration(self) -> None:
+        answer = self.refused(front())
+        self.assertEqual(RefusalReason.NOT_READY, answer.refusal.reason)
+        self.assertIsNotNone(answer.refusal.retry_after_s)
+
+    def test_unknown_route_and_key(self) -> None:
+        made = serving_front()
+        for more, reason in (
+            ({"path": "/none/x"}, RefusalReason.UNKNOWN_ROUTE),
+            ({"key": "wrong"}, RefusalReason.UNKNOWN_KEY),
+            ({"key": ""}, RefusalReason.UNKNOWN_KEY),
+        ):
+            answer = self.refused(made, **more)
+            self.assertEqual(reason, answer.refusal.reason)
+
+    def test_over_the_rate_limit(self) -> None:
+        made = serving_front(rate=200.0)
+        self.assertIsInstance(arrive(made, "r1"), Send)
+        answer = self.refused(made)
+        self.assertEqual(RefusalReason.RATE_LIMIT, answer.refusal.reason)
+        assert answer.refusal.retry_after_s is not None
+        self.assertGreater(answer.refusal.retry_after_s, 0)
+
+    def test_without_a_server(self) -> None:
+        made = serving_front(server("e1"))
+        answer = self.refused(made, path="/pay/x")
+        self.assertEqual(RefusalReason.NO_SERVER, answer.refusal.reason)
+
+
+class AfterFailures(testtools.TestCase):
+    def sent(self, made: Front, name: str, path: str) -> Send:
+        action = arrive(made, name, path)
+        assert isinstance(action, Send)
+        return action
+
+    def test_idempotent_goes_to_another_server(self) -> None:
+        made = serving_front()
+        first = self.sent(made, "r", "/read/x")
+        [again] = made.handle(1.1, ended("r", End.BROKEN))
+        assert isinstance(again, Send)
+        self.assertNotEqual(first.server, again.server)
+
+    def test_attempts_are_bounded_by_the_route(self) -> None:
+        made = serving_front()
+        self.sent(made, "r", "/read/x")
+        made.handle(1.1, ended("r", End.BROKEN))
+        [answer] = made.handle(1.2, ended("r", End.BROKEN))
+        assert isinstance(answer, Answer)
+        self.assertEqual(Ran.UNKNOWN, answer.refusal.ran)
+
+    def test_non_idempotent_is_never_sent_twice(self) -> None:
+        made = serving_front()
+        for end in (End.BROKEN, End.SILENT, End.FAILED):
+            self.sent(made, "r", "/pay/x")
+            [answer] = made.handle(1.1, ended("r", end))
+            assert isinstance(answer, Answer)
+            self.assertEqual(Ran.UNKNOWN, answer.refusal.ran, end)
+
+    def test_non_idempotent_goes_on_if_it_did_not_run(self) -> None:
+        made = serving_front()
+        for end in (End.NOT_SENT, End.REJECTED, End.MISDIRECTED):
+            first = self.sent(made, f"r-{end}", "/pay/x")
+            [again] = made.handle(1.1, ended(f"r-{end}", end))
+            assert isinstance(again, Send)
+            self.assertNotEqual(first.server, again.server)
+
+    def test_refused_by_all_is_truly_not_run(self) -> None:
+        made = serving_front()
+        self.sent(made, "r", "/pay/x")
+        made.handle(1.1, ended("r", End.REJECTED))
+        [answer] = made.handle(1.2, ended("r", End.REJECTED))
+        assert isinstance(answer, Answer)
+        self.assertEqual(Ran.NOT_RUN, answer.refusal.ran)
+        self.assertIsNotNone(answer.refusal.retry_after_s)
+
+    def test_one_that_may_have_run_is_not_called_not_run(self) -> None:
+        made = serving_front()
+        self.sent(made, "r", "/read/x")
+        made.handle(1.1, ended("r", End.BROKEN))
+        [answer] = made.handle(1.2, ended("r", End.REJECTED))
+        assert isinstance(answer, Answer)
+        self.assertEqual(Ran.UNKNOWN, answer.refusal.ran)
+
+    def test_a_servers_failure_is_passed_on(self) -> None:
+        made = serving_front()
+        self.sent(made, "r", "/pay/x")
+        [action] = made.handle(1.1, ended("r", End.FAILED, has_answer=True))
+        self.assertIsInstance(action, PassFailure)
+
+    def test_stream_resumes_after_its_last_event(self) -> None:
+        made = serving_front()
+        self.sent(made, "r", "/draft/x")
+        made.handle(1.1, AnswerBegan(request_id=RequestId("r")))
+        [again] = made.handle(
+            1.2, ended("r", End.BROKEN, started=True, last_event=7)
+        )
+        assert isinstance(again, Send)
+        self.assertEqual(7, again.resume_after)
+
+    def test_stream_that_may_not_resume_is_cut(self) -> None:
+        made = serving_front()
+        self.sent(made, "r", "/chat/x")
+        [action] = made.handle(
+            1.2, ended("r", End.BROKEN, started=True, last_event=7)
+        )
+        self.assertIsInstance(action, CutCaller)
+
+    def test_nothing_is_sent_after_the_time_is_up(self) -> None:
+        made = serving_front()
+        self.sent(made, "r", "/read/x")
+        [answer] = made.handle(5.1, ended("r", End.BROKEN))
+        self.assertIsInstance(answer, Answer)
+
+    def test_a_caller_that_left_is_forgotten(self) -> None:
+        made = serving_front()
+        self.sent(made, "r", "/read/x")
+        made.handle(1.1, ExchangeGone(request_id=RequestId("r")))
+        self.assertEqual(0, len(made.board))
+        self.assertEqual({}, made.chooser.loads.own())
+        self.assertEqual([], made.handle(1.2, ended("r", End.BROKEN)))
+
+
+class LeavingServers(testtools.TestCase):
+    def tick(self, made: Front, now: float) -> list[object]:
+        return list(made.handle(now, FrontTick(boot_now=now, unix_now=now)))
+
+    def running(self) -> tuple[Front, Send]:
+        made = serving_front()
+        send = arrive(made, "r", "/chat/x")
+        assert isinstance(send, Send)
+        made.handle(1.1, AnswerBegan(request_id=RequestId("r")))
+        return made, send
+
+    def leave(self, made: Front, send: Send) -> list[object]:
+        known = [b.server for b in made.chooser.book.all()]
+        gone = {str(send.server.server_id): 2.0}
+        made.handle(1.2, listed(2, *known, **gone))
+        self.tick(made, 1.3)
+        return [a for a in self.tick(made, 2.4) if isinstance(a, MoveRun)]
+
+    def test_no_new_work_for_a_leaving_server(self) -> None:
+        made, send = self.running()
+        self.leave(made, send)
+        for n in range(10):
+            other = arrive(made, f"n{n}", now=2.5)
+            assert isinstance(other, Send)
+            self.assertNotEqual(send.server, other.server)
+
+    def test_run_is_moved_and_goes_on_from_the_copy(self) -> None:
+        made, send = self.running()
+        [move] = self.leave(made, send)
+        assert isinstance(move, MoveRun)
+        self.assertEqual(send.server, move.source)
+        end = ended("r", End.BROKEN, started=True, last_event=4)
+        self.assertEqual([], made.handle(2.5, end))
+        state = MovedState(
+            address="10.0.0.1:1", handle="h", target=move.target.server_id
+        )
+        [again] = made.handle(
+            2.6, RunMoved(request_id=RequestId("r"), state=state)
+        )
+        assert isinstance(again, Send)
+        self.assertEqual(move.target, again.server)
+        self.assertEqual(state, again.moved)
+        self.assertEqual(4, again.resume_after)
+
+    def test_failed_move_of_a_run_that_may_not_resume_cuts(self) -> None:
+        made, send = self.running()
+        self.leave(made, send)
+        made.handle(2.5, ended("r", End.BROKEN, started=True, last_event=4))
+        [action] = made.handle(
+            2.6, RunMoved(request_id=RequestId("r"), state=None)
+        )
+        self.assertIsInstance(action, CutCaller)
+
+    def test_server_lost_in_an_outage_is_the_last_choice(self) -> None:
+        # A host that was turned away by the store for 10 s went on
+        # sending to a server that had left meanwhile (DRAIN).
+        made = serving_front()
+        known = [b.server for b in made.chooser.book.all()]
+        left = [s for s in known if s.server_id != ServerId("e1")]
+        made.handle(1.0, listed(2, *left, after_outage=True))
+        for n in range(10):
+            send = arrive(made, f"r{n}", now=1.1)
+            assert isinstance(send, Send)
+            self.assertEqual(ServerId("e2"), send.server.server_id)
+
+    def test_listing_that_lost_all_servers_is_not_believed(self) -> None:
+        made = serving_front()
+        made.handle(1.0, listed(2, after_outage=True))
+        self.assertIsInstance(arrive(made, "r", now=1.1), Send)
+        self.tick(made, 4.0)
+        self.assertIsInstance(arrive(made, "r2", now=4.0), Answer)
+
+
+class Life(testtools.TestCase):
+    def test_ready_with_configuration_and_servers_until_the_stop(self) -> None:
+        made = front()
+        self.assertFalse(made.ready)
+        made.handle(0.0, ConfigRead(cfg=config()))
+        self.assertFalse(made.ready)
+        made.handle(0.0, listed(1, server("p1", LEDGER)))
+        self.assertTrue(made.ready)
+        made.handle(1.0, StopBegan())
+        self.assertFalse(made.ready)
+        self.assertIsInstance(arrive(made, "r", "/pay/x"), Send)
--- /dev/null
+++ b/tests/core/front/test_limits.py
@@ -0,0 +1,133 @@
+"""Tests of limits that all hosts keep together."""
+
+import testtools
+
+from waxwingarch.core.base import AccountId, HostId, ServiceId
+from waxwingarch.core.limits.resend_budget import ResendBudget
+from waxwingarch.core.limits.shared_rate import SharedRates
+from waxwingarch.core.limits.window import WindowSum
+from waxwingarch.core.routing.config import RoutedAccount
+
+WINDOW_S = 8.0
+RATE = 1000.0
+WHOLE = RATE * WINDOW_S + RATE
+# What the deployments tolerate over the whole of a window.
+TOLERATED = WHOLE * 1.1 + 2000
+ACCOUNT = RoutedAccount(
+    account=AccountId("a"),
+    keys=(),
+    priority=None,
+    counts_tokens=True,
+    default_tokens=1,
+    rate=RATE,
+    burst=RATE,
+)
+
+
+class Window(testtools.TestCase):
+    def test_forgets_after_the_window(self) -> None:
+        window = WindowSum(8.0)
+        window.add(0.0, 5)
+        window.add(4.0, 3)
+        self.assertEqual(8, window.at(7.9))
+        self.assertEqual(3, window.at(8.3))
+        self.assertEqual(0, window.at(20.0))
+
+
+class Hosts:
+    """Hosts that flood one account and report to each other."""
+
+    def __init__(self, count: int) -> None:
+        self.names = [HostId(f"h{n}") for n in range(count)]
+        self.rates = {name: self.new() for name in self.names}
+        self.admitted: list[tuple[float, float]] = []
+
+    def new(self) -> SharedRates:
+        rates = SharedRates(WINDOW_S)
+        rates.set_fleet(len(self.names))
+        return rates
+
+    def report(self, now: float) -> None:
+        used = {
+            name: rates.used(now, [ACCOUNT])
+            for name, rates in self.rates.items()
+        }
+        for name, rates in self.rates.items():
+            for other in self.names:
+                if other != name:
+                    rates.reported(now, other, used[other])
+
+    def flood(self, begin: float, end: float, each: float) -> None:
+        """Ask for `each` tokens on each host every 50 ms."""
+        step = 0
+        while (now := begin + step * 0.05) < end:
+            if step % 4 == 0:
+                self.report(now)
+            for rates in self.rates.values():
+                if rates.admit(now, ACCOUNT, each) is None:
+                    self.admitted.append((now, each))
+            step += 1
+
+    def restart(self, now: float) -> None:
+        for name in self.names:
+            self.rates[name] = self.new()
+            self.rates[name].restarted(now)
+
+    def most(self) -> float:
+        """Return the most that any window admitted."""
+        return max(
+            sum(c for at, c in self.admitted if begin <= at < begin + WINDOW_S)
+            for begin, _ in self.admitted
+        )
+
+
+class SharedRate(testtools.TestCase):
+    def test_flood_on_all_hosts_keeps_to_the_limit(self) -> None:
+        hosts = Hosts(8)
+        hosts.flood(0.0, 20.0, 50)
+        self.assertLess(hosts.most(), TOLERATED)
+        self.assertGreater(hosts.most(), WHOLE * 0.8)
+
+    def test_flood_while_all_hosts_restart(self) -> None:
+        # Each host counted its own part as used, and took the parts of
+        # the others as free (QUOTA).
+        hosts = Hosts(8)
+        hosts.flood(0.0, 4.0, 50)
+        hosts.restart(4.5)
+        hosts.flood(4.5, 16.0, 50)
+        self.assertLess(hosts.most(), TOLERATED)
+
+    def test_host_that_hears_nobody_keeps_to_its_part(self) -> None:
+        rates = Hosts(8).new()
+        admitted = 0.0
+        while rates.admit(1.0, ACCOUNT, 10) is None:
+            admitted += 10
+        self.assertLessEqual(admitted, WHOLE / 8)
+        self.assertGreater(admitted, WHOLE / 8 - 20)
+
+    def test_no_limit_without_a_rate(self) -> None:
+        free = RoutedAccount(
+            account=AccountId("b"),
+            keys=(),
+            priority=None,
+            counts_tokens=True,
+            default_tokens=1,
+            rate=0.0,
+            burst=0.0,
+        )
+        rates = SharedRates(WINDOW_S)
+        self.assertIsNone(rates.admit(0.0, free, 1e9))
+
+
+class Resends(testtools.TestCase):
+    def test_bounded_by_requests_and_this_hosts_part(self) -> None:
+        budget = ResendBudget(ratio=0.2, extra=80, window_s=10.0)
+        budget.set_fleet(8)
+        service = ServiceId("s")
+        for n in range(100):
+            budget.count(n * 0.01, service)
+        spent = sum(budget.spend(1.0, service) for _ in range(200))
+        self.assertLessEqual(spent, 0.2 * 100 + 80 / 8)
+        self.assertGreater(spent, 20)
+        self.assertFalse(budget.spend(2.0, service))
+        self.assertTrue(budget.spend(12.0, service))
--- /dev/null
+++ b/tests/front/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of a whole host on the emulated platform."""
--- a/waxwingarch/core/backends/chooser.py
+++ b/waxwingarch/core/backends/chooser.py
@@ -129,6 +129,10 @@
         """Return whom to compare, the avoided only where few are left."""
         usable = self.book.of_service(service)
         left = [b for b in usable if b.server.server_id not in exclude]
+        # Servers that a listing lost may be gone; only where it lost all
+        # of them was it likelier the store than the servers.
+        listed = [b for b in left if b.unlisted_since is None]
+        left = listed or left
         sound = [
             b for b in left if not self.health.avoided(now, b.server.server_id)
         ]
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -7,7 +7,6 @@
 from random import Random
 from typing import Final
 
-import orjson
 from eliot import log_message, write_traceback
 
 from waxwingarch.adapters.addresses import split_address
@@ -107,7 +106,7 @@
         gc.freeze()
         await self._stopping.wait()
         await self._async_drain()
-        await self._async_unload()
+        await self.async_unload()
         log_message(message_type="stopped", exit_code=EXIT_OK)
         return EXIT_OK
 
@@ -139,7 +138,8 @@
             if quiet and not self._entry.in_progress:
                 break
 
-    async def _async_unload(self) -> None:
+    async def async_unload(self) -> None:
+        """End all parts."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -154,9 +154,18 @@
     def _catch_signals(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stopping.set)
+            loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
 
+    @property
+    def in_progress(self) -> int:
+        """Return how many exchanges have no final answer yet."""
+        return self._entry.in_progress
+
+    def stop(self) -> None:
+        """Begin a graceful stop."""
+        self._stopping.set()
+
     def _on_hangup(self) -> None:
         log_message(message_type="reload", reason="nothing changes in place")
 
@@ -243,15 +252,3 @@
 def on_error(exc: Exception) -> None:
     """Log an error that no one expected."""
     write_traceback(exc_info=(type(exc), exc, exc.__traceback__))
-
-
-def dump(front: Front) -> bytes:
-    """Return the state of the decisions as JSON, for operators."""
-    return orjson.dumps(
-        {
-            "config_version": front.table.version,
-            "servers": len(front.chooser.book),
-            "in_progress": len(front.board),
-            "hosts": front.peers.known,
-        }
-    )
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -156,7 +156,7 @@
             head = self._codec.answer_head(stream.status, stream.pairs)
             if head.request_id in (None, self._request_id):
                 return stream, head
-            stream = await stream.async_next_answer(send.expires_at)
+            stream = await stream.async_next_answer(send.answer_by)
         raise BadAnswerError(f"{send.server.address}: answers of others")
 
     async def _async_answer(
