--- a/tests/core/front/test_exchanges.py
+++ b/tests/core/front/test_exchanges.py
@@ -246,3 +246,13 @@
         made.handle(1.0, StopBegan())
         self.assertFalse(made.ready)
         self.assertIsInstance(arrive(made, "r", "/pay/x"), Send)
+
+    def test_takes_nothing_that_it_may_not_finish_before_the_end(self) -> None:
+        # A request that came 7.6 s after the signal was cut (LOST).
+        made = serving_front()
+        made.handle(1.0, StopBegan())
+        self.assertIsInstance(arrive(made, "r", now=3.5), Send)
+        answer = arrive(made, "r2", now=3.7)
+        assert isinstance(answer, Answer)
+        self.assertEqual(Ran.NOT_RUN, answer.refusal.ran)
+        self.assertIsNotNone(answer.refusal.retry_after_s)
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -328,6 +328,11 @@
         """
         self.draining = True
 
+    def close_idle(self) -> None:
+        """Close the connections that have no request in progress."""
+        for conn in list(self.connections):
+            conn.close_if_idle()
+
     async def async_unload(self) -> None:
         """Stop listening; let answers under way end, drop the rest."""
         if self._server:
@@ -339,8 +344,7 @@
             await asyncio.sleep(STOP_POLL_S)
             if not any(conn.busy for conn in self.connections):
                 break
-        for conn in list(self.connections):
-            conn.close_if_idle()
+        self.close_idle()
         for conn in list(self.connections):
             conn.abort_if_busy()
 
--- a/waxwingarch/core/front.py
+++ b/waxwingarch/core/front.py
@@ -11,7 +11,7 @@
 
 from waxwingarch.core.backends.chooser import BackendChooser
 from waxwingarch.core.backends.listing import BackendLeaving, BackendsListed
-from waxwingarch.core.base import Action, Event, FailureDomain, HostId
+from waxwingarch.core.base import Action, Event, FailureDomain, HostId, Ran
 from waxwingarch.core.duties.scaling import ScalingDuty, ServersOrdered
 from waxwingarch.core.duties.singleton import (
     DutyRowRead,
@@ -27,6 +27,7 @@
 )
 from waxwingarch.core.exchange.board import ExchangeBoard
 from waxwingarch.core.exchange.messages import (
+    Answer,
     AnswerBegan,
     ExchangeArrived,
     ExchangeGone,
@@ -46,6 +47,7 @@
     SendReport,
 )
 from waxwingarch.core.randomness import RandomSource
+from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.routing.config import RoutingConfig
 from waxwingarch.core.routing.table import RoutingTable
 
@@ -57,6 +59,12 @@
 # it after this long.
 PULL_AFTER_S: Final = 0.7
 
+# A stopping host takes requests for this long: the balancer needs two
+# missed checks, a second apart, before it sends no new connections.
+TAKE_WHILE_STOPPING_S: Final = 2.6
+# A request that another host may take at once comes back after this.
+ELSEWHERE_S: Final = 0.1
+
 DUTY_USAGE: Final = "usage_report"
 DUTY_SCALING: Final = "scaling"
 
@@ -146,6 +154,7 @@
         self.usage_duty = UsageDuty(self.usage)
         self.scaling = ScalingDuty()
         self.stopping = False
+        self._take_until = float("inf")
         self._boot_now = 0.0
         self._unix_at_boot_s = 0.0
         self._unix_ahead_s = 0.0
@@ -161,7 +170,7 @@
             FrontTick: self._tick,
             ConfigRead: self._config_read,
             BackendsListed: self._listed,
-            ExchangeArrived: lambda now, e: self.board.arrived(now, e.head),
+            ExchangeArrived: self._arrived,
             AnswerBegan: self._began,
             ServerHeard: self._heard,
             SendEnded: self.board.ended,
@@ -192,6 +201,17 @@
         """Return the hosts' common time of day, in seconds."""
         return now + self._unix_ahead_s + self.peers.clock_ahead_s(now)
 
+    def _arrived(self, now: float, event: ExchangeArrived) -> list[Action]:
+        if now < self._take_until:
+            return self.board.arrived(now, event.head)
+        refusal = Refusal(
+            reason=RefusalReason.DRAINING,
+            ran=Ran.NOT_RUN,
+            message="this host is stopping: send it again, another answers",
+            retry_after_s=ELSEWHERE_S,
+        )
+        return [Answer(request_id=event.head.request_id, refusal=refusal)]
+
     # Beliefs
 
     def _config_read(self, now: float, event: ConfigRead) -> list[Action]:
@@ -379,6 +399,7 @@
 
     def _stop(self, now: float, event: StopBegan) -> list[Action]:
         self.stopping = True
+        self._take_until = now + TAKE_WHILE_STOPPING_S
         self._next_report_at = 0.0
         return self.lease.resign(self._boot_now) + self._send_report(now)
 
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -21,6 +21,7 @@
 )
 from waxwingarch.core.base import HostId
 from waxwingarch.core.front import (
+    TAKE_WHILE_STOPPING_S,
     ConfigApplied,
     ConfigRead,
     Front,
@@ -45,9 +46,6 @@
 HOSTS_TABLE: Final = "waxwing-hosts"
 REGISTER_LIMIT_S: Final = 1.0
 REGISTER_PAUSE_S: Final = 0.5
-# After the signal to stop the balancer needs two missed checks, a second
-# apart, before it sends no new connections.
-BALANCER_S: Final = 2.6
 # What is left of the grace period when the process ends by itself.
 STOP_MARGIN_S: Final = 0.6
 STOP_POLL_S: Final = 0.05
@@ -125,18 +123,16 @@
     async def _async_drain(self) -> None:
         """Let what is in progress end, within the grace period."""
         loop = asyncio.get_running_loop()
-        began = loop.time()
-        end = began + self._settings.bounds.stop_grace_s - STOP_MARGIN_S
+        end = loop.time() + self._settings.bounds.stop_grace_s - STOP_MARGIN_S
         log_message(
             message_type="stopping", in_progress=self._entry.in_progress
         )
         self._runner.post(StopBegan())
         self._entry.server.start_drain()
-        while loop.time() < end:
+        await asyncio.sleep(TAKE_WHILE_STOPPING_S)
+        while loop.time() < end and self._entry.in_progress:
+            self._entry.server.close_idle()
             await asyncio.sleep(STOP_POLL_S)
-            quiet = loop.time() - began > BALANCER_S
-            if quiet and not self._entry.in_progress:
-                break
 
     async def async_unload(self) -> None:
         """End all parts."""
