--- /dev/null
+++ b/waxwingarch/adapters/front_metrics.py
@@ -0,0 +1,127 @@
+"""Counters and latency histograms of exchanges, in the text format."""
+
+from collections import Counter
+from typing import Any, Final
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US: Final = 100
+HIGHEST_US: Final = 60_000_000
+DIGITS: Final = 2
+US_PER_S: Final = 1_000_000
+# Upper bounds of the buckets shown, in seconds.
+BUCKETS_S: Final = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+# Label sets beyond this many are counted together.
+MAX_LABELS: Final = 64
+OTHER: Final = ("(other)", "(other)", "(other)")
+
+Labels = tuple[str, str, str]
+
+
+class FrontMetrics:
+    """Exchanges by service, failure domain of the server, and outcome."""
+
+    def __init__(self) -> None:
+        self.ended: Counter[Labels] = Counter()
+        self.events: Counter[str] = Counter()
+        self._first: dict[Labels, HdrHistogram] = {}
+        self._whole: dict[Labels, HdrHistogram] = {}
+
+    def record(
+        self,
+        labels: Labels,
+        first_s: float | None,
+        whole_s: float,
+    ) -> None:
+        """Count one exchange; times are since its arrival."""
+        if labels not in self.ended and len(self.ended) >= MAX_LABELS:
+            labels = OTHER
+        self.ended[labels] += 1
+        if first_s is not None:
+            _record(self._first, labels, first_s)
+        _record(self._whole, labels, whole_s)
+
+    def text(self) -> bytes:
+        """Return all metrics in the text exposition format."""
+        # Imported at the first scrape: most processes are never asked.
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(_Collector(self))
+        return generate_latest(registry)
+
+    def histograms(self) -> dict[str, dict[Labels, HdrHistogram]]:
+        """Return the histograms by their names."""
+        return {
+            "waxwingarch_first_byte_seconds": self._first,
+            "waxwingarch_whole_answer_seconds": self._whole,
+        }
+
+
+class _Collector:
+    """Gives the metrics to the exposition library."""
+
+    def __init__(self, metrics: FrontMetrics) -> None:
+        self._metrics = metrics
+
+    def collect(self) -> list[Any]:
+        """Return all metric families."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        names = ("service", "failure_domain", "outcome")
+        ended = CounterMetricFamily(
+            "waxwingarch_exchanges", "Exchanges that ended.", labels=names
+        )
+        for labels, count in self._metrics.ended.items():
+            ended.add_metric(labels, count)
+        events = CounterMetricFamily(
+            "waxwingarch_events",
+            "Decisions and failures by kind.",
+            labels=("kind",),
+        )
+        for kind, count in self._metrics.events.items():
+            events.add_metric((kind,), count)
+        families: list[Any] = [ended, events]
+        for name, histograms in self._metrics.histograms().items():
+            family = HistogramMetricFamily(
+                name, "Seconds since the arrival.", labels=names
+            )
+            for labels, histogram in histograms.items():
+                family.add_metric(
+                    labels, _buckets(histogram), sum_value=_sum_s(histogram)
+                )
+            families.append(family)
+        return families
+
+
+def _record(
+    histograms: dict[Labels, HdrHistogram], labels: Labels, value_s: float
+) -> None:
+    histogram = histograms.get(labels)
+    if histogram is None:
+        histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        histograms[labels] = histogram
+    value = int(value_s * US_PER_S)
+    histogram.record_value(min(HIGHEST_US, max(LOWEST_US, value)))
+
+
+def _buckets(histogram: HdrHistogram) -> list[tuple[str, float]]:
+    """Return cumulative counts by upper bound."""
+    counts = dict.fromkeys(BUCKETS_S, 0)
+    total = 0
+    for item in histogram.get_recorded_iterator():
+        count = item.count_added_in_this_iter_step
+        total += count
+        for bound in BUCKETS_S:
+            if item.value_iterated_to <= bound * US_PER_S:
+                counts[bound] += count
+    buckets = [(str(bound), float(n)) for bound, n in counts.items()]
+    return [*buckets, ("+Inf", float(total))]
+
+
+def _sum_s(histogram: HdrHistogram) -> float:
+    mean = float(histogram.get_mean_value())
+    return mean * int(histogram.get_total_count()) / US_PER_S
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -10,10 +10,13 @@
 from eliot import log_message, write_traceback
 
 from waxwingarch.adapters.addresses import split_address
+from waxwingarch.adapters.front_metrics import FrontMetrics
 from waxwingarch.adapters.front_settings import (
     FrontSettings,
 )
 from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_messages import HttpRequest, HttpResponder
+from waxwingarch.adapters.http_server import HttpServer
 from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_OK
 from waxwingarch.core.backends.listing import (
     BackendLeaving,
@@ -37,12 +40,14 @@
 )
 from waxwingarch.tasks.front_duties import FrontDuties, boot_now
 from waxwingarch.tasks.front_entry import FrontEntry, Readiness
+from waxwingarch.tasks.front_log import FrontLog
 from waxwingarch.tasks.front_peers import FrontPeers
 from waxwingarch.tasks.runner import Runner
 from waxwingarch.tasks.table_watch import TableWatch
 
 MS_PER_S: Final = 1000
 TICK_S: Final = 0.1
+METRICS_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
 HOSTS_TABLE: Final = "waxwing-hosts"
 REGISTER_LIMIT_S: Final = 1.0
 REGISTER_PAUSE_S: Final = 0.5
@@ -78,6 +83,9 @@
             self._runner, client, ports.exchanges, on_error
         )
         self._readiness = Readiness(lambda: self.front.ready, on_error)
+        self.metrics = FrontMetrics()
+        self._metrics_server = HttpServer(self._async_metrics, on_error)
+        self._runner.observe(FrontLog(self.front, self.metrics))
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._runner.connect(ConfigApplied, self._on_applied)
@@ -114,6 +122,7 @@
         await self._readiness.server.async_setup(
             *split_address(listen.readiness)
         )
+        await self._metrics_server.async_setup(*split_address(listen.metrics))
         await self._entry.async_setup(*split_address(listen.callers))
         await self._config_watch.async_setup()
         await self._servers_watch.async_setup()
@@ -141,6 +150,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._entry.async_unload()
         await self._readiness.server.async_unload()
+        await self._metrics_server.async_unload()
         await self._config_watch.async_unload()
         await self._servers_watch.async_unload()
         await self._duties.async_unload()
@@ -165,6 +175,12 @@
     def _on_hangup(self) -> None:
         log_message(message_type="reload", reason="nothing changes in place")
 
+    async def _async_metrics(
+        self, req: HttpRequest, resp: HttpResponder
+    ) -> None:
+        body = self.metrics.text()
+        await resp.async_send(200, body, [("content-type", METRICS_TYPE)])
+
     # Work of its own
 
     async def _async_tick(self) -> None:
--- a/waxwingarch/platform/__main__.py
+++ b/waxwingarch/platform/__main__.py
@@ -7,13 +7,14 @@
 from pathlib import Path
 from typing import Final
 
-from eliot import FileDestination, add_destinations
+from eliot import add_destinations
 
 from waxwingarch.adapters.front_settings import (
     FrontSettings,
     read_front_settings,
 )
 from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.log_stream import LogStream
 from waxwingarch.const import EXIT_OK, EXIT_SETTINGS, VERSION
 from waxwingarch.exceptions import SettingsError
 from waxwingarch.front_daemon import FrontDaemon
@@ -33,7 +34,8 @@
         return EXIT_SETTINGS
     if args.check:
         return EXIT_OK
-    add_destinations(FileDestination(file=sys.stdout))
+    stream = LogStream(sys.stdout.fileno(), settings.log.lines_per_s)
+    add_destinations(stream)
     return asyncio.run(_async_main(settings))
 
 
--- /dev/null
+++ b/waxwingarch/tasks/front_log.py
@@ -0,0 +1,231 @@
+"""One log line for each decision about an exchange, with its inputs."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from eliot import log_message
+
+from waxwingarch.adapters.front_metrics import FrontMetrics
+from waxwingarch.core.base import Action, Event, HostId, RequestId, Server
+from waxwingarch.core.exchange.messages import (
+    Answer,
+    AnswerBegan,
+    CutCaller,
+    End,
+    ExchangeArrived,
+    ExchangeGone,
+    MoveRun,
+    PassFailure,
+    RunMoved,
+    Send,
+    SendEnded,
+)
+from waxwingarch.core.front import Front, FrontTick
+
+# How often the peers and the lease are looked at.
+LOOK_EVERY_S: Final = 0.5
+DIGITS: Final = 3
+
+
+@dataclass(kw_only=True, slots=True)
+class _Trail:
+    """What was decided about one exchange so far."""
+
+    arrived_at: float
+    route: str
+    service: str
+    account: str | None
+    servers: list[Server] = field(default_factory=list)
+    began_at: float | None = None
+
+
+class FrontLog:
+    """An observer of the runner: writes lines and counts metrics."""
+
+    def __init__(self, front: Front, metrics: FrontMetrics) -> None:
+        self._front = front
+        self._metrics = metrics
+        self._trails: dict[RequestId, _Trail] = {}
+        self._look_at = float("-inf")
+        self._held = False
+        self._alive: dict[HostId, float] = {}
+        self._observers: dict[
+            type[Event], Callable[[float, Any, list[Action]], None]
+        ] = {
+            ExchangeArrived: self._arrived,
+            AnswerBegan: self._began,
+            SendEnded: self._ended,
+            RunMoved: self._followed,
+            ExchangeGone: self._gone,
+            FrontTick: self._ticked,
+        }
+
+    def __call__(
+        self, now: float, event: Event, actions: list[Action]
+    ) -> None:
+        """Take one step of the node."""
+        observer = self._observers.get(type(event))
+        if observer is not None:
+            observer(now, event, actions)
+
+    def _beliefs(self, now: float) -> dict[str, Any]:
+        """Return what the decisions rested on, and how old it is."""
+        book = self._front.chooser.book
+        return {
+            "config_version": self._front.table.version,
+            "listing_version": book.version,
+            "listing_age_s": round(now - book.listed_at, DIGITS),
+            "hosts_heard": self._front.peers.fleet(now),
+        }
+
+    # Exchanges
+
+    def _arrived(
+        self, now: float, event: ExchangeArrived, actions: list[Action]
+    ) -> None:
+        for action in actions:
+            if isinstance(action, Answer):
+                self._refused(now, action)
+            elif isinstance(action, Send):
+                self._sent(now, action)
+
+    def _sent(self, now: float, send: Send) -> None:
+        state = self._front.board.get(send.request_id)
+        if state is None:
+            return
+        exchange = state.exchange
+        trail = _Trail(
+            arrived_at=now,
+            route=exchange.route.name,
+            service=exchange.service,
+            account=exchange.account,
+        )
+        trail.servers.append(send.server)
+        self._trails[send.request_id] = trail
+
+    def _refused(self, now: float, action: Answer) -> None:
+        refusal = action.refusal
+        self._metrics.record(("", "", refusal.reason.value), None, 0.0)
+        log_message(
+            message_type="refused",
+            request_id=action.request_id,
+            reason=refusal.reason.value,
+            ran=refusal.ran.value,
+            retry_after_s=refusal.retry_after_s,
+            detail=refusal.message,
+            **self._beliefs(now),
+        )
+
+    def _began(
+        self, now: float, event: AnswerBegan, actions: list[Action]
+    ) -> None:
+        trail = self._trails.get(event.request_id)
+        if trail is not None and trail.began_at is None:
+            trail.began_at = now
+
+    def _ended(
+        self, now: float, event: SendEnded, actions: list[Action]
+    ) -> None:
+        trail = self._trails.get(event.request_id)
+        if trail is None:
+            return
+        if event.end is End.DONE:
+            self._close(now, event.request_id, "answered")
+            return
+        server_id = trail.servers[-1].server_id
+        self._metrics.events[f"attempt {event.end.value}"] += 1
+        log_message(
+            message_type="attempt_failed",
+            request_id=event.request_id,
+            server=server_id,
+            end=event.end.value,
+            last_event=event.last_event,
+            after_s=round(now - trail.arrived_at, DIGITS),
+            server_avoided=self._front.chooser.health.avoided(now, server_id),
+            **self._beliefs(now),
+        )
+        self._followed(now, event, actions)
+
+    def _followed(self, now: float, event: Any, actions: list[Action]) -> None:
+        """Take what follows a failed attempt or a move."""
+        for action in actions:
+            match action:
+                case Send(request_id=request_id, server=server):
+                    trail = self._trails.get(request_id)
+                    if trail is not None:
+                        trail.servers.append(server)
+                case Answer(request_id=request_id, refusal=refusal):
+                    self._close(now, request_id, refusal.reason.value)
+                case PassFailure(request_id=request_id):
+                    self._close(now, request_id, "failure passed on")
+                case CutCaller(request_id=request_id):
+                    self._close(now, request_id, "cut")
+
+    def _gone(
+        self, now: float, event: ExchangeGone, actions: list[Action]
+    ) -> None:
+        self._close(now, event.request_id, "caller gone")
+
+    def _close(self, now: float, request_id: RequestId, outcome: str) -> None:
+        trail = self._trails.pop(request_id, None)
+        if trail is None:
+            return
+        last = trail.servers[-1]
+        first_s = None
+        if trail.began_at is not None:
+            first_s = round(trail.began_at - trail.arrived_at, DIGITS)
+        whole_s = round(now - trail.arrived_at, DIGITS)
+        labels = (trail.service, last.failure_domain, outcome)
+        self._metrics.record(labels, first_s, whole_s)
+        log_message(
+            message_type="exchange_ended",
+            request_id=request_id,
+            outcome=outcome,
+            route=trail.route,
+            service=trail.service,
+            account=trail.account,
+            servers=[server.server_id for server in trail.servers],
+            first_byte_s=first_s,
+            whole_s=whole_s,
+            **self._beliefs(now),
+        )
+
+    # Beliefs
+
+    def _ticked(
+        self, now: float, event: FrontTick, actions: list[Action]
+    ) -> None:
+        for action in actions:
+            if isinstance(action, MoveRun):
+                log_message(
+                    message_type="moving_run",
+                    request_id=action.request_id,
+                    source=action.source.server_id,
+                    target=action.target.server_id,
+                )
+        if now < self._look_at:
+            return
+        self._look_at = now + LOOK_EVERY_S
+        self._look_at_lease()
+        self._look_at_peers(now)
+
+    def _look_at_lease(self) -> None:
+        lease = self._front.lease
+        if lease.held == self._held:
+            return
+        self._held = lease.held
+        kind = "lease_taken" if lease.held else "lease_ended"
+        log_message(message_type=kind, fence=lease.fence)
+
+    def _look_at_peers(self, now: float) -> None:
+        alive = {report.host for report in self._front.peers.alive(now)}
+        for host in alive - set(self._alive):
+            log_message(message_type="peer_heard", peer=host)
+        for host in set(self._alive) - alive:
+            log_message(
+                message_type="peer_lost",
+                peer=host,
+                heard_for_s=round(now - self._alive[host], DIGITS),
+            )
+        self._alive = {host: self._alive.get(host, now) for host in alive}
--- a/waxwingctl/commands/explain.py
+++ b/waxwingctl/commands/explain.py
@@ -1,13 +1,26 @@
 """`waxwingctl explain`: what became of a request or a version move."""
 
 import argparse
-from typing import Any
+from typing import Any, Final
 from urllib.parse import quote
 
 from waxwingarch.const import EXIT_OK
 from waxwingctl.context import Context
+from waxwingctl.errors import UnknownNameError
+from waxwingctl.logs import read_lines, story_of
 from waxwingctl.output import table
 
+HIDDEN_FIELDS: Final = frozenset(
+    {
+        "timestamp",
+        "source",
+        "message_type",
+        "task_uuid",
+        "task_level",
+        "request_id",
+    }
+)
+
 
 def add_to(subparsers: Any, shared: argparse.ArgumentParser) -> None:
     """Add the command."""
@@ -21,11 +34,20 @@
         metavar="REQUEST|MOVE",
         help="the x-request-id of an answer, or a move's id or service",
     )
+    parser.add_argument(
+        "--log",
+        metavar="FILE",
+        action="append",
+        default=[],
+        help="read log files instead of asking a daemon; - is standard input",
+    )
     parser.set_defaults(run=async_explain)
 
 
 async def async_explain(args: argparse.Namespace, context: Context) -> int:
     """Explain a request or a move."""
+    if args.log:
+        return _explain_from_logs(args, context)
     path = f"/admin/explain/{quote(args.name, safe='')}"
     data = await context.client.async_call("GET", path, everywhere=True)
     is_request = data["kind"] == "request"
@@ -34,6 +56,36 @@
     return EXIT_OK
 
 
+def _explain_from_logs(args: argparse.Namespace, context: Context) -> int:
+    story = story_of(args.name, read_lines(args.log))
+    if not story:
+        raise UnknownNameError(
+            f"no line of {args.name} in {', '.join(args.log)}; give the logs"
+            " of all hosts, of the time of the request"
+        )
+    context.output.result(story, story_text(story))
+    return EXIT_OK
+
+
+def story_text(story: list[dict[str, Any]]) -> str:
+    """Return log lines as a table, times in seconds after the first."""
+    begin = story[0].get("timestamp", 0.0)
+    rows = [
+        (
+            f"{line.get('timestamp', begin) - begin:.3f}",
+            line["source"],
+            line.get("message_type", ""),
+            " ".join(
+                f"{key}={value}"
+                for key, value in line.items()
+                if key not in HIDDEN_FIELDS and value is not None
+            ),
+        )
+        for line in story
+    ]
+    return table(("SECONDS", "LOG", "WHAT", "DETAILS"), rows)
+
+
 def request_text(data: Any) -> str:
     """Return a request's story in words."""
     lines = [
