--- /dev/null
+++ b/script/demo_front.py
@@ -0,0 +1,162 @@
+"""Shows a host on the users' platform, emulated on loopback.
+
+Starts the emulator and a real daemon process; sends a streamed, a
+non-idempotent and an idempotent request; cuts a stream, and stops the
+daemon gracefully. Ends with 0 only if everything came out right.
+"""
+
+import asyncio
+import signal
+import socket
+import sys
+import tempfile
+from pathlib import Path
+from typing import Final
+
+from standins.fleet import HOST_NAME, Fleet
+from waxwingarch.adapters.http_client import HttpAnswer, HttpClient
+from waxwingarch.exceptions import LinkError
+
+READY_LIMIT_S: Final = 20.0
+CALL_LIMIT_S: Final = 5.0
+STOP_LIMIT_S: Final = 15.0
+POLL_S: Final = 0.05
+PROMPT: Final = b"draft an appeal"
+
+
+class WrongError(Exception):
+    """A step did not come out right."""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on."""
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [int(sock.getsockname()[1]) for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+class FrontDemo:
+    """One daemon process on an emulated platform."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._ports = free_ports(4)
+        self._client = HttpClient()
+        self._asked = 0
+
+    async def async_run(self) -> None:
+        """Carry out all steps; raises `WrongError`."""
+        self.fleet = Fleet()
+        await self.fleet.async_setup()
+        settings = self._folder / "front.ini"
+        settings.write_text(self.fleet.settings("host-1", self._ports))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "waxwingarch.platform",
+            "--settings",
+            str(settings),
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        try:
+            await self._async_ready()
+            await self._async_requests()
+            process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(STOP_LIMIT_S):
+                code = await process.wait()
+            _require(code == 0, f"the daemon ended with {code}")
+            print("a graceful stop: ended with 0")
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            await self._client.async_unload()
+            await self.fleet.async_unload()
+
+    async def _async_ready(self) -> None:
+        async with asyncio.timeout(READY_LIMIT_S):
+            while not await self._async_is_ready():  # noqa: ASYNC110
+                await asyncio.sleep(POLL_S)
+        print("the daemon is ready")
+
+    async def _async_is_ready(self) -> bool:
+        try:
+            answer = await self._async_call(self._ports[1], "/-/readiness")
+        except LinkError:
+            return False
+        return answer.status == 200
+
+    async def _async_requests(self) -> None:
+        for path, what in (
+            ("/chat/hello", "streamed"),
+            ("/pay/1", "non-idempotent"),
+            ("/read/1", "idempotent"),
+        ):
+            answer = await self._async_ask(path)
+            _require(answer.status == 200, f"{what}: {answer.status}")
+            print(f"{what} request: 200, {len(answer.body)} bytes")
+        for server in self.fleet.engines():
+            server.behaviour.how = "cut"
+        self.fleet.engines()[0].behaviour.count = 1
+        for _ in range(8):
+            answer = await self._async_ask("/draft/appeal")
+            _require(answer.body.count(b"id: ") == 5, "a stream is not whole")
+        runs = len({run.request_id for run in self.fleet.runs})
+        print(
+            f"a cut stream went on elsewhere: {len(self.fleet.runs)} runs"
+            f" of {runs} requests, every stream whole"
+        )
+
+    async def _async_ask(self, path: str) -> HttpAnswer:
+        self._asked += 1
+        return await self._async_call(
+            self._ports[0],
+            path,
+            [
+                ("Host", HOST_NAME),
+                ("X-Waxwingarch-Request-Id", f"demo-{self._asked}"),
+                ("X-Waxwingarch-Deadline-Ms", "4000"),
+                ("X-Api-Key", "key-1"),
+            ],
+        )
+
+    async def _async_call(
+        self,
+        port: int,
+        path: str,
+        headers: list[tuple[str, str]] | None = None,
+    ) -> HttpAnswer:
+        deadline = asyncio.get_running_loop().time() + CALL_LIMIT_S
+        return await self._client.async_request(
+            "POST" if headers else "GET",
+            f"127.0.0.1:{port}",
+            path,
+            deadline=deadline,
+            headers=headers or [],
+            body=PROMPT if headers else b"",
+        )
+
+
+def _require(right: bool, message: str) -> None:
+    if not right:
+        raise WrongError(message)
+
+
+def main() -> int:
+    """Run the demo; returns the exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            asyncio.run(FrontDemo(Path(folder)).async_run())
+        except (WrongError, LinkError, TimeoutError) as exc:
+            print(f"WRONG: {type(exc).__name__}: {exc}")
+            return 1
+    print("on the users' platform all came out right")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -17,6 +17,7 @@
 
 ROOT = Path(__file__).parents[1]
 DEMO = ROOT / "script" / "demo.py"
+FRONT_DEMO = ROOT / "script" / "demo_front.py"
 DEMO_LIMIT_S = 60.0
 
 
@@ -45,6 +46,20 @@
         self.assertIn("\nall came out right", told)
         self.assertNotIn("WRONG", told)
 
+    def test_on_the_users_platform(self) -> None:
+        result = subprocess.run(
+            [sys.executable, str(FRONT_DEMO)],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": str(ROOT)},
+            capture_output=True,
+            text=True,
+            timeout=DEMO_LIMIT_S,
+            check=False,
+        )
+        told = result.stdout + result.stderr
+        self.assertEqual(0, result.returncode, told)
+        self.assertIn("platform all came out right", told)
+
     def test_a_wrong_step_ends_it_with_a_failure(self) -> None:
         module = load_demo()
         with Cluster() as cluster, redirect_stdout(io.StringIO()) as out:
