Remove state that nothing reads, and two copies

Found in the last read of the change: Exchange.deadline, objective_at, Send.deadline (always expires_at), Pick.considered, a server's cold time and ExchangeBoard.states were never read; the reply with the lease row was built twice, and free ports were searched in the demo and in the tests.

--- a/script/demo_front.py
+++ b/script/demo_front.py
@@ -7,13 +7,12 @@
 
 import asyncio
 import signal
-import socket
 import sys
 import tempfile
 from pathlib import Path
 from typing import Final
 
-from standins.fleet import HOST_NAME, Fleet
+from standins.fleet import HOST_NAME, Fleet, free_ports
 from waxwingarch.adapters.http_client import HttpAnswer, HttpClient
 from waxwingarch.exceptions import LinkError
 
@@ -28,17 +27,6 @@
     """A step did not come out right."""
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [int(sock.getsockname()[1]) for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
 class FrontDemo:
     """One daemon process on an emulated platform."""
 
--- a/tests/front/base.py
+++ b/tests/front/base.py
@@ -1,12 +1,11 @@
 """A host on the emulated platform, in one event loop."""
 
 import asyncio
-import socket
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from typing import Any
 
-from standins.fleet import HOST_NAME, Fleet
+from standins.fleet import HOST_NAME, Fleet, free_ports
 from waxwingarch.adapters.front_settings import FrontSettings
 from waxwingarch.adapters.http_client import HttpAnswer, HttpClient
 from waxwingarch.adapters.ini import parse_ini, validate
@@ -19,18 +18,6 @@
 KEY = "key-1"
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on."""
-    socks = [socket.socket() for _ in range(count)]
-    try:
-        for sock in socks:
-            sock.bind(("127.0.0.1", 0))
-        return [int(sock.getsockname()[1]) for sock in socks]
-    finally:
-        for sock in socks:
-            sock.close()
-
-
 async def async_until(ready: Callable[[], Any], what: str) -> None:
     """Wait for a condition."""
     try:
--- a/waxwingarch/core/backends/chooser.py
+++ b/waxwingarch/core/backends/chooser.py
@@ -43,7 +43,6 @@
     server: Server
     expected_s: float
     uncached_tokens: int
-    considered: int
 
 
 class BackendChooser:
@@ -83,7 +82,6 @@
             server=server,
             expected_s=wait_s,
             uncached_tokens=self._uncached(exchange, server, None),
-            considered=len(scored),
         )
 
     def sent(
--- a/waxwingarch/core/backends/listing.py
+++ b/waxwingarch/core/backends/listing.py
@@ -21,7 +21,6 @@
     server: Server
     draining: bool = False
     leaves_in_s: float | None = None
-    cold_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/exchange/board.py
+++ b/waxwingarch/core/exchange/board.py
@@ -93,10 +93,6 @@
         """Return an exchange in progress."""
         return self._open.get(request_id)
 
-    def states(self) -> list[ExchangeState]:
-        """Return all exchanges in progress."""
-        return list(self._open.values())
-
     # Arrival
 
     def arrived(self, now: float, head: ExchangeHead) -> list[Action]:
@@ -143,7 +139,6 @@
             account=account.account if account else None,
             priority=priority,
             arrived_at=now,
-            deadline=now + patience_s,
             expires_at=now + min(patience_s, route.timeout_s),
         )
         return exchange, cost
@@ -218,9 +213,7 @@
             return self._chooser.choose(
                 now, state.exchange, traits, state.tried
             )
-        return Pick(
-            server=target, expected_s=0.1, uncached_tokens=0, considered=1
-        )
+        return Pick(server=target, expected_s=0.1, uncached_tokens=0)
 
     def _order(
         self,
@@ -243,7 +236,6 @@
             server=pick.server,
             account=exchange.account,
             priority=exchange.priority,
-            deadline=exchange.expires_at,
             expires_at=exchange.expires_at,
             answer_by=answer_by,
             silence_s=silence_s,
--- a/waxwingarch/core/exchange/messages.py
+++ b/waxwingarch/core/exchange/messages.py
@@ -49,7 +49,7 @@
 class Exchange:
     """One accepted request; times are on the node's clock.
 
-    `deadline` is the caller's, `expires_at` the earlier of it and of the
+    `expires_at` is the earlier of the caller's deadline and of the
     route's timeout: by then the caller has its final answer.
     """
 
@@ -59,7 +59,6 @@
     account: AccountId | None
     priority: int
     arrived_at: float
-    deadline: float
     expires_at: float
 
     @property
@@ -72,11 +71,6 @@
         """Return what may be done again."""
         return self.route.repeat
 
-    @property
-    def objective_at(self) -> float:
-        """Return by when the answer or its first event is wanted."""
-        return self.arrived_at + self.route.objective_s
-
     @property
     def tokens(self) -> int:
         """Return the tokens that the request may take in all."""
@@ -189,7 +183,6 @@
     server: Server
     account: AccountId | None
     priority: int
-    deadline: float
     expires_at: float
     answer_by: float
     silence_s: float
--- a/waxwingarch/platform/exchange_codec.py
+++ b/waxwingarch/platform/exchange_codec.py
@@ -64,7 +64,7 @@
             for name, value in req.pairs
             if _passes(name.lower(), resumes)
         ]
-        left_ms = max(1, int((send.deadline - now) * MS_PER_S))
+        left_ms = max(1, int((send.expires_at - now) * MS_PER_S))
         headers.append((HEADER_DEADLINE, str(left_ms)))
         headers.append((HEADER_TARGET, send.server.server_id))
         headers.append(
--- a/waxwingarch/platform/rows_codec.py
+++ b/waxwingarch/platform/rows_codec.py
@@ -119,7 +119,6 @@
     state: str
     version: str = ""
     slots: int = 1
-    cold_remaining_ms: float = 0
     # When the process started, in Unix milliseconds.
     born: int = 0
     spot: bool = False
@@ -174,7 +173,6 @@
             server=server,
             draining=row.state == STATE_DRAINING,
             leaves_in_s=None if leaves_ms is None else leaves_ms / MS_PER_S,
-            cold_s=row.cold_remaining_ms / MS_PER_S,
         )
 
 
--- a/waxwingarch/tasks/front_duties.py
+++ b/waxwingarch/tasks/front_duties.py
@@ -28,9 +28,11 @@
 from waxwingarch.core.exchange.messages import MoveRun, RunMoved
 from waxwingarch.ports.front import (
     FrontPorts,
+    Rows,
     RowWrite,
     StoredRow,
     StoreUnavailableError,
+    WriteResult,
 )
 from waxwingarch.tasks.runner import FrontRunner
 
@@ -94,16 +96,7 @@
         except StoreUnavailableError as exc:
             self._store_failed(exc)
             return
-        found = rows.rows[0] if rows.rows else None
-        self._runner.post(
-            DutyRowRead(
-                row=_lease_row(found),
-                version=found.version if found else 0,
-                clock_ms=rows.clock_ms,
-                sent_at=sent_at,
-                boot_now=boot_now(),
-            )
-        )
+        self._runner.post(_row_read(rows, sent_at))
 
     async def _async_write_lease(self, action: WriteDutyRow) -> None:
         sent_at = boot_now()
@@ -132,16 +125,7 @@
                 )
             )
             return
-        found = result.rows[0] if result.rows else None
-        self._runner.post(
-            DutyRowRead(
-                row=_lease_row(found),
-                version=found.version if found else 0,
-                clock_ms=result.clock_ms,
-                sent_at=sent_at,
-                boot_now=boot_now(),
-            )
-        )
+        self._runner.post(_row_read(result, sent_at))
 
     def _store_failed(self, exc: StoreUnavailableError) -> None:
         log_message(message_type="lease_call_failed", reason=str(exc))
@@ -252,6 +236,18 @@
         self._runner.post(RunMoved(request_id=action.request_id, state=state))
 
 
+def _row_read(reply: Rows | WriteResult, sent_at: float) -> DutyRowRead:
+    """Return the lease row in a reply, which has that row at most."""
+    found = reply.rows[0] if reply.rows else None
+    return DutyRowRead(
+        row=_lease_row(found),
+        version=found.version if found else 0,
+        clock_ms=reply.clock_ms,
+        sent_at=sent_at,
+        boot_now=boot_now(),
+    )
+
+
 def _lease_row(row: StoredRow | None) -> DutyLeaseRow | None:
     if row is None or row.value is None:
         return None
