Let a few hosts of a large fleet follow the store, the others hear from them

Now reports go out in turns, 12 a tick, counts of usage only to those who may hold the duties; three hosts follow the tables, the others take deltas from peers and follow themselves when nobody confirmed their beliefs for 1.5 s of the boot clock. Up to 12 hosts all follow, as before.

--- a/tests/core/front/test_duties.py
+++ b/tests/core/front/test_duties.py
@@ -34,7 +34,7 @@
     UsageSent,
     UsageSettled,
 )
-from waxwingarch.core.peers.report import HostReport
+from waxwingarch.core.peers.report import WindowCounts
 
 TERM_S = 3.0
 
@@ -178,24 +178,15 @@
 
 
 class Usage(testtools.TestCase):
-    def report(self, host: str, window: int, count: int) -> HostReport:
-        return HostReport(
-            host=HostId(host),
-            incarnation=1,
-            sequence=1,
-            address="",
-            unix_now=0.0,
-            config_version=1,
-            listing_version=1,
-            began={window: {AccountId("a"): count}},
-        )
+    def began(self, window: int, count: int) -> WindowCounts:
+        return {window: {AccountId("a"): count}}
 
     def test_counts_of_all_hosts_are_settled_then_sent(self) -> None:
         counter = UsageCounter(5.0)
         duty = UsageDuty(counter)
         counter.began(51.0, AccountId("a"))
-        reports = [self.report("x", 10, 4), self.report("y", 10, 2)]
-        actions = duty.tick(1.0, 56.3, 9, reports)
+        others = [self.began(10, 4), self.began(10, 2)]
+        actions = duty.tick(1.0, 56.3, 9, others)
         [settle] = [
             a for a in actions if isinstance(a, SettleUsage) and a.window == 10
         ]
@@ -203,7 +194,7 @@
         duty.settled(1.1, UsageSettled(window=10, counts=settle.counts))
         [send] = [
             a
-            for a in duty.tick(1.2, 56.4, 9, reports)
+            for a in duty.tick(1.2, 56.4, 9, others)
             if isinstance(a, SendUsage)
         ]
         self.assertEqual((10, 9), (send.window, send.fence))
@@ -216,7 +207,7 @@
 
     def test_what_was_settled_first_is_what_is_sent(self) -> None:
         duty = UsageDuty(UsageCounter(5.0))
-        duty.tick(1.0, 56.3, 9, [self.report("x", 10, 4)])
+        duty.tick(1.0, 56.3, 9, [self.began(10, 4)])
         stored = {AccountId("a"): 3}
         duty.settled(1.1, UsageSettled(window=10, counts=stored))
         sends = [
@@ -236,7 +227,7 @@
             if isinstance(a, SendUsage) and a.window == 10
         ]
         duty.sent(1.3, UsageSent(window=10, accepted=False))
-        more = [self.report("late", 10, 99)]
+        more = [self.began(10, 99)]
         again = [
             a
             for a in duty.tick(2.5, 57.7, 9, more)
--- /dev/null
+++ b/tests/core/front/test_gossip.py
@@ -0,0 +1,199 @@
+"""What hosts tell each other, who follows the store, and freshness."""
+
+import testtools
+
+from waxwingarch.core.base import AccountId, Action, HostId
+from waxwingarch.core.peers.book import MOST_AT_ONCE
+from waxwingarch.core.peers.gossip import (
+    ALL_FOLLOW,
+    FOLLOWERS,
+    STALE_AFTER_S,
+    Gossip,
+)
+from waxwingarch.core.peers.report import (
+    FollowTables,
+    HostReport,
+    HostsListed,
+    PullState,
+    SendReport,
+    SharedTable,
+)
+
+TURN_S = 0.1
+
+
+def report(host: HostId, **changes: object) -> HostReport:
+    """Return what a host tells of itself."""
+    values = {
+        "host": host,
+        "incarnation": 1,
+        "sequence": 0,
+        "address": f"addr-{host}",
+        "unix_now": 0.0,
+        "config_version": 1,
+        "listing_version": 1,
+        "began": {7: {AccountId("a"): 3}},
+    }
+    return HostReport(**(values | changes))  # type: ignore[arg-type]
+
+
+class Fleet:
+    """Hosts on made time; those who follow learn all versions at once."""
+
+    def __init__(self, count: int) -> None:
+        self.names = [HostId(f"h{n}") for n in range(count)]
+        self.hosts = {name: Gossip(name) for name in self.names}
+        self.versions = dict.fromkeys(self.names, 1)
+        self.newest = 1
+        self.now = 0.0
+        self.cut: set[HostId] = set()
+        self.most_sent = 0
+        self.pulled: list[HostId] = []
+        addresses = {name: f"addr-{name}" for name in self.names}
+        for gossip in self.hosts.values():
+            gossip.book.listed(0.0, HostsListed(addresses=addresses))
+
+    def run(self, for_s: float) -> None:
+        for _ in range(round(for_s / TURN_S)):
+            self.now += TURN_S
+            for name in self.names:
+                self._turn(name)
+
+    def followers(self) -> list[HostId]:
+        return [name for name in self.names if self.hosts[name].follows]
+
+    def _own(self, name: HostId) -> HostReport:
+        return report(
+            name,
+            listing_version=self.versions[name],
+            checked_age_s=self.hosts[name].age_s(self.now),
+        )
+
+    def _turn(self, name: HostId) -> None:
+        gossip = self.hosts[name]
+        if gossip.follows and name not in self.cut:
+            self.versions[name] = self.newest
+            for table in SharedTable:
+                gossip.checked(self.now, table)
+        gossip.follow(self.now, self.now, stopping=False)
+        sent = gossip.send(self.now, self._own(name))
+        count = 0
+        for action in sent:
+            assert isinstance(action, SendReport)
+            count += len(action.addresses)
+            for address in action.addresses:
+                self._hear(HostId(address.removeprefix("addr-")), action)
+        self.most_sent = max(self.most_sent, count)
+
+    def _hear(self, name: HostId, action: SendReport) -> None:
+        gossip = self.hosts[name]
+        if not gossip.book.received(self.now, action.report, 0.0):
+            return
+        own = self._own(name)
+        for answer in gossip.received(self.now, self.now, action.report, own):
+            assert isinstance(answer, PullState)
+            self.pulled.append(name)
+            peer = HostId(answer.address.removeprefix("addr-"))
+            self.versions[name] = self.versions[peer]
+
+
+class Followers(testtools.TestCase):
+    def test_all_hosts_of_a_small_fleet_follow(self) -> None:
+        fleet = Fleet(ALL_FOLLOW)
+        fleet.run(5.0)
+        self.assertEqual(fleet.names, fleet.followers())
+
+    def test_few_hosts_of_a_large_fleet_follow(self) -> None:
+        fleet = Fleet(74)
+        fleet.run(10.0)
+        self.assertEqual(FOLLOWERS, len(fleet.followers()))
+        for name in fleet.names:
+            self.assertLess(fleet.hosts[name].age_s(fleet.now), STALE_AFTER_S)
+
+    def test_a_change_reaches_all_within_two_rounds(self) -> None:
+        fleet = Fleet(74)
+        fleet.run(10.0)
+        fleet.newest = 2
+        fleet.run(2 * fleet.hosts[fleet.names[0]].book.round_s)
+        self.assertEqual({2}, set(fleet.versions.values()))
+
+    def test_hosts_whose_followers_are_cut_off_follow_themselves(self) -> None:
+        fleet = Fleet(74)
+        fleet.run(10.0)
+        fleet.cut = set(fleet.followers())
+        fleet.newest = 2
+        fleet.run(STALE_AFTER_S + 1.5)
+        reached = {
+            fleet.versions[n] for n in fleet.names if n not in fleet.cut
+        }
+        self.assertEqual({2}, reached)
+
+    def test_beliefs_of_a_peer_with_an_older_listing_prove_nothing(
+        self,
+    ) -> None:
+        gossip = Gossip(HostId("h1"))
+        own = report(HostId("h1"), listing_version=5)
+        older = report(HostId("h2"), listing_version=4, checked_age_s=0.0)
+        gossip.received(1.0, 1.0, older, own)
+        self.assertEqual(float("inf"), gossip.age_s(1.0))
+        same = report(HostId("h2"), listing_version=5, checked_age_s=0.25)
+        gossip.received(1.0, 1.0, same, own)
+        self.assertEqual(0.25, gossip.age_s(1.0))
+
+    def test_a_suspended_host_takes_its_beliefs_for_old(self) -> None:
+        gossip = Gossip(HostId("h1"))
+        for table in SharedTable:
+            gossip.checked(1.0, table)
+        # The loop's clock stood still, the boot clock did not.
+        self.assertEqual(6.0, gossip.age_s(7.0))
+
+
+class Reports(testtools.TestCase):
+    def test_a_large_fleet_is_told_in_turns(self) -> None:
+        fleet = Fleet(74)
+        fleet.run(3.0)
+        self.assertLessEqual(fleet.most_sent, MOST_AT_ONCE)
+
+    def test_usage_goes_to_those_who_may_hold_the_duties(self) -> None:
+        fleet = Fleet(40)
+        fleet.run(10.0)
+        gossip = fleet.hosts[fleet.names[0]]
+        counting = 0
+        for _ in range(10):
+            fleet.now += TURN_S
+            for action in gossip.send(fleet.now, report(fleet.names[0])):
+                assert isinstance(action, SendReport)
+                if action.report.began is not None:
+                    counting += len(action.addresses)
+        self.assertThat(counting, testtools.matchers.GreaterThan(2))
+        self.assertThat(counting, testtools.matchers.LessThan(20))
+
+    def test_counts_outlive_reports_that_leave_them_out(self) -> None:
+        gossip = Gossip(HostId("h1"))
+        full = report(HostId("h2"), sequence=1)
+        gossip.book.received(1.0, full, 0.0)
+        slim = report(HostId("h2"), sequence=2, began=None)
+        gossip.book.received(1.2, slim, 0.0)
+        self.assertEqual([full.began], gossip.book.began(1.3))
+
+    def test_a_stop_is_told_to_all_at_once(self) -> None:
+        fleet = Fleet(74)
+        fleet.run(3.0)
+        name = fleet.names[0]
+        told = fleet.hosts[name].send(
+            fleet.now, report(name, draining=True), all_at_once=True
+        )
+        addresses = [a for action in told for a in _addresses(action)]
+        self.assertEqual(73, len(addresses))
+
+
+def _addresses(action: Action) -> tuple[str, ...]:
+    return action.addresses if isinstance(action, SendReport) else ()
+
+
+class Decisions(testtools.TestCase):
+    def test_a_change_of_role_is_told_once(self) -> None:
+        gossip = Gossip(HostId("h1"))
+        [first] = gossip.follow(0.0, 0.0, stopping=False)
+        self.assertIsInstance(first, FollowTables)
+        self.assertEqual([], gossip.follow(0.1, 0.1, stopping=False))
--- a/waxwingarch/adapters/report_codec.py
+++ b/waxwingarch/adapters/report_codec.py
@@ -1,14 +1,17 @@
 """Reports between hosts as datagrams of JSON."""
 
-from typing import Any
+from typing import Any, Final
 
 import orjson
 
 from waxwingarch.core.backends.load import ServerLoad
 from waxwingarch.core.base import AccountId, HostId, ServerId
-from waxwingarch.core.peers.report import HostReport
+from waxwingarch.core.peers.report import HostReport, WindowCounts
 from waxwingarch.exceptions import WaxwingError
 
+# Beliefs that were never confirmed are told as this old.
+LONGEST_AGE_S: Final = 1e6
+
 
 class BadReportError(WaxwingError):
     """A datagram is not a report; check who sends to the peers' port."""
@@ -27,16 +30,23 @@
             "list": report.listing_version,
             "drain": report.draining,
             "duty": report.holds_duties,
+            "age": round(min(report.checked_age_s, LONGEST_AGE_S), 2),
             "loads": {
                 server: [load.running, load.prefill_tokens, load.kv_tokens]
                 for server, load in report.loads.items()
             },
             "adm": {a: round(n, 1) for a, n in report.admitted.items()},
-            "began": {str(w): c for w, c in report.began.items()},
+            "began": _windows(report.began),
         }
     )
 
 
+def _windows(began: WindowCounts | None) -> dict[str, Any] | None:
+    if began is None:
+        return None
+    return {str(window): counts for window, counts in began.items()}
+
+
 def decode_report(data: bytes) -> HostReport:
     """Return the report in a datagram; raises `BadReportError`."""
     try:
@@ -54,6 +64,7 @@
         unix_now=float(raw["unix"]),
         config_version=int(raw["cfg"]),
         listing_version=int(raw["list"]),
+        checked_age_s=float(raw["age"]),
         draining=bool(raw["drain"]),
         holds_duties=bool(raw["duty"]),
         loads={
@@ -65,8 +76,14 @@
             for server, load in raw["loads"].items()
         },
         admitted={AccountId(a): float(n) for a, n in raw["adm"].items()},
-        began={
-            int(window): {AccountId(a): int(n) for a, n in counts.items()}
-            for window, counts in raw["began"].items()
-        },
+        began=_began(raw["began"]),
     )
+
+
+def _began(raw: dict[str, Any] | None) -> WindowCounts | None:
+    if raw is None:
+        return None
+    return {
+        int(window): {AccountId(a): int(n) for a, n in counts.items()}
+        for window, counts in raw.items()
+    }
--- a/waxwingarch/core/duties/singleton.py
+++ b/waxwingarch/core/duties/singleton.py
@@ -22,6 +22,8 @@
 # row, and this much more for each host that ranks before them.
 UNHEARD_S: Final = 0.8
 RANK_STEP_S: Final = 0.4
+# One report of the holder may be lost.
+HEARD_ROUNDS: Final = 2.5
 RETRY_S: Final = 0.5
 MS_PER_S: Final = 1000
 
@@ -114,10 +116,13 @@
         """Note that a host said that it holds the lease."""
         self._heard_at = boot_now
 
-    def tick(self, boot_now: float, rank: int) -> list[Action]:
+    def tick(
+        self, boot_now: float, rank: int, round_s: float = 0.0
+    ) -> list[Action]:
         """Renew what is held, or try to take what nobody holds.
 
-        `rank` is this host's place among the candidates.
+        `rank` is this host's place among the candidates, `round_s` the
+        time in which a holder tells everyone of itself.
         """
         if self.held and boot_now >= self._until:
             self._lose(boot_now)
@@ -125,7 +130,7 @@
             return []
         if self.held:
             return self._write(boot_now)
-        wait_s = UNHEARD_S + rank * RANK_STEP_S
+        wait_s = max(UNHEARD_S, HEARD_ROUNDS * round_s) + rank * RANK_STEP_S
         if boot_now - self._heard_at < wait_s:
             return []
         self._phase = _Phase.READING
--- a/waxwingarch/core/duties/usage.py
+++ b/waxwingarch/core/duties/usage.py
@@ -11,14 +11,14 @@
 from typing import Final
 
 from waxwingarch.core.base import AccountId, Action, Event
-from waxwingarch.core.peers.report import HostReport
+from waxwingarch.core.peers.report import WindowCounts
 
 Counts = dict[AccountId, int]
 
 # Windows that a host keeps its own counts of, and that it reports on.
 WINDOWS_KEPT: Final = 5
-# How long after its end a window is settled: reports of the hosts come
-# several times a second.
+# How long after its end a window is settled at the earliest: reports of
+# the hosts come several times a second.
 SETTLE_S: Final = 1.2
 RETRY_S: Final = 0.6
 # Rows of windows so far back are removed.
@@ -108,10 +108,16 @@
         boot_now: float,
         unix_now: float,
         fence: int,
-        reports: Iterable[HostReport],
+        began: Iterable[WindowCounts],
+        settle_s: float = 0.0,
     ) -> list[Action]:
-        """Return the calls that are due; only for the holder."""
-        current = self._counter.window_of(unix_now - SETTLE_S)
+        """Return the calls that are due; only for the holder.
+
+        `began` are the counts of the other hosts' processes, which may
+        come in `settle_s` after the end of a window.
+        """
+        settled_by = unix_now - max(SETTLE_S, settle_s)
+        current = self._counter.window_of(settled_by)
         for window in range(current - WINDOWS_KEPT + 2, current):
             if window not in self._done and window not in self._open:
                 self._open[window] = _Window()
@@ -120,7 +126,7 @@
         for window, state in sorted(self._open.items()):
             if boot_now < state.next_at:
                 continue
-            action = self._step(window, state, fence, reports)
+            action = self._step(window, state, fence, began)
             if action is not None:
                 actions.append(action)
         return actions
@@ -130,13 +136,13 @@
         window: int,
         state: _Window,
         fence: int,
-        reports: Iterable[HostReport],
+        began: Iterable[WindowCounts],
     ) -> Action | None:
         if state.step is _Step.SETTLE:
             state.step = _Step.SETTLING
             return SettleUsage(
                 window=window,
-                counts=self._total(window, reports),
+                counts=self._total(window, began),
                 drop_window=window - ROWS_KEPT,
             )
         if state.step is _Step.SEND and state.counts is not None:
@@ -172,9 +178,9 @@
         """Forget what is under way: another host holds the duty."""
         self._open.clear()
 
-    def _total(self, window: int, reports: Iterable[HostReport]) -> Counts:
+    def _total(self, window: int, began: Iterable[WindowCounts]) -> Counts:
         total: Counts = dict(self._counter.counts.get(window, {}))
-        for report in reports:
-            for account, count in report.began.get(window, {}).items():
+        for counts in began:
+            for account, count in counts.get(window, {}).items():
                 total[account] = total.get(account, 0) + count
         return total
--- a/waxwingarch/core/front.py
+++ b/waxwingarch/core/front.py
@@ -7,8 +7,6 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-import xxhash
-
 from waxwingarch.core.backends.chooser import BackendChooser
 from waxwingarch.core.backends.listing import BackendLeaving, BackendsListed
 from waxwingarch.core.base import Action, Event, FailureDomain, HostId, Ran
@@ -38,30 +36,23 @@
 from waxwingarch.core.limits.resend_budget import ResendBudget
 from waxwingarch.core.limits.shared_rate import SharedRates
 from waxwingarch.core.node import Handler, Node
-from waxwingarch.core.peers.book import PeerBook
+from waxwingarch.core.peers.gossip import Gossip
 from waxwingarch.core.peers.report import (
     HostReport,
     HostsListed,
-    PullState,
     ReportReceived,
-    SendReport,
+    TableChecked,
 )
 from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.routing.config import RoutingConfig
 from waxwingarch.core.routing.table import RoutingTable
 
-# Pause between two reports to the other hosts, and what each host adds
-# to it, so that a large fleet does not drown in reports.
-REPORT_EVERY_S: Final = 0.2
-REPORT_PER_HOST_S: Final = 0.01
-# A peer's newer version is asked for when the own watch has not brought
-# it after this long.
-PULL_AFTER_S: Final = 0.7
-
 # A stopping host takes requests for this long: the balancer needs two
 # missed checks, a second apart, before it sends no new connections.
 TAKE_WHILE_STOPPING_S: Final = 2.6
+# Usage is settled when the reports of so many rounds can be in.
+SETTLE_ROUNDS: Final = 3.0
 # A request that another host may take at once comes back after this.
 ELSEWHERE_S: Final = 0.1
 
@@ -107,9 +98,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigRead(Event):
-    """The configuration row was read."""
+    """The configuration row was read.
+
+    `rows_version` is that of the newest row beside it.
+    """
 
     cfg: RoutingConfig
+    rows_version: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -146,7 +141,8 @@
         self.board = ExchangeBoard(
             self.table, self.chooser, self.rates, self.resends, rng
         )
-        self.peers = PeerBook(identity.host)
+        self.gossip = Gossip(identity.host)
+        self.peers = self.gossip.book
         self.lease = SingletonLease(
             identity.host, identity.incarnation, bounds.lease_s
         )
@@ -158,9 +154,7 @@
         self._boot_now = 0.0
         self._unix_at_boot_s = 0.0
         self._unix_ahead_s = 0.0
-        self._next_report_at = 0.0
-        self._sequence = 0
-        self._behind_since: float | None = None
+        self._rows_version = 0
         self._was_holder = False
         self._begun = False
         super().__init__(self._table_of_handlers())
@@ -178,6 +172,7 @@
             RunMoved: self.board.run_moved,
             ReportReceived: self._report,
             HostsListed: self._hosts_listed,
+            TableChecked: self._table_checked,
             DutyRowRead: lambda now, e: self.lease.read(e),
             DutyRowWritten: self._duty_written,
             DutyStoreFailed: lambda now, e: self.lease.failed(e),
@@ -215,6 +210,7 @@
     # Beliefs
 
     def _config_read(self, now: float, event: ConfigRead) -> list[Action]:
+        self._rows_version = max(self._rows_version, event.rows_version)
         if not self.table.apply(now, event.cfg):
             return []
         return [
@@ -259,11 +255,15 @@
 
     def _hosts_listed(self, now: float, event: HostsListed) -> list[Action]:
         self.peers.listed(now, event)
-        self._fleet_changed(now)
+        self._fleet_changed()
         return []
 
-    def _fleet_changed(self, now: float) -> None:
-        self.rates.set_fleet(self.peers.known)
+    def _table_checked(self, now: float, event: TableChecked) -> list[Action]:
+        self.gossip.checked(self._boot_now, event.table)
+        return []
+
+    def _fleet_changed(self) -> None:
+        self.rates.set_fleet(self.peers.known, self.peers.round_s)
         self.resends.set_fleet(self.peers.known)
 
     def _report(self, now: float, event: ReportReceived) -> list[Action]:
@@ -271,52 +271,31 @@
         unix_now = now + self._unix_ahead_s
         if not self.peers.received(now, report, unix_now):
             return []
-        self._fleet_changed(now)
+        self._fleet_changed()
         self.chooser.loads.set_peer(report.host, report.loads)
         self.rates.reported(now, report.host, report.admitted)
         if report.holds_duties:
             self.lease.holder_heard(self._boot_now)
-        return self._check_behind(now, report)
+        own = self._own_report(now)
+        return self.gossip.received(now, self._boot_now, report, own)
 
-    def _check_behind(self, now: float, report: HostReport) -> list[Action]:
-        """Pull from a peer that has known something newer for a while."""
-        behind = (
-            report.config_version > self.table.version
-            or report.listing_version > self.chooser.book.version
-        )
-        if not behind:
-            return []
-        if self._behind_since is None:
-            self._behind_since = now
-        if now - self._behind_since < PULL_AFTER_S:
-            return []
-        self._behind_since = None
-        return [PullState(address=report.address)]
-
-    def _send_report(self, now: float) -> list[Action]:
-        if now < self._next_report_at:
-            return []
-        pause_s = max(REPORT_EVERY_S, REPORT_PER_HOST_S * self.peers.known)
-        self._next_report_at = now + pause_s
-        due = self.peers.due(now)
-        if not due:
-            return []
-        self._sequence += 1
-        report = HostReport(
+    def _own_report(self, now: float) -> HostReport:
+        """Return what this host tells of itself; the sender numbers it."""
+        return HostReport(
             host=self.identity.host,
             incarnation=self.identity.incarnation,
-            sequence=self._sequence,
+            sequence=0,
             address=self.identity.address,
             unix_now=now + self._unix_ahead_s,
-            config_version=self.table.version,
+            config_version=self._rows_version,
             listing_version=self.chooser.book.version,
+            checked_age_s=self.gossip.age_s(self._boot_now),
             draining=self.stopping,
             holds_duties=self.lease.may_act(self._boot_now),
             loads=self.chooser.loads.own(),
             admitted=self.rates.used(now, self.table.accounts.values()),
             began=self.usage.counts,
         )
-        return [SendReport(report=report, addresses=tuple(due))]
 
     # Duties
 
@@ -346,7 +325,8 @@
         if not self.identity.duties or self.stopping:
             return []
         boot_now = self._boot_now
-        actions = self.lease.tick(boot_now, self._rank(now))
+        rank = self.gossip.rank(now)
+        actions = self.lease.tick(boot_now, rank, self.peers.round_s)
         if not self.lease.may_act(boot_now):
             if self._was_holder:
                 self.usage_duty.lost()
@@ -356,9 +336,12 @@
         self._was_holder = True
         fence = self.lease.fence
         if DUTY_USAGE in self.identity.duties:
-            reports = self.peers.last_words(now)
             actions += self.usage_duty.tick(
-                boot_now, self.unix(now), fence, reports
+                boot_now,
+                self.unix(now),
+                fence,
+                self.peers.began(now),
+                settle_s=SETTLE_ROUNDS * self.peers.round_s,
             )
         if DUTY_SCALING in self.identity.duties:
             actions += self.scaling.tick(
@@ -369,12 +352,6 @@
             )
         return actions
 
-    def _rank(self, now: float) -> int:
-        """Return this host's place among those that may hold the duties."""
-        hosts = [r.host for r in self.peers.alive(now) if not r.draining]
-        own = _weight(self.identity.host)
-        return sum(_weight(host) > own for host in hosts)
-
     # Time and life
 
     def _tick(self, now: float, event: FrontTick) -> list[Action]:
@@ -387,7 +364,10 @@
             self.chooser.loads.drop_peer(host)
         actions += self.board.tick(now)
         actions += self._duties(now)
-        return actions + self._send_report(now)
+        actions += self.gossip.follow(
+            now, self._boot_now, stopping=self.stopping
+        )
+        return actions + self.gossip.send(now, self._own_report(now))
 
     def _begin(self, now: float, event: FrontTick) -> None:
         """Fix this host's time of day: later jumps of it are ignored."""
@@ -400,9 +380,5 @@
     def _stop(self, now: float, event: StopBegan) -> list[Action]:
         self.stopping = True
         self._take_until = now + TAKE_WHILE_STOPPING_S
-        self._next_report_at = 0.0
-        return self.lease.resign(self._boot_now) + self._send_report(now)
-
-
-def _weight(host: HostId) -> int:
-    return int(xxhash.xxh3_64_intdigest(host.encode()))
+        last = self.gossip.send(now, self._own_report(now), all_at_once=True)
+        return self.lease.resign(self._boot_now) + last
--- a/waxwingarch/core/limits/shared_rate.py
+++ b/waxwingarch/core/limits/shared_rate.py
@@ -13,8 +13,10 @@
 from waxwingarch.core.limits.window import WindowSum
 from waxwingarch.core.routing.config import RoutedAccount
 
-# A host whose last report is older than this is taken to use its part.
+# A host whose last report is older than this, and than so many rounds of
+# reports, is taken to use its part.
 HEARD_WITHIN_S: Final = 1.5
+HEARD_ROUNDS: Final = 2.5
 # A host silent for this long is gone, and needs no part.
 GONE_AFTER_S: Final = 20.0
 SHORTEST_WAIT_S: Final = 0.25
@@ -46,6 +48,7 @@
         self._own: dict[AccountId, WindowSum] = {}
         self._peers: dict[HostId, _Peer] = {}
         self._fleet = 1
+        self._heard_within_s = HEARD_WITHIN_S
         self._restarted_at: float | None = None
 
     def restarted(self, now: float) -> None:
@@ -55,9 +58,10 @@
         """
         self._restarted_at = now
 
-    def set_fleet(self, hosts: int) -> None:
-        """Set how many hosts there are, by the last word."""
+    def set_fleet(self, hosts: int, round_s: float = 0.0) -> None:
+        """Set how many hosts there are and how long their reports take."""
         self._fleet = max(1, hosts)
+        self._heard_within_s = max(HEARD_WITHIN_S, HEARD_ROUNDS * round_s)
 
     def used(
         self, now: float, accounts: Iterable[RoutedAccount]
@@ -115,7 +119,7 @@
             silent_s = now - peer.heard_at
             if silent_s > GONE_AFTER_S:
                 del self._peers[host]
-            elif silent_s <= HEARD_WITHIN_S:
+            elif silent_s <= self._heard_within_s:
                 heard += 1
                 used += peer.used.get(account.account, 0.0)
                 # What it admits until its next report is not known yet.
--- a/waxwingarch/core/peers/book.py
+++ b/waxwingarch/core/peers/book.py
@@ -1,15 +1,26 @@
 """The other hosts, as their reports show them."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from statistics import median
 from typing import Final
 
 from waxwingarch.core.base import HostId
-from waxwingarch.core.peers.report import HostReport, HostsListed
-
-# A host is alive while its last report is no older.
+from waxwingarch.core.peers.report import (
+    HostReport,
+    HostsListed,
+    WindowCounts,
+)
+
+# A host is alive while its last report is no older, nor older than this
+# many rounds of reports.
 ALIVE_S: Final = 3.0
+ALIVE_ROUNDS: Final = 3.0
+# A report goes to each host this often, and to so many at once: in a large
+# fleet a round takes longer instead of filling small links.
+REPORT_EVERY_S: Final = 0.2
+MOST_AT_ONCE: Final = 12
+TURN_S: Final = 0.1
 # An address that does not answer gets a report this often, in case its
 # host comes back; a host unheard for long is dropped.
 RETRY_S: Final = 2.0
@@ -25,6 +36,7 @@
     heard_at: float = float("-inf")
     sent_at: float = float("-inf")
     report: HostReport | None = None
+    began: WindowCounts = field(default_factory=dict)
     clock_ahead_s: float = 0.0
 
 
@@ -34,7 +46,7 @@
     def __init__(self, own: HostId) -> None:
         self._own = own
         self._peers: dict[HostId, Peer] = {}
-        self._ended: list[tuple[float, HostReport]] = []
+        self._ended: list[tuple[float, WindowCounts]] = []
 
     def listed(self, now: float, event: HostsListed) -> None:
         """Take the addresses that hosts wrote down."""
@@ -44,7 +56,7 @@
             known = self._peers.get(host)
             if known is None:
                 self._peers[host] = Peer(address=address, known_at=now)
-            elif now - known.heard_at > ALIVE_S:
+            elif not self._is_alive(now, known):
                 known.address = address
 
     def received(
@@ -64,49 +76,66 @@
         ):
             return False
         if last is not None and last.incarnation < report.incarnation:
-            self._ended.append((now, last))
+            self._ended.append((now, peer.began))
+            peer.began = {}
         peer.address = report.address
         peer.heard_at = now
         peer.report = report
+        if report.began is not None:
+            peer.began = report.began
         peer.clock_ahead_s = report.unix_now - unix_now
         return True
 
-    def due(self, now: float) -> list[str]:
-        """Return the addresses that a report goes to now."""
+    @property
+    def round_s(self) -> float:
+        """Return how long it takes until all hosts had a report."""
+        turns = len(self._peers) / MOST_AT_ONCE
+        return max(REPORT_EVERY_S, turns * TURN_S)
+
+    def due(self, now: float, *, all_at_once: bool = False) -> list[Peer]:
+        """Return whom a report goes to now, the longest waiting first."""
         due = []
         for host, peer in list(self._peers.items()):
-            last = max(peer.heard_at, peer.known_at)
-            if now - last > DROP_AFTER_S:
+            if now - max(peer.heard_at, peer.known_at) > DROP_AFTER_S:
                 del self._peers[host]
-            elif now - last <= ALIVE_S or now - peer.sent_at >= RETRY_S:
-                peer.sent_at = now
-                due.append(peer.address)
+                continue
+            fresh = self._is_alive(now, peer) or peer.report is None
+            pause_s = REPORT_EVERY_S if fresh else RETRY_S
+            if all_at_once or now - peer.sent_at >= pause_s:
+                due.append(peer)
+        if not all_at_once:
+            due.sort(key=lambda peer: peer.sent_at)
+            due = due[:MOST_AT_ONCE]
+        for peer in due:
+            peer.sent_at = now
         return due
 
+    def _is_alive(self, now: float, peer: Peer) -> bool:
+        limit_s = max(ALIVE_S, ALIVE_ROUNDS * self.round_s)
+        return now - peer.heard_at <= limit_s
+
     def alive(self, now: float) -> list[HostReport]:
         """Return the last reports of the hosts that are alive."""
         return [
             peer.report
             for peer in self._peers.values()
-            if peer.report is not None and now - peer.heard_at <= ALIVE_S
+            if peer.report is not None and self._is_alive(now, peer)
         ]
 
-    def last_words(self, now: float) -> list[HostReport]:
-        """Return the last report of each process, also of ended ones."""
+    def began(self, now: float) -> list[WindowCounts]:
+        """Return the counts of each process, also of ended ones."""
         self._ended = [
-            (at, report)
-            for at, report in self._ended
-            if now - at < DROP_AFTER_S
+            (at, began) for at, began in self._ended if now - at < DROP_AFTER_S
         ]
-        known = [p.report for p in self._peers.values() if p.report]
-        return known + [report for _, report in self._ended]
+        known = [peer.began for peer in self._peers.values()]
+        return known + [began for _, began in self._ended]
 
     def silent(self, now: float) -> Iterable[HostId]:
         """Return the hosts that are not heard of any more."""
         return [
             host
             for host, peer in self._peers.items()
-            if now - peer.heard_at > ALIVE_S
+            if not self._is_alive(now, peer)
         ]
 
     def fleet(self, now: float) -> int:
@@ -126,6 +155,6 @@
         offsets = [
             peer.clock_ahead_s
             for peer in self._peers.values()
-            if now - peer.heard_at <= ALIVE_S
+            if self._is_alive(now, peer)
         ]
         return median([0.0, *offsets])
--- a/waxwingarch/core/peers/report.py
+++ b/waxwingarch/core/peers/report.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from waxwingarch.core.backends.load import ServerLoad
 from waxwingarch.core.base import AccountId, Action, Event, HostId, ServerId
@@ -17,8 +18,10 @@
     `address` is where the host takes reports and answers pulls.
     `unix_now` is its idea of the time of day in seconds. `admitted` is
     what it used of the accounts' rates over their window, `began` counts
-    the requests that began to run by usage window.
-    `config_version` and `listing_version` say how new its beliefs are.
+    the requests that began to run by usage window; None where the
+    receiver is not one that may hold the duties.
+    `config_version` and `listing_version` name its beliefs, and
+    `checked_age_s` is how long ago they were the newest there are.
     """
 
     host: HostId
@@ -28,11 +31,12 @@
     unix_now: float
     config_version: int
     listing_version: int
+    checked_age_s: float = float("inf")
     draining: bool = False
     holds_duties: bool = False
     loads: Mapping[ServerId, ServerLoad] = field(default_factory=dict)
     admitted: Mapping[AccountId, float] = field(default_factory=dict)
-    began: WindowCounts = field(default_factory=dict)
+    began: WindowCounts | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -59,10 +63,28 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PullState(Action):
-    """Ask a peer for what it knows newer than this host.
-
-    It is sent when a peer's configuration or listing is newer for a
-    while, which means that this host's own watch has stalled.
-    """
+    """Ask a peer for what it knows newer than this host."""
 
     address: str
+
+
+class SharedTable(StrEnum):
+    """The tables of the store that all hosts have to know."""
+
+    OPERATOR = "operator"
+    SERVERS = "servers"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TableChecked(Event):
+    """The store said what the newest version of a table is."""
+
+    table: SharedTable
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FollowTables(Action):
+    """Ask the store for changes, each call held for `hold_s`; or stop."""
+
+    follow: bool
+    hold_s: float
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -31,7 +31,11 @@
     FrontTick,
     StopBegan,
 )
-from waxwingarch.core.peers.report import HostsListed
+from waxwingarch.core.peers.report import (
+    HostsListed,
+    SharedTable,
+    TableChecked,
+)
 from waxwingarch.ports.front import (
     BadRowError,
     FrontPorts,
@@ -71,10 +75,18 @@
         self.front = Front(identity, settings.front_bounds(), rng)
         self._runner = Runner(self.front)
         self._config_watch = TableWatch(
-            ports.store, ports.rows.config_table, rng, self._on_config
+            ports.store,
+            ports.rows.config_table,
+            rng,
+            self._on_config,
+            lambda watch: self._on_checked(SharedTable.OPERATOR),
         )
         self._servers_watch = TableWatch(
-            ports.store, ports.rows.servers_table, rng, self._on_servers
+            ports.store,
+            ports.rows.servers_table,
+            rng,
+            self._on_servers,
+            lambda watch: self._on_checked(SharedTable.SERVERS),
         )
         watches = [self._config_watch, self._servers_watch]
         self._peers = FrontPeers(self._runner, client, watches)
@@ -234,7 +246,10 @@
         except BadRowError as exc:
             log_message(message_type="bad_config", reason=str(exc))
             return
-        self._runner.post(ConfigRead(cfg=cfg))
+        self._runner.post(ConfigRead(cfg=cfg, rows_version=watch.version))
+
+    def _on_checked(self, table: SharedTable) -> None:
+        self._runner.post(TableChecked(table=table))
 
     def _on_servers(self, watch: TableWatch) -> None:
         backends = []
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -26,6 +26,8 @@
 # How often the peers and the lease are looked at.
 LOOK_EVERY_S: Final = 0.5
 DIGITS: Final = 3
+# Names in one line: a large fleet may be lost, or found, at once.
+MOST_NAMES: Final = 8
 
 
 @dataclass(kw_only=True, slots=True)
@@ -220,12 +222,17 @@
 
     def _look_at_peers(self, now: float) -> None:
         alive = {report.host for report in self._front.peers.alive(now)}
-        for host in alive - set(self._alive):
-            log_message(message_type="peer_heard", peer=host)
-        for host in set(self._alive) - alive:
+        heard = alive - set(self._alive)
+        lost = {
+            host: round(now - since, DIGITS)
+            for host, since in self._alive.items()
+            if host not in alive
+        }
+        if heard or lost:
             log_message(
-                message_type="peer_lost",
-                peer=host,
-                heard_for_s=round(now - self._alive[host], DIGITS),
+                message_type="peers_changed",
+                heard=sorted(heard)[:MOST_NAMES],
+                lost=dict(sorted(lost.items())[:MOST_NAMES]),
+                alive=len(alive),
             )
         self._alive = {host: self._alive.get(host, now) for host in alive}
--- a/waxwingarch/tasks/front_peers.py
+++ b/waxwingarch/tasks/front_peers.py
@@ -4,6 +4,7 @@
 from base64 import b64decode, b64encode
 from collections import Counter
 from typing import Any, Final
+from urllib.parse import parse_qs, urlencode, urlsplit
 
 import orjson
 from eliot import log_message
@@ -22,14 +23,15 @@
     encode_report,
 )
 from waxwingarch.core.peers.report import (
+    FollowTables,
     PullState,
     ReportReceived,
     SendReport,
 )
 from waxwingarch.exceptions import LinkError
-from waxwingarch.ports.front import Rows, StoredRow
+from waxwingarch.ports.front import StoredRow
 from waxwingarch.tasks.runner import FrontRunner
-from waxwingarch.tasks.table_watch import TableWatch
+from waxwingarch.tasks.table_watch import TableChanges, TableWatch
 
 PULL_LIMIT_S: Final = 0.6
 STATE_PATH: Final = "/state"
@@ -66,6 +68,7 @@
         self._pull: asyncio.Task[None] | None = None
         runner.connect(SendReport, self._send)
         runner.connect(PullState, self._start_pull)
+        runner.connect(FollowTables, self._follow)
 
     async def async_setup(self, host: str, port: int) -> None:
         """Listen for reports and pulls."""
@@ -103,7 +106,15 @@
             except (OSError, ValueError):
                 self.counts["udp_errors"] += 1
 
-    # Pulls
+    # The store's tables
+
+    def _follow(self, action: FollowTables) -> None:
+        log_message(
+            message_type="following" if action.follow else "relying_on_peers",
+            hold_s=action.hold_s,
+        )
+        for watch in self._watches.values():
+            watch.follow(action.follow, action.hold_s)
 
     def _start_pull(self, action: PullState) -> None:
         if self._pull is None or self._pull.done():
@@ -113,8 +124,12 @@
     async def _async_pull(self, address: str) -> None:
         deadline = asyncio.get_running_loop().time() + PULL_LIMIT_S
         try:
+            known = {t: w.version for t, w in self._watches.items()}
             answer = await self._client.async_request(
-                "GET", address, STATE_PATH, deadline=deadline
+                "GET",
+                address,
+                f"{STATE_PATH}?{urlencode(known)}",
+                deadline=deadline,
             )
             tables = orjson.loads(answer.body)
         except (LinkError, ValueError) as exc:
@@ -124,38 +139,58 @@
             return
         for table, raw in tables.items():
             watch = self._watches.get(table)
-            if watch is not None:
-                log_message(
-                    message_type="pulled",
-                    peer=address,
-                    table=table,
-                    version=raw["version"],
-                    own_version=watch.version,
-                )
-                watch.merge(_rows(raw))
+            if watch is None:
+                continue
+            changes = _changes(raw)
+            log_message(
+                message_type="pulled",
+                peer=address,
+                table=table,
+                version=changes.version,
+                own_version=watch.version,
+                rows=len(changes.rows),
+                whole=changes.whole,
+            )
+            watch.merge(changes)
 
     async def _async_state(
         self, req: HttpRequest, resp: HttpResponder
     ) -> None:
-        tables = {
-            table: {
-                "version": watch.version,
-                "rows": [
-                    [row.key, b64encode(row.value).decode(), row.version]
-                    for row in watch.rows.values()
-                    if row.value is not None
-                ],
-            }
-            for table, watch in self._watches.items()
-        }
+        """Answer with what has changed since the versions in the query."""
+        asked = parse_qs(urlsplit(req.target).query)
+        tables = {}
+        for table, watch in self._watches.items():
+            version = asked.get(table, ["0"])[0]
+            known = int(version) if version.isdigit() else 0
+            if watch.version > known:
+                tables[table] = _raw(watch.changes(known))
         await resp.async_send(200, orjson.dumps(tables), [JSON_TYPE])
 
 
-def _rows(raw: dict[str, Any]) -> Rows:
-    return Rows(
+def _raw(changes: TableChanges) -> dict[str, Any]:
+    return {
+        "version": changes.version,
+        "whole": changes.whole,
+        "outage": changes.after_outage,
+        "rows": [[r.key, _text(r.value), r.version] for r in changes.rows],
+    }
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else b64encode(value).decode()
+
+
+def _changes(raw: dict[str, Any]) -> TableChanges:
+    return TableChanges(
+        version=raw["version"],
+        whole=raw["whole"],
+        after_outage=raw["outage"],
         rows=tuple(
-            StoredRow(key=key, value=b64decode(value), version=version)
+            StoredRow(
+                key=key,
+                value=None if value is None else b64decode(value),
+                version=version,
+            )
             for key, value, version in raw["rows"]
         ),
-        version=raw["version"],
     )
