Tell restarted hosts which accounts were busy; scale use when a limit is lowered

Ruled out: the start of the process (0.13 s) and readiness (one refusal). The holder of the duties now writes the accounts that use over 0.7 of their limit beside its lease, which costs no call; a host that restarts reads it and admits the others more. After a lowered limit what was used before counts as the same part of the new limit.

--- a/tests/core/front/test_duties.py
+++ b/tests/core/front/test_duties.py
@@ -159,6 +159,22 @@
         row.serve(lease, 2.4, list(lease.failed(failed)))
         self.assertTrue(lease.may_act(4.0))
 
+    def test_row_tells_for_a_while_who_was_busy(self) -> None:
+        row = Row()
+        lease = SingletonLease(HostId("h1"), 1, TERM_S)
+        busy = (AccountId("a"),)
+        lease.tick(10.0, 0)
+        [write] = lease.read(row.read(10.0))
+        self.assertEqual((), write.row.busy)
+        lease.written(row.write(10.0, write))
+        [write] = lease.tick(12.0, 0, busy=busy)
+        row.write(12.0, write)
+        other = SingletonLease(HostId("h2"), 2, TERM_S)
+        self.assertEqual(busy, other.busy_before(row.read(15.0)))
+        self.assertIsNone(other.busy_before(row.read(25.0)))
+        # Nobody asked for the row, so it takes no lease.
+        self.assertEqual([], other.read(row.read(25.0)))
+
     def test_short_tenure_is_not_handed_back(self) -> None:
         # Holders A, B, A within a term are not allowed: B lets its
         # lease lapse where it held it for less than that.
--- a/tests/core/front/test_limits.py
+++ b/tests/core/front/test_limits.py
@@ -1,5 +1,7 @@
 """Tests of limits that all hosts keep together."""
 
+from dataclasses import replace
+
 import testtools
 
 from waxwingarch.core.base import AccountId, HostId, ServiceId
@@ -97,6 +99,63 @@
         hosts.flood(4.5, 16.0, 50)
         self.assertLess(hosts.most(), TOLERATED)
 
+    def test_calm_account_is_served_after_all_hosts_restart(self) -> None:
+        # Half of the rate was free after a restart, whoever asked.
+        hosts = Hosts(8)
+        each = RATE * 0.55 * 0.05 / 8
+        hosts.flood(0.0, 8.0, each)
+        [name, *_] = hosts.names
+        busy = hosts.rates[name].busy(8.0, [ACCOUNT])
+        self.assertEqual((), busy)
+        hosts.restart(8.5)
+        for rates in hosts.rates.values():
+            rates.busy_before(busy)
+        before = len(hosts.admitted)
+        hosts.flood(8.5, 14.5, each)
+        self.assertEqual(6 * 20 * 8, len(hosts.admitted) - before)
+        self.assertLess(hosts.most(), WHOLE)
+
+    def test_flood_is_known_as_busy_after_all_hosts_restart(self) -> None:
+        hosts = Hosts(8)
+        hosts.flood(0.0, 4.0, 50)
+        [name, *_] = hosts.names
+        busy = hosts.rates[name].busy(4.0, [ACCOUNT])
+        self.assertEqual((ACCOUNT.account,), busy)
+        hosts.restart(4.5)
+        for rates in hosts.rates.values():
+            rates.busy_before(busy)
+        hosts.flood(4.5, 16.0, 50)
+        self.assertLess(hosts.most(), TOLERATED)
+
+    def test_lowered_limit_counts_what_was_used_in_proportion(self) -> None:
+        # All that was used under the higher limit counted in full, so
+        # that nothing was admitted for a whole window.
+        lower = replace(ACCOUNT, rate=RATE / 4, burst=RATE / 4)
+        hosts = Hosts(8)
+        for rates in hosts.rates.values():
+            rates.configured(0.0, 1, [ACCOUNT])
+        hosts.flood(0.0, 8.0, RATE * 0.5 * 0.05 / 8)
+        for rates in hosts.rates.values():
+            rates.configured(8.0, 2, [lower])
+        hosts.report(8.0)
+        [name, *_] = hosts.names
+        self.assertIsNone(hosts.rates[name].admit(8.1, lower, 100))
+        admitted = 100.0
+        while hosts.rates[name].admit(8.2, lower, 100) is None:
+            admitted += 100
+        self.assertLess(admitted, WHOLE / 4)
+
+    def test_report_under_the_higher_limit_is_scaled_too(self) -> None:
+        lower = replace(ACCOUNT, rate=RATE / 4, burst=RATE / 4)
+        hosts = Hosts(2)
+        [one, two] = hosts.rates.values()
+        for rates in (one, two):
+            rates.configured(0.0, 1, [ACCOUNT])
+        self.assertIsNone(two.admit(0.1, ACCOUNT, WHOLE * 0.4))
+        one.configured(0.2, 2, [lower])
+        one.reported(0.2, HostId("h1"), two.used(0.2, [ACCOUNT]), 1)
+        self.assertIsNone(one.admit(0.2, lower, WHOLE / 4 * 0.5))
+
     def test_host_that_hears_nobody_keeps_to_its_part(self) -> None:
         rates = Hosts(8).new()
         admitted = 0.0
--- a/waxwingarch/core/duties/singleton.py
+++ b/waxwingarch/core/duties/singleton.py
@@ -11,7 +11,7 @@
 from enum import StrEnum
 from typing import Final
 
-from waxwingarch.core.base import Action, Event, HostId
+from waxwingarch.core.base import AccountId, Action, Event, HostId
 
 # The holder stops acting this long before others may take over: a call
 # it sends last has to arrive before one of its successor.
@@ -25,16 +25,24 @@
 # One report of the holder may be lost.
 HEARD_ROUNDS: Final = 2.5
 RETRY_S: Final = 0.5
+# A row tells who was busy for this long: the time in which all hosts are
+# back after a loss of power, and that of one renewal.
+BUSY_KNOWN_S: Final = 6.0
 MS_PER_S: Final = 1000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DutyLeaseRow:
-    """The row of the lease; `until_ms` is on the store's clock."""
+    """The row of the lease; `until_ms` is on the store's clock.
+
+    `busy` are the accounts that used most of their limits when it was
+    written: hosts that all restart know nothing else of them.
+    """
 
     holder: HostId
     incarnation: int
     until_ms: int
+    busy: tuple[AccountId, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -105,6 +113,7 @@
         self._next_at = 0.0
         self._heard_at = float("-inf")
         self._held_since = float("-inf")
+        self._busy: tuple[AccountId, ...] = ()
         self.fence = 0
         self.held = False
 
@@ -117,13 +126,19 @@
         self._heard_at = boot_now
 
     def tick(
-        self, boot_now: float, rank: int, round_s: float = 0.0
+        self,
+        boot_now: float,
+        rank: int,
+        round_s: float = 0.0,
+        busy: tuple[AccountId, ...] = (),
     ) -> list[Action]:
         """Renew what is held, or try to take what nobody holds.
 
         `rank` is this host's place among the candidates, `round_s` the
-        time in which a holder tells everyone of itself.
+        time in which a holder tells everyone of itself. The `busy`
+        accounts are written beside the lease.
         """
+        self._busy = busy
         if self.held and boot_now >= self._until:
             self._lose(boot_now)
         if self._phase is not _Phase.IDLE or boot_now < self._next_at:
@@ -140,10 +155,21 @@
         """Begin: give a holder the time to be heard."""
         self._heard_at = boot_now
 
+    def busy_before(self, event: DutyRowRead) -> tuple[AccountId, ...] | None:
+        """Return who was busy, if the row was written just now."""
+        if event.row is None:
+            return None
+        written_ms = event.row.until_ms - int(self._term_s * MS_PER_S)
+        if event.clock_ms - written_ms > BUSY_KNOWN_S * MS_PER_S:
+            return None
+        return event.row.busy
+
     def read(self, event: DutyRowRead) -> list[Action]:
         """Take the row; write it if its lease is over."""
-        self._phase = _Phase.IDLE
         self._learn_clock(event.clock_ms, event.sent_at)
+        if self._phase is _Phase.IDLE:
+            return []
+        self._phase = _Phase.IDLE
         self._version = event.version
         row = event.row
         if row is None:
@@ -212,6 +238,7 @@
             holder=self._own,
             incarnation=self._incarnation,
             until_ms=until_ms,
+            busy=self._busy,
         )
         return WriteDutyRow(row=row, expected_version=self._version)
 
--- a/waxwingarch/core/front.py
+++ b/waxwingarch/core/front.py
@@ -9,12 +9,20 @@
 
 from waxwingarch.core.backends.chooser import BackendChooser
 from waxwingarch.core.backends.listing import BackendLeaving, BackendsListed
-from waxwingarch.core.base import Action, Event, FailureDomain, HostId, Ran
+from waxwingarch.core.base import (
+    AccountId,
+    Action,
+    Event,
+    FailureDomain,
+    HostId,
+    Ran,
+)
 from waxwingarch.core.duties.scaling import ScalingDuty, ServersOrdered
 from waxwingarch.core.duties.singleton import (
     DutyRowRead,
     DutyRowWritten,
     DutyStoreFailed,
+    ReadDutyRow,
     SingletonLease,
 )
 from waxwingarch.core.duties.usage import (
@@ -173,7 +181,7 @@
             ReportReceived: self._report,
             HostsListed: self._hosts_listed,
             TableChecked: self._table_checked,
-            DutyRowRead: lambda now, e: self.lease.read(e),
+            DutyRowRead: self._duty_row_read,
             DutyRowWritten: self._duty_written,
             DutyStoreFailed: lambda now, e: self.lease.failed(e),
             UsageSettled: self._usage_settled,
@@ -213,6 +221,7 @@
         self._rows_version = max(self._rows_version, event.rows_version)
         if not self.table.apply(now, event.cfg):
             return []
+        self.rates.configured(now, event.rows_version, event.cfg.accounts)
         return [
             ConfigApplied(
                 version=event.cfg.version,
@@ -273,7 +282,9 @@
             return []
         self._fleet_changed()
         self.chooser.loads.set_peer(report.host, report.loads)
-        self.rates.reported(now, report.host, report.admitted)
+        self.rates.reported(
+            now, report.host, report.admitted, report.config_version
+        )
         if report.holds_duties:
             self.lease.holder_heard(self._boot_now)
         own = self._own_report(now)
@@ -303,6 +314,12 @@
         """Tell whether a duty call may be sent at this moment."""
         return self.lease.may_act(boot_now)
 
+    def _duty_row_read(self, now: float, event: DutyRowRead) -> list[Action]:
+        busy = self.lease.busy_before(event)
+        if busy is not None:
+            self.rates.busy_before(busy)
+        return self.lease.read(event)
+
     def _duty_written(self, now: float, event: DutyRowWritten) -> list[Action]:
         self.lease.written(event)
         return []
@@ -326,7 +343,10 @@
             return []
         boot_now = self._boot_now
         rank = self.gossip.rank(now)
-        actions = self.lease.tick(boot_now, rank, self.peers.round_s)
+        busy: tuple[AccountId, ...] = ()
+        if self.lease.held:
+            busy = self.rates.busy(now, self.table.accounts.values())
+        actions = self.lease.tick(boot_now, rank, self.peers.round_s, busy)
         if not self.lease.may_act(boot_now):
             if self._was_holder:
                 self.usage_duty.lost()
@@ -356,10 +376,9 @@
 
     def _tick(self, now: float, event: FrontTick) -> list[Action]:
         self._boot_now = event.boot_now
-        if not self._begun:
-            self._begin(now, event)
+        actions = [] if self._begun else self._begin(now, event)
         self._unix_ahead_s = self._unix_at_boot_s + event.boot_now - now
-        actions = self._leaving(now, self.chooser.book.tick(now))
+        actions += self._leaving(now, self.chooser.book.tick(now))
         for host in self.peers.silent(now):
             self.chooser.loads.drop_peer(host)
         actions += self.board.tick(now)
@@ -369,13 +388,15 @@
         )
         return actions + self.gossip.send(now, self._own_report(now))
 
-    def _begin(self, now: float, event: FrontTick) -> None:
+    def _begin(self, now: float, event: FrontTick) -> list[Action]:
         """Fix this host's time of day: later jumps of it are ignored."""
         self._begun = True
         self._unix_at_boot_s = event.unix_now - event.boot_now
         self.lease.started(event.boot_now)
-        if not self.identity.first_start:
-            self.rates.restarted(now)
+        if self.identity.first_start:
+            return []
+        self.rates.restarted(now)
+        return [ReadDutyRow()]
 
     def _stop(self, now: float, event: StopBegan) -> list[Action]:
         self.stopping = True
--- a/waxwingarch/core/limits/shared_rate.py
+++ b/waxwingarch/core/limits/shared_rate.py
@@ -24,6 +24,11 @@
 # rate this part is admitted until the window has passed: a tolerance of
 # the limit covers it, and accounts ask for about half of their rate.
 RESTART_PART: Final = 0.5
+# An account that uses more than this part of its limit is busy: after a
+# restart it gets no more than the above.
+BUSY_PART: Final = 0.7
+# Of the limit of one that was not busy, this part is free at once.
+IDLE_FREE_PART: Final = 0.15
 # Two reports that come together tell nothing of the speed between them.
 SHORTEST_PAUSE_S: Final = 0.1
 
@@ -33,13 +38,27 @@
     """What one other host admitted over the window, by its last report.
 
     `speeds` is by how much that grew a second since the one before.
+    `version` is that of its configuration.
     """
 
     heard_at: float
     used: Mapping[AccountId, float]
+    version: int
     speeds: dict[AccountId, float] = field(default_factory=dict)
 
 
+@dataclass(kw_only=True, slots=True)
+class _Limit:
+    """The limit last seen of an account; `scaled` is by its last change.
+
+    `changed_in` is the version of the configuration that lowered it.
+    """
+
+    whole: float
+    scaled: float = 1.0
+    changed_in: int = 0
+
+
 class SharedRates:
     """The part of each account's limit that this host may use."""
 
@@ -49,7 +68,9 @@
         self._peers: dict[HostId, _Peer] = {}
         self._fleet = 1
         self._heard_within_s = HEARD_WITHIN_S
+        self._limits: dict[AccountId, _Limit] = {}
         self._restarted_at: float | None = None
+        self._busy: frozenset[AccountId] | None = None
 
     def restarted(self, now: float) -> None:
         """Note that an earlier process of this host admitted requests.
@@ -58,6 +79,51 @@
         """
         self._restarted_at = now
 
+    def busy_before(self, busy: Iterable[AccountId]) -> None:
+        """Note which accounts were busy right before the restart."""
+        self._busy = frozenset(busy)
+
+    def busy(
+        self, now: float, accounts: Iterable[RoutedAccount]
+    ) -> tuple[AccountId, ...]:
+        """Return the accounts that use most of their limit."""
+        return tuple(
+            account.account
+            for account in accounts
+            if account.rate > 0 and self._is_busy(now, account)
+        )
+
+    def _is_busy(self, now: float, account: RoutedAccount) -> bool:
+        own = self._own_use(now, account)
+        spare = self._left_by_others(now, account) - own
+        return spare < self._whole(account) * (1 - BUSY_PART)
+
+    def configured(
+        self, now: float, version: int, accounts: Iterable[RoutedAccount]
+    ) -> None:
+        """Take the limits of a configuration.
+
+        Where a limit is lowered, what was used before counts as the same
+        part of the new limit: it was within the limit of its time.
+        """
+        for account in accounts:
+            whole = self._whole(account)
+            known = self._limits.get(account.account)
+            if known is None or known.whole <= 0 or whole >= known.whole:
+                scaled, changed_in = 1.0, 0
+            else:
+                scaled, changed_in = whole / known.whole, version
+                window = self._own.get(account.account)
+                if window is not None:
+                    window.scale(scaled)
+            self._limits[account.account] = _Limit(
+                whole=whole, scaled=scaled, changed_in=changed_in
+            )
+
+    def _whole(self, account: RoutedAccount) -> float:
+        """Return what an account may use over a window."""
+        return account.rate * self._window_s + account.burst
+
     def set_fleet(self, hosts: int, round_s: float = 0.0) -> None:
         """Set how many hosts there are and how long their reports take."""
         self._fleet = max(1, hosts)
@@ -71,11 +137,18 @@
         return {account: use for account, use in used.items() if use > 0}
 
     def reported(
-        self, now: float, host: HostId, used: Mapping[AccountId, float]
+        self,
+        now: float,
+        host: HostId,
+        used: Mapping[AccountId, float],
+        version: int = 0,
     ) -> None:
-        """Take a host's report of what it used of the window."""
+        """Take a host's report of what it used of the window.
+
+        `version` is that of the configuration it goes by.
+        """
         before = self._peers.get(host)
-        peer = _Peer(heard_at=now, used=used)
+        peer = _Peer(heard_at=now, used=used, version=version)
         if before is not None:
             passed_s = max(SHORTEST_PAUSE_S, now - before.heard_at)
             for account, use in used.items():
@@ -112,7 +185,8 @@
 
     def _left_by_others(self, now: float, account: RoutedAccount) -> float:
         """Return what the other hosts leave of a window to this one."""
-        whole = account.rate * self._window_s + account.burst
+        whole = self._whole(account)
+        limit = self._limits.get(account.account)
         heard = 0
         used = 0.0
         for host, peer in list(self._peers.items()):
@@ -121,9 +195,12 @@
                 del self._peers[host]
             elif silent_s <= self._heard_within_s:
                 heard += 1
-                used += peer.used.get(account.account, 0.0)
+                use = peer.used.get(account.account, 0.0)
                 # What it admits until its next report is not known yet.
-                used += peer.speeds.get(account.account, 0.0) * silent_s
+                use += peer.speeds.get(account.account, 0.0) * silent_s
+                if limit is not None and peer.version < limit.changed_in:
+                    use *= limit.scaled
+                used += use
         fleet = max(self._fleet, len(self._peers) + 1)
         unheard = max(0, fleet - 1 - heard)
         return whole - used - unheard * whole / fleet
@@ -138,6 +215,8 @@
         if passed_s >= self._window_s:
             self._restarted_at = None
             return use
-        whole = account.rate * self._window_s + account.burst
+        whole = self._whole(account)
         free = account.rate * passed_s * RESTART_PART
-        return use + (whole - free) / self._fleet
+        if self._busy is not None and account.account not in self._busy:
+            free += whole * IDLE_FREE_PART
+        return use + max(0.0, whole - free) / self._fleet
--- a/waxwingarch/core/limits/window.py
+++ b/waxwingarch/core/limits/window.py
@@ -35,6 +35,12 @@
             self._sum -= self._entries.popleft()[1]
         return self._sum if self._entries else 0.0
 
+    def scale(self, factor: float) -> None:
+        """Multiply all that was added so far."""
+        for entry in self._entries:
+            entry[1] *= factor
+        self._sum *= factor
+
     def wait_s(self, now: float, surplus: float) -> float:
         """Return how long until `surplus` has left the window."""
         left = surplus
--- a/waxwingarch/tasks/front_duties.py
+++ b/waxwingarch/tasks/front_duties.py
@@ -101,7 +101,9 @@
     async def _async_write_lease(self, action: WriteDutyRow) -> None:
         sent_at = boot_now()
         row = action.row
-        value = orjson.dumps([row.holder, row.incarnation, row.until_ms])
+        value = orjson.dumps(
+            [row.holder, row.incarnation, row.until_ms, row.busy]
+        )
         write = RowWrite(
             table=LEASE_TABLE,
             key=LEASE_KEY,
@@ -251,9 +253,12 @@
 def _lease_row(row: StoredRow | None) -> DutyLeaseRow | None:
     if row is None or row.value is None:
         return None
-    holder, incarnation, until_ms = orjson.loads(row.value)
+    holder, incarnation, until_ms, busy = orjson.loads(row.value)
     return DutyLeaseRow(
-        holder=HostId(holder), incarnation=incarnation, until_ms=until_ms
+        holder=HostId(holder),
+        incarnation=incarnation,
+        until_ms=until_ms,
+        busy=tuple(AccountId(account) for account in busy),
     )
 
 
