--- a/tests/core/front/test_duties.py
+++ b/tests/core/front/test_duties.py
@@ -332,6 +332,21 @@
         # 6 carry the load, and the last domain may be next.
         self.assertEqual(6, others)
 
+    def test_others_make_room_for_reclaimable_ones(self) -> None:
+        # The reclaimable servers lacked one to be enough, and the others
+        # held their places for good.
+        self.tick(0.0, self.backends(reclaimable=1, others=0))
+        mixed = [
+            b
+            for b in self.backends(reclaimable=3, others=3)
+            if b.server.reclaimable == (b.server.failure_domain in DOMAINS[:1])
+        ]
+        self.assertEqual(12, len(mixed))
+        placed = self.tick(30.0, mixed)
+        others = self.wanted(placed, reclaimable=False)
+        # 9 of 12 stay: 6 of the others beside the 3 reclaimable ones.
+        self.assertEqual(6, sum(others) + 3 * (3 - len(others)))
+
     def test_size_does_not_depend_on_a_half_registered_listing(self) -> None:
         placed = self.tick(0.0, self.backends(reclaimable=0, others=1)[:1])
         self.assertEqual([3] * 4, self.wanted(placed, reclaimable=True))
--- a/tests/core/front/test_gossip.py
+++ b/tests/core/front/test_gossip.py
@@ -168,6 +168,18 @@
         self.assertThat(counting, testtools.matchers.GreaterThan(2))
         self.assertThat(counting, testtools.matchers.LessThan(20))
 
+    def test_usage_goes_to_all_of_a_small_fleet(self) -> None:
+        # A host took the duties that had not heard the counts of a
+        # process which ended before.
+        fleet = Fleet(8)
+        fleet.run(3.0)
+        name = fleet.names[0]
+        fleet.now += 1.0
+        [told] = fleet.hosts[name].send(fleet.now, report(name))
+        assert isinstance(told, SendReport)
+        self.assertIsNotNone(told.report.began)
+        self.assertEqual(7, len(told.addresses))
+
     def test_counts_outlive_reports_that_leave_them_out(self) -> None:
         gossip = Gossip(HostId("h1"))
         full = report(HostId("h2"), sequence=1)
--- a/waxwingarch/core/duties/scaling.py
+++ b/waxwingarch/core/duties/scaling.py
@@ -2,11 +2,11 @@
 
 Reclaimable servers are spread over the failure domains so that the rest
 carries the load when one domain loses all of them at once. Others fill
-what the reclaimable ones do not reach, in the cheapest domains, and go
-when those serve again.
+what the reclaimable ones do not reach, where none of those are to be had
+and then in the cheapest domains, and go when those serve again.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from math import ceil
 from typing import Final
@@ -48,11 +48,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OrderServers(Action):
-    """Order that so many servers run, if this host holds the duty."""
+    """Order that so many servers run, if this host holds the duty.
+
+    `running` are those of the key that may get requests now.
+    """
 
     key: OrderKey
     desired: int
     fence: int
+    running: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -75,6 +79,10 @@
     refused_at: float = float("-inf")
     pending: bool = False
 
+    def shown_by(self, bounds: ScalingBounds) -> float:
+        """Return when servers that were ordered should be listed."""
+        return self.accepted_at + bounds.boot_s + SHOW_S
+
     def dry(self, now: float) -> bool:
         """Tell whether such servers were not to be had just now."""
         return now - self.refused_at < DRY_S
@@ -156,10 +164,13 @@
         actions: list[Action] = []
         for key, desired in wanted.items():
             order = state.orders.setdefault(key, _Order())
-            if self._is_due(now, order, desired, running.get(key, 0), bounds):
+            count = running.get(key, 0)
+            if self._is_due(now, order, desired, count, bounds):
                 order.pending = True
                 actions.append(
-                    OrderServers(key=key, desired=desired, fence=fence)
+                    OrderServers(
+                        key=key, desired=desired, fence=fence, running=count
+                    )
                 )
         return actions
 
@@ -174,13 +185,10 @@
         """Return the number of servers to run, by order."""
         needed = _needed(bounds)
         each = _reclaimable_each(needed, bounds)
-        domains = sorted(
-            bounds.domain_prices, key=lambda d: bounds.domain_prices[d]
-        )
         wanted: dict[OrderKey, int] = {}
         taken: dict[FailureDomain, int] = {}
         dry: set[FailureDomain] = set()
-        for domain in domains:
+        for domain in bounds.domain_prices:
             key = OrderKey(service=service, domain=domain, reclaimable=True)
             wanted[key] = each
             taken[domain] = running.get(key, 0)
@@ -191,19 +199,31 @@
         if dry:
             # Reclaims come in waves: the largest domain may be next.
             sure -= max(taken.values())
-        lacking = needed - sure
+        lacking = max(0, needed - sure)
         if lacking > 0:
             state.enough_since = now
-        settled = now - state.enough_since >= SETTLE_S
-        for domain in domains:
-            key = OrderKey(service=service, domain=domain, reclaimable=False)
-            have = running.get(key, 0)
-            held = taken[domain] if domain in dry else each
-            room = max(0, bounds.maximum - held)
-            share = min(max(0, lacking), room)
-            lacking -= max(share, have)
-            wanted[key] = share if settled else max(share, have)
-        return wanted
+        keep = _kept(service, state, bounds, running)
+        total = lacking
+        if lacking > 0 and _overdue(now, state, bounds, running):
+            # Some hold the places of reclaimable servers: they make room
+            # while enough are left.
+            spare = ceil(needed * HEADROOM) - sum(taken.values())
+            total = max(total, min(spare, sum(keep.values())))
+        elif now - state.enough_since < SETTLE_S:
+            total = max(total, sum(keep.values()))
+        first = sorted(
+            keep,
+            key=lambda key: (
+                key.domain not in dry,
+                bounds.domain_prices[key.domain],
+            ),
+        )
+        room = {
+            key: bounds.maximum
+            - (taken[key.domain] if key.domain in dry else each)
+            for key in first
+        }
+        return wanted | _place(total, first, keep, room)
 
     def _is_due(
         self,
@@ -219,8 +239,56 @@
             return desired != running
         if order.desired != desired:
             return True
-        shown_by = order.accepted_at + bounds.boot_s + SHOW_S
-        return running < desired and now >= shown_by
+        return running < desired and now >= order.shown_by(bounds)
+
+
+def _kept(
+    service: ServiceId,
+    state: _Service,
+    bounds: ScalingBounds,
+    running: Mapping[OrderKey, int],
+) -> dict[OrderKey, int]:
+    """Return the others that run and were not given up already."""
+    keep = {}
+    for domain in bounds.domain_prices:
+        key = OrderKey(service=service, domain=domain, reclaimable=False)
+        keep[key] = running.get(key, 0)
+        order = state.orders.get(key)
+        if order is not None and order.desired is not None:
+            keep[key] = min(keep[key], order.desired)
+    return keep
+
+
+def _overdue(
+    now: float,
+    state: _Service,
+    bounds: ScalingBounds,
+    running: Mapping[OrderKey, int],
+) -> bool:
+    """Tell whether reclaimable servers were promised and did not come."""
+    return any(
+        key.reclaimable
+        and order.desired is not None
+        and running.get(key, 0) < order.desired
+        and now >= order.shown_by(bounds)
+        for key, order in state.orders.items()
+    )
+
+
+def _place(
+    total: int,
+    first: Iterable[OrderKey],
+    keep: Mapping[OrderKey, int],
+    room: Mapping[OrderKey, int],
+) -> dict[OrderKey, int]:
+    """Spread servers over the keys: those that run stay where they are."""
+    wanted = dict.fromkeys(first, 0)
+    for limits in (keep, room):
+        for key in wanted:
+            more = min(total, max(0, limits[key] - wanted[key]))
+            wanted[key] += more
+            total -= more
+    return wanted
 
 
 def _count(
--- a/waxwingarch/core/peers/gossip.py
+++ b/waxwingarch/core/peers/gossip.py
@@ -35,8 +35,9 @@
 # A host that follows the tables asks a peer for what is newer only when
 # its own call has not brought it after this long.
 PULL_AFTER_S: Final = 0.7
-# So many hosts that would take the duties next hear of all usage.
-STANDBYS: Final = 3
+# So many hosts that would take the duties next hear of all usage; in a
+# small fleet all do.
+STANDBYS: Final = 5
 
 _DUTY_SALT: Final = ""
 _FOLLOW_SALT: Final = "/follow"
@@ -127,9 +128,11 @@
             return []
         self._sequence += 1
         report = replace(own, sequence=self._sequence)
-        counting = self._counting(now)
-        wanted = [p for p in due if _host_of(p) in counting]
-        others = [p for p in due if _host_of(p) not in counting]
+        wanted, others = due, []
+        if self.book.known > ALL_FOLLOW:
+            counting = self._counting(now)
+            wanted = [p for p in due if _host_of(p) in counting]
+            others = [p for p in due if _host_of(p) not in counting]
         actions: list[Action] = []
         if wanted:
             actions.append(_send(report, wanted))
--- a/waxwingarch/tasks/front_duties.py
+++ b/waxwingarch/tasks/front_duties.py
@@ -208,6 +208,7 @@
             failure_domain=action.key.domain,
             reclaimable=action.key.reclaimable,
             desired=action.desired,
+            running=action.running,
             fence=action.fence,
             accepted=accepted,
             refused=refused,
