Move services to ordered versions on the users' platform; reload settings in place

Roll-outs were not read at all: all versions got requests alike. The shift comes as early before the deadline as a version that turns bad may cost. Found by the tests: a suspicious version that gets no requests is never judged; it keeps its trial share, and is taken back at the deadline.

SIGHUP was logged and did nothing: the file is read again, also when it changes without a signal; [log] is in force at once, the rest is named as needing a restart, unreadable settings change nothing.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,7 +3,7 @@
 import argparse
 import asyncio
 import sys
-from base64 import b64encode
+from base64 import b64decode, b64encode
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Any, Final
@@ -155,6 +155,19 @@
         value = b64encode(self.config.row()).decode()
         self.store.put("op", "config", value)
 
+    def order_rollout(self, service: str, target: str, for_s: float) -> None:
+        """Write the operator's order to move a service to a version."""
+        order = {"service": service, "target": target, "duration_s": for_s}
+        value = b64encode(orjson.dumps(order)).decode()
+        self.store.put("op", f"rollout/{service}", value)
+
+    def rollout_state(self, service: str) -> str:
+        """Return what the system told of a move; empty for nothing."""
+        row = self.store.rows.get(("status", f"rollout/{service}"))
+        if row is None or row.value is None:
+            return ""
+        return str(orjson.loads(b64decode(row.value))["state"])
+
     def engines(self) -> list[FleetServer]:
         """Return the model engines."""
         return [server for server in self.servers if server.engine]
--- a/tests/core/front/test_gossip.py
+++ b/tests/core/front/test_gossip.py
@@ -89,8 +89,8 @@
         gossip = self.hosts[name]
         if not gossip.book.received(self.now, action.report, 0.0):
             return
-        own = self._own(name)
-        for answer in gossip.received(self.now, self.now, action.report, own):
+        mine = (1, self.versions[name])
+        for answer in gossip.received(self.now, self.now, action.report, mine):
             assert isinstance(answer, PullState)
             self.pulled.append(name)
             peer = HostId(answer.address.removeprefix("addr-"))
@@ -132,12 +132,12 @@
         self,
     ) -> None:
         gossip = Gossip(HostId("h1"))
-        own = report(HostId("h1"), listing_version=5)
+        mine = (1, 5)
         older = report(HostId("h2"), listing_version=4, checked_age_s=0.0)
-        gossip.received(1.0, 1.0, older, own)
+        gossip.received(1.0, 1.0, older, mine)
         self.assertEqual(float("inf"), gossip.age_s(1.0))
         same = report(HostId("h2"), listing_version=5, checked_age_s=0.25)
-        gossip.received(1.0, 1.0, same, own)
+        gossip.received(1.0, 1.0, same, mine)
         self.assertEqual(0.25, gossip.age_s(1.0))
 
     def test_a_suspended_host_takes_its_beliefs_for_old(self) -> None:
--- /dev/null
+++ b/tests/core/front/test_rollouts.py
@@ -0,0 +1,242 @@
+"""Version moves: what a bad version gets, and when a good one is in."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+
+import testtools
+
+from tests.core.front.made import POOL, server
+from waxwingarch.core.backends.listing import Backend
+from waxwingarch.core.base import Action, HostId, Server, VersionId
+from waxwingarch.core.moves.move_counts import LoadBand
+from waxwingarch.core.rollouts.driver import ExposureBounds, Rollouts
+from waxwingarch.core.rollouts.messages import (
+    MarkStopped,
+    ReadStops,
+    RolloutOrder,
+    RolloutPhase,
+    RolloutState,
+    RolloutTold,
+    RolloutWord,
+    StopMarked,
+    StopsRead,
+    TellRollout,
+)
+
+DURATION_S = 12.0
+STEP_S = 0.1
+ROLLBACK_S = 5.0
+BAD_ANSWERS = 50
+BOUNDS = ExposureBounds(share=0.1, extra=50.0)
+ORDER = RolloutOrder(
+    service=POOL, target=VersionId("v2"), duration_s=DURATION_S, number=7
+)
+SERVERS = [
+    Backend(
+        server=replace(server(f"e{n}"), version=VersionId(version)),
+        listed_at=0.0,
+    )
+    for n, version in enumerate(("v1", "v1", "v2", "v2"))
+]
+
+# Whether a request to a server at a time fails.
+Fails = Callable[[Server, float], bool]
+
+
+def rollouts(host: str = "h0", seed: int = 1) -> Rollouts:
+    """Return the moves as a host knows them."""
+    return Rollouts(HostId(host), 1, BOUNDS, Random(seed))
+
+
+class Hosts:
+    """Hosts that send requests, count, and tell each other."""
+
+    def __init__(self, count: int, a_second: float, fails: Fails) -> None:
+        self.hosts = [rollouts(f"h{n}", n) for n in range(count)]
+        self.fails = fails
+        self.a_step = a_second * STEP_S / count
+        self.rng = Random(5)
+        self.now = 0.0
+        self.sent = {"v1": 0, "v2": 0}
+        self.bad_at: list[float] = []
+        self.last_new = 0.0
+        self.told: list[tuple[float, RolloutState]] = []
+        self.marks: set[str] = set()
+
+    def run(self, until: float) -> None:
+        while self.now < until:
+            self.now += STEP_S
+            for n, host in enumerate(self.hosts):
+                host.ordered(self.now, [ORDER])
+                self._requests(host)
+                actions = host.tick(self.now, holds_duties=n == 0, busy=set())
+                for action in actions:
+                    self._carry_out(host, action)
+            for host in self.hosts:
+                for other in self.hosts:
+                    if other is not host:
+                        other.heard(host.words(), host.evidence())
+
+    def _requests(self, host: Rollouts) -> None:
+        count = int(self.a_step) + (self.rng.random() < self.a_step % 1)
+        for _ in range(count):
+            backend = self.rng.choice(host.allowed(POOL, SERVERS))
+            server = backend.server
+            self.sent[server.version] += 1
+            bad = self.fails(server, self.now)
+            if server.version == ORDER.target:
+                self.last_new = self.now
+                if bad:
+                    self.bad_at.append(self.now)
+            host.record(
+                self.now,
+                server,
+                "draft",
+                ok=not bad,
+                latency_s=0.1,
+                band=LoadBand.LOW,
+            )
+
+    def _carry_out(self, host: Rollouts, action: Action) -> None:
+        if isinstance(action, ReadStops):
+            host.stops_read(StopsRead(stopped=frozenset(self.marks)))
+        elif isinstance(action, MarkStopped):
+            self.marks.add(action.rollout_id)
+            host.stop_marked(
+                self.now,
+                StopMarked(rollout_id=action.rollout_id, written=True),
+            )
+        elif isinstance(action, TellRollout):
+            self.told.append((self.now, action.state))
+            host.told(
+                self.now,
+                RolloutTold(
+                    rollout_id=action.order.rollout_id, state=action.state
+                ),
+            )
+
+    def allowed_to_a_bad_one(self) -> float:
+        return BOUNDS.share * sum(self.sent.values()) + BOUNDS.extra
+
+
+def no_fault(_server: Server, _now: float) -> bool:
+    """Tell that no request fails."""
+    return False
+
+
+class GoodVersion(testtools.TestCase):
+    def test_is_in_by_the_deadline(self) -> None:
+        for a_second in (30, 60, 250):
+            hosts = Hosts(8, a_second, no_fault)
+            hosts.run(DURATION_S + 1)
+            states = [state for _, state in hosts.told]
+            self.assertEqual(
+                [RolloutState.RUNNING, RolloutState.COMPLETED], states
+            )
+            self.assertLess(hosts.told[-1][0], DURATION_S)
+
+    def test_gets_no_more_than_a_bad_one_may_until_then(self) -> None:
+        for a_second in (30, 60, 250):
+            hosts = Hosts(8, a_second, no_fault)
+            hosts.run(DURATION_S)
+            self.assertLess(hosts.sent["v2"], hosts.allowed_to_a_bad_one())
+
+    def test_without_evidence_nothing_is_shifted(self) -> None:
+        hosts = Hosts(2, 1, no_fault)
+        hosts.run(DURATION_S + 5)
+        self.assertEqual([RolloutState.RUNNING], [s for _, s in hosts.told])
+
+
+class BadVersion(testtools.TestCase):
+    def check(self, hosts: Hosts) -> None:
+        hosts.run(DURATION_S + 3)
+        self.assertEqual(RolloutState.ROLLED_BACK, hosts.told[-1][1])
+        self.assertLess(hosts.sent["v2"], hosts.allowed_to_a_bad_one())
+        if len(hosts.bad_at) >= BAD_ANSWERS:
+            shown_at = hosts.bad_at[BAD_ANSWERS - 1]
+            self.assertLess(hosts.last_new, shown_at + ROLLBACK_S)
+
+    def test_that_fails_at_once_is_taken_back(self) -> None:
+        for a_second in (30, 250):
+            self.check(Hosts(8, a_second, lambda s, _: s.version == "v2"))
+
+    def test_that_fails_in_part_is_taken_back(self) -> None:
+        rng = Random(3)
+
+        def fails(server: Server, _now: float) -> bool:
+            return server.version == "v2" and rng.random() < 0.4
+
+        self.check(Hosts(8, 250, fails))
+
+    def test_that_fails_later_is_taken_back(self) -> None:
+        def fails(server: Server, now: float) -> bool:
+            return server.version == "v2" and now > 5.0
+
+        self.check(Hosts(8, 60, fails))
+
+
+class Stops(testtools.TestCase):
+    def test_no_request_before_the_stop_marks_are_read(self) -> None:
+        host = rollouts()
+        host.ordered(0.0, [ORDER])
+        for _ in range(200):
+            [version] = {b.server.version for b in host.allowed(POOL, SERVERS)}
+            self.assertEqual("v1", version)
+
+    def test_a_host_that_restarts_reads_the_mark(self) -> None:
+        host = rollouts()
+        host.ordered(0.0, [ORDER])
+        [read] = host.tick(0.1, holds_duties=True, busy=set())
+        self.assertIsInstance(read, ReadStops)
+        host.stops_read(StopsRead(stopped=frozenset({ORDER.rollout_id})))
+        [tell] = host.tick(0.2, holds_duties=True, busy=set())
+        assert isinstance(tell, TellRollout)
+        self.assertIs(RolloutState.ROLLED_BACK, tell.state)
+
+    def test_marks_that_could_not_be_read_are_asked_for_again(self) -> None:
+        host = rollouts()
+        host.ordered(0.0, [ORDER])
+        host.tick(0.1, holds_duties=False, busy=set())
+        host.stops_read(StopsRead(stopped=None))
+        [read] = host.tick(0.2, holds_duties=False, busy=set())
+        self.assertIsInstance(read, ReadStops)
+
+    def test_a_peers_stop_counts_at_once_and_is_marked(self) -> None:
+        host = rollouts()
+        host.ordered(0.0, [ORDER])
+        host.tick(0.1, holds_duties=False, busy=set())
+        host.stops_read(StopsRead(stopped=frozenset()))
+        word = RolloutWord(
+            rollout_id=ORDER.rollout_id, phase=RolloutPhase.STOPPED
+        )
+        host.heard([word], [])
+        self.assertEqual(
+            {"v1"}, {b.server.version for b in host.allowed(POOL, SERVERS)}
+        )
+        [mark] = host.tick(0.2, holds_duties=False, busy=set())
+        self.assertIsInstance(mark, MarkStopped)
+
+    def test_an_older_word_takes_no_stop_back(self) -> None:
+        host = rollouts()
+        host.ordered(0.0, [ORDER])
+        host.stops_read(StopsRead(stopped=frozenset({ORDER.rollout_id})))
+        for phase in (RolloutPhase.TRIAL, RolloutPhase.SHIFTED):
+            word = RolloutWord(rollout_id=ORDER.rollout_id, phase=phase)
+            host.heard([word], [])
+        self.assertEqual(
+            {"v1"}, {b.server.version for b in host.allowed(POOL, SERVERS)}
+        )
+
+    def test_a_new_order_begins_anew(self) -> None:
+        host = rollouts()
+        host.ordered(0.0, [ORDER])
+        host.stops_read(StopsRead(stopped=frozenset({ORDER.rollout_id})))
+        host.ordered(1.0, [replace(ORDER, number=9)])
+        host.stops_read(StopsRead(stopped=frozenset({ORDER.rollout_id})))
+        seen = {
+            b.server.version
+            for _ in range(200)
+            for b in host.allowed(POOL, SERVERS)
+        }
+        self.assertEqual({"v1", "v2"}, seen)
--- a/waxwingarch/adapters/front_settings.py
+++ b/waxwingarch/adapters/front_settings.py
@@ -14,6 +14,7 @@
 )
 from waxwingarch.core.base import FailureDomain, HostId
 from waxwingarch.core.front import FrontBounds, FrontIdentity
+from waxwingarch.core.rollouts.driver import ExposureBounds
 
 PositiveSeconds = Annotated[float, Field(gt=0)]
 NotNegative = Annotated[float, Field(ge=0)]
@@ -68,6 +69,8 @@
     lease_ms: PositiveSeconds = 3000.0
     usage_window_s: PositiveSeconds = 5.0
     stop_grace_s: PositiveSeconds = 8.0
+    exposure_share: NotNegative = 0.1
+    exposure_extra: NotNegative = 50.0
 
 
 class LogSection(_Section):
@@ -110,6 +113,9 @@
             rate_window_s=bounds.rate_window_s,
             lease_s=bounds.lease_ms / MS_PER_S,
             usage_window_s=bounds.usage_window_s,
+            exposure=ExposureBounds(
+                share=bounds.exposure_share, extra=bounds.exposure_extra
+            ),
         )
 
 
--- a/waxwingarch/adapters/log_stream.py
+++ b/waxwingarch/adapters/log_stream.py
@@ -36,6 +36,10 @@
         self.lost_lines = 0
         os.set_blocking(descriptor, False)
 
+    def limit(self, lines_per_s: int) -> None:
+        """Set how many lines of one kind a second has at most."""
+        self._lines_per_s = lines_per_s
+
     def __call__(self, message: Mapping[str, Any]) -> None:
         """Write one message, unless there were too many of its kind."""
         second = int(self._clock() / SUMMARY_EVERY_S)
--- a/waxwingarch/adapters/report_codec.py
+++ b/waxwingarch/adapters/report_codec.py
@@ -5,8 +5,14 @@
 import orjson
 
 from waxwingarch.core.backends.load import ServerLoad
-from waxwingarch.core.base import AccountId, HostId, ServerId
+from waxwingarch.core.base import AccountId, HostId, ServerId, VersionId
+from waxwingarch.core.moves.move_counts import (
+    CellCounts,
+    HostEvidence,
+    LoadBand,
+)
 from waxwingarch.core.peers.report import HostReport, WindowCounts
+from waxwingarch.core.rollouts.messages import RolloutPhase, RolloutWord
 from waxwingarch.exceptions import WaxwingError
 
 # Beliefs that were never confirmed are told as this old.
@@ -37,6 +43,8 @@
             },
             "adm": {a: round(n, 1) for a, n in report.admitted.items()},
             "began": _windows(report.began),
+            "moves": [[w.rollout_id, w.phase] for w in report.rollouts],
+            "cells": [_raw_evidence(e) for e in report.evidence],
         }
     )
 
@@ -77,6 +85,11 @@
         },
         admitted={AccountId(a): float(n) for a, n in raw["adm"].items()},
         began=_began(raw["began"]),
+        rollouts=tuple(
+            RolloutWord(rollout_id=str(name), phase=RolloutPhase(phase))
+            for name, phase in raw["moves"]
+        ),
+        evidence=tuple(_evidence(raw, each) for each in raw["cells"]),
     )
 
 
@@ -87,3 +100,34 @@
         int(window): {AccountId(a): int(n) for a, n in counts.items()}
         for window, counts in raw.items()
     }
+
+
+def _raw_evidence(evidence: HostEvidence) -> list[Any]:
+    cells = [
+        [c.version, c.route, c.band, c.requests, c.failures, c.timed, c.slow]
+        for c in evidence.cells
+    ]
+    return [evidence.move_id, evidence.sequence, cells]
+
+
+def _evidence(raw: dict[str, Any], each: list[Any]) -> HostEvidence:
+    move_id, sequence, cells = each
+    return HostEvidence(
+        move_id=str(move_id),
+        host_id=HostId(str(raw["host"])),
+        incarnation=int(raw["inc"]),
+        sequence=int(sequence),
+        closed=False,
+        cells=tuple(
+            CellCounts(
+                version=VersionId(version),
+                route=route,
+                band=LoadBand(band),
+                requests=int(requests),
+                failures=int(failures),
+                timed=int(timed),
+                slow=int(slow),
+            )
+            for version, route, band, requests, failures, timed, slow in cells
+        ),
+    )
--- a/waxwingarch/core/backends/chooser.py
+++ b/waxwingarch/core/backends/chooser.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, Protocol
 
 import xxhash
 
@@ -45,12 +45,27 @@
     uncached_tokens: int
 
 
+class VersionChoice(Protocol):
+    """Decides which version of a service a request goes to."""
+
+    def allowed(
+        self, service: ServiceId, backends: list[Backend]
+    ) -> list[Backend]:
+        """Return the servers of that version."""
+
+
 class BackendChooser:
     """Compares all usable servers of a service."""
 
-    def __init__(self, rng: RandomSource, own_domain: FailureDomain) -> None:
+    def __init__(
+        self,
+        rng: RandomSource,
+        own_domain: FailureDomain,
+        versions: VersionChoice,
+    ) -> None:
         self._rng = rng
         self._own_domain = own_domain
+        self._versions = versions
         self.book = BackendBook(linger_s=LINGER_S)
         self.loads = LoadBook()
         self.parts = PartBook()
@@ -125,7 +140,7 @@
         self, now: float, service: ServiceId, exclude: Collection[ServerId]
     ) -> list[Backend]:
         """Return whom to compare, the avoided only where few are left."""
-        usable = self.book.of_service(service)
+        usable = self._versions.allowed(service, self.book.of_service(service))
         left = [b for b in usable if b.server.server_id not in exclude]
         # Servers that a listing lost may be gone; only where it lost all
         # of them was it likelier the store than the servers.
--- a/waxwingarch/core/backends/load.py
+++ b/waxwingarch/core/backends/load.py
@@ -45,6 +45,7 @@
     kv_tokens: int
     expected_s: float
     began: bool = False
+    first_s: float | None = None
 
 
 @dataclass(kw_only=True, slots=True)
@@ -82,6 +83,7 @@
         if sent.began:
             return None
         sent.began = True
+        sent.first_s = now - sent.sent_at
         self._own[sent.server_id].prefill_tokens -= sent.prefill_tokens
         return sent
 
--- a/waxwingarch/core/exchange/board.py
+++ b/waxwingarch/core/exchange/board.py
@@ -4,6 +4,7 @@
 
 from waxwingarch.core.backends.chooser import BackendChooser, Pick
 from waxwingarch.core.backends.listing import BackendLeaving
+from waxwingarch.core.backends.load import Sent
 from waxwingarch.core.base import (
     Action,
     Ran,
@@ -33,8 +34,10 @@
 )
 from waxwingarch.core.limits.resend_budget import ResendBudget
 from waxwingarch.core.limits.shared_rate import SharedRates
+from waxwingarch.core.moves.move_counts import load_band
 from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.refusal import Refusal, RefusalReason
+from waxwingarch.core.rollouts.driver import Rollouts
 from waxwingarch.core.routing.config import (
     EngineTraits,
     Repeat,
@@ -76,12 +79,14 @@
         chooser: BackendChooser,
         rates: SharedRates,
         resends: ResendBudget,
+        rollouts: Rollouts,
         rng: RandomSource,
     ) -> None:
         self._table = table
         self._chooser = chooser
         self._rates = rates
         self._resends = resends
+        self._rollouts = rollouts
         self._rng = rng
         self._open: dict[RequestId, ExchangeState] = {}
         self._moves: dict[RequestId, float] = {}
@@ -279,6 +284,7 @@
         if sent is None:
             return self._final(state, event, state.give_up(event))
         self._judge(now, state, event, sent.server_id)
+        self._record(now, state, event, sent)
         step = state.after(now, event, sent.server_id)
         if step is Next.SEND_AGAIN:
             again = self._send_again(now, state)
@@ -318,6 +324,27 @@
             sure = event.end is End.NOT_SENT
             health.failed(now, server, sure=sure)
 
+    def _record(
+        self, now: float, state: ExchangeState, event: SendEnded, sent: Sent
+    ) -> None:
+        """Count an outcome that tells something of the server's version."""
+        backend = self._chooser.book.get(sent.server_id)
+        if backend is None or not backend.usable or state.moved is not None:
+            return
+        if event.end in (End.REJECTED, End.MISDIRECTED, End.EXPIRED):
+            return
+        server = backend.server
+        running = self._chooser.loads.total(server.server_id).running
+        latency_s = sent.first_s
+        self._rollouts.record(
+            now,
+            server,
+            state.exchange.route.name,
+            ok=event.end is End.DONE,
+            latency_s=now - sent.sent_at if latency_s is None else latency_s,
+            band=load_band(running, server.slots),
+        )
+
     def _final(
         self, state: ExchangeState, event: SendEnded, step: Next
     ) -> list[Action]:
--- a/waxwingarch/core/front.py
+++ b/waxwingarch/core/front.py
@@ -53,6 +53,13 @@
 )
 from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.refusal import Refusal, RefusalReason
+from waxwingarch.core.rollouts.driver import ExposureBounds, Rollouts
+from waxwingarch.core.rollouts.messages import (
+    RolloutsRead,
+    RolloutTold,
+    StopMarked,
+    StopsRead,
+)
 from waxwingarch.core.routing.config import RoutingConfig
 from waxwingarch.core.routing.table import RoutingTable
 
@@ -82,6 +89,7 @@
     rate_window_s: float = 8.0
     lease_s: float = 3.0
     usage_window_s: float = 5.0
+    exposure: ExposureBounds = field(default_factory=ExposureBounds)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -139,7 +147,10 @@
     ) -> None:
         self.identity = identity
         self.table = RoutingTable()
-        self.chooser = BackendChooser(rng, identity.domain)
+        self.rollouts = Rollouts(
+            identity.host, identity.incarnation, bounds.exposure, rng
+        )
+        self.chooser = BackendChooser(rng, identity.domain, self.rollouts)
         self.rates = SharedRates(bounds.rate_window_s)
         self.resends = ResendBudget(
             ratio=bounds.resend_ratio,
@@ -147,7 +158,12 @@
             window_s=bounds.resend_window_s,
         )
         self.board = ExchangeBoard(
-            self.table, self.chooser, self.rates, self.resends, rng
+            self.table,
+            self.chooser,
+            self.rates,
+            self.resends,
+            self.rollouts,
+            rng,
         )
         self.gossip = Gossip(identity.host)
         self.peers = self.gossip.book
@@ -187,6 +203,10 @@
             UsageSettled: self._usage_settled,
             UsageSent: self._usage_sent,
             ServersOrdered: self._servers_ordered,
+            RolloutsRead: self._rollouts_read,
+            StopsRead: self._stops_read,
+            StopMarked: self._stop_marked,
+            RolloutTold: self._rollout_told,
             StopBegan: self._stop,
         }
 
@@ -285,10 +305,11 @@
         self.rates.reported(
             now, report.host, report.admitted, report.config_version
         )
+        self.rollouts.heard(report.rollouts, report.evidence)
         if report.holds_duties:
             self.lease.holder_heard(self._boot_now)
-        own = self._own_report(now)
-        return self.gossip.received(now, self._boot_now, report, own)
+        mine = (self._rows_version, self.chooser.book.version)
+        return self.gossip.received(now, self._boot_now, report, mine)
 
     def _own_report(self, now: float) -> HostReport:
         """Return what this host tells of itself; the sender numbers it."""
@@ -306,6 +327,8 @@
             loads=self.chooser.loads.own(),
             admitted=self.rates.used(now, self.table.accounts.values()),
             began=self.usage.counts,
+            rollouts=self.rollouts.words(),
+            evidence=self.rollouts.evidence(),
         )
 
     # Duties
@@ -372,6 +395,36 @@
             )
         return actions
 
+    # Version moves
+
+    def _rollouts_read(self, now: float, event: RolloutsRead) -> list[Action]:
+        self.rollouts.ordered(now, event.orders)
+        return []
+
+    def _stops_read(self, now: float, event: StopsRead) -> list[Action]:
+        self.rollouts.stops_read(event)
+        return []
+
+    def _stop_marked(self, now: float, event: StopMarked) -> list[Action]:
+        self.rollouts.stop_marked(now, event)
+        return []
+
+    def _rollout_told(self, now: float, event: RolloutTold) -> list[Action]:
+        self.rollouts.told(now, event)
+        return []
+
+    def _moves(self, now: float) -> list[Action]:
+        busy = {
+            order.service
+            for order in self.rollouts.moving()
+            for backend in self.chooser.book.of_service(order.service)
+            if backend.server.version != order.target
+            and self.chooser.loads.total(backend.server.server_id).running
+        }
+        return self.rollouts.tick(
+            now, holds_duties=self.may_act(self._boot_now), busy=busy
+        )
+
     # Time and life
 
     def _tick(self, now: float, event: FrontTick) -> list[Action]:
@@ -383,6 +436,7 @@
             self.chooser.loads.drop_peer(host)
         actions += self.board.tick(now)
         actions += self._duties(now)
+        actions += self._moves(now)
         actions += self.gossip.follow(
             now, self._boot_now, stopping=self.stopping
         )
--- a/waxwingarch/core/moves/evidence.py
+++ b/waxwingarch/core/moves/evidence.py
@@ -163,6 +163,16 @@
             return {}
         return route_shares(watch)
 
+    def requests(self, move_id: str) -> dict[VersionId, int]:
+        """Return the requests of all hosts judged so far, by version."""
+        watch = self._watches.get(move_id)
+        totals: dict[VersionId, int] = {}
+        if watch is None:
+            return totals
+        for (version, _, _), cell in watch.totals.items():
+            totals[version] = totals.get(version, 0) + cell.requests
+        return totals
+
     def verdict(self, now: float, move_id: str) -> Verdict | None:
         """Judge the merged counts, at most once a window.
 
--- a/waxwingarch/core/peers/gossip.py
+++ b/waxwingarch/core/peers/gossip.py
@@ -97,11 +97,17 @@
     # Reports
 
     def received(
-        self, now: float, boot_now: float, report: HostReport, own: HostReport
+        self,
+        now: float,
+        boot_now: float,
+        report: HostReport,
+        mine: tuple[int, int],
     ) -> list[Action]:
-        """Compare a peer's beliefs with those of `own`, as of now."""
+        """Compare a peer's beliefs with this host's.
+
+        `mine` are the versions of the configuration and the listing.
+        """
         theirs = (report.config_version, report.listing_version)
-        mine = (own.config_version, own.listing_version)
         if theirs == mine:
             fresh_at = boot_now - report.checked_age_s
             self._fresh_at = max(self._fresh_at, fresh_at)
--- a/waxwingarch/core/peers/report.py
+++ b/waxwingarch/core/peers/report.py
@@ -6,6 +6,8 @@
 
 from waxwingarch.core.backends.load import ServerLoad
 from waxwingarch.core.base import AccountId, Action, Event, HostId, ServerId
+from waxwingarch.core.moves.move_counts import HostEvidence
+from waxwingarch.core.rollouts.messages import RolloutWord
 
 # Requests that began to run, by usage window and account.
 WindowCounts = Mapping[int, Mapping[AccountId, int]]
@@ -20,6 +22,7 @@
     what it used of the accounts' rates over their window, `began` counts
     the requests that began to run by usage window; None where the
     receiver is not one that may hold the duties.
+    `rollouts` and `evidence` are about the version moves under way.
     `config_version` and `listing_version` name its beliefs, and
     `checked_age_s` is how long ago they were the newest there are.
     """
@@ -37,6 +40,8 @@
     loads: Mapping[ServerId, ServerLoad] = field(default_factory=dict)
     admitted: Mapping[AccountId, float] = field(default_factory=dict)
     began: WindowCounts | None = None
+    rollouts: tuple[RolloutWord, ...] = ()
+    evidence: tuple[HostEvidence, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/randomness.py
+++ b/waxwingarch/core/randomness.py
@@ -9,6 +9,10 @@
 class RandomSource(Protocol):
     """What the decisions use of `random.Random`; see there."""
 
+    def random(self) -> float:
+        """Return a number from 0 up to, but not including, 1."""
+        ...
+
     def uniform(self, a: float, b: float) -> float:
         """Return a number between `a` and `b`."""
         ...
--- /dev/null
+++ b/waxwingarch/core/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Version moves that an operator orders for a service of the platform."""
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -36,6 +36,7 @@
     SharedTable,
     TableChecked,
 )
+from waxwingarch.core.rollouts.messages import RolloutsRead
 from waxwingarch.ports.front import (
     BadRowError,
     FrontPorts,
@@ -46,7 +47,9 @@
 from waxwingarch.tasks.front_entry import FrontEntry, Readiness
 from waxwingarch.tasks.front_log import FrontLog
 from waxwingarch.tasks.front_peers import FrontPeers
+from waxwingarch.tasks.front_rollouts import FrontRollouts
 from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.settings_watch import SettingsWatch
 from waxwingarch.tasks.table_watch import TableWatch
 
 MS_PER_S: Final = 1000
@@ -64,9 +67,14 @@
     """All parts of one host's process."""
 
     def __init__(
-        self, settings: FrontSettings, client: HttpClient, ports: FrontPorts
+        self,
+        settings: FrontSettings,
+        client: HttpClient,
+        ports: FrontPorts,
+        watch: SettingsWatch | None = None,
     ) -> None:
         self._settings = settings
+        self._settings_watch = watch
         self._client = client
         self._ports = ports
         incarnation = int(time.time() * MS_PER_S)
@@ -91,6 +99,7 @@
         watches = [self._config_watch, self._servers_watch]
         self._peers = FrontPeers(self._runner, client, watches)
         self._duties = FrontDuties(self._runner, ports, identity.host)
+        self._rollouts = FrontRollouts(self._runner, ports)
         self._entry = FrontEntry(
             self._runner, client, ports.exchanges, on_error
         )
@@ -138,6 +147,8 @@
         await self._entry.async_setup(*split_address(listen.callers))
         await self._config_watch.async_setup()
         await self._servers_watch.async_setup()
+        if self._settings_watch is not None:
+            await self._settings_watch.async_setup()
         for work in (self._async_tick(), self._async_register()):
             self._tasks.append(asyncio.create_task(work))
 
@@ -160,12 +171,15 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._settings_watch is not None:
+            await self._settings_watch.async_unload()
         await self._entry.async_unload()
         await self._readiness.server.async_unload()
         await self._metrics_server.async_unload()
         await self._config_watch.async_unload()
         await self._servers_watch.async_unload()
         await self._duties.async_unload()
+        await self._rollouts.async_unload()
         await self._peers.async_unload()
         await self._client.async_unload()
 
@@ -190,7 +204,8 @@
         self._stopping.set()
 
     def _on_hangup(self) -> None:
-        log_message(message_type="reload", reason="nothing changes in place")
+        if self._settings_watch is not None:
+            self._settings_watch.reload("signal")
 
     async def _async_metrics(
         self, req: HttpRequest, resp: HttpResponder
@@ -238,6 +253,7 @@
     # What the tables say
 
     def _on_config(self, watch: TableWatch) -> None:
+        self._on_orders(watch)
         row = watch.rows.get(self._ports.rows.config_key)
         if row is None or row.value is None:
             return
@@ -248,6 +264,21 @@
             return
         self._runner.post(ConfigRead(cfg=cfg, rows_version=watch.version))
 
+    def _on_orders(self, watch: TableWatch) -> None:
+        orders = []
+        for row in watch.rows.values():
+            try:
+                order = self._ports.rows.rollout(row)
+            except BadRowError as exc:
+                log_message(
+                    message_type="bad_rollout", key=row.key, reason=str(exc)
+                )
+                continue
+            if order is not None:
+                orders.append(order)
+        if orders:
+            self._runner.post(RolloutsRead(orders=tuple(orders)))
+
     def _on_checked(self, table: SharedTable) -> None:
         self._runner.post(TableChecked(table=table))
 
--- a/waxwingarch/platform/__main__.py
+++ b/waxwingarch/platform/__main__.py
@@ -19,6 +19,7 @@
 from waxwingarch.exceptions import SettingsError
 from waxwingarch.front_daemon import FrontDaemon
 from waxwingarch.platform.wiring import platform_ports
+from waxwingarch.tasks.settings_watch import SettingsWatch
 
 # The platform names the settings file in this variable.
 SETTINGS_VARIABLE: Final = "WAXWINGARCH_CONFIG"
@@ -36,13 +37,18 @@
         return EXIT_OK
     stream = LogStream(sys.stdout.fileno(), settings.log.lines_per_s)
     add_destinations(stream)
-    return asyncio.run(_async_main(settings))
+    watch = SettingsWatch(
+        args.settings,
+        settings,
+        lambda fresh: stream.limit(fresh.log.lines_per_s),
+    )
+    return asyncio.run(_async_main(settings, watch))
 
 
-async def _async_main(settings: FrontSettings) -> int:
+async def _async_main(settings: FrontSettings, watch: SettingsWatch) -> int:
     client = HttpClient()
     ports = platform_ports(settings, client)
-    return await FrontDaemon(settings, client, ports).async_run()
+    return await FrontDaemon(settings, client, ports, watch).async_run()
 
 
 def _parser() -> argparse.ArgumentParser:
--- a/waxwingarch/platform/const.py
+++ b/waxwingarch/platform/const.py
@@ -6,6 +6,9 @@
 TABLE_OPERATOR: Final = "op"
 KEY_CONFIG: Final = "config"
 TABLE_SERVERS: Final = "servers"
+# An order to move a service to another version, and what became of it.
+TABLE_STATUS: Final = "status"
+KEY_ROLLOUT: Final = "rollout/"
 
 # Headers of callers and servers, in lower case.
 HEADER_REQUEST: Final = "x-waxwingarch-request-id"
--- a/waxwingarch/platform/rows_codec.py
+++ b/waxwingarch/platform/rows_codec.py
@@ -15,6 +15,7 @@
     ServiceId,
     VersionId,
 )
+from waxwingarch.core.rollouts.messages import RolloutOrder, RolloutState
 from waxwingarch.core.routing.config import (
     EngineTraits,
     Repeat,
@@ -27,11 +28,13 @@
 )
 from waxwingarch.platform.const import (
     KEY_CONFIG,
+    KEY_ROLLOUT,
     MS_PER_S,
     TABLE_OPERATOR,
     TABLE_SERVERS,
+    TABLE_STATUS,
 )
-from waxwingarch.ports.front import BadRowError
+from waxwingarch.ports.front import BadRowError, StoredRow
 
 KIND_IDEMPOTENT = "idempotent"
 KIND_STREAMING = "streaming"
@@ -128,12 +131,58 @@
     models: list[dict[str, Any]] | None = None
 
 
+class _RolloutRow(BaseModel):
+    service: str
+    # The version that the service's requests go to at the end.
+    target: str
+    duration_s: float = Field(gt=0)
+
+
+class _StatusRow(BaseModel):
+    state: str
+
+
+_STATES = {
+    RolloutState.RUNNING: "running",
+    RolloutState.COMPLETED: "completed",
+    RolloutState.ROLLED_BACK: "rolled_back",
+}
+
+
 class PlatformRows:
     """`RowCodec` over the platform's rows."""
 
     config_table = TABLE_OPERATOR
     config_key = KEY_CONFIG
     servers_table = TABLE_SERVERS
+    status_table = TABLE_STATUS
+
+    def rollout(self, row: StoredRow) -> RolloutOrder | None:
+        """Return the order in an operator's row; raises `BadRowError`."""
+        if not row.key.startswith(KEY_ROLLOUT) or row.value is None:
+            return None
+        order = _validated(_RolloutRow, row.value)
+        return RolloutOrder(
+            service=ServiceId(order.service),
+            target=VersionId(order.target),
+            duration_s=order.duration_s,
+            number=row.version,
+        )
+
+    def rollout_status_key(self, service: ServiceId) -> str:
+        """Return the key of the row that tells the state of a move."""
+        return f"{KEY_ROLLOUT}{service}"
+
+    def rollout_status(
+        self, order: RolloutOrder, state: RolloutState
+    ) -> bytes:
+        """Return the value of that row."""
+        return orjson.dumps({"state": _STATES[state], "target": order.target})
+
+    def rollout_state(self, value: bytes) -> RolloutState | None:
+        """Return the state in that row; None for one that is unknown."""
+        said = _validated(_StatusRow, value).state
+        return next((s for s, word in _STATES.items() if word == said), None)
 
     def config(self, value: bytes) -> RoutingConfig:
         """Return the configuration; raises `BadRowError`."""
--- a/waxwingarch/ports/front.py
+++ b/waxwingarch/ports/front.py
@@ -6,13 +6,20 @@
 
 from waxwingarch.adapters.http_messages import Headers, HttpRequest
 from waxwingarch.core.backends.listing import ListedBackend
-from waxwingarch.core.base import AccountId, HostId, RequestId, Server
+from waxwingarch.core.base import (
+    AccountId,
+    HostId,
+    RequestId,
+    Server,
+    ServiceId,
+)
 from waxwingarch.core.duties.scaling import OrderKey
 from waxwingarch.core.exchange.messages import (
     ExchangeHead,
     MovedState,
     Send,
 )
+from waxwingarch.core.rollouts.messages import RolloutOrder, RolloutState
 from waxwingarch.core.routing.config import RoutingConfig
 from waxwingarch.exceptions import PlatformUnavailableError, WaxwingError
 
@@ -112,6 +119,24 @@
     config_table: str
     config_key: str
     servers_table: str
+    status_table: str
+
+    def rollout(self, row: StoredRow) -> RolloutOrder | None:
+        """Return the order in an operator's row; raises `BadRowError`.
+
+        None for a row that is about something else.
+        """
+
+    def rollout_status_key(self, service: ServiceId) -> str:
+        """Return the key of the row that tells the state of a move."""
+
+    def rollout_status(
+        self, order: RolloutOrder, state: RolloutState
+    ) -> bytes:
+        """Return the value of that row."""
+
+    def rollout_state(self, value: bytes) -> RolloutState | None:
+        """Return the state in that row; raises `BadRowError`."""
 
     def config(self, value: bytes) -> RoutingConfig:
         """Return the configuration; raises `BadRowError`."""
--- /dev/null
+++ b/waxwingarch/tasks/front_rollouts.py
@@ -0,0 +1,158 @@
+"""Reads and writes the rows of version moves."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from functools import partial
+from typing import Any, Final
+
+from eliot import log_message
+
+from waxwingarch.core.base import Action
+from waxwingarch.core.rollouts.messages import (
+    MarkStopped,
+    ReadStops,
+    RolloutOrder,
+    RolloutState,
+    RolloutTold,
+    StopMarked,
+    StopsRead,
+    TellRollout,
+)
+from waxwingarch.ports.front import (
+    BadRowError,
+    FrontPorts,
+    RowWrite,
+    StoreUnavailableError,
+)
+from waxwingarch.tasks.runner import FrontRunner
+
+STOPS_TABLE: Final = "waxwing-stops"
+CALL_LIMIT_S: Final = 1.0
+# Pause before the stop marks are read again.
+RETRY_S: Final = 0.3
+
+Call = Callable[[Any], Coroutine[Any, Any, None]]
+
+
+class FrontRollouts:
+    """One task for each call; their outcomes go back to the node."""
+
+    def __init__(self, runner: FrontRunner, ports: FrontPorts) -> None:
+        self._runner = runner
+        self._ports = ports
+        self._tasks: set[asyncio.Task[None]] = set()
+        calls: dict[type[Action], Call] = {
+            ReadStops: self._async_read_stops,
+            MarkStopped: self._async_mark,
+            TellRollout: self._async_tell,
+        }
+        for kind, call in calls.items():
+            runner.connect(kind, partial(self._start, call))
+
+    async def async_unload(self) -> None:
+        """End the calls under way."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _start(self, call: Call, action: Action) -> None:
+        task = asyncio.create_task(call(action))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _deadline(self) -> float:
+        return asyncio.get_running_loop().time() + CALL_LIMIT_S
+
+    async def _async_read_stops(self, action: ReadStops) -> None:
+        stopped: frozenset[str] | None = None
+        try:
+            rows = await self._ports.store.async_read(
+                STOPS_TABLE, deadline=self._deadline()
+            )
+            stopped = frozenset(row.key for row in rows.rows)
+        except StoreUnavailableError as exc:
+            log_message(message_type="stops_not_read", reason=str(exc))
+            await asyncio.sleep(RETRY_S)
+        self._runner.post(StopsRead(stopped=stopped))
+
+    async def _async_mark(self, action: MarkStopped) -> None:
+        write = RowWrite(
+            table=STOPS_TABLE,
+            key=action.rollout_id,
+            value=action.reason.encode(),
+        )
+        written = True
+        try:
+            await self._ports.store.async_write(
+                [write], deadline=self._deadline()
+            )
+        except StoreUnavailableError as exc:
+            log_message(message_type="stop_not_marked", reason=str(exc))
+            written = False
+        log_message(
+            message_type="rollout_stopped",
+            rollout=action.rollout_id,
+            reason=action.reason,
+            marked=written,
+        )
+        self._runner.post(
+            StopMarked(rollout_id=action.rollout_id, written=written)
+        )
+
+    async def _async_tell(self, action: TellRollout) -> None:
+        state: RolloutState | None = None
+        try:
+            state = await self._async_write_state(action)
+        except (StoreUnavailableError, BadRowError) as exc:
+            log_message(message_type="rollout_not_told", reason=str(exc))
+        else:
+            log_message(
+                message_type="rollout_told",
+                rollout=action.order.rollout_id,
+                target=action.order.target,
+                wanted=action.state.value,
+                state=state.value if state else None,
+            )
+        self._runner.post(
+            RolloutTold(rollout_id=action.order.rollout_id, state=state)
+        )
+
+    async def _async_write_state(
+        self, action: TellRollout
+    ) -> RolloutState | None:
+        """Write a state; an end that was told before stays.
+
+        Returns what the row says then, None if another host wrote first.
+        """
+        codec = self._ports.rows
+        order = action.order
+        key = codec.rollout_status_key(order.service)
+        rows = await self._ports.store.async_read(
+            codec.status_table, key=key, deadline=self._deadline()
+        )
+        row = rows.rows[0] if rows.rows else None
+        version = row.version if row else 0
+        if row is not None and row.value is not None:
+            told = codec.rollout_state(row.value)
+            if _is_end(order, version, told):
+                return told
+        write = RowWrite(
+            table=codec.status_table,
+            key=key,
+            value=codec.rollout_status(order, action.state),
+            expected_version=version,
+        )
+        result = await self._ports.store.async_write(
+            [write], deadline=self._deadline()
+        )
+        return action.state if result.applied else None
+
+
+def _is_end(
+    order: RolloutOrder, version: int, told: RolloutState | None
+) -> bool:
+    """Tell whether a row written after the order ends it."""
+    return version > order.number and told in (
+        RolloutState.COMPLETED,
+        RolloutState.ROLLED_BACK,
+    )
