Take callers from the first moment of a start, and wait for the first beliefs

The entry point now listens before it imports the rest, and a request that comes before the routes and servers are known waits for them, 0.5 s at most; then it is refused as not run, as before.

--- /dev/null
+++ b/tests/front/test_early_socket.py
@@ -0,0 +1,87 @@
+"""The socket that takes callers while the program starts."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import testtools
+
+from standins.deployment import wait_until
+from standins.ports import LOOPBACK, free_port
+from waxwingarch.adapters.early_socket import listen_early
+
+SETTINGS = """[host]
+name = h1
+failure_domain = za
+[listen]
+readiness = 127.0.0.1:{readiness}
+callers = 127.0.0.1:{callers}
+peers = 127.0.0.1:{peers}
+metrics = 127.0.0.1:{metrics}
+[store]
+address = 127.0.0.1:9
+"""
+
+
+class Listening(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        made = TemporaryDirectory()
+        self.addCleanup(made.cleanup)
+        self.path = Path(made.name) / "host.ini"
+        names = ("callers", "readiness", "peers", "metrics")
+        self.ports = {name: free_port() for name in names}
+        self.path.write_text(SETTINGS.format(**self.ports))
+
+    def connect(self) -> socket.socket:
+        address = (LOOPBACK, self.ports["callers"])
+        conn = socket.create_connection(address, timeout=5)
+        self.addCleanup(conn.close)
+        return conn
+
+    def test_callers_can_connect_at_once(self) -> None:
+        sock = listen_early(self.path)
+        assert sock is not None
+        self.addCleanup(sock.close)
+        self.connect()
+
+    def test_files_without_an_address_are_left_to_the_full_check(
+        self,
+    ) -> None:
+        for text in ("", "[listen]\ncallers = x\n", "[host]\ncallers = a:1\n"):
+            self.path.write_text(text)
+            self.assertIsNone(listen_early(self.path))
+        self.assertIsNone(listen_early(self.path / "missing"))
+
+    def test_address_in_use_is_left_to_the_daemon(self) -> None:
+        with socket.create_server((LOOPBACK, self.ports["callers"])):
+            self.assertIsNone(listen_early(self.path))
+
+    def test_connection_made_during_the_start_is_answered(self) -> None:
+        env = {**os.environ, "WAXWINGARCH_CONFIG": str(self.path)}
+        process = subprocess.Popen(
+            [sys.executable, "-m", "waxwingarch.platform"],
+            env=env,
+            stdout=subprocess.DEVNULL,
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.send_signal, signal.SIGKILL)
+
+        def connected() -> bool:
+            try:
+                self.conn = self.connect()
+            except OSError:
+                return False
+            return True
+
+        wait_until(connected, "it listens")
+        self.conn.settimeout(20)
+        self.conn.sendall(
+            b"GET /x HTTP/1.1\r\nhost: h\r\n"
+            b"x-waxwingarch-request-id: r1\r\n\r\n"
+        )
+        self.assertIn(b" 503 ", self.conn.recv(4096))
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server side over h11, one asyncio protocol a connection."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Final
@@ -17,6 +18,7 @@
     json_body,
 )
 
+BACKLOG: Final = 1024
 MAX_HEADER_BYTES: Final = 32 * 1024
 MAX_BODY_BYTES: Final = 8 * 1024 * 1024
 REQUEST_READ_LIMIT_S: Final = 10.0
@@ -312,12 +314,22 @@
         self.draining = False
         self._server: asyncio.Server | None = None
 
-    async def async_setup(self, host: str, port: int) -> int:
-        """Listen; returns the port, which is chosen where `port` is 0."""
+    async def async_setup(
+        self, host: str, port: int, sock: socket.socket | None = None
+    ) -> int:
+        """Listen; returns the port, which is chosen where `port` is 0.
+
+        A socket that listens already is used instead of the address.
+        """
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _Connection(self), host, port, backlog=1024
-        )
+        if sock is not None:
+            self._server = await loop.create_server(
+                lambda: _Connection(self), sock=sock, backlog=BACKLOG
+            )
+        else:
+            self._server = await loop.create_server(
+                lambda: _Connection(self), host, port, backlog=BACKLOG
+            )
         return int(self._server.sockets[0].getsockname()[1])
 
     def start_drain(self) -> None:
--- a/waxwingarch/core/front.py
+++ b/waxwingarch/core/front.py
@@ -3,6 +3,7 @@
 Composes routing, exchanges, servers, limits, peers and duties.
 """
 
+from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Final
@@ -37,6 +38,7 @@
     AnswerBegan,
     ExchangeArrived,
     ExchangeGone,
+    ExchangeHead,
     RunMoved,
     SendEnded,
     ServerHeard,
@@ -68,6 +70,9 @@
 TAKE_WHILE_STOPPING_S: Final = 2.6
 # Usage is settled when the reports of so many rounds can be in.
 SETTLE_ROUNDS: Final = 3.0
+# A host that has just started knows the routes and servers within a few
+# calls to the store: requests that come before wait so long for them.
+WAIT_TO_SERVE_S: Final = 0.5
 # A request that another host may take at once comes back after this.
 ELSEWHERE_S: Final = 0.1
 
@@ -136,6 +141,16 @@
     idle_timeout_s: float
 
 
+def _stopping(head: ExchangeHead) -> Answer:
+    refusal = Refusal(
+        reason=RefusalReason.DRAINING,
+        ran=Ran.NOT_RUN,
+        message="this host is stopping: send it again, another answers",
+        retry_after_s=ELSEWHERE_S,
+    )
+    return Answer(request_id=head.request_id, refusal=refusal)
+
+
 class Front(Node):
     """All decisions about exchanges, and what they rest on."""
 
@@ -181,6 +196,7 @@
         self._rows_version = 0
         self._was_holder = False
         self._begun = False
+        self._waiting: deque[tuple[float, ExchangeHead]] = deque()
         super().__init__(self._table_of_handlers())
 
     def _table_of_handlers(self) -> Mapping[type[Event], Handler]:
@@ -192,7 +208,7 @@
             AnswerBegan: self._began,
             ServerHeard: self._heard,
             SendEnded: self.board.ended,
-            ExchangeGone: self.board.gone,
+            ExchangeGone: self._gone,
             RunMoved: self.board.run_moved,
             ReportReceived: self._report,
             HostsListed: self._hosts_listed,
@@ -225,15 +241,30 @@
         return now + self._unix_ahead_s + self.peers.clock_ahead_s(now)
 
     def _arrived(self, now: float, event: ExchangeArrived) -> list[Action]:
-        if now < self._take_until:
-            return self.board.arrived(now, event.head)
-        refusal = Refusal(
-            reason=RefusalReason.DRAINING,
-            ran=Ran.NOT_RUN,
-            message="this host is stopping: send it again, another answers",
-            retry_after_s=ELSEWHERE_S,
+        head = event.head
+        if now >= self._take_until:
+            return [_stopping(head)]
+        if self.serving:
+            return self.board.arrived(now, head)
+        wait_s = min(WAIT_TO_SERVE_S, head.patience_s or WAIT_TO_SERVE_S)
+        self._waiting.append((now + wait_s, head))
+        return []
+
+    def _gone(self, now: float, event: ExchangeGone) -> list[Action]:
+        self._waiting = deque(
+            (until, head)
+            for until, head in self._waiting
+            if head.request_id != event.request_id
         )
-        return [Answer(request_id=event.head.request_id, refusal=refusal)]
+        return self.board.gone(now, event)
+
+    def _serve_waiting(self, now: float) -> list[Action]:
+        """Take requests that waited for the first beliefs, or refuse."""
+        actions: list[Action] = []
+        while self._waiting and (self.serving or now >= self._waiting[0][0]):
+            _, head = self._waiting.popleft()
+            actions += self.board.arrived(now, head)
+        return actions
 
     # Beliefs
 
@@ -242,12 +273,11 @@
         if not self.table.apply(now, event.cfg):
             return []
         self.rates.configured(now, event.rows_version, event.cfg.accounts)
-        return [
-            ConfigApplied(
-                version=event.cfg.version,
-                idle_timeout_s=event.cfg.idle_timeout_s,
-            )
-        ]
+        applied = ConfigApplied(
+            version=event.cfg.version,
+            idle_timeout_s=event.cfg.idle_timeout_s,
+        )
+        return [applied, *self._serve_waiting(now)]
 
     def _listed(self, now: float, event: BackendsListed) -> list[Action]:
         before = {
@@ -259,7 +289,7 @@
             server = backend.server
             if before.get(server.server_id, 0) not in (0, server.incarnation):
                 self.chooser.forget(server.server_id)
-        return self._leaving(now, leaving)
+        return self._leaving(now, leaving) + self._serve_waiting(now)
 
     def _leaving(
         self, now: float, leaving: list[BackendLeaving]
@@ -435,6 +465,7 @@
         for host in self.peers.silent(now):
             self.chooser.loads.drop_peer(host)
         actions += self.board.tick(now)
+        actions += self._serve_waiting(now)
         actions += self._duties(now)
         actions += self._moves(now)
         actions += self.gossip.follow(
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import signal
+import socket
 import time
 from random import Random
 from typing import Final
@@ -72,8 +73,11 @@
         client: HttpClient,
         ports: FrontPorts,
         watch: SettingsWatch | None = None,
+        sock: socket.socket | None = None,
     ) -> None:
+        """Prepare all parts; `sock` listens for callers already."""
         self._settings = settings
+        self._sock = sock
         self._settings_watch = watch
         self._client = client
         self._ports = ports
@@ -144,7 +148,8 @@
             *split_address(listen.readiness)
         )
         await self._metrics_server.async_setup(*split_address(listen.metrics))
-        await self._entry.async_setup(*split_address(listen.callers))
+        callers = split_address(listen.callers)
+        await self._entry.async_setup(*callers, self._sock)
         await self._config_watch.async_setup()
         await self._servers_watch.async_setup()
         if self._settings_watch is not None:
--- a/waxwingarch/platform/__main__.py
+++ b/waxwingarch/platform/__main__.py
@@ -1,25 +1,13 @@
 """Entry point of the daemon on the users' platform."""
 
 import argparse
-import asyncio
 import os
 import sys
 from pathlib import Path
 from typing import Final
 
-from eliot import add_destinations
-
-from waxwingarch.adapters.front_settings import (
-    FrontSettings,
-    read_front_settings,
-)
-from waxwingarch.adapters.http_client import HttpClient
-from waxwingarch.adapters.log_stream import LogStream
-from waxwingarch.const import EXIT_OK, EXIT_SETTINGS, VERSION
-from waxwingarch.exceptions import SettingsError
-from waxwingarch.front_daemon import FrontDaemon
-from waxwingarch.platform.wiring import platform_ports
-from waxwingarch.tasks.settings_watch import SettingsWatch
+from waxwingarch.adapters.early_socket import listen_early
+from waxwingarch.const import VERSION
 
 # The platform names the settings file in this variable.
 SETTINGS_VARIABLE: Final = "WAXWINGARCH_CONFIG"
@@ -28,27 +16,11 @@
 def main() -> int:
     """Run the daemon; returns the exit code."""
     args = _parser().parse_args()
-    try:
-        settings = read_front_settings(args.settings)
-    except SettingsError as exc:
-        print(exc, file=sys.stderr)  # noqa: T201
-        return EXIT_SETTINGS
-    if args.check:
-        return EXIT_OK
-    stream = LogStream(sys.stdout.fileno(), settings.log.lines_per_s)
-    add_destinations(stream)
-    watch = SettingsWatch(
-        args.settings,
-        settings,
-        lambda fresh: stream.limit(fresh.log.lines_per_s),
-    )
-    return asyncio.run(_async_main(settings, watch))
-
+    sock = None if args.check else listen_early(args.settings)
+    # Imported only now: callers can connect while this takes its time.
+    from waxwingarch.platform.start import run
 
-async def _async_main(settings: FrontSettings, watch: SettingsWatch) -> int:
-    client = HttpClient()
-    ports = platform_ports(settings, client)
-    return await FrontDaemon(settings, client, ports, watch).async_run()
+    return run(args.settings, sock, check=args.check)
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -60,7 +32,7 @@
     parser.add_argument(
         "--settings",
         type=Path,
-        default=default,
+        default=default and Path(default),
         required=default is None,
         help=f"the INI file; {SETTINGS_VARIABLE} names it otherwise",
     )
--- /dev/null
+++ b/waxwingarch/platform/start.py
@@ -0,0 +1,51 @@
+"""Reads the settings and runs the daemon on the users' platform."""
+
+import asyncio
+import socket
+import sys
+from pathlib import Path
+
+from eliot import add_destinations
+
+from waxwingarch.adapters.front_settings import (
+    FrontSettings,
+    read_front_settings,
+)
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.log_stream import LogStream
+from waxwingarch.const import EXIT_OK, EXIT_SETTINGS
+from waxwingarch.exceptions import SettingsError
+from waxwingarch.front_daemon import FrontDaemon
+from waxwingarch.platform.wiring import platform_ports
+from waxwingarch.tasks.settings_watch import SettingsWatch
+
+
+def run(path: Path, sock: socket.socket | None, *, check: bool) -> int:
+    """Run the daemon, or check its settings; returns the exit code.
+
+    `sock` listens for callers already, where that was possible.
+    """
+    try:
+        settings = read_front_settings(path)
+    except SettingsError as exc:
+        print(exc, file=sys.stderr)  # noqa: T201
+        return EXIT_SETTINGS
+    if check:
+        return EXIT_OK
+    stream = LogStream(sys.stdout.fileno(), settings.log.lines_per_s)
+    add_destinations(stream)
+    watch = SettingsWatch(
+        path,
+        settings,
+        lambda fresh: stream.limit(fresh.log.lines_per_s),
+    )
+    return asyncio.run(_async_run(settings, watch, sock))
+
+
+async def _async_run(
+    settings: FrontSettings, watch: SettingsWatch, sock: socket.socket | None
+) -> int:
+    client = HttpClient()
+    ports = platform_ports(settings, client)
+    daemon = FrontDaemon(settings, client, ports, watch, sock)
+    return await daemon.async_run()
--- a/waxwingarch/tasks/front_entry.py
+++ b/waxwingarch/tasks/front_entry.py
@@ -1,6 +1,7 @@
 """The caller side of routed exchanges, and the answer to the balancer."""
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -85,9 +86,11 @@
         """Return how many exchanges have no final answer yet."""
         return len(self._open)
 
-    async def async_setup(self, host: str, port: int) -> int:
-        """Listen; returns the port."""
-        return await self.server.async_setup(host, port)
+    async def async_setup(
+        self, host: str, port: int, sock: socket.socket | None = None
+    ) -> int:
+        """Listen, on a socket that does so already if there is one."""
+        return await self.server.async_setup(host, port, sock)
 
     async def async_unload(self) -> None:
         """Stop listening."""
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -7,6 +7,7 @@
 from eliot import log_message
 
 from waxwingarch.adapters.front_metrics import FrontMetrics
+from waxwingarch.core.backends.listing import BackendsListed
 from waxwingarch.core.base import Action, Event, HostId, RequestId, Server
 from waxwingarch.core.exchange.messages import (
     Answer,
@@ -21,7 +22,7 @@
     Send,
     SendEnded,
 )
-from waxwingarch.core.front import Front, FrontTick
+from waxwingarch.core.front import ConfigRead, Front, FrontTick
 
 # How often the peers and the lease are looked at.
 LOOK_EVERY_S: Final = 0.5
@@ -55,7 +56,9 @@
         self._observers: dict[
             type[Event], Callable[[float, Any, list[Action]], None]
         ] = {
-            ExchangeArrived: self._arrived,
+            ExchangeArrived: self._taken,
+            ConfigRead: self._taken,
+            BackendsListed: self._taken,
             AnswerBegan: self._began,
             SendEnded: self._ended,
             RunMoved: self._followed,
@@ -83,9 +86,8 @@
 
     # Exchanges
 
-    def _arrived(
-        self, now: float, event: ExchangeArrived, actions: list[Action]
-    ) -> None:
+    def _taken(self, now: float, event: Event, actions: list[Action]) -> None:
+        """Take the first decision about each request, just come or not."""
         for action in actions:
             if isinstance(action, Answer):
                 self._refused(now, action)
@@ -198,6 +200,7 @@
     def _ticked(
         self, now: float, event: FrontTick, actions: list[Action]
     ) -> None:
+        self._taken(now, event, actions)
         for action in actions:
             if isinstance(action, MoveRun):
                 log_message(
