--- a/tests/core/front/test_rollouts.py
+++ b/tests/core/front/test_rollouts.py
@@ -184,6 +184,18 @@
             [version] = {b.server.version for b in host.allowed(POOL, SERVERS)}
             self.assertEqual("v1", version)
 
+    def test_a_peers_trial_begins_nothing_before_the_marks_are_read(
+        self,
+    ) -> None:
+        # Found by the model: the peer had not heard of the stop.
+        host = rollouts()
+        host.ordered(0.0, [ORDER])
+        word = RolloutWord(
+            rollout_id=ORDER.rollout_id, phase=RolloutPhase.TRIAL
+        )
+        host.heard([word], [])
+        self.assertEqual(RolloutPhase.HELD, host.words()[0].phase)
+
     def test_a_host_that_restarts_reads_the_mark(self) -> None:
         host = rollouts()
         host.ordered(0.0, [ORDER])
--- /dev/null
+++ b/tests/model/test_stop_mark.py
@@ -0,0 +1,76 @@
+"""Model check of the stop mark of a version move."""
+
+from collections.abc import Iterable
+from random import Random
+
+import testtools
+from minicheck import check_safety
+
+from model.stop_mark import stop_mark_spec
+from waxwingarch.core.base import HostId
+from waxwingarch.core.moves.move_counts import HostEvidence
+from waxwingarch.core.rollouts.driver import ExposureBounds, Rollouts
+from waxwingarch.core.rollouts.messages import (
+    RolloutOrder,
+    RolloutPhase,
+    RolloutWord,
+    StopsRead,
+)
+
+
+class _BeginsAtOnce(Rollouts):
+    """Sends requests to a new version before it has read the marks."""
+
+    def ordered(self, now: float, orders: Iterable[RolloutOrder]) -> None:
+        super().ordered(now, orders)
+        self.stops_read(StopsRead(stopped=frozenset()))
+
+
+class _BelievesTheLastWord(Rollouts):
+    """Takes the phase that it heard last."""
+
+    def heard(
+        self,
+        words: Iterable[RolloutWord],
+        evidence: Iterable[HostEvidence],
+    ) -> None:
+        for word in words:
+            for rollout in self._open.values():
+                rollout.phase = word.phase
+
+
+def _new(kind: type[Rollouts]) -> Rollouts:
+    return kind(HostId("h"), 1, ExposureBounds(), Random(1))
+
+
+class StopMark(testtools.TestCase):
+    def test_none_forgets_a_stop(self) -> None:
+        result = check_safety(stop_mark_spec())
+        self.assertTrue(result["exhaustive"])
+        self.assertTrue(result["properties"]["none_forgets"]["holds"])
+
+    def _broken(self, kind: type[Rollouts]) -> list[str]:
+        result = check_safety(stop_mark_spec(lambda: _new(kind)))
+        found = result["properties"]["none_forgets"]
+        self.assertIs(False, found["holds"])
+        return [step["label"] for step in found["counterexample"][1:]]
+
+    def test_beginning_before_the_read_forgets(self) -> None:
+        steps = self._broken(_BeginsAtOnce)
+        self.assertTrue(any(step.endswith("restart") for step in steps))
+
+    def test_believing_the_last_word_forgets(self) -> None:
+        steps = self._broken(_BelievesTheLastWord)
+        self.assertTrue(any(step.endswith("hears") for step in steps))
+
+    def test_phases_are_in_order(self) -> None:
+        self.assertEqual(
+            [
+                RolloutPhase.HELD,
+                RolloutPhase.TRIAL,
+                RolloutPhase.SHIFTED,
+                RolloutPhase.STOPPED,
+                RolloutPhase.COMPLETED,
+            ],
+            list(RolloutPhase),
+        )
--- a/waxwingarch/core/rollouts/driver.py
+++ b/waxwingarch/core/rollouts/driver.py
@@ -229,7 +229,9 @@
                 continue
             if word.phase is RolloutPhase.STOPPED:
                 self._stop(rollout, "stopped by another host")
-            else:
+            elif rollout.phase is not RolloutPhase.HELD:
+                # One who does not know the mark yet may be told of a
+                # trial by another who has not heard of the stop.
                 rollout.advance(word.phase)
         for counts in evidence:
             self._book.merge(counts)
