--- a/tests/core/front/made.py
+++ b/tests/core/front/made.py
@@ -21,9 +21,9 @@
     ExchangeHead,
     PromptPart,
 )
-from waxwingarch.core.front import (
+from waxwingarch.core.front import Front
+from waxwingarch.core.front_messages import (
     ConfigRead,
-    Front,
     FrontBounds,
     FrontIdentity,
 )
--- a/tests/core/front/test_exchanges.py
+++ b/tests/core/front/test_exchanges.py
@@ -27,13 +27,8 @@
     Send,
     SendEnded,
 )
-from waxwingarch.core.front import (
-    WAIT_TO_SERVE_S,
-    ConfigRead,
-    Front,
-    FrontTick,
-    StopBegan,
-)
+from waxwingarch.core.front import WAIT_TO_SERVE_S, Front
+from waxwingarch.core.front_messages import ConfigRead, FrontTick, StopBegan
 from waxwingarch.core.refusal import RefusalReason
 
 
--- a/waxwingarch/adapters/front_settings.py
+++ b/waxwingarch/adapters/front_settings.py
@@ -13,7 +13,7 @@
     validate,
 )
 from waxwingarch.core.base import FailureDomain, HostId
-from waxwingarch.core.front import FrontBounds, FrontIdentity
+from waxwingarch.core.front_messages import FrontBounds, FrontIdentity
 from waxwingarch.core.rollouts.driver import ExposureBounds
 
 PositiveSeconds = Annotated[float, Field(gt=0)]
--- a/waxwingarch/core/exchange/board.py
+++ b/waxwingarch/core/exchange/board.py
@@ -7,13 +7,12 @@
 from waxwingarch.core.backends.load import Sent
 from waxwingarch.core.base import (
     Action,
-    Ran,
     RequestId,
     Server,
     ServiceId,
 )
+from waxwingarch.core.exchange.intake import ExchangeIntake, RefusedError
 from waxwingarch.core.exchange.machine import (
-    COME_BACK_S,
     ExchangeState,
     Next,
     not_served,
@@ -23,7 +22,6 @@
     AnswerBegan,
     CutCaller,
     End,
-    Exchange,
     ExchangeGone,
     ExchangeHead,
     MoveRun,
@@ -36,16 +34,12 @@
 from waxwingarch.core.limits.shared_rate import SharedRates
 from waxwingarch.core.moves.move_counts import load_band
 from waxwingarch.core.randomness import RandomSource
-from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.rollouts.driver import Rollouts
 from waxwingarch.core.routing.config import (
     EngineTraits,
     Repeat,
-    Route,
-    RoutedAccount,
 )
 from waxwingarch.core.routing.table import RoutingTable
-from waxwingarch.exceptions import WaxwingError
 
 # A request that can go elsewhere waits this many latency objectives for
 # its first byte, and at least so long, before its server is given up.
@@ -62,14 +56,6 @@
 MOVE_AFTER_S: Final = 1.0
 
 
-class RefusedError(WaxwingError):
-    """A request is refused before it was accepted."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        super().__init__(refusal.message)
-        self.refusal = refusal
-
-
 class ExchangeBoard:
     """Accepts exchanges, sends them on, and follows each to its end."""
 
@@ -84,10 +70,9 @@
     ) -> None:
         self._table = table
         self._chooser = chooser
-        self._rates = rates
+        self._intake = ExchangeIntake(table, rates, rng)
         self._resends = resends
         self._rollouts = rollouts
-        self._rng = rng
         self._open: dict[RequestId, ExchangeState] = {}
         self._moves: dict[RequestId, float] = {}
 
@@ -103,93 +88,18 @@
     def arrived(self, now: float, head: ExchangeHead) -> list[Action]:
         """Accept a request and send it on, or refuse it."""
         try:
-            exchange, cost = self._accept(now, head)
+            exchange, cost = self._intake.accept(now, head)
         except RefusedError as exc:
             return [Answer(request_id=head.request_id, refusal=exc.refusal)]
         self._resends.count(now, exchange.service)
         state = ExchangeState(exchange=exchange)
         sent = self._send(now, state, None)
         if sent is None:
-            self._give_back(now, exchange, cost)
+            self._intake.give_back(now, exchange, cost)
             return [Answer(request_id=head.request_id, refusal=not_served())]
         self._open[exchange.request_id] = state
         return [sent]
 
-    def _accept(
-        self, now: float, head: ExchangeHead
-    ) -> tuple[Exchange, float]:
-        """Return the exchange and what it counts; raises `RefusedError`."""
-        if not self._table.known:
-            raise _refused(
-                RefusalReason.NOT_READY,
-                "this host has no configuration yet: send it again",
-                COME_BACK_S,
-            )
-        route = self._table.find(head.host, head.path)
-        if route is None:
-            raise _refused(
-                RefusalReason.UNKNOWN_ROUTE,
-                f"no route for {head.host}{head.path}: add one",
-            )
-        account = self._account(head, route)
-        cost = self._admit(now, head, account)
-        patience_s = head.patience_s or route.timeout_s
-        priority = route.priority
-        if account is not None and account.priority is not None:
-            priority = account.priority
-        exchange = Exchange(
-            head=head,
-            route=route,
-            service=self._service(route),
-            account=account.account if account else None,
-            priority=priority,
-            arrived_at=now,
-            expires_at=now + min(patience_s, route.timeout_s),
-        )
-        return exchange, cost
-
-    def _account(
-        self, head: ExchangeHead, route: Route
-    ) -> RoutedAccount | None:
-        if not self._table.wants_keys or (route.public and not head.key):
-            return None
-        account = self._table.account_of(head.key)
-        if account is None and not route.public:
-            raise _refused(
-                RefusalReason.UNKNOWN_KEY, "send a key of a client account"
-            )
-        return account
-
-    def _admit(
-        self, now: float, head: ExchangeHead, account: RoutedAccount | None
-    ) -> float:
-        if account is None:
-            return 0.0
-        cost = 1.0
-        if account.counts_tokens:
-            stated = head.prompt_tokens + head.output_tokens
-            cost = stated if head.states_tokens else account.default_tokens
-        wait_s = self._rates.admit(now, account, cost)
-        if wait_s is not None:
-            raise _refused(
-                RefusalReason.RATE_LIMIT,
-                f"account {account.account} is over its rate limit",
-                wait_s,
-            )
-        return cost
-
-    def _give_back(self, now: float, exchange: Exchange, cost: float) -> None:
-        if exchange.account is not None:
-            account = self._table.accounts[exchange.account]
-            self._rates.give_back(now, account, cost)
-
-    def _service(self, route: Route) -> ServiceId:
-        """Return the service that a request goes to, by weight."""
-        if len(route.splits) == 1:
-            return route.splits[0].service
-        weights = [split.weight for split in route.splits]
-        return self._rng.choices(route.splits, weights=weights)[0].service
-
     # Sending
 
     def _send(
@@ -423,16 +333,3 @@
         state.moved = event.state
         held, state.held_end = state.held_end, None
         return self.ended(now, held) if held is not None else []
-
-
-def _refused(
-    reason: RefusalReason, message: str, retry_after_s: float | None = None
-) -> RefusedError:
-    return RefusedError(
-        Refusal(
-            reason=reason,
-            ran=Ran.NOT_RUN,
-            message=message,
-            retry_after_s=retry_after_s,
-        )
-    )
--- a/waxwingarch/core/front.py
+++ b/waxwingarch/core/front.py
@@ -5,7 +5,6 @@
 
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from typing import Final
 
 from waxwingarch.core.backends.chooser import BackendChooser
@@ -14,8 +13,6 @@
     AccountId,
     Action,
     Event,
-    FailureDomain,
-    HostId,
     Ran,
 )
 from waxwingarch.core.duties.scaling import ScalingDuty, ServersOrdered
@@ -43,6 +40,14 @@
     SendEnded,
     ServerHeard,
 )
+from waxwingarch.core.front_messages import (
+    ConfigApplied,
+    ConfigRead,
+    FrontBounds,
+    FrontIdentity,
+    FrontTick,
+    StopBegan,
+)
 from waxwingarch.core.limits.resend_budget import ResendBudget
 from waxwingarch.core.limits.shared_rate import SharedRates
 from waxwingarch.core.node import Handler, Node
@@ -55,14 +60,13 @@
 )
 from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.refusal import Refusal, RefusalReason
-from waxwingarch.core.rollouts.driver import ExposureBounds, Rollouts
+from waxwingarch.core.rollouts.driver import Rollouts
 from waxwingarch.core.rollouts.messages import (
     RolloutsRead,
     RolloutTold,
     StopMarked,
     StopsRead,
 )
-from waxwingarch.core.routing.config import RoutingConfig
 from waxwingarch.core.routing.table import RoutingTable
 
 # A stopping host takes requests for this long: the balancer needs two
@@ -80,67 +84,6 @@
 DUTY_SCALING: Final = "scaling"
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class FrontBounds:
-    """Limits of a deployment that the decisions keep.
-
-    Durations are in seconds; `fleet` is how many hosts are known to be
-    there at least.
-    """
-
-    resend_ratio: float = 0.2
-    resend_extra: float = 50.0
-    resend_window_s: float = 10.0
-    rate_window_s: float = 8.0
-    lease_s: float = 3.0
-    usage_window_s: float = 5.0
-    exposure: ExposureBounds = field(default_factory=ExposureBounds)
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class FrontIdentity:
-    """Who this host is; `address` is where peers reach it."""
-
-    host: HostId
-    incarnation: int
-    domain: FailureDomain
-    address: str
-    first_start: bool
-    duties: frozenset[str] = field(default_factory=frozenset)
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class FrontTick(Event):
-    """Time has passed: boot clock and time of day, in seconds."""
-
-    boot_now: float
-    unix_now: float
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigRead(Event):
-    """The configuration row was read.
-
-    `rows_version` is that of the newest row beside it.
-    """
-
-    cfg: RoutingConfig
-    rows_version: int = 0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class StopBegan(Event):
-    """The process was told to stop."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigApplied(Action):
-    """A configuration came into force."""
-
-    version: int
-    idle_timeout_s: float
-
-
 def _stopping(head: ExchangeHead) -> Answer:
     refusal = Refusal(
         reason=RefusalReason.DRAINING,
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -24,11 +24,10 @@
     BackendsListed,
 )
 from waxwingarch.core.base import HostId
-from waxwingarch.core.front import (
-    TAKE_WHILE_STOPPING_S,
+from waxwingarch.core.front import TAKE_WHILE_STOPPING_S, Front
+from waxwingarch.core.front_messages import (
     ConfigApplied,
     ConfigRead,
-    Front,
     FrontTick,
     StopBegan,
 )
--- /dev/null
+++ b/waxwingarch/tasks/action_tasks.py
@@ -0,0 +1,36 @@
+"""Carries out the actions of some kinds, each in a task of its own."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Mapping
+from functools import partial
+from typing import Any
+
+from waxwingarch.core.base import Action
+from waxwingarch.tasks.runner import FrontRunner
+
+Call = Callable[[Any], Coroutine[Any, Any, None]]
+
+
+class ActionTasks:
+    """Starts a call for each action; the calls end with their owner."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def connect(
+        self, runner: FrontRunner, calls: Mapping[type[Action], Call]
+    ) -> None:
+        """Take the actions of these kinds."""
+        for kind, call in calls.items():
+            runner.connect(kind, partial(self._start, call))
+
+    async def async_unload(self) -> None:
+        """End the calls under way."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _start(self, call: Call, action: Action) -> None:
+        task = asyncio.create_task(call(action))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/waxwingarch/tasks/front_duties.py
+++ b/waxwingarch/tasks/front_duties.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine
-from functools import partial
-from typing import Any, Final
+from typing import Final
 
 import orjson
 from eliot import log_message
 
-from waxwingarch.core.base import AccountId, Action, HostId
+from waxwingarch.core.base import AccountId, HostId
 from waxwingarch.core.duties.scaling import OrderServers, ServersOrdered
 from waxwingarch.core.duties.singleton import (
     DutyLeaseRow,
@@ -34,6 +32,7 @@
     StoreUnavailableError,
     WriteResult,
 )
+from waxwingarch.tasks.action_tasks import ActionTasks
 from waxwingarch.tasks.runner import FrontRunner
 
 LEASE_TABLE: Final = "waxwing-lease"
@@ -42,45 +41,33 @@
 CALL_LIMIT_S: Final = 1.0
 MOVE_LIMIT_S: Final = 1.0
 
-Call = Callable[[Any], Coroutine[Any, Any, None]]
-
 
 def boot_now() -> float:
     """Return the clock that also runs while the machine is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-class FrontDuties:
+class FrontDuties(ActionTasks):
     """One task for each call; their outcomes go back to the node."""
 
     def __init__(
         self, runner: FrontRunner, ports: FrontPorts, own: HostId
     ) -> None:
+        super().__init__()
         self._runner = runner
         self._ports = ports
         self._own = own
-        self._tasks: set[asyncio.Task[None]] = set()
-        calls: dict[type[Action], Call] = {
-            ReadDutyRow: self._async_read_lease,
-            WriteDutyRow: self._async_write_lease,
-            SettleUsage: self._async_settle,
-            SendUsage: self._async_report,
-            OrderServers: self._async_order,
-            MoveRun: self._async_move,
-        }
-        for kind, call in calls.items():
-            runner.connect(kind, partial(self._start, call))
-
-    async def async_unload(self) -> None:
-        """End the calls under way."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def _start(self, call: Call, action: Action) -> None:
-        task = asyncio.create_task(call(action))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self.connect(
+            runner,
+            {
+                ReadDutyRow: self._async_read_lease,
+                WriteDutyRow: self._async_write_lease,
+                SettleUsage: self._async_settle,
+                SendUsage: self._async_report,
+                OrderServers: self._async_order,
+                MoveRun: self._async_move,
+            },
+        )
 
     def _deadline(self) -> float:
         return asyncio.get_running_loop().time() + CALL_LIMIT_S
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -22,7 +22,8 @@
     Send,
     SendEnded,
 )
-from waxwingarch.core.front import ConfigRead, Front, FrontTick
+from waxwingarch.core.front import Front
+from waxwingarch.core.front_messages import ConfigRead, FrontTick
 
 # How often the peers and the lease are looked at.
 LOOK_EVERY_S: Final = 0.5
--- a/waxwingarch/tasks/front_rollouts.py
+++ b/waxwingarch/tasks/front_rollouts.py
@@ -1,13 +1,10 @@
 """Reads and writes the rows of version moves."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from functools import partial
-from typing import Any, Final
+from typing import Final
 
 from eliot import log_message
 
-from waxwingarch.core.base import Action
 from waxwingarch.core.rollouts.messages import (
     MarkStopped,
     ReadStops,
@@ -24,6 +21,7 @@
     RowWrite,
     StoreUnavailableError,
 )
+from waxwingarch.tasks.action_tasks import ActionTasks
 from waxwingarch.tasks.runner import FrontRunner
 
 STOPS_TABLE: Final = "waxwing-stops"
@@ -31,34 +29,22 @@
 # Pause before the stop marks are read again.
 RETRY_S: Final = 0.3
 
-Call = Callable[[Any], Coroutine[Any, Any, None]]
 
-
-class FrontRollouts:
+class FrontRollouts(ActionTasks):
     """One task for each call; their outcomes go back to the node."""
 
     def __init__(self, runner: FrontRunner, ports: FrontPorts) -> None:
+        super().__init__()
         self._runner = runner
         self._ports = ports
-        self._tasks: set[asyncio.Task[None]] = set()
-        calls: dict[type[Action], Call] = {
-            ReadStops: self._async_read_stops,
-            MarkStopped: self._async_mark,
-            TellRollout: self._async_tell,
-        }
-        for kind, call in calls.items():
-            runner.connect(kind, partial(self._start, call))
-
-    async def async_unload(self) -> None:
-        """End the calls under way."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def _start(self, call: Call, action: Action) -> None:
-        task = asyncio.create_task(call(action))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self.connect(
+            runner,
+            {
+                ReadStops: self._async_read_stops,
+                MarkStopped: self._async_mark,
+                TellRollout: self._async_tell,
+            },
+        )
 
     def _deadline(self) -> float:
         return asyncio.get_running_loop().time() + CALL_LIMIT_S
