--- a/tests/core/front/test_exchanges.py
+++ b/tests/core/front/test_exchanges.py
@@ -69,8 +69,10 @@
         made.handle(1.0, ExchangeGone(request_id=RequestId("gone")))
         made.handle(1.1, ConfigRead(cfg=config()))
         actions = made.handle(1.2, listed(1, server("e1")))
-        sent = [a.request_id for a in actions if isinstance(a, Send)]
-        self.assertEqual(["r1"], sent)
+        [sent] = [a for a in actions if isinstance(a, Send)]
+        self.assertEqual("r1", sent.request_id)
+        # Its time has run since it came: 4 s of the caller's patience.
+        self.assertEqual(5.0, sent.expires_at)
 
     def test_unknown_route_and_key(self) -> None:
         made = serving_front()
--- a/waxwingarch/core/exchange/board.py
+++ b/waxwingarch/core/exchange/board.py
@@ -85,10 +85,17 @@
 
     # Arrival
 
-    def arrived(self, now: float, head: ExchangeHead) -> list[Action]:
-        """Accept a request and send it on, or refuse it."""
+    def arrived(
+        self, now: float, head: ExchangeHead, arrived_at: float | None = None
+    ) -> list[Action]:
+        """Accept a request and send it on, or refuse it.
+
+        `arrived_at` is given for one that had to wait.
+        """
+        if arrived_at is None:
+            arrived_at = now
         try:
-            exchange, cost = self._intake.accept(now, head)
+            exchange, cost = self._intake.accept(now, head, arrived_at)
         except RefusedError as exc:
             return [Answer(request_id=head.request_id, refusal=exc.refusal)]
         self._resends.count(now, exchange.service)
--- a/waxwingarch/core/exchange/intake.py
+++ b/waxwingarch/core/exchange/intake.py
@@ -29,8 +29,13 @@
         self._rates = rates
         self._rng = rng
 
-    def accept(self, now: float, head: ExchangeHead) -> tuple[Exchange, float]:
-        """Return the exchange and what it counts; raises `RefusedError`."""
+    def accept(
+        self, now: float, head: ExchangeHead, arrived_at: float
+    ) -> tuple[Exchange, float]:
+        """Return the exchange and what it counts; raises `RefusedError`.
+
+        Its time counts from `arrived_at`, which may be before now.
+        """
         if not self._table.known:
             raise _refused(
                 RefusalReason.NOT_READY,
@@ -55,8 +60,8 @@
             service=self._service(route),
             account=account.account if account else None,
             priority=priority,
-            arrived_at=now,
-            expires_at=now + min(patience_s, route.timeout_s),
+            arrived_at=arrived_at,
+            expires_at=arrived_at + min(patience_s, route.timeout_s),
         )
         return exchange, cost
 
--- a/waxwingarch/core/front.py
+++ b/waxwingarch/core/front.py
@@ -189,14 +189,13 @@
             return [_stopping(head)]
         if self.serving:
             return self.board.arrived(now, head)
-        wait_s = min(WAIT_TO_SERVE_S, head.patience_s or WAIT_TO_SERVE_S)
-        self._waiting.append((now + wait_s, head))
+        self._waiting.append((now, head))
         return []
 
     def _gone(self, now: float, event: ExchangeGone) -> list[Action]:
         self._waiting = deque(
-            (until, head)
-            for until, head in self._waiting
+            (arrived_at, head)
+            for arrived_at, head in self._waiting
             if head.request_id != event.request_id
         )
         return self.board.gone(now, event)
@@ -204,9 +203,12 @@
     def _serve_waiting(self, now: float) -> list[Action]:
         """Take requests that waited for the first beliefs, or refuse."""
         actions: list[Action] = []
-        while self._waiting and (self.serving or now >= self._waiting[0][0]):
-            _, head = self._waiting.popleft()
-            actions += self.board.arrived(now, head)
+        while self._waiting:
+            arrived_at, head = self._waiting[0]
+            if not self.serving and now < arrived_at + WAIT_TO_SERVE_S:
+                break
+            self._waiting.popleft()
+            actions += self.board.arrived(now, head, arrived_at)
         return actions
 
     # Beliefs
