Show for each rule on the users' platform that its test can fail

script/red_runs removes one guard a rule. Two runs stayed green at first: a request that may not be repeated was tested on a route with one attempt only, and a caller that leaves on a stream whose next write fails anyway; both tests now meet the guard alone. The table named the file of an old guard wrongly (planned-stop).

--- /dev/null
+++ b/script/red_front.py
@@ -0,0 +1,129 @@
+"""Red runs for the rules on the users' platform."""
+
+from typing import Final
+
+from script.red_mutations import Mutation
+
+CORE: Final = "tests/core/front/"
+HOST: Final = "tests/front/test_platform_host.py::"
+
+FRONT_MUTATIONS: Final = (
+    Mutation(
+        promise="MIXED",
+        path="waxwingarch/tasks/front_exchange.py",
+        old="        if not head.genuine:\n"
+        '            raise BadAnswerError(f"{send.server.address}: not signed")\n',
+        new="",
+        test=HOST + "BadServers::test_answer_without_signature_is_no_success",
+    ),
+    Mutation(
+        promise="UNASKED",
+        path="waxwingarch/platform/exchange_codec.py",
+        old="if name in SYSTEM_HEADERS or name in HOP_HEADERS:",
+        new="if name in HOP_HEADERS:",
+        test=HOST + "Requests::test_headers_of_the_system_are_its_own",
+    ),
+    Mutation(
+        promise="TWICE",
+        path="waxwingarch/core/exchange/machine.py",
+        old="        if exchange.repeat is Repeat.ONCE:\n"
+        "            return False\n",
+        new="",
+        test=CORE + "test_exchanges.py::AfterFailures::"
+        "test_non_idempotent_is_never_sent_twice",
+    ),
+    Mutation(
+        promise="REFUSED",
+        path="waxwingarch/core/exchange/machine.py",
+        old="        if not self.ran_on:\n",
+        new="        if self.exchange:\n",
+        test=CORE + "test_exchanges.py::AfterFailures::"
+        "test_one_that_may_have_run_is_not_called_not_run",
+    ),
+    Mutation(
+        promise="BUDGET",
+        path="waxwingarch/core/limits/resend_budget.py",
+        old="        if again.at(now) + 1 > allowed * USED_PART:\n"
+        "            return False\n",
+        new="",
+        test=CORE + "test_limits.py::Resends",
+    ),
+    Mutation(
+        promise="GONE",
+        path="waxwingarch/tasks/front_entry.py",
+        old="{work, gone}, return_when",
+        new="{work}, return_when",
+        test=HOST + "Stop::"
+        "test_caller_that_leaves_before_an_event_ends_the_run",
+    ),
+    Mutation(
+        promise="LOST",
+        path="waxwingarch/core/front.py",
+        old="        if now >= self._take_until:\n"
+        "            return [_stopping(head)]\n",
+        new="",
+        test=CORE + "test_exchanges.py::Life::"
+        "test_takes_nothing_that_it_may_not_finish_before_the_end",
+    ),
+    Mutation(
+        promise="CONFIG",
+        path="waxwingarch/core/routing/table.py",
+        old="        if cfg.version <= self.version:\n"
+        "            return False\n",
+        new="",
+        test=CORE + "test_routing.py::Versions",
+    ),
+    Mutation(
+        promise="ROUTE",
+        path="waxwingarch/platform/exchange_codec.py",
+        old="        headers.append((HEADER_TARGET, send.server.server_id))\n",
+        new="",
+        test=HOST + "Beliefs::test_address_of_another_server",
+    ),
+    Mutation(
+        promise="DRAIN",
+        path="waxwingarch/core/backends/listing.py",
+        old="        return self.leaving_since is None\n",
+        new="        return True\n",
+        test=CORE + "test_exchanges.py::LeavingServers::"
+        "test_no_new_work_for_a_leaving_server",
+    ),
+    Mutation(
+        promise="QUOTA",
+        path="waxwingarch/core/limits/shared_rate.py",
+        old="        return whole - used - unheard * whole / fleet\n",
+        new="        return whole\n",
+        test=CORE + "test_limits.py::SharedRate",
+    ),
+    Mutation(
+        promise="ORDER",
+        path="waxwingarch/core/exchange/board.py",
+        old="resume_after=state.last_event,",
+        new="resume_after=None,",
+        test=CORE + "test_exchanges.py::AfterFailures::"
+        "test_stream_resumes_after_its_last_event",
+    ),
+    Mutation(
+        promise="ONE",
+        path="waxwingarch/core/duties/singleton.py",
+        old="        if left_s > 0:\n",
+        new="        if left_s > self._term_s:\n",
+        test="tests/model/test_singleton.py::OneHolder::"
+        "test_one_holder_at_a_time",
+    ),
+    Mutation(
+        promise="EXPOSURE",
+        path="waxwingarch/core/rollouts/driver.py",
+        old="TRIAL_SHARE: Final = 0.05",
+        new="TRIAL_SHARE: Final = 0.5",
+        test=CORE + "test_rollouts.py",
+    ),
+    Mutation(
+        promise="RECOVER",
+        path="waxwingarch/adapters/early_socket.py",
+        old="        return socket.create_server(address, backlog=BACKLOG)\n",
+        new="        return None\n",
+        test="tests/front/test_early_socket.py::Listening::"
+        "test_callers_can_connect_at_once",
+    ),
+)
--- a/script/red_runs.py
+++ b/script/red_runs.py
@@ -8,40 +8,18 @@
 import subprocess
 import sys
 import tempfile
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Final
 
+from script.red_front import FRONT_MUTATIONS
+from script.red_mutations import Mutation
+
 TEST_LIMIT_S: Final = 240
 FAILED: Final = 1
 ROOT: Final = Path(__file__).resolve().parent.parent
 FAULTS: Final = "tests/faults/"
 
 
-class MutationError(Exception):
-    """The old text isn't there once; adapt the table of mutations."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Mutation:
-    """A guard to remove and the test that must notice."""
-
-    promise: str
-    path: str
-    old: str
-    new: str
-    test: str
-
-    def apply(self, root: Path) -> None:
-        """Change the file in a copy of the tree."""
-        path = root / self.path
-        text = path.read_text()
-        found = text.count(self.old)
-        if found != 1:
-            raise MutationError(f"{self.path}: {found} times: {self.old}")
-        path.write_text(text.replace(self.old, self.new))
-
-
 MUTATIONS: Final = (
     Mutation(
         promise="survives",
@@ -91,7 +69,7 @@
     ),
     Mutation(
         promise="planned-stop",
-        path="waxwingarch/core/node.py",
+        path="waxwingarch/core/contract_node.py",
         old="done = self.draining and not self.desk.in_progress",
         new="done = self.draining",
         test=FAULTS + "test_entry_hosts.py::PlannedStop::"
@@ -156,7 +134,8 @@
 def main() -> int:
     """Run all mutations, or those of the named promises."""
     wanted = set(sys.argv[1:])
-    chosen = [m for m in MUTATIONS if not wanted or m.promise in wanted]
+    known = (*MUTATIONS, *FRONT_MUTATIONS)
+    chosen = [m for m in known if not wanted or m.promise in wanted]
     results = [run(mutation) for mutation in chosen]
     return 0 if results and all(results) else 1
 
--- a/tests/core/front/test_exchanges.py
+++ b/tests/core/front/test_exchanges.py
@@ -121,11 +121,13 @@
 
     def test_non_idempotent_is_never_sent_twice(self) -> None:
         made = serving_front()
-        for end in (End.BROKEN, End.SILENT, End.FAILED):
-            self.sent(made, "r", "/pay/x")
-            [answer] = made.handle(1.1, ended("r", end))
-            assert isinstance(answer, Answer)
-            self.assertEqual(Ran.UNKNOWN, answer.refusal.ran, end)
+        # The route of /chat/ would allow two attempts.
+        for path in ("/pay/x", "/chat/x"):
+            for end in (End.BROKEN, End.SILENT, End.FAILED):
+                self.sent(made, "r", path)
+                [answer] = made.handle(1.1, ended("r", end))
+                assert isinstance(answer, Answer)
+                self.assertEqual(Ran.UNKNOWN, answer.refusal.ran, end)
 
     def test_non_idempotent_goes_on_if_it_did_not_run(self) -> None:
         made = serving_front()
--- a/tests/front/test_platform_host.py
+++ b/tests/front/test_platform_host.py
@@ -7,6 +7,9 @@
 from tests.front.base import Host, async_until, event_ids
 from tests.helpers import async_test
 
+# That of the emulator's streaming routes.
+ROUTE_TIMEOUT_S = 5.0
+
 
 class Requests(testtools.TestCase):
     @async_test
@@ -311,3 +314,24 @@
                 lambda: not host.fleet.running(run.request_id),
                 "the server stopped the run",
             )
+
+    @async_test
+    async def test_caller_that_leaves_before_an_event_ends_the_run(
+        self,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        async with Host() as host:
+            for server in host.fleet.engines():
+                server.behaviour.event_s = 60.0
+            stream = asyncio.create_task(host.async_ask("/chat/x"))
+            await async_until(lambda: host.fleet.runs, "a run has begun")
+            [run] = host.fleet.runs
+            left_at = loop.time()
+            stream.cancel()
+            await asyncio.gather(stream, return_exceptions=True)
+            await async_until(
+                lambda: not host.fleet.running(run.request_id),
+                "the server stopped the run",
+            )
+            # Long before the route's timeout would have ended it.
+            self.assertLess(loop.time() - left_at, ROUTE_TIMEOUT_S / 2)
