Let the emulated engine notice a caller that leaves before an event

The new test of a caller that leaves failed with the guard in place too: the emulator slept until its first event and never looked at the connection.

--- a/script/red_front.py
+++ b/script/red_front.py
@@ -12,7 +12,8 @@
         promise="MIXED",
         path="waxwingarch/tasks/front_exchange.py",
         old="        if not head.genuine:\n"
-        '            raise BadAnswerError(f"{send.server.address}: not signed")\n',
+        "            raise BadAnswerError("
+        'f"{send.server.address}: not signed")\n',
         new="",
         test=HOST + "BadServers::test_answer_without_signature_is_no_success",
     ),
--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -184,7 +184,9 @@
         try:
             await resp.async_start(200, [kind, *headers])
             for number in range(begin, self.behaviour.events + 1):
-                await asyncio.sleep(self.behaviour.event_s)
+                if await _async_left(resp, self.behaviour.event_s):
+                    run.ended = "dropped"
+                    return
                 if stop.is_set():
                     run.ended = "moved"
                     resp.abort()
@@ -212,3 +214,13 @@
         self.behaviour.handles[handle] = run.events
         body = {"handle": handle, "created": run.events}
         await resp.async_send(200, orjson.dumps(body), [JSON_TYPE])
+
+
+async def _async_left(resp: HttpResponder, within_s: float) -> bool:
+    """Wait; tell whether the caller closed its connection meanwhile."""
+    try:
+        async with asyncio.timeout(within_s):
+            await resp.gone.wait()
+    except TimeoutError:
+        return False
+    return True
