--- a/waxwingarch/tasks/table_watch.py
+++ b/waxwingarch/tasks/table_watch.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 
 from waxwingarch.adapters.platform_http import Backoff
+from waxwingarch.core.peers.gossip import HOLD_S
 from waxwingarch.ports.front import (
     HistoryLostError,
     Rows,
@@ -17,8 +18,6 @@
     StoreUnavailableError,
 )
 
-# A call for changes is held by the store for this long; every call costs.
-HOLD_S: Final = 3.0
 # What a held call may take longer before its connection counts as dead.
 GRACE_S: Final = 0.7
 READ_LIMIT_S: Final = 1.5
