Obey servers that announce their end or ask for a pause, and bound responses

New on the platform: a server that leaves says `Server-Leaving: 1` in all its responses, and a server may add Retry-After to a 503. Both were ignored, so that a host went on sending until the listing changed, or at once again.

- The header of any response, an error or the head of a stream as well, marks that incarnation as leaving at once, whatever the listing says; reports tell the other hosts, who pass it on until the listing shows it.
- A server that asks for a pause gets nothing from this host for so long.
If all servers of a service do, the caller is refused at once with the first end of a pause.
Both times are spread at random so that neither hosts nor callers return together.
The former rule told callers the time of the last server that refused, also where another had room.
- Responses without end: bodies over 4 MB, more than eight 1xx responses, and a rejection or failure whose body takes over a second are given up; a connection with unread bytes is not used again (before, the next request on it failed, which one that may not be repeated can't survive).

--- a/script/red_front.py
+++ b/script/red_front.py
@@ -5,6 +5,7 @@
 from script.red_mutations import Mutation
 
 CORE: Final = "tests/core/front/"
+NOTICES: Final = "tests/front/test_server_notices_host.py::"
 HOST: Final = "tests/front/test_platform_host.py::"
 
 FRONT_MUTATIONS: Final = (
@@ -99,6 +100,34 @@
         test=CORE + "test_exchanges.py::LeavingServers::"
         "test_no_new_work_for_a_leaving_server",
     ),
+    Mutation(
+        promise="DRAIN",
+        path="waxwingarch/platform/exchange_codec.py",
+        old="leaving=status != HTTP_MISDIRECTED and is_leaving(values)",
+        new="leaving=False",
+        test=NOTICES + "LeavingServers",
+    ),
+    Mutation(
+        promise="BUDGET",
+        path="waxwingarch/core/exchange/exchange_manager.py",
+        old="        if event.retry_after_s is not None:\n",
+        new="        if event.retry_after_s == -1.0:\n",
+        test=NOTICES + "FullServers",
+    ),
+    Mutation(
+        promise="MIXED",
+        path="waxwingarch/adapters/http_client.py",
+        old="            if remaining < 0:\n",
+        new="            if remaining < -(10**12):\n",
+        test=NOTICES + "EndlessResponses::test_each_part",
+    ),
+    Mutation(
+        promise="MIXED",
+        path="waxwingarch/adapters/http_client.py",
+        old="            or bool(self._reader.unread_bytes)\n",
+        new="",
+        test=NOTICES + "EndlessResponses::test_bytes_on_an_idle_connection",
+    ),
     Mutation(
         promise="QUOTA",
         path="waxwingarch/core/limits/shared_rate.py",
--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -18,6 +18,7 @@
 REQUEST_ID_HEADER: Final = "X-Waxwingarch-Request-Id"
 SERVER_STAMP_HEADER: Final = "X-Waxwingarch-Server-Stamp"
 NOT_EXECUTED_HEADER: Final = "X-Waxwingarch-Not-Executed"
+SERVER_LEAVING_HEADER: Final = "Server-Leaving"
 
 
 @dataclass(kw_only=True, slots=True)
@@ -50,6 +51,7 @@
     response carries the id of another request). `event_s` is the pause
     between events, `work_s` the duration of a plain request. `handles` holds
     for each handle of a KV cache how many events were sent before it moved.
+    `retry_after` is the Retry-After header of the responses to shed requests.
     """
 
     events: int = 5
@@ -58,6 +60,7 @@
     how: str = ""
     count: int = 0
     handles: dict[str, int] = field(default_factory=dict)
+    retry_after: str = ""
 
 
 class FleetServer:
@@ -78,8 +81,12 @@
         self.engine = engine
         self.runs = runs
         self.behaviour = Behaviour()
+        # When requests were turned away, in monotonic seconds.
+        self.shed_at: list[float] = []
         self.address = ""
         self.spot = False
+        # Whether all responses say that this server is shutting down.
+        self.announces_leaving = False
         self.born = 1_000
         self._running: dict[str, tuple[Run, asyncio.Event]] = {}
         self.server = HttpServer(self._async_handle)
@@ -137,7 +144,12 @@
         headers = [
             (REQUEST_ID_HEADER, req.headers.get(REQUEST_ID_HEADER.lower(), ""))
         ]
+        if self.announces_leaving:
+            headers.append((SERVER_LEAVING_HEADER, "1"))
         if how == "shed":
+            self.shed_at.append(time.monotonic())
+            if self.behaviour.retry_after:
+                headers.append(("Retry-After", self.behaviour.retry_after))
             await resp.async_send(
                 503, b"", [*headers, (NOT_EXECUTED_HEADER, "1")]
             )
--- /dev/null
+++ b/tests/front/test_server_notices_host.py
@@ -0,0 +1,189 @@
+"""Tests of one host before servers that leave, are full or never end."""
+
+import asyncio
+import time
+from typing import Any
+
+import testtools
+
+from standins.fleet import PLAIN_SERVICE
+from standins.fleet_server import FleetServer
+from standins.flood import PARTS, FloodServer
+from tests.front.base import Host, async_until
+from tests.helpers import async_test
+from waxwingarch.exceptions import LinkError
+from waxwingarch.platform.exchange_codec import PlatformExchangeCodec
+from waxwingarch.tasks.front_exchange import MAX_RESPONSE_BYTES
+
+# What the sockets on both ends may hold of a flood beyond what is read.
+SOCKET_BUFFERS_BYTES = 12 * 1024 * 1024
+# Timeout of the plain routes in the emulator's configuration, and the time
+# in which the final response has to follow it.
+ROUTE_TIMEOUT_S = 2.0
+RESPONSE_SLACK_S = 0.5
+# Time in which the first bytes on an idle connection have been received.
+IDLE_FLOOD_S = 0.1
+
+
+class LeavingServers(testtools.TestCase):
+    @async_test
+    async def test_no_request_after_an_announcement(self) -> None:
+        """Errors and streams announce it as well as plain responses do."""
+        for path, how in (
+            ("/read/x", ""),
+            ("/read/x", "shed"),
+            ("/chat/x", ""),
+        ):
+            async with Host() as host:
+                plain = path == "/read/x"
+                fleet = host.fleet
+                first, second = fleet.plain() if plain else fleet.engines()
+                first.announces_leaving = True
+                first.behaviour.how, first.behaviour.count = how, 1
+                await self.async_send_until_seen(host, first, path)
+                seen = self.requests_of(first)
+                for _ in range(10):
+                    self.assertEqual(200, (await host.async_send(path)).status)
+                self.assertEqual(seen, self.requests_of(first))
+                self.assertGreaterEqual(self.requests_of(second), 10)
+
+    async def async_send_until_seen(
+        self, host: Host, server: FleetServer, path: str
+    ) -> None:
+        for _ in range(100):
+            await host.async_send(path)
+            if self.requests_of(server):
+                return
+        raise AssertionError(f"{server.server_id} got no request")
+
+    def requests_of(self, server: FleetServer) -> int:
+        runs = [r for r in server.runs if r.server_id == server.server_id]
+        return len(runs) + len(server.shed_at)
+
+
+class FullServers(testtools.TestCase):
+    @async_test
+    async def test_pause_is_kept_and_ends(self) -> None:
+        async with Host() as host:
+            for server in host.fleet.plain():
+                server.behaviour.how = "shed"
+                server.behaviour.count = 1
+                server.behaviour.retry_after = "0.6"
+            first = await host.async_send("/pay/x")
+            self.assertEqual(503, first.status)
+            self.assertGreaterEqual(float(first.headers["retry-after"]), 0.5)
+            turned_away = max(s.shed_at[0] for s in host.fleet.plain())
+            statuses = []
+            while time.monotonic() < turned_away + 0.55:
+                response = await host.async_send("/read/x", method="GET")
+                statuses.append(response.status)
+            self.assertEqual({503}, set(statuses))
+            self.assertEqual([], host.fleet.runs)
+
+            async def is_served() -> bool:
+                return (await host.async_send("/pay/x")).status == 200
+
+            async with asyncio.timeout(5.0):
+                while not await is_served():  # noqa: ASYNC110
+                    await asyncio.sleep(0.05)
+
+
+class BadRetryAfter(testtools.TestCase):
+    def decoded(self, *values: str, status: int = 503) -> float | None:
+        headers = [("Retry-After", value) for value in values]
+        head = PlatformExchangeCodec().decode_response_head(status, headers)
+        return head.retry_after_s
+
+    def test_values_that_are_not_seconds_are_ignored(self) -> None:
+        for text in ("", "soon", "-1", "nan", "inf", "Wed, 21 Oct 2026"):
+            self.assertIsNone(self.decoded(text), text)
+        self.assertIsNone(self.decoded("1", "2"))
+        self.assertIsNone(self.decoded("1", status=200))
+        self.assertEqual(0.25, self.decoded("0.25"))
+
+    def test_only_one_value_announces_leaving(self) -> None:
+        codec = PlatformExchangeCodec()
+        for value, status, want in (
+            ("1", 200, True),
+            ("1", 503, True),
+            ("0", 200, False),
+            ("1", 421, False),
+        ):
+            headers = [("Server-Leaving", value)]
+            head = codec.decode_response_head(status, headers)
+            self.assertEqual(want, head.leaving, (value, status))
+
+
+class EndlessResponses(testtools.TestCase):
+    """A response without end costs bounded memory and time."""
+
+    async def async_ask(self, part: str) -> None:
+        async with Host() as host:
+            flood = await self.async_only_server(host, FloodServer(part))
+            began = time.monotonic()
+            status = await self.async_status(host)
+            self.assertLess(
+                time.monotonic() - began, ROUTE_TIMEOUT_S + RESPONSE_SLACK_S
+            )
+            self.assertIn(status, self.honest_statuses(part))
+            self.assertEqual(1, flood.request_count)
+            self.assertLess(
+                flood.sent_bytes, MAX_RESPONSE_BYTES + SOCKET_BUFFERS_BYTES
+            )
+            await async_until(
+                lambda: not flood.open_connections,
+                f"{part}: the host has closed the connection",
+            )
+
+    async def async_only_server(
+        self, host: Host, flood: FloodServer
+    ) -> FloodServer:
+        """Let a flooding server replace the plain servers."""
+        await flood.async_setup()
+        self.addCleanup(flood.close)
+        for server in host.fleet.plain():
+            host.fleet.store.put("servers", server.server_id, None)
+        row = FleetServer("flood", PLAIN_SERVICE, "za", engine=False, runs=[])
+        row.address = flood.address
+        host.fleet.register(row)
+        registry = host.front.load_balancer.registry
+
+        def is_alone() -> bool:
+            usable = registry.usable_backends(PLAIN_SERVICE)
+            return [b.server.server_id for b in usable] == ["flood"]
+
+        await async_until(is_alone, "only the flooding server is usable")
+        return flood
+
+    async def async_status(self, host: Any) -> int:
+        """Return the status; 0 if the connection ends without one."""
+        try:
+            return int((await host.async_send("/pay/x")).status)
+        except LinkError:
+            return 0
+
+    def honest_statuses(self, part: str) -> set[int]:
+        if part == "past its length":
+            # The response itself was complete and right.
+            return {200}
+        if part == "rejection":
+            return {503}
+        return {0, 502, 504}
+
+    @async_test
+    async def test_each_part(self) -> None:
+        for part in PARTS:
+            await self.async_ask(part)
+
+    @async_test
+    async def test_bytes_on_an_idle_connection(self) -> None:
+        """The next request is sent on another connection."""
+        async with Host() as host:
+            flood = await self.async_only_server(
+                host, FloodServer("past its length", delay_s=0.05)
+            )
+            self.assertEqual(200, await self.async_status(host))
+            await async_until(lambda: flood.sent_bytes, "it floods")
+            await asyncio.sleep(IDLE_FLOOD_S)
+            self.assertEqual(200, await self.async_status(host))
+            self.assertEqual(2, flood.request_count)
--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -22,6 +22,9 @@
 # Connections that were idle for longer are closed, not reused.
 MAX_REUSE_IDLE_S: Final = 5.0
 MAX_IDLE_PER_ADDRESS: Final = 64
+# Bounds of what is read from one response; a server may send without end.
+MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+MAX_INFORMATIONAL_RESPONSES: Final = 8
 # A connection is reused for this fraction of the idle time that its
 # server announced, because the server's timer started before ours.
 KEEP_ALIVE_USED_RATIO: Final = 0.5
@@ -56,6 +59,27 @@
     """The connection was closed before the response was complete."""
 
 
+class EndlessResponseError(LinkError):
+    """A response exceeds the bound of its size; check the server."""
+
+
+class _CountingReader(asyncio.StreamReader):
+    """A stream reader that counts the received bytes that are unread."""
+
+    unread_bytes = 0
+
+    def feed_data(self, data: Any) -> None:
+        """Add received bytes to the buffer."""
+        self.unread_bytes += len(data)
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        """Return up to `n` bytes."""
+        data = await super().read(n)
+        self.unread_bytes -= len(data)
+        return data
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HttpResponse:
     """A complete response; header names are lower-case."""
@@ -113,13 +137,25 @@
         self._conn.expect_response_again()
         return ClientStream(self._conn, await self._conn.async_head(deadline))
 
-    async def async_read_rest(self, deadline: float) -> bytes:
-        """Return the rest of the body; raises the errors of `async_read`."""
+    async def async_read_rest(
+        self, deadline: float, max_bytes: int = MAX_BODY_BYTES
+    ) -> bytes:
+        """Return the rest of the body.
+
+        Raises the errors of `async_read`, and `EndlessResponseError` for
+        more than `max_bytes`.
+        """
         parts: list[bytes] = []
+        remaining = max_bytes
         while not self.complete:
             part = await self.async_read(deadline)
             if part:
                 parts.append(part)
+                remaining -= len(part)
+            if remaining < 0:
+                raise EndlessResponseError(
+                    f"{self._conn.address}: body exceeds {max_bytes} bytes"
+                )
         return b"".join(parts)
 
 
@@ -129,7 +165,7 @@
     def __init__(
         self,
         address: str,
-        reader: asyncio.StreamReader,
+        reader: _CountingReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         self.address = address
@@ -243,10 +279,13 @@
 
     async def async_head(self, deadline: float) -> h11.Response:
         """Read the response head, skipping informational (1xx) ones."""
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self.async_event(deadline)
             if isinstance(event, h11.Response):
                 return event
+        raise EndlessResponseError(
+            f"{self.address}: too many informational responses"
+        )
 
     @property
     def is_response_complete(self) -> bool:
@@ -257,7 +296,8 @@
         """Reset the state for another request; return False if impossible."""
         if self._reader.at_eof() or self._conn.our_state is not h11.DONE:
             return False
-        if self._conn.trailing_data[0] or not self._is_all_sent:
+        has_surplus = self._conn.trailing_data[0] or self._reader.unread_bytes
+        if has_surplus or not self._is_all_sent:
             return False
         try:
             self._conn.start_next_cycle()
@@ -279,9 +319,18 @@
 
     @property
     def is_stale(self) -> bool:
-        """Whether it was closed or was idle for too long to be reused."""
+        """Whether it can't be reused.
+
+        It was closed, was idle for too long, or has bytes that belong to
+        no request.
+        """
         expired = self.idle_s > self._max_idle_s
-        return expired or self._reader.at_eof() or self._writer.is_closing()
+        return (
+            expired
+            or bool(self._reader.unread_bytes)
+            or self._reader.at_eof()
+            or self._writer.is_closing()
+        )
 
     def close(self) -> None:
         """Abort the connection without flushing its write buffer."""
@@ -302,11 +351,17 @@
         self, address: str, deadline: float
     ) -> _ClientConnection:
         host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        reader = _CountingReader(loop=loop)
+        protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
         try:
             async with asyncio.timeout_at(deadline):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                transport, _ = await loop.create_connection(
+                    lambda: protocol, host, int(port)
+                )
         except (OSError, ValueError) as exc:
             raise ConnectFailedError(f"{address}: cannot connect") from exc
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
         sock = writer.get_extra_info("socket")
         for level, option, value in SOCKET_OPTIONS:
             sock.setsockopt(level, option, value)
--- a/waxwingarch/adapters/report_codec.py
+++ b/waxwingarch/adapters/report_codec.py
@@ -53,6 +53,7 @@
             },
             "zone": report.domain,
             "avoid": report.avoided,
+            "leaving": report.leaving,
             "adm": {a: round(n, 1) for a, n in report.admitted.items()},
             "began": _encode_windows(report.usage_counts),
             "moves": [[r.rollout_id, r.phase] for r in report.rollouts],
@@ -98,6 +99,11 @@
         },
         domain=FailureDomain(str(raw["zone"])),
         avoided=tuple(ServerId(str(s)) for s in raw["avoid"]),
+        # Hosts of an older version do not send this field.
+        leaving={
+            ServerId(server): int(incarnation)
+            for server, incarnation in raw.get("leaving", {}).items()
+        },
         admitted={AccountId(a): float(n) for a, n in raw["adm"].items()},
         usage_counts=_decode_windows(raw["began"]),
         rollouts=tuple(
--- a/waxwingarch/core/backends/load_balancer.py
+++ b/waxwingarch/core/backends/load_balancer.py
@@ -17,6 +17,7 @@
     LoadTracker,
     PrefixCacheTracker,
 )
+from waxwingarch.core.backends.pauses import ServerPauses
 from waxwingarch.core.backends.peer_evidence import PeerEvidence
 from waxwingarch.core.backends.registry import Backend, BackendRegistry
 from waxwingarch.core.base import FailureDomain, Server, ServerId, ServiceId
@@ -101,6 +102,7 @@
         self.health = HealthTracker()
         self.peer_evidence = PeerEvidence()
         self.latency = LatencyTracker()
+        self.pauses = ServerPauses(rng)
 
     def choose(
         self,
@@ -110,10 +112,7 @@
         exclude: Collection[ServerId] = (),
     ) -> Pick | None:
         """Return the best server; None if the service has none to try."""
-        service = exchange.service
-        usable = self._versions.allowed_backends(
-            service, self.registry.usable_backends(service)
-        )
+        usable = self._open_backends(now, exchange.service)
         preferred = None
         if len(usable) > MAX_COMPARED_SERVERS:
             preferred = _preferred_by_index(exchange, usable)
@@ -142,6 +141,32 @@
             uncached_tokens=self._uncached_tokens(exchange, server, None),
         )
 
+    def open_in_s(self, now: float, service: ServiceId) -> float | None:
+        """Return when a service takes requests that it does not take now.
+
+        Returns None unless all its servers asked this host for a pause.
+        """
+        return self.pauses.first_end_in_s(
+            now, (b.server.server_id for b in self._allowed_backends(service))
+        )
+
+    def _allowed_backends(self, service: ServiceId) -> list[Backend]:
+        """Return the usable servers of the versions that are allowed."""
+        return self._versions.allowed_backends(
+            service, self.registry.usable_backends(service)
+        )
+
+    def _open_backends(self, now: float, service: ServiceId) -> list[Backend]:
+        """Return the usable servers that did not ask for a pause."""
+        allowed = self._allowed_backends(service)
+        if not self.pauses:
+            return allowed
+        return [
+            backend
+            for backend in allowed
+            if not self.pauses.is_paused(now, backend.server.server_id)
+        ]
+
     def record_attempt(
         self,
         now: float,
@@ -182,6 +207,7 @@
         self.health.forget(server_id)
         self.latency.forget(server_id)
         self.loads.forget(server_id)
+        self.pauses.forget(server_id)
 
     def _candidates(
         self,
--- a/waxwingarch/core/backends/registry.py
+++ b/waxwingarch/core/backends/registry.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import StrEnum
+from itertools import islice
 from typing import Final
 
 from waxwingarch.core.base import Action, Event, Server, ServerId, ServiceId
@@ -9,6 +11,8 @@
 # Servers that are missing from a listing after an outage of the store
 # register again within about two heartbeats after it.
 RELIST_GRACE_S: Final = 2.5
+# A report has to fit into one datagram.
+MAX_REPORTED_LEAVING: Final = 32
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -38,12 +42,28 @@
     after_outage: bool = False
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeavingAnnounced(Event):
+    """A server said in a response to this host that it is leaving."""
+
+    server: Server
+
+
+class LeavingSource(StrEnum):
+    """How this host learnt that a server is leaving."""
+
+    LISTING = "listing"
+    RESPONSE = "response"
+    PEER = "peer"
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BackendLeaving(Action):
     """A server is leaving; `leaves_at` is on the node's clock, if known."""
 
     server: Server
     leaves_at: float | None
+    source: LeavingSource = LeavingSource.LISTING
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -87,6 +107,9 @@
         self._last_listing: dict[ServerId, ListedBackend] = {}
         self._usable_by_service: dict[ServiceId, list[Backend]] | None = None
         self._unlisted: set[ServerId] = set()
+        # Servers that announced that they are leaving, by incarnation. The
+        # listing does not say so yet.
+        self._announced: dict[ServerId, int] = {}
         self.version = 0
         self.last_listed_at = float("-inf")
 
@@ -149,6 +172,38 @@
                 change.leaving.append(self._leaving_action(server_id))
         return change
 
+    def announce_leaving(
+        self,
+        now: float,
+        server_id: ServerId,
+        incarnation: int,
+        source: LeavingSource,
+    ) -> list[BackendLeaving]:
+        """Mark a server as leaving that said so in a response.
+
+        An announcement of another incarnation is ignored. Returns the
+        action if this host did not know it yet.
+        """
+        backend = self._backends.get(server_id)
+        if (
+            backend is None
+            or backend.server.incarnation != incarnation
+            or not backend.is_usable
+        ):
+            return []
+        backend.leaving_since = now
+        self._usable_by_service = None
+        self._announced[server_id] = incarnation
+        return [self._leaving_action(server_id, source)]
+
+    def announced_leaving(self) -> dict[ServerId, int]:
+        """Return the announcements to report to the peers.
+
+        They are incarnations by server. Those that the listing shows are
+        left out.
+        """
+        return dict(islice(self._announced.items(), MAX_REPORTED_LEAVING))
+
     def tick(self, now: float) -> list[BackendLeaving]:
         """Drop departed servers, and return those that now count as leaving.
 
@@ -168,6 +223,7 @@
             elif now - since > self._departed_kept_s:
                 del self._backends[server_id]
                 self._unlisted.discard(server_id)
+                self._announced.pop(server_id, None)
         return leaving
 
     def _apply_entry(self, now: float, listed: ListedBackend) -> bool:
@@ -179,9 +235,11 @@
         if known is None or known.server.incarnation < server.incarnation:
             known = Backend(server=server, listed_at=now)
             self._backends[server.server_id] = known
+            self._announced.pop(server.server_id, None)
         known.server = server
         if not listed.draining:
             return False
+        self._announced.pop(server.server_id, None)
         if listed.leaves_in_s is not None and known.leaves_at is None:
             known.leaves_at = now + listed.leaves_in_s
         if known.leaving_since is not None:
@@ -200,13 +258,19 @@
             return False
         backend.unlisted_since = now
         self._unlisted.add(backend.server.server_id)
+        if not after_outage:
+            self._announced.pop(backend.server.server_id, None)
         if after_outage or not backend.is_usable:
             return False
         backend.leaving_since = now
         return True
 
-    def _leaving_action(self, server_id: ServerId) -> BackendLeaving:
+    def _leaving_action(
+        self,
+        server_id: ServerId,
+        source: LeavingSource = LeavingSource.LISTING,
+    ) -> BackendLeaving:
         backend = self._backends[server_id]
         return BackendLeaving(
-            server=backend.server, leaves_at=backend.leaves_at
+            server=backend.server, leaves_at=backend.leaves_at, source=source
         )
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -37,6 +37,7 @@
 from waxwingarch.core.limits.shared_rate import SharedRates
 from waxwingarch.core.moves.move_counts import load_band
 from waxwingarch.core.randomness import RandomSource
+from waxwingarch.core.refusal import Refusal
 from waxwingarch.core.rollouts.rollout_controller import RolloutController
 from waxwingarch.core.routing.config import (
     EngineTraits,
@@ -63,6 +64,9 @@
 # Where a server does not say when it leaves, migration starts this long
 # after it was first seen to be leaving.
 MIGRATION_DELAY_S: Final = 1.0
+# Callers that are refused until a server takes requests again are told to
+# return spread over this share of that time after it.
+RETURN_SPREAD_RATIO: Final = 0.5
 
 
 class ExchangeManager:
@@ -82,6 +86,7 @@
         self._admission = ExchangeAdmission(table, rates, rng)
         self._resend_budget = resend_budget
         self._rollouts = rollouts
+        self._rng = rng
         self._exchanges: dict[RequestId, ExchangeState] = {}
         self._migrate_at: dict[RequestId, float] = {}
 
@@ -115,14 +120,19 @@
         send = self._dispatch(now, state, None)
         if send is None:
             self._admission.refund(now, exchange, cost)
-            return [
-                LocalResponse(
-                    request_id=head.request_id, refusal=no_server_refusal()
-                )
-            ]
+            refusal = self._no_server_refusal(now, exchange.service)
+            return [LocalResponse(request_id=head.request_id, refusal=refusal)]
         self._exchanges[exchange.request_id] = state
         return [send]
 
+    def _no_server_refusal(self, now: float, service: ServiceId) -> Refusal:
+        """Refuse a request for now, or until a paused server takes more."""
+        open_in_s = self._load_balancer.open_in_s(now, service)
+        if open_in_s is None:
+            return no_server_refusal()
+        spread = 1 + RETURN_SPREAD_RATIO * self._rng.random()
+        return no_server_refusal(open_in_s * spread)
+
     # Dispatch
 
     def _dispatch(
@@ -238,7 +248,11 @@
             event.request_id
         )
         if attempt is None:
-            return self._finish(state, event, state.final_step(event))
+            return self._finish(now, state, event, state.final_step(event))
+        if event.retry_after_s is not None:
+            self._load_balancer.pauses.record(
+                now, attempt.server_id, event.retry_after_s
+            )
         self._record_health(now, state, event, attempt.server_id)
         self._record_rollout_outcome(now, state, event, attempt)
         step = state.record_outcome(now, event, attempt.server_id)
@@ -247,7 +261,7 @@
             if resend is not None:
                 return [resend]
             step = state.final_step(event)
-        return self._finish(state, event, step)
+        return self._finish(now, state, event, step)
 
     def _resend(self, now: float, state: ExchangeState) -> SendRequest | None:
         """Continue a migrated run, or resend the request within the budget.
@@ -348,7 +362,11 @@
         )
 
     def _finish(
-        self, state: ExchangeState, event: AttemptFinished, step: NextStep
+        self,
+        now: float,
+        state: ExchangeState,
+        event: AttemptFinished,
+        step: NextStep,
     ) -> list[Action]:
         request_id = event.request_id
         del self._exchanges[request_id]
@@ -358,7 +376,9 @@
         if step is NextStep.FORWARD_FAILURE:
             return [ForwardFailure(request_id=request_id)]
         if step is NextStep.REFUSE:
-            refusal = state.refusal(event)
+            refusal = state.refusal(
+                event, self._no_server_refusal(now, state.exchange.service)
+            )
             return [LocalResponse(request_id=request_id, refusal=refusal)]
         return []
 
--- a/waxwingarch/core/exchange/state_machine.py
+++ b/waxwingarch/core/exchange/state_machine.py
@@ -113,10 +113,15 @@
             return NextStep.FORWARD_FAILURE
         return NextStep.REFUSE
 
-    def refusal(self, finished: AttemptFinished) -> Refusal:
-        """Build the refusal that this host sends as the final response."""
+    def refusal(
+        self, finished: AttemptFinished, not_run_refusal: Refusal
+    ) -> Refusal:
+        """Return the refusal that this host sends as the final response.
+
+        `not_run_refusal` is for a request that no server has run.
+        """
         if not self.may_have_run_on:
-            return no_server_refusal(finished.retry_after_s)
+            return not_run_refusal
         if finished.outcome is AttemptOutcome.EXPIRED:
             return Refusal(
                 reason=RefusalReason.DEADLINE_UNREACHABLE,
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -9,8 +9,13 @@
 from typing import Final
 
 from waxwingarch.core.backends.load_balancer import LoadBalancer
-from waxwingarch.core.backends.registry import BackendLeaving, BackendsListed
-from waxwingarch.core.base import Action, Event, ExecutionStatus
+from waxwingarch.core.backends.registry import (
+    BackendLeaving,
+    BackendsListed,
+    LeavingAnnounced,
+    LeavingSource,
+)
+from waxwingarch.core.base import Action, Event, ExecutionStatus, ServerId
 from waxwingarch.core.duties.autoscaler import ServersOrdered
 from waxwingarch.core.duties.coordinator import DutyCoordinator
 from waxwingarch.core.duties.leader_election import (
@@ -143,6 +148,7 @@
             FrontTick: self._handle_tick,
             ConfigRead: self._handle_config_read,
             BackendsListed: self._handle_backends_listed,
+            LeavingAnnounced: self._handle_leaving_announced,
             ExchangeArrived: self._handle_arrival,
             ResponseStarted: self._handle_response_started,
             ServerActivity: self._handle_server_activity,
@@ -245,6 +251,30 @@
             now, change.leaving
         ) + self._serve_waiting_requests(now)
 
+    def _handle_leaving_announced(
+        self, now: float, event: LeavingAnnounced
+    ) -> list[Action]:
+        leaving = self.load_balancer.registry.announce_leaving(
+            now,
+            event.server.server_id,
+            event.server.incarnation,
+            LeavingSource.RESPONSE,
+        )
+        return self._handle_leaving_backends(now, leaving)
+
+    def _handle_peer_announcements(
+        self, now: float, announced: Mapping[ServerId, int]
+    ) -> list[Action]:
+        """Mark the servers as leaving that peers heard it from."""
+        leaving = [
+            action
+            for server_id, incarnation in announced.items()
+            for action in self.load_balancer.registry.announce_leaving(
+                now, server_id, incarnation, LeavingSource.PEER
+            )
+        ]
+        return self._handle_leaving_backends(now, leaving)
+
     def _handle_leaving_backends(
         self, now: float, leaving: list[BackendLeaving]
     ) -> list[Action]:
@@ -314,7 +344,9 @@
             self._rows_version,
             self.load_balancer.registry.version,
         )
-        return self.gossip.handle_report(
+        return self._handle_peer_announcements(
+            now, report.leaving
+        ) + self.gossip.handle_report(
             now, self._boot_now, report, own_versions
         )
 
@@ -338,6 +370,7 @@
             domain=self.identity.domain,
             loads=self.load_balancer.loads.own_loads(),
             avoided=self.load_balancer.health.avoided_servers(now),
+            leaving=self.load_balancer.registry.announced_leaving(),
             admitted=self.rates.own_usage(now, self.table.accounts.values()),
             usage_counts=self.usage.counts,
             rollouts=self.rollouts.phase_reports(),
--- a/waxwingarch/core/peers/report.py
+++ b/waxwingarch/core/peers/report.py
@@ -26,6 +26,8 @@
 
     `address` is where the host receives reports and answers pulls.
     `avoided` are the servers that its own requests found unhealthy.
+    `leaving` are the incarnations of servers that announced to it or to
+    another host that they are leaving; the listing does not show it yet.
     `unix_now` is its estimate of the time of day, in Unix seconds.
     `admitted` is what it used of each account's rate limit over the limit's
     window. `usage_counts` counts requests by the usage window in which they
@@ -50,6 +52,7 @@
     holds_duties: bool = False
     loads: Mapping[ServerId, ServerLoad] = field(default_factory=dict)
     avoided: tuple[ServerId, ...] = ()
+    leaving: Mapping[ServerId, int] = field(default_factory=dict)
     admitted: Mapping[AccountId, float] = field(default_factory=dict)
     usage_counts: WindowCounts | None = None
     rollouts: tuple[RolloutPhaseReport, ...] = ()
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -319,6 +319,7 @@
             message_type="server_leaving",
             server=action.server.server_id,
             leaves_at=action.leaves_at,
+            learnt_from=action.source.value,
         )
 
 
--- a/waxwingarch/platform/calls.py
+++ b/waxwingarch/platform/calls.py
@@ -13,7 +13,8 @@
 from waxwingarch.core.exchange.exchange_messages import MigratedCache
 from waxwingarch.exceptions import LinkError
 from waxwingarch.platform.const import HEADER_DUTY_HOLDER, HEADER_FENCING_TOKEN
-from waxwingarch.ports.front import OrderReply
+from waxwingarch.platform.exchange_codec import is_leaving
+from waxwingarch.ports.front import MigrationReply, OrderReply
 
 HTTP_OK: Final = 200
 HTTP_CONFLICT: Final = 409
@@ -32,25 +33,26 @@
         request_id: RequestId,
         *,
         deadline: float,
-    ) -> MigratedCache | None:
-        """Stop a run and copy its KV cache to the target.
-
-        Returns None if that failed.
-        """
+    ) -> MigrationReply:
+        """Stop a run and copy its KV cache to the target."""
         # `last` makes the engine stop the run before it copies the rest of
         # the run's KV cache.
         body = {"id": request_id, "target": target.address, "last": True}
         response = await _async_post(
             self._client, source.address, "/-/kv-move", body, deadline
         )
-        if response is None or response.status != HTTP_OK:
-            return None
+        if response is None:
+            return MigrationReply()
+        leaving = is_leaving(response.headers)
+        if response.status != HTTP_OK:
+            return MigrationReply(source_leaving=leaving)
         handle = orjson.loads(response.body)["handle"]
-        return MigratedCache(
+        cache = MigratedCache(
             address=source.address,
             handle=str(handle),
             target=target.server_id,
         )
+        return MigrationReply(cache=cache, source_leaving=leaving)
 
 
 class PlatformDutyClient:
--- a/waxwingarch/platform/const.py
+++ b/waxwingarch/platform/const.py
@@ -28,6 +28,9 @@
 HEADER_PRIORITY: Final = "x-waxwingarch-request-priority"
 HEADER_SERVER_STAMP: Final = "x-waxwingarch-server-stamp"
 HEADER_NOT_EXECUTED: Final = "x-waxwingarch-not-executed"
+# "1" in all responses of a server that is leaving.
+HEADER_SERVER_LEAVING: Final = "server-leaving"
+HEADER_RETRY_AFTER: Final = "retry-after"
 # Where the server fetches the KV cache of a migrated run: "ADDRESS/HANDLE".
 HEADER_KV_SOURCE: Final = "kv-from"
 HEADER_DUTY_HOLDER: Final = "x-waxwingarch-duty-holder"
--- a/waxwingarch/platform/exchange_codec.py
+++ b/waxwingarch/platform/exchange_codec.py
@@ -1,6 +1,9 @@
 """Decodes and encodes the platform's request and response headers."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from math import isfinite
+
+from eliot import log_message
 
 from waxwingarch.adapters.http_messages import Headers, HttpRequest
 from waxwingarch.core.base import RequestId
@@ -18,6 +21,8 @@
     HEADER_PRIORITY,
     HEADER_PROMPT_PREFIX,
     HEADER_REQUEST_ID,
+    HEADER_RETRY_AFTER,
+    HEADER_SERVER_LEAVING,
     HEADER_SERVER_STAMP,
     HEADER_TARGET_SERVER,
     HEADER_TENANT,
@@ -29,7 +34,9 @@
 from waxwingarch.ports.front import BadHeadError, ResponseHead
 
 HTTP_MISDIRECTED = 421
+HTTP_TOO_MANY_REQUESTS = 429
 HTTP_UNAVAILABLE = 503
+MAX_LOGGED_VALUE_CHARS = 40
 # Priority 0 is the most urgent; the header carries 9 at most.
 LEAST_URGENT_PRIORITY = 9
 
@@ -95,7 +102,7 @@
         self, status: int, headers: Headers
     ) -> ResponseHead:
         """Decode the head of a server's response."""
-        values = {name.lower(): value for name, value in headers}
+        values = _unique_values(headers)
         request_id = values.get(HEADER_REQUEST_ID)
         is_encoded = "content-encoding" in values
         return ResponseHead(
@@ -105,7 +112,11 @@
             not_executed=HEADER_NOT_EXECUTED in values
             or status == HTTP_MISDIRECTED,
             misdirected=status == HTTP_MISDIRECTED,
-            retry_after_s=_parse_retry_after_s(values.get("retry-after")),
+            # Another server now has the address of a misdirected request.
+            leaving=status != HTTP_MISDIRECTED and is_leaving(values),
+            retry_after_s=_parse_retry_after_s(values.get(HEADER_RETRY_AFTER))
+            if status in (HTTP_TOO_MANY_REQUESTS, HTTP_UNAVAILABLE)
+            else None,
         )
 
     def filter_response_headers(
@@ -140,12 +151,51 @@
         return None
 
 
+def is_leaving(headers: Mapping[str, str]) -> bool:
+    """Return whether a server says that it is shutting down.
+
+    Header names are in lower case.
+    """
+    return headers.get(HEADER_SERVER_LEAVING, "").strip() == "1"
+
+
+def _unique_values(headers: Headers) -> dict[str, str]:
+    """Return the headers by lower-case name.
+
+    A `Retry-After` that occurs more than once is ambiguous and left out.
+    """
+    values = {name.lower(): value for name, value in headers}
+    if len(values) == len(headers) or HEADER_RETRY_AFTER not in values:
+        return values
+    names = [name.lower() for name, _ in headers]
+    if names.count(HEADER_RETRY_AFTER) > 1:
+        repeated = values.pop(HEADER_RETRY_AFTER)
+        _log_bad_header(HEADER_RETRY_AFTER, repeated, "occurs more than once")
+    return values
+
+
 def _parse_retry_after_s(text: str | None) -> float | None:
-    """Parse `Retry-After` in seconds; None for an HTTP date."""
+    """Parse `Retry-After` in seconds; None if it is not such a number."""
+    if text is None:
+        return None
     try:
-        return float(text) if text else None
+        seconds = float(text)
     except ValueError:
+        seconds = float("nan")
+    if not isfinite(seconds) or seconds < 0:
+        _log_bad_header(HEADER_RETRY_AFTER, text, "not a number of seconds")
         return None
+    return seconds
+
+
+def _log_bad_header(name: str, value: str, reason: str) -> None:
+    """Log a header that is ignored, with the start of its value."""
+    log_message(
+        message_type="bad_header",
+        header=name,
+        value=value[:MAX_LOGGED_VALUE_CHARS],
+        reason=reason,
+    )
 
 
 def _parse_token_usage(text: str) -> tuple[int, int]:
--- a/waxwingarch/ports/front.py
+++ b/waxwingarch/ports/front.py
@@ -179,7 +179,8 @@
     `is_authentic` means that it has the server's stamp and that its body
     has no content encoding. `not_executed` means that the server says that
     it did not execute the request, and `misdirected` that another server
-    now has the address.
+    now has the address. `leaving` means that the server is shutting down.
+    `retry_after_s` is how long the server asks this host to send it nothing.
     """
 
     status: int
@@ -187,6 +188,7 @@
     is_authentic: bool
     not_executed: bool
     misdirected: bool
+    leaving: bool = False
     retry_after_s: float | None = None
 
 
@@ -222,11 +224,19 @@
         request_id: RequestId,
         *,
         deadline: float,
-    ) -> MigratedCache | None:
-        """Stop a run and copy its KV cache to the target.
+    ) -> "MigrationReply":
+        """Stop a run and copy its KV cache to the target."""
 
-        Returns None if that failed.
-        """
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MigrationReply:
+    """The reply to a migration; `cache` is None if it failed.
+
+    `source_leaving` means that the source said that it is shutting down.
+    """
+
+    cache: MigratedCache | None = None
+    source_leaving: bool = False
 
 
 class DutyClient(Protocol):
--- a/waxwingarch/tasks/front_duties.py
+++ b/waxwingarch/tasks/front_duties.py
@@ -11,6 +11,7 @@
 import orjson
 from eliot import log_message
 
+from waxwingarch.core.backends.registry import LeavingAnnounced
 from waxwingarch.core.base import AccountId, HostId
 from waxwingarch.core.duties.autoscaler import OrderServers, ServersOrdered
 from waxwingarch.core.duties.leader_election import (
@@ -227,7 +228,7 @@
         )
 
     async def _async_migrate_run(self, action: MigrateRun) -> None:
-        cache = await self._ports.engines.async_migrate_run(
+        reply = await self._ports.engines.async_migrate_run(
             action.source,
             action.target,
             action.request_id,
@@ -238,10 +239,12 @@
             request_id=action.request_id,
             source=action.source.server_id,
             target=action.target.server_id,
-            moved=cache is not None,
+            moved=reply.cache is not None,
         )
+        if reply.source_leaving:
+            self._runner.post(LeavingAnnounced(server=action.source))
         self._runner.post(
-            RunMigrated(request_id=action.request_id, cache=cache)
+            RunMigrated(request_id=action.request_id, cache=reply.cache)
         )
 
 
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from eliot import log_message
+
 from waxwingarch.adapters.event_split import EventSplitter
 from waxwingarch.adapters.http_client import (
     ClientStream,
@@ -16,6 +18,7 @@
     HttpRequest,
     HttpResponder,
 )
+from waxwingarch.core.backends.registry import LeavingAnnounced
 from waxwingarch.core.base import RequestId
 from waxwingarch.core.exchange.exchange_messages import (
     AttemptFinished,
@@ -46,6 +49,12 @@
 # At most this many responses to earlier requests are skipped before the one
 # to this request.
 MAX_STRAY_RESPONSES: Final = 2
+# The largest response of a server that is not streamed. Some dozens are held
+# in memory at the same time on a host with 200 MB.
+MAX_RESPONSE_BYTES: Final = 4 * 1024 * 1024
+# The body of a rejection or of an error response is short: the rest of it is
+# awaited for this long.
+FAILURE_BODY_TIMEOUT_S: Final = 1.0
 
 HTTP_SUCCESS_MIN: Final = 200
 HTTP_SUCCESS_MAX: Final = 299
@@ -113,7 +122,13 @@
             outcome = AttemptOutcome.NOT_SENT
         except SilentLinkError:
             outcome = AttemptOutcome.SILENT
-        except LinkError:
+        except LinkError as exc:
+            log_message(
+                message_type="response_broken",
+                request_id=self._request_id,
+                server=send.server.server_id,
+                reason=str(exc),
+            )
             outcome = AttemptOutcome.BROKEN
         if outcome in (AttemptOutcome.SILENT, AttemptOutcome.BROKEN):
             is_expired = asyncio.get_running_loop().time() >= send.expires_at
@@ -180,6 +195,8 @@
             head = self._codec.decode_response_head(
                 stream.status, stream.pairs
             )
+            if head.leaving:
+                self._runner.post(LeavingAnnounced(server=send.server))
             if head.request_id in (None, self._request_id):
                 return stream, head
             stream = await stream.async_next_response(send.first_byte_deadline)
@@ -191,7 +208,7 @@
         self, stream: ClientStream, head: ResponseHead, send: SendRequest
     ) -> tuple[AttemptOutcome, float | None]:
         if head.not_executed:
-            await stream.async_read_rest(send.expires_at)
+            await self._async_discard_body(stream, send)
             outcome = (
                 AttemptOutcome.MISDIRECTED
                 if head.misdirected
@@ -199,7 +216,9 @@
             )
             return outcome, head.retry_after_s
         if not HTTP_SUCCESS_MIN <= head.status <= HTTP_SUCCESS_MAX:
-            body = await stream.async_read_rest(send.expires_at)
+            body = await stream.async_read_rest(
+                self._failure_body_deadline(send), MAX_RESPONSE_BYTES
+            )
             self._report_response_start(send)
             if head.is_authentic:
                 self.state.failure = FailureResponse(
@@ -207,7 +226,7 @@
                     headers=self._codec.filter_response_headers(stream.pairs),
                     body=body,
                 )
-            return AttemptOutcome.FAILED, None
+            return AttemptOutcome.FAILED, head.retry_after_s
         if not head.is_authentic:
             raise BadResponseError(f"{send.server.address}: not authentic")
         if send.streaming:
@@ -216,6 +235,29 @@
             await self._async_forward_body(stream, send)
         return AttemptOutcome.DONE, None
 
+    def _failure_body_deadline(self, send: SendRequest) -> float:
+        now = asyncio.get_running_loop().time()
+        return min(send.expires_at, now + FAILURE_BODY_TIMEOUT_S)
+
+    async def _async_discard_body(
+        self, stream: ClientStream, send: SendRequest
+    ) -> None:
+        """Read the body of a rejection, so that its connection is reused.
+
+        The rejection counts also if its body is invalid or does not end.
+        """
+        try:
+            await stream.async_read_rest(
+                self._failure_body_deadline(send), MAX_RESPONSE_BYTES
+            )
+        except LinkError as exc:
+            log_message(
+                message_type="rejection_cut",
+                request_id=self._request_id,
+                server=send.server.server_id,
+                reason=str(exc),
+            )
+
     def _report_response_start(self, send: SendRequest) -> None:
         self.state.activity_reported_at = asyncio.get_running_loop().time()
         self._runner.post(ResponseStarted(request_id=self._request_id))
@@ -230,7 +272,9 @@
     async def _async_forward_body(
         self, stream: ClientStream, send: SendRequest
     ) -> None:
-        body = await stream.async_read_rest(send.expires_at)
+        body = await stream.async_read_rest(
+            send.expires_at, MAX_RESPONSE_BYTES
+        )
         self._report_response_start(send)
         self.state.response_started = True
         headers = self._codec.filter_response_headers(stream.pairs)
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -176,6 +176,7 @@
             request_id=event.request_id,
             server=server_id,
             end=event.outcome.value,
+            retry_after_s=event.retry_after_s,
             last_event=event.last_event,
             after_s=round(now - history.arrived_at, DECIMALS),
             server_avoided=self._front.load_balancer.health.is_avoided(
