Keep order and duties when the store returns from an older copy

New on the platform: the store may come back from a copy some seconds old, with `Store-Era` one higher. Versions are given out again, so that all that trusted their order failed: a fencing number could be given out twice, a feed that had been passed again answered 200 and missed changes, a renewal could hit another host's row, an older configuration row replaced the one that peers should learn, and usage could be settled a second time.

The client of the store makes versions of era and count; rows of an earlier era are never named in a condition. The lease is written again by its holder only, others wait a term from when they saw the era; windows that another holder may have reported are left out; the configuration in force stays and is handed to hosts that start in the gap; stop marks, states and addresses are written again.

The model found two holders with the old rule, and in the first version of this change a holder that wrote its row again after its lease had ended.

--- a/model/singleton.py
+++ b/model/singleton.py
@@ -19,8 +19,10 @@
     DutyStoreFailed,
     LeaderElection,
     ReadDutyRow,
+    StoreEraSeen,
     WriteDutyRow,
 )
+from waxwingarch.core.store_version import count_of, era_of, make_version
 
 TERM_S: Final = 3.0
 # Seconds, chosen around a renewal and the end of a term.
@@ -52,16 +54,26 @@
 class World:
     """The state of the model: time, row and both hosts.
 
-    `faults` is how many may still occur.
+    `faults` is how many may still occur. `copy` is the first row with its
+    version, which the store returns from in its next era.
     """
 
     time: int = 0
     row: DutyLeaseRow | None = None
     version: int = 0
     faults: int = 1
+    era: int = 0
+    copy: tuple[DutyLeaseRow | None, int] | None = None
     hosts: tuple[Host, ...] = (Host(), Host())
 
 
+# The row of a lease that has ended, which is in the copy as well.
+ENDED_ROW: Final = DutyLeaseRow(
+    holder=HostId("z"), incarnation=1, until_ms=1, era=0
+)
+RETURNING_WORLD: Final = World(
+    row=ENDED_ROW, version=1, faults=0, copy=(ENDED_ROW, 1)
+)
 Step = tuple[str, tuple[World]]
 
 
@@ -72,10 +84,15 @@
     """
 
     def __init__(
-        self, machine: type[LeaderElection], *, steady_clock: bool
+        self,
+        machine: type[LeaderElection],
+        *,
+        steady_clock: bool,
+        store_returns: bool,
     ) -> None:
         self._machine = machine
         self._steady_clock = steady_clock
+        self._store_returns = store_returns
 
     def spec(self) -> Spec:
         """Return the specification for the checker."""
@@ -83,7 +100,7 @@
             name="singleton",
             candidate=False,
             fields=("world",),
-            initial=(World(),),
+            initial=(RETURNING_WORLD if self._store_returns else World(),),
             transitions=lambda s: list(self._steps(s[0])),
             invariants={"one_holder": self._one_holder},
         )
@@ -106,7 +123,8 @@
             later = replace(world, time=world.time + 1)
             yield "time", (later,)
             step_s = TIMES[world.time + 1] - TIMES[world.time]
-            for index, host in enumerate(world.hosts):
+            suspendable = () if self._store_returns else world.hosts
+            for index, host in enumerate(suspendable):
                 suspended_host = replace(
                     host, suspended_s=host.suspended_s + step_s
                 )
@@ -114,6 +132,12 @@
                     f"{index}:suspended",
                     (_set_host(later, index, suspended_host),),
                 )
+        if world.copy is not None:
+            row, version = world.copy
+            returned = replace(
+                world, row=row, version=version, copy=None, era=world.era + 1
+            )
+            yield "store returns", (returned,)
         for index, host in enumerate(world.hosts):
             if host.write is not None:
                 yield from self._write_steps(world, index, host)
@@ -133,7 +157,7 @@
         write = host.write
         assert write is not None
         after_write = replace(host, write=None)
-        if write.expected_version != world.version:
+        if count_of(write.expected_version) != world.version:
             reply = ("read", self._row_read(world, host))
             after = _set_host(world, index, replace(after_write, reply=reply))
             yield f"{index}:conflict", (after,)
@@ -142,7 +166,7 @@
             return
         applied = replace(world, row=write.row, version=world.version + 1)
         written = DutyRowWritten(
-            version=applied.version,
+            version=make_version(world.era, applied.version),
             clock_ms=int(TIMES[world.time] * MS_PER_S),
             sent_at=host.sent_at,
             boot_now=0.0,
@@ -160,7 +184,7 @@
     def _row_read(self, world: World, host: Host) -> DutyRowRead:
         return DutyRowRead(
             row=world.row,
-            version=world.version,
+            version=make_version(world.era, world.version),
             clock_ms=int(TIMES[world.time] * MS_PER_S),
             sent_at=host.sent_at or self._clock(world, host),
             boot_now=0.0,
@@ -188,7 +212,13 @@
         """Return the machine after a host's events, with its last actions."""
         lease = self._machine(NAMES[index], 1, TERM_S)
         actions: list[Action] = []
+        known_era: int | None = None
         for now, kind, value in host.trace:
+            if isinstance(value, DutyRowRead | DutyRowWritten):
+                era = era_of(value.version)
+                if era != known_era:
+                    lease.record_era(StoreEraSeen(era=era, boot_now=now))
+                known_era = era
             if kind == "tick":
                 actions = lease.tick(now, 0)
             elif kind == "read":
@@ -212,6 +242,12 @@
     machine: type[LeaderElection] = LeaderElection,
     *,
     steady_clock: bool = False,
+    store_returns: bool = False,
 ) -> Spec:
-    """Return the specification for one class of state machine."""
-    return SingletonModel(machine, steady_clock=steady_clock).spec()
+    """Return the specification for one class of state machine.
+
+    With `store_returns` the store returns from a copy once, at any time.
+    """
+    return SingletonModel(
+        machine, steady_clock=steady_clock, store_returns=store_returns
+    ).spec()
--- a/script/red_front.py
+++ b/script/red_front.py
@@ -128,6 +128,20 @@
         new="",
         test=NOTICES + "EndlessResponses::test_bytes_on_an_idle_connection",
     ),
+    Mutation(
+        promise="ONE",
+        path="waxwingarch/core/duties/leader_election.py",
+        old="            return row.era == self._era\n",
+        new="            return True\n",
+        test=CORE + "test_store_returns.py::LeaseOverEras",
+    ),
+    Mutation(
+        promise="CONFIG",
+        path="waxwingarch/tasks/table_watch.py",
+        old="        return replace(known, version=row.version)\n",
+        new="        return row\n",
+        test="tests/front/test_store_returns_host.py::PeersOfOneStore",
+    ),
     Mutation(
         promise="QUOTA",
         path="waxwingarch/core/limits/shared_rate.py",
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -37,6 +37,14 @@
         return row | {"value": self.value, "row_version": self.version}
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreCopy:
+    """The rows and the version of a store at one moment."""
+
+    rows: dict[Key, StoreRow]
+    version: int
+
+
 class FleetStore:
     """Rows with one version counter, transactions and a change feed.
 
@@ -44,7 +52,8 @@
     429, "silent" without a response. The next `lose` transactions commit
     but get no response. While `late_s` isn't 0, transactions get no
     response and commit after that delay. `oldest` is the version up to which
-    the history was discarded.
+    the history was discarded. `era` rises each time that the store returns
+    from a copy; `era_header` replaces the header that tells it.
     """
 
     def __init__(self) -> None:
@@ -55,6 +64,8 @@
         self.mode = ""
         self.lose = 0
         self.late_s = 0.0
+        self.era = 1
+        self.era_header: str | None = None
         self.calls: list[str] = []
         self.address = ""
         self._changed_event = asyncio.Event()
@@ -87,6 +98,18 @@
         self.oldest = self.version
         self._wake()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all rows as they are now."""
+        return StoreCopy(rows=dict(self.rows), version=self.version)
+
+    def return_from(self, copy: StoreCopy) -> None:
+        """Go on from a copy: later versions are given out again."""
+        self.era += 1
+        self.rows = dict(copy.rows)
+        self.version = copy.version
+        self.history = [r for r in self.history if r.version <= copy.version]
+        self._wake()
+
     def value(self, table: str, key: str) -> bytes | None:
         """Return a row's value."""
         row = self.rows.get((table, key))
@@ -115,7 +138,8 @@
             await resp.disconnected.wait()
             return
         if self.mode:
-            await resp.async_send(503 if self.mode == "down" else 429, b"")
+            status = 503 if self.mode == "down" else 429
+            await resp.async_send(status, b"", self._era_headers())
             return
         if req.path == "/-/rows-tx":
             await self._async_transact(orjson.loads(req.body), resp)
@@ -206,8 +230,8 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + int(query["wait_ms"]) / 1000
         while True:
-            if after < self.oldest:
-                await resp.async_send(410, b"")
+            if after < self.oldest or after > self.version:
+                await resp.async_send(410, b"", self._era_headers())
                 return
             rows = [
                 row.as_json()
@@ -229,4 +253,9 @@
     ) -> None:
         now_ms = int(asyncio.get_running_loop().time() * 1000)
         envelope = body | {"row_version": self.version, "now_ms": now_ms}
-        await resp.async_send(status, orjson.dumps(envelope), [JSON_TYPE])
+        headers = [JSON_TYPE, *self._era_headers()]
+        await resp.async_send(status, orjson.dumps(envelope), headers)
+
+    def _era_headers(self) -> list[tuple[str, str]]:
+        text = str(self.era) if self.era_header is None else self.era_header
+        return [("Store-Era", text)] if text else []
--- a/tests/core/front/test_gossip.py
+++ b/tests/core/front/test_gossip.py
@@ -95,7 +95,7 @@
         gossip = self.hosts[name]
         if not gossip.peers.record_report(self.now, action.report, 0.0):
             return
-        own_versions = (1, self.versions[name])
+        own_versions = (1, self.versions[name], 0)
         for pull in gossip.handle_report(
             self.now, self.now, action.report, own_versions
         ):
@@ -142,7 +142,7 @@
 
     def test_peer_with_an_older_listing_confirms_nothing(self) -> None:
         gossip = ReportGossip(HostId("h1"))
-        own_versions = (1, 5)
+        own_versions = (1, 5, 0)
         older = report(HostId("h2"), listing_version=4, confirmed_age_s=0.0)
         gossip.handle_report(1.0, 1.0, older, own_versions)
         self.assertEqual(float("inf"), gossip.confirmed_age_s(1.0))
--- a/tests/front/test_table_watch.py
+++ b/tests/front/test_table_watch.py
@@ -30,6 +30,7 @@
     """A store whose results the test puts into queues."""
 
     def __init__(self) -> None:
+        self.on_era = lambda era: None
         self.reads: asyncio.Queue[Rows | Exception] = asyncio.Queue()
         self.changed: asyncio.Queue[Rows | Exception] = asyncio.Queue()
         self.change_calls = 0
--- a/tests/model/test_singleton.py
+++ b/tests/model/test_singleton.py
@@ -8,9 +8,11 @@
 from model.singleton import singleton_spec
 from waxwingarch.core.base import Action
 from waxwingarch.core.duties.leader_election import (
+    DutyLeaseRow,
     DutyRowRead,
     DutyRowWritten,
     LeaderElection,
+    StoreEraSeen,
 )
 
 
@@ -29,16 +31,53 @@
         return super().handle_row_read(replace(event, row=None))
 
 
+class _IgnoresEras(LeaderElection):
+    """Relies on a row that the store has from an older copy."""
+
+    def record_era(self, event: StoreEraSeen) -> None:
+        pass
+
+    def _is_of_this_era(self, row: DutyLeaseRow | None) -> bool:
+        return True
+
+
+class _KeepsLateWrite(LeaderElection):
+    """Counts on a write that replaced another row than it was meant to."""
+
+    def handle_row_written(self, event: DutyRowWritten) -> None:
+        self._written_era = self._era
+        super().handle_row_written(event)
+
+
 class OneHolder(testtools.TestCase):
     def test_one_holder_at_a_time(self) -> None:
         result = check_safety(singleton_spec())
         self.assertTrue(result["properties"]["one_holder"]["holds"])
         self.assertTrue(result["exhaustive"])
 
+    def test_one_holder_when_the_store_returns_from_a_copy(self) -> None:
+        result = check_safety(singleton_spec(store_returns=True))
+        self.assertTrue(result["properties"]["one_holder"]["holds"])
+        self.assertTrue(result["exhaustive"])
+
+    def test_relying_on_the_row_of_a_copy_overlaps(self) -> None:
+        steps = self._counterexample(_IgnoresEras, store_returns=True)
+        self.assertIn("store returns", steps)
+
+    def test_extending_by_a_write_in_another_era_overlaps(self) -> None:
+        steps = self._counterexample(_KeepsLateWrite, store_returns=True)
+        self.assertIn("store returns", steps)
+
     def _counterexample(
-        self, machine: type[LeaderElection], *, steady_clock: bool = False
+        self,
+        machine: type[LeaderElection],
+        *,
+        steady_clock: bool = False,
+        store_returns: bool = False,
     ) -> list[str]:
-        spec = singleton_spec(machine, steady_clock=steady_clock)
+        spec = singleton_spec(
+            machine, steady_clock=steady_clock, store_returns=store_returns
+        )
         found = check_safety(spec)["properties"]["one_holder"]
         self.assertIs(False, found["holds"])
         return [step["label"] for step in found["counterexample"][1:]]
--- a/waxwingarch/adapters/report_codec.py
+++ b/waxwingarch/adapters/report_codec.py
@@ -44,6 +44,7 @@
             "unix": round(report.unix_now, 3),
             "cfg": report.config_version,
             "list": report.listing_version,
+            "num": report.config_number,
             "drain": report.draining,
             "duty": report.holds_duties,
             "age": round(min(report.confirmed_age_s, MAX_REPORTED_AGE_S), 2),
@@ -86,6 +87,7 @@
         unix_now=float(raw["unix"]),
         config_version=int(raw["cfg"]),
         listing_version=int(raw["list"]),
+        config_number=int(raw.get("num", 0)),
         confirmed_age_s=float(raw["age"]),
         draining=bool(raw["drain"]),
         holds_duties=bool(raw["duty"]),
@@ -99,7 +101,7 @@
         },
         domain=FailureDomain(str(raw["zone"])),
         avoided=tuple(ServerId(str(s)) for s in raw["avoid"]),
-        # Hosts of an older version do not send this field.
+        # Hosts of an older version do not send "leaving" and "num".
         leaving={
             ServerId(server): int(incarnation)
             for server, incarnation in raw.get("leaving", {}).items()
--- a/waxwingarch/core/duties/coordinator.py
+++ b/waxwingarch/core/duties/coordinator.py
@@ -12,6 +12,7 @@
     DutyRowRead,
     DutyRowWritten,
     LeaderElection,
+    StoreEraSeen,
 )
 from waxwingarch.core.duties.usage import (
     UsageCounter,
@@ -50,6 +51,7 @@
         *,
         lease_s: float,
         usage_window_s: float,
+        first_start: bool = True,
     ) -> None:
         self._kinds = kinds
         self._gossip = gossip
@@ -58,7 +60,9 @@
         self._backends = backends
         self._was_holder = False
         self.boot_now = 0.0
-        self.lease = LeaderElection(host, incarnation, lease_s)
+        self.lease = LeaderElection(
+            host, incarnation, lease_s, first_start=first_start
+        )
         self.usage = UsageCounter(usage_window_s)
         self.usage_reporter = UsageReporter(self.usage)
         self.autoscaler = Autoscaler()
@@ -79,7 +83,11 @@
             )
         rank = self._gossip.rank(now)
         actions = self.lease.tick(
-            self.boot_now, rank, peers.round_s, busy_accounts
+            self.boot_now,
+            rank,
+            peers.round_s,
+            busy_accounts,
+            self.usage.window_of(unix_now),
         )
         if not self.may_act():
             if self._was_holder:
@@ -96,6 +104,7 @@
                 fence,
                 peers.usage_counts(now),
                 settle_delay_s=SETTLE_ROUNDS * peers.round_s,
+                first_window=self.lease.first_window,
             )
         if DUTY_SCALING in self._kinds:
             actions += self.autoscaler.tick(
@@ -108,6 +117,15 @@
 
     # Replies of the store and the platform
 
+    def handle_era(self, event: StoreEraSeen, *, returned: bool) -> None:
+        """Handle an era of the store.
+
+        `returned` says that the store came back from an older copy.
+        """
+        self.lease.record_era(event)
+        if returned:
+            self.usage_reporter.handle_store_returned()
+
     def handle_lease_row_read(
         self, now: float, event: DutyRowRead
     ) -> list[Action]:
--- a/waxwingarch/core/duties/leader_election.py
+++ b/waxwingarch/core/duties/leader_election.py
@@ -8,8 +8,14 @@
 hosts read with each reply. The holder counts its lease on the boot
 clock, which also runs while the host is suspended, from before the
 renewal was sent. The version of the row that acquired the lease is the
-fencing number. Versions only grow, so that a later holder has a higher
-one.
+fencing number. Versions only grow, also across eras of the store, so that
+a later holder has a higher one.
+
+When the store returns from an older copy, renewals are missing from the
+row, and it may show a lease as ended that its holder still counts on. A
+row that was not written in the current era is therefore not relied on:
+its holder writes it again, and other hosts wait for one term from when
+they first saw the era.
 """
 
 from dataclasses import dataclass
@@ -44,12 +50,25 @@
 
     `busy_accounts` used most of their limits when the row was written.
     Hosts that have all restarted know nothing else of what was used.
+    `era` is the store's era that the holder knew. Usage windows before
+    `first_window` may have been reported by a holder whose records the
+    store has lost.
     """
 
     holder: HostId
     incarnation: int
     until_ms: int
     busy_accounts: tuple[AccountId, ...] = ()
+    era: int = 0
+    first_window: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreEraSeen(Event):
+    """The store's era was seen first, or a later era than before."""
+
+    era: int
+    boot_now: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -110,10 +129,31 @@
     All times are on the boot clock, except where another clock is named.
     """
 
-    def __init__(self, own: HostId, incarnation: int, term_s: float) -> None:
+    def __init__(
+        self,
+        own: HostId,
+        incarnation: int,
+        term_s: float,
+        *,
+        first_start: bool = True,
+    ) -> None:
+        """Create a lease that is not held.
+
+        With `first_start` no process of the deployment ran before, so that
+        a missing row is not one that the store has lost.
+        """
         self._own = own
         self._incarnation = incarnation
         self._term_s = term_s
+        self._era = 0
+        self._first_era = 0
+        self._era_seen_at = float("-inf")
+        self._written_era = 0
+        self._must_read = False
+        self._may_lack_row = first_start
+        # The first usage window that may be reported, and the current one.
+        self.first_window = 0
+        self._current_window = 0
         self._phase = _Phase.IDLE
         self._clock_ahead_s = 0.0
         self._clock_known = False
@@ -135,24 +175,42 @@
         """Record that another host reported that it holds the lease."""
         self._holder_seen_at = boot_now
 
+    def record_era(self, event: StoreEraSeen) -> None:
+        """Record the era of the store, before the response that shows it."""
+        if self._era_seen_at == float("-inf"):
+            self._first_era = event.era
+        elif event.era > self._era:
+            self.first_window = max(self.first_window, self._current_window)
+        self._era = event.era
+        self._era_seen_at = event.boot_now
+        self._must_read = self.held
+        if self.held:
+            self._next_at = event.boot_now
+
     def tick(
         self,
         boot_now: float,
         rank: int,
         round_s: float = 0.0,
         busy_accounts: tuple[AccountId, ...] = (),
+        current_window: int = 0,
     ) -> list[Action]:
         """Renew a lease that is held, or try to acquire one that is free.
 
         `rank` is this host's place among the candidates. `round_s` is the
         time in which a holder sends its report to all other hosts.
-        `busy_accounts` are written into the row.
+        `busy_accounts` are written into the row. `current_window` is the
+        usage window of now.
         """
         self._busy_accounts = busy_accounts
+        self._current_window = current_window
         if self.held and boot_now >= self._valid_until:
             self._lose_lease(boot_now)
         if self._phase is not _Phase.IDLE or boot_now < self._next_at:
             return []
+        if self.held and self._must_read:
+            self._phase = _Phase.READING
+            return [ReadDutyRow()]
         if self.held:
             return self._write_lease(boot_now)
         wait_s = (
@@ -189,10 +247,14 @@
         if self._phase is _Phase.IDLE:
             return []
         self._phase = _Phase.IDLE
+        self._must_read = False
         self._version = event.version
         row = event.row
+        if not self._is_of_this_era(row):
+            return self._write_over_copy(event.boot_now)
         if row is None:
             return self._write_lease(event.boot_now)
+        self.first_window = max(self.first_window, row.first_window)
         is_own = (row.holder, row.incarnation) == (
             self._own,
             self._incarnation,
@@ -211,11 +273,40 @@
             return []
         return self._write_lease(event.boot_now)
 
+    def _is_of_this_era(self, row: DutyLeaseRow | None) -> bool:
+        """Return whether no renewal of the lease can be missing."""
+        if row is not None:
+            return row.era == self._era
+        return self._may_lack_row and self._era == self._first_era
+
+    def _write_over_copy(self, boot_now: float) -> list[Action]:
+        """Write a row that the store has from an older copy.
+
+        Only the holder may do so at once. Any other lease has ended when
+        a term has passed since this host first saw the era.
+        """
+        ended_at = self._era_seen_at + self._term_s
+        if self.held and boot_now >= self._valid_until:
+            self._lose_lease(boot_now)
+        if not self.held:
+            if boot_now < ended_at:
+                self._next_at = ended_at
+                return []
+            self.first_window = max(self.first_window, self._current_window)
+        return self._write_lease(boot_now)
+
     def handle_row_written(self, event: DutyRowWritten) -> None:
         """Record that a write of the row was applied."""
         self._phase = _Phase.IDLE
         self._record_store_clock(event.clock_ms, event.sent_at)
         self._version = event.version
+        if self._written_era != self._era:
+            # The row that this write was meant to replace is lost, and the
+            # count of its version was given to another row.
+            self._must_read = self.held
+            self._next_at = event.boot_now
+            return
+        self._may_lack_row = False
         self._valid_until = self._pending_valid_until
         if event.boot_now >= self._valid_until:
             self._lose_lease(event.boot_now)
@@ -252,11 +343,14 @@
             self.held = False
             return []
         self.held = False
+        # The reply to this write must not bring the lease back.
+        self._pending_valid_until = float("-inf")
         store_now_ms = int((boot_now + self._clock_ahead_s) * MS_PER_S)
         return [self._write_row(store_now_ms)]
 
     def _write_lease(self, boot_now: float) -> list[Action]:
         self._phase = _Phase.WRITING
+        self._written_era = self._era
         self._pending_valid_until = boot_now + self._term_s - TAKEOVER_MARGIN_S
         until_s = boot_now + self._clock_ahead_s + self._term_s
         return [self._write_row(int(until_s * MS_PER_S) + 1)]
@@ -267,6 +361,8 @@
             incarnation=self._incarnation,
             until_ms=until_ms,
             busy_accounts=self._busy_accounts,
+            era=self._era,
+            first_window=self.first_window,
         )
         return WriteDutyRow(row=row, expected_version=self._version)
 
--- a/waxwingarch/core/duties/usage.py
+++ b/waxwingarch/core/duties/usage.py
@@ -113,16 +113,22 @@
         fence: int,
         peer_counts: Iterable[WindowCounts],
         settle_delay_s: float = 0.0,
+        first_window: int = 0,
     ) -> list[Action]:
         """Return the calls that are due, on the host that holds the duty.
 
+        A window before `first_window` may have been reported by another
+        host whose counts the store has lost. It is reported only with
+        counts that this host has had from the store.
+
         `peer_counts` has the counts of each other host's process, which may
         come in up to `settle_delay_s` after the end of a window.
         """
         ended_by = unix_now - max(MIN_SETTLE_DELAY_S, settle_delay_s)
         current = self._counter.window_of(ended_by)
         for window in range(current - WINDOWS_KEPT + 2, current):
-            if window not in self._done and window not in self._pending:
+            is_known = window in self._done or window in self._pending
+            if not is_known and window >= first_window:
                 self._pending[window] = _WindowState()
         self._done = {w for w in self._done if w > current - ROWS_KEPT}
         actions: list[Action] = []
@@ -177,6 +183,14 @@
         state.step = _Step.SEND
         state.next_at = boot_now + RETRY_S
 
+    def handle_store_returned(self) -> None:
+        """Drop the windows whose counts the store may have lost."""
+        self._pending = {
+            window: state
+            for window, state in self._pending.items()
+            if state.counts is not None
+        }
+
     def handle_duty_lost(self) -> None:
         """Drop the calls in progress, since another host may hold the duty."""
         self._pending.clear()
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -23,6 +23,7 @@
     DutyRowWritten,
     DutyStoreFailed,
     ReadDutyRow,
+    StoreEraSeen,
 )
 from waxwingarch.core.duties.usage import UsageSent, UsageSettled
 from waxwingarch.core.exchange.exchange_manager import ExchangeManager
@@ -131,6 +132,7 @@
             self.load_balancer.registry,
             lease_s=bounds.lease_s,
             usage_window_s=bounds.usage_window_s,
+            first_start=identity.first_start,
         )
         self.lease = self.duties.lease
         self.usage = self.duties.usage
@@ -139,6 +141,7 @@
         self._unix_at_boot_s = 0.0
         self._unix_offset_s = 0.0
         self._rows_version = 0
+        self._store_era: int | None = None
         self._is_started = False
         self._waiting_requests: deque[tuple[float, ExchangeHead]] = deque()
         super().__init__(self._event_handlers())
@@ -158,6 +161,7 @@
             ReportReceived: self._handle_report_received,
             HostsListed: self._handle_hosts_listed,
             TableChecked: self._handle_table_checked,
+            StoreEraSeen: self._handle_store_era,
             DutyRowRead: self.duties.handle_lease_row_read,
             DutyRowWritten: self.duties.handle_lease_row_written,
             DutyStoreFailed: lambda now, e: self.lease.handle_store_failure(e),
@@ -343,6 +347,7 @@
         own_versions = (
             self._rows_version,
             self.load_balancer.registry.version,
+            self.table.version,
         )
         return self._handle_peer_announcements(
             now, report.leaving
@@ -364,6 +369,7 @@
             unix_now=now + self._unix_offset_s,
             config_version=self._rows_version,
             listing_version=self.load_balancer.registry.version,
+            config_number=self.table.version,
             confirmed_age_s=self.gossip.confirmed_age_s(self._boot_now),
             draining=self.stopping,
             holds_duties=self.lease.may_act(self._boot_now),
@@ -387,6 +393,17 @@
         """Return whether this host may make a call of the duties now."""
         return self.lease.may_act(boot_now)
 
+    def _handle_store_era(
+        self, now: float, event: StoreEraSeen
+    ) -> list[Action]:
+        """Note the store's era; a later one means that rows are lost."""
+        returned = self._store_era is not None
+        self._store_era = event.era
+        self.duties.handle_era(event, returned=returned)
+        if returned:
+            self.rollouts.handle_store_returned()
+        return []
+
     # Version moves
 
     def _handle_rollouts_read(
--- a/waxwingarch/core/peers/report.py
+++ b/waxwingarch/core/peers/report.py
@@ -36,7 +36,8 @@
     `rollouts` and `evidence` are about the version moves under way.
     `config_version` and `listing_version` name the versions of the tables
     that it decides by, and `confirmed_age_s` is how long ago these were
-    known to be the newest.
+    known to be the newest. `config_number` is the operator's number of the
+    configuration in force: the store may have lost its row.
     """
 
     host: HostId
@@ -47,6 +48,7 @@
     unix_now: float
     config_version: int
     listing_version: int
+    config_number: int = 0
     confirmed_age_s: float = float("inf")
     draining: bool = False
     holds_duties: bool = False
--- a/waxwingarch/core/peers/report_gossip.py
+++ b/waxwingarch/core/peers/report_gossip.py
@@ -116,21 +116,26 @@
         now: float,
         boot_now: float,
         report: HostReport,
-        own_versions: tuple[int, int],
+        own_versions: tuple[int, int, int],
     ) -> list[Action]:
         """Compare a peer's table versions with this host's; pull if behind.
 
-        `own_versions` are those of the configuration and of the listing of
-        servers. A peer with the same versions confirms the tables as of the
-        time at which they were confirmed to the peer.
+        `own_versions` are those of the operator's table and of the listing
+        of servers, and the number of the configuration in force. A peer
+        with the same versions confirms the tables as of the time at which
+        they were confirmed to the peer.
         """
-        peer_versions = (report.config_version, report.listing_version)
+        peer_versions = (
+            report.config_version,
+            report.listing_version,
+            report.config_number,
+        )
         if peer_versions == own_versions:
             confirmed_at = boot_now - report.confirmed_age_s
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
-        is_behind = (
-            peer_versions[0] > own_versions[0]
-            or peer_versions[1] > own_versions[1]
+        is_behind = any(
+            peer > own
+            for peer, own in zip(peer_versions, own_versions, strict=True)
         )
         if not is_behind:
             return []
--- a/waxwingarch/core/rollouts/rollout_controller.py
+++ b/waxwingarch/core/rollouts/rollout_controller.py
@@ -74,12 +74,18 @@
 
 @dataclass(kw_only=True, slots=True)
 class _Rollout:
+    """A version move; the order `is_from_copy` of the store.
+
+    The operator will then write the order again, with another number.
+    """
+
     order: RolloutOrder
     started_at: float
     deadline: float
     phase: RolloutPhase = RolloutPhase.HELD
     is_suspicious: bool = False
     reason: str = ""
+    is_from_copy: bool = False
     is_stop_marked: bool = False
     reported_state: RolloutState | None = None
     is_write_pending: bool = False
@@ -120,19 +126,51 @@
             if known is not None:
                 if known.order.number >= order.number:
                     continue
+                if order.asks_the_same(known.order) and (
+                    order.is_of_later_era(known.order) or known.is_from_copy
+                ):
+                    self._adopt_rewritten(known, order)
+                    continue
                 self._recorder.unwatch(known.order.rollout_id)
             self._rollouts[order.service] = _Rollout(
                 order=order, started_at=now, deadline=now + order.duration_s
             )
-            self._recorder.watch(
-                order.rollout_id,
-                service=order.service,
-                old=OTHER_VERSIONS,
-                new=order.target,
-                duration_s=order.duration_s,
-            )
+            self._watch(order)
             self._must_read_stops = True
 
+    def _watch(self, order: RolloutOrder) -> None:
+        self._recorder.watch(
+            order.rollout_id,
+            service=order.service,
+            old=OTHER_VERSIONS,
+            new=order.target,
+            duration_s=order.duration_s,
+        )
+
+    def _adopt_rewritten(self, known: _Rollout, order: RolloutOrder) -> None:
+        """Go on with a move whose order has a new number.
+
+        What the store had of it may be lost, and is written again.
+        """
+        known.is_from_copy = order.has_same_row(known.order)
+        if known.order.rollout_id != order.rollout_id:
+            self._recorder.unwatch(known.order.rollout_id)
+            self._watch(order)
+            if known.phase is RolloutPhase.STOPPED:
+                self._recorder.record_stop_mark(order.rollout_id)
+        known.order = order
+        self._forget_written(known)
+
+    def _forget_written(self, rollout: _Rollout) -> None:
+        rollout.is_stop_marked = False
+        rollout.reported_state = None
+        rollout.next_write_at = float("-inf")
+
+    def handle_store_returned(self) -> None:
+        """Write stop marks and states again that the store may have lost."""
+        for rollout in self._rollouts.values():
+            self._forget_written(rollout)
+
     def handle_stops_read(self, event: StopsRead) -> None:
         """Stop the moves that have a stop mark and begin the others."""
         if event.stopped is None:
--- a/waxwingarch/core/rollouts/rollout_messages.py
+++ b/waxwingarch/core/rollouts/rollout_messages.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 from waxwingarch.core.base import Action, Event, ServiceId, VersionId
+from waxwingarch.core.store_version import count_of, era_of
 
 
 class RolloutPhase(StrEnum):
@@ -36,8 +37,9 @@
 class RolloutOrder:
     """An operator's order to move a service's requests to a version.
 
-    `number` grows with each order for a service. `duration_s` is the time
-    from the order's first reading by a host to the deadline of the move.
+    `number` grows with each order for a service: it is the version of the
+    order's row. `duration_s` is the time from the order's first reading by
+    a host to the deadline of the move.
     """
 
     service: ServiceId
@@ -47,8 +49,25 @@
 
     @property
     def rollout_id(self) -> str:
-        """Return the id under which stop marks and evidence are kept."""
-        return f"{self.service}/{self.number}"
+        """Return the id under which stop marks and evidence are kept.
+
+        It stays the same for a row that the store has from an older copy.
+        """
+        return f"{self.service}/{count_of(self.number)}/{self.target}"
+
+    def is_of_later_era(self, other: "RolloutOrder") -> bool:
+        """Return whether the store has returned from a copy between both."""
+        return era_of(self.number) > era_of(other.number)
+
+    def has_same_row(self, other: "RolloutOrder") -> bool:
+        """Return whether both are one row, which was in the store's copy."""
+        return count_of(self.number) == count_of(other.number)
+
+    def asks_the_same(self, other: "RolloutOrder") -> bool:
+        """Return whether both ask for the same move."""
+        return (
+            self.target == other.target and self.duration_s == other.duration_s
+        )
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -24,6 +24,7 @@
     BackendsListed,
 )
 from waxwingarch.core.base import HostId
+from waxwingarch.core.duties.leader_election import StoreEraSeen
 from waxwingarch.core.front_messages import (
     ConfigApplied,
     ConfigRead,
@@ -37,6 +38,7 @@
     TableChecked,
 )
 from waxwingarch.core.rollouts.rollout_messages import RolloutsRead
+from waxwingarch.core.store_version import era_of
 from waxwingarch.ports.front import (
     BadRowError,
     FrontPorts,
@@ -59,6 +61,8 @@
 HOSTS_TABLE: Final = "waxwing-hosts"
 REGISTER_TIMEOUT_S: Final = 1.0
 REGISTER_RETRY_DELAY_S: Final = 0.5
+# All hosts register again after the store has returned from an older copy.
+REGISTER_AGAIN_WITHIN_S: Final = 2.0
 # The drain ends this long before the grace period does, so that the process
 # can exit by itself.
 STOP_MARGIN_S: Final = 0.6
@@ -84,7 +88,7 @@
         self._ports = ports
         incarnation = int(time.time() * MS_PER_S)
         identity = settings.identity(incarnation)
-        rng = Random()
+        rng = self._rng = Random()
         self.front = FrontNode(identity, settings.front_bounds(), rng)
         self._runner = Runner(self.front)
         self._operator_table_watch = TableWatch(
@@ -93,6 +97,7 @@
             rng,
             self._handle_operator_rows,
             lambda watch: self._post_table_checked(SharedTable.OPERATOR),
+            ports.rows.config_number,
         )
         self._servers_table_watch = TableWatch(
             ports.store,
@@ -115,6 +120,8 @@
         self._runner.observe(FrontLog(self.front, self.metrics))
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
+        self._registered_era: int | None = None
+        ports.store.on_era = self._post_store_era
         self._runner.connect(ConfigApplied, self._log_config_applied)
         self._runner.connect(BackendLeaving, self._log_server_leaving)
 
@@ -158,8 +165,8 @@
         await self._servers_table_watch.async_setup()
         if self._settings_watch is not None:
             await self._settings_watch.async_setup()
-        for coro in (self._async_tick(), self._async_register()):
-            self._tasks.append(asyncio.create_task(coro))
+        self._tasks.append(asyncio.create_task(self._async_tick()))
+        self._register(0.0)
 
     async def _async_drain(self) -> None:
         """Let exchanges in progress finish within the grace period.
@@ -239,11 +246,24 @@
             )
             await asyncio.sleep(TICK_INTERVAL_S)
 
-    async def _async_register(self) -> None:
+    def _register(self, delay_s: float) -> None:
+        self._tasks.append(asyncio.create_task(self._async_register(delay_s)))
+
+    def _register_in_era(self, era: int) -> None:
+        """Register again if the store has returned without the row."""
+        previous = self._registered_era
+        if previous is not None and era <= previous:
+            return
+        self._registered_era = era
+        if previous is not None:
+            self._register(self._rng.uniform(0.0, REGISTER_AGAIN_WITHIN_S))
+
+    async def _async_register(self, delay_s: float) -> None:
         """Register this host's address and read those of other hosts.
 
         Retries until the store is available, then ends.
         """
+        await asyncio.sleep(delay_s)
         loop = asyncio.get_running_loop()
         identity = self.front.identity
         row = RowWrite(
@@ -272,7 +292,13 @@
 
     # Handlers of table changes and of actions
 
+    def _post_store_era(self, era: int) -> None:
+        self._runner.post(StoreEraSeen(era=era, boot_now=boot_now()))
+        self._register_in_era(era)
+
     def _handle_operator_rows(self, watch: TableWatch) -> None:
+        # A host that relies on its peers learns of the era from them.
+        self._register_in_era(era_of(watch.version))
         self._post_rollout_orders(watch)
         row = watch.rows.get(self._ports.rows.config_key)
         if row is None or row.value is None:
--- a/waxwingarch/platform/rows_codec.py
+++ b/waxwingarch/platform/rows_codec.py
@@ -121,6 +121,10 @@
     idle_timeout_ms: float = 15_000
 
 
+class _ConfigVersion(BaseModel):
+    version: int
+
+
 class _ConfigRow(BaseModel):
     version: int
     routes: list[_RouteRow]
@@ -217,6 +221,16 @@
             idle_timeout_s=row.limits.idle_timeout_ms / MS_PER_S,
         )
 
+    def config_number(self, row: StoredRow) -> int:
+        """Return the version of the configuration in a row, 0 if none."""
+        if row.key != self.config_key or row.value is None:
+            return 0
+        try:
+            return _decode_row(_ConfigVersion, row.value).version
+        except BadRowError:
+            # `decode_config` reports what is wrong with the row.
+            return 0
+
     def decode_backend(self, key: str, value: bytes) -> ListedBackend:
         """Decode a server's registration; raises `BadRowError`."""
         row = _decode_row(_ServerRow, value)
--- a/waxwingarch/platform/store.py
+++ b/waxwingarch/platform/store.py
@@ -1,11 +1,12 @@
 """Client of the platform's row store."""
 
 from base64 import b64decode, b64encode
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, Final
 from urllib.parse import urlencode
 
 import orjson
+from eliot import log_message
 
 from waxwingarch.adapters.http_client import (
     ConnectFailedError,
@@ -13,8 +14,9 @@
     HttpResponse,
 )
 from waxwingarch.adapters.http_messages import JSON_TYPE
+from waxwingarch.core.store_version import count_of, era_of, make_version
 from waxwingarch.exceptions import LinkError
-from waxwingarch.platform.const import MS_PER_S
+from waxwingarch.platform.const import HEADER_STORE_ERA, MS_PER_S
 from waxwingarch.ports.front import (
     HistoryLostError,
     Rows,
@@ -38,12 +40,17 @@
     """`RowStore` over the platform's HTTP API.
 
     On the wire, `row_version` of a response is the version of the store,
-    and `row_version` of a row is that of the row.
+    and `row_version` of a row is that of the row. Both are counts within an
+    era of the store; the versions of this class combine era and count.
+    `on_era` is called with the era of the first response, and with each
+    later era, before the response that shows it is returned.
     """
 
     def __init__(self, client: HttpClient, address: str) -> None:
         self._client = client
         self._address = address
+        self._era: int | None = None
+        self.on_era: Callable[[int], None] = lambda era: None
 
     async def async_read(
         self, table: str, *, deadline: float, key: str | None = None
@@ -54,30 +61,45 @@
             # On the wire, `target` is the exclusive end of the key range.
             query |= {"from": key, "target": key + "\0", "limit": "1"}
         stored_rows: list[StoredRow] = []
+        first_era = None
         while True:
             target = f"/-/rows-get?{urlencode(query)}"
-            body = self._decode_success(
-                await self._async_get(target, deadline)
-            )
-            stored_rows += [_decode_row(row) for row in body["rows"]]
+            response = await self._async_get(target, deadline)
+            body = self._decode_success(response)
+            era = self._era_of(response)
+            if first_era not in (None, era):
+                raise StoreUnavailableError(
+                    f"{table}: the store returned from a copy during a read"
+                )
+            first_era = era
+            stored_rows += [_decode_row(row, era) for row in body["rows"]]
             if key is not None or not body.get("has_more"):
-                return _decode_rows(stored_rows, body)
+                return _decode_rows(stored_rows, body, era)
             query["from"] = stored_rows[-1].key + "\0"
 
     async def async_changes(
         self, table: str, after: int, wait_s: float, *, deadline: float
     ) -> Rows:
-        """Return the rows changed after a version, by long poll."""
+        """Return the rows changed after a version, by long poll.
+
+        In a new era the history since a version of an earlier one is lost.
+        """
+        if era_of(after) != (self._era or 0):
+            raise HistoryLostError(f"{table}: {after} is of another era")
         wait_ms = int(wait_s * MS_PER_S)
-        query = {"table": table, "after": after, "wait_ms": wait_ms}
+        query = {"table": table, "after": count_of(after), "wait_ms": wait_ms}
         target = f"/-/rows-feed?{urlencode(query)}"
         response = await self._async_get(target, deadline)
         if response.status == HTTP_GONE:
             raise HistoryLostError(
                 f"{table}: changes after {after} are no longer kept"
             )
+        era = self._era_of(response)
+        if era != era_of(after):
+            raise HistoryLostError(f"{table}: {after} is of another era")
         body = self._decode_success(response)
-        return _decode_rows([_decode_row(row) for row in body["rows"]], body)
+        rows = [_decode_row(row, era) for row in body["rows"]]
+        return _decode_rows(rows, body, era)
 
     async def async_write(
         self, writes: Sequence[RowWrite], *, deadline: float
@@ -85,12 +107,20 @@
         """Apply all writes in one transaction, or none of them.
 
         `expected_revision` on the wire holds one precondition for each
-        write that expects a version.
+        write that expects a version. A version of an earlier era is not
+        sent: its count may have been given to another row since.
         """
+        for write in writes:
+            if write.expected_version and era_of(write.expected_version) != (
+                self._era or 0
+            ):
+                raise StoreUnavailableError(
+                    f"{write.table}/{write.key}: version of another era"
+                )
         body = orjson.dumps(
             {
                 "expected_revision": [
-                    _row_id(w) | {"row_version": w.expected_version}
+                    _row_id(w) | {"row_version": count_of(w.expected_version)}
                     for w in writes
                     if w.expected_version is not None
                 ],
@@ -106,11 +136,13 @@
         if response.status not in (HTTP_OK, HTTP_PRECONDITION_FAILED):
             raise StoreUnavailableError(f"store: status {response.status}")
         reply = _decode_json(response)
+        era = self._era_of(response)
+        rows = reply.get("rows", ())
         return WriteResult(
             applied=response.status == HTTP_OK,
-            version=int(reply.get("row_version", 0)),
+            version=make_version(era, int(reply.get("row_version", 0))),
             clock_ms=int(reply.get("now_ms", 0)),
-            rows=tuple(_decode_row(row) for row in reply.get("rows", ())),
+            rows=tuple(_decode_row(row, era) for row in rows),
         )
 
     async def _async_get(self, target: str, deadline: float) -> HttpResponse:
@@ -121,7 +153,7 @@
     ) -> HttpResponse:
         """Send one call; raises `StoreUnavailableError`."""
         try:
-            return await self._client.async_request(
+            response = await self._client.async_request(
                 method,
                 self._address,
                 target,
@@ -135,6 +167,36 @@
             raise StoreUnavailableError(
                 f"store: {exc}", maybe_applied=True
             ) from exc
+        self._record_era(response)
+        return response
+
+    def _record_era(self, response: HttpResponse) -> None:
+        """Record the era of a response; raises `StoreUnavailableError`."""
+        era = self._era_of(response)
+        if self._era is not None and era < self._era:
+            raise StoreUnavailableError(
+                f"store: response of era {era}, after era {self._era}",
+                maybe_applied=True,
+            )
+        if era == self._era:
+            return
+        log_message(message_type="store_era", era=era, previous=self._era)
+        self._era = era
+        self.on_era(era)
+
+    def _era_of(self, response: HttpResponse) -> int:
+        """Return the era that a response names.
+
+        One that is missing or not a number counts as the era known so far.
+        """
+        text = response.headers.get(HEADER_STORE_ERA)
+        if text is not None and text.isascii() and text.isdigit():
+            return int(text)
+        if text is not None:
+            log_message(
+                message_type="bad_header", header=HEADER_STORE_ERA, value=text
+            )
+        return self._era or 0
 
     def _decode_success(self, response: HttpResponse) -> Any:
         """Return the body; raises `StoreUnavailableError` for an error."""
@@ -157,20 +219,22 @@
     return {"table": write.table, "part": PART, "key": write.key}
 
 
-def _decode_row(row: dict[str, Any]) -> StoredRow:
+def _decode_row(row: dict[str, Any], era: int) -> StoredRow:
     value = row.get("value")
     if row.get("deleted"):
         value = None
     return StoredRow(
         key=row["key"],
         value=None if value is None else b64decode(value),
-        version=int(row.get("row_version", 0)),
+        version=make_version(era, int(row.get("row_version", 0))),
     )
 
 
-def _decode_rows(rows: list[StoredRow], body: dict[str, Any]) -> Rows:
+def _decode_rows(
+    rows: list[StoredRow], body: dict[str, Any], era: int
+) -> Rows:
     return Rows(
         rows=tuple(rows),
-        version=int(body["row_version"]),
+        version=make_version(era, int(body["row_version"])),
         clock_ms=int(body.get("now_ms", 0)),
     )
--- a/waxwingarch/ports/front.py
+++ b/waxwingarch/ports/front.py
@@ -3,7 +3,7 @@
 Deadlines are on the event loop's clock.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -105,7 +105,15 @@
 
 
 class RowStore(Protocol):
-    """Shared tables with versioned rows and transactions."""
+    """Shared tables with versioned rows and transactions.
+
+    The store may return from an older copy, without the writes since. It
+    then begins a new era, whose versions are greater than all before.
+    `on_era` is called with the first era that is seen and each later one,
+    before the result that shows it is returned.
+    """
+
+    on_era: Callable[[int], None]
 
     async def async_read(
         self, table: str, *, deadline: float, key: str | None = None
@@ -168,6 +176,12 @@
     def decode_config(self, value: bytes) -> RoutingConfig:
         """Decode the configuration row; raises `BadRowError`."""
 
+    def config_number(self, row: StoredRow) -> int:
+        """Return the operator's number of the configuration in a row.
+
+        Returns 0 for another row, or one that is not valid.
+        """
+
     def decode_backend(self, key: str, value: bytes) -> ListedBackend:
         """Decode a server's registration; raises `BadRowError`."""
 
--- a/waxwingarch/tasks/front_duties.py
+++ b/waxwingarch/tasks/front_duties.py
@@ -100,7 +100,14 @@
         sent_at = boot_now()
         row = action.row
         value = orjson.dumps(
-            [row.holder, row.incarnation, row.until_ms, row.busy_accounts]
+            [
+                row.holder,
+                row.incarnation,
+                row.until_ms,
+                row.busy_accounts,
+                row.era,
+                row.first_window,
+            ]
         )
         write = RowWrite(
             table=LEASE_TABLE,
@@ -263,12 +270,16 @@
 def _decode_lease_row(row: StoredRow | None) -> DutyLeaseRow | None:
     if row is None or row.value is None:
         return None
-    holder, incarnation, until_ms, busy = orjson.loads(row.value)
+    holder, incarnation, until_ms, busy, *rest = orjson.loads(row.value)
+    # Hosts of an older version write no era.
+    era, first_window = rest or (0, 0)
     return DutyLeaseRow(
         holder=HostId(holder),
         incarnation=incarnation,
         until_ms=until_ms,
         busy_accounts=tuple(AccountId(account) for account in busy),
+        era=era,
+        first_window=first_window,
     )
 
 
--- a/waxwingarch/tasks/front_peers.py
+++ b/waxwingarch/tasks/front_peers.py
@@ -137,7 +137,7 @@
         deadline = asyncio.get_running_loop().time() + PULL_TIMEOUT_S
         try:
             own_versions = {
-                name: watched.version
+                name: f"{watched.version}.{watched.number}"
                 for name, watched in self._watches.items()
             }
             response = await self._client.async_request(
@@ -171,15 +171,19 @@
     async def _async_serve_changes(
         self, req: HttpRequest, resp: HttpResponder
     ) -> None:
-        """Send the changes since the table versions in the query."""
+        """Send the changes since the table versions in the query.
+
+        Each is VERSION.NUMBER, with the highest number of a row's content.
+        """
         query = parse_qs(urlsplit(req.target).query)
         tables = {}
         for table, watch in self._watches.items():
-            version = query.get(table, ["0"])[0]
-            known_version = int(version) if version.isdigit() else 0
-            if watch.version > known_version:
+            text, _, number_text = query.get(table, ["0"])[0].partition(".")
+            version = int(text) if text.isdigit() else 0
+            number = int(number_text) if number_text.isdigit() else 0
+            if watch.version > version or watch.number > number:
                 tables[table] = _encode_changes(
-                    watch.changes_since(known_version)
+                    watch.changes_since(version, number)
                 )
         await resp.async_send(200, orjson.dumps(tables), [JSON_TYPE])
 
--- a/waxwingarch/tasks/front_rollouts.py
+++ b/waxwingarch/tasks/front_rollouts.py
@@ -15,6 +15,7 @@
     StopMarked,
     StopsRead,
 )
+from waxwingarch.core.store_version import era_of
 from waxwingarch.ports.front import (
     BadRowError,
     FrontPorts,
@@ -123,6 +124,9 @@
         )
         row = rows.rows[0] if rows.rows else None
         version = row.version if row else 0
+        if row is not None and era_of(version) != era_of(order.number):
+            # The order has to be read in the era of its status first.
+            return None
         if row is not None and row.value is not None:
             stored_state = codec.decode_rollout_state(row.value)
             if _is_final_for(order, version, stored_state):
--- a/waxwingarch/tasks/table_watch.py
+++ b/waxwingarch/tasks/table_watch.py
@@ -1,8 +1,8 @@
 """Keeps a copy of one table of the store: a full read, then changes."""
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Final
 
@@ -37,6 +37,9 @@
 CHANGE_BATCH_PAUSE_S: Final = 0.1
 
 WatchCallback = Callable[["TableWatch"], None]
+# Returns the number of a row's content, which never falls, or 0 for a row
+# whose content has none.
+ContentNumber = Callable[[StoredRow], int]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -59,6 +62,9 @@
     `version` is that of the newest change. `on_rows` is called after each
     change, and `on_checked` after each call to the store that brings the
     copy up to date.
+
+    With `content_number`, a row whose number falls keeps its content: the
+    store has returned from an older copy.
     """
 
     def __init__(
@@ -68,6 +74,7 @@
         rng: Random,
         on_rows: WatchCallback,
         on_checked: WatchCallback | None = None,
+        content_number: ContentNumber = lambda row: 0,
     ) -> None:
         self.table = table
         self.rows: dict[str, StoredRow] = {}
@@ -83,6 +90,9 @@
         self._store = store
         self._on_rows = on_rows
         self._on_checked = on_checked
+        self._content_number = content_number
+        # The highest number of the content of a row.
+        self.number = 0
         self._backoff = Backoff(rng)
         # While this is False, the next call reads all rows.
         self._synced = False
@@ -123,13 +133,21 @@
 
     # Peers
 
-    def changes_since(self, version: int) -> TableChanges:
-        """Return what a peer lacks whose copy is at a version."""
+    def changes_since(self, version: int, number: int = 0) -> TableChanges:
+        """Return what a peer lacks whose copy is at a version.
+
+        `number` is the highest number of the content of the peer's rows.
+        """
         is_snapshot = version < self._changes_known_since
         rows = [
             row
             for row in self.rows.values()
-            if is_snapshot or row.version > version
+            if is_snapshot
+            or row.version > version
+            or (
+                self.number > number
+                and self._content_number(row) == self.number
+            )
         ]
         if not is_snapshot:
             rows += [
@@ -147,6 +165,7 @@
     def merge(self, changes: TableChanges) -> None:
         """Apply the changes that a peer has sent, if they are newer."""
         if changes.version <= self.version:
+            self._merge_newer_content(changes)
             return
         if changes.after_outage:
             self._expect_missing_rows(REREGISTRATION_S)
@@ -162,6 +181,48 @@
         if self._poll_task is not None:
             self._poll_task.cancel()
 
+    def _merge_newer_content(self, changes: TableChanges) -> None:
+        """Adopt the rows whose content is newer than in the store's copy."""
+        newer = {
+            row.key: row
+            for row in changes.rows
+            if row.value is not None
+            and self._content_number(row) > self.number
+        }
+        if newer:
+            log_message(
+                message_type="content_kept",
+                table=self.table,
+                keys=sorted(newer),
+                number=self.number,
+            )
+            self.rows |= newer
+            self._record_numbers(newer.values())
+            self._on_rows(self)
+
+    def _record_numbers(self, rows: Iterable[StoredRow]) -> None:
+        numbers = map(self._content_number, rows)
+        self.number = max(self.number, max(numbers, default=0))
+
+    def _newest_content(self, row: StoredRow) -> StoredRow:
+        """Return a row of the store, with the content known so far if newer.
+
+        The store returns from a copy with an older row than was in force.
+        """
+        known = self.rows.get(row.key)
+        if known is None or not self.number:
+            return row
+        known_number = self._content_number(known)
+        if known_number <= self._content_number(row):
+            return row
+        log_message(
+            message_type="content_kept",
+            table=self.table,
+            keys=[row.key],
+            number=known_number,
+        )
+        return replace(known, version=row.version)
+
     # The store
 
     async def _async_run(self) -> None:
@@ -227,7 +288,17 @@
     def _replace_rows(self, rows: tuple[StoredRow, ...], version: int) -> bool:
         """Replace all rows; return whether any known key was removed."""
         previous = self.rows
-        self.rows = {row.key: row for row in rows if row.value is not None}
+        kept = {
+            key: replace(row, version=version)
+            for key, row in previous.items()
+            if self.number and self._content_number(row)
+        }
+        self.rows = kept | {
+            row.key: self._newest_content(row)
+            for row in rows
+            if row.value is not None
+        }
+        self._record_numbers(self.rows.values())
         self._changes_known_since = version
         self._removed = {}
         return not previous.keys() <= self.rows.keys()
@@ -239,8 +310,9 @@
                 self._removed.pop(row.key, None)
                 self._removed[row.key] = row.version
             else:
-                self.rows[row.key] = row
+                self.rows[row.key] = self._newest_content(row)
                 self._removed.pop(row.key, None)
+        self._record_numbers(row for row in rows if row.value is not None)
         while len(self._removed) > MAX_REMOVED_KEYS:
             oldest = next(iter(self._removed))
             self._changes_known_since = max(
