--- a/waxwingarch/core/backends/load_balancer.py
+++ b/waxwingarch/core/backends/load_balancer.py
@@ -253,7 +253,7 @@
         """Return random servers, and those that may have a prompt cached."""
         count = len(usable)
         indices = {self._rng.randrange(count) for _ in range(SAMPLED_SERVERS)}
-        shared_part = _last_shared_part(exchange)
+        shared_part = exchange.head.shared_part
         likely_holders = set(preferred)
         if shared_part is not None:
             likely_holders.update(
@@ -340,7 +340,7 @@
     The values are the shares that are assumed to be cached. Rendezvous
     hashing keeps the servers the same while others come and go.
     """
-    shared_part = _last_shared_part(exchange)
+    shared_part = exchange.head.shared_part
     if shared_part is None:
         return {}
     ranked = nlargest(
@@ -358,7 +358,7 @@
 
     It takes one hash, where there are too many servers to hash each.
     """
-    shared_part = _last_shared_part(exchange)
+    shared_part = exchange.head.shared_part
     if shared_part is None:
         return {}
     index = xxhash.xxh3_64_intdigest(shared_part.encode())
@@ -366,9 +366,3 @@
         usable[(index + rank) % len(usable)].server.server_id: ratio
         for rank, ratio in enumerate(ASSUMED_CACHED_RATIOS)
     }
-
-
-def _last_shared_part(exchange: Exchange) -> str | None:
-    """Return the last part of a prompt that other prompts may share."""
-    parts = exchange.head.parts
-    return parts[-2].part if len(parts) > 1 else None
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -48,6 +48,11 @@
     parts: tuple[PromptPart, ...] = ()
     last_event: int | None = None
 
+    @property
+    def shared_part(self) -> str | None:
+        """Return the last part of the prompt that other prompts may share."""
+        return self.parts[-2].part if len(self.parts) > 1 else None
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Exchange:
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -41,6 +41,7 @@
     route: str
     service: str
     account: str | None
+    shared_part: str | None
     servers: list[Server] = field(default_factory=list)
     response_started_at: float | None = None
 
@@ -112,6 +113,7 @@
             route=exchange.route.name,
             service=exchange.service,
             account=exchange.account,
+            shared_part=exchange.head.shared_part,
         )
         self._histories[send.request_id] = history
         self._log_dispatch(now, history, send)
@@ -136,6 +138,7 @@
             if in_flight
             else None,
             uncached_tokens=in_flight.prefill_tokens if in_flight else None,
+            shared_part=history.shared_part,
             running=loads.total_load(server_id).running,
             **self._decision_inputs(now),
         )
