--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -340,13 +340,15 @@
             return None
         store = self._world.fleet.store
         mode = self._rng.choice(
-            ("down", "busy", "silent", "lose", "late", "compact")
+            ("down", "busy", "silent", "lose", "late", "compact", "return")
         )
         interval = self._begin_fault(STORE, "store", mode)
 
         async def disturb_store() -> None:
             if mode == "compact":
                 store.compact()
+            elif mode == "return":
+                await self._async_return_store()
             elif mode == "lose":
                 store.lose = self._rng.randint(1, 4)
             elif mode == "late":
@@ -359,6 +361,23 @@
 
         return disturb_store
 
+    async def _async_return_store(self) -> None:
+        """Let the store return from a copy some seconds old.
+
+        The operator and the servers then write their rows again.
+        """
+        store = self._world.fleet.store
+        copy = store.copy()
+        await asyncio.sleep(self._rng.uniform(0.5, 4))
+        states = {
+            server.server_id: store.rows.get(("servers", server.server_id))
+            for server in self._world.fleet.servers
+        }
+        store.return_from(copy)
+        self._world.fleet.put_config()
+        for server_id, row in states.items():
+            store.put("servers", server_id, row.value if row else None)
+
     def _prepare_key_change(self) -> Fault | None:
         """Replace the API key that was added last by a new one."""
         self._world.report.record_fault("config", "")
