Take a first Store-Era header for no return of the store

A response without the header set era 0, so that the first one with it looked like a return from a copy. An era of more than six digits is ignored, as versions have to fit into 63 bits.

--- a/tests/front/test_store_returns_host.py
+++ b/tests/front/test_store_returns_host.py
@@ -102,13 +102,27 @@
         eras: list[int] = []
         rows.on_era = eras.append
         await rows.async_read("t", deadline=deadline())
-        for text in ("", "x", "-3", "1, 2", "²"):
-            store.era_header = text if text != "²" else "9" * 3 + "x"
+        for text in ("", "x", "-3", "1, 2", "9" * 30):
+            store.era_header = text
             read = await rows.async_read("t", deadline=deadline())
             self.assertEqual(1, era_of(read.version), text)
         self.assertEqual([1], eras)
         await store.async_unload()
 
+    @async_test
+    async def test_first_era_after_responses_without_one(self) -> None:
+        """A header that appears is no return of the store by itself."""
+        store, rows = await self.async_client()
+        eras: list[int] = []
+        rows.on_era = eras.append
+        store.era_header = ""
+        await rows.async_read("t", deadline=deadline())
+        self.assertEqual([], eras)
+        store.era_header = None
+        await rows.async_read("t", deadline=deadline())
+        self.assertEqual([1], eras)
+        await store.async_unload()
+
     @async_test
     async def test_response_of_an_earlier_era_is_refused(self) -> None:
         store, rows = await self.async_client()
--- a/waxwingarch/platform/store.py
+++ b/waxwingarch/platform/store.py
@@ -30,6 +30,9 @@
 # writes are in the part without a name.
 PART: Final = ""
 PAGE_ROWS: Final = 500
+# Versions, which hold the era above 40 bits, fit into 63 bits.
+MAX_ERA_DIGITS: Final = 6
+MAX_LOGGED_VALUE_CHARS: Final = 40
 
 HTTP_OK: Final = 200
 HTTP_GONE: Final = 410
@@ -66,7 +69,7 @@
             target = f"/-/rows-get?{urlencode(query)}"
             response = await self._async_get(target, deadline)
             body = self._decode_success(response)
-            era = self._era_of(response)
+            era = self._era or 0
             if first_era not in (None, era):
                 raise StoreUnavailableError(
                     f"{table}: the store returned from a copy during a read"
@@ -94,7 +97,7 @@
             raise HistoryLostError(
                 f"{table}: changes after {after} are no longer kept"
             )
-        era = self._era_of(response)
+        era = self._era or 0
         if era != era_of(after):
             raise HistoryLostError(f"{table}: {after} is of another era")
         body = self._decode_success(response)
@@ -136,7 +139,7 @@
         if response.status not in (HTTP_OK, HTTP_PRECONDITION_FAILED):
             raise StoreUnavailableError(f"store: status {response.status}")
         reply = _decode_json(response)
-        era = self._era_of(response)
+        era = self._era or 0
         rows = reply.get("rows", ())
         return WriteResult(
             applied=response.status == HTTP_OK,
@@ -172,32 +175,18 @@
 
     def _record_era(self, response: HttpResponse) -> None:
         """Record the era of a response; raises `StoreUnavailableError`."""
-        era = self._era_of(response)
+        era = _named_era(response)
+        if era is None or era == self._era:
+            return
         if self._era is not None and era < self._era:
             raise StoreUnavailableError(
                 f"store: response of era {era}, after era {self._era}",
                 maybe_applied=True,
             )
-        if era == self._era:
-            return
         log_message(message_type="store_era", era=era, previous=self._era)
         self._era = era
         self.on_era(era)
 
-    def _era_of(self, response: HttpResponse) -> int:
-        """Return the era that a response names.
-
-        One that is missing or not a number counts as the era known so far.
-        """
-        text = response.headers.get(HEADER_STORE_ERA)
-        if text is not None and text.isascii() and text.isdigit():
-            return int(text)
-        if text is not None:
-            log_message(
-                message_type="bad_header", header=HEADER_STORE_ERA, value=text
-            )
-        return self._era or 0
-
     def _decode_success(self, response: HttpResponse) -> Any:
         """Return the body; raises `StoreUnavailableError` for an error."""
         if response.status != HTTP_OK:
@@ -205,6 +194,22 @@
         return _decode_json(response)
 
 
+def _named_era(response: HttpResponse) -> int | None:
+    """Return the era that a response names; None if it is not valid."""
+    text = response.headers.get(HEADER_STORE_ERA)
+    if text is None:
+        return None
+    if text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS:
+        return int(text)
+    log_message(
+        message_type="bad_header",
+        header=HEADER_STORE_ERA,
+        value=text[:MAX_LOGGED_VALUE_CHARS],
+        reason="not an era",
+    )
+    return None
+
+
 def _decode_json(response: HttpResponse) -> Any:
     try:
         return orjson.loads(response.body)
