Begin a version move only after a read of the stop marks sent for it

A read that was in flight when an order came could begin its move without having seen its mark. The test fails without the change; the model and three tests now send the read that they answer.

--- a/model/stop_mark.py
+++ b/model/stop_mark.py
@@ -158,6 +158,7 @@
                 machine.record_peer_report([report], [])
             else:
                 marks = {ORDER.rollout_id} if value else set()
+                machine.tick(0.5, holds_duties=False, busy=set())
                 machine.handle_stops_read(StopsRead(stopped=frozenset(marks)))
         actions = machine.tick(1.0, holds_duties=False, busy=set())
         for action in actions:
--- a/tests/core/front/test_rollouts.py
+++ b/tests/core/front/test_rollouts.py
@@ -222,6 +222,18 @@
         assert isinstance(action, ReportRolloutStatus)
         self.assertIs(RolloutState.ROLLED_BACK, action.state)
 
+    def test_an_earlier_read_does_not_begin_a_new_move(self) -> None:
+        """The read was sent before the order, and may miss its mark."""
+        host = make_controller()
+        host.apply_orders(0.0, [ORDER])
+        host.tick(0.1, holds_duties=False, busy=set())
+        host.apply_orders(0.2, [replace(ORDER, number=9)])
+        host.handle_stops_read(StopsRead(stopped=frozenset()))
+        self.assertEqual(RolloutPhase.HELD, host.phase_reports()[0].phase)
+        host.tick(0.3, holds_duties=False, busy=set())
+        host.handle_stops_read(StopsRead(stopped=frozenset()))
+        self.assertEqual(RolloutPhase.TRIAL, host.phase_reports()[0].phase)
+
     def test_a_failed_read_of_the_marks_is_retried(self) -> None:
         host = make_controller()
         host.apply_orders(0.0, [ORDER])
@@ -269,6 +281,7 @@
             StopsRead(stopped=frozenset({ORDER.rollout_id}))
         )
         host.apply_orders(1.0, [replace(ORDER, number=9)])
+        host.tick(1.0, holds_duties=False, busy=set())
         host.handle_stops_read(
             StopsRead(stopped=frozenset({ORDER.rollout_id}))
         )
--- a/tests/core/front/test_store_returns.py
+++ b/tests/core/front/test_store_returns.py
@@ -266,6 +266,7 @@
         number = make_version(1, 530)
         other = replace(self.order, number=number, duration_s=20.0)
         self.rollouts.apply_orders(5.0, [other])
+        self.rollouts.tick(5.0, holds_duties=False, busy=set())
         self.rollouts.handle_stops_read(StopsRead(stopped=frozenset()))
         [report] = self.rollouts.phase_reports()
         self.assertEqual(RolloutPhase.TRIAL, report.phase)
--- a/tests/model/test_stop_mark.py
+++ b/tests/model/test_stop_mark.py
@@ -26,6 +26,7 @@
 
     def apply_orders(self, now: float, orders: Iterable[RolloutOrder]) -> None:
         super().apply_orders(now, orders)
+        self.tick(now, holds_duties=False, busy=set())
         self.handle_stops_read(StopsRead(stopped=frozenset()))
 
 
--- a/waxwingarch/core/rollouts/rollout_controller.py
+++ b/waxwingarch/core/rollouts/rollout_controller.py
@@ -77,11 +77,14 @@
     """A version move; the order `is_from_copy` of the store.
 
     The operator will then write the order again, with another number.
+    `stop_reads_before` counts the reads of stop marks that were sent before
+    the order was known.
     """
 
     order: RolloutOrder
     started_at: float
     deadline: float
+    stop_reads_before: int = 0
     phase: RolloutPhase = RolloutPhase.HELD
     is_suspicious: bool = False
     reason: str = ""
@@ -112,6 +115,8 @@
         self._recorder = EvidenceRecorder(host, incarnation)
         self._rollouts: dict[ServiceId, _Rollout] = {}
         self._must_read_stops = False
+        self._stop_reads = 0
+        self._stop_reads_in_flight = 0
 
     # Orders and stop marks
 
@@ -133,7 +138,10 @@
                     continue
                 self._recorder.unwatch(known.order.rollout_id)
             self._rollouts[order.service] = _Rollout(
-                order=order, started_at=now, deadline=now + order.duration_s
+                order=order,
+                started_at=now,
+                deadline=now + order.duration_s,
+                stop_reads_before=self._stop_reads,
             )
             self._watch(order)
             self._must_read_stops = True
@@ -172,7 +180,12 @@
             self._forget_written(rollout)
 
     def handle_stops_read(self, event: StopsRead) -> None:
-        """Stop the moves that have a stop mark and begin the others."""
+        """Stop the moves that have a stop mark and begin the others.
+
+        A move begins only after a read that was sent when its order was
+        known: an earlier one may have missed its stop mark.
+        """
+        self._stop_reads_in_flight = max(0, self._stop_reads_in_flight - 1)
         if event.stopped is None:
             self._must_read_stops = True
             return
@@ -180,7 +193,10 @@
             if rollout.order.rollout_id in event.stopped:
                 rollout.is_stop_marked = True
                 self._stop(rollout, "stopped before")
-            else:
+            elif (
+                not self._stop_reads_in_flight
+                and rollout.stop_reads_before < self._stop_reads
+            ):
                 rollout.advance(RolloutPhase.TRIAL)
 
     def handle_stop_marked(self, now: float, event: StopMarked) -> None:
@@ -313,6 +329,8 @@
         actions: list[Action] = []
         if self._must_read_stops:
             self._must_read_stops = False
+            self._stop_reads += 1
+            self._stop_reads_in_flight += 1
             actions.append(ReadStops())
         for rollout in self._rollouts.values():
             self._apply_verdict(now, rollout)
