--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -28,6 +28,20 @@
 SECONDS = 10.0
 
 
+def make_daemon(name: str, folder: Path) -> Daemon:
+    """Return a host without a process."""
+    link = Link("127.0.0.1:1")
+    return Daemon(
+        name=name,
+        zone="za",
+        settings=folder,
+        readiness=1,
+        callers=link,
+        store=link,
+        duties=link,
+    )
+
+
 class LinkTest(testtools.TestCase):
     async def async_echo_link(self) -> Link:
         async def echo(
@@ -119,17 +133,8 @@
         self.addCleanup(scratch.cleanup)
         self.report = Report(promises=tuple(Promise))
         self.world = World(folder=Path(scratch.name), report=self.report)
-        link = Link("127.0.0.1:1")
         for name in ("host-0", "host-1"):
-            self.world.daemons[name] = Daemon(
-                name=name,
-                zone="za",
-                settings=Path(scratch.name),
-                readiness=1,
-                callers=link,
-                store=link,
-                duties=link,
-            )
+            self.world.daemons[name] = make_daemon(name, Path(scratch.name))
         self.load = LoadGenerator(self.world, self.report, SEED)
         self.injector = FaultInjector(self.world, self.load, Random(SEED))
         self.at = time.monotonic() - 100.0
@@ -279,16 +284,7 @@
         self.addCleanup(scratch.cleanup)
         self.report = Report(promises=tuple(Promise))
         self.world = World(folder=Path(scratch.name), report=self.report)
-        link = Link("127.0.0.1:1")
-        self.daemon = Daemon(
-            name="host-0",
-            zone="za",
-            settings=Path(scratch.name),
-            readiness=1,
-            callers=link,
-            store=link,
-            duties=link,
-        )
+        self.daemon = make_daemon("host-0", Path(scratch.name))
         self.world.daemons["host-0"] = self.daemon
 
     @async_test
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -123,12 +123,7 @@
         except SilentLinkError:
             outcome = AttemptOutcome.SILENT
         except LinkError as exc:
-            log_message(
-                message_type="response_broken",
-                request_id=self._request_id,
-                server=send.server.server_id,
-                reason=str(exc),
-            )
+            self._log_invalid("response_broken", send, exc)
             outcome = AttemptOutcome.BROKEN
         if outcome in (AttemptOutcome.SILENT, AttemptOutcome.BROKEN):
             is_expired = asyncio.get_running_loop().time() >= send.expires_at
@@ -251,12 +246,17 @@
                 self._failure_body_deadline(send), MAX_RESPONSE_BYTES
             )
         except LinkError as exc:
-            log_message(
-                message_type="rejection_cut",
-                request_id=self._request_id,
-                server=send.server.server_id,
-                reason=str(exc),
-            )
+            self._log_invalid("rejection_cut", send, exc)
+
+    def _log_invalid(
+        self, message_type: str, send: SendRequest, exc: LinkError
+    ) -> None:
+        log_message(
+            message_type=message_type,
+            request_id=self._request_id,
+            server=send.server.server_id,
+            reason=str(exc),
+        )
 
     def _report_response_start(self, send: SendRequest) -> None:
         self.state.activity_reported_at = asyncio.get_running_loop().time()
