--- a/tests/front/test_table_watch.py
+++ b/tests/front/test_table_watch.py
@@ -16,6 +16,7 @@
 )
 from waxwingarch.tasks.table_watch import (
     CHANGE_BATCH_PAUSE_S,
+    HISTORY_LOST_INTERVAL_S,
     TableChanges,
     TableWatch,
 )
@@ -101,6 +102,28 @@
             self.assertEqual(20, own.watch.version)
             self.assertTrue(own.watch.after_outage)
 
+    @async_test
+    async def test_store_that_keeps_no_history_is_read_at_intervals(
+        self,
+    ) -> None:
+        """Each full read was followed by the next one without a pause.
+
+        A follower made more than a hundred calls a second to a store that
+        discarded its history for seconds.
+        """
+        async with WatchedTable() as own:
+            loop = asyncio.get_running_loop()
+            await own.async_read(10, row("a", 3))
+            own.store.changed.put_nowait(HistoryLostError("gone"))
+            await own.async_read(11, row("a", 3))
+            lost_at = loop.time()
+            for version in range(12, 15):
+                own.store.changed.put_nowait(HistoryLostError("gone"))
+                await own.async_read(version, row("a", 3))
+            self.assertGreaterEqual(
+                loop.time() - lost_at, 2 * HISTORY_LOST_INTERVAL_S
+            )
+
     @async_test
     async def test_read_older_than_changes_of_a_peer_is_ignored(self) -> None:
         async with WatchedTable() as own:
--- a/waxwingarch/tasks/table_watch.py
+++ b/waxwingarch/tasks/table_watch.py
@@ -27,6 +27,8 @@
 # responds to that call, even after its recovery.
 PROBE_TIMEOUT_S: Final = 0.7
 RETRY_DELAY_MAX_S: Final = 0.5
+# Interval of full reads while the store discards its history all the time.
+HISTORY_LOST_INTERVAL_S: Final = 0.3
 # Rows that the store dropped during an outage are registered again within
 # about two seconds of its recovery.
 REREGISTRATION_S: Final = 2.5
@@ -100,6 +102,7 @@
         self._following = asyncio.Event()
         self._following.set()
         self._unreachable_since: float | None = None
+        self._history_lost_at = float("-inf")
         self._poll_task: asyncio.Task[Rows] | None = None
         self._run_task: asyncio.Task[None] | None = None
 
@@ -235,6 +238,7 @@
                 log_message(message_type="history_lost", reason=str(exc))
                 self._synced = False
                 self._expect_missing_rows(REREGISTRATION_S)
+                await self._async_pause_after_lost_history()
             except StoreUnavailableError as exc:
                 self._handle_store_failure(exc)
                 pause_s = min(RETRY_DELAY_MAX_S, self._backoff.next_s())
@@ -249,6 +253,12 @@
                 if rows.rows:
                     await asyncio.sleep(CHANGE_BATCH_PAUSE_S)
 
+    async def _async_pause_after_lost_history(self) -> None:
+        """Pause before another full read soon after the last one."""
+        read_at = self._history_lost_at + HISTORY_LOST_INTERVAL_S
+        await asyncio.sleep(max(0.0, read_at - _now()))
+        self._history_lost_at = _now()
+
     async def _async_poll(self) -> Rows:
         if not self._synced:
             return await self._store.async_read(
