End the wait on a connection whose keep-alive probes get no answer

Waiting for a first byte in steps, it read again at once, got the same error and went on without a pause until the deadline, and each read added to the traceback of that one error object, up to 552 MB.

Ruled out: suspension of the hosts (one used three times the processor time of the others), rows and reports (the other hosts had the same). The test fails without the change.

--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -253,7 +253,11 @@
         try:
             async with asyncio.timeout_at(deadline):
                 return await self._reader.read(READ_BYTES)
-        except TimeoutError:
+        except TimeoutError as exc:
+            # The error of a connection whose keep-alive probes got no answer
+            # is a TimeoutError as well. Each read raises it again.
+            if self._reader.exception() is not None:
+                raise CutLinkError(f"{self.address}: {exc}") from exc
             data = await self._async_read_buffered()
             if data is None:
                 raise SilentLinkError(
