Let servers of the emulated platform fall silent, crash and end answers by closing

A sound server can fall silent for a time, also amid streams, and go on. A server can answer with neither a length nor chunks, whole, broken off within an event or reset. A part of a prompt can crash each server that begins to answer it; the server's row stays until its heartbeat has lapsed, and its next incarnation is there some seconds later. A server that was started again after a crash announced the close of each connection, because its listener was still the stopped one; it gets a new one now.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -20,6 +20,10 @@
 PLAIN_SERVICE: Final = "ledger"
 HOST_NAME: Final = "calls.example"
 ZONES: Final = ("za", "zb")
+# A crashed server's row stays until its heartbeat has lapsed.
+ROW_LAPSE_S: Final = 1.5
+# Time from a crash until the next incarnation of the server is there.
+RESTART_S: Final = 3.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -112,6 +116,11 @@
         self.duty_status = 200
         self.config = FleetConfig()
         self.cloud_address = ""
+        # The ids of prompt parts under which servers crash, and the ids of
+        # the servers that crashed under one.
+        self.crashing_parts: set[str] = set()
+        self.crashes: list[str] = []
+        self._restarts: set[asyncio.Task[None]] = set()
         self._duty_server = HttpServer(self._async_duty)
 
     async def async_setup(self, engines: int = 2, plain: int = 2) -> None:
@@ -127,6 +136,8 @@
 
     async def async_unload(self) -> None:
         """Stop everything."""
+        for task in self._restarts:
+            task.cancel()
         for server in self.servers:
             await server.async_unload()
         await self._duty_server.async_unload()
@@ -138,13 +149,36 @@
         """Start a server and register it."""
         zone = ZONES[len(self.servers) % len(ZONES)]
         server = FleetServer(
-            server_id, service, zone, engine=engine, runs=self.runs
+            server_id,
+            service,
+            zone,
+            engine=engine,
+            runs=self.runs,
+            crashing_parts=self.crashing_parts,
+            on_crash=self.on_crash,
         )
         await server.async_setup()
         self.servers.append(server)
         self.register(server)
         return server
 
+    def on_crash(self, server: FleetServer) -> None:
+        """Start a server again some time after its crash."""
+        self.crashes.append(server.server_id)
+        task = asyncio.create_task(self._async_restart(server))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _async_restart(self, server: FleetServer) -> None:
+        crashed_at = time.monotonic()
+        await server.async_unload()
+        await asyncio.sleep(crashed_at + ROW_LAPSE_S - time.monotonic())
+        self.store.put("servers", server.server_id, None)
+        await asyncio.sleep(crashed_at + RESTART_S - time.monotonic())
+        server.born += 1
+        await server.async_setup()
+        self.register(server)
+
     def register(
         self, server: FleetServer, state: str = "ready", **overrides: Any
     ) -> None:
--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import time
+from collections.abc import Callable
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 from typing import Any, Final
 
 import orjson
 
 from standins.fleet_store import LISTEN_IP
+from standins.until_close import UntilCloseResponder, reset
 from waxwingarch.adapters.http_messages import (
     JSON_TYPE,
     HttpRequest,
@@ -19,6 +22,7 @@
 SERVER_STAMP_HEADER: Final = "X-Waxwingarch-Server-Stamp"
 NOT_EXECUTED_HEADER: Final = "X-Waxwingarch-Not-Executed"
 SERVER_LEAVING_HEADER: Final = "Server-Leaving"
+PROMPT_PREFIX_HEADER: Final = "X-Waxwingarch-Prompt-Prefix"
 
 
 @dataclass(kw_only=True, slots=True)
@@ -27,7 +31,8 @@
 
     Times are monotonic, in seconds. `events` is the number of the last event
     sent; `ended` is empty, "done", "error", "dropped" (the caller
-    disconnected) or "moved" (the KV cache was handed to another server).
+    disconnected), "moved" (the KV cache was handed to another server) or
+    "crashed" (the request ended its server).
     """
 
     request_id: str
@@ -46,12 +51,15 @@
     """How a server answers; the fault `how` hits the next `count` requests.
 
     `how` is one of: error (500), shed (503, not run), mute (no response),
-    cut (the connection closes amid the response), lost (the request runs,
-    then the connection closes), unsigned (no server stamp), stray (the
+    cut (the connection of a stream closes within an event), reset (the
+    connection is reset after an event or within the body), lost (the request
+    runs, then the connection closes), unsigned (no server stamp), stray (the
     response carries the id of another request). `event_s` is the pause
     between events, `work_s` the duration of a plain request. `handles` holds
     for each handle of a KV cache how many events were sent before it moved.
     `retry_after` is the Retry-After header of the responses to shed requests.
+    With `until_close` all answers have neither a length nor chunks and end
+    with their connection.
     """
 
     events: int = 5
@@ -61,6 +69,7 @@
     count: int = 0
     handles: dict[str, int] = field(default_factory=dict)
     retry_after: str = ""
+    until_close: bool = False
 
 
 class FleetServer:
@@ -74,6 +83,8 @@
         *,
         engine: bool,
         runs: list[Run],
+        crashing_parts: AbstractSet[str] = frozenset(),
+        on_crash: Callable[["FleetServer"], None] = lambda server: None,
     ) -> None:
         self.server_id = server_id
         self.service = service
@@ -89,18 +100,35 @@
         self.announces_leaving = False
         self.born = 1_000
         self._running: dict[str, tuple[Run, asyncio.Event]] = {}
+        # The ids of prompt parts under which the server crashes.
+        self._crashing_parts = crashing_parts
+        self._is_down = True
+        self._on_crash = on_crash
+        self._not_silent = asyncio.Event()
+        self._not_silent.set()
         self.server = HttpServer(self._async_handle)
 
     async def async_setup(self) -> None:
         """Listen on a free port."""
+        self.server = HttpServer(self._async_handle)
         port = await self.server.async_setup(LISTEN_IP, 0)
         self.address = f"{LISTEN_IP}:{port}"
+        self._is_down = False
 
     async def async_unload(self) -> None:
         """Abort all connections and stop, as in a crash."""
+        self._abort_connections()
+        await self.server.async_unload()
+
+    def _abort_connections(self) -> None:
         for conn in list(self.server.connections):
             conn.abort()
-        await self.server.async_unload()
+
+    async def async_fall_silent(self, silent_s: float) -> None:
+        """Do nothing for a time, also amid streams, and then go on."""
+        self._not_silent.clear()
+        await asyncio.sleep(silent_s)
+        self._not_silent.set()
 
     def running(self, request_id: str) -> bool:
         """Return whether a request is running on this server."""
@@ -129,6 +157,7 @@
     async def _async_handle(
         self, req: HttpRequest, resp: HttpResponder
     ) -> None:
+        await self._not_silent.wait()
         if req.path == "/-/kv-move":
             await self._async_kv_move(orjson.loads(req.body), resp)
             return
@@ -157,6 +186,8 @@
         if how == "mute":
             await resp.disconnected.wait()
             return
+        if self.behaviour.until_close:
+            resp = UntilCloseResponder(resp)
         await self._async_run(req, resp, how, headers)
 
     def _next_fault(self) -> str:
@@ -195,10 +226,33 @@
             await self._async_events(run, resp, how, headers)
             return
         await asyncio.sleep(self.behaviour.work_s)
-        run.ended = "done"
+        await self._not_silent.wait()
+        if self._crashes_on(run):
+            self._crash(run)
+            return
         body = orjson.dumps({"echo": len(req.body)})
+        if how == "reset":
+            await resp.async_start(200, [JSON_TYPE, *headers])
+            await resp.async_write(body[:-2])
+            reset(resp)
+            return
+        run.ended = "done"
         await resp.async_send(200, body, [JSON_TYPE, *headers])
 
+    def _crashes_on(self, run: Run) -> bool:
+        """Return whether a part of the prompt but the last is a bad one."""
+        prefix = run.headers.get(PROMPT_PREFIX_HEADER.lower(), "")
+        parts = [entry.partition(":")[0] for entry in prefix.split(",")]
+        return not self._crashing_parts.isdisjoint(parts[:-1])
+
+    def _crash(self, run: Run) -> None:
+        if self._is_down:
+            return
+        self._is_down = True
+        run.ended = "crashed"
+        self._abort_connections()
+        self._on_crash(self)
+
     async def _async_events(
         self,
         run: Run,
@@ -213,11 +267,16 @@
         try:
             await resp.async_start(200, [kind, *headers])
             for number in range(first_number, self.behaviour.events + 1):
-                if await _async_disconnected_within(
+                disconnected = await _async_disconnected_within(
                     resp, self.behaviour.event_s
-                ):
+                )
+                await self._not_silent.wait()
+                if disconnected or resp.disconnected.is_set():
                     run.ended = "dropped"
                     return
+                if self._crashes_on(run):
+                    self._crash(run)
+                    return
                 if stop.is_set():
                     run.ended = "moved"
                     resp.abort()
@@ -226,15 +285,25 @@
                 run.events = number
                 if how == "cut" and number == first_number + 1:
                     await resp.async_write(event[:6].encode())
-                    resp.abort()
+                    await self._async_cut(resp)
                     return
                 await resp.async_write(event.encode())
+                if how == "reset" and number == first_number + 1:
+                    reset(resp)
+                    return
             run.ended = "done"
             await resp.async_end()
         finally:
             run.ended_at = time.monotonic()
             self._running.pop(run.request_id, None)
 
+    async def _async_cut(self, resp: HttpResponder) -> None:
+        if self.behaviour.until_close:
+            # The end of the connection is all that shows the cut.
+            await resp.async_end()
+        else:
+            resp.abort()
+
     async def _async_kv_move(self, order: Any, resp: HttpResponder) -> None:
         found = self._running.get(order["id"])
         if found is None:
