Let the soak change the configuration in series and servers fall silent

New faults: servers that fall silent for 1 to 2.5 s and go on, answers that end with their connection, servers that announce in answers that they leave, prompt parts that crash servers, and series of changes of the configuration (idle time-out, limits, quota, time-outs of routes, tenants, a route or its service dropped and added) beside SIGHUP and SIGTERM. Links now reset their connections, so that a cut answer without a length never looks complete.

New check: each request written whole to a host that lives gets an answer or a refusal. Allowed ends are those of a host that was killed, frozen or cut off, of a server that broke off its answer itself, at the deadline, and of a request that crosses the close of a stopping host and was not passed on.

'script/red_runs LOST' shows it red where a reload ends the connections in use.

--- a/script/red_front.py
+++ b/script/red_front.py
@@ -75,6 +75,15 @@
         test=CORE + "test_exchanges.py::Life::"
         "test_takes_nothing_that_it_may_not_finish_before_the_end",
     ),
+    Mutation(
+        promise="LOST",
+        path="waxwingarch/front_daemon.py",
+        old='            self._settings_watch.reload("signal")\n',
+        new="            for conn in self._entry.server.connections:\n"
+        "                conn.abort_if_busy()\n",
+        test="tests/standins/test_soak.py::ShortSoak::"
+        "test_answers_each_request_beside_reloads_in_series",
+    ),
     Mutation(
         promise="CONFIG",
         path="waxwingarch/core/routing/table.py",
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,7 +5,7 @@
 import sys
 import time
 from base64 import b64decode, b64encode
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, Final
 
@@ -25,6 +25,8 @@
 # Time from a crash until the next incarnation of the server is there.
 RESTART_S: Final = 3.0
 
+ServerListener = Callable[[FleetServer], None]
+
 
 @dataclass(kw_only=True, slots=True)
 class DutyCall:
@@ -45,14 +47,20 @@
     rate: float = 0.0
     keys: tuple[str, ...] = ("key-1",)
     plain_timeout_ms: int = 2000
+    stream_timeout_ms: int = 5000
+    limits: dict[str, int] = field(
+        default_factory=lambda: {"idle_timeout_ms": 15000}
+    )
     extra_routes: list[dict[str, Any]] = field(default_factory=list)
+    extra_services: list[dict[str, Any]] = field(default_factory=list)
+    extra_tenants: list[dict[str, Any]] = field(default_factory=list)
 
     def row(self) -> bytes:
         """Return the row as JSON."""
         streaming = {
             "host": HOST_NAME,
             "kind": "streaming",
-            "timeout_ms": 5000,
+            "timeout_ms": self.stream_timeout_ms,
             "target_latency_ms": 500,
             "priority": 1,
             "service": ENGINE_SERVICE,
@@ -93,14 +101,15 @@
         services = [
             {"name": ENGINE_SERVICE, "max_connections": 100, "engine": engine},
             {"name": PLAIN_SERVICE, "max_connections": 100},
+            *self.extra_services,
         ]
         return orjson.dumps(
             {
                 "version": self.version,
                 "routes": routes,
                 "services": services,
-                "limits": {"idle_timeout_ms": 15000},
-                "tenants": [tenant],
+                "limits": self.limits,
+                "tenants": [tenant, *self.extra_tenants],
             }
         )
 
@@ -120,6 +129,8 @@
         # the servers that crashed under one.
         self.crashing_parts: set[str] = set()
         self.crashes: list[str] = []
+        self.crash_listener: ServerListener = lambda server: None
+        self.restart_listener: ServerListener = self.register
         self._restarts: set[asyncio.Task[None]] = set()
         self._duty_server = HttpServer(self._async_duty)
 
@@ -165,6 +176,7 @@
     def on_crash(self, server: FleetServer) -> None:
         """Start a server again some time after its crash."""
         self.crashes.append(server.server_id)
+        self.crash_listener(server)
         task = asyncio.create_task(self._async_restart(server))
         self._restarts.add(task)
         task.add_done_callback(self._restarts.discard)
@@ -177,7 +189,7 @@
         await asyncio.sleep(crashed_at + RESTART_S - time.monotonic())
         server.born += 1
         await server.async_setup()
-        self.register(server)
+        self.restart_listener(server)
 
     def register(
         self, server: FleetServer, state: str = "ready", **overrides: Any
--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -31,7 +31,8 @@
 
     Times are monotonic, in seconds. `events` is the number of the last event
     sent; `ended` is empty, "done", "error", "dropped" (the caller
-    disconnected), "moved" (the KV cache was handed to another server) or
+    disconnected), "moved" (the KV cache was handed to another server),
+    "broken" (the server closed the connection amid the response) or
     "crashed" (the request ended its server).
     """
 
@@ -102,7 +103,7 @@
         self._running: dict[str, tuple[Run, asyncio.Event]] = {}
         # The ids of prompt parts under which the server crashes.
         self._crashing_parts = crashing_parts
-        self._is_down = True
+        self.is_down = True
         self._on_crash = on_crash
         self._not_silent = asyncio.Event()
         self._not_silent.set()
@@ -113,16 +114,21 @@
         self.server = HttpServer(self._async_handle)
         port = await self.server.async_setup(LISTEN_IP, 0)
         self.address = f"{LISTEN_IP}:{port}"
-        self._is_down = False
+        self.is_down = False
 
     async def async_unload(self) -> None:
         """Abort all connections and stop, as in a crash."""
+        self.is_down = True
         self._abort_connections()
         await self.server.async_unload()
 
     def _abort_connections(self) -> None:
+        """Abort all connections; an answer must not look complete by it."""
         for conn in list(self.server.connections):
-            conn.abort()
+            if self.behaviour.until_close:
+                reset(conn)
+            else:
+                conn.abort()
 
     async def async_fall_silent(self, silent_s: float) -> None:
         """Do nothing for a time, also amid streams, and then go on."""
@@ -212,6 +218,7 @@
         )
         self.runs.append(run)
         if how == "lost":
+            run.ended = "broken"
             resp.abort()
             return
         if how != "unsigned":
@@ -234,6 +241,7 @@
         if how == "reset":
             await resp.async_start(200, [JSON_TYPE, *headers])
             await resp.async_write(body[:-2])
+            run.ended = "broken"
             reset(resp)
             return
         run.ended = "done"
@@ -246,9 +254,9 @@
         return not self._crashing_parts.isdisjoint(parts[:-1])
 
     def _crash(self, run: Run) -> None:
-        if self._is_down:
+        if self.is_down:
             return
-        self._is_down = True
+        self.is_down = True
         run.ended = "crashed"
         self._abort_connections()
         self._on_crash(self)
@@ -285,10 +293,12 @@
                 run.events = number
                 if how == "cut" and number == first_number + 1:
                     await resp.async_write(event[:6].encode())
+                    run.ended = "broken"
                     await self._async_cut(resp)
                     return
                 await resp.async_write(event.encode())
                 if how == "reset" and number == first_number + 1:
+                    run.ended = "broken"
                     reset(resp)
                     return
             run.ended = "done"
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -32,6 +32,9 @@
     parser.add_argument(
         "--keep", type=Path, help="folder for the logs of a broken run"
     )
+    parser.add_argument(
+        "--only", nargs="+", default=(), help="names of the faults to inject"
+    )
     parser.add_argument(
         "--log", action="store_true", help="also print each fault"
     )
@@ -48,7 +51,7 @@
         await world.async_setup(args.hosts, args.engines, args.plain)
         report.started_at = time.time()
         load = LoadGenerator(world, report, seed)
-        injector = FaultInjector(world, load, Random(seed))
+        injector = FaultInjector(world, load, Random(seed), args.only)
         checker = PromiseChecker(world, load, injector, report)
         process_watch = asyncio.create_task(checker.async_run())
         until = time.monotonic() + args.seconds
--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -8,8 +8,10 @@
 import orjson
 
 from standins.campaign_report import Report
+from standins.fleet import ENGINE_SERVICE, PLAIN_SERVICE
 from standins.fleet_server import Run
 from standins.front_process import KEY
+from standins.soak.annex import ANNEX, ANNEX_PATH
 from standins.soak.faults import FaultInjector
 from standins.soak.load import (
     NON_IDEMPOTENT_ROUTES,
@@ -21,11 +23,15 @@
 from standins.soak.promises import (
     CANCEL_LIMIT_S,
     CONFIG_APPLY_LIMIT_S,
+    CONFIG_SERIES,
     DRAIN_APPLY_LIMIT_S,
     FAULT_RECOVERY_S,
+    LOSS_SLACK_S,
     MISSED_CHANGE_S,
     RESPONSE_SLACK_S,
     SCHEDULING_SLACK_S,
+    SHORT_PLAIN_TIMEOUT_S,
+    SHORT_STREAM_TIMEOUT_S,
     THAW_SLACK_S,
     Promise,
 )
@@ -38,6 +44,16 @@
 USAGE_PATH_PART: Final = "usage"
 # Faults of a host's links that its callers must not notice.
 STORE_LINK_FAULTS: Final = ("link to store", "link to duties")
+# Faults of a host after which it may close connections without an answer.
+BREAKING_HOST_FAULTS: Final = {"kill", "power", "freeze", "link to callers"}
+STOPS: Final = {"stop", "rolling stop"}
+# Faults of a server by which it breaks off responses that it began.
+BREAKING_SERVER_FAULTS: Final = {"crash", "leaving", "link to server"}
+BROKEN_RUNS: Final = ("broken", "crashed")
+SERVICES: Final = {
+    route: ENGINE_SERVICE if route in STREAM_ROUTES else PLAIN_SERVICE
+    for route in ROUTES
+} | {ANNEX_PATH: ANNEX}
 
 
 class PromiseChecker:
@@ -79,6 +95,7 @@
             self._check_in_time(call)
             self._check_served(call)
             self._check_planned_stop(call, runs)
+            self._check_answered(call, runs)
         else:
             self._check_run_cancelled(call, runs)
         self._check_key(call, runs)
@@ -142,9 +159,17 @@
         host_intervals = self._world.intervals_between(
             call.sent_at - FAULT_RECOVERY_S, call.ended_at, {call.host}
         )
-        if call.key != KEY or any(
-            interval.kind not in STORE_LINK_FAULTS
-            for interval in host_intervals
+        if (
+            call.key != KEY
+            or call.may_crash
+            or any(
+                interval.kind not in STORE_LINK_FAULTS
+                for interval in host_intervals
+            )
+        ):
+            return
+        if call.route == ANNEX_PATH and self._had_fault(
+            call, names={CONFIG_SERIES, STORE, call.host}
         ):
             return
         store_had_fault = bool(host_intervals) or self._had_fault(
@@ -153,7 +178,7 @@
         since = call.sent_at - (
             MISSED_CHANGE_S if store_had_fault else FAULT_RECOVERY_S
         )
-        servers = self._world.server_ids(engines=call.route in STREAM_ROUTES)
+        servers = self._world.server_ids(SERVICES[call.route])
         disturbed_servers = {
             interval.name
             for interval in self._world.intervals_between(
@@ -170,20 +195,65 @@
 
     def _check_planned_stop(self, call: Call, runs: list[Run]) -> None:
         """Check a call during a planned stop without any other fault."""
-        stops = {"stop", "rolling stop"}
         begin = call.sent_at - FAULT_RECOVERY_S
-        is_stopping = self._world.had_fault(
-            call.sent_at, call.ended_at, names={call.host}, kinds=stops
-        )
         kinds = {
             interval.kind for interval in self._world.fault_intervals
-        } - stops
-        if not is_stopping or not runs:
+        } - STOPS
+        if not self._was_stopping(call) or not runs:
             return
         if self._world.had_fault(begin, call.ended_at, kinds=kinds):
             return
         self._record_call_check(Promise.STOP, call.status != 0, call)
 
+    def _was_stopping(self, call: Call) -> bool:
+        return self._world.had_fault(
+            call.sent_at, call.ended_at, names={call.host}, kinds=STOPS
+        )
+
+    def _check_answered(self, call: Call, runs: list[Run]) -> None:
+        """Check that no connection ends without the response that is due.
+
+        A host that was killed or cut off owes none, nor does one whose
+        server broke off a response that had begun.
+        """
+        begin = call.sent_at - FAULT_RECOVERY_S
+        if call.is_unsent or self._world.had_fault(
+            begin,
+            call.ended_at,
+            names={call.host},
+            kinds=BREAKING_HOST_FAULTS,
+        ):
+            return
+        crossed_stop = self._was_stopping(call) and not runs
+        lasted_s = call.ended_at - call.sent_at
+        excused = (
+            lasted_s >= self._timeout_s(call)
+            or (crossed_stop and lasted_s <= LOSS_SLACK_S + SCHEDULING_SLACK_S)
+            or (call.has_begun and self._was_broken_off(call, runs))
+        )
+        if call.answer is not None or not excused:
+            answered = call.answer is not None
+            self._record_call_check(Promise.ANSWERED, answered, call)
+
+    def _timeout_s(self, call: Call) -> float:
+        """Return the shortest time limit that may apply to a call."""
+        route_s, _ = ROUTES[call.route]
+        if not self._had_fault(call, names={CONFIG_SERIES}):
+            return route_s
+        if call.route in STREAM_ROUTES:
+            return SHORT_STREAM_TIMEOUT_S
+        return SHORT_PLAIN_TIMEOUT_S
+
+    def _was_broken_off(self, call: Call, runs: list[Run]) -> bool:
+        return any(run.ended in BROKEN_RUNS for run in runs) or (
+            self._world.had_fault(
+                call.sent_at,
+                call.ended_at,
+                names={run.server_id for run in runs},
+                kinds=BREAKING_SERVER_FAULTS,
+            )
+        )
+
     def _check_run_cancelled(self, call: Call, runs: list[Run]) -> None:
         assert call.disconnected_at is not None
         names = {call.host, *(run.server_id for run in runs)}
@@ -218,7 +288,7 @@
     def _key_removed_at(self, key: str) -> float:
         """Return when a key was removed; infinite if it wasn't."""
         was_added = False
-        for at, _, keys in self._injector.changes:
+        for at, _, keys in self._injector.config.changes:
             was_added |= key in keys
             if was_added and key not in keys:
                 return at
@@ -253,6 +323,14 @@
                 )
                 if run.server_id != interval.name or not late:
                     continue
+                if self._world.had_fault(
+                    interval.begin,
+                    run.began_at,
+                    names={interval.name},
+                    kinds={"crash"},
+                ):
+                    # The next incarnation is not the one that leaves.
+                    continue
                 call = calls[run.request_id]
                 if not self._had_fault(call, names={call.host, STORE}):
                     self._record_call_check(Promise.DRAIN, False, call)
--- a/standins/soak/link.py
+++ b/standins/soak/link.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from standins.fleet_store import LISTEN_IP
+from standins.until_close import reset_transport
 
 READ_BYTES: Final = 65_536
 
@@ -40,6 +41,11 @@
     target_writer: asyncio.StreamWriter
     dropping_writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
+    def reset(self) -> None:
+        """Reset both ends: a response that ends with them is cut off."""
+        reset_transport(self.client_writer.transport)
+        reset_transport(self.target_writer.transport)
+
 
 class Link:
     """Forwards connections to one address, with an optional fault.
@@ -73,8 +79,7 @@
     def reset(self) -> None:
         """Reset all open connections on both sides."""
         for connection in list(self._connections):
-            connection.client_writer.transport.abort()
-            connection.target_writer.transport.abort()
+            connection.reset()
 
     async def _async_handle_connection(
         self, reader: asyncio.StreamReader, client_writer: asyncio.StreamWriter
@@ -134,5 +139,4 @@
             if writer not in connection.dropping_writers:
                 writer.write_eof()
         except (OSError, RuntimeError):
-            connection.client_writer.transport.abort()
-            connection.target_writer.transport.abort()
+            connection.reset()
--- a/standins/soak/load.py
+++ b/standins/soak/load.py
@@ -7,9 +7,15 @@
 from typing import Final
 
 from standins.campaign_report import Report
+from standins.fleet_server import PROMPT_PREFIX_HEADER
 from standins.front_process import KEY, call_headers
+from standins.soak.annex import ANNEX_PATH
 from standins.soak.world import World
-from waxwingarch.adapters.http_client import HttpClient, HttpResponse
+from waxwingarch.adapters.http_client import (
+    ConnectFailedError,
+    HttpClient,
+    HttpResponse,
+)
 from waxwingarch.exceptions import LinkError
 
 MAX_PAUSE_S: Final = 0.4
@@ -23,9 +29,14 @@
     "/chat/": (5.0, 3),
     "/read/": (2.0, 3),
     "/pay/": (2.0, 3),
+    ANNEX_PATH: (2.0, 2),
 }
 STREAM_ROUTES: Final = ("/draft/", "/chat/")
 NON_IDEMPOTENT_ROUTES: Final = ("/chat/", "/pay/")
+# The first part of all prompts.
+SHARED_PART: Final = "5a11"
+CRASHING_PART_PROBABILITY: Final = 0.1
+PROMPT_PART_TOKENS: Final = 100
 
 
 @dataclass(kw_only=True, slots=True)
@@ -33,6 +44,8 @@
     """One request of a caller.
 
     Times are monotonic, in seconds. `size` is that of the body, in bytes.
+    `parts` are those of the prompt of a stream; `may_crash` says whether one
+    of them crashes servers. `has_begun` says whether a response began.
     """
 
     request_id: str
@@ -46,6 +59,11 @@
     answer: HttpResponse | None = None
     error: str = ""
     disconnected_at: float | None = None
+    parts: tuple[str, ...] = ()
+    may_crash: bool = False
+    has_begun: bool = False
+    # Whether no connection could be opened, so that nothing was sent.
+    is_unsent: bool = False
 
     @property
     def status(self) -> int:
@@ -70,6 +88,8 @@
         self._seed = seed
         self.calls: list[Call] = []
         self.added_keys: list[str] = []
+        # The id of the part that crashes servers; empty while none does.
+        self.crashing_part = ""
         self._is_stopping = False
 
     async def async_run(self, callers: int) -> None:
@@ -113,9 +133,18 @@
             incarnation=self._world.daemons[host].incarnation,
             sent_at=time.monotonic(),
         )
+        if route in STREAM_ROUTES:
+            self._add_parts(rng, call)
         self.calls.append(call)
         return call
 
+    def _add_parts(self, rng: Random, call: Call) -> None:
+        call.may_crash = bool(self.crashing_part) and (
+            rng.random() < CRASHING_PART_PROBABILITY
+        )
+        middle = (self.crashing_part,) if call.may_crash else ()
+        call.parts = (SHARED_PART, *middle, f"{len(self.calls):x}")
+
     async def _async_call(
         self, call: Call, client: HttpClient, rng: Random
     ) -> None:
@@ -134,6 +163,7 @@
                 call.disconnected_at = time.monotonic()
             call.error = "no end"
         except LinkError as exc:
+            call.is_unsent = isinstance(exc, ConnectFailedError)
             call.error = f"{type(exc).__name__}: {exc}"
         call.ended_at = time.monotonic()
         self._report.count(f"{call.route.strip('/')} {call.status or 'none'}")
@@ -143,13 +173,21 @@
     ) -> HttpResponse:
         route_s, _ = ROUTES[call.route]
         daemon = self._world.daemons[call.host]
-        return await client.async_request(
+        headers = call_headers(call.request_id, int(route_s * 1000), call.key)
+        if call.parts:
+            entries = (f"{part}:{PROMPT_PART_TOKENS}" for part in call.parts)
+            headers.append((PROMPT_PREFIX_HEADER, ",".join(entries)))
+        deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+        async with client.async_stream(
             "POST",
             daemon.callers.address,
             f"{call.route}{call.size}",
-            deadline=asyncio.get_running_loop().time() + CALL_TIMEOUT_S,
-            headers=call_headers(
-                call.request_id, int(route_s * 1000), call.key
-            ),
+            deadline=deadline,
+            headers=headers,
             body=b"x" * call.size,
+        ) as stream:
+            call.has_begun = True
+            body = await stream.async_read_rest(deadline)
+        return HttpResponse(
+            status=stream.status, headers=stream.headers, body=body
         )
--- a/standins/soak/promises.py
+++ b/standins/soak/promises.py
@@ -18,6 +18,7 @@
     NO_REVERT = "a configuration never reverts within a process"
     DRAIN = "a leaving server gets nothing new"
     STOP = "a planned stop ends in time and cuts off nobody"
+    ANSWERED = "what a host read whole is answered or refused"
     ALIVE = "no process ends by itself"
     FENCE = "duties are never done with an older fencing number"
     USAGE = "one window of usage is never reported two ways"
@@ -43,5 +44,13 @@
 RESPONSE_SLACK_S: Final = 0.5
 # A server ends a run this long after its caller has disconnected.
 CANCEL_LIMIT_S: Final = 0.5
+# A host that stops may close a connection on which a request crosses this
+# close; it was then not passed on, and the close follows within this time.
+LOSS_SLACK_S: Final = 0.2
+# The shortest time-outs of routes that a change of configuration sets.
+SHORT_PLAIN_TIMEOUT_S: Final = 1.2
+SHORT_STREAM_TIMEOUT_S: Final = 3.0
+# Name and kind of the interval in which the configuration changes in series.
+CONFIG_SERIES: Final = "config series"
 # Delays of the operating system: all processes of a soak share its cores.
 SCHEDULING_SLACK_S: Final = 0.5
--- /dev/null
+++ b/standins/soak/server_faults.py
@@ -0,0 +1,167 @@
+"""The faults of a soak's servers."""
+
+import asyncio
+from typing import Final
+
+from standins.fleet_server import Behaviour, FleetServer
+from standins.soak.load import LoadGenerator
+from standins.soak.targets import Fault, Preparation, Targets
+
+SERVER_FAULTS: Final = (
+    "error",
+    "shed",
+    "mute",
+    "cut",
+    "reset",
+    "lost",
+    "unsigned",
+    "stray",
+)
+SILENCE_S: Final = (1.0, 2.5)
+# How long a server announces that it leaves, and drains after that.
+ANNOUNCED_S: Final = (1.0, 2.0)
+DRAINING_S: Final = (3.0, 4.0)
+# How long requests with a part that crashes servers come.
+CRASHING_PART_S: Final = (2.0, 5.0)
+POLL_INTERVAL_S: Final = 0.05
+
+
+class ServerFaults:
+    """Prepares faults of servers."""
+
+    def __init__(self, targets: Targets, load: LoadGenerator) -> None:
+        self._targets = targets
+        self._world = targets.world
+        self._rng = targets.rng
+        self._load = load
+        self.choices: dict[str, Preparation] = {
+            "crash": self._prepare_crash,
+            "drain": self._prepare_drain,
+            "leaving": self._prepare_leaving,
+            "spoiled": self._prepare_spoiled,
+            "silence": self._prepare_silence,
+            "until close": self._prepare_until_close,
+            "crashing part": self._prepare_crashing_part,
+        }
+
+    def _prepare_crash(self) -> Fault | None:
+        server = self._targets.pick_server()
+        if server is None:
+            return None
+        listed = self._rng.random() < 0.5
+        interval = self._targets.begin_fault(server.server_id, "crash")
+
+        async def crash() -> None:
+            await server.async_unload()
+            self._world.links[server.server_id].reset()
+            if not listed:
+                self._world.fleet.store.put("servers", server.server_id, None)
+            await asyncio.sleep(self._rng.uniform(0.5, 5))
+            await self._async_start_again(server)
+            self._targets.end_fault(interval)
+
+        return crash
+
+    async def _async_start_again(self, server: FleetServer) -> None:
+        server.born += 1
+        await server.async_setup()
+        self._world.register_again(server)
+
+    def _prepare_drain(self) -> Fault | None:
+        server = self._targets.pick_server()
+        if server is None:
+            return None
+        interval = self._targets.begin_fault(server.server_id, "drain")
+
+        async def drain() -> None:
+            self._world.register(server, "draining")
+            await asyncio.sleep(self._rng.uniform(4, 8))
+            self._targets.end_fault(interval)
+            self._world.register(server)
+
+        return drain
+
+    def _prepare_leaving(self) -> Fault | None:
+        """Let a server announce in its answers that it leaves, and leave."""
+        server = self._targets.pick_server()
+        if server is None:
+            return None
+        interval = self._targets.begin_fault(server.server_id, "leaving")
+
+        async def leave() -> None:
+            server.announces_leaving = True
+            await asyncio.sleep(self._rng.uniform(*ANNOUNCED_S))
+            self._world.register(server, "draining")
+            await asyncio.sleep(self._rng.uniform(*DRAINING_S))
+            while server.is_down:  # noqa: ASYNC110
+                await asyncio.sleep(POLL_INTERVAL_S)
+            await server.async_unload()
+            server.announces_leaving = False
+            await self._async_start_again(server)
+            self._targets.end_fault(interval)
+
+        return leave
+
+    def _prepare_spoiled(self) -> Fault | None:
+        server = self._targets.pick_server()
+        if server is None:
+            return None
+        how = self._rng.choice(SERVER_FAULTS)
+        interval = self._targets.begin_fault(server.server_id, "spoiled", how)
+        behaviour: Behaviour = server.behaviour
+        behaviour.how, behaviour.count = how, self._rng.randint(1, 6)
+
+        async def apply_fault() -> None:
+            await asyncio.sleep(self._rng.uniform(1, 5))
+            behaviour.count = 0
+            self._targets.end_fault(interval)
+
+        return apply_fault
+
+    def _prepare_silence(self) -> Fault | None:
+        """Let a sound server do nothing for a time, and then go on."""
+        server = self._targets.pick_server()
+        if server is None:
+            return None
+        silent_s = self._rng.uniform(*SILENCE_S)
+        interval = self._targets.begin_fault(
+            server.server_id, "silence", f"{silent_s:.1f} s"
+        )
+
+        async def fall_silent() -> None:
+            await server.async_fall_silent(silent_s)
+            self._targets.end_fault(interval)
+
+        return fall_silent
+
+    def _prepare_until_close(self) -> Fault | None:
+        """Let a server end its answers with their connections.
+
+        No caller may notice this, so it opens no fault interval.
+        """
+        server = self._rng.choice(self._world.fleet.servers)
+        self._world.report.record_fault("until close", server.server_id)
+
+        async def answer_until_close() -> None:
+            server.behaviour.until_close = True
+            await asyncio.sleep(self._rng.uniform(1, 6))
+            server.behaviour.until_close = False
+
+        return answer_until_close
+
+    def _prepare_crashing_part(self) -> Fault | None:
+        """Let requests come under which servers crash."""
+        if self._load.crashing_part:
+            return None
+        part = f"{self._rng.getrandbits(32):08x}"
+        self._world.report.record_fault("crashing part", part)
+        self._world.fleet.crashing_parts.add(part)
+        self._load.crashing_part = part
+
+        async def send_crashing_part() -> None:
+            await asyncio.sleep(self._rng.uniform(*CRASHING_PART_S))
+            self._load.crashing_part = ""
+            while any(s.is_down for s in self._world.fleet.servers):  # noqa: ASYNC110
+                await asyncio.sleep(POLL_INTERVAL_S)
+
+        return send_crashing_part
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -15,6 +15,12 @@
 from standins.fleet_store import LISTEN_IP
 from standins.front_process import async_start_front, async_wait_front_ready
 from standins.ports import free_port
+from standins.soak.annex import (
+    ANNEX,
+    ANNEX_SERVER,
+    ANNEX_WORK_S,
+    add_annex,
+)
 from standins.soak.link import Link
 from standins.soak.promises import SCHEDULING_SLACK_S, STOP_GRACE_S, Promise
 from waxwingarch.adapters.http_client import HttpClient
@@ -63,10 +69,18 @@
     daemons: dict[str, Daemon] = field(default_factory=dict)
     links: dict[str, Link] = field(default_factory=dict)
     fault_intervals: list[FaultInterval] = field(default_factory=list)
+    _crashes: dict[str, FaultInterval] = field(default_factory=dict)
 
     async def async_setup(self, hosts: int, engines: int, plain: int) -> None:
         """Start everything and wait until all hosts are ready."""
         await self.fleet.async_setup(engines, plain)
+        annex = await self.fleet.async_add_server(
+            ANNEX_SERVER, ANNEX, engine=False
+        )
+        add_annex(self.fleet.config)
+        self.fleet.put_config()
+        self.fleet.crash_listener = self._begin_crash
+        self.fleet.restart_listener = self._end_crash
         for server in self.fleet.servers:
             server.behaviour.events = EVENTS_PER_STREAM
             server.behaviour.event_s = EVENT_INTERVAL_S
@@ -74,6 +88,7 @@
             link = self.links[server.server_id] = Link(server.address)
             await link.async_setup()
             self.register(server)
+        annex.behaviour.work_s = ANNEX_WORK_S
         for n in range(hosts):
             await self._async_add(f"host-{n}", ZONES[n % len(ZONES)])
         for daemon in self.daemons.values():
@@ -122,6 +137,21 @@
         address = self.links[server.server_id].address
         self.fleet.register(server, state, address=address)
 
+    def register_again(self, server: FleetServer) -> None:
+        """Let a server's link lead to its new incarnation; register it."""
+        self.links[server.server_id].target = server.address
+        self.register(server)
+
+    def _begin_crash(self, server: FleetServer) -> None:
+        self.links[server.server_id].reset()
+        self._crashes[server.server_id] = self.begin_fault(
+            server.server_id, "crash", "by a part"
+        )
+
+    def _end_crash(self, server: FleetServer) -> None:
+        self.register_again(server)
+        self.end_fault(self._crashes.pop(server.server_id))
+
     # Processes
 
     async def async_start(self, daemon: Daemon) -> None:
@@ -232,10 +262,10 @@
         """Return the servers of one server's service, itself included."""
         return [s for s in self.fleet.servers if s.service == server.service]
 
-    def server_ids(self, *, engines: bool) -> set[str]:
-        """Return the ids of all engines, or of all plain servers."""
+    def server_ids(self, service: str) -> set[str]:
+        """Return the ids of a service's servers."""
         return {
             server.server_id
             for server in self.fleet.servers
-            if server.engine == engines
+            if server.service == service
         }
--- a/standins/until_close.py
+++ b/standins/until_close.py
@@ -12,12 +12,17 @@
 LINGER_NONE: Final = struct.pack("ii", 1, 0)
 
 
-def reset(resp: HttpResponder) -> None:
+def reset(resp: object) -> None:
     """Reset the connection of a response."""
-    sock: Any = _transport(resp).get_extra_info("socket")
+    reset_transport(_transport(resp))
+
+
+def reset_transport(transport: asyncio.WriteTransport) -> None:
+    """Reset a connection; what is buffered is lost."""
+    sock: Any = transport.get_extra_info("socket")
     if sock is not None and sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
-    resp.abort()
+    transport.abort()
 
 
 class UntilCloseResponder:
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -236,7 +236,7 @@
     def test_removed_key_accepted(self) -> None:
         self.load.added_keys = ["k1", "k2"]
         changes = [(self.at - 20, 1, ("k1",)), (self.at - 10, 2, ("k2",))]
-        self.injector.changes = changes
+        self.injector.config.changes = changes
         self.add_run(self.add_call("/read/", 200, b'{"echo":7}', key="k1"))
         self.assertEqual({Promise.IN_FORCE}, self.broken_promises())
 
@@ -258,6 +258,47 @@
         self.add_run(self.add_call("/pay/"))
         self.assertIn(Promise.STOP, self.broken_promises())
 
+    def test_connection_that_ends_without_an_answer(self) -> None:
+        self.add_interval("config series", "config series", -1.0, 1.0)
+        self.add_interval("e-0", "silence", -1.0, 1.0)
+        self.add_interval("e-1", "crash", -1.0, 1.0)
+        self.add_interval("host-1", "kill", -1.0, 1.0)
+        self.add_run(self.add_call("/draft/", has_begun=True), ended="dropped")
+        self.assertIn(Promise.ANSWERED, self.broken_promises())
+
+    def test_server_that_fails_before_the_answer_is_no_excuse(self) -> None:
+        self.add_interval("e-0", "crash", -1.0, 1.0)
+        self.add_run(self.add_call("/draft/"), ended="broken")
+        self.assertIn(Promise.ANSWERED, self.broken_promises())
+
+    def test_stop_of_the_host_is_no_excuse_once_it_passed_on(self) -> None:
+        self.add_interval("host-0", "stop", -0.5, 3.0)
+        self.add_interval(STORE, "store", -0.5, 3.0)
+        self.add_run(self.add_call("/draft/"), ended="done")
+        self.assertEqual({Promise.ANSWERED}, self.broken_promises())
+
+    def test_late_end_at_a_stopping_host_that_passed_nothing_on(self) -> None:
+        self.add_interval("host-0", "stop", -0.5, 3.0)
+        self.add_call("/draft/", ended_at=self.at + 1.0)
+        self.assertEqual({Promise.ANSWERED}, self.broken_promises())
+
+    def test_connections_that_may_end_without_an_answer(self) -> None:
+        self.add_interval("host-0", "kill", 0.0, 0.05)
+        self.add_call("/draft/")
+        self.add_interval("host-1", "stop", -0.5, 3.0)
+        self.add_call("/draft/", host="host-1")
+        self.add_call("/draft/", host="host-2", is_unsent=True)
+        begun = {"host": "host-2", "has_begun": True}
+        self.add_run(self.add_call("/chat/", **begun), ended="broken")
+        late = {"host": "host-2", "ended_at": self.at + 5.1}
+        self.add_run(self.add_call("/chat/", **late), ended="dropped")
+        self.add_interval("p-0", "link to server", -1.0, 1.0)
+        self.add_interval("p-1", "silence", -1.0, 1.0)
+        self.add_interval("e-0", "spoiled", -1.0, 1.0)
+        self.add_interval("e-1", "spoiled", -1.0, 1.0)
+        broken = self.broken_promises()
+        self.assertNotIn(Promise.ANSWERED, broken)
+
     def add_duty_call(self, at: float, fence: int, **body: Any) -> None:
         call = DutyCall(
             path="/usage", holder="h", fence=fence, body=body, at=self.at + at
@@ -314,11 +355,31 @@
 
 
 class ShortSoak(testtools.TestCase):
-    def test_keeps_all_promises(self) -> None:
-        """Run real processes briefly; `script/soak` runs longer ones."""
-        options = ["--hosts=3", f"--seconds={SECONDS}", "--callers=8"]
-        args = build_parser().parse_args(options)
+    """Real processes for some seconds; `script/soak` runs longer ones."""
+
+    def run_soak(self, *options: str) -> Report:
+        args = build_parser().parse_args(
+            ["--hosts=3", f"--seconds={SECONDS}", "--callers=8", *options]
+        )
         with tempfile.TemporaryDirectory() as folder:
             report = asyncio.run(async_soak(args, SEED, Path(folder)))
         self.assertEqual({}, dict(report.broken), report.format())
+        return report
+
+    def test_keeps_all_promises(self) -> None:
+        report = self.run_soak()
         self.assertGreater(report.checks[Promise.WHOLE], 0)
+
+    # Guards against requests that a host has read and that end without an
+    # answer while the configuration changes again and again.
+    def test_answers_each_request_beside_reloads_in_series(self) -> None:
+        report = self.run_soak("--only", "config series", "reload", "stop")
+        self.assertGreater(report.checks[Promise.ANSWERED], 0)
+
+    # Guards against streams that a host ends because their server is silent
+    # for a second or two and then goes on.
+    def test_ends_no_stream_of_a_silent_server(self) -> None:
+        report = self.run_soak(
+            "--engines=3", "--callers=16", "--only", "silence"
+        )
+        self.assertGreater(report.checks[Promise.ANSWERED], 0)
