--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -52,6 +52,8 @@
     between events, `work_s` the duration of a plain request. `handles` holds
     for each handle of a KV cache how many events were sent before it moved.
     `retry_after` is the Retry-After header of the responses to shed requests.
+    A call to move a run takes `move_delay_s` until the run is stopped;
+    `move_reply` replaces the body of its response.
     """
 
     events: int = 5
@@ -61,6 +63,8 @@
     count: int = 0
     handles: dict[str, int] = field(default_factory=dict)
     retry_after: str = ""
+    move_delay_s: float = 0.0
+    move_reply: bytes = b""
 
 
 class FleetServer:
@@ -241,11 +245,13 @@
             await resp.async_send(404, b"")
             return
         run, stop = found
+        await asyncio.sleep(self.behaviour.move_delay_s)
         stop.set()
         handle = f"h-{order['id']}"
         self.behaviour.handles[handle] = run.events
-        body = {"handle": handle, "created": run.events}
-        await resp.async_send(200, orjson.dumps(body), [JSON_TYPE])
+        body = orjson.dumps({"handle": handle, "created": run.events})
+        reply = self.behaviour.move_reply or body
+        await resp.async_send(200, reply, [JSON_TYPE])
 
 
 async def _async_disconnected_within(
--- /dev/null
+++ b/tests/front/test_whole_answers_host.py
@@ -0,0 +1,134 @@
+"""Tests that a host ends each answer in full, or refuses the request."""
+
+import asyncio
+
+import testtools
+
+from standins.fleet_server import FleetServer, Run
+from tests.front.base import Host, async_until, event_ids
+from tests.helpers import async_test
+from waxwingarch.adapters.http_client import HttpResponse
+
+# Longer than the longest pause between events that a host takes for usual.
+SILENCE_S = 1.5
+EVENT_PAUSE_S = 0.05
+
+
+class SilentServers(testtools.TestCase):
+    """A server sends nothing for a while in a response and then goes on."""
+
+    async def async_send_past_silence(
+        self, host: Host, path: str, servers: list[FleetServer]
+    ) -> HttpResponse:
+        """Send a request whose servers are silent after two events."""
+        for server in servers:
+            server.behaviour.event_s = EVENT_PAUSE_S
+        request = asyncio.create_task(host.async_send(path))
+        run = await _async_begun_run(host)
+        for server in servers:
+            server.behaviour.event_s = SILENCE_S
+        events = run.events + 1
+        await async_until(lambda: run.events > events, "it is silent")
+        for server in servers:
+            server.behaviour.event_s = EVENT_PAUSE_S
+        return await request
+
+    # The host closed the caller's connection in the middle of the answer.
+    @async_test
+    async def test_stream_that_cannot_be_resumed_is_not_cut(self) -> None:
+        async with Host() as host:
+            request = asyncio.create_task(
+                self.async_send_past_silence(
+                    host, "/chat/x", host.fleet.engines()
+                )
+            )
+            await _async_begun_run(host)
+            host.fleet.config.version = 2
+            host.fleet.put_config()
+            response = await request
+            self.assertEqual([1, 2, 3, 4, 5], event_ids(response.body))
+            self.assertEqual(2, host.front.table.version)
+
+    # The host gave up the only server, and then had none to resume at.
+    @async_test
+    async def test_stream_is_not_cut_without_another_server(self) -> None:
+        async with Host() as host:
+            used, other = host.fleet.engines()
+            host.fleet.register(other, "draining")
+            await async_until(
+                lambda: _usable_engines(host) == 1, "one server is left"
+            )
+            response = await self.async_send_past_silence(
+                host, "/draft/x", [used]
+            )
+            self.assertEqual([1, 2, 3, 4, 5], event_ids(response.body))
+
+    # A silent server must not hold a stream that another can continue.
+    @async_test
+    async def test_resumable_stream_goes_on_at_another_server(self) -> None:
+        async with Host() as host:
+            for server in host.fleet.engines():
+                server.behaviour.event_s = EVENT_PAUSE_S
+            request = asyncio.create_task(host.async_send("/draft/x"))
+            run = await _async_begun_run(host)
+            silent = _server_of(host, run)
+            silent.behaviour.event_s = 60.0
+            response = await request
+            self.assertEqual([1, 2, 3, 4, 5], event_ids(response.body))
+            self.assertEqual(2, len(host.fleet.runs))
+
+
+class MovedRuns(testtools.TestCase):
+    """A run whose server leaves is moved while that server is silent."""
+
+    async def async_send_and_move(
+        self, host: Host, path: str = "/chat/x", **behaviour: object
+    ) -> HttpResponse:
+        """Send a request whose server leaves in the middle of its run."""
+        for server in host.fleet.engines():
+            server.behaviour.event_s = 0.3
+            server.behaviour.events = 10
+            for name, value in behaviour.items():
+                setattr(server.behaviour, name, value)
+        request = asyncio.create_task(host.async_send(path))
+        run = await _async_begun_run(host)
+        host.fleet.register(_server_of(host, run), "draining")
+        return await request
+
+    # The call was given up after a second; the run was stopped and lost.
+    @async_test
+    async def test_slow_move_call_does_not_lose_the_run(self) -> None:
+        async with Host() as host:
+            response = await self.async_send_and_move(
+                host, move_delay_s=SILENCE_S
+            )
+            self.assertEqual(list(range(1, 11)), event_ids(response.body))
+            self.assertEqual(2, len(host.fleet.runs))
+
+    # The host never decided what follows, and the caller got no end.
+    @async_test
+    async def test_invalid_reply_to_the_move_call_ends_the_answer(
+        self,
+    ) -> None:
+        for reply in (b"{}", b"not json"):
+            async with Host() as host:
+                response = await self.async_send_and_move(
+                    host, "/draft/x", move_reply=reply
+                )
+                self.assertEqual(list(range(1, 11)), event_ids(response.body))
+
+
+async def _async_begun_run(host: Host) -> Run:
+    """Return the first run, once its response has begun."""
+    await async_until(
+        lambda: host.fleet.runs and host.fleet.runs[0].events, "events came"
+    )
+    return host.fleet.runs[0]
+
+
+def _server_of(host: Host, run: Run) -> FleetServer:
+    return next(s for s in host.fleet.servers if s.server_id == run.server_id)
+
+
+def _usable_engines(host: Host) -> int:
+    return len(host.front.load_balancer.registry.usable_backends("pool"))
