Wait for a silent server where no other can continue its response

Callers saw the connection closed in the middle of an answer. Cause: a response that paused for four times the route's longest pause (1.2 s at least) ended as silent, also where it could not be sent again: a stream that can't be resumed, no other server, no attempt or budget left. The host then cut it, though the server was sound and went on.

A pause now ends an attempt only if another server may continue the response; the core decides that. Otherwise the host waits until the deadline, the end of the connection or its keep-alive probes. The server is still avoided for new requests, which a line server_silent shows. Ruled out: the configuration change beside it; an exchange keeps the route it was admitted by. Before the first byte nothing changes, as a refusal leaves the caller time to come back.

--- a/tests/core/front/test_exchanges.py
+++ b/tests/core/front/test_exchanges.py
@@ -4,6 +4,7 @@
 
 from tests.core.front.builders import (
     LEDGER,
+    POOL,
     arrive,
     config,
     front,
@@ -26,6 +27,7 @@
     ResponseStarted,
     RunMigrated,
     SendRequest,
+    ServerSilent,
 )
 from waxwingarch.core.front_messages import ConfigRead, FrontTick, StopBegan
 from waxwingarch.core.front_node import STARTUP_WAIT_S, FrontNode
@@ -429,3 +431,54 @@
         assert isinstance(response, LocalResponse)
         self.assertEqual(ExecutionStatus.NOT_RUN, response.refusal.ran)
         self.assertIsNotNone(response.refusal.retry_after_s)
+
+
+class SilenceInAResponse(testtools.TestCase):
+    """Whether another server may continue a response that has paused."""
+
+    def can_leave(
+        self, node: FrontNode, path: str = "/draft/x", now: float = 2.0
+    ) -> bool:
+        arrive(node, "r", path=path)
+        request_id = RequestId("r")
+        node.handle(1.1, ResponseStarted(request_id=request_id))
+        return node.exchanges.can_leave_silent_server(now, request_id)
+
+    def test_resumable_stream_may_go_on_elsewhere(self) -> None:
+        self.assertTrue(self.can_leave(serving_front()))
+
+    # A silent server's response was ended although nothing replaced it.
+    def test_response_stays_where_nothing_can_replace_it(self) -> None:
+        self.assertFalse(self.can_leave(serving_front(), "/chat/x"))
+        self.assertFalse(self.can_leave(serving_front(server("e1"))))
+        self.assertFalse(self.can_leave(serving_front(), now=5.0))
+        without_budget = serving_front()
+        while without_budget.resend_budget.try_resend(1.0, POOL):
+            pass
+        self.assertFalse(self.can_leave(without_budget))
+
+    def test_last_attempt_stays(self) -> None:
+        node = serving_front(server("e1"), server("e2"), server("e3"))
+        self.assertTrue(self.can_leave(node))
+        [again] = node.handle(
+            2.0, attempt_finished("r", AttemptOutcome.SILENT)
+        )
+        self.assertIsInstance(again, SendRequest)
+        self.assertFalse(
+            node.exchanges.can_leave_silent_server(2.1, RequestId("r"))
+        )
+
+    def test_silent_server_gets_no_new_requests(self) -> None:
+        node = serving_front()
+        sent = [
+            arrive(node, f"r{n}", path="/chat/x").server.server_id
+            for n in range(2)
+        ]
+        for n in range(2):
+            event = ServerSilent(
+                request_id=RequestId(f"r{n}"), server_id=sent[0]
+            )
+            self.assertEqual([], node.handle(2.0, event))
+        for n in range(10):
+            action = arrive(node, f"s{n}", path="/chat/x", now=2.1)
+            self.assertNotEqual(sent[0], action.server.server_id)
--- a/waxwingarch/core/backends/load_balancer.py
+++ b/waxwingarch/core/backends/load_balancer.py
@@ -142,6 +142,16 @@
         tied = [pick for score, pick in scored if score <= best + TIE_MARGIN_S]
         return tied[self._rng.randrange(len(tied))]
 
+    def has_choice(
+        self,
+        now: float,
+        service: ServiceId,
+        exclude: Collection[ServerId] = (),
+    ) -> bool:
+        """Return whether the service has a server to try."""
+        usable = self._open_backends(now, service)
+        return any(b.server.server_id not in exclude for b in usable)
+
     def open_in_s(self, now: float, service: ServiceId) -> float | None:
         """Return when a service takes requests that it does not take now.
 
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -281,6 +281,24 @@
             return None
         return self._dispatch(now, state, None)
 
+    def can_leave_silent_server(
+        self, now: float, request_id: RequestId
+    ) -> bool:
+        """Return whether another server would continue a begun response."""
+        state = self._exchanges.get(request_id)
+        server_id = self._load_balancer.loads.server_of(request_id)
+        if state is None or server_id is None:
+            return False
+        if not state.may_leave_silent_server(now, server_id):
+            return False
+        service = state.exchange.service
+        return state.migrated_cache is not None or (
+            self._resend_budget.can_resend(now, service)
+            and self._load_balancer.has_choice(
+                now, service, state.tried_servers
+            )
+        )
+
     def _record_health(
         self,
         now: float,
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -165,6 +165,16 @@
     server_id: ServerId
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerSilent(ExchangeEvent):
+    """A server sends nothing, in a response that only it can continue.
+
+    It is posted once for each pause that is too long.
+    """
+
+    server_id: ServerId
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AttemptFinished(ExchangeEvent):
     """An attempt ended.
--- a/waxwingarch/core/exchange/state_machine.py
+++ b/waxwingarch/core/exchange/state_machine.py
@@ -1,5 +1,6 @@
 """State machine of one exchange: the next step after each attempt."""
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Final
@@ -79,8 +80,28 @@
             return NextStep.RESEND
         return self.final_step(finished)
 
+    def may_leave_silent_server(self, now: float, server: ServerId) -> bool:
+        """Return whether another server may continue a begun response.
+
+        While a migration is under way, its outcome decides.
+        """
+        if self.is_migrating:
+            return False
+        silent = AttemptFinished(
+            request_id=self.exchange.request_id,
+            outcome=AttemptOutcome.SILENT,
+            response_started=True,
+        )
+        return self._may_resend(
+            now, silent, not_run=False, also_run_on=(server,)
+        )
+
     def _may_resend(
-        self, now: float, finished: AttemptFinished, not_run: bool
+        self,
+        now: float,
+        finished: AttemptFinished,
+        not_run: bool,
+        also_run_on: Collection[ServerId] = (),
     ) -> bool:
         exchange = self.exchange
         if now >= exchange.expires_at:
@@ -103,7 +124,8 @@
             and exchange.retry_policy is not RetryPolicy.RESUMABLE
         ):
             return False
-        return len(self.may_have_run_on) < exchange.route.max_attempts
+        run_on = self.may_have_run_on.union(also_run_on)
+        return len(run_on) < exchange.route.max_attempts
 
     def final_step(self, finished: AttemptFinished) -> NextStep:
         """Return the step that ends the exchange without a resend."""
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -36,6 +36,7 @@
     ResponseStarted,
     RunMigrated,
     ServerActivity,
+    ServerSilent,
 )
 from waxwingarch.core.front_messages import (
     ConfigApplied,
@@ -155,6 +156,7 @@
             ExchangeArrived: self._handle_arrival,
             ResponseStarted: self._handle_response_started,
             ServerActivity: self._handle_server_activity,
+            ServerSilent: self._handle_server_silent,
             AttemptFinished: self.exchanges.handle_attempt_finished,
             CallerDisconnected: self._handle_disconnect,
             RunMigrated: self.exchanges.handle_run_migrated,
@@ -305,6 +307,15 @@
         self.load_balancer.loads.record_activity(now, event.server_id)
         return []
 
+    def _handle_server_silent(
+        self, now: float, event: ServerSilent
+    ) -> list[Action]:
+        """Avoid the server for new requests; the response may go on."""
+        self.load_balancer.health.record_failure(
+            now, event.server_id, unreachable=False
+        )
+        return []
+
     # Peers
 
     def _handle_hosts_listed(
--- a/waxwingarch/core/limits/resend_budget.py
+++ b/waxwingarch/core/limits/resend_budget.py
@@ -33,14 +33,18 @@
         """Count a caller's request for a service."""
         self._window(self._requests, service).add(now, 1)
 
-    def try_resend(self, now: float, service: ServiceId) -> bool:
-        """Spend one resend; return False if the budget is used up."""
+    def can_resend(self, now: float, service: ServiceId) -> bool:
+        """Return whether one more resend is within the budget."""
         requests = self._window(self._requests, service).total(now)
-        resends = self._window(self._resends, service)
+        resends = self._window(self._resends, service).total(now)
         allowed = self._ratio * requests + self._extra / self._hosts
-        if resends.total(now) + 1 > allowed * USED_RATIO:
+        return resends + 1 <= allowed * USED_RATIO
+
+    def try_resend(self, now: float, service: ServiceId) -> bool:
+        """Spend one resend; return False if the budget is used up."""
+        if not self.can_resend(now, service):
             return False
-        resends.add(now, 1)
+        self._window(self._resends, service).add(now, 1)
         return True
 
     def _window(
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -26,6 +26,7 @@
     ResponseStarted,
     SendRequest,
     ServerActivity,
+    ServerSilent,
 )
 from waxwingarch.exceptions import LinkError
 from waxwingarch.ports.front import ExchangeCodec, ResponseHead
@@ -162,7 +163,9 @@
         """Return until when to wait for the first byte; None to give up.
 
         After the first-byte deadline the wait goes on for as long as the
-        server sends other responses: it is slow then, not down.
+        server sends other responses: it is slow then, not down. It goes on
+        as well if a part of the response was sent that no other server can
+        continue.
         """
         now = asyncio.get_running_loop().time()
         if now < send.first_byte_deadline:
@@ -172,13 +175,26 @@
                 send.server.server_id
             )
         )
-        if (
-            now - last_activity_at > SERVER_ACTIVE_WITHIN_S
-            or now >= send.expires_at
-        ):
+        if now >= send.expires_at:
+            return None
+        is_active = now - last_activity_at <= SERVER_ACTIVE_WITHIN_S
+        if not is_active and self._may_give_up(now):
             return None
         return now + FIRST_BYTE_POLL_S
 
+    def _may_give_up(self, now: float) -> bool:
+        """Return whether the silence of a server may end this attempt.
+
+        A caller that has received a part of the response would be cut off
+        if no other server can continue it.
+        """
+        return (
+            not self.state.response_started
+            or self._runner.node.exchanges.can_leave_silent_server(
+                now, self._request_id
+            )
+        )
+
     async def _async_find_response(
         self, stream: ClientStream, send: SendRequest
     ) -> tuple[ClientStream, ResponseHead]:
@@ -330,8 +346,26 @@
                 return await stream.async_read(until)
             except SilentLinkError:
                 continue
-        until = min(send.expires_at, loop.time() + send.stream_idle_timeout_s)
-        return await stream.async_read(until)
+        is_silence_reported = False
+        while True:
+            idle_until = loop.time() + send.stream_idle_timeout_s
+            try:
+                return await stream.async_read(
+                    min(send.expires_at, idle_until)
+                )
+            except SilentLinkError:
+                now = loop.time()
+                if now >= send.expires_at or self._may_give_up(now):
+                    raise
+            if not is_silence_reported:
+                is_silence_reported = True
+                self._report_silence(send)
+
+    def _report_silence(self, send: SendRequest) -> None:
+        server_id = send.server.server_id
+        self._runner.post(
+            ServerSilent(request_id=self._request_id, server_id=server_id)
+        )
 
     async def _async_start_response(self, stream: ClientStream) -> None:
         """Send the response head, unless an earlier attempt has sent it."""
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -21,6 +21,7 @@
     ResponseStarted,
     RunMigrated,
     SendRequest,
+    ServerSilent,
 )
 from waxwingarch.core.front_messages import ConfigRead, FrontTick
 from waxwingarch.core.front_node import FrontNode
@@ -63,6 +64,7 @@
             ConfigRead: self._log_first_decisions,
             BackendsListed: self._log_first_decisions,
             ResponseStarted: self._record_response_start,
+            ServerSilent: self._log_silence,
             AttemptFinished: self._handle_attempt_finished,
             RunMigrated: self._log_next_decisions,
             CallerDisconnected: self._handle_disconnect,
@@ -163,6 +165,22 @@
         if history is not None and history.response_started_at is None:
             history.response_started_at = now
 
+    def _log_silence(
+        self, now: float, event: ServerSilent, actions: list[Action]
+    ) -> None:
+        history = self._histories.get(event.request_id)
+        if history is None:
+            return
+        health = self._front.load_balancer.health
+        log_message(
+            message_type="server_silent",
+            request_id=event.request_id,
+            server=event.server_id,
+            after_s=round(now - history.arrived_at, DECIMALS),
+            server_avoided=health.is_avoided(now, event.server_id),
+            **self._decision_inputs(now),
+        )
+
     def _handle_attempt_finished(
         self, now: float, event: AttemptFinished, actions: list[Action]
     ) -> None:
