--- a/waxwingarch/tasks/action_tasks.py
+++ b/waxwingarch/tasks/action_tasks.py
@@ -5,6 +5,8 @@
 from functools import partial
 from typing import Any
 
+from eliot import write_traceback
+
 from waxwingarch.core.base import Action
 from waxwingarch.tasks.runner import FrontRunner
 
@@ -36,4 +38,10 @@
     def _start(self, call: Call, action: Action) -> None:
         task = asyncio.create_task(call(action))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._handle_task_end)
+
+    def _handle_task_end(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        exc = None if task.cancelled() else task.exception()
+        if exc is not None:
+            write_traceback(exc_info=(type(exc), exc, exc.__traceback__))
