Wait for the copy of a run that can't be resumed until its deadline

A caller whose server left and was silent for a second saw its connection closed in the middle of the answer. The call that moves the run was given up after 1 s; the engine stopped the run later all the same, and the host did not know the copy. A run that can't be resumed without the copy now waits for the reply until its own deadline; its stream goes on meanwhile. A run that can be resumed waits for 1 s as before.

--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -64,6 +64,9 @@
 # Where a server does not say when it leaves, migration starts this long
 # after it was first seen to be leaving.
 MIGRATION_DELAY_S: Final = 1.0
+# A run that can be resumed without its KV cache does not wait for longer
+# than this for the copy. Any other run is lost without the copy.
+MAX_MIGRATION_S: Final = 1.0
 # Callers that are refused until a server takes requests again are told to
 # return spread over this share of that time after it.
 RETURN_SPREAD_RATIO: Final = 0.5
@@ -462,11 +465,15 @@
         if source is None or pick is None or not state.response_started:
             return []
         state.is_migrating = True
+        deadline = state.exchange.expires_at
+        if state.exchange.retry_policy is RetryPolicy.RESUMABLE:
+            deadline = min(deadline, now + MAX_MIGRATION_S)
         return [
             MigrateRun(
                 request_id=request_id,
                 source=source.server,
                 target=pick.server,
+                deadline=deadline,
             )
         ]
 
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -257,8 +257,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MigrateRun(Action):
-    """Stop a run and copy its KV cache to another server."""
+    """Stop a run and copy its KV cache to another server.
+
+    `deadline` for the reply is on the node's clock.
+    """
 
     request_id: RequestId
     source: Server
     target: Server
+    deadline: float
--- a/waxwingarch/tasks/front_duties.py
+++ b/waxwingarch/tasks/front_duties.py
@@ -44,7 +44,6 @@
 LEASE_KEY: Final = "duties"
 USAGE_TABLE: Final = "waxwing-usage"
 CALL_TIMEOUT_S: Final = 1.0
-MIGRATION_TIMEOUT_S: Final = 1.0
 
 
 def boot_now() -> float:
@@ -239,7 +238,7 @@
             action.source,
             action.target,
             action.request_id,
-            deadline=asyncio.get_running_loop().time() + MIGRATION_TIMEOUT_S,
+            deadline=action.deadline,
         )
         log_message(
             message_type="run_moved",
