Do not take the end of a moved run's connection for the end of its stream

A caller got an answer that looked complete but lacked its last events. A stream without length or chunks ends with its connection, and so does the stream of a run that the engine stops to move it. The host now waits for the outcome of the move: only if the engine no longer had the run is the stream complete; else the run goes on from the copy.

--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -283,7 +283,7 @@
                     return
                 if stop.is_set():
                     run.ended = "moved"
-                    resp.abort()
+                    await self._async_cut(resp)
                     return
                 event = f"id: {number}\ndata: token {number}\n\n"
                 run.events = number
--- a/tests/front/test_whole_answers_host.py
+++ b/tests/front/test_whole_answers_host.py
@@ -8,6 +8,7 @@
 from tests.front.base import Host, async_until, event_ids
 from tests.helpers import async_test
 from waxwingarch.adapters.http_client import HttpResponse
+from waxwingarch.exceptions import LinkError
 
 # Longer than the longest pause between events that a host takes for usual.
 SILENCE_S = 1.5
@@ -114,6 +115,67 @@
                 )
                 self.assertEqual(list(range(1, 11)), event_ids(response.body))
 
+    # The answer looked complete, as its connection ended after an event.
+    @async_test
+    async def test_answer_without_a_length_goes_on_after_the_move(
+        self,
+    ) -> None:
+        for path, delay_s in (("/chat/x", 0.0), ("/chat/x", 0.5)):
+            async with Host() as host:
+                response = await self.async_send_and_move(
+                    host, path, until_close=True, move_delay_s=delay_s
+                )
+                self.assertEqual(list(range(1, 11)), event_ids(response.body))
+                self.assertEqual(2, len(host.fleet.runs))
+
+
+class AnswersThatEndWithTheirConnection(testtools.TestCase):
+    """A server's answers have neither a length nor chunks."""
+
+    def set_fault(self, host: Host, how: str) -> None:
+        """Make the next response of one engine faulty."""
+        for server in host.fleet.servers:
+            server.behaviour.until_close = True
+        engine = host.fleet.engines()[0]
+        engine.behaviour.how, engine.behaviour.count = how, 1
+
+    async def async_send_until_faulty(
+        self, host: Host, path: str
+    ) -> HttpResponse:
+        """Send requests until one has met the fault."""
+        engine = host.fleet.engines()[0]
+        while True:
+            response = await host.async_send(path)
+            if not engine.behaviour.count:
+                return response
+
+    @async_test
+    async def test_whole_answer_is_passed_on(self) -> None:
+        async with Host() as host:
+            self.set_fault(host, "")
+            for path in ("/chat/x", "/draft/x"):
+                response = await host.async_send(path)
+                self.assertEqual([1, 2, 3, 4, 5], event_ids(response.body))
+            for path in ("/read/x", "/pay/x"):
+                response = await host.async_send(path, body=b"1234")
+                self.assertEqual(b'{"echo":4}', response.body)
+
+    @async_test
+    async def test_broken_stream_is_resumed(self) -> None:
+        for how in ("cut", "reset"):
+            async with Host() as host:
+                self.set_fault(host, how)
+                response = await self.async_send_until_faulty(host, "/draft/x")
+                self.assertEqual([1, 2, 3, 4, 5], event_ids(response.body))
+
+    @async_test
+    async def test_broken_stream_does_not_look_complete(self) -> None:
+        for how in ("cut", "reset"):
+            async with Host() as host:
+                self.set_fault(host, how)
+                with self.assertRaisesRegex(LinkError, "closed|peer"):
+                    await self.async_send_until_faulty(host, "/chat/x")
+
 
 async def _async_begun_run(host: Host) -> Run:
     """Return the first run, once its response has begun."""
--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -40,6 +40,7 @@
 )
 
 Headers = Sequence[tuple[str, str]]
+FRAMING_HEADERS: Final = frozenset({"content-length", "transfer-encoding"})
 KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout=(\d+)")
 
 
@@ -108,6 +109,11 @@
         self.complete = False
         self._conn.apply_keep_alive(self.headers.get("keep-alive", ""))
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection ends the body."""
+        return not self.headers.keys() & FRAMING_HEADERS
+
     async def async_read(self, deadline: float) -> bytes | None:
         """Return the next part of the body, or None at its end.
 
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -154,6 +154,7 @@
         state.tried_servers.add(pick.server.server_id)
         migrated_cache, state.migrated_cache = state.migrated_cache, None
         state.response_started = False
+        state.may_be_stopped = False
         return self._build_send(now, state, pick, migrated_cache)
 
     def _pick_server(
@@ -464,7 +465,7 @@
         )
         if source is None or pick is None or not state.response_started:
             return []
-        state.is_migrating = True
+        state.is_migrating = state.may_be_stopped = True
         deadline = state.exchange.expires_at
         if state.exchange.retry_policy is RetryPolicy.RESUMABLE:
             deadline = min(deadline, now + MAX_MIGRATION_S)
@@ -489,6 +490,7 @@
         if state is None:
             return []
         state.is_migrating = False
+        state.may_be_stopped = not event.run_ended
         state.migrated_cache = event.cache
         deferred, state.deferred_outcome = state.deferred_outcome, None
         return (
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -200,9 +200,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunMigrated(ExchangeEvent):
-    """A migration of a run ended; `cache` is None if it failed."""
+    """A migration of a run ended; `cache` is None if it failed.
+
+    `run_ended` means that the run had ended before it could be stopped.
+    """
 
     cache: MigratedCache | None
+    run_ended: bool = False
 
 
 # Actions
--- a/waxwingarch/core/exchange/state_machine.py
+++ b/waxwingarch/core/exchange/state_machine.py
@@ -42,7 +42,8 @@
     `may_have_run_on` are the servers that may have run the request,
     `tried_servers` all that it was sent to. `response_started` is about
     the current attempt, `is_usage_counted` about the whole exchange.
-    `migrated_cache` says where the KV cache of its run was copied.
+    `migrated_cache` says where the KV cache of its run was copied, and
+    `may_be_stopped` that the server may have stopped the run to copy it.
     `deferred_outcome` is the end of an attempt that is handled only when
     the migration of its run has ended.
     """
@@ -56,6 +57,7 @@
     last_event: int | None = None
     migrated_cache: MigratedCache | None = None
     is_migrating: bool = False
+    may_be_stopped: bool = False
     deferred_outcome: AttemptFinished | None = None
 
     def record_outcome(
--- a/waxwingarch/platform/calls.py
+++ b/waxwingarch/platform/calls.py
@@ -17,6 +17,7 @@
 from waxwingarch.ports.front import MigrationReply, OrderReply
 
 HTTP_OK: Final = 200
+HTTP_NOT_FOUND: Final = 404
 HTTP_CONFLICT: Final = 409
 MOVE_PATH: Final = "/-/kv-move"
 
@@ -46,7 +47,10 @@
             return MigrationReply()
         leaving = is_leaving(response.headers)
         if response.status != HTTP_OK:
-            return MigrationReply(source_leaving=leaving)
+            return MigrationReply(
+                run_ended=response.status == HTTP_NOT_FOUND,
+                source_leaving=leaving,
+            )
         try:
             handle = str(orjson.loads(response.body)["handle"])
         except (ValueError, TypeError, KeyError) as exc:
--- a/waxwingarch/tasks/front_duties.py
+++ b/waxwingarch/tasks/front_duties.py
@@ -250,7 +250,11 @@
         if reply.source_leaving:
             self._runner.post(LeavingAnnounced(server=action.source))
         self._runner.post(
-            RunMigrated(request_id=action.request_id, cache=reply.cache)
+            RunMigrated(
+                request_id=action.request_id,
+                cache=reply.cache,
+                run_ended=reply.run_ended,
+            )
         )
 
 
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -57,6 +57,9 @@
 # awaited for this long.
 FAILURE_BODY_TIMEOUT_S: Final = 1.0
 
+# Interval of the checks whether a migration has ended.
+MIGRATION_POLL_S: Final = 0.05
+
 HTTP_SUCCESS_MIN: Final = 200
 HTTP_SUCCESS_MAX: Final = 299
 
@@ -324,9 +327,27 @@
             raise BadResponseError(
                 f"{send.server.address}: stream ended within an event"
             )
+        if stream.ends_with_connection:
+            await self._async_check_not_stopped(send)
         await self._async_start_response(stream)
         await self._resp.async_end()
 
+    async def _async_check_not_stopped(self, send: SendRequest) -> None:
+        """Raise `BadResponseError` if the server may have stopped the run.
+
+        A server that stops a run to migrate it closes the connection as it
+        does at the end of a response without a length.
+        """
+        exchanges = self._runner.node.exchanges
+        state = exchanges.get(self._request_id)
+        while state is not None and state.is_migrating:
+            await asyncio.sleep(MIGRATION_POLL_S)
+            state = exchanges.get(self._request_id)
+        if state is not None and state.may_be_stopped:
+            raise BadResponseError(
+                f"{send.server.address}: run stopped to migrate it"
+            )
+
     async def _async_next_chunk(
         self,
         stream: ClientStream,
