--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -64,6 +64,9 @@
 # Where a server does not say when it leaves, migration starts this long
 # after it was first seen to be leaving.
 MIGRATION_DELAY_S: Final = 1.0
+# A run that can be resumed without its KV cache does not wait for longer
+# than this for the copy. Any other run is lost without the copy.
+MAX_MIGRATION_S: Final = 1.0
 # Callers that are refused until a server takes requests again are told to
 # return spread over this share of that time after it.
 RETURN_SPREAD_RATIO: Final = 0.5
@@ -151,6 +154,7 @@
         state.tried_servers.add(pick.server.server_id)
         migrated_cache, state.migrated_cache = state.migrated_cache, None
         state.response_started = False
+        state.may_be_stopped = False
         return self._build_send(now, state, pick, migrated_cache)
 
     def _pick_server(
@@ -281,6 +285,24 @@
             return None
         return self._dispatch(now, state, None)
 
+    def can_leave_silent_server(
+        self, now: float, request_id: RequestId
+    ) -> bool:
+        """Return whether another server would continue a begun response."""
+        state = self._exchanges.get(request_id)
+        server_id = self._load_balancer.loads.server_of(request_id)
+        if state is None or server_id is None:
+            return False
+        if not state.may_leave_silent_server(now, server_id):
+            return False
+        service = state.exchange.service
+        return state.migrated_cache is not None or (
+            self._resend_budget.can_resend(now, service)
+            and self._load_balancer.has_choice(
+                now, service, state.tried_servers
+            )
+        )
+
     def _record_health(
         self,
         now: float,
@@ -443,12 +465,16 @@
         )
         if source is None or pick is None or not state.response_started:
             return []
-        state.is_migrating = True
+        state.is_migrating = state.may_be_stopped = True
+        deadline = state.exchange.expires_at
+        if state.exchange.retry_policy is RetryPolicy.RESUMABLE:
+            deadline = min(deadline, now + MAX_MIGRATION_S)
         return [
             MigrateRun(
                 request_id=request_id,
                 source=source.server,
                 target=pick.server,
+                deadline=deadline,
             )
         ]
 
@@ -464,6 +490,7 @@
         if state is None:
             return []
         state.is_migrating = False
+        state.may_be_stopped = not event.run_ended
         state.migrated_cache = event.cache
         deferred, state.deferred_outcome = state.deferred_outcome, None
         return (
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -165,6 +165,16 @@
     server_id: ServerId
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerSilent(ExchangeEvent):
+    """A server sends nothing, in a response that only it can continue.
+
+    It is posted once for each pause that is too long.
+    """
+
+    server_id: ServerId
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AttemptFinished(ExchangeEvent):
     """An attempt ended.
@@ -190,9 +200,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunMigrated(ExchangeEvent):
-    """A migration of a run ended; `cache` is None if it failed."""
+    """A migration of a run ended; `cache` is None if it failed.
+
+    `run_ended` means that the run had ended before it could be stopped.
+    """
 
     cache: MigratedCache | None
+    run_ended: bool = False
 
 
 # Actions
@@ -247,8 +261,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MigrateRun(Action):
-    """Stop a run and copy its KV cache to another server."""
+    """Stop a run and copy its KV cache to another server.
+
+    `deadline` for the reply is on the node's clock.
+    """
 
     request_id: RequestId
     source: Server
     target: Server
+    deadline: float
--- a/waxwingarch/tasks/front_duties.py
+++ b/waxwingarch/tasks/front_duties.py
@@ -44,7 +44,6 @@
 LEASE_KEY: Final = "duties"
 USAGE_TABLE: Final = "waxwing-usage"
 CALL_TIMEOUT_S: Final = 1.0
-MIGRATION_TIMEOUT_S: Final = 1.0
 
 
 def boot_now() -> float:
@@ -239,7 +238,7 @@
             action.source,
             action.target,
             action.request_id,
-            deadline=asyncio.get_running_loop().time() + MIGRATION_TIMEOUT_S,
+            deadline=action.deadline,
         )
         log_message(
             message_type="run_moved",
@@ -251,7 +250,11 @@
         if reply.source_leaving:
             self._runner.post(LeavingAnnounced(server=action.source))
         self._runner.post(
-            RunMigrated(request_id=action.request_id, cache=reply.cache)
+            RunMigrated(
+                request_id=action.request_id,
+                cache=reply.cache,
+                run_ended=reply.run_ended,
+            )
         )
 
 
