Check in the soak that a prompt part that crashed five servers reaches few more

The check of answers also allows the end of a stream that was passed on to a server which crashed before it had read the request.

--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -261,7 +261,7 @@
         if self.is_down:
             return
         self.is_down = True
-        run.ended = "crashed"
+        run.ended, run.ended_at = "crashed", time.monotonic()
         self._abort_connections()
         self._on_crash(self)
 
--- a/standins/soak/promises.py
+++ b/standins/soak/promises.py
@@ -19,6 +19,7 @@
     DRAIN = "a leaving server gets nothing new"
     STOP = "a planned stop ends in time and cuts off nobody"
     ANSWERED = "what a host read whole is answered or refused"
+    QUARANTINE = "after five crashes a prompt part reaches few servers"
     ALIVE = "no process ends by itself"
     FENCE = "duties are never done with an older fencing number"
     USAGE = "one window of usage is never reported two ways"
@@ -31,6 +32,11 @@
 CONFIG_APPLY_LIMIT_S: Final = 3.0
 # A server gets no new work this long after its row says "draining".
 DRAIN_APPLY_LIMIT_S: Final = 3.0
+# After this many crashes under a prompt part, and the time in which hosts
+# hear of each other, at most so many runs of requests with it begin.
+CONDEMNED_AFTER_CRASHES: Final = 5
+CONTACT_S: Final = 3.0
+MAX_CONDEMNED_RUNS: Final = 3
 # A host ends within this time after SIGTERM.
 STOP_GRACE_S: Final = 8.0
 # A call of a duty with an older fencing number is excused this long after a
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -11,8 +11,8 @@
 import testtools
 
 from standins.campaign_report import Report
-from standins.fleet import DutyCall
-from standins.fleet_server import Run
+from standins.fleet import ENGINE_SERVICE, DutyCall
+from standins.fleet_server import FleetServer, Run
 from standins.front_process import KEY
 from standins.soak.__main__ import async_soak, build_parser
 from standins.soak.checks import PromiseChecker
@@ -299,6 +299,38 @@
         broken = self.broken_promises()
         self.assertNotIn(Promise.ANSWERED, broken)
 
+    def test_only_a_resumable_stream_is_lost_by_the_next_server(self) -> None:
+        server = FleetServer("e-9", ENGINE_SERVICE, "za", engine=True, runs=[])
+        self.world.fleet.servers.append(server)
+        self.add_interval("e-9", "crash", 0.0, 9.0)
+        self.add_interval("e-1", "crash", 0.0, 9.0)
+        begun = {"has_begun": True}
+        self.add_run(self.add_call("/draft/", **begun), ended="dropped")
+        self.assertEqual(set(), self.broken_promises())
+        self.add_run(self.add_call("/chat/", **begun), ended="dropped")
+        self.assertEqual({Promise.ANSWERED}, self.broken_promises())
+
+    def add_crashes(self, late_runs: int) -> None:
+        """Add five crashes under a part, and runs long after them."""
+        parts = {"parts": ("a", "bad", "b"), "may_crash": True}
+        crash_end = self.at + 0.2
+        for n in range(5 + late_runs):
+            sent_at = self.at + (0.1 if n < 5 else 4.0)
+            call = self.add_call(
+                "/chat/", 502, sent_at=sent_at, ended_at=sent_at + 1, **parts
+            )
+            self.add_run(call, ended="crashed", ended_at=crash_end)
+
+    def test_few_runs_of_a_part_that_crashed_five_servers(self) -> None:
+        self.add_interval("e-0", "crash", 0.0, 9.0)
+        self.add_interval("e-1", "crash", 0.0, 9.0)
+        self.add_crashes(late_runs=3)
+        self.assertNotIn(Promise.QUARANTINE, self.broken_promises())
+
+    def test_more_runs_of_a_part_that_crashed_five_servers(self) -> None:
+        self.add_crashes(late_runs=4)
+        self.assertIn(Promise.QUARANTINE, self.broken_promises())
+
     def add_duty_call(self, at: float, fence: int, **body: Any) -> None:
         call = DutyCall(
             path="/usage", holder="h", fence=fence, body=body, at=self.at + at
