Log the shared prompt parts of a failed attempt

After a crash of a server the log did not say which parts its requests held, nor how many were beside them. attempt_failed now has both; no decision changes.

--- a/tests/front/test_logs.py
+++ b/tests/front/test_logs.py
@@ -10,12 +10,20 @@
 import testtools
 from eliot import add_destinations, remove_destination
 
+from tests.core.front.builders import make_head, server, serving_front
 from tests.front.base import Host
 from tests.helpers import async_test
 from tests.waxwingctl.helpers import async_ctl
 from waxwingarch.adapters.front_metrics import MAX_LABELS, FrontMetrics
 from waxwingarch.adapters.log_stream import Level, LogStream
 from waxwingarch.const import EXIT_NOT_FOUND, EXIT_OK
+from waxwingarch.core.base import Event, RequestId
+from waxwingarch.core.exchange.exchange_messages import (
+    AttemptFinished,
+    AttemptOutcome,
+    ExchangeArrived,
+)
+from waxwingarch.tasks.front_log import FrontLog
 
 
 class LogStreamBounds(testtools.TestCase):
@@ -109,6 +117,23 @@
             self.assertGreater(line["config_version"], 0)
             self.assertIn("listing_age_s", line)
 
+    def test_failed_attempt_names_the_shared_parts_of_its_prompt(self) -> None:
+        lines: list[dict[str, Any]] = []
+        add_destinations(lines.append)
+        self.addCleanup(remove_destination, lines.append)
+        node = serving_front(server("e1"))
+        log = FrontLog(node, FrontMetrics())
+        for name in ("r1", "r2"):
+            event: Event = ExchangeArrived(head=make_head(name))
+            log(1.0, event, node.handle(1.0, event))
+        event = AttemptFinished(
+            request_id=RequestId("r1"), outcome=AttemptOutcome.BROKEN
+        )
+        log(1.1, event, node.handle(1.1, event))
+        [line] = [x for x in lines if x["message_type"] == "attempt_failed"]
+        self.assertEqual(("p0",), line["parts"])
+        self.assertEqual(1, line["beside"])
+
 
 class Metrics(testtools.TestCase):
     def test_text_format(self) -> None:
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -53,6 +53,11 @@
         """Return the last part of the prompt that other prompts may share."""
         return self.parts[-2].part if len(self.parts) > 1 else None
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return all parts of the prompt that other prompts may share."""
+        return tuple(part.part for part in self.parts[:-1])
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Exchange:
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -31,6 +31,8 @@
 # Bound of the host names in one log line, because all hosts of a large fleet
 # may join or fail at once.
 MAX_LOGGED_HOSTS: Final = 8
+# Bound of the prompt parts in one log line: the last shared ones are kept.
+MAX_LOGGED_PARTS: Final = 8
 
 
 @dataclass(kw_only=True, slots=True)
@@ -42,6 +44,7 @@
     service: str
     account: str | None
     shared_part: str | None
+    shared_parts: tuple[str, ...] = ()
     servers: list[Server] = field(default_factory=list)
     response_started_at: float | None = None
 
@@ -114,6 +117,7 @@
             service=exchange.service,
             account=exchange.account,
             shared_part=exchange.head.shared_part,
+            shared_parts=exchange.head.shared_parts,
         )
         self._histories[send.request_id] = history
         self._log_dispatch(now, history, send)
@@ -179,6 +183,8 @@
             request_id=event.request_id,
             server=server_id,
             end=event.outcome.value,
+            parts=history.shared_parts[-MAX_LOGGED_PARTS:],
+            beside=len(self._front.load_balancer.loads.requests_on(server_id)),
             retry_after_s=event.retry_after_s,
             last_event=event.last_event,
             after_s=round(now - history.arrived_at, DECIMALS),
