Quarantine prompt parts under which servers crash

Callers saw 502 and cut streams on server after server: each request with one part in its prompt ended the server that began to answer it, and requests beside it.

A crash is now evidence against the shared parts of all requests that the server had not begun to answer well, joined over hosts by server and incarnation in the reports. A sound answer clears its parts. A part that was in three distinct losses, or in two with the same request in both, is quarantined in the whole fleet: requests with it are refused, not sent again, and cancelled if their answer has not begun. Servers of a domain that end together count once; a server that goes on refutes its crash; a version on trial alone condemns nothing. The holder of the duties keeps the entries in a row of the store, which each host reads at its start.

--- /dev/null
+++ b/waxwingarch/adapters/quarantine_codec.py
@@ -0,0 +1,81 @@
+"""Encoding of quarantined prompt parts and crashes as JSON values."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from waxwingarch.core.base import FailureDomain, ServerId
+from waxwingarch.core.quarantine.quarantine_messages import (
+    Crash,
+    PartOrigin,
+    PartState,
+    QuarantineEntry,
+    QuarantineReport,
+)
+
+
+def encode_entries(entries: Iterable[QuarantineEntry]) -> list[Any]:
+    """Return entries as a JSON value."""
+    return [
+        [e.part, e.number, e.state, e.origin, round(e.seen_at)]
+        for e in entries
+    ]
+
+
+def decode_entries(raw: list[Any]) -> tuple[QuarantineEntry, ...]:
+    """Return the entries in a JSON value; raises `ValueError`."""
+    return tuple(
+        QuarantineEntry(
+            part=str(part),
+            number=int(number),
+            state=PartState(state),
+            origin=PartOrigin(origin),
+            seen_at=float(seen_at),
+        )
+        for part, number, state, origin, seen_at in raw
+    )
+
+
+def encode_quarantine(report: QuarantineReport) -> dict[str, Any]:
+    """Return a report on crashes, without the lists that are empty."""
+    raw = {
+        "held": encode_entries(report.entries),
+        "crashes": [_encode_crash(crash) for crash in report.crashes],
+        "sound": {part: round(at, 2) for part, at in report.sound.items()},
+    }
+    return {name: value for name, value in raw.items() if value}
+
+
+def decode_quarantine(raw: dict[str, Any]) -> QuarantineReport:
+    """Return the report in a JSON value."""
+    return QuarantineReport(
+        entries=decode_entries(raw.get("held", [])),
+        crashes=tuple(_decode_crash(c) for c in raw.get("crashes", [])),
+        sound={str(p): float(at) for p, at in raw.get("sound", {}).items()},
+    )
+
+
+def _encode_crash(crash: Crash) -> list[Any]:
+    return [
+        crash.server_id,
+        crash.incarnation,
+        crash.domain,
+        round(crash.at, 3),
+        crash.parts,
+        sorted(crash.repeated),
+        crash.refuted,
+        crash.in_rollout,
+    ]
+
+
+def _decode_crash(raw: list[Any]) -> Crash:
+    server_id, incarnation, domain, at, parts, repeated, refuted, trial = raw
+    return Crash(
+        server_id=ServerId(str(server_id)),
+        incarnation=int(incarnation),
+        domain=FailureDomain(str(domain)),
+        at=float(at),
+        parts={str(part): int(depth) for part, depth in parts.items()},
+        repeated=frozenset(str(part) for part in repeated),
+        refuted=bool(refuted),
+        in_rollout=bool(trial),
+    )
--- a/waxwingarch/adapters/report_codec.py
+++ b/waxwingarch/adapters/report_codec.py
@@ -4,6 +4,10 @@
 
 import orjson
 
+from waxwingarch.adapters.quarantine_codec import (
+    decode_quarantine,
+    encode_quarantine,
+)
 from waxwingarch.core.backends.load import ServerLoad
 from waxwingarch.core.base import (
     AccountId,
@@ -59,6 +63,7 @@
             "began": _encode_windows(report.usage_counts),
             "moves": [[r.rollout_id, r.phase] for r in report.rollouts],
             "cells": [_encode_evidence(e) for e in report.evidence],
+            "quar": encode_quarantine(report.quarantine),
         }
     )
 
@@ -101,7 +106,7 @@
         },
         domain=FailureDomain(str(raw["zone"])),
         avoided=tuple(ServerId(str(s)) for s in raw["avoid"]),
-        # Hosts of an older version do not send "leaving" and "num".
+        # Hosts of an older version do not send "leaving", "num" and "quar".
         leaving={
             ServerId(server): int(incarnation)
             for server, incarnation in raw.get("leaving", {}).items()
@@ -113,6 +118,7 @@
             for name, phase in raw["moves"]
         ),
         evidence=tuple(_decode_evidence(raw, e) for e in raw["cells"]),
+        quarantine=decode_quarantine(raw.get("quar", {})),
     )
 
 
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -9,6 +9,7 @@
     Action,
     RequestId,
     Server,
+    ServerId,
     ServiceId,
 )
 from waxwingarch.core.exchange.exchange_admission import (
@@ -36,6 +37,8 @@
 from waxwingarch.core.limits.resend_budget import ResendBudget
 from waxwingarch.core.limits.shared_rate import SharedRates
 from waxwingarch.core.moves.move_counts import load_band
+from waxwingarch.core.quarantine.quarantine import Quarantine
+from waxwingarch.core.quarantine.quarantine_messages import CancelAttempt
 from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.refusal import Refusal
 from waxwingarch.core.rollouts.rollout_controller import RolloutController
@@ -80,8 +83,12 @@
         resend_budget: ResendBudget,
         rollouts: RolloutController,
         rng: RandomSource,
+        quarantine: Quarantine,
     ) -> None:
         self._table = table
+        self._quarantine = quarantine
+        # Whether this host may send a probe with a quarantined part.
+        self.may_probe = False
         self._load_balancer = load_balancer
         self._admission = ExchangeAdmission(table, rates, rng)
         self._resend_budget = resend_budget
@@ -115,6 +122,12 @@
             return [
                 LocalResponse(request_id=head.request_id, refusal=exc.refusal)
             ]
+        held = self._quarantine.refusal_for(
+            now, head, may_probe=self.may_probe
+        )
+        if held is not None:
+            self._admission.refund(now, exchange, cost)
+            return [LocalResponse(request_id=head.request_id, refusal=held)]
         self._resend_budget.record_request(now, exchange.service)
         state = ExchangeState(exchange=exchange)
         send = self._dispatch(now, state, None)
@@ -255,6 +268,7 @@
             )
         self._record_health(now, state, event, attempt.server_id)
         self._record_rollout_outcome(now, state, event, attempt)
+        self._record_crash_evidence(now, state, event, attempt)
         step = state.record_outcome(now, event, attempt.server_id)
         if step is NextStep.RESEND:
             resend = self._resend(now, state)
@@ -269,6 +283,8 @@
         Returns None if there is no server or no budget for it.
         """
         service = state.exchange.service
+        if not self._quarantine.may_resend(now, state.exchange.head):
+            return None
         if state.migrated_cache is not None:
             backend = self._load_balancer.registry.get(
                 state.migrated_cache.target
@@ -361,6 +377,88 @@
             band=load_band(running, server.slots),
         )
 
+    def _record_crash_evidence(
+        self,
+        now: float,
+        state: ExchangeState,
+        event: AttemptFinished,
+        attempt: ActiveAttempt,
+    ) -> None:
+        """Record what an outcome says about the parts of the prompt.
+
+        A server that is leaving, or whose run was migrated, breaks its
+        responses for a reason of its own.
+        """
+        head = state.exchange.head
+        if event.outcome is AttemptOutcome.DONE:
+            self._quarantine.record_sound(now, head)
+            return
+        backend = self._load_balancer.registry.get(attempt.server_id)
+        if (
+            event.outcome is AttemptOutcome.BROKEN
+            and backend is not None
+            and backend.is_usable
+            and state.migrated_cache is None
+        ):
+            self._quarantine.record_break(
+                now,
+                head,
+                attempt,
+                backend.server,
+                in_rollout=self._rollouts.is_under_move(backend.server),
+            )
+
+    def tick_quarantine(self, now: float) -> list[Action]:
+        """Judge the evidence, and end requests with quarantined parts."""
+        loads = self._load_balancer.loads
+        if self._quarantine.needs_progress(now):
+            for state in self._exchanges.values():
+                attempt = loads.attempt_of(state.exchange.request_id)
+                if attempt is not None:
+                    self._quarantine.note_progress(
+                        now, state.exchange.head, attempt
+                    )
+        news = self._quarantine.tick(now, loads.last_activity_at)
+        return news + self._cancel_held(now) if news else []
+
+    def _cancel_held(self, now: float) -> list[Action]:
+        """Cancel the attempts with quarantined parts that have not begun."""
+        held = [
+            state
+            for state in self._exchanges.values()
+            if not state.response_started
+            and not state.is_migrating
+            and self._quarantine.is_held(state.exchange.head)
+        ]
+        actions: list[Action] = []
+        for state in held:
+            request_id = state.exchange.request_id
+            attempt = self._load_balancer.loads.record_attempt_end(request_id)
+            if attempt is not None:
+                self._load_balancer.health.end_trial(attempt.server_id)
+                state.may_have_run_on.add(attempt.server_id)
+                self._record_held_attempt(now, state, attempt.server_id)
+            cancelled = AttemptFinished(
+                request_id=request_id,
+                outcome=AttemptOutcome.BROKEN,
+                response_started=state.last_event is not None,
+            )
+            actions.append(CancelAttempt(request_id=request_id))
+            actions += self._finish(
+                now, state, cancelled, state.final_step(cancelled)
+            )
+        return actions
+
+    def _record_held_attempt(
+        self, now: float, state: ExchangeState, server_id: ServerId
+    ) -> None:
+        """Record what explains a crash of the server all the same."""
+        backend = self._load_balancer.registry.get(server_id)
+        if backend is not None:
+            self._quarantine.record_held(
+                now, state.exchange.head, backend.server
+            )
+
     def _finish(
         self,
         now: float,
@@ -376,8 +474,12 @@
         if step is NextStep.FORWARD_FAILURE:
             return [ForwardFailure(request_id=request_id)]
         if step is NextStep.REFUSE:
+            held = self._quarantine.refusal_for(
+                now, state.exchange.head, may_probe=False
+            )
             refusal = state.refusal(
-                event, self._no_server_refusal(now, state.exchange.service)
+                event,
+                held or self._no_server_refusal(now, state.exchange.service),
             )
             return [LocalResponse(request_id=request_id, refusal=refusal)]
         return []
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -55,6 +55,14 @@
     TableChecked,
 )
 from waxwingarch.core.peers.report_gossip import ReportGossip
+from waxwingarch.core.quarantine.quarantine import Quarantine
+from waxwingarch.core.quarantine.quarantine_messages import (
+    QuarantineChanged,
+    QuarantineOrdered,
+    QuarantineRead,
+    QuarantineWritten,
+)
+from waxwingarch.core.quarantine.quarantine_rows import QuarantineRows
 from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.rollouts.rollout_controller import RolloutController
@@ -112,6 +120,8 @@
             extra=bounds.resend_extra,
             window_s=bounds.resend_window_s,
         )
+        self.quarantine = Quarantine(self.unix_time)
+        self.quarantine_rows = QuarantineRows(self.quarantine)
         self.exchanges = ExchangeManager(
             self.table,
             self.load_balancer,
@@ -119,6 +129,7 @@
             self.resend_budget,
             self.rollouts,
             rng,
+            self.quarantine,
         )
         self.gossip = ReportGossip(identity.host, bounds.change_known_s)
         self.peers = self.gossip.peers
@@ -172,6 +183,9 @@
             StopsRead: self._handle_stops_read,
             StopMarked: self._handle_stop_marked,
             RolloutStatusReported: self._handle_rollout_status_reported,
+            QuarantineRead: self._handle_quarantine_read,
+            QuarantineWritten: self._handle_quarantine_written,
+            QuarantineOrdered: self._handle_quarantine_ordered,
             StopBegan: self._handle_stop,
         }
 
@@ -342,6 +356,7 @@
             now, report.host, report.admitted, report.config_version
         )
         self.rollouts.record_peer_report(report.rollouts, report.evidence)
+        self.quarantine.record_report(now, report.quarantine)
         if report.holds_duties:
             self.lease.record_holder_report(self._boot_now)
         own_versions = (
@@ -381,6 +396,7 @@
             usage_counts=self.usage.counts,
             rollouts=self.rollouts.phase_reports(),
             evidence=self.rollouts.own_evidence(),
+            quarantine=self.quarantine.report(),
         )
 
     @property
@@ -402,6 +418,7 @@
         self.duties.handle_era(event, returned=returned)
         if returned:
             self.rollouts.handle_store_returned()
+            self.quarantine_rows.handle_store_returned()
         return []
 
     # Version moves
@@ -428,6 +445,35 @@
         self.rollouts.handle_status_reported(now, event)
         return []
 
+    # Quarantine
+
+    def _handle_quarantine_read(
+        self, now: float, event: QuarantineRead
+    ) -> list[Action]:
+        self.quarantine_rows.handle_read(event)
+        return self._tick_quarantine(now)
+
+    def _handle_quarantine_written(
+        self, now: float, event: QuarantineWritten
+    ) -> list[Action]:
+        self.quarantine_rows.handle_written(now, event)
+        return []
+
+    def _handle_quarantine_ordered(
+        self, now: float, event: QuarantineOrdered
+    ) -> list[Action]:
+        self.quarantine.order(now, event.part, held=event.held)
+        return self._tick_quarantine(now)
+
+    def _tick_quarantine(self, now: float) -> list[Action]:
+        """Judge the evidence; a verdict of this host is told at once."""
+        changes = self.exchanges.tick_quarantine(now)
+        if any(isinstance(c, QuarantineChanged) and c.own for c in changes):
+            changes += self.gossip.send_reports(
+                now, lambda: self._build_report(now), all_at_once=True
+            )
+        return changes
+
     def _tick_rollouts(self, now: float) -> list[Action]:
         busy_services = {
             order.service
@@ -461,6 +507,10 @@
         if not self.stopping:
             actions += self.duties.tick(now, self.unix_time(now))
         actions += self._tick_rollouts(now)
+        holds_duties = self.may_act(self._boot_now)
+        self.exchanges.may_probe = holds_duties
+        actions += self._tick_quarantine(now)
+        actions += self.quarantine_rows.tick(now, holds_duties=holds_duties)
         actions += self.gossip.update_following(
             now, self._boot_now, stopping=self.stopping
         )
--- a/waxwingarch/core/peers/report.py
+++ b/waxwingarch/core/peers/report.py
@@ -14,6 +14,7 @@
     ServerId,
 )
 from waxwingarch.core.moves.move_counts import HostEvidence
+from waxwingarch.core.quarantine.quarantine_messages import QuarantineReport
 from waxwingarch.core.rollouts.rollout_messages import RolloutPhaseReport
 
 # Requests counted when they began to run, by usage window and account.
@@ -38,6 +39,7 @@
     that it decides by, and `confirmed_age_s` is how long ago these were
     known to be the newest. `config_number` is the operator's number of the
     configuration in force: the store may have lost its row.
+    `quarantine` is about prompt parts under which servers crash.
     """
 
     host: HostId
@@ -59,6 +61,7 @@
     usage_counts: WindowCounts | None = None
     rollouts: tuple[RolloutPhaseReport, ...] = ()
     evidence: tuple[HostEvidence, ...] = ()
+    quarantine: QuarantineReport = field(default_factory=QuarantineReport)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/waxwingarch/core/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Prompt parts under which backend servers crash."""
--- a/waxwingarch/core/refusal.py
+++ b/waxwingarch/core/refusal.py
@@ -25,6 +25,7 @@
     KEY_CONFLICT = "idempotency key conflict"
     OUTCOME_UNKNOWN = "outcome unknown"
     STORE_DOWN = "store unavailable"
+    QUARANTINED = "quarantined"
     RESUME_MISMATCH = "resume mismatch"
 
 
--- a/waxwingarch/core/rollouts/rollout_controller.py
+++ b/waxwingarch/core/rollouts/rollout_controller.py
@@ -256,6 +256,15 @@
                 return new or old
         return old or new
 
+    def is_under_move(self, server: Server) -> bool:
+        """Return whether a server has the new version of a move under way."""
+        rollout = self._rollouts.get(server.service)
+        return (
+            rollout is not None
+            and rollout.phase in (RolloutPhase.TRIAL, RolloutPhase.SHIFTED)
+            and server.version == rollout.order.target
+        )
+
     def record_outcome(
         self,
         now: float,
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -50,6 +50,7 @@
 from waxwingarch.tasks.front_entry import FrontEntry, Readiness
 from waxwingarch.tasks.front_log import FrontLog
 from waxwingarch.tasks.front_peers import FrontPeers
+from waxwingarch.tasks.front_quarantine import FrontQuarantine
 from waxwingarch.tasks.front_rollouts import FrontRollouts
 from waxwingarch.tasks.runner import Runner
 from waxwingarch.tasks.settings_watch import SettingsWatch
@@ -111,6 +112,7 @@
         self._front_peers = FrontPeers(self._runner, client, watches)
         self._duties = FrontDuties(self._runner, ports, identity.host)
         self._rollouts = FrontRollouts(self._runner, ports)
+        self._quarantine = FrontQuarantine(self._runner, ports)
         self._entry = FrontEntry(
             self._runner, client, ports.exchanges, on_error
         )
@@ -202,6 +204,7 @@
         await self._servers_table_watch.async_unload()
         await self._duties.async_unload()
         await self._rollouts.async_unload()
+        await self._quarantine.async_unload()
         await self._front_peers.async_unload()
         await self._client.async_unload()
 
--- a/waxwingarch/tasks/front_entry.py
+++ b/waxwingarch/tasks/front_entry.py
@@ -3,9 +3,9 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Any, Final
 
 import orjson
 from eliot import log_message
@@ -21,6 +21,7 @@
 from waxwingarch.core.base import Action, RequestId
 from waxwingarch.core.exchange.exchange_messages import (
     AbortResponse,
+    AttemptFinished,
     AttemptOutcome,
     CallerDisconnected,
     ExchangeArrived,
@@ -29,6 +30,7 @@
     LocalResponse,
     SendRequest,
 )
+from waxwingarch.core.quarantine.quarantine_messages import CancelAttempt
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.ports.front import BadHeadError, ExchangeCodec
 from waxwingarch.tasks.front_exchange import ExchangeForwarder
@@ -44,6 +46,7 @@
     RefusalReason.NO_CAPACITY: 503,
     RefusalReason.NOT_READY: 503,
     RefusalReason.DRAINING: 503,
+    RefusalReason.QUARANTINED: 503,
     RefusalReason.BACKEND_FAILED: 502,
     RefusalReason.DEADLINE_UNREACHABLE: 504,
 }
@@ -55,6 +58,7 @@
 
     actions: deque[Action] = field(default_factory=deque)
     action_available: asyncio.Event = field(default_factory=asyncio.Event)
+    attempt: asyncio.Task[AttemptFinished] | None = None
 
     async def async_next_action(self) -> Action:
         while not self.actions:
@@ -62,6 +66,29 @@
             await self.action_available.wait()
         return self.actions.popleft()
 
+    async def async_attempt(
+        self, attempt: Coroutine[Any, Any, AttemptFinished]
+    ) -> AttemptFinished | None:
+        """Return the outcome of an attempt; None if it was cancelled."""
+        self.attempt = asyncio.create_task(attempt)
+        try:
+            return await self.attempt
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            return None
+        finally:
+            self.attempt = None
+
+    def cancel_attempt(self) -> None:
+        """Cancel the attempt, also one that has not begun."""
+        self.actions = deque(
+            a for a in self.actions if not isinstance(a, SendRequest)
+        )
+        if self.attempt is not None:
+            self.attempt.cancel()
+
 
 class FrontEntry:
     """HTTP server for callers, which runs one task for each exchange."""
@@ -85,6 +112,7 @@
             AbortResponse,
         ):
             runner.connect(kind, self._enqueue)
+        runner.connect(CancelAttempt, self._cancel_attempt)
 
     @property
     def in_progress(self) -> int:
@@ -110,6 +138,11 @@
             queue.actions.append(action)
             queue.action_available.set()
 
+    def _cancel_attempt(self, action: CancelAttempt) -> None:
+        queue = self._queues.get(action.request_id)
+        if queue is not None:
+            queue.cancel_attempt()
+
     async def _async_handle(
         self, req: HttpRequest, resp: HttpResponder
     ) -> None:
@@ -160,7 +193,11 @@
         while True:
             match await queue.async_next_action():
                 case SendRequest() as send:
-                    finished = await forwarder.async_send(send)
+                    finished = await queue.async_attempt(
+                        forwarder.async_send(send)
+                    )
+                    if finished is None:
+                        continue
                     self._runner.post(finished)
                     if finished.outcome is AttemptOutcome.DONE:
                         return
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -24,6 +24,11 @@
 )
 from waxwingarch.core.front_messages import ConfigRead, FrontTick
 from waxwingarch.core.front_node import FrontNode
+from waxwingarch.core.quarantine.quarantine_messages import (
+    CancelAttempt,
+    QuarantineOrdered,
+    QuarantineRead,
+)
 
 # Interval of the checks whether the lease or the peers have changed.
 CHECK_INTERVAL_S: Final = 0.5
@@ -70,6 +75,8 @@
             RunMigrated: self._log_next_decisions,
             CallerDisconnected: self._handle_disconnect,
             FrontTick: self._handle_tick,
+            QuarantineRead: self._log_decisions_on_parts,
+            QuarantineOrdered: self._log_decisions_on_parts,
         }
 
     def __call__(
@@ -106,6 +113,25 @@
             elif isinstance(action, SendRequest):
                 self._log_first_dispatch(now, action)
 
+    def _log_decisions_on_parts(
+        self, now: float, event: Event, actions: list[Action]
+    ) -> None:
+        """Log cancelled attempts, then the first decisions on requests."""
+        cancelled = {
+            a.request_id for a in actions if isinstance(a, CancelAttempt)
+        }
+        for request_id in cancelled:
+            log_message(
+                message_type="attempt_cancelled", request_id=request_id
+            )
+        ends: list[Action] = []
+        others: list[Action] = []
+        for action in actions:
+            of_request = getattr(action, "request_id", None)
+            (ends if of_request in cancelled else others).append(action)
+        self._log_next_decisions(now, event, ends)
+        self._log_first_decisions(now, event, others)
+
     def _log_first_dispatch(self, now: float, send: SendRequest) -> None:
         state = self._front.exchanges.get(send.request_id)
         if state is None:
@@ -254,7 +280,7 @@
     def _handle_tick(
         self, now: float, event: FrontTick, actions: list[Action]
     ) -> None:
-        self._log_first_decisions(now, event, actions)
+        self._log_decisions_on_parts(now, event, actions)
         for action in actions:
             if isinstance(action, MigrateRun):
                 log_message(
