--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -25,6 +25,11 @@
 )
 from waxwingarch.core.front_messages import ConfigRead, FrontTick
 from waxwingarch.core.front_node import FrontNode
+from waxwingarch.core.quarantine.quarantine_messages import (
+    CancelAttempt,
+    QuarantineOrdered,
+    QuarantineRead,
+)
 
 # Interval of the checks whether the lease or the peers have changed.
 CHECK_INTERVAL_S: Final = 0.5
@@ -32,6 +37,8 @@
 # Bound of the host names in one log line, because all hosts of a large fleet
 # may join or fail at once.
 MAX_LOGGED_HOSTS: Final = 8
+# Bound of the prompt parts in one log line: the last shared ones are kept.
+MAX_LOGGED_PARTS: Final = 8
 
 
 @dataclass(kw_only=True, slots=True)
@@ -43,6 +50,7 @@
     service: str
     account: str | None
     shared_part: str | None
+    shared_parts: tuple[str, ...] = ()
     servers: list[Server] = field(default_factory=list)
     response_started_at: float | None = None
 
@@ -69,6 +77,8 @@
             RunMigrated: self._log_next_decisions,
             CallerDisconnected: self._handle_disconnect,
             FrontTick: self._handle_tick,
+            QuarantineRead: self._log_decisions_on_parts,
+            QuarantineOrdered: self._log_decisions_on_parts,
         }
 
     def __call__(
@@ -105,6 +115,25 @@
             elif isinstance(action, SendRequest):
                 self._log_first_dispatch(now, action)
 
+    def _log_decisions_on_parts(
+        self, now: float, event: Event, actions: list[Action]
+    ) -> None:
+        """Log cancelled attempts, then the first decisions on requests."""
+        cancelled = {
+            a.request_id for a in actions if isinstance(a, CancelAttempt)
+        }
+        for request_id in cancelled:
+            log_message(
+                message_type="attempt_cancelled", request_id=request_id
+            )
+        ends: list[Action] = []
+        others: list[Action] = []
+        for action in actions:
+            of_request = getattr(action, "request_id", None)
+            (ends if of_request in cancelled else others).append(action)
+        self._log_next_decisions(now, event, ends)
+        self._log_first_decisions(now, event, others)
+
     def _log_first_dispatch(self, now: float, send: SendRequest) -> None:
         state = self._front.exchanges.get(send.request_id)
         if state is None:
@@ -116,6 +145,7 @@
             service=exchange.service,
             account=exchange.account,
             shared_part=exchange.head.shared_part,
+            shared_parts=exchange.head.shared_parts,
         )
         self._histories[send.request_id] = history
         self._log_dispatch(now, history, send)
@@ -197,6 +227,8 @@
             request_id=event.request_id,
             server=server_id,
             end=event.outcome.value,
+            parts=history.shared_parts[-MAX_LOGGED_PARTS:],
+            beside=len(self._front.load_balancer.loads.requests_on(server_id)),
             retry_after_s=event.retry_after_s,
             last_event=event.last_event,
             after_s=round(now - history.arrived_at, DECIMALS),
@@ -266,7 +298,7 @@
     def _handle_tick(
         self, now: float, event: FrontTick, actions: list[Action]
     ) -> None:
-        self._log_first_decisions(now, event, actions)
+        self._log_decisions_on_parts(now, event, actions)
         for action in actions:
             if isinstance(action, MigrateRun):
                 log_message(
