Let operators list, add and lift quarantined prompt parts

An operator could see a quarantined part only in the log lines of its verdict, and could neither lift nor add one. Hosts on the users' platform get an address for orders, [listen] admin, with the operator key of the daemon of the own interface, and 'waxwingctl quarantine list|add|lift' speaks to it. The address is optional and empty by default: nothing listens unless both it and the key are set, and the daemon refuses settings with the address alone. The metrics address takes no orders, as anyone who scrapes it reaches it; it shows the list as JSON on /quarantine. An order to one host is an event of its node, which tells the peers and the store, so no new path between hosts is needed.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -18,6 +18,7 @@
 
 ENGINE_SERVICE: Final = "pool"
 PLAIN_SERVICE: Final = "ledger"
+OPERATOR_KEY: Final = "operator-key-1"
 HOST_NAME: Final = "calls.example"
 ZONES: Final = ("za", "zb")
 # A crashed server's row stays until its heartbeat has lapsed.
@@ -242,17 +243,23 @@
         zone: str = ZONES[0],
         store: str = "",
         duties: str = "",
+        admin: str = "",
     ) -> str:
         """Return the settings of a host that listens on four ports.
 
-        `store` and `duties` are addresses of proxies to use instead.
+        `store` and `duties` are addresses of proxies to use instead. `admin`
+        is the address for operators, whose key is `OPERATOR_KEY`.
         """
         keys = ("callers", "readiness", "peers", "metrics")
         listen = "".join(
             f"{key} = {LISTEN_IP}:{port}\n"
             for key, port in zip(keys, ports, strict=True)
         )
+        if admin:
+            listen += f"admin = {admin}\n"
+        key = f"operator_key = {OPERATOR_KEY}\n" if admin else ""
         return (
+            f"[security]\n{key}"
             f"[host]\nname = {name}\nfailure_domain = {zone}\n"
             f"first_start = true\n[listen]\n{listen}"
             f"[store]\naddress = {store or self.store.address}\n"
--- a/tests/front/base.py
+++ b/tests/front/base.py
@@ -7,7 +7,7 @@
 
 from standins.fleet import Fleet
 from standins.front_process import KEY, call_headers
-from standins.ports import free_port
+from standins.ports import free_address, free_port
 from waxwingarch.adapters.front_settings import FrontSettings
 from waxwingarch.adapters.http_client import HttpClient, HttpResponse
 from waxwingarch.adapters.ini import parse_ini, validate
@@ -44,7 +44,10 @@
         await self.fleet.async_setup()
         self._stack.push_async_callback(self.fleet.async_unload)
         self.ports = [free_port() for _ in range(4)]
-        text = self.fleet.settings("host-1", self.ports)
+        self.admin_address = free_address()
+        text = self.fleet.settings(
+            "host-1", self.ports, admin=self.admin_address
+        )
         settings = validate(FrontSettings, parse_ini(text, "made"), "made")
         client = HttpClient()
         self.daemon = FrontDaemon(
@@ -102,14 +105,18 @@
 
     async def async_ready_status(self) -> int:
         """Return the status of a readiness check."""
+        response = await self._async_get(self.ports[1], "/-/readiness")
+        return response.status
+
+    async def async_metrics(self, path: str = "/metrics") -> HttpResponse:
+        """Return what the metrics address answers on a path."""
+        return await self._async_get(self.ports[3], path)
+
+    async def _async_get(self, port: int, path: str) -> HttpResponse:
         now = asyncio.get_running_loop().time()
-        response = await self.client.async_request(
-            "GET",
-            f"127.0.0.1:{self.ports[1]}",
-            "/-/readiness",
-            deadline=now + CALL_TIMEOUT_S,
+        return await self.client.async_request(
+            "GET", f"127.0.0.1:{port}", path, deadline=now + CALL_TIMEOUT_S
         )
-        return response.status
 
 
 def event_ids(body: bytes) -> list[int]:
--- a/waxwingarch/adapters/front_metrics.py
+++ b/waxwingarch/adapters/front_metrics.py
@@ -1,6 +1,7 @@
 """Counters and latency histograms of exchanges in Prometheus format."""
 
 from collections import Counter
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 from hdrh.histogram import HdrHistogram
@@ -15,6 +16,9 @@
 MAX_LABELS: Final = 64
 OTHER: Final = ("(other)", "(other)", "(other)")
 
+# The gauge has a value for each origin also while no part is quarantined.
+NO_HELD_PARTS: Final = {"crashes": 0, "operator": 0}
+
 Labels = tuple[str, str, str]
 
 
@@ -25,7 +29,17 @@
     server, and outcome.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        held_parts: Callable[[], Mapping[str, int]] = dict,
+    ) -> None:
+        """Begin with no events.
+
+        `held_parts` returns the number of quarantined prompt parts by
+        origin.
+        """
+        self.held_parts = held_parts
+        self.refusals: Counter[str] = Counter()
         self.exchanges: Counter[Labels] = Counter()
         self.events: Counter[str] = Counter()
         self._first_byte: dict[Labels, HdrHistogram] = {}
@@ -72,6 +86,7 @@
         """Return the metric families of the current values."""
         from prometheus_client.core import (
             CounterMetricFamily,
+            GaugeMetricFamily,
             HistogramMetricFamily,
         )
 
@@ -88,7 +103,22 @@
         )
         for kind, count in self._metrics.events.items():
             events.add_metric((kind,), count)
-        families: list[Any] = [exchanges, events]
+        refusals = CounterMetricFamily(
+            "waxwingarch_refusals",
+            "Refusals that this host sent, by reason.",
+            labels=("reason",),
+        )
+        for reason, count in self._metrics.refusals.items():
+            refusals.add_metric((reason,), count)
+        parts = GaugeMetricFamily(
+            "waxwingarch_quarantined_parts",
+            "Quarantined prompt parts, by who decided on them.",
+            labels=("origin",),
+        )
+        held = {**NO_HELD_PARTS, **self._metrics.held_parts()}
+        for origin, count in held.items():
+            parts.add_metric((origin,), count)
+        families: list[Any] = [exchanges, events, refusals, parts]
         for name, histograms in self._metrics.histograms().items():
             family = HistogramMetricFamily(
                 name, "Seconds since the arrival.", labels=names
--- a/waxwingarch/adapters/front_settings.py
+++ b/waxwingarch/adapters/front_settings.py
@@ -3,7 +3,13 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    model_validator,
+)
 
 from waxwingarch.adapters.ini import (
     Address,
@@ -44,12 +50,19 @@
 
 
 class ListenSection(_Section):
-    """Addresses that this host listens on."""
+    """Addresses that this host listens on; `admin` may be empty."""
 
     callers: Address
     readiness: Address
     peers: Address
     metrics: Address
+    admin: Address | Literal[""] = ""
+
+
+class SecuritySection(_Section):
+    """The key that operators send to the admin address."""
+
+    operator_key: Annotated[str, Field(min_length=8)] | Literal[""] = ""
 
 
 class StoreSection(_Section):
@@ -99,6 +112,16 @@
     duties: DutiesSection = DutiesSection()
     bounds: BoundsSection = BoundsSection()
     log: LogSection = LogSection()
+    security: SecuritySection = SecuritySection()
+
+    @model_validator(mode="after")
+    def _check_operator_key(self) -> "FrontSettings":
+        if self.listen.admin and not self.security.operator_key:
+            raise ValueError(
+                "[listen] admin needs [security] operator_key: set it, or"
+                " leave admin out"
+            )
+        return self
 
     def identity(self, incarnation: int) -> FrontIdentity:
         """Return this host's identity for the front node.
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import Final
 
+import orjson
 from eliot import log_message, write_traceback
 
 from waxwingarch.adapters.addresses import split_address
@@ -16,7 +17,11 @@
     FrontSettings,
 )
 from waxwingarch.adapters.http_client import HttpClient
-from waxwingarch.adapters.http_messages import HttpRequest, HttpResponder
+from waxwingarch.adapters.http_messages import (
+    JSON_TYPE,
+    HttpRequest,
+    HttpResponder,
+)
 from waxwingarch.adapters.http_server import HttpServer
 from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_OK
 from waxwingarch.core.backends.registry import (
@@ -45,6 +50,7 @@
     RowWrite,
     StoreUnavailableError,
 )
+from waxwingarch.tasks.admin import Admin
 from waxwingarch.tasks.backend_rows import BackendRows
 from waxwingarch.tasks.front_duties import FrontDuties, boot_now
 from waxwingarch.tasks.front_entry import FrontEntry, Readiness
@@ -52,12 +58,18 @@
 from waxwingarch.tasks.front_peers import FrontPeers
 from waxwingarch.tasks.front_quarantine import FrontQuarantine
 from waxwingarch.tasks.front_rollouts import FrontRollouts
+from waxwingarch.tasks.quarantine_operations import (
+    QuarantineOperations,
+    count_held_parts,
+)
 from waxwingarch.tasks.runner import Runner
 from waxwingarch.tasks.settings_watch import SettingsWatch
 from waxwingarch.tasks.table_watch import TableWatch
 
 MS_PER_S: Final = 1000
 TICK_INTERVAL_S: Final = 0.1
+# On the metrics address.
+QUARANTINE_PATH: Final = "/quarantine"
 METRICS_CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
 HOSTS_TABLE: Final = "waxwing-hosts"
 REGISTER_TIMEOUT_S: Final = 1.0
@@ -117,7 +129,16 @@
             self._runner, client, ports.exchanges, on_error
         )
         self._readiness = Readiness(lambda: self.front.ready, on_error)
-        self.metrics = FrontMetrics()
+        self._quarantine_operations = QuarantineOperations(
+            self.front.quarantine, self._runner.post
+        )
+        self._admin: Admin | None = None
+        if settings.listen.admin:
+            self._admin = Admin(settings.security.operator_key, on_error)
+            self._quarantine_operations.register(self._admin)
+        self.metrics = FrontMetrics(
+            lambda: count_held_parts(self.front.quarantine)
+        )
         self._metrics_server = HttpServer(self._async_serve_metrics, on_error)
         self._runner.observe(FrontLog(self.front, self.metrics))
         self._stopping = asyncio.Event()
@@ -161,6 +182,8 @@
             *split_address(listen.readiness)
         )
         await self._metrics_server.async_setup(*split_address(listen.metrics))
+        if self._admin is not None:
+            await self._admin.async_setup(*split_address(listen.admin))
         callers = split_address(listen.callers)
         await self._entry.async_setup(*callers, self._sock)
         await self._operator_table_watch.async_setup()
@@ -200,6 +223,8 @@
         await self._entry.async_unload()
         await self._readiness.server.async_unload()
         await self._metrics_server.async_unload()
+        if self._admin is not None:
+            await self._admin.async_unload()
         await self._operator_table_watch.async_unload()
         await self._servers_table_watch.async_unload()
         await self._duties.async_unload()
@@ -235,6 +260,11 @@
     async def _async_serve_metrics(
         self, req: HttpRequest, resp: HttpResponder
     ) -> None:
+        """Answer with the metrics, or with the quarantined prompt parts."""
+        if req.path == QUARANTINE_PATH:
+            parts = orjson.dumps(self._quarantine_operations.listing())
+            await resp.async_send(200, parts, [JSON_TYPE])
+            return
         body = self.metrics.text()
         await resp.async_send(
             200, body, [("content-type", METRICS_CONTENT_TYPE)]
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -177,6 +177,7 @@
 
     def _log_refusal(self, now: float, action: LocalResponse) -> None:
         refusal = action.refusal
+        self._metrics.refusals[refusal.reason.value] += 1
         self._metrics.record(("", "", refusal.reason.value), None, 0.0)
         log_message(
             message_type="refused",
@@ -250,6 +251,7 @@
                     if history is not None:
                         self._log_dispatch(now, history, action)
                 case LocalResponse(request_id=request_id, refusal=refusal):
+                    self._metrics.refusals[refusal.reason.value] += 1
                     self._log_exchange_end(
                         now, request_id, refusal.reason.value
                     )
--- a/waxwingctl/parser.py
+++ b/waxwingctl/parser.py
@@ -12,6 +12,7 @@
     explain,
     hosts,
     move,
+    quarantine,
     replay,
     servers,
 )
@@ -23,6 +24,7 @@
     move,
     hosts,
     servers,
+    quarantine,
     explain,
     dump,
     replay,
