--- a/script/red_front.py
+++ b/script/red_front.py
@@ -58,6 +58,13 @@
         new="",
         test=CORE + "test_limits.py::Resends",
     ),
+    Mutation(
+        promise="BUDGET",
+        path="waxwingarch/core/quarantine/crash_evidence.py",
+        old="CONDEMNED_AFTER: Final = 3",
+        new="CONDEMNED_AFTER: Final = 99",
+        test="tests/front/test_quarantine_host.py::Crashes",
+    ),
     Mutation(
         promise="GONE",
         path="waxwingarch/tasks/front_entry.py",
--- a/tests/front/test_quarantine_host.py
+++ b/tests/front/test_quarantine_host.py
@@ -22,6 +22,10 @@
     EXIT_UNKNOWN_OPERATOR,
 )
 from waxwingarch.exceptions import SettingsError
+from waxwingarch.tasks.front_quarantine import (
+    QUARANTINE_KEY,
+    QUARANTINE_TABLE,
+)
 
 PART = "bad1"
 PROMPT = f"aa:10,{PART}:20,cc:30"
@@ -86,6 +90,20 @@
                 ["probation"], [p["state"] for p in shown["parts"]]
             )
 
+    @async_test
+    async def test_orders_are_kept_in_the_store(self) -> None:
+        async with Host() as host:
+            for order, state in (("add", "held"), ("lift", "probation")):
+                await self.async_ctl_ok(host, "quarantine", order, PART)
+
+                def is_stored(state: str = state) -> bool:
+                    row = host.fleet.store.value(
+                        QUARANTINE_TABLE, QUARANTINE_KEY
+                    )
+                    return row is not None and state.encode() in row
+
+                await async_until(is_stored, f"{state} is in the store")
+
     @async_test
     async def test_list_and_counts_on_the_metrics_address(self) -> None:
         async with Host() as host:
