Add a failing test of a table that is no longer followed

A host whose call for changes raised anything but the two errors of the store never sees a configuration or a listing from the store again: the task of the watch ends without a line. `PlatformRowStore` raises KeyError for a reply in JSON without `rows`. Later requests are handled as only the old configuration allows.

--- a/tests/front/test_lasting_errors_host.py
+++ b/tests/front/test_lasting_errors_host.py
@@ -1,7 +1,7 @@
 """Tests that one unexpected error does not stop a host's work for good."""
 
 import asyncio
-from unittest.mock import patch
+from unittest.mock import AsyncMock, patch
 
 import testtools
 
@@ -23,3 +23,21 @@
             ticked_at = host.front.duties.boot_now
             await asyncio.sleep(0.5)
             self.assertGreater(host.front.duties.boot_now, ticked_at)
+
+
+class Tables(testtools.TestCase):
+    # The host never saw a change of the configuration again.
+    @async_test
+    async def test_changes_are_seen_after_a_reply_without_rows(self) -> None:
+        async with Host() as host:
+            store = host.daemon._ports.store
+            reply = AsyncMock(side_effect=KeyError("rows"))
+            with patch.object(store, "async_changes", reply):
+                host.fleet.config.version = 2
+                host.fleet.put_config()
+                await async_until(lambda: reply.called, "a call fails")
+            host.fleet.config.version = 3
+            host.fleet.put_config()
+            await async_until(
+                lambda: host.front.table.version == 3, "the change is seen"
+            )
