Add a failing test of an exchange that outlives its task

The caller gets 500, which is right, but the node is not told: the exchange and its place in the load of the server stay for as long as the process runs, and are reported to the peers. Later requests avoid the server, and a trial of a server after failures never ends. Only `CallerDisconnectedError` is posted by `FrontEntry`.

--- a/tests/front/test_lasting_errors_host.py
+++ b/tests/front/test_lasting_errors_host.py
@@ -7,6 +7,7 @@
 
 from tests.front.base import Host, async_until
 from tests.helpers import async_test
+from waxwingarch.adapters.event_split import EventSplitter
 
 UNEXPECTED = ValueError("unexpected")
 
@@ -41,3 +42,15 @@
             await async_until(
                 lambda: host.front.table.version == 3, "the change is seen"
             )
+
+
+class Exchanges(testtools.TestCase):
+    # The place at the server was counted as taken for good.
+    @async_test
+    async def test_exchange_ends_with_an_error_in_its_task(self) -> None:
+        async with Host() as host:
+            with patch.object(EventSplitter, "feed", side_effect=UNEXPECTED):
+                response = await host.async_send("/draft/x")
+            self.assertEqual(500, response.status)
+            self.assertEqual(0, len(host.front.exchanges))
+            self.assertEqual({}, host.front.load_balancer.loads.own_loads())
