Add a failing test of a log line that costs an answer

The runner calls its observers before it carries out the actions of a step. An error in one drops these actions: a request is not sent, a refusal not written, a move not started, and the task that posted the event ends. The caller got 500 in place of 200.

--- a/tests/front/test_lasting_errors_host.py
+++ b/tests/front/test_lasting_errors_host.py
@@ -8,6 +8,7 @@
 from tests.front.base import Host, async_until
 from tests.helpers import async_test
 from waxwingarch.adapters.event_split import EventSplitter
+from waxwingarch.tasks.front_log import FrontLog
 
 UNEXPECTED = ValueError("unexpected")
 
@@ -54,3 +55,11 @@
             self.assertEqual(500, response.status)
             self.assertEqual(0, len(host.front.exchanges))
             self.assertEqual({}, host.front.load_balancer.loads.own_loads())
+
+    # A line that could not be written left the caller without an answer.
+    @async_test
+    async def test_error_in_a_log_line_does_not_cost_the_answer(self) -> None:
+        async with Host() as host:
+            with patch.object(FrontLog, "__call__", side_effect=UNEXPECTED):
+                response = await host.async_send("/draft/x")
+            self.assertEqual(200, response.status)
