Add a failing test of an answer that waits for a move without end

The end of an attempt is put off while its run is moved, until the call has posted how that ended. An error in the task of the call is logged by now, but nothing is posted, and no deadline bounds the wait: the caller gets neither an answer nor a cut connection, also past the timeout of the route (5 s).

--- a/tests/front/test_whole_answers_host.py
+++ b/tests/front/test_whole_answers_host.py
@@ -1,6 +1,7 @@
 """Tests that a host ends each answer in full, or refuses the request."""
 
 import asyncio
+from unittest.mock import AsyncMock, patch
 
 import testtools
 
@@ -128,6 +129,26 @@
                 self.assertEqual(list(range(1, 11)), event_ids(response.body))
                 self.assertEqual(2, len(host.fleet.runs))
 
+    # The caller waited for an end that nothing owed it any more.
+    @async_test
+    async def test_unexpected_error_in_the_move_call_ends_the_move(
+        self,
+    ) -> None:
+        async with Host() as host:
+            for server in host.fleet.engines():
+                server.behaviour.event_s = 0.3
+                server.behaviour.events = 10
+            failing = AsyncMock(side_effect=ValueError("unexpected"))
+            engines = host.daemon._ports.engines
+            with patch.object(engines, "async_migrate_run", failing):
+                request = asyncio.create_task(host.async_send("/draft/x"))
+                server = _server_of(host, await _async_begun_run(host))
+                host.fleet.register(server, "draining")
+                await async_until(lambda: failing.called, "a move fails")
+                await server.async_unload()
+                response = await request
+            self.assertEqual(list(range(1, 11)), event_ids(response.body))
+
 
 class AnswersThatEndWithTheirConnection(testtools.TestCase):
     """A server's answers have neither a length nor chunks."""
