Add a failing test of a stopped run that its server would continue

The call for a move stops the run first. Where the target has no room or can't be reached, the reply is 503 and names a handle: the source keeps the memory of the run and continues it when asked with that handle. The host takes 503 for a failed move and drops the handle. A stream that can't be resumed is then cut by the host's own call, on a sound server. The caller's connection was closed in the middle of the answer.

--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -59,7 +59,8 @@
     for each handle of a KV cache how many events were sent before it moved.
     `retry_after` is the Retry-After header of the responses to shed requests.
     A call to move a run takes `move_delay_s` until the run is stopped;
-    `move_reply` replaces the body of its response.
+    `move_reply` replaces the body of its response, and `move_status` its
+    status.
     With `until_close` all answers have neither a length nor chunks and end
     with their connection.
     """
@@ -73,6 +74,7 @@
     retry_after: str = ""
     move_delay_s: float = 0.0
     move_reply: bytes = b""
+    move_status: int = 200
     until_close: bool = False
 
 
@@ -320,7 +322,7 @@
         self.behaviour.handles[handle] = run.events
         body = orjson.dumps({"handle": handle, "created": run.events})
         reply = self.behaviour.move_reply or body
-        await resp.async_send(200, reply, [JSON_TYPE])
+        await resp.async_send(self.behaviour.move_status, reply, [JSON_TYPE])
 
 
 async def _async_disconnected_within(
--- a/tests/front/test_whole_answers_host.py
+++ b/tests/front/test_whole_answers_host.py
@@ -149,6 +149,18 @@
                 response = await request
             self.assertEqual(list(range(1, 11)), event_ids(response.body))
 
+    # The server had kept the memory of the run, and was not asked again.
+    @async_test
+    async def test_run_without_room_elsewhere_goes_on_where_it_was(
+        self,
+    ) -> None:
+        async with Host() as host:
+            response = await self.async_send_and_move(host, move_status=503)
+            self.assertEqual(list(range(1, 11)), event_ids(response.body))
+            first, second = host.fleet.runs
+            self.assertEqual(first.server_id, second.server_id)
+            self.assertIn("kv-from", second.headers)
+
 
 class AnswersThatEndWithTheirConnection(testtools.TestCase):
     """A server's answers have neither a length nor chunks."""
