Add a failing test of a whole answer taken for a stopped run

After a move that failed, an answer with neither a length nor chunks counts as stopped, except where the server replied 404. A call that was never sent, as no connection could be opened, stops no run: the answer then ends whole, and the host cuts it. `_async_post` gives the same reply for a call that was not sent as for one without an answer.

--- a/tests/front/test_whole_answers_host.py
+++ b/tests/front/test_whole_answers_host.py
@@ -161,6 +161,26 @@
             self.assertEqual(first.server_id, second.server_id)
             self.assertIn("kv-from", second.headers)
 
+    # The end of a whole answer was taken for that of a stopped run.
+    @async_test
+    async def test_whole_answer_after_a_move_that_could_not_be_asked_for(
+        self,
+    ) -> None:
+        async with Host() as host:
+            for server in host.fleet.engines():
+                server.behaviour.until_close = True
+                server.behaviour.event_s = 0.3
+                server.behaviour.events = 10
+            request = asyncio.create_task(host.async_send("/chat/x"))
+            server = _server_of(host, await _async_begun_run(host))
+            # The server takes no new connection; the run goes on.
+            assert server.server._server is not None
+            server.server._server.close()
+            host.fleet.register(server, "draining")
+            response = await request
+            self.assertEqual(list(range(1, 11)), event_ids(response.body))
+            self.assertEqual(1, len(host.fleet.runs))
+
 
 class AnswersThatEndWithTheirConnection(testtools.TestCase):
     """A server's answers have neither a length nor chunks."""
