Add a failing test of silence before the first byte

`_may_give_up` lets a host leave a silent server whenever no part of the response was sent, also if no other server, attempt or resend is left. An idempotent request and a stream before its first event then end with 502 after about twice the time for a first byte, though its servers are sound, the request is at work there and most of its time is left. Seen: 502 on /read/ within 5 s, both servers silent for 3 s.

--- a/tests/front/test_whole_answers_host.py
+++ b/tests/front/test_whole_answers_host.py
@@ -77,6 +77,30 @@
             self.assertEqual(2, len(host.fleet.runs))
 
 
+class SilentBeforeTheResponse(testtools.TestCase):
+    """All servers of a service are silent before their first byte."""
+
+    # The host answered 502 in the place of sound servers.
+    @async_test
+    async def test_request_waits_where_no_server_is_left_to_try(self) -> None:
+        async with Host() as host:
+            host.fleet.config.plain_timeout_ms = 5000
+            host.fleet.config.version = 2
+            host.fleet.put_config()
+            await async_until(
+                lambda: host.front.table.version == 2, "5 s are allowed"
+            )
+            for path, servers in (
+                ("/read/x", host.fleet.plain()),
+                ("/draft/x", host.fleet.engines()),
+            ):
+                request = asyncio.create_task(host.async_send(path))
+                silences = (s.async_fall_silent(3.0) for s in servers)
+                await asyncio.gather(*silences)
+                response = await request
+                self.assertEqual(200, response.status, path)
+
+
 class MovedRuns(testtools.TestCase):
     """A run whose server leaves is moved while that server is silent."""
 
