Add a failing test of a resumable run whose copy is given up

A run that may be resumed waits for its copy for 1 s only, as it can go on elsewhere without one. Where the route's attempts or the budget of resends are used up it can't: the host's own call stops it, a slow or silent server is given up after 1 s, and the stream is cut. The limit has to ask what `can_leave_silent_server` asks. Seen: a deadline of 1.0 s where the request had 2.6 s left.

--- a/tests/core/front/test_exchanges.py
+++ b/tests/core/front/test_exchanges.py
@@ -1,5 +1,7 @@
 """Tests of exchanges: admission, dispatch, resends and migration of runs."""
 
+from dataclasses import replace
+
 import testtools
 
 from tests.core.front.builders import (
@@ -389,6 +391,21 @@
         )
         self.assertIsInstance(action, AbortResponse)
 
+    def test_run_that_needs_the_copy_waits_for_it(self) -> None:
+        # The run was stopped, and its copy given up after a second, where
+        # the route allowed no other attempt.
+        cfg = config()
+        routes = tuple(replace(r, max_attempts=1) for r in cfg.routes)
+        node = front()
+        node.handle(0.0, ConfigRead(cfg=replace(cfg, routes=routes)))
+        node.handle(0.0, make_listing(1, server("e1"), server("e2")))
+        send = arrive(node, "r", "/draft/x")
+        assert isinstance(send, SendRequest)
+        node.handle(1.1, ResponseStarted(request_id=RequestId("r")))
+        [move] = self.announce_leaving(node, send)
+        assert isinstance(move, MigrateRun)
+        self.assertEqual(send.expires_at, move.deadline)
+
     def test_server_unlisted_after_an_outage_is_the_last_choice(self) -> None:
         # A host whose calls the store refused for 10 s went on sending to
         # a server that had left in the meantime.
