Add a failing test of a sound server that stays avoided

Each silent stream counts as a failure of its server, now also where it goes on afterwards. Two of them make the server count as dead: it is avoided for a time and then gets a single request on trial until that one ends. Events from the server end neither. With streams of several seconds a sound server that was silent once takes one request at a time from this host. Seen: avoided 1.6 s after its streams went on.

--- a/tests/core/front/test_exchanges.py
+++ b/tests/core/front/test_exchanges.py
@@ -29,6 +29,7 @@
     ResponseStarted,
     RunMigrated,
     SendRequest,
+    ServerActivity,
     ServerSilent,
 )
 from waxwingarch.core.front_messages import ConfigRead, FrontTick, StopBegan
@@ -499,3 +500,20 @@
         for n in range(10):
             action = arrive(node, f"s{n}", path="/chat/x", now=2.1)
             self.assertNotEqual(sent[0], action.server.server_id)
+
+    def test_server_that_goes_on_gets_requests_again(self) -> None:
+        # One stream that was tried on it kept all others off a sound server
+        # for as long as it lasted.
+        node = serving_front(server("e1"))
+        for n in range(2):
+            arrive(node, f"r{n}", path="/chat/x")
+            event = ServerSilent(
+                request_id=RequestId(f"r{n}"), server_id=ServerId("e1")
+            )
+            node.handle(2.0, event)
+        node.handle(2.3, ServerActivity(server_id=ServerId("e1")))
+        arrive(node, "trial", path="/chat/x", now=3.5)
+        node.handle(3.6, ResponseStarted(request_id=RequestId("trial")))
+        node.handle(3.9, ServerActivity(server_id=ServerId("e1")))
+        health = node.load_balancer.health
+        self.assertFalse(health.is_avoided(4.0, ServerId("e1")))
