Add a failing test of a run whose service left the configuration

Whether runs can be moved is looked up in the configuration in force when a server leaves, not in the one under which the request was admitted. If that no longer has the service, whose servers are drained next, nothing is moved: a stream that can't be resumed is cut when its server ends. Seen: no move.

--- a/tests/core/front/test_exchanges.py
+++ b/tests/core/front/test_exchanges.py
@@ -392,6 +392,17 @@
         )
         self.assertIsInstance(action, AbortResponse)
 
+    def test_run_of_a_dropped_service_is_moved(self) -> None:
+        # The run ended with its server: no run of a service that was no
+        # longer in the configuration was moved.
+        node, send = self.start_run()
+        cfg = config(version=2)
+        services = tuple(s for s in cfg.services if s.service != POOL)
+        node.handle(1.15, ConfigRead(cfg=replace(cfg, services=services)))
+        [move] = self.announce_leaving(node, send)
+        assert isinstance(move, MigrateRun)
+        self.assertEqual(send.server, move.source)
+
     def test_run_that_needs_the_copy_waits_for_it(self) -> None:
         # The run was stopped, and its copy given up after a second, where
         # the route allowed no other attempt.
