Test that requests outlive the configuration that admitted them

A configuration without any route, service or account is applied beside a request in progress, for each kind of route. All four are answered in full: the exchange keeps its route, account and deadline. The test passes on the present code, so that a replaced configuration alone is not the cause of the requests without an answer.

--- a/tests/front/test_whole_answers_host.py
+++ b/tests/front/test_whole_answers_host.py
@@ -1,8 +1,10 @@
 """Tests that a host ends each answer in full, or refuses the request."""
 
 import asyncio
+from base64 import b64encode
 from unittest.mock import AsyncMock, patch
 
+import orjson
 import testtools
 
 from standins.fleet_server import FleetServer, Run
@@ -77,6 +79,39 @@
             self.assertEqual(2, len(host.fleet.runs))
 
 
+class ReplacedConfigurations(testtools.TestCase):
+    """A new configuration is applied beside requests in progress."""
+
+    # A request that was admitted must not end with its route or key.
+    @async_test
+    async def test_requests_in_progress_outlive_their_configuration(
+        self,
+    ) -> None:
+        for path, body in (
+            ("/chat/x", b"id: 5"),
+            ("/draft/x", b"id: 5"),
+            ("/read/x", b'{"echo":0}'),
+            ("/pay/x", b'{"echo":0}'),
+        ):
+            async with Host() as host:
+                for server in host.fleet.servers:
+                    server.behaviour.event_s = 0.1
+                    server.behaviour.work_s = 0.5
+                request = asyncio.create_task(host.async_send(path))
+                await async_until(lambda: host.fleet.runs, "it runs")
+                empty = {"version": 2, "routes": [], "services": []}
+                value = b64encode(orjson.dumps(empty)).decode()
+                host.fleet.store.put("op", "config", value)
+                await async_until(
+                    lambda: host.front.table.version == 2,
+                    "the configuration is applied",
+                )
+                self.assertFalse(request.done())
+                response = await request
+                self.assertEqual(200, response.status, path)
+                self.assertIn(body, response.body)
+
+
 class SilentBeforeTheResponse(testtools.TestCase):
     """All servers of a service are silent before their first byte."""
 
