Add a failing test of the wait after a stray response

`async_next_response` gets the first-byte deadline as it stands. The wait is not extended while the server sends other responses, nor where no other server can answer, as that for the first head is. If the stray response came late, the deadline has passed already. Seen: 502 after 0.8 s from the only server, which answered at 1.2 s.

--- a/tests/front/test_slow_responses_host.py
+++ b/tests/front/test_slow_responses_host.py
@@ -55,3 +55,11 @@
         async with Host() as host, only_server(host, parts):
             response = await host.async_send("/pay/x")
         self.assertEqual((500, b"no"), (response.status, response.body))
+
+    # The host gave up the server in the pause after a stray response.
+    @async_test
+    async def test_response_after_a_stray_one_is_awaited(self) -> None:
+        parts = [head("stray", 1) + b"x", head("req-1", 2) + b"ok"]
+        async with Host() as host, only_server(host, parts):
+            response = await host.async_send("/read/x")
+        self.assertEqual((200, b"ok"), (response.status, response.body))
