--- a/tests/core/front/test_exchanges.py
+++ b/tests/core/front/test_exchanges.py
@@ -1,5 +1,7 @@
 """Tests of exchanges: admission, dispatch, resends and migration of runs."""
 
+from dataclasses import replace
+
 import testtools
 
 from tests.core.front.builders import (
@@ -27,6 +29,7 @@
     ResponseStarted,
     RunMigrated,
     SendRequest,
+    ServerActivity,
     ServerSilent,
 )
 from waxwingarch.core.front_messages import ConfigRead, FrontTick, StopBegan
@@ -389,6 +392,32 @@
         )
         self.assertIsInstance(action, AbortResponse)
 
+    def test_run_of_a_dropped_service_is_moved(self) -> None:
+        # The run ended with its server: no run of a service that was no
+        # longer in the configuration was moved.
+        node, send = self.start_run()
+        cfg = config(version=2)
+        services = tuple(s for s in cfg.services if s.service != POOL)
+        node.handle(1.15, ConfigRead(cfg=replace(cfg, services=services)))
+        [move] = self.announce_leaving(node, send)
+        assert isinstance(move, MigrateRun)
+        self.assertEqual(send.server, move.source)
+
+    def test_run_that_needs_the_copy_waits_for_it(self) -> None:
+        # The run was stopped, and its copy given up after a second, where
+        # the route allowed no other attempt.
+        cfg = config()
+        routes = tuple(replace(r, max_attempts=1) for r in cfg.routes)
+        node = front()
+        node.handle(0.0, ConfigRead(cfg=replace(cfg, routes=routes)))
+        node.handle(0.0, make_listing(1, server("e1"), server("e2")))
+        send = arrive(node, "r", "/draft/x")
+        assert isinstance(send, SendRequest)
+        node.handle(1.1, ResponseStarted(request_id=RequestId("r")))
+        [move] = self.announce_leaving(node, send)
+        assert isinstance(move, MigrateRun)
+        self.assertEqual(send.expires_at, move.deadline)
+
     def test_server_unlisted_after_an_outage_is_the_last_choice(self) -> None:
         # A host whose calls the store refused for 10 s went on sending to
         # a server that had left in the meantime.
@@ -482,3 +511,20 @@
         for n in range(10):
             action = arrive(node, f"s{n}", path="/chat/x", now=2.1)
             self.assertNotEqual(sent[0], action.server.server_id)
+
+    def test_server_that_goes_on_gets_requests_again(self) -> None:
+        # One stream that was tried on it kept all others off a sound server
+        # for as long as it lasted.
+        node = serving_front(server("e1"))
+        for n in range(2):
+            arrive(node, f"r{n}", path="/chat/x")
+            event = ServerSilent(
+                request_id=RequestId(f"r{n}"), server_id=ServerId("e1")
+            )
+            node.handle(2.0, event)
+        node.handle(2.3, ServerActivity(server_id=ServerId("e1")))
+        arrive(node, "trial", path="/chat/x", now=3.5)
+        node.handle(3.6, ResponseStarted(request_id=RequestId("trial")))
+        node.handle(3.9, ServerActivity(server_id=ServerId("e1")))
+        health = node.load_balancer.health
+        self.assertFalse(health.is_avoided(4.0, ServerId("e1")))
--- /dev/null
+++ b/tests/front/test_lasting_errors_host.py
@@ -0,0 +1,65 @@
+"""Tests that one unexpected error does not stop a host's work for good."""
+
+import asyncio
+from unittest.mock import AsyncMock, patch
+
+import testtools
+
+from tests.front.base import Host, async_until
+from tests.helpers import async_test
+from waxwingarch.adapters.event_split import EventSplitter
+from waxwingarch.tasks.front_log import FrontLog
+
+UNEXPECTED = ValueError("unexpected")
+
+
+class Ticks(testtools.TestCase):
+    # After one error nothing with a deadline happened on the host any more.
+    @async_test
+    async def test_ticks_go_on_after_an_error_in_one(self) -> None:
+        async with Host() as host:
+            with patch.object(
+                host.front.gossip, "update_following", side_effect=UNEXPECTED
+            ) as failing:
+                await async_until(lambda: failing.called, "a tick fails")
+            ticked_at = host.front.duties.boot_now
+            await asyncio.sleep(0.5)
+            self.assertGreater(host.front.duties.boot_now, ticked_at)
+
+
+class Tables(testtools.TestCase):
+    # The host never saw a change of the configuration again.
+    @async_test
+    async def test_changes_are_seen_after_a_reply_without_rows(self) -> None:
+        async with Host() as host:
+            store = host.daemon._ports.store
+            reply = AsyncMock(side_effect=KeyError("rows"))
+            with patch.object(store, "async_changes", reply):
+                host.fleet.config.version = 2
+                host.fleet.put_config()
+                await async_until(lambda: reply.called, "a call fails")
+            host.fleet.config.version = 3
+            host.fleet.put_config()
+            await async_until(
+                lambda: host.front.table.version == 3, "the change is seen"
+            )
+
+
+class Exchanges(testtools.TestCase):
+    # The place at the server was counted as taken for good.
+    @async_test
+    async def test_exchange_ends_with_an_error_in_its_task(self) -> None:
+        async with Host() as host:
+            with patch.object(EventSplitter, "feed", side_effect=UNEXPECTED):
+                response = await host.async_send("/draft/x")
+            self.assertEqual(500, response.status)
+            self.assertEqual(0, len(host.front.exchanges))
+            self.assertEqual({}, host.front.load_balancer.loads.own_loads())
+
+    # A line that could not be written left the caller without an answer.
+    @async_test
+    async def test_error_in_a_log_line_does_not_cost_the_answer(self) -> None:
+        async with Host() as host:
+            with patch.object(FrontLog, "__call__", side_effect=UNEXPECTED):
+                response = await host.async_send("/draft/x")
+            self.assertEqual(200, response.status)
--- a/tests/front/test_whole_answers_host.py
+++ b/tests/front/test_whole_answers_host.py
@@ -1,7 +1,10 @@
 """Tests that a host ends each answer in full, or refuses the request."""
 
 import asyncio
+from base64 import b64encode
+from unittest.mock import AsyncMock, patch
 
+import orjson
 import testtools
 
 from standins.fleet_server import FleetServer, Run
@@ -76,6 +79,63 @@
             self.assertEqual(2, len(host.fleet.runs))
 
 
+class ReplacedConfigurations(testtools.TestCase):
+    """A new configuration is applied beside requests in progress."""
+
+    # A request that was admitted must not end with its route or key.
+    @async_test
+    async def test_requests_in_progress_outlive_their_configuration(
+        self,
+    ) -> None:
+        for path, body in (
+            ("/chat/x", b"id: 5"),
+            ("/draft/x", b"id: 5"),
+            ("/read/x", b'{"echo":0}'),
+            ("/pay/x", b'{"echo":0}'),
+        ):
+            async with Host() as host:
+                for server in host.fleet.servers:
+                    server.behaviour.event_s = 0.1
+                    server.behaviour.work_s = 0.5
+                request = asyncio.create_task(host.async_send(path))
+                await async_until(lambda: host.fleet.runs, "it runs")
+                empty = {"version": 2, "routes": [], "services": []}
+                value = b64encode(orjson.dumps(empty)).decode()
+                host.fleet.store.put("op", "config", value)
+                await async_until(
+                    lambda: host.front.table.version == 2,
+                    "the configuration is applied",
+                )
+                self.assertFalse(request.done())
+                response = await request
+                self.assertEqual(200, response.status, path)
+                self.assertIn(body, response.body)
+
+
+class SilentBeforeTheResponse(testtools.TestCase):
+    """All servers of a service are silent before their first byte."""
+
+    # The host answered 502 in the place of sound servers.
+    @async_test
+    async def test_request_waits_where_no_server_is_left_to_try(self) -> None:
+        async with Host() as host:
+            host.fleet.config.plain_timeout_ms = 5000
+            host.fleet.config.version = 2
+            host.fleet.put_config()
+            await async_until(
+                lambda: host.front.table.version == 2, "5 s are allowed"
+            )
+            for path, servers in (
+                ("/read/x", host.fleet.plain()),
+                ("/draft/x", host.fleet.engines()),
+            ):
+                request = asyncio.create_task(host.async_send(path))
+                silences = (s.async_fall_silent(3.0) for s in servers)
+                await asyncio.gather(*silences)
+                response = await request
+                self.assertEqual(200, response.status, path)
+
+
 class MovedRuns(testtools.TestCase):
     """A run whose server leaves is moved while that server is silent."""
 
@@ -128,6 +188,58 @@
                 self.assertEqual(list(range(1, 11)), event_ids(response.body))
                 self.assertEqual(2, len(host.fleet.runs))
 
+    # The caller waited for an end that nothing owed it any more.
+    @async_test
+    async def test_unexpected_error_in_the_move_call_ends_the_move(
+        self,
+    ) -> None:
+        async with Host() as host:
+            for server in host.fleet.engines():
+                server.behaviour.event_s = 0.3
+                server.behaviour.events = 10
+            failing = AsyncMock(side_effect=ValueError("unexpected"))
+            engines = host.daemon._ports.engines
+            with patch.object(engines, "async_migrate_run", failing):
+                request = asyncio.create_task(host.async_send("/draft/x"))
+                server = _server_of(host, await _async_begun_run(host))
+                host.fleet.register(server, "draining")
+                await async_until(lambda: failing.called, "a move fails")
+                await server.async_unload()
+                response = await request
+            self.assertEqual(list(range(1, 11)), event_ids(response.body))
+
+    # The server had kept the memory of the run, and was not asked again.
+    @async_test
+    async def test_run_without_room_elsewhere_goes_on_where_it_was(
+        self,
+    ) -> None:
+        async with Host() as host:
+            response = await self.async_send_and_move(host, move_status=503)
+            self.assertEqual(list(range(1, 11)), event_ids(response.body))
+            first, second = host.fleet.runs
+            self.assertEqual(first.server_id, second.server_id)
+            self.assertIn("kv-from", second.headers)
+
+    # The end of a whole answer was taken for that of a stopped run.
+    @async_test
+    async def test_whole_answer_after_a_move_that_could_not_be_asked_for(
+        self,
+    ) -> None:
+        async with Host() as host:
+            for server in host.fleet.engines():
+                server.behaviour.until_close = True
+                server.behaviour.event_s = 0.3
+                server.behaviour.events = 10
+            request = asyncio.create_task(host.async_send("/chat/x"))
+            server = _server_of(host, await _async_begun_run(host))
+            # The server takes no new connection; the run goes on.
+            assert server.server._server is not None
+            server.server._server.close()
+            host.fleet.register(server, "draining")
+            response = await request
+            self.assertEqual(list(range(1, 11)), event_ids(response.body))
+            self.assertEqual(1, len(host.fleet.runs))
+
 
 class AnswersThatEndWithTheirConnection(testtools.TestCase):
     """A server's answers have neither a length nor chunks."""
