Go on ticking after an error in a tick

After one unexpected error a host ticked no more, without a line: no refusal of requests that wait at the start, no moves of runs, no reports and no lease, while it still counted as ready. The error is now logged and the next tick follows, on both interfaces.

--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -274,9 +274,12 @@
 
     async def _async_tick(self) -> None:
         while True:
-            self._runner.post(
-                FrontTick(boot_now=boot_now(), unix_now=time.time())
-            )
+            tick = FrontTick(boot_now=boot_now(), unix_now=time.time())
+            try:
+                self._runner.post(tick)
+            except Exception as exc:
+                # Without ticks, nothing with a deadline would ever end.
+                on_error(exc)
             await asyncio.sleep(TICK_INTERVAL_S)
 
     def _register(self, delay_s: float) -> None:
--- a/waxwingarch/tasks/peer_transport.py
+++ b/waxwingarch/tasks/peer_transport.py
@@ -10,6 +10,8 @@
 from ssl import SSLContext
 from typing import Any, Final, Protocol
 
+from eliot import write_traceback
+
 from waxwingarch.adapters.grpc_peers import (
     GrpcPeers,
     GrpcPeerServer,
@@ -161,7 +163,11 @@
     async def _async_tick(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            self._dispatch(Tick(unix_now=time.time()))
+            try:
+                self._dispatch(Tick(unix_now=time.time()))
+            except Exception as exc:
+                # Without ticks, nothing with a deadline would ever end.
+                write_traceback(exc_info=(type(exc), exc, exc.__traceback__))
             # Ticks start at multiples of the period, so that the time that
             # a tick takes does not delay the next one.
             await asyncio.sleep(TICK_PERIOD_S - loop.time() % TICK_PERIOD_S)
