Post the outcome of a move also after an error in its call

The end of an attempt is put off until the move of its run has ended. An unexpected error in the call left that open, and the caller without an answer past its deadline. The test failed before.

--- a/waxwingarch/tasks/front_duties.py
+++ b/waxwingarch/tasks/front_duties.py
@@ -31,6 +31,7 @@
 from waxwingarch.core.exchange.exchange_messages import MigrateRun, RunMigrated
 from waxwingarch.ports.front import (
     FrontPorts,
+    MigrationReply,
     Rows,
     RowWrite,
     StoredRow,
@@ -234,12 +235,21 @@
         )
 
     async def _async_migrate_run(self, action: MigrateRun) -> None:
-        reply = await self._ports.engines.async_migrate_run(
-            action.source,
-            action.target,
-            action.request_id,
-            deadline=action.deadline,
-        )
+        """Migrate a run; its outcome is posted even after an error."""
+        reply = MigrationReply()
+        try:
+            reply = await self._ports.engines.async_migrate_run(
+                action.source,
+                action.target,
+                action.request_id,
+                deadline=action.deadline,
+            )
+        finally:
+            self._post_migration(action, reply)
+
+    def _post_migration(
+        self, action: MigrateRun, reply: MigrationReply
+    ) -> None:
         log_message(
             message_type="run_moved",
             request_id=action.request_id,
