Take a run for not stopped when the call to move it was never sent

A whole answer without a length was cut at its end if the call to move its run had found no connection: the run could not have been stopped.

--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -592,7 +592,7 @@
         if state is None:
             return []
         state.is_migrating = False
-        state.may_be_stopped = not event.run_ended
+        state.may_be_stopped = not event.not_stopped
         state.migrated_cache = event.cache
         deferred, state.deferred_outcome = state.deferred_outcome, None
         return (
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -207,11 +207,12 @@
 class RunMigrated(ExchangeEvent):
     """A migration of a run ended; `cache` is None if it failed.
 
-    `run_ended` means that the run had ended before it could be stopped.
+    `not_stopped` means that the server did not stop the run, which has
+    ended or goes on.
     """
 
     cache: MigratedCache | None
-    run_ended: bool = False
+    not_stopped: bool = False
 
 
 # Actions
--- a/waxwingarch/platform/calls.py
+++ b/waxwingarch/platform/calls.py
@@ -6,7 +6,11 @@
 import orjson
 from eliot import log_message
 
-from waxwingarch.adapters.http_client import HttpClient, HttpResponse
+from waxwingarch.adapters.http_client import (
+    ConnectFailedError,
+    HttpClient,
+    HttpResponse,
+)
 from waxwingarch.adapters.http_messages import JSON_TYPE
 from waxwingarch.core.base import AccountId, HostId, RequestId, Server
 from waxwingarch.core.duties.autoscaler import OrderKey
@@ -40,15 +44,17 @@
         # `last` makes the engine stop the run before it copies the rest of
         # the run's KV cache.
         body = {"id": request_id, "target": target.address, "last": True}
-        response = await _async_post(
-            self._client, source.address, MOVE_PATH, body, deadline
-        )
-        if response is None:
-            return MigrationReply()
+        try:
+            response = await _async_post(
+                self._client, source.address, MOVE_PATH, body, deadline
+            )
+        except LinkError as exc:
+            was_sent = not isinstance(exc, ConnectFailedError)
+            return MigrationReply(not_stopped=not was_sent)
         leaving = is_leaving(response.headers)
         if response.status != HTTP_OK:
             return MigrationReply(
-                run_ended=response.status == HTTP_NOT_FOUND,
+                not_stopped=response.status == HTTP_NOT_FOUND,
                 source_leaving=leaving,
             )
         try:
@@ -131,14 +137,20 @@
         fence: int,
         deadline: float,
     ) -> HttpResponse | None:
-        """Send a call with the lease holder and its fencing token."""
+        """Send a call with the lease holder and its fencing token.
+
+        Returns None if there is no response.
+        """
         headers = [
             (HEADER_DUTY_HOLDER, str(holder)),
             (HEADER_FENCING_TOKEN, str(fence)),
         ]
-        return await _async_post(
-            self._client, self._address, path, body, deadline, headers
-        )
+        try:
+            return await _async_post(
+                self._client, self._address, path, body, deadline, headers
+            )
+        except LinkError:
+            return None
 
 
 async def _async_post(
@@ -148,8 +160,8 @@
     body: Mapping[str, Any],
     deadline: float,
     headers: list[tuple[str, str]] | None = None,
-) -> HttpResponse | None:
-    """Send one call; log it and return None if there is no response."""
+) -> HttpResponse:
+    """Send one call; logs and raises `LinkError` if there is no response."""
     try:
         return await client.async_request(
             "POST",
@@ -161,4 +173,4 @@
         )
     except LinkError as exc:
         log_message(message_type="call_failed", path=path, reason=str(exc))
-        return None
+        raise
--- a/waxwingarch/ports/front.py
+++ b/waxwingarch/ports/front.py
@@ -246,13 +246,13 @@
 class MigrationReply:
     """The reply to a migration; `cache` is None if it failed.
 
-    `run_ended` means that the source no longer has the run, which it did
-    not stop. `source_leaving` means that the source said that it is
-    shutting down.
+    `not_stopped` means that the source did not stop the run: it was not
+    asked to, or no longer had the run. `source_leaving` means that the
+    source said that it is shutting down.
     """
 
     cache: MigratedCache | None = None
-    run_ended: bool = False
+    not_stopped: bool = False
     source_leaving: bool = False
 
 
--- a/waxwingarch/tasks/front_duties.py
+++ b/waxwingarch/tasks/front_duties.py
@@ -263,7 +263,7 @@
             RunMigrated(
                 request_id=action.request_id,
                 cache=reply.cache,
-                run_ended=reply.run_ended,
+                not_stopped=reply.not_stopped,
             )
         )
 
