Let a run go on where it was stopped if the target has no room

Callers saw the stream of a leaving server cut: the engine stopped the run to move it, found no room at the target, and kept the run with a handle (503), which the host dropped. It now continues the run at the source by the handle, unless the source has been leaving for as long as all hosts need to know of it.

--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -4,7 +4,7 @@
 
 from waxwingarch.core.backends.load import ActiveAttempt
 from waxwingarch.core.backends.load_balancer import LoadBalancer, Pick
-from waxwingarch.core.backends.registry import BackendLeaving
+from waxwingarch.core.backends.registry import Backend, BackendLeaving
 from waxwingarch.core.base import (
     Action,
     RequestId,
@@ -86,6 +86,7 @@
         resend_budget: ResendBudget,
         rollouts: RolloutController,
         rng: RandomSource,
+        leaving_known_s: float,
         quarantine: Quarantine,
     ) -> None:
         self._table = table
@@ -97,6 +98,7 @@
         self._resend_budget = resend_budget
         self._rollouts = rollouts
         self._rng = rng
+        self._leaving_known_s = leaving_known_s
         self._exchanges: dict[RequestId, ExchangeState] = {}
         self._migrate_at: dict[RequestId, float] = {}
 
@@ -293,7 +295,7 @@
             backend = self._load_balancer.registry.get(
                 state.migrated_cache.target
             )
-            if backend is not None:
+            if backend is not None and self._may_continue_at(now, backend):
                 return self._dispatch(now, state, backend.server)
             state.migrated_cache = None
             return None
@@ -301,6 +303,17 @@
             return None
         return self._dispatch(now, state, None)
 
+    def _may_continue_at(self, now: float, backend: Backend) -> bool:
+        """Return whether a server still takes the runs that it has stopped.
+
+        A leaving server has to get no request after the time in which all
+        hosts know of it.
+        """
+        return (
+            backend.leaving_since is None
+            or now < backend.leaving_since + self._leaving_known_s
+        )
+
     def can_leave_silent_server(
         self, now: float, request_id: RequestId
     ) -> bool:
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -97,7 +97,8 @@
 
     `address` is that of the source, the server on which the run was
     stopped. `handle` names the copy at the source, `target` is the server
-    that the copy was sent to.
+    that the run can continue on: that which the copy was sent to, or the
+    source if it found no room there.
     """
 
     address: str
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -130,6 +130,7 @@
             self.resend_budget,
             self.rollouts,
             rng,
+            bounds.change_known_s,
             self.quarantine,
         )
         self.gossip = ReportGossip(identity.host, bounds.change_known_s)
--- a/waxwingarch/platform/calls.py
+++ b/waxwingarch/platform/calls.py
@@ -23,6 +23,7 @@
 HTTP_OK: Final = 200
 HTTP_NOT_FOUND: Final = 404
 HTTP_CONFLICT: Final = 409
+HTTP_UNAVAILABLE: Final = 503
 MOVE_PATH: Final = "/-/kv-move"
 
 
@@ -52,7 +53,11 @@
             was_sent = not isinstance(exc, ConnectFailedError)
             return MigrationReply(not_stopped=not was_sent)
         leaving = is_leaving(response.headers)
-        if response.status != HTTP_OK:
+        # An engine that finds no room at the target keeps the run that it
+        # has stopped.
+        holders = {HTTP_OK: target, HTTP_UNAVAILABLE: source}
+        continue_at = holders.get(response.status)
+        if continue_at is None:
             return MigrationReply(
                 not_stopped=response.status == HTTP_NOT_FOUND,
                 source_leaving=leaving,
@@ -67,7 +72,9 @@
             )
             return MigrationReply(source_leaving=leaving)
         cache = MigratedCache(
-            address=source.address, handle=handle, target=target.server_id
+            address=source.address,
+            handle=handle,
+            target=continue_at.server_id,
         )
         return MigrationReply(cache=cache, source_leaving=leaving)
 
