Wait for the copy of a run that may not be sent again

A resumable stream was cut if its run was stopped to move it, the copy took over a second, and the request had no attempt, server or resend left. The short wait now applies only where the request could be resumed without the copy at the start of the move. The test failed before.

--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -580,10 +580,10 @@
         )
         if source is None or pick is None or not state.response_started:
             return []
-        state.is_migrating = state.may_be_stopped = True
         deadline = state.exchange.expires_at
-        if state.exchange.retry_policy is RetryPolicy.RESUMABLE:
+        if self.can_leave_silent_server(now, request_id):
             deadline = min(deadline, now + MAX_MIGRATION_S)
+        state.is_migrating = state.may_be_stopped = True
         return [
             MigrateRun(
                 request_id=request_id,
