Move the runs of a service that a new configuration has dropped

If a configuration without the service of a run was applied and the run's server then left, the run was not moved and ended with its server. The exchange now keeps the traits of the service with which it was admitted, as it keeps the route.

--- a/waxwingarch/core/exchange/exchange_admission.py
+++ b/waxwingarch/core/exchange/exchange_admission.py
@@ -63,14 +63,17 @@
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
+        service = self._choose_service(route)
+        routed = self._table.services.get(service)
         exchange = Exchange(
             head=head,
             route=route,
-            service=self._choose_service(route),
+            service=service,
             account=account.account if account else None,
             priority=priority,
             arrived_at=arrived_at,
             expires_at=expires_at,
+            traits=routed.engine if routed else None,
         )
         return exchange, cost
 
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -43,7 +43,6 @@
 from waxwingarch.core.refusal import Refusal
 from waxwingarch.core.rollouts.rollout_controller import RolloutController
 from waxwingarch.core.routing.config import (
-    EngineTraits,
     RetryPolicy,
 )
 from waxwingarch.core.routing.table import RoutingTable
@@ -89,7 +88,6 @@
         leaving_known_s: float,
         quarantine: Quarantine,
     ) -> None:
-        self._table = table
         self._quarantine = quarantine
         # Whether this host may send a probe with a quarantined part.
         self.may_probe = False
@@ -161,11 +159,12 @@
         With `target` the attempt goes to that server.
         """
         exchange = state.exchange
-        traits = self._engine_traits(exchange.service)
-        pick = self._pick_server(now, state, target, traits)
+        pick = self._pick_server(now, state, target)
         if pick is None:
             return None
-        self._load_balancer.record_attempt(now, exchange, pick, traits)
+        self._load_balancer.record_attempt(
+            now, exchange, pick, exchange.traits
+        )
         state.tried_servers.add(pick.server.server_id)
         migrated_cache, state.migrated_cache = state.migrated_cache, None
         state.response_started = False
@@ -177,11 +176,11 @@
         now: float,
         state: ExchangeState,
         target: Server | None,
-        traits: EngineTraits | None,
     ) -> Pick | None:
         if target is None:
+            exchange = state.exchange
             return self._load_balancer.choose(
-                now, state.exchange, traits, state.tried_servers
+                now, exchange, exchange.traits, state.tried_servers
             )
         # The target has a copy of the run's KV cache: it reads no prompt.
         return Pick(server=target, expected_s=0.1, uncached_tokens=0)
@@ -224,10 +223,6 @@
             streaming=route.streaming,
         )
 
-    def _engine_traits(self, service: ServiceId) -> EngineTraits | None:
-        routed_service = self._table.services.get(service)
-        return routed_service.engine if routed_service else None
-
     # Attempts
 
     def record_response_start(
@@ -538,17 +533,16 @@
         self, now: float, event: BackendLeaving
     ) -> list[Action]:
         """Schedule the migration of all runs off a leaving server."""
-        server = event.server
-        traits = self._engine_traits(server.service)
-        if traits is None or not traits.can_migrate:
-            return []
         migrate_at = now + MIGRATION_DELAY_S
         if event.leaves_at is not None:
             migrate_at = max(now, event.leaves_at - MIGRATION_LEAD_S)
         for request_id in self._load_balancer.loads.requests_on(
-            server.server_id
+            event.server.server_id
         ):
-            self._migrate_at.setdefault(request_id, migrate_at)
+            state = self._exchanges.get(request_id)
+            traits = state.exchange.traits if state else None
+            if traits is not None and traits.can_migrate:
+                self._migrate_at.setdefault(request_id, migrate_at)
         return []
 
     def tick(self, now: float) -> list[Action]:
@@ -574,13 +568,13 @@
         if state is None or server_id is None or state.is_migrating:
             return []
         source = self._load_balancer.registry.get(server_id)
-        traits = self._engine_traits(state.exchange.service)
+        exchange = state.exchange
         pick = self._load_balancer.choose(
-            now, state.exchange, traits, {server_id}
+            now, exchange, exchange.traits, {server_id}
         )
         if source is None or pick is None or not state.response_started:
             return []
-        deadline = state.exchange.expires_at
+        deadline = exchange.expires_at
         if self.can_leave_silent_server(now, request_id):
             deadline = min(deadline, now + MAX_MIGRATION_S)
         state.is_migrating = state.may_be_stopped = True
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -13,7 +13,7 @@
     ServiceId,
 )
 from waxwingarch.core.refusal import Refusal
-from waxwingarch.core.routing.config import RetryPolicy, Route
+from waxwingarch.core.routing.config import EngineTraits, RetryPolicy, Route
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,7 +64,8 @@
     """An admitted request; times are on the node's clock.
 
     `expires_at` is the earlier of the caller's deadline and the end of the
-    route's timeout: the caller has the final response by then.
+    route's timeout: the caller has the final response by then. `traits` are
+    those of the service when the request was admitted.
     """
 
     head: ExchangeHead
@@ -74,6 +75,7 @@
     priority: int
     arrived_at: float
     expires_at: float
+    traits: EngineTraits | None = None
 
     @property
     def request_id(self) -> RequestId:
