Stop avoiding a silent server as soon as bytes come from it

Two streams that were silent for a moment made a sound server count as dead, and then one stream on trial kept all new requests off it until that stream ended.

--- a/waxwingarch/core/backends/health.py
+++ b/waxwingarch/core/backends/health.py
@@ -31,7 +31,8 @@
 
     `avoid_s` is how long the server is avoided the next time.
     `is_on_trial` is set while the single request is in flight that tries
-    a dead server again.
+    a dead server again. `is_silent` is set while no bytes have come since
+    a response paused for too long.
     """
 
     failure_ratio: float = 0.0
@@ -40,6 +41,7 @@
     avoid_until: float = float("-inf")
     avoid_s: float = INITIAL_AVOID_S
     is_on_trial: bool = False
+    is_silent: bool = False
 
 
 class HealthTracker:
@@ -119,7 +121,7 @@
         record.failure_ratio = decayed * (1 - RESULT_WEIGHT) + RESULT_WEIGHT
         record.updated_at = now
         record.consecutive_failures += 1
-        record.is_on_trial = False
+        record.is_on_trial = record.is_silent = False
         is_dead = (
             unreachable or record.consecutive_failures >= DEAD_AFTER_FAILURES
         )
@@ -131,6 +133,20 @@
         record.avoid_s = min(MAX_AVOID_S, record.avoid_s * 2)
         return True
 
+    def record_silence(self, now: float, server_id: ServerId) -> None:
+        """Record that a response has paused for too long."""
+        self.record_failure(now, server_id, unreachable=False)
+        self._records[server_id].is_silent = True
+
+    def end_silence(self, now: float, server_id: ServerId) -> None:
+        """Stop avoiding a silent server: bytes have come from it."""
+        record = self._records.get(server_id)
+        if record is None or not record.is_silent:
+            return
+        record.is_silent = record.is_on_trial = False
+        record.consecutive_failures = 0
+        record.avoid_until = now
+
     def end_trial(self, server_id: ServerId) -> None:
         """Allow another trial: the last request ended without a result."""
         record = self._records.get(server_id)
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -320,15 +320,14 @@
         self, now: float, event: ServerActivity
     ) -> list[Action]:
         self.load_balancer.loads.record_activity(now, event.server_id)
+        self.load_balancer.health.end_silence(now, event.server_id)
         return []
 
     def _handle_server_silent(
         self, now: float, event: ServerSilent
     ) -> list[Action]:
         """Avoid the server for new requests; the response may go on."""
-        self.load_balancer.health.record_failure(
-            now, event.server_id, unreachable=False
-        )
+        self.load_balancer.health.record_silence(now, event.server_id)
         return []
 
     # Peers
