Wait for silent servers where no other is left, also before a response

A caller got 502 from a host that had given up the last sound server of a service after a second of silence, with most of the time left. Before the first byte, a silent server is now given up only if the service has one that was not tried: for this host or for the caller's own retry.

--- a/tests/core/front/test_exchanges.py
+++ b/tests/core/front/test_exchanges.py
@@ -471,7 +471,9 @@
         arrive(node, "r", path=path)
         request_id = RequestId("r")
         node.handle(1.1, ResponseStarted(request_id=request_id))
-        return node.exchanges.can_leave_silent_server(now, request_id)
+        return node.exchanges.may_leave_silent_server(
+            now, request_id, response_started=True
+        )
 
     def test_resumable_stream_may_go_on_elsewhere(self) -> None:
         self.assertTrue(self.can_leave(serving_front()))
@@ -494,7 +496,9 @@
         )
         self.assertIsInstance(again, SendRequest)
         self.assertFalse(
-            node.exchanges.can_leave_silent_server(2.1, RequestId("r"))
+            node.exchanges.may_leave_silent_server(
+                2.1, RequestId("r"), response_started=True
+            )
         )
 
     def test_silent_server_gets_no_new_requests(self) -> None:
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -309,22 +309,45 @@
             or now < backend.leaving_since + self._leaving_known_s
         )
 
-    def can_leave_silent_server(
-        self, now: float, request_id: RequestId
+    def may_leave_silent_server(
+        self, now: float, request_id: RequestId, *, response_started: bool
     ) -> bool:
-        """Return whether another server would continue a begun response."""
+        """Return whether the silence of a server may end an attempt.
+
+        It may if the request can be resent, or if nothing of the response
+        was sent and the caller may find another server itself.
+        `response_started` is that of `AttemptFinished`.
+        """
+        state = self._exchanges.get(request_id)
+        if state is None:
+            return False
+        if not response_started:
+            return self._has_untried_server(now, state)
+        return self.can_resend(now, request_id, response_started=True)
+
+    def can_resend(
+        self, now: float, request_id: RequestId, *, response_started: bool
+    ) -> bool:
+        """Return whether a request would be resent if its server is silent.
+
+        `response_started` is that of `AttemptFinished`.
+        """
         state = self._exchanges.get(request_id)
         server_id = self._load_balancer.loads.server_of(request_id)
         if state is None or server_id is None:
             return False
-        if not state.may_leave_silent_server(now, server_id):
+        if not state.may_resend_after_silence(
+            now, server_id, response_started=response_started
+        ):
             return False
-        service = state.exchange.service
         return state.migrated_cache is not None or (
-            self._resend_budget.can_resend(now, service)
-            and self._load_balancer.has_choice(
-                now, service, state.tried_servers
-            )
+            self._resend_budget.can_resend(now, state.exchange.service)
+            and self._has_untried_server(now, state)
+        )
+
+    def _has_untried_server(self, now: float, state: ExchangeState) -> bool:
+        return self._load_balancer.has_choice(
+            now, state.exchange.service, state.tried_servers
         )
 
     def _record_health(
@@ -575,7 +598,7 @@
         if source is None or pick is None or not state.response_started:
             return []
         deadline = exchange.expires_at
-        if self.can_leave_silent_server(now, request_id):
+        if self.can_resend(now, request_id, response_started=True):
             deadline = min(deadline, now + MAX_MIGRATION_S)
         state.is_migrating = state.may_be_stopped = True
         return [
--- a/waxwingarch/core/exchange/state_machine.py
+++ b/waxwingarch/core/exchange/state_machine.py
@@ -82,17 +82,20 @@
             return NextStep.RESEND
         return self.final_step(finished)
 
-    def may_leave_silent_server(self, now: float, server: ServerId) -> bool:
-        """Return whether another server may continue a begun response.
+    def may_resend_after_silence(
+        self, now: float, server: ServerId, *, response_started: bool
+    ) -> bool:
+        """Return whether the request may be resent if its server is silent.
 
-        While a migration is under way, its outcome decides.
+        `response_started` is that of `AttemptFinished`. While a migration
+        is under way, its outcome decides.
         """
         if self.is_migrating:
             return False
         silent = AttemptFinished(
             request_id=self.exchange.request_id,
             outcome=AttemptOutcome.SILENT,
-            response_started=True,
+            response_started=response_started,
         )
         return self._may_resend(
             now, silent, not_run=False, also_run_on=(server,)
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -167,8 +167,7 @@
 
         After the first-byte deadline the wait goes on for as long as the
         server sends other responses: it is slow then, not down. It goes on
-        as well if a part of the response was sent that no other server can
-        continue.
+        as well where no other server can take over.
         """
         now = asyncio.get_running_loop().time()
         if now < send.first_byte_deadline:
@@ -186,16 +185,11 @@
         return now + FIRST_BYTE_POLL_S
 
     def _may_give_up(self, now: float) -> bool:
-        """Return whether the silence of a server may end this attempt.
-
-        A caller that has received a part of the response would be cut off
-        if no other server can continue it.
-        """
-        return (
-            not self.state.response_started
-            or self._runner.node.exchanges.can_leave_silent_server(
-                now, self._request_id
-            )
+        """Return whether the silence of a server may end this attempt."""
+        return self._runner.node.exchanges.may_leave_silent_server(
+            now,
+            self._request_id,
+            response_started=self.state.response_started,
         )
 
     async def _async_find_response(
