Wait for the body of an error that can't be replaced

A server's own error whose body paused for over a second was replaced by the host's 502, also where the request may not be sent again. The test failed before.

--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -53,9 +53,9 @@
 # The largest response of a server that is not streamed. Some dozens are held
 # in memory at the same time on a host with 200 MB.
 MAX_RESPONSE_BYTES: Final = 4 * 1024 * 1024
-# The body of a rejection or of an error response is short: the rest of it is
-# awaited for this long.
-FAILURE_BODY_TIMEOUT_S: Final = 1.0
+# The body of a rejection is short, and so is that of an error response: the
+# rest of it is awaited for this long where nothing depends on it.
+SHORT_BODY_TIMEOUT_S: Final = 1.0
 
 # Interval of the checks whether a migration has ended.
 MIGRATION_POLL_S: Final = 0.05
@@ -224,9 +224,10 @@
             )
             return outcome, head.retry_after_s
         if not HTTP_SUCCESS_MIN <= head.status <= HTTP_SUCCESS_MAX:
-            body = await stream.async_read_rest(
-                self._failure_body_deadline(send), MAX_RESPONSE_BYTES
-            )
+            deadline = send.expires_at
+            if self._can_resend():
+                deadline = self._short_body_deadline(send)
+            body = await stream.async_read_rest(deadline, MAX_RESPONSE_BYTES)
             self._report_response_start(send)
             if head.is_authentic:
                 self.state.failure = FailureResponse(
@@ -243,9 +244,16 @@
             await self._async_forward_body(stream, send)
         return AttemptOutcome.DONE, None
 
-    def _failure_body_deadline(self, send: SendRequest) -> float:
+    def _can_resend(self) -> bool:
+        return self._runner.node.exchanges.can_resend(
+            asyncio.get_running_loop().time(),
+            self._request_id,
+            response_started=self.state.response_started,
+        )
+
+    def _short_body_deadline(self, send: SendRequest) -> float:
         now = asyncio.get_running_loop().time()
-        return min(send.expires_at, now + FAILURE_BODY_TIMEOUT_S)
+        return min(send.expires_at, now + SHORT_BODY_TIMEOUT_S)
 
     async def _async_discard_body(
         self, stream: ClientStream, send: SendRequest
@@ -256,7 +264,7 @@
         """
         try:
             await stream.async_read_rest(
-                self._failure_body_deadline(send), MAX_RESPONSE_BYTES
+                self._short_body_deadline(send), MAX_RESPONSE_BYTES
             )
         except LinkError as exc:
             self._log_invalid("rejection_cut", send, exc)
