Await the response after a stray one as any other

The head that follows a response to another request was awaited only until the deadline of the first byte, which nothing extended: 502 from a sound server. The test failed before.

--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -40,6 +40,8 @@
 )
 
 Headers = Sequence[tuple[str, str]]
+# Returns the time to wait until, or None to give up.
+WaitUntil = Callable[[], float | None]
 FRAMING_HEADERS: Final = frozenset({"content-length", "transfer-encoding"})
 KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout=(\d+)")
 
@@ -133,15 +135,19 @@
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
 
-    async def async_next_response(self, deadline: float) -> "ClientStream":
+    async def async_next_response(
+        self, deadline: float, wait_until: WaitUntil
+    ) -> "ClientStream":
         """Skip this response, which belongs to another request.
 
-        Returns the next response on the connection; raises the errors of
-        `async_read`.
+        `deadline` bounds the rest of it, `wait_until` the wait for the head
+        of the next one, as in `HttpClient.async_stream`. Returns the next
+        response on the connection; raises the errors of `async_read`.
         """
         await self.async_read_rest(deadline)
         self._conn.expect_response_again()
-        return ClientStream(self._conn, await self._conn.async_head(deadline))
+        head = await _async_head(self._conn, deadline, wait_until)
+        return ClientStream(self._conn, head)
 
     async def async_read_rest(
         self, deadline: float, max_bytes: int = MAX_BODY_BYTES
@@ -416,7 +422,7 @@
         max_idle_s: float = MAX_REUSE_IDLE_S,
         connect_deadline: float | None = None,
         permit: Callable[[], bool] = lambda: True,
-        wait_until: Callable[[], float | None] | None = None,
+        wait_until: WaitUntil | None = None,
     ) -> AsyncIterator[ClientStream]:
         """Send a request and yield its response as a stream.
 
@@ -494,7 +500,7 @@
 async def _async_head(
     conn: _ClientConnection,
     deadline: float,
-    wait_until: Callable[[], float | None] | None,
+    wait_until: WaitUntil | None,
 ) -> h11.Response:
     if wait_until is None:
         return await conn.async_head(deadline)
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -207,7 +207,10 @@
                 self._runner.post(LeavingAnnounced(server=send.server))
             if head.request_id in (None, self._request_id):
                 return stream, head
-            stream = await stream.async_next_response(send.first_byte_deadline)
+            stream = await stream.async_next_response(
+                max(send.first_byte_deadline, self._short_body_deadline(send)),
+                lambda: self._first_byte_wait_until(send),
+            )
         raise BadResponseError(
             f"{send.server.address}: too many stray responses"
         )
