Follow a table further after an error in a call for its changes

After one unexpected error, such as a reply without rows, the host followed that table no more and logged nothing: it stayed on its configuration and servers unless peers sent changes. The error is now logged and the table read in full.

--- a/waxwingarch/tasks/table_watch.py
+++ b/waxwingarch/tasks/table_watch.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Final
 
-from eliot import log_message
+from eliot import log_message, write_traceback
 
 from waxwingarch.adapters.platform_http import Backoff
 from waxwingarch.core.peers.report_gossip import LONG_POLL_S
@@ -231,27 +231,37 @@
     async def _async_run(self) -> None:
         while True:
             await self._following.wait()
-            self._poll_task = asyncio.create_task(self._async_poll())
             try:
-                rows = await self._poll_task
-            except HistoryLostError as exc:
-                log_message(message_type="history_lost", reason=str(exc))
+                await self._async_follow()
+            except Exception as exc:
+                # The table would not be followed any more.
+                write_traceback(exc_info=(type(exc), exc, exc.__traceback__))
                 self._synced = False
-                self._expect_missing_rows(REREGISTRATION_S)
-                await self._async_pause_after_lost_history()
-            except StoreUnavailableError as exc:
-                self._handle_store_failure(exc)
-                pause_s = min(RETRY_DELAY_MAX_S, self._backoff.next_s())
-                await asyncio.sleep(pause_s)
-            except asyncio.CancelledError:
-                # `merge` cancels only the call, not this task.
-                current = asyncio.current_task()
-                if current is None or current.cancelling():
-                    raise
-            else:
-                self._apply_poll(rows)
-                if rows.rows:
-                    await asyncio.sleep(CHANGE_BATCH_PAUSE_S)
+                await asyncio.sleep(RETRY_DELAY_MAX_S)
+
+    async def _async_follow(self) -> None:
+        """Make one call and apply its outcome."""
+        self._poll_task = asyncio.create_task(self._async_poll())
+        try:
+            rows = await self._poll_task
+        except HistoryLostError as exc:
+            log_message(message_type="history_lost", reason=str(exc))
+            self._synced = False
+            self._expect_missing_rows(REREGISTRATION_S)
+            await self._async_pause_after_lost_history()
+        except StoreUnavailableError as exc:
+            self._handle_store_failure(exc)
+            pause_s = min(RETRY_DELAY_MAX_S, self._backoff.next_s())
+            await asyncio.sleep(pause_s)
+        except asyncio.CancelledError:
+            # `merge` cancels only the call, not this task.
+            current = asyncio.current_task()
+            if current is None or current.cancelling():
+                raise
+        else:
+            self._apply_poll(rows)
+            if rows.rows:
+                await asyncio.sleep(CHANGE_BATCH_PAUSE_S)
 
     async def _async_pause_after_lost_history(self) -> None:
         """Pause before another full read soon after the last one."""
