--- a/waxwingarch/tasks/front_entry.py
+++ b/waxwingarch/tasks/front_entry.py
@@ -167,7 +167,8 @@
                     "the caller closed the connection"
                 )
             serve_task.result()
-        except CallerDisconnectedError:
+        except Exception:
+            # After any error the node has to drop the exchange as well.
             self._runner.post(CallerDisconnected(request_id=head.request_id))
             raise
         finally:
