--- a/waxwingarch/tasks/runner.py
+++ b/waxwingarch/tasks/runner.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Generic, Protocol, TypeAlias, TypeVar
 
+from eliot import write_traceback
+
 from waxwingarch.core.base import Action, Event
 from waxwingarch.core.node import Node
 
@@ -67,7 +69,11 @@
         if self._recorder:
             self._recorder.record(now, event, actions)
         for observer in self._observers:
-            observer(now, event, actions)
+            try:
+                observer(now, event, actions)
+            except Exception as exc:
+                # The actions of the step must be carried out all the same.
+                write_traceback(exc_info=(type(exc), exc, exc.__traceback__))
         for action in actions:
             self._handlers[type(action)](action)
 
