Keep a silent engine's stream while no retry is left to resume it

On the own interface, three silences of an engine cancelled the stream that it held, also where the retry budget was used up: the request then waited for a retry, at worst until its deadline. It now attaches again until a retry is left.

--- a/waxwingarch/core/limits/retry_budget.py
+++ b/waxwingarch/core/limits/retry_budget.py
@@ -25,9 +25,14 @@
         """Count a request that a caller sent for the first time."""
         self._balance = min(self._burst, self._balance + self._fraction)
 
+    @property
+    def can_retry(self) -> bool:
+        """Whether one more retry is within the budget."""
+        return self._balance >= 1.0
+
     def try_retry(self) -> bool:
         """Spend one retry; return False if the budget is used up."""
-        if self._balance < 1.0:
+        if not self.can_retry:
             return False
         self._balance -= 1.0
         return True
--- a/waxwingarch/core/requests/request_manager.py
+++ b/waxwingarch/core/requests/request_manager.py
@@ -239,7 +239,9 @@
                 now, request, self._identity, self._owners
             )
         if request.kind is Kind.ENGINE:
-            return StreamMachine(now, request)
+            return StreamMachine(
+                now, request, lambda: self._retry_budget.can_retry
+            )
         return PlainMachine(now, request)
 
     def _start_machine(
--- a/waxwingarch/core/requests/stream.py
+++ b/waxwingarch/core/requests/stream.py
@@ -84,10 +84,19 @@
 
 
 class StreamMachine:
-    """State machine of one accepted model request."""
+    """State machine of one accepted model request.
 
-    def __init__(self, now: float, request: Request) -> None:
+    `may_resume` says whether it could be resumed on another server now.
+    """
+
+    def __init__(
+        self,
+        now: float,
+        request: Request,
+        may_resume: Callable[[], bool] = lambda: True,
+    ) -> None:
         self.request = request
+        self._may_resume = may_resume
         self.state = RequestState.WAITING
         resume = request.resume
         self.assembly = TokenAssembly(
@@ -341,7 +350,10 @@
                 "send the request again: the answer failed its check",
             )
         attempt = self.attempt
-        may_attach = self.attaches < MAX_CONSECUTIVE_ATTACHES
+        # A silent server still holds the stream, and nothing else does
+        # unless the request can be resumed.
+        must_wait = event.kind is LossKind.SILENT and not self._may_resume()
+        may_attach = self.attaches < MAX_CONSECUTIVE_ATTACHES or must_wait
         if ATTACHABLE[event.kind] and may_attach:
             self.attaches += 1
             drop = self._drop_attempt(cancel=False)
