Count only requests without an answer as part of a crash

A request counted as in a crash up to a second after its first byte, and a server that broke single responses was not seen to go on in time. Now it counts only until 0.2 s after the first byte, a crash counts after 0.4 s, and activity of the process up to 3 s later refutes it.

--- a/tests/core/front/crash_fleet.py
+++ b/tests/core/front/crash_fleet.py
@@ -43,6 +43,16 @@
     ReportReceived,
     SendReport,
 )
+from waxwingarch.core.quarantine.quarantine_messages import (
+    CancelAttempt,
+    PartState,
+    QuarantineChanged,
+    QuarantineEntry,
+    QuarantineRead,
+    QuarantineWritten,
+    ReadQuarantine,
+    WriteQuarantine,
+)
 from waxwingarch.core.refusal import RefusalReason
 
 TICK_S = 0.1
@@ -52,6 +62,10 @@
 UNLISTED_AFTER_S = 2.0
 BACK_AFTER_S = 6.0
 ACTIVITY_S = 0.2
+STORE_DELAY_S = 0.01
+RETRY_AFTER_S = 0.3
+# The host that holds the duties.
+HOLDER = "h0"
 POISON = "poison"
 FIRST_PART = "first"
 # The parts that sound requests hold in place of the poisoned one.
@@ -89,6 +103,7 @@
         seed: int,
         *,
         with_codec: bool = True,
+        sound_parts: int = SOUND_PARTS,
     ) -> None:
         self.rng = Random(seed)
         self.now = 0.0
@@ -103,6 +118,12 @@
         self.actions: list[tuple[str, Action]] = []
         self.max_report_bytes = 0
         self.poisons = {POISON}
+        # Versions of which half the processes crash as they begin.
+        self.bad_versions: set[str] = set()
+        self.store_is_down = False
+        self.row: tuple[QuarantineEntry, ...] = ()
+        self.writes = 0
+        self._sound_parts = sound_parts
         self._with_codec = with_codec
         self._due: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -132,6 +153,8 @@
             first_start=incarnation == 1,
         )
         node = FrontNode(identity, FrontBounds(), Random(self.rng.random()))
+        if name == HOLDER:
+            node.may_act = lambda boot_now: True  # type: ignore[method-assign]
         self.nodes[name] = node
         for key in [k for k in self._attempts if k[0] == name]:
             del self._attempts[key]
@@ -179,12 +202,35 @@
             case LocalResponse(request_id=request_id, refusal=refusal):
                 self._attempts.pop((name, request_id), None)
                 self.refused.append((self.now, request_id, refusal.reason))
+                self._retry(request_id)
             case AbortResponse(request_id=request_id):
                 self._attempts.pop((name, request_id), None)
                 self.lost += 1
+                self._retry(request_id)
+            case CancelAttempt(request_id=request_id):
+                self._attempts.pop((name, request_id), None)
+            case ReadQuarantine():
+                entries = None if self.store_is_down else self.row
+                read = QuarantineRead(entries=entries)
+                self._after(STORE_DELAY_S, lambda: self.post(name, read))
+            case WriteQuarantine(entries=entries):
+                self._write(name, entries)
             case _:
                 self.actions.append((name, action))
 
+    def _write(self, name: str, entries: tuple[QuarantineEntry, ...]) -> None:
+        self.writes += 1
+        if not self.store_is_down:
+            self.row = entries
+        written = QuarantineWritten(written=not self.store_is_down)
+        self._after(STORE_DELAY_S, lambda: self.post(name, written))
+
+    def _retry(self, request_id: RequestId) -> None:
+        """Let the caller of a sound request try it once more."""
+        part, _, number = request_id.partition("-")
+        if part not in self.poisons and number.isdigit():
+            self._after(RETRY_AFTER_S, lambda: self.send(part, again=True))
+
     def _send_report(self, name: str, action: SendReport) -> None:
         report = action.report
         if self._with_codec:
@@ -212,13 +258,14 @@
         *,
         first: str = FIRST_PART,
         path: str = "/draft/x",
+        again: bool = False,
     ) -> RequestId:
         """Send a request with a shared part to a host, or to any."""
         names = [n for n in self.nodes if n not in self.paused]
         name = host or self.rng.choice(names)
         number = next(self._ids)
         head = make_head(
-            f"{part}-{number}",
+            f"{part}-{number}" + ("-again" if again else ""),
             path,
             parts=(
                 PromptPart(part=first, tokens=300),
@@ -248,7 +295,7 @@
 
     def sound_part(self) -> str:
         """Return a part that sound requests share; few are popular."""
-        return f"s{int(SOUND_PARTS * self.rng.random() ** 2)}"
+        return f"s{int(self._sound_parts * self.rng.random() ** 2)}"
 
     def _send(self, name: str, send: SendRequest) -> None:
         head = self._head_of(name, send.request_id)
@@ -304,6 +351,10 @@
             self.crashed_at.append(self.now)
             self.crash(server_id)
             return
+        version = self.backends[server_id].server.version
+        if version in self.bad_versions and self.rng.random() < 0.5:
+            self.crash(server_id)
+            return
         run.started = True
         self._post_run(run, ResponseStarted(request_id=run.head.request_id))
         ends_at = self.now + self.rng.uniform(0.4, 1.6)
@@ -438,3 +489,75 @@
             return 0
         since = self.crashed_at[crashes - 1] + contact_s
         return sum(at > since for at in self.reached)
+
+    def held(self) -> set[str]:
+        """Return the parts that any host refuses."""
+        return {
+            entry.part
+            for node in self.nodes.values()
+            for entry in node.quarantine.entries
+            if entry.state is PartState.HELD
+        }
+
+    def ever_held(self) -> set[str]:
+        """Return the parts that a host has quarantined at any time."""
+        return {
+            action.entry.part
+            for _, action in self.actions
+            if isinstance(action, QuarantineChanged)
+            and action.entry.state is PartState.HELD
+        }
+
+    # Disruptions that are not due to a request
+
+    def disrupt(self, until: float) -> None:
+        """Lose servers in all the ways that servers are lost."""
+        while True:
+            at = self.now + self.rng.expovariate(1.0)
+            if at > until:
+                return
+            self.run(at)
+            kind = self.rng.choice(
+                (
+                    self._crash_some,
+                    self._crash_some,
+                    self._lose_domain,
+                    self._reclaim,
+                    self._turn_grey,
+                    self._release_bad,
+                )
+            )
+            kind()
+
+    def _crash_some(self) -> None:
+        count = self.rng.randrange(1, 1 + max(1, len(self.backends) // 6))
+        some = self.rng.sample(sorted(self.backends), count)
+        self.crash_all(some, self.rng.choice((0.0, 0.01, 2.0)))
+
+    def _lose_domain(self) -> None:
+        domain = self.rng.choice(DOMAINS)
+        self.crash_all(self.in_domain(domain), self.rng.choice((0.0, 0.9)))
+
+    def _reclaim(self) -> None:
+        for server_id in self.in_domain(self.rng.choice(DOMAINS))[::2]:
+            self.drain(server_id, 2.0)
+
+    def _turn_grey(self) -> None:
+        server_id = self.rng.choice(sorted(self.backends))
+        for _ in range(10):
+            self._after(
+                self.rng.uniform(0.0, 4.0),
+                lambda: self.break_response(server_id),
+            )
+
+    def _release_bad(self) -> None:
+        some = self.rng.sample(
+            sorted(self.backends), max(1, len(self.backends) // 8)
+        )
+        self.bad_versions = {"v2"}
+        for server_id in some:
+            self.upgrade(server_id, "v2")
+            self._after(
+                6.0,
+                lambda s=server_id: self.upgrade(s, "v1"),  # type: ignore[misc]
+            )
--- a/waxwingarch/core/quarantine/crash_evidence.py
+++ b/waxwingarch/core/quarantine/crash_evidence.py
@@ -26,6 +26,9 @@
 # Before a verdict the other hosts have this long, from the first crash on,
 # to tell of sound answers.
 SETTLE_S: Final = 0.6
+# A crash counts only after this time, in which a server that goes on is
+# seen to do so.
+CONFIRMED_AFTER_S: Final = 0.4
 # News of a crash and of sound answers have come from all hosts by then.
 RECENT_S: Final = 10.0
 # Bounds of memory and of the bytes in a report.
@@ -92,7 +95,7 @@
     def refute(self, now: float, has_gone_on: Callable[[Crash], bool]) -> None:
         """Mark recent crashes of processes that went on afterwards."""
         for index, crash in enumerate(self._crashes):
-            is_recent = now - crash.at < SAME_CRASH_S
+            is_recent = now - crash.at < RECENT_S
             if is_recent and not crash.refuted and has_gone_on(crash):
                 self._crashes[index] = replace(crash, refuted=True)
 
@@ -135,6 +138,10 @@
         """
         best: tuple[int, int, str] | None = None
         under = self._by_suspect(held)
+        for part, crashes in under.items():
+            under[part] = [
+                c for c in crashes if now - c.at >= CONFIRMED_AFTER_S
+            ]
         ids = {part: {id(c) for c in found} for part, found in under.items()}
         for part, crashes in under.items():
             if not _condemns(now, part, crashes, released.get(part)):
--- a/waxwingarch/core/quarantine/quarantine.py
+++ b/waxwingarch/core/quarantine/quarantine.py
@@ -34,6 +34,8 @@
 # An answer that has gone on for this long after its first byte went well:
 # a poisoned part ends the server when it begins to answer.
 SOUND_AFTER_S: Final = 1.0
+# A request is in a crash if no answer to it had begun, or just then.
+BEGUN_WITHIN_S: Final = 0.2
 # A part stays in quarantine until no request with it came for this long.
 # Then the holder of the duties lets one request through, as a probe.
 QUARANTINE_IDLE_S: Final = 900.0
@@ -47,7 +49,7 @@
 # the process goes on: what was on the way arrives before, and a process
 # that was started again is back later.
 GONE_ON_AFTER_S: Final = 0.1
-GONE_ON_BEFORE_S: Final = 1.0
+GONE_ON_BEFORE_S: Final = 3.0
 # Requests note at most this often that they still come.
 SEEN_STEP_S: Final = 10.0
 
@@ -159,6 +161,8 @@
         if _went_well(now, attempt):
             self.record_sound(now, head)
             return
+        if _answered_for_s(now, attempt) > BEGUN_WITHIN_S:
+            return
         parts = {part: n for n, part in enumerate(_keys(head))}
         if not parts:
             return
@@ -383,11 +387,14 @@
     return tuple(part_key(part) for part in head.shared_parts)
 
 
+def _answered_for_s(now: float, attempt: ActiveAttempt) -> float:
+    if attempt.first_byte_s is None:
+        return 0.0
+    return now - attempt.sent_at - attempt.first_byte_s
+
+
 def _went_well(now: float, attempt: ActiveAttempt) -> bool:
-    return (
-        attempt.first_byte_s is not None
-        and now - attempt.sent_at - attempt.first_byte_s > SOUND_AFTER_S
-    )
+    return _answered_for_s(now, attempt) > SOUND_AFTER_S
 
 
 def _has_gone_on(crashed_at: float, last_activity_at: float) -> bool:
