Judge a prompt part by distinct losses alone

A request that was in two crashes counted as one crash more.

Adds tests of false alarms, of what a host knows after a start, a pause or a cut, of refusals, of the end of a quarantine and of its bounds.

--- a/tests/core/front/test_quarantine.py
+++ b/tests/core/front/test_quarantine.py
@@ -2,13 +2,51 @@
 
 import testtools
 
+from tests.core.front.builders import (
+    DOMAINS,
+    arrive,
+    make_head,
+    server,
+    serving_front,
+)
 from tests.core.front.crash_fleet import POISON, CrashFleet
+from waxwingarch.adapters.quarantine_codec import (
+    decode_quarantine,
+    encode_quarantine,
+)
+from waxwingarch.core.backends.load import ActiveAttempt
+from waxwingarch.core.base import (
+    Action,
+    ExecutionStatus,
+    RequestId,
+    ServerId,
+)
+from waxwingarch.core.exchange.exchange_messages import (
+    LocalResponse,
+    ResponseStarted,
+    SendRequest,
+)
+from waxwingarch.core.quarantine.crash_evidence import MAX_REPORTED_CRASHES
+from waxwingarch.core.quarantine.quarantine import (
+    MAX_ENTRIES,
+    QUARANTINE_IDLE_S,
+    Quarantine,
+)
+from waxwingarch.core.quarantine.quarantine_messages import (
+    CancelAttempt,
+    PartState,
+    QuarantineChanged,
+    QuarantineOrdered,
+    QuarantineReport,
+)
+from waxwingarch.core.refusal import RefusalReason
 
 # A host is in touch this long after a disruption of its own.
 CONTACT_S = 3.0
 CRASHES_TOLERATED = 5
 MAX_SENT_AFTER = 3
 RUN_S = 30.0
+MAX_REPORT_BYTES = 8000
 
 
 class BudgetOfThePoisonedPart(testtools.TestCase):
@@ -49,3 +87,234 @@
         fleet.run(15.0)
         sent = fleet.sent_after(CRASHES_TOLERATED, CONTACT_S)
         self.assertLessEqual(sent, MAX_SENT_AFTER)
+
+
+class SoundPartsAmongCrashes(testtools.TestCase):
+    """Servers are lost in many ways, with the same parts in flight.
+
+    A sound part that is quarantined is an outage of its own.
+    """
+
+    def test_common_parts_are_not_quarantined(self) -> None:
+        for seed, path in ((1, "/chat/x"), (2, "/draft/x")):
+            fleet = CrashFleet(8, 24, seed)
+            fleet.load(40.0, RUN_S, fleet.sound_part, path)
+            fleet.run(3.0)
+            fleet.disrupt(RUN_S)
+            fleet.run(RUN_S + 3.0)
+            self.assertEqual(set(), fleet.ever_held(), seed)
+
+    def test_all_servers_of_a_domain_or_of_all_end_at_once(self) -> None:
+        fleet = CrashFleet(8, 24, 3)
+        fleet.load(60.0, 12.0, lambda: "s0", "/chat/x")
+        fleet.run(4.0)
+        fleet.crash_all(fleet.in_domain(DOMAINS[1]), 0.9)
+        fleet.run(6.0)
+        fleet.crash_all(fleet.backends, 0.01)
+        fleet.run(15.0)
+        self.assertEqual(set(), fleet.ever_held())
+
+    def test_parts_beside_the_poisoned_one_are_served(self) -> None:
+        fleet = CrashFleet(8, 24, 1)
+        fleet.load(30.0, 12.0, fleet.sound_part)
+        fleet.load(10.0, 12.0, lambda: POISON, "/chat/x")
+        fleet.run(15.0)
+        self.assertEqual({POISON}, fleet.ever_held())
+
+
+class KnowledgeOfTheFleet(testtools.TestCase):
+    """A host that did not see the crashes may not begin anew."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = CrashFleet(8, 24, 1)
+        self.fleet.load(20.0, 60.0, self.fleet.sound_part)
+
+    def poison(self, until: float) -> None:
+        self.fleet.load(3.0, until, lambda: POISON, "/chat/x")
+        self.fleet.run(until)
+        self.assertEqual({POISON}, self.fleet.held())
+
+    def send_to(self, host: str) -> int:
+        """Send poisoned requests to a host; return how many got through."""
+        before = len(self.fleet.reached)
+        for _ in range(5):
+            self.fleet.send(POISON, host, path="/chat/x")
+            self.fleet.run(self.fleet.now + 0.1)
+        return len(self.fleet.reached) - before
+
+    def test_host_that_started_again_learns_it_from_its_peers(self) -> None:
+        self.poison(8.0)
+        self.fleet.store_is_down = True
+        self.fleet.start_host("h5", 2)
+        self.fleet.run(self.fleet.now + 0.5)
+        self.assertEqual(0, self.send_to("h5"))
+
+    def test_host_that_was_paused_or_cut_off_learns_it(self) -> None:
+        self.fleet.paused.add("h5")
+        self.fleet.cut_off.add("h6")
+        self.poison(8.0)
+        self.fleet.paused.clear()
+        self.fleet.cut_off.clear()
+        self.fleet.run(self.fleet.now + 2.5)
+        self.assertEqual(0, self.send_to("h5") + self.send_to("h6"))
+
+    def test_all_hosts_started_again_read_it_from_the_store(self) -> None:
+        self.poison(8.0)
+        for name in list(self.fleet.nodes):
+            self.fleet.start_host(name, 2)
+        self.fleet.run(self.fleet.now + 0.2)
+        self.assertEqual(0, self.send_to("h3"))
+
+    def test_store_that_is_down_blocks_nothing(self) -> None:
+        self.fleet.store_is_down = True
+        self.poison(8.0)
+        self.assertEqual(0, self.send_to("h3"))
+        self.assertEqual((), self.fleet.row)
+        self.fleet.store_is_down = False
+        self.fleet.run(self.fleet.now + 1.0)
+        self.assertEqual([POISON], [e.part for e in self.fleet.row])
+
+    def test_writes_are_few(self) -> None:
+        self.poison(20.0)
+        self.assertLessEqual(self.fleet.writes, 2)
+
+    def test_reports_stay_small(self) -> None:
+        self.poison(20.0)
+        self.assertLess(self.fleet.max_report_bytes, MAX_REPORT_BYTES)
+
+
+class Refusals(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = serving_front()
+
+    def order(self, now: float, *, held: bool) -> list[Action]:
+        return self.node.handle(now, QuarantineOrdered(part="p0", held=held))
+
+    def test_request_that_did_not_run_is_told_to_wait(self) -> None:
+        self.order(1.0, held=True)
+        response = arrive(self.node, "r1", now=1.1)
+        assert isinstance(response, LocalResponse)
+        self.assertEqual(RefusalReason.QUARANTINED, response.refusal.reason)
+        self.assertEqual(ExecutionStatus.NOT_RUN, response.refusal.ran)
+        self.assertEqual(QUARANTINE_IDLE_S, response.refusal.retry_after_s)
+
+    def test_attempt_without_an_answer_is_cancelled(self) -> None:
+        arrive(self.node, "r1", now=1.0)
+        change, cancel, response = self.order(1.1, held=True)
+        self.assertIsInstance(change, QuarantineChanged)
+        self.assertEqual(CancelAttempt(request_id=RequestId("r1")), cancel)
+        assert isinstance(response, LocalResponse)
+        self.assertEqual(RefusalReason.BACKEND_FAILED, response.refusal.reason)
+        self.assertEqual(ExecutionStatus.UNKNOWN, response.refusal.ran)
+        self.assertEqual(0, len(self.node.exchanges))
+
+    def test_answer_under_way_goes_on(self) -> None:
+        arrive(self.node, "r1", now=1.0)
+        started = ResponseStarted(request_id=RequestId("r1"))
+        self.node.handle(1.1, started)
+        self.assertEqual(1, len(self.order(1.2, held=True)))
+        self.assertEqual(1, len(self.node.exchanges))
+
+    def test_operator_releases_a_part(self) -> None:
+        self.order(1.0, held=True)
+        self.order(2.0, held=False)
+        self.assertIsInstance(arrive(self.node, "r1", now=2.1), SendRequest)
+
+
+class EndOfAQuarantine(testtools.TestCase):
+    """Evidence and verdicts of one host, without a fleet."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.quarantine = Quarantine(lambda now: now)
+        self.crashes = 0
+        for at in (1.0, 3.0, 5.0):
+            self.crash("r", at)
+        self.tick(6.0)
+        self.assertEqual(PartState.HELD, self.state())
+
+    def crash(self, name: str, now: float) -> None:
+        self.crashes += 1
+        self.quarantine.record_break(
+            now,
+            make_head(name),
+            ActiveAttempt(
+                server_id=ServerId(f"e{self.crashes}"),
+                sent_at=now,
+                prefill_tokens=0,
+                kv_tokens=0,
+                expected_s=0.1,
+            ),
+            server(f"e{self.crashes}"),
+            in_rollout=False,
+        )
+
+    def tick(self, now: float) -> None:
+        self.quarantine.tick(now, lambda _server: float("-inf"))
+
+    def state(self) -> PartState:
+        [entry] = self.quarantine.entries
+        return entry.state
+
+    def is_refused(self, name: str, now: float, *, may_probe: bool) -> bool:
+        refusal = self.quarantine.refusal_for(
+            now, make_head(name), may_probe=may_probe
+        )
+        return refusal is not None
+
+    def test_stays_while_requests_come(self) -> None:
+        now = 6.0
+        while now < 3 * QUARANTINE_IDLE_S:
+            now += QUARANTINE_IDLE_S / 2
+            self.assertTrue(self.is_refused("r", now, may_probe=True))
+
+    def test_one_probe_of_the_holder_after_a_calm_time(self) -> None:
+        now = 7.0 + QUARANTINE_IDLE_S
+        self.assertTrue(self.is_refused("a", now, may_probe=False))
+        self.assertFalse(self.is_refused("b", now, may_probe=True))
+        self.assertTrue(self.is_refused("c", now, may_probe=True))
+
+    def test_probe_that_goes_well_releases_and_one_crash_holds(self) -> None:
+        now = 7.0 + QUARANTINE_IDLE_S
+        self.is_refused("b", now, may_probe=True)
+        self.quarantine.record_sound(now + 1, make_head("b"))
+        self.tick(now + 1)
+        self.assertEqual(PartState.PROBATION, self.state())
+        self.crash("d", now + 60)
+        self.tick(now + 61)
+        self.assertEqual(PartState.HELD, self.state())
+
+    def test_probe_that_crashes_begins_the_time_again(self) -> None:
+        now = 7.0 + QUARANTINE_IDLE_S
+        self.is_refused("b", now, may_probe=True)
+        self.crash("b", now)
+        self.tick(now + 1)
+        later = now + QUARANTINE_IDLE_S / 2
+        self.assertTrue(self.is_refused("c", later, may_probe=True))
+
+    def test_answer_that_goes_well_releases_at_once(self) -> None:
+        self.quarantine.record_sound(7.0, make_head("b"))
+        self.tick(7.0)
+        self.assertEqual(PartState.CLEARED, self.state())
+
+    def test_older_news_does_not_undo_a_release(self) -> None:
+        before = self.quarantine.report()
+        self.quarantine.order(7.0, "p0", held=False)
+        self.quarantine.record_report(8.0, before)
+        self.tick(8.0)
+        self.assertEqual(PartState.PROBATION, self.state())
+
+    def test_memory_and_reports_are_bounded(self) -> None:
+        for n in range(300):
+            self.quarantine.order(10.0 + n, f"part{n}", held=True)
+            self.crash(f"r{n}", 10.0 + 2 * n)
+        report = self.quarantine.report()
+        self.assertEqual(MAX_ENTRIES, len(report.entries))
+        self.assertEqual(MAX_REPORTED_CRASHES, len(report.crashes))
+
+    def test_report_is_the_same_after_a_datagram(self) -> None:
+        report = self.quarantine.report()
+        self.assertEqual(report, decode_quarantine(encode_quarantine(report)))
+        self.assertEqual({}, encode_quarantine(QuarantineReport()))
--- a/waxwingarch/adapters/quarantine_codec.py
+++ b/waxwingarch/adapters/quarantine_codec.py
@@ -61,21 +61,19 @@
         crash.domain,
         round(crash.at, 3),
         crash.parts,
-        sorted(crash.repeated),
         crash.refuted,
         crash.in_rollout,
     ]
 
 
 def _decode_crash(raw: list[Any]) -> Crash:
-    server_id, incarnation, domain, at, parts, repeated, refuted, trial = raw
+    server_id, incarnation, domain, at, parts, refuted, trial = raw
     return Crash(
         server_id=ServerId(str(server_id)),
         incarnation=int(incarnation),
         domain=FailureDomain(str(domain)),
         at=float(at),
         parts={str(part): int(depth) for part, depth in parts.items()},
-        repeated=frozenset(str(part) for part in repeated),
         refuted=bool(refuted),
         in_rollout=bool(trial),
     )
--- a/waxwingarch/core/quarantine/crash_evidence.py
+++ b/waxwingarch/core/quarantine/crash_evidence.py
@@ -19,10 +19,8 @@
 # A sound answer clears its parts of crashes up to this long after it, as
 # its news and that of the crash travel at their own pace.
 SOUND_COVERS_S: Final = 2.0
-# Distinct losses without a sound answer that condemn a part. A request
-# that was in two of them counts as one more.
+# Distinct losses without a sound answer that condemn a part.
 CONDEMNED_AFTER: Final = 3
-MIN_LOSSES: Final = 2
 # Before a verdict the other hosts have this long, from the first crash on,
 # to tell of sound answers.
 SETTLE_S: Final = 0.6
@@ -144,7 +142,7 @@
             ]
         ids = {part: {id(c) for c in found} for part, found in under.items()}
         for part, crashes in under.items():
-            if not _condemns(now, part, crashes, released.get(part)):
+            if not _condemns(now, crashes, released.get(part)):
                 continue
             if any(ids[part] < others for others in ids.values()):
                 continue
@@ -201,7 +199,6 @@
         one,
         at=min(one.at, other.at),
         parts=parts,
-        repeated=(one.repeated | other.repeated) & parts.keys(),
         refuted=one.refuted or other.refuted,
         in_rollout=one.in_rollout or other.in_rollout,
     )
@@ -225,7 +222,7 @@
 
 
 def _condemns(
-    now: float, part: str, crashes: list[Crash], released_at: float | None
+    now: float, crashes: list[Crash], released_at: float | None
 ) -> bool:
     """Return whether crashes condemn a part.
 
@@ -235,9 +232,6 @@
     if released_at is not None:
         return bool(_losses(crashes, released_at))
     losses = _losses(crashes, _NEVER)
-    if len(losses) < MIN_LOSSES or now < losses[0].at + SETTLE_S:
+    if len(losses) < CONDEMNED_AFTER or now < losses[0].at + SETTLE_S:
         return False
-    if all(loss.in_rollout for loss in losses):
-        return False
-    repeated = any(part in loss.repeated for loss in losses)
-    return len(losses) + repeated >= CONDEMNED_AFTER
+    return not all(loss.in_rollout for loss in losses)
--- a/waxwingarch/core/quarantine/quarantine.py
+++ b/waxwingarch/core/quarantine/quarantine.py
@@ -65,7 +65,7 @@
         self.evidence = CrashEvidence()
         self._entries: dict[str, QuarantineEntry] = {}
         self._held: set[str] = set()
-        # Requests that were in a crash, by the domain and time of it.
+        # Requests that were in a crash, and when.
         self._crashed_once: dict[RequestId, float] = {}
         self._probes: dict[str, tuple[float, RequestId]] = {}
         self._news: list[Action] = []
@@ -172,11 +172,9 @@
             self._entries[part] = replace(
                 self._entries[part], seen_at=unix_now
             )
-        is_repeated = head.request_id in self._crashed_once
         self._crashed_once[head.request_id] = unix_now
         crash = replace(
             _crash(unix_now, server, parts),
-            repeated=frozenset(parts) if is_repeated else frozenset(),
             in_rollout=in_rollout,
         )
         self.evidence.record_crash(unix_now, crash)
--- a/waxwingarch/core/quarantine/quarantine_messages.py
+++ b/waxwingarch/core/quarantine/quarantine_messages.py
@@ -32,8 +32,7 @@
     """The end of one server process, as far as hosts have seen it.
 
     `at` is in Unix seconds. `parts` are the shared parts of the requests
-    that had not begun to be answered well, with their depth in the prompt;
-    `repeated` are those of requests that an earlier crash had ended too.
+    that had not begun to be answered, with their depth in the prompt.
     `refuted` means that the process went on. `in_rollout` means that its
     version was on trial.
     """
@@ -43,7 +42,6 @@
     domain: FailureDomain
     at: float
     parts: Mapping[str, int]
-    repeated: frozenset[str] = frozenset()
     refuted: bool = False
     in_rollout: bool = False
 
