--- a/waxwingarch/core/quarantine/crash_evidence.py
+++ b/waxwingarch/core/quarantine/crash_evidence.py
@@ -19,13 +19,14 @@
 # A sound answer clears its parts of crashes up to this long after it, as
 # its news and that of the crash travel at their own pace.
 SOUND_COVERS_S: Final = 2.0
-# Distinct losses without a sound answer that condemn a part. A request
-# that was in two of them counts as one more.
+# Distinct losses without a sound answer that condemn a part.
 CONDEMNED_AFTER: Final = 3
-MIN_LOSSES: Final = 2
 # Before a verdict the other hosts have this long, from the first crash on,
 # to tell of sound answers.
 SETTLE_S: Final = 0.6
+# A crash counts only after this time, in which a server that goes on is
+# seen to do so.
+CONFIRMED_AFTER_S: Final = 0.4
 # News of a crash and of sound answers have come from all hosts by then.
 RECENT_S: Final = 10.0
 # Bounds of memory and of the bytes in a report.
@@ -92,7 +93,7 @@
     def refute(self, now: float, has_gone_on: Callable[[Crash], bool]) -> None:
         """Mark recent crashes of processes that went on afterwards."""
         for index, crash in enumerate(self._crashes):
-            is_recent = now - crash.at < SAME_CRASH_S
+            is_recent = now - crash.at < RECENT_S
             if is_recent and not crash.refuted and has_gone_on(crash):
                 self._crashes[index] = replace(crash, refuted=True)
 
@@ -135,9 +136,13 @@
         """
         best: tuple[int, int, str] | None = None
         under = self._by_suspect(held)
+        for part, crashes in under.items():
+            under[part] = [
+                c for c in crashes if now - c.at >= CONFIRMED_AFTER_S
+            ]
         ids = {part: {id(c) for c in found} for part, found in under.items()}
         for part, crashes in under.items():
-            if not _condemns(now, part, crashes, released.get(part)):
+            if not _condemns(now, crashes, released.get(part)):
                 continue
             if any(ids[part] < others for others in ids.values()):
                 continue
@@ -194,7 +199,6 @@
         one,
         at=min(one.at, other.at),
         parts=parts,
-        repeated=(one.repeated | other.repeated) & parts.keys(),
         refuted=one.refuted or other.refuted,
         in_rollout=one.in_rollout or other.in_rollout,
     )
@@ -218,7 +222,7 @@
 
 
 def _condemns(
-    now: float, part: str, crashes: list[Crash], released_at: float | None
+    now: float, crashes: list[Crash], released_at: float | None
 ) -> bool:
     """Return whether crashes condemn a part.
 
@@ -228,9 +232,6 @@
     if released_at is not None:
         return bool(_losses(crashes, released_at))
     losses = _losses(crashes, _NEVER)
-    if len(losses) < MIN_LOSSES or now < losses[0].at + SETTLE_S:
-        return False
-    if all(loss.in_rollout for loss in losses):
+    if len(losses) < CONDEMNED_AFTER or now < losses[0].at + SETTLE_S:
         return False
-    repeated = any(part in loss.repeated for loss in losses)
-    return len(losses) + repeated >= CONDEMNED_AFTER
+    return not all(loss.in_rollout for loss in losses)
