--- a/tests/front/test_whole_answers_host.py
+++ b/tests/front/test_whole_answers_host.py
@@ -78,6 +78,24 @@
             self.assertEqual([1, 2, 3, 4, 5], event_ids(response.body))
             self.assertEqual(2, len(host.fleet.runs))
 
+    # The host gave up a silent server for one that had just crashed, and cut
+    # the answer when that one refused the connection.
+    @async_test
+    async def test_stream_is_not_cut_if_the_next_server_has_crashed(
+        self,
+    ) -> None:
+        async with Host() as host:
+            for server in host.fleet.engines():
+                server.behaviour.event_s = EVENT_PAUSE_S
+            request = asyncio.create_task(host.async_send("/draft/x"))
+            used = _server_of(host, await _async_begun_run(host))
+            [other] = [s for s in host.fleet.engines() if s is not used]
+            silence = asyncio.create_task(used.async_fall_silent(SILENCE_S))
+            await other.async_unload()
+            response = await request
+            await silence
+            self.assertEqual([1, 2, 3, 4, 5], event_ids(response.body))
+
 
 class ReplacedConfigurations(testtools.TestCase):
     """A new configuration is applied beside requests in progress."""
