--- a/script/red_front.py
+++ b/script/red_front.py
@@ -53,9 +53,8 @@
     Mutation(
         promise="BUDGET",
         path="waxwingarch/core/limits/resend_budget.py",
-        old="        if resends.total(now) + 1 > allowed * USED_RATIO:\n"
-        "            return False\n",
-        new="",
+        old="        return resends + 1 <= allowed * USED_RATIO\n",
+        new="        return True\n",
         test=CORE + "test_limits.py::Resends",
     ),
     Mutation(
