Let a begun response go on at a server that was given up for its silence

A response that has begun is now resent also to a server that was tried before, unless no connection to it could be made.

--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -272,16 +272,20 @@
         self._record_crash_evidence(now, state, event, attempt)
         step = state.record_outcome(now, event, attempt.server_id)
         if step is NextStep.RESEND:
-            resend = self._resend(now, state)
+            resend = self._resend(now, state, event)
             if resend is not None:
                 return [resend]
             step = state.final_step(event)
         return self._finish(now, state, event, step)
 
-    def _resend(self, now: float, state: ExchangeState) -> SendRequest | None:
+    def _resend(
+        self, now: float, state: ExchangeState, event: AttemptFinished
+    ) -> SendRequest | None:
         """Continue a migrated run, or resend the request within the budget.
 
-        Returns None if there is no server or no budget for it.
+        Returns None if there is no server or no budget for it. A response
+        that has begun may go on at a server that was tried before: it may
+        have been given up only for its silence.
         """
         service = state.exchange.service
         if not self._quarantine.may_resend(now, state.exchange.head):
@@ -296,7 +300,11 @@
             return None
         if not self._resend_budget.try_resend(now, service):
             return None
-        return self._dispatch(now, state, None)
+        send = self._dispatch(now, state, None)
+        if send is None and event.response_started:
+            state.tried_servers &= state.unreachable_servers
+            send = self._dispatch(now, state, None)
+        return send
 
     def _may_continue_at(self, now: float, backend: Backend) -> bool:
         """Return whether a server still takes the runs that it has stopped.
--- a/waxwingarch/core/exchange/state_machine.py
+++ b/waxwingarch/core/exchange/state_machine.py
@@ -40,7 +40,8 @@
     """State of an exchange in progress.
 
     `may_have_run_on` are the servers that may have run the request,
-    `tried_servers` all that it was sent to. `response_started` is about
+    `tried_servers` all that it was sent to, and `unreachable_servers` those
+    to which no connection could be made. `response_started` is about
     the current attempt, `is_usage_counted` about the whole exchange.
     `migrated_cache` says where the KV cache of its run was copied, and
     `may_be_stopped` that the server may have stopped the run to copy it.
@@ -50,6 +51,7 @@
 
     exchange: Exchange
     tried_servers: set[ServerId] = field(default_factory=set)
+    unreachable_servers: set[ServerId] = field(default_factory=set)
     may_have_run_on: set[ServerId] = field(default_factory=set)
     rejection_count: int = 0
     response_started: bool = False
@@ -68,6 +70,8 @@
         A resend also needs a server and a unit of the resend budget.
         """
         not_run = finished.outcome in NOT_RUN_OUTCOMES
+        if finished.outcome is AttemptOutcome.NOT_SENT:
+            self.unreachable_servers.add(server)
         if not_run:
             self.rejection_count += (
                 finished.outcome is not AttemptOutcome.NOT_SENT
