Keep lines of earlier tests out of the tests of log lines

The first destination of a process also receives what was logged before it. test_each_server_selection_is_logged_with_its_inputs failed once with attempts 1, 1: the lines of another test that ran before it in the same worker. The checks are the same; only lines of the test itself count.

--- a/tests/front/test_logs.py
+++ b/tests/front/test_logs.py
@@ -95,13 +95,23 @@
 
 
 class DispatchLog(testtools.TestCase):
+    def new_lines(self) -> list[dict[str, Any]]:
+        """Return a list that gets the lines of this test.
+
+        The first destination of a process also gets the lines that were
+        written before.
+        """
+        lines: list[dict[str, Any]] = []
+        add_destinations(lines.append)
+        self.addCleanup(remove_destination, lines.append)
+        lines.clear()
+        return lines
+
     @async_test
     async def test_each_server_selection_is_logged_with_its_inputs(
         self,
     ) -> None:
-        lines: list[dict[str, Any]] = []
-        add_destinations(lines.append)
-        self.addCleanup(remove_destination, lines.append)
+        lines = self.new_lines()
         async with Host() as host:
             for server in host.fleet.plain():
                 server.behaviour.how = "shed"
@@ -118,9 +128,7 @@
             self.assertIn("listing_age_s", line)
 
     def test_failed_attempt_names_the_shared_parts_of_its_prompt(self) -> None:
-        lines: list[dict[str, Any]] = []
-        add_destinations(lines.append)
-        self.addCleanup(remove_destination, lines.append)
+        lines = self.new_lines()
         node = serving_front(server("e1"))
         log = FrontLog(node, FrontMetrics())
         for name in ("r1", "r2"):
--- a/tests/front/test_settings_watch.py
+++ b/tests/front/test_settings_watch.py
@@ -41,6 +41,8 @@
         self.lines: list[dict[str, Any]] = []
         add_destinations(self.lines.append)
         self.addCleanup(remove_destination, self.lines.append)
+        # The first destination also gets lines written before.
+        self.lines.clear()
         self.watch = SettingsWatch(
             self.path,
             read_front_settings(self.path),
