Count the breaks of one process as one loss, and empty answers as nothing

A server that breaks single responses for some time could count as several crashes of the same process, where no other bytes came from it in between. An answer without a length that ends before its first byte is complete by its form; it no longer clears the parts of its prompt, since a server that crashes as it begins may look like that. Tests of each kind of evidence, of a poisoned first part and of an operator's order.

--- a/tests/core/front/crash_fleet.py
+++ b/tests/core/front/crash_fleet.py
@@ -273,7 +273,7 @@
                 PromptPart(part=f"own-{number}", tokens=500),
             ),
         )
-        self.sound_sent += part not in self.poisons
+        self.sound_sent += not {first, part} & self.poisons
         self.post(name, ExchangeArrived(head=head))
         return head.request_id
 
@@ -285,10 +285,16 @@
         path: str = "/draft/x",
     ) -> None:
         """Send requests at random times from now on."""
+        self.repeat(rate, until, lambda: self.send(part(), path=path))
+
+    def repeat(
+        self, rate: float, until: float, send: Callable[[], object]
+    ) -> None:
+        """Call a function at random times from now on."""
 
         def step() -> None:
             if self.now < until:
-                self.send(part(), path=path)
+                send()
                 self._after(self.rng.expovariate(rate), step)
 
         self._after(self.rng.expovariate(rate), step)
--- a/tests/core/front/test_quarantine.py
+++ b/tests/core/front/test_quarantine.py
@@ -1,5 +1,7 @@
 """Tests of requests under which every backend server crashes."""
 
+from typing import Any
+
 import testtools
 
 from tests.core.front.builders import (
@@ -22,11 +24,16 @@
     ServerId,
 )
 from waxwingarch.core.exchange.exchange_messages import (
+    AttemptFinished,
+    AttemptOutcome,
     LocalResponse,
     ResponseStarted,
     SendRequest,
 )
-from waxwingarch.core.quarantine.crash_evidence import MAX_REPORTED_CRASHES
+from waxwingarch.core.quarantine.crash_evidence import (
+    MAX_REPORTED_CRASHES,
+    CrashEvidence,
+)
 from waxwingarch.core.quarantine.quarantine import (
     MAX_ENTRIES,
     QUARANTINE_IDLE_S,
@@ -34,6 +41,7 @@
 )
 from waxwingarch.core.quarantine.quarantine_messages import (
     CancelAttempt,
+    Crash,
     PartState,
     QuarantineChanged,
     QuarantineOrdered,
@@ -89,6 +97,22 @@
         self.assertLessEqual(sent, MAX_SENT_AFTER)
 
 
+class PlaceOfThePoisonedPart(testtools.TestCase):
+    def test_it_may_be_the_first_of_the_prompt(self) -> None:
+        """The deeper parts are those of sound requests."""
+        fleet = CrashFleet(8, 24, 1, sound_parts=10)
+        fleet.load(30.0, 12.0, fleet.sound_part)
+
+        def send() -> None:
+            fleet.send(fleet.sound_part(), first=POISON, path="/chat/x")
+
+        fleet.repeat(3.0, 12.0, send)
+        fleet.run(15.0)
+        self.assertEqual({POISON}, fleet.ever_held())
+        sent = fleet.sent_after(CRASHES_TOLERATED, CONTACT_S)
+        self.assertLessEqual(sent, MAX_SENT_AFTER)
+
+
 class SoundPartsAmongCrashes(testtools.TestCase):
     """Servers are lost in many ways, with the same parts in flight.
 
@@ -175,6 +199,15 @@
         self.fleet.run(self.fleet.now + 1.0)
         self.assertEqual([POISON], [e.part for e in self.fleet.row])
 
+    def test_order_of_an_operator_reaches_all_hosts(self) -> None:
+        self.fleet.post("h2", QuarantineOrdered(part="s1", held=True))
+        self.fleet.run(1.0)
+        self.fleet.poisons = {"s1"}
+        for name in self.fleet.nodes:
+            self.fleet.send("s1", name)
+        self.fleet.run(1.1)
+        self.assertEqual([], self.fleet.reached)
+
     def test_writes_are_few(self) -> None:
         self.poison(20.0)
         self.assertLessEqual(self.fleet.writes, 2)
@@ -318,3 +351,80 @@
         report = self.quarantine.report()
         self.assertEqual(report, decode_quarantine(encode_quarantine(report)))
         self.assertEqual({}, encode_quarantine(QuarantineReport()))
+
+
+class Evidence(testtools.TestCase):
+    """What counts as a loss of servers under a part."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.evidence = CrashEvidence()
+
+    def add(self, name: str, at: float, **changes: Any) -> None:
+        values: dict[str, Any] = {
+            "server_id": ServerId(name),
+            "incarnation": 1,
+            "domain": DOMAINS[0],
+            "at": at,
+            "parts": {"p0": 0},
+        }
+        self.evidence.record_crash(at, Crash(**(values | changes)))
+
+    def verdict(self, now: float = 20.0) -> str | None:
+        found = self.evidence.verdict(now, set(), {})
+        return found.part if found else None
+
+    def test_crashes_apart_condemn(self) -> None:
+        for n in range(3):
+            self.add(f"e{n}", 10.0 + 2 * n)
+        self.assertEqual("p0", self.verdict())
+
+    def test_breaks_of_one_process_are_one_loss(self) -> None:
+        for n in range(5):
+            self.add("e0", 10.0 + 2 * n)
+        self.assertIsNone(self.verdict())
+
+    def test_servers_of_a_domain_that_end_together_are_one_loss(self) -> None:
+        for n in range(5):
+            self.add(f"e{n}", 10.0 + 0.2 * n)
+        self.assertIsNone(self.verdict())
+
+    def test_version_on_trial_alone_condemns_nothing(self) -> None:
+        for n in range(3):
+            self.add(f"e{n}", 10.0 + 2 * n, in_rollout=True)
+        self.assertIsNone(self.verdict())
+        self.add("e9", 17.0)
+        self.assertEqual("p0", self.verdict())
+
+    def test_sound_answer_between_the_crashes_clears(self) -> None:
+        for n in range(3):
+            self.add(f"e{n}", 10.0 + 2 * n)
+        self.evidence.record_sound(13.0, ["p0"])
+        self.assertIsNone(self.verdict())
+
+    def test_server_that_goes_on_refutes(self) -> None:
+        for n in range(3):
+            self.add(f"e{n}", 10.0 + 2 * n)
+        self.evidence.refute(15.0, lambda crash: crash.server_id == "e1")
+        self.assertIsNone(self.verdict())
+
+    def test_hosts_join_what_they_saw_of_one_crash(self) -> None:
+        for n in range(3):
+            self.add(f"e{n}", 10.0 + 2 * n)
+            self.add(f"e{n}", 10.1 + 2 * n, parts={"p1": 1})
+        self.assertEqual(3, len(self.evidence.reported_crashes()))
+        self.assertEqual("p1", self.verdict())
+
+
+class AnswersWithoutAByte(testtools.TestCase):
+    """A crash before the first event may look like the end of an answer."""
+
+    def test_they_clear_nothing(self) -> None:
+        node = serving_front()
+        arrive(node, "r1", now=1.0)
+        done = AttemptFinished(
+            request_id=RequestId("r1"), outcome=AttemptOutcome.DONE
+        )
+        node.handle(1.1, done)
+        sound_at = node.quarantine.evidence.sound_at("p0")
+        self.assertEqual(float("-inf"), sound_at)
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -387,11 +387,13 @@
         """Record what an outcome says about the parts of the prompt.
 
         A server that is leaving, or whose run was migrated, breaks its
-        responses for a reason of its own.
+        responses for a reason of its own. An answer without a byte may be
+        complete by its form, and says nothing.
         """
         head = state.exchange.head
         if event.outcome is AttemptOutcome.DONE:
-            self._quarantine.record_sound(now, head)
+            if attempt.has_started:
+                self._quarantine.record_sound(now, head)
             return
         backend = self._load_balancer.registry.get(attempt.server_id)
         if (
--- a/waxwingarch/core/quarantine/crash_evidence.py
+++ b/waxwingarch/core/quarantine/crash_evidence.py
@@ -33,7 +33,7 @@
 MAX_CRASHES: Final = 64
 MAX_REPORTED_CRASHES: Final = 8
 MAX_PARTS_PER_CRASH: Final = 16
-MAX_SOUND_PARTS: Final = 4096
+MAX_SOUND_PARTS: Final = 16_384
 
 _NEVER: Final = float("-inf")
 
@@ -205,6 +205,12 @@
 
 
 def _is_one_loss(one: Crash, other: Crash) -> bool:
+    if (one.server_id, one.incarnation) == (
+        other.server_id,
+        other.incarnation,
+    ):
+        # A process ends once. What broke before was a single response.
+        return True
     apart_s = abs(one.at - other.at)
     if one.domain == other.domain:
         return apart_s <= DOMAIN_LOSS_S
