Let the servers of a quarantine test start again after 1.5 s

The test had them back 0.4 s after a crash, so that six servers ended within the second that the hosts take to tell crashes apart. Servers come back after some seconds; the bound of five crashes and all other checks stay.

--- a/tests/front/test_quarantine_host.py
+++ b/tests/front/test_quarantine_host.py
@@ -148,7 +148,7 @@
 class Crashes(QuarantineCase):
     def setUp(self) -> None:
         super().setUp()
-        for name, value_s in (("ROW_LAPSE_S", 0.2), ("RESTART_S", 0.4)):
+        for name, value_s in (("ROW_LAPSE_S", 0.2), ("RESTART_S", 1.5)):
             self.patch(fleet_module, name, value_s)
 
     @async_test
