--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -9,9 +9,9 @@
     Action,
     RequestId,
     Server,
-    ServerId,
     ServiceId,
 )
+from waxwingarch.core.exchange.crash_observer import CrashObserver
 from waxwingarch.core.exchange.exchange_admission import (
     ExchangeAdmission,
     RefusedError,
@@ -87,6 +87,9 @@
     ) -> None:
         self._table = table
         self._quarantine = quarantine
+        self._crash_observer = CrashObserver(
+            load_balancer, rollouts, quarantine
+        )
         # Whether this host may send a probe with a quarantined part.
         self.may_probe = False
         self._load_balancer = load_balancer
@@ -268,7 +271,7 @@
             )
         self._record_health(now, state, event, attempt.server_id)
         self._record_rollout_outcome(now, state, event, attempt)
-        self._record_crash_evidence(now, state, event, attempt)
+        self._crash_observer.record_outcome(now, state, event, attempt)
         step = state.record_outcome(now, event, attempt.server_id)
         if step is NextStep.RESEND:
             resend = self._resend(now, state)
@@ -377,50 +380,11 @@
             band=load_band(running, server.slots),
         )
 
-    def _record_crash_evidence(
-        self,
-        now: float,
-        state: ExchangeState,
-        event: AttemptFinished,
-        attempt: ActiveAttempt,
-    ) -> None:
-        """Record what an outcome says about the parts of the prompt.
-
-        A server that is leaving, or whose run was migrated, breaks its
-        responses for a reason of its own. An answer without a byte may be
-        complete by its form, and says nothing.
-        """
-        head = state.exchange.head
-        if event.outcome is AttemptOutcome.DONE:
-            if attempt.has_started:
-                self._quarantine.record_sound(now, head)
-            return
-        backend = self._load_balancer.registry.get(attempt.server_id)
-        if (
-            event.outcome is AttemptOutcome.BROKEN
-            and backend is not None
-            and backend.is_usable
-            and state.migrated_cache is None
-        ):
-            self._quarantine.record_break(
-                now,
-                head,
-                attempt,
-                backend.server,
-                in_rollout=self._rollouts.is_under_move(backend.server),
-            )
-
     def tick_quarantine(self, now: float) -> list[Action]:
         """Judge the evidence, and end requests with quarantined parts."""
-        loads = self._load_balancer.loads
-        if self._quarantine.needs_progress(now):
-            for state in self._exchanges.values():
-                attempt = loads.attempt_of(state.exchange.request_id)
-                if attempt is not None:
-                    self._quarantine.note_progress(
-                        now, state.exchange.head, attempt
-                    )
-        news = self._quarantine.tick(now, loads.last_activity_at)
+        self._crash_observer.note_progress(now, self._exchanges.values())
+        last_activity_at = self._load_balancer.loads.last_activity_at
+        news = self._quarantine.tick(now, last_activity_at)
         return news + self._cancel_held(now) if news else []
 
     def _cancel_held(self, now: float) -> list[Action]:
@@ -439,7 +403,9 @@
             if attempt is not None:
                 self._load_balancer.health.end_trial(attempt.server_id)
                 state.may_have_run_on.add(attempt.server_id)
-                self._record_held_attempt(now, state, attempt.server_id)
+                self._crash_observer.record_cancelled(
+                    now, state, attempt.server_id
+                )
             cancelled = AttemptFinished(
                 request_id=request_id,
                 outcome=AttemptOutcome.BROKEN,
@@ -451,16 +417,6 @@
             )
         return actions
 
-    def _record_held_attempt(
-        self, now: float, state: ExchangeState, server_id: ServerId
-    ) -> None:
-        """Record what explains a crash of the server all the same."""
-        backend = self._load_balancer.registry.get(server_id)
-        if backend is not None:
-            self._quarantine.record_held(
-                now, state.exchange.head, backend.server
-            )
-
     def _finish(
         self,
         now: float,
