Log the phases of version moves with their evidence

A bad version was completed, and the log had no line with the evidence by which it was shifted.

No logic is changed.

--- a/waxwingarch/core/moves/evidence.py
+++ b/waxwingarch/core/moves/evidence.py
@@ -172,16 +172,26 @@
             return {}
         return route_shares(watch)
 
-    def request_counts(self, move_id: str) -> dict[VersionId, int]:
-        """Return how many requests were judged so far, by version."""
+    def counts_by_version(self, move_id: str) -> dict[VersionId, Cell]:
+        """Return what was counted and judged so far, by version."""
         watch = self._watches.get(move_id)
-        totals: dict[VersionId, int] = {}
+        totals: dict[VersionId, Cell] = {}
         if watch is None:
             return totals
         for (version, _, _), cell in watch.totals.items():
-            totals[version] = totals.get(version, 0) + cell.requests
+            totals.setdefault(version, Cell()).add(cell)
         return totals
 
+    def request_counts(self, move_id: str) -> dict[VersionId, int]:
+        """Return how many requests were judged so far, by version."""
+        counts = self.counts_by_version(move_id)
+        return {version: cell.requests for version, cell in counts.items()}
+
+    def last_verdict(self, move_id: str) -> Verdict | None:
+        """Return the last verdict, without judging anything new."""
+        watch = self._watches.get(move_id)
+        return watch.last_verdict if watch is not None else None
+
     def verdict(self, now: float, move_id: str) -> Verdict | None:
         """Judge the merged counts, at most once per window.
 
--- a/waxwingarch/core/rollouts/rollout_controller.py
+++ b/waxwingarch/core/rollouts/rollout_controller.py
@@ -20,7 +20,7 @@
     VersionId,
 )
 from waxwingarch.core.moves.evidence import EvidenceRecorder
-from waxwingarch.core.moves.move_counts import HostEvidence, LoadBand
+from waxwingarch.core.moves.move_counts import Cell, HostEvidence, LoadBand
 from waxwingarch.core.moves.move_judge import Decision
 from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.rollouts.rollout_messages import (
@@ -30,6 +30,7 @@
     RolloutOrder,
     RolloutPhase,
     RolloutPhaseReport,
+    RolloutProgress,
     RolloutState,
     RolloutStatusReported,
     StopMarked,
@@ -285,6 +286,25 @@
             for r in self._rollouts.values()
         )
 
+    def progress(self, now: float) -> list[RolloutProgress]:
+        """Return the phase and the evidence of each move, for the log."""
+        found = []
+        for rollout in self._rollouts.values():
+            rollout_id = rollout.order.rollout_id
+            counts = self._recorder.counts_by_version(rollout_id)
+            found.append(
+                RolloutProgress(
+                    rollout_id=rollout_id,
+                    phase=rollout.phase,
+                    reason=rollout.reason,
+                    remaining_s=rollout.deadline - now,
+                    new=counts.get(rollout.order.target, Cell()),
+                    old=counts.get(OTHER_VERSIONS, Cell()),
+                    verdict=self._recorder.last_verdict(rollout_id),
+                )
+            )
+        return found
+
     def own_evidence(self) -> tuple[HostEvidence, ...]:
         """Return this host's counts for the moves that are not over."""
         found = (
--- a/waxwingarch/core/rollouts/rollout_messages.py
+++ b/waxwingarch/core/rollouts/rollout_messages.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 
 from waxwingarch.core.base import Action, Event, ServiceId, VersionId
+from waxwingarch.core.moves.move_counts import Cell
+from waxwingarch.core.moves.move_judge import Verdict
 from waxwingarch.core.store_version import count_of, era_of
 
 
@@ -78,6 +80,23 @@
     phase: RolloutPhase
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RolloutProgress:
+    """The phase of a move on one host, with the evidence it has by now.
+
+    `new` and `old` are the counts of all hosts; `reason` says why the move
+    was stopped.
+    """
+
+    rollout_id: str
+    phase: RolloutPhase
+    reason: str
+    remaining_s: float
+    new: Cell
+    old: Cell
+    verdict: Verdict | None
+
+
 # Events
 
 
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -24,6 +24,7 @@
 )
 from waxwingarch.core.front_messages import ConfigRead, FrontTick
 from waxwingarch.core.front_node import FrontNode
+from waxwingarch.tasks.rollout_log import RolloutLog
 
 # Interval of the checks whether the lease or the peers have changed.
 CHECK_INTERVAL_S: Final = 0.5
@@ -53,6 +54,7 @@
         self._front = front
         self._metrics = metrics
         self._histories: dict[RequestId, _ExchangeHistory] = {}
+        self._rollout_log = RolloutLog(front.rollouts)
         self._next_check_at = float("-inf")
         self._lease_held = False
         self._alive_since: dict[HostId, float] = {}
@@ -257,6 +259,7 @@
                     source=action.source.server_id,
                     target=action.target.server_id,
                 )
+        self._rollout_log.check(now)
         if now < self._next_check_at:
             return
         self._next_check_at = now + CHECK_INTERVAL_S
