Trust a new version only when the evidence speaks for it

Callers got answers several times later from a new version, which was completed and kept. Cause, by the new log lines: the absence of a verdict counted as a good one. 20 requests of the new version had ended by the shift, and none of them had been compared in time: each host needed 40 answers of a route within the move to say what slow is. Requests that still ran, or were cut at their deadline, were no evidence.

- What is usual is followed before the move as well, and the time to the first byte is relative to the expected one.
Limits of a band, a route and all routes serve in this order.
- The shift needs scores for a sound version, over all routes and on each route in proportion to its share.
A move whose scores speak against the version is rolled back at the deadline.
- Where 5% of the requests are few, the trial gets more, within the bound.

--- a/model/stop_mark.py
+++ b/model/stop_mark.py
@@ -13,10 +13,8 @@
 from minicheck import Protocol as Spec
 
 from waxwingarch.core.base import Action, HostId, ServiceId, VersionId
-from waxwingarch.core.rollouts.rollout_controller import (
-    ExposureBounds,
-    RolloutController,
-)
+from waxwingarch.core.rollouts.exposure import ExposureBounds
+from waxwingarch.core.rollouts.rollout_controller import RolloutController
 from waxwingarch.core.rollouts.rollout_messages import (
     MarkStopped,
     ReadStops,
--- a/tests/core/front/test_rollouts.py
+++ b/tests/core/front/test_rollouts.py
@@ -10,10 +10,8 @@
 from waxwingarch.core.backends.registry import Backend
 from waxwingarch.core.base import Action, HostId, Server, VersionId
 from waxwingarch.core.moves.move_counts import LoadBand
-from waxwingarch.core.rollouts.rollout_controller import (
-    ExposureBounds,
-    RolloutController,
-)
+from waxwingarch.core.rollouts.exposure import ExposureBounds
+from waxwingarch.core.rollouts.rollout_controller import RolloutController
 from waxwingarch.core.rollouts.rollout_messages import (
     MarkStopped,
     ReadStops,
@@ -104,9 +102,12 @@
                 server,
                 "draft",
                 ok=not bad,
-                latency_s=0.1,
                 band=LoadBand.LOW,
             )
+            if not bad:
+                host.record_latency(
+                    self.now, server, "draft", LoadBand.LOW, 1.0, is_final=True
+                )
 
     def _perform(self, host: RolloutController, action: Action) -> None:
         if isinstance(action, ReadStops):
--- a/tests/core/front/test_slow_rollouts.py
+++ b/tests/core/front/test_slow_rollouts.py
@@ -1,14 +1,30 @@
 """Tests of version moves whose evidence comes late or is scarce."""
 
+from dataclasses import replace
+
 import testtools
 
+from tests.core.front.builders import arrive, server, serving_front
 from tests.core.front.rollout_fleet import (
     DURATION_S,
+    ORDER,
     ORDERED_AT_S,
     Fault,
     RolloutFleet,
 )
-from waxwingarch.core.rollouts.rollout_messages import RolloutState
+from waxwingarch.core.base import RequestId
+from waxwingarch.core.exchange.exchange_messages import (
+    AttemptFinished,
+    AttemptOutcome,
+)
+from waxwingarch.core.front_messages import FrontTick
+from waxwingarch.core.front_node import FrontNode
+from waxwingarch.core.moves.move_counts import Cell
+from waxwingarch.core.rollouts.rollout_messages import (
+    RolloutsRead,
+    RolloutState,
+    StopsRead,
+)
 
 DEADLINE_S = ORDERED_AT_S + DURATION_S
 SEEDS = range(1, 6)
@@ -33,6 +49,41 @@
         for seed in SEEDS:
             self.check(played(seed, 60, fault=Fault()))
 
+    def test_version_that_is_slow_on_one_route_is_rolled_back(self) -> None:
+        for seed in SEEDS:
+            self.check(played(seed, 60, fault=Fault(route="talk")))
+
+
+class OneAttempt(testtools.TestCase):
+    """The evidence of one request that the new version takes."""
+
+    def node_with_attempt(self) -> FrontNode:
+        node = serving_front(replace(server("e1"), version=ORDER.target))
+        node.handle(1.0, RolloutsRead(orders=(ORDER,)))
+        node.handle(1.1, FrontTick(boot_now=1.1, unix_now=1.1))
+        node.handle(1.2, StopsRead(stopped=frozenset()))
+        arrive(node, "r", now=1.3)
+        return node
+
+    def counted_at(self, node: FrontNode, now: float) -> Cell:
+        for at in (now, now + 1.0):
+            node.handle(at, FrontTick(boot_now=at, unix_now=at))
+        [progress] = node.rollouts.progress(now)
+        return progress.new
+
+    def test_that_waits_for_long_counts_as_slow_before_it_ends(self) -> None:
+        counted = self.counted_at(self.node_with_attempt(), 2.3)
+        self.assertEqual(Cell(timed=1, slow=1), counted)
+
+    def test_that_is_cut_at_its_deadline_counts_as_failed(self) -> None:
+        node = self.node_with_attempt()
+        finished = AttemptFinished(
+            request_id=RequestId("r"), outcome=AttemptOutcome.EXPIRED
+        )
+        node.handle(5.3, finished)
+        counted = self.counted_at(node, 5.3)
+        self.assertEqual((1, 1), (counted.requests, counted.failures))
+
 
 class GoodVersion(testtools.TestCase):
     def test_is_completed_by_the_deadline(self) -> None:
--- a/tests/core/front/test_store_returns.py
+++ b/tests/core/front/test_store_returns.py
@@ -23,10 +23,8 @@
     UsageReporter,
     UsageSettled,
 )
-from waxwingarch.core.rollouts.rollout_controller import (
-    ExposureBounds,
-    RolloutController,
-)
+from waxwingarch.core.rollouts.exposure import ExposureBounds
+from waxwingarch.core.rollouts.rollout_controller import RolloutController
 from waxwingarch.core.rollouts.rollout_messages import (
     MarkStopped,
     RolloutOrder,
--- a/tests/model/test_stop_mark.py
+++ b/tests/model/test_stop_mark.py
@@ -9,10 +9,8 @@
 from model.stop_mark import stop_mark_spec
 from waxwingarch.core.base import HostId
 from waxwingarch.core.moves.move_counts import HostEvidence
-from waxwingarch.core.rollouts.rollout_controller import (
-    ExposureBounds,
-    RolloutController,
-)
+from waxwingarch.core.rollouts.exposure import ExposureBounds
+from waxwingarch.core.rollouts.rollout_controller import RolloutController
 from waxwingarch.core.rollouts.rollout_messages import (
     RolloutOrder,
     RolloutPhase,
--- a/waxwingarch/adapters/front_settings.py
+++ b/waxwingarch/adapters/front_settings.py
@@ -15,7 +15,7 @@
 from waxwingarch.adapters.log_stream import Level
 from waxwingarch.core.base import FailureDomain, HostId
 from waxwingarch.core.front_messages import FrontBounds, FrontIdentity
-from waxwingarch.core.rollouts.rollout_controller import ExposureBounds
+from waxwingarch.core.rollouts.exposure import ExposureBounds
 
 PositiveSeconds = Annotated[float, Field(gt=0)]
 NotNegative = Annotated[float, Field(ge=0)]
--- a/waxwingarch/core/backends/load.py
+++ b/waxwingarch/core/backends/load.py
@@ -41,7 +41,8 @@
     """An attempt of a request that has not ended on its server.
 
     `expected_s` is the expected time to the first byte, and
-    `first_byte_s` the time it took.
+    `first_byte_s` the time it took. The last two say whether the time to
+    the first byte, and from there to the end, were counted as evidence.
     """
 
     server_id: ServerId
@@ -51,6 +52,8 @@
     expected_s: float
     has_started: bool = False
     first_byte_s: float | None = None
+    is_wait_counted: bool = False
+    is_rest_counted: bool = False
 
 
 @dataclass(kw_only=True, slots=True)
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -2,7 +2,6 @@
 
 from typing import Any, Final
 
-from waxwingarch.core.backends.load import ActiveAttempt
 from waxwingarch.core.backends.load_balancer import LoadBalancer, Pick
 from waxwingarch.core.backends.registry import BackendLeaving
 from waxwingarch.core.base import (
@@ -35,10 +34,10 @@
 )
 from waxwingarch.core.limits.resend_budget import ResendBudget
 from waxwingarch.core.limits.shared_rate import SharedRates
-from waxwingarch.core.moves.move_counts import load_band
 from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.refusal import Refusal
 from waxwingarch.core.rollouts.rollout_controller import RolloutController
+from waxwingarch.core.rollouts.rollout_evidence import AttemptEvidence
 from waxwingarch.core.routing.config import (
     EngineTraits,
     RetryPolicy,
@@ -85,7 +84,7 @@
         self._load_balancer = load_balancer
         self._admission = ExchangeAdmission(table, rates, rng)
         self._resend_budget = resend_budget
-        self._rollouts = rollouts
+        self._evidence = AttemptEvidence(load_balancer, rollouts)
         self._rng = rng
         self._exchanges: dict[RequestId, ExchangeState] = {}
         self._migrate_at: dict[RequestId, float] = {}
@@ -223,6 +222,7 @@
         if state is None:
             return None
         self._load_balancer.record_response_start(now, state.exchange)
+        self._evidence.record_first_byte(now, state)
         state.response_started = True
         if state.is_usage_counted:
             return None
@@ -254,7 +254,7 @@
                 now, attempt.server_id, event.retry_after_s
             )
         self._record_health(now, state, event, attempt.server_id)
-        self._record_rollout_outcome(now, state, event, attempt)
+        self._evidence.record_end(now, state, event, attempt)
         step = state.record_outcome(now, event, attempt.server_id)
         if step is NextStep.RESEND:
             resend = self._resend(now, state)
@@ -318,49 +318,6 @@
             unreachable = event.outcome is AttemptOutcome.NOT_SENT
             health.record_failure(now, server_id, unreachable=unreachable)
 
-    def _record_rollout_outcome(
-        self,
-        now: float,
-        state: ExchangeState,
-        event: AttemptFinished,
-        attempt: ActiveAttempt,
-    ) -> None:
-        """Count an outcome as evidence about the server's version.
-
-        Outcomes that say nothing about the version are left out: those of
-        leaving servers and migrated runs, and of requests that were
-        rejected, were misdirected or expired. The load band is that of the
-        server at the end of the attempt.
-        """
-        backend = self._load_balancer.registry.get(attempt.server_id)
-        if (
-            backend is None
-            or not backend.is_usable
-            or state.migrated_cache is not None
-        ):
-            return
-        if event.outcome in (
-            AttemptOutcome.REJECTED,
-            AttemptOutcome.MISDIRECTED,
-            AttemptOutcome.EXPIRED,
-        ):
-            return
-        server = backend.server
-        running = self._load_balancer.loads.total_load(
-            server.server_id
-        ).running
-        latency_s = attempt.first_byte_s
-        self._rollouts.record_outcome(
-            now,
-            server,
-            state.exchange.route.name,
-            ok=event.outcome is AttemptOutcome.DONE,
-            latency_s=now - attempt.sent_at
-            if latency_s is None
-            else latency_s,
-            band=load_band(running, server.slots),
-        )
-
     def _finish(
         self,
         now: float,
@@ -415,7 +372,8 @@
         return []
 
     def tick(self, now: float) -> list[Action]:
-        """Start the migrations that are due."""
+        """Start the migrations that are due; note what is slow by now."""
+        self._evidence.record_waiting(now, self._exchanges.values())
         if not self._migrate_at:
             return []
         due = [r for r, at in self._migrate_at.items() if at <= now]
--- a/waxwingarch/core/front_messages.py
+++ b/waxwingarch/core/front_messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from waxwingarch.core.base import Action, Event, FailureDomain, HostId
-from waxwingarch.core.rollouts.rollout_controller import ExposureBounds
+from waxwingarch.core.rollouts.exposure import ExposureBounds
 from waxwingarch.core.routing.config import RoutingConfig
 
 
--- a/waxwingarch/core/moves/evidence.py
+++ b/waxwingarch/core/moves/evidence.py
@@ -10,6 +10,7 @@
 
 from waxwingarch.core.base import HostId, ServiceId, VersionId
 from waxwingarch.core.moves.move_counts import (
+    REST_SUFFIX,
     Cell,
     CellCounts,
     CountsKey,
@@ -22,6 +23,8 @@
     ANY,
     Decision,
     Judge,
+    Quantiles,
+    RouteBand,
     SequentialJudge,
     Verdict,
     Watch,
@@ -60,12 +63,16 @@
         new: VersionId,
         duration_s: float,
         closed: bool = False,
+        quantiles: Quantiles | None = None,
+        slow_above: float | None = None,
     ) -> None:
         """Start to record outcomes for a move; repeating it has no effect.
 
         `duration_s` bounds the number of comparisons and thereby the stop
         threshold. A host that starts after the hold phase passes `closed`:
-        it leaves the verdict to the others.
+        it leaves the verdict to the others. `quantiles` are those of the
+        old version that are known before the move; until there is one,
+        answers above `slow_above` are slow.
         """
         if move_id in self._watches:
             return
@@ -76,6 +83,8 @@
             new=new,
             planned_steps=steps,
             closed=closed,
+            quantiles={} if quantiles is None else quantiles,
+            slow_above=slow_above,
         )
 
     def is_watched(self, move_id: str) -> bool:
@@ -118,11 +127,12 @@
         route: str,
         band: LoadBand,
         ok: bool,
-        latency_s: float,
+        latency_s: float | None,
         on_canary: bool = False,
     ) -> None:
         """Count the outcome of one request at this host.
 
+        Without `latency_s` the latency is recorded by itself.
         `on_canary` says that one of the move's canary servers ran it.
         These are the oldest of the new version, so a fault that comes
         with a server's age shows there first. Don't record outcomes that
@@ -138,6 +148,46 @@
                         watch, canary_version, route, band, ok, latency_s
                     )
 
+    def record_latency(
+        self,
+        now: float,
+        service: ServiceId,
+        version: VersionId,
+        route: str,
+        band: LoadBand,
+        latency: float,
+        *,
+        is_final: bool = True,
+    ) -> None:
+        """Count a latency, as soon as it is known whether it is slow.
+
+        One that is not final is of a request that still waits.
+        """
+        for watch in self._watches.values():
+            if watch.service == service:
+                _count_latency(
+                    watch, version, route, band, latency, is_final=is_final
+                )
+
+    def slow_above(
+        self, move_id: str, route: str, band: LoadBand
+    ) -> float | None:
+        """Return the latency above which an answer is slow, if known."""
+        watch = self._watches.get(move_id)
+        return None if watch is None else _slow_above(watch, route, band)
+
+    def confidence_gap(self, move_id: str) -> str:
+        """Return what is missing for a sound version; empty if nothing."""
+        watch = self._watches.get(move_id)
+        if watch is None:
+            return "not recorded"
+        return watch.confidence.find_gap(route_shares(watch))
+
+    def is_doubtful(self, move_id: str) -> bool:
+        """Return whether the version is likelier a bad one."""
+        watch = self._watches.get(move_id)
+        return watch is not None and watch.confidence.is_doubtful
+
     def snapshot(self, move_id: str) -> HostEvidence | None:
         """Return this host's counts under a new sequence number."""
         watch = self._watches.get(move_id)
@@ -255,7 +305,7 @@
         previous_cells = {cell.key: cell for cell in previous.cells}
     for cell in evidence.cells:
         earlier = previous_cells.get(cell.key)
-        if earlier is None or earlier.requests != cell.requests:
+        if earlier is None or earlier != cell:
             unjudged = watch.unjudged.setdefault(cell.key, Cell())
             unjudged.add(cell.growth_since(earlier))
 
@@ -266,39 +316,72 @@
     route: str,
     band: LoadBand,
     ok: bool,
-    latency_s: float,
+    latency_s: float | None,
 ) -> None:
     if version not in (watch.old, watch.new, watch.canary):
         return
-    if route not in watch.routes:
-        if len(watch.routes) < MAX_ROUTES:
-            watch.routes.append(route)
-        else:
-            route = OTHER_ROUTES_LABEL
-    band_quantile = watch.quantiles.setdefault(
-        (route, band), LatencyQuantile()
-    )
-    route_quantile = watch.quantiles.setdefault(
-        (route, ANY), LatencyQuantile()
-    )
-    # A limit is fair as long as it is the same for both versions, so a
-    # band with too few requests takes the limit of its whole route.
-    slow_above_s = band_quantile.slow_above_s or route_quantile.slow_above_s
-    outcome = _outcome_cell(ok, latency_s, slow_above_s)
-    key = (version, route, band)
-    watch.own_counts.setdefault(key, Cell()).add(outcome)
-    watch.unjudged.setdefault(key, Cell()).add(outcome)
-    if ok and version == watch.old:
-        band_quantile.add(latency_s)
-        route_quantile.add(latency_s)
-
-
-def _outcome_cell(
-    ok: bool, latency_s: float, slow_above_s: float | None
-) -> Cell:
-    """Return the counts of a single request."""
-    if not ok:
-        return Cell(requests=1, failures=1)
-    if slow_above_s is None:
-        return Cell(requests=1)
-    return Cell(requests=1, timed=1, slow=int(latency_s > slow_above_s))
+    route = _route_label(watch, route)
+    counts = Cell(requests=1, failures=int(not ok))
+    _add_counts(watch, (version, route, band), counts)
+    if ok and latency_s is not None:
+        _count_latency(watch, version, route, band, latency_s, is_final=True)
+
+
+def _count_latency(
+    watch: Watch,
+    version: VersionId,
+    route: str,
+    band: LoadBand,
+    latency: float,
+    *,
+    is_final: bool,
+) -> None:
+    if version not in (watch.old, watch.new, watch.canary):
+        return
+    route = _route_label(watch, route)
+    slow_above = _slow_above(watch, route, band)
+    if slow_above is not None:
+        counts = Cell(timed=1, slow=int(latency > slow_above))
+        _add_counts(watch, (version, route, band), counts)
+    if is_final and version == watch.old:
+        add_to_quantiles(watch.quantiles, route, band, latency)
+
+
+def _route_label(watch: Watch, route: str) -> str:
+    if route in watch.routes:
+        return route
+    if len(watch.routes) >= MAX_ROUTES:
+        return OTHER_ROUTES_LABEL
+    watch.routes.append(route)
+    return route
+
+
+def _add_counts(watch: Watch, key: CountsKey, counts: Cell) -> None:
+    watch.own_counts.setdefault(key, Cell()).add(counts)
+    watch.unjudged.setdefault(key, Cell()).add(counts)
+
+
+def _slow_above(watch: Watch, route: str, band: LoadBand) -> float | None:
+    """Return the limit of the band, else of the route, else of all routes.
+
+    A limit is fair as long as it is the same for both versions.
+    """
+    for key in _quantile_keys(route, band):
+        quantile = watch.quantiles.get(key)
+        if quantile is not None and quantile.slow_above_s is not None:
+            return quantile.slow_above_s
+    return watch.slow_above
+
+
+def _quantile_keys(route: str, band: str) -> tuple[RouteBand, ...]:
+    """Return where a latency counts, narrowest first."""
+    all_routes = REST_SUFFIX if route.endswith(REST_SUFFIX) else ANY
+    return (route, band), (route, ANY), (all_routes, ANY)
+
+
+def add_to_quantiles(
+    quantiles: Quantiles, route: str, band: str, latency: float
+) -> None:
+    """Add a latency of the old version to its band, its route and all."""
+    for key in _quantile_keys(route, band):
+        quantiles.setdefault(key, LatencyQuantile()).add(latency)
--- a/waxwingarch/core/moves/move_counts.py
+++ b/waxwingarch/core/moves/move_counts.py
@@ -1,6 +1,7 @@
 """Outcome counts of two versions of a service, per route and load band."""
 
-from dataclasses import dataclass
+from bisect import insort
+from dataclasses import dataclass, field
 from enum import StrEnum
 from math import exp, log
 from typing import Final
@@ -14,9 +15,14 @@
 
 # A response is slow above this quantile of the old version's latency.
 SLOW_QUANTILE: Final = 0.9
-# Step of the estimate of log latency; it is larger during the warm-up.
+# Step of the estimate of log latency, after the first latencies.
 QUANTILE_LOG_STEP: Final = 0.03
 QUANTILE_WARMUP_REQUESTS: Final = 40
+# Both versions are compared with the same limit, so a rough estimate of the
+# quantile does.
+MIN_QUANTILE_REQUESTS: Final = 12
+# The time from the first byte to the end is counted as a route of its own.
+REST_SUFFIX: Final = " (rest)"
 # Share of a server's slots in use from which a load band begins.
 HIGH_LOAD_RATIO: Final = 0.85
 MIDDLE_LOAD_RATIO: Final = 0.5
@@ -128,30 +134,37 @@
 
 @dataclass(kw_only=True, slots=True)
 class LatencyQuantile:
-    """Running estimate of `SLOW_QUANTILE` of the old version's latency."""
+    """Running estimate of `SLOW_QUANTILE` of the old version's latency.
 
-    log_latency: float = 0.0
-    observations: int = 0
+    The first latencies are kept in order; the estimate starts from them.
+    """
+
+    first_latencies: list[float] = field(default_factory=list)
+    log_latency: float | None = None
 
     def add(self, latency_s: float) -> None:
         """Move the estimate a step up or down, by an observed latency."""
-        value = log(max(latency_s, 1e-6))
-        self.observations += 1
-        if self.observations == 1:
-            self.log_latency = value
+        if self.log_latency is not None:
+            below = 1.0 if log(max(latency_s, 1e-6)) <= self.log_latency else 0
+            self.log_latency += QUANTILE_LOG_STEP * (SLOW_QUANTILE - below)
             return
-        below = 1.0 if value <= self.log_latency else 0.0
-        step = QUANTILE_LOG_STEP * max(
-            1.0, QUANTILE_WARMUP_REQUESTS / self.observations
-        )
-        self.log_latency += step * (SLOW_QUANTILE - below)
+        insort(self.first_latencies, max(latency_s, 1e-6))
+        if len(self.first_latencies) >= QUANTILE_WARMUP_REQUESTS:
+            self.log_latency = log(self._first_quantile())
+            self.first_latencies.clear()
 
     @property
     def slow_above_s(self) -> float | None:
-        """Latency above which a response is slow; None during warm-up."""
-        if self.observations < QUANTILE_WARMUP_REQUESTS:
+        """Latency above which a response is slow; None if not known yet."""
+        if self.log_latency is not None:
+            return exp(self.log_latency)
+        if len(self.first_latencies) < MIN_QUANTILE_REQUESTS:
             return None
-        return exp(self.log_latency)
+        return self._first_quantile()
+
+    def _first_quantile(self) -> float:
+        index = int(SLOW_QUANTILE * len(self.first_latencies))
+        return self.first_latencies[index]
 
 
 def signal_sample(cell: Cell | None, signal: Signal) -> Sample:
--- a/waxwingarch/core/moves/move_judge.py
+++ b/waxwingarch/core/moves/move_judge.py
@@ -6,6 +6,7 @@
 from typing import Final, Protocol
 
 from waxwingarch.core.base import HostId, ServiceId, VersionId
+from waxwingarch.core.moves.move_confidence import Confidence
 from waxwingarch.core.moves.move_counts import (
     TOLERANCES,
     Cell,
@@ -20,6 +21,7 @@
     ALTERNATIVE_EXCESSES,
     DETECTABLE_EXCESS,
     FAILURE_TOLERANCE,
+    MIN_REFERENCE_REQUESTS,
     MIN_WINDOW_REQUESTS,
     UNKNOWN_BAND_TOLERANCE,
     CusumStream,
@@ -97,6 +99,7 @@
 
 
 RouteBand = tuple[str, str]
+Quantiles = dict[RouteBand, LatencyQuantile]
 StreamKey = tuple[str, str, Signal]
 
 
@@ -118,7 +121,8 @@
     planned_steps: int
     judged_steps: int = 0
     own_counts: dict[CountsKey, Cell] = field(default_factory=dict)
-    quantiles: dict[RouteBand, LatencyQuantile] = field(default_factory=dict)
+    quantiles: Quantiles = field(default_factory=dict)
+    slow_above: float | None = None
     routes: list[str] = field(default_factory=list)
     sequence: int = 0
     closed: bool = False
@@ -129,6 +133,7 @@
     references: dict[StreamKey, ReferenceRate] = field(default_factory=dict)
     streams: dict[StreamKey, CusumStream] = field(default_factory=dict)
     overall_rates: dict[Signal, float] = field(default_factory=dict)
+    confidence: Confidence = field(default_factory=Confidence)
     last_judged_at: float | None = None
     last_verdict: Verdict | None = None
 
@@ -233,6 +238,7 @@
     """Add a sample's scores to its own stream and to the pooled ones."""
     route, band, signal = key
     null = _null_rate_of(watch, route, band, signal)
+    _add_confidence(watch, route, signal, sample, null)
     if null is None:
         return
     scores = window_scores(sample, null)
@@ -240,6 +246,27 @@
         _add_to_stream(stream_scores, (*route_band, signal), scores)
 
 
+def _add_confidence(
+    watch: Watch,
+    route: str,
+    signal: Signal,
+    sample: Sample,
+    null: float | None,
+) -> None:
+    """Add a sample to the evidence that the version is sound.
+
+    Where the old version isn't known in the sample's load band, it is
+    compared with all bands of its route.
+    """
+    if null is None:
+        old = _total_sample(watch, watch.old, (route, ANY, signal))
+        if old.trials < MIN_REFERENCE_REQUESTS:
+            return
+        rate = old.hits / old.trials
+        null = NULL_RATE_FUNCTIONS[signal](rate, TOLERANCES[signal])
+    watch.confidence.add(route, signal, sample, null)
+
+
 def _add_to_canary_stream(
     watch: Watch,
     stream_scores: dict[StreamKey, tuple[float, ...]],
--- a/waxwingarch/core/rollouts/rollout_controller.py
+++ b/waxwingarch/core/rollouts/rollout_controller.py
@@ -2,8 +2,8 @@
 
 A small share of the requests tries the new version. The rest is shifted
 to it when the deadline is so near that the requests until then fit into
-the exposure that a bad version may get, unless the evidence of all hosts
-speaks against it before. Any host can stop a move: it writes a stop mark
+the exposure that a bad version may get, and only if the evidence of all
+hosts speaks for it. Any host can stop a move: it writes a stop mark
 to the store and reports the stop to all hosts.
 """
 
@@ -19,10 +19,25 @@
     ServiceId,
     VersionId,
 )
-from waxwingarch.core.moves.evidence import EvidenceRecorder
+from waxwingarch.core.moves.evidence import (
+    EvidenceRecorder,
+    add_to_quantiles,
+)
 from waxwingarch.core.moves.move_counts import Cell, HostEvidence, LoadBand
-from waxwingarch.core.moves.move_judge import Decision
+from waxwingarch.core.moves.move_judge import (
+    ANY,
+    Decision,
+    Quantiles,
+    Verdict,
+)
 from waxwingarch.core.randomness import RandomSource
+from waxwingarch.core.rollouts.exposure import (
+    TRIAL_SHARE,
+    ExposureBounds,
+    MoveTraffic,
+    may_shift,
+    trial_share,
+)
 from waxwingarch.core.rollouts.rollout_messages import (
     MarkStopped,
     ReadStops,
@@ -37,14 +52,11 @@
     StopsRead,
 )
 
-# The share of requests that try the new version: half of the default
-# exposure bound, so that retries and uneven hosts stay within the bound.
-TRIAL_SHARE: Final = 0.05
-# The shift before the deadline uses this part of the allowed exposure. The
-# rest is a margin, as the counts of other hosts arrive a report late.
-EXPOSURE_USED_RATIO: Final = 0.8
-# Nothing is shifted before the new version has had this many requests.
-MIN_TRIAL_REQUESTS: Final = 20
+# Until the old version's latency is known, an answer is slow if it takes
+# more than this multiple of the expected time.
+INITIAL_SLOW_RATIO: Final = 2.5
+# Bound of the latencies that are followed for a service.
+MAX_QUANTILES: Final = 128
 # A move completes this long before its deadline even if old servers still
 # run requests: the operator has to read the final state in time.
 COMPLETION_MARGIN_S: Final = 0.4
@@ -54,6 +66,7 @@
 
 # A phase is replaced only by one that comes later in this order.
 _PHASE_ORDER: Final = tuple(RolloutPhase)
+OPEN_PHASES: Final = (RolloutPhase.TRIAL, RolloutPhase.SHIFTED)
 _STATE_BY_PHASE: Final = {
     RolloutPhase.TRIAL: RolloutState.RUNNING,
     RolloutPhase.SHIFTED: RolloutState.RUNNING,
@@ -62,17 +75,6 @@
 }
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ExposureBounds:
-    """How many requests a bad version may get.
-
-    The bound is `share` of all requests plus `extra` requests.
-    """
-
-    share: float = 0.1
-    extra: float = 50.0
-
-
 @dataclass(kw_only=True, slots=True)
 class _Rollout:
     """A version move; the order `is_from_copy` of the store.
@@ -88,6 +90,7 @@
     stop_reads_before: int = 0
     phase: RolloutPhase = RolloutPhase.HELD
     is_suspicious: bool = False
+    trial_share: float = TRIAL_SHARE
     reason: str = ""
     is_from_copy: bool = False
     is_stop_marked: bool = False
@@ -115,6 +118,7 @@
         self._rng = rng
         self._recorder = EvidenceRecorder(host, incarnation)
         self._rollouts: dict[ServiceId, _Rollout] = {}
+        self._quantiles: dict[ServiceId, Quantiles] = {}
         self._must_read_stops = False
         self._stop_reads = 0
         self._stop_reads_in_flight = 0
@@ -154,6 +158,8 @@
             old=OTHER_VERSIONS,
             new=order.target,
             duration_s=order.duration_s,
+            quantiles=self._quantiles.setdefault(order.service, {}),
+            slow_above=INITIAL_SLOW_RATIO,
         )
 
     def _adopt_rewritten(self, known: _Rollout, order: RolloutOrder) -> None:
@@ -253,10 +259,17 @@
                 return old
             case RolloutPhase.SHIFTED | RolloutPhase.COMPLETED:
                 return new or old
-            case RolloutPhase.TRIAL if self._rng.random() < TRIAL_SHARE:
+            case RolloutPhase.TRIAL if (
+                self._rng.random() < rollout.trial_share
+            ):
                 return new or old
         return old or new
 
+    @property
+    def is_any_open(self) -> bool:
+        """Whether evidence about some version still matters."""
+        return any(r.phase in OPEN_PHASES for r in self._rollouts.values())
+
     def record_outcome(
         self,
         now: float,
@@ -264,18 +277,60 @@
         route: str,
         *,
         ok: bool,
-        latency_s: float,
         band: LoadBand,
     ) -> None:
         """Count the outcome of a request as evidence about its version."""
         rollout = self._rollouts.get(server.service)
-        if rollout is None:
-            return
-        target = rollout.order.target
-        version = target if server.version == target else OTHER_VERSIONS
-        self._recorder.record_outcome(
-            now, server.service, version, route, band, ok, latency_s
+        if rollout is not None:
+            version = _evidence_version(rollout, server)
+            self._recorder.record_outcome(
+                now, server.service, version, route, band, ok, None
+            )
+
+    def record_latency(
+        self,
+        now: float,
+        server: Server,
+        route: str,
+        band: LoadBand,
+        latency: float,
+        *,
+        is_final: bool,
+    ) -> bool:
+        """Count a latency as evidence; return whether it was counted.
+
+        One that is not final is counted only if it is slow by now. Outside
+        of moves, latencies show what is usual for a service.
+        """
+        service = server.service
+        rollout = self._rollouts.get(service)
+        if rollout is None or rollout.phase not in OPEN_PHASES:
+            is_rejected = (
+                rollout is not None
+                and rollout.phase is not RolloutPhase.COMPLETED
+                and server.version == rollout.order.target
+            )
+            if is_final and not is_rejected:
+                self._record_usual(service, route, band, latency)
+            return is_final
+        if not is_final:
+            limit = self._recorder.slow_above(
+                rollout.order.rollout_id, route, band
+            )
+            if limit is None or latency <= limit:
+                return False
+        version = _evidence_version(rollout, server)
+        self._recorder.record_latency(
+            now, service, version, route, band, latency, is_final=is_final
         )
+        return True
+
+    def _record_usual(
+        self, service: ServiceId, route: str, band: LoadBand, latency: float
+    ) -> None:
+        quantiles = self._quantiles.setdefault(service, {})
+        if (route, ANY) in quantiles or len(quantiles) < MAX_QUANTILES:
+            add_to_quantiles(quantiles, route, band, latency)
 
     # Other hosts
 
@@ -310,7 +365,7 @@
         found = (
             self._recorder.snapshot(r.order.rollout_id)
             for r in self._rollouts.values()
-            if r.phase in (RolloutPhase.TRIAL, RolloutPhase.SHIFTED)
+            if r.phase in OPEN_PHASES
         )
         return tuple(snapshot for snapshot in found if snapshot is not None)
 
@@ -370,16 +425,36 @@
         ]
 
     def _apply_verdict(self, now: float, rollout: _Rollout) -> None:
-        if rollout.phase not in (RolloutPhase.TRIAL, RolloutPhase.SHIFTED):
+        if rollout.phase not in OPEN_PHASES:
             return
         verdict = self._recorder.verdict(now, rollout.order.rollout_id)
         if verdict is None:
             return
         rollout.is_suspicious = verdict.suspicious
-        is_overdue = now >= rollout.deadline and verdict.suspicious
-        if verdict.decision is Decision.STOP or is_overdue:
+        rollout.trial_share = trial_share(
+            self._bounds, self._traffic(now, rollout)
+        )
+        if verdict.decision is Decision.STOP:
+            self._stop(rollout, verdict.explain())
+        elif now >= rollout.deadline - COMPLETION_MARGIN_S:
+            self._stop_if_doubtful(rollout, verdict)
+
+    def _stop_if_doubtful(self, rollout: _Rollout, verdict: Verdict) -> None:
+        """Stop a move at its deadline if a bad version is the likelier one."""
+        rollout_id = rollout.order.rollout_id
+        if self._recorder.is_doubtful(rollout_id):
+            gap = self._recorder.confidence_gap(rollout_id)
+            self._stop(rollout, f"not trusted by the deadline: {gap}")
+        elif verdict.suspicious:
             self._stop(rollout, verdict.explain())
 
+    def _is_trusted(self, rollout: _Rollout) -> bool:
+        """Return whether the evidence speaks for the new version."""
+        rollout_id = rollout.order.rollout_id
+        return not (
+            rollout.is_suspicious or self._recorder.confidence_gap(rollout_id)
+        )
+
     def _stop(self, rollout: _Rollout, reason: str) -> None:
         if rollout.phase in (RolloutPhase.STOPPED, RolloutPhase.COMPLETED):
             return
@@ -391,32 +466,23 @@
         self, now: float, rollout: _Rollout, is_busy: bool
     ) -> None:
         if rollout.phase is RolloutPhase.TRIAL:
-            if not rollout.is_suspicious and self._may_shift(now, rollout):
+            if self._is_trusted(rollout) and may_shift(
+                self._bounds, self._traffic(now, rollout)
+            ):
                 rollout.advance(RolloutPhase.SHIFTED)
         elif rollout.phase is RolloutPhase.SHIFTED and (
             not is_busy or now >= rollout.deadline - COMPLETION_MARGIN_S
         ):
             rollout.advance(RolloutPhase.COMPLETED)
 
-    def _may_shift(self, now: float, rollout: _Rollout) -> bool:
-        """Return whether all requests until the deadline may be exposed.
-
-        The request rate since the start is taken to last until then.
-        """
+    def _traffic(self, now: float, rollout: _Rollout) -> MoveTraffic:
         requests = self._recorder.request_counts(rollout.order.rollout_id)
-        new_requests = requests.get(rollout.order.target, 0)
-        total_requests = sum(requests.values())
-        if new_requests < MIN_TRIAL_REQUESTS:
-            return False
-        remaining_s = max(0.0, rollout.deadline - now)
-        rate_per_s = total_requests / max(1.0, now - rollout.started_at)
-        allowed_by_share = self._bounds.share * (
-            total_requests + rate_per_s * remaining_s
+        return MoveTraffic(
+            new_requests=requests.get(rollout.order.target, 0),
+            all_requests=sum(requests.values()),
+            elapsed_s=now - rollout.started_at,
+            remaining_s=max(0.0, rollout.deadline - now),
         )
-        allowed_requests = (
-            allowed_by_share + self._bounds.extra
-        ) * EXPOSURE_USED_RATIO - new_requests
-        return rate_per_s * remaining_s <= allowed_requests
 
     def _pending_writes(
         self, now: float, rollout: _Rollout, holds_duties: bool
@@ -448,3 +514,8 @@
             if rollout.order.rollout_id == rollout_id:
                 return rollout
         return None
+
+
+def _evidence_version(rollout: _Rollout, server: Server) -> VersionId:
+    target = rollout.order.target
+    return target if server.version == target else OTHER_VERSIONS
