--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -3,7 +3,7 @@
 from typing import Any, Final
 
 from waxwingarch.core.backends.load_balancer import LoadBalancer, Pick
-from waxwingarch.core.backends.registry import Backend, BackendLeaving
+from waxwingarch.core.backends.registry import BackendLeaving
 from waxwingarch.core.base import (
     Action,
     RequestId,
@@ -23,11 +23,11 @@
     ExchangeHead,
     ForwardFailure,
     LocalResponse,
-    MigrateRun,
     ResponseStarted,
     RunMigrated,
     SendRequest,
 )
+from waxwingarch.core.exchange.migrations import RunMigrations
 from waxwingarch.core.exchange.state_machine import (
     ExchangeState,
     NextStep,
@@ -59,15 +59,6 @@
 # route's longest pause between events, and for at least the minimum.
 IDLE_TIMEOUT_PER_EVENT_GAP: Final = 4.0
 MIN_STREAM_IDLE_TIMEOUT_S: Final = 1.2
-# The migration of runs off a leaving server starts this long before the
-# time at which the server says that it leaves.
-MIGRATION_LEAD_S: Final = 0.9
-# Where a server does not say when it leaves, migration starts this long
-# after it was first seen to be leaving.
-MIGRATION_DELAY_S: Final = 1.0
-# A run that can be resumed without its KV cache does not wait for longer
-# than this for the copy. Any other run is lost without the copy.
-MAX_MIGRATION_S: Final = 1.0
 # Callers that are refused until a server takes requests again are told to
 # return spread over this share of that time after it.
 RETURN_SPREAD_RATIO: Final = 0.5
@@ -98,9 +89,10 @@
         self._resend_budget = resend_budget
         self._evidence = AttemptEvidence(load_balancer, rollouts)
         self._rng = rng
-        self._leaving_known_s = leaving_known_s
         self._exchanges: dict[RequestId, ExchangeState] = {}
-        self._migrate_at: dict[RequestId, float] = {}
+        self._migrations = RunMigrations(
+            load_balancer, self._exchanges, self.can_resend, leaving_known_s
+        )
 
     def __len__(self) -> int:
         return len(self._exchanges)
@@ -297,7 +289,9 @@
             backend = self._load_balancer.registry.get(
                 state.migrated_cache.target
             )
-            if backend is not None and self._may_continue_at(now, backend):
+            if backend is not None and self._migrations.may_continue_at(
+                now, backend
+            ):
                 return self._dispatch(now, state, backend.server)
             state.migrated_cache = None
             return None
@@ -309,17 +303,6 @@
             send = self._dispatch(now, state, None)
         return send
 
-    def _may_continue_at(self, now: float, backend: Backend) -> bool:
-        """Return whether a server still takes the runs that it has stopped.
-
-        A leaving server has to get no request after the time in which all
-        hosts know of it.
-        """
-        return (
-            backend.leaving_since is None
-            or now < backend.leaving_since + self._leaving_known_s
-        )
-
     def may_leave_silent_server(
         self, now: float, request_id: RequestId, *, response_started: bool
     ) -> bool:
@@ -444,7 +427,7 @@
     ) -> list[Action]:
         request_id = event.request_id
         del self._exchanges[request_id]
-        self._migrate_at.pop(request_id, None)
+        self._migrations.forget(request_id)
         if step is NextStep.ABORT:
             return [AbortResponse(request_id=request_id)]
         if step is NextStep.FORWARD_FAILURE:
@@ -465,7 +448,7 @@
     ) -> list[Action]:
         """Drop an exchange whose caller has disconnected."""
         state = self._exchanges.pop(event.request_id, None)
-        self._migrate_at.pop(event.request_id, None)
+        self._migrations.forget(event.request_id)
         attempt = self._load_balancer.loads.record_attempt_end(
             event.request_id
         )
@@ -479,60 +462,13 @@
         self, now: float, event: BackendLeaving
     ) -> list[Action]:
         """Schedule the migration of all runs off a leaving server."""
-        migrate_at = now + MIGRATION_DELAY_S
-        if event.leaves_at is not None:
-            migrate_at = max(now, event.leaves_at - MIGRATION_LEAD_S)
-        for request_id in self._load_balancer.loads.requests_on(
-            event.server.server_id
-        ):
-            state = self._exchanges.get(request_id)
-            traits = state.exchange.traits if state else None
-            if traits is not None and traits.can_migrate:
-                self._migrate_at.setdefault(request_id, migrate_at)
+        self._migrations.schedule(now, event)
         return []
 
     def tick(self, now: float) -> list[Action]:
         """Start the migrations that are due; note what is slow by now."""
         self._evidence.record_waiting(now, self._exchanges.values())
-        if not self._migrate_at:
-            return []
-        due = [r for r, at in self._migrate_at.items() if at <= now]
-        actions: list[Action] = []
-        for request_id in due:
-            del self._migrate_at[request_id]
-            actions += self._start_migration(now, request_id)
-        return actions
-
-    def _start_migration(
-        self, now: float, request_id: RequestId
-    ) -> list[Action]:
-        """Migrate a run whose response has started, if a server can take it.
-
-        Any other run stays on its server.
-        """
-        state = self._exchanges.get(request_id)
-        server_id = self._load_balancer.loads.server_of(request_id)
-        if state is None or server_id is None or state.is_migrating:
-            return []
-        source = self._load_balancer.registry.get(server_id)
-        exchange = state.exchange
-        pick = self._load_balancer.choose(
-            now, exchange, exchange.traits, {server_id}
-        )
-        if source is None or pick is None or not state.response_started:
-            return []
-        deadline = exchange.expires_at
-        if self.can_resend(now, request_id, response_started=True):
-            deadline = min(deadline, now + MAX_MIGRATION_S)
-        state.is_migrating = state.may_be_stopped = True
-        return [
-            MigrateRun(
-                request_id=request_id,
-                source=source.server,
-                target=pick.server,
-                deadline=deadline,
-            )
-        ]
+        return self._migrations.tick(now)
 
     def handle_run_migrated(
         self, now: float, event: RunMigrated
