--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -138,7 +138,7 @@
         await end(daemon)
         await asyncio.sleep(self._rng.uniform(0, 2))
         await self._world.async_start(daemon)
-        await self._world.async_wait_ready(daemon)
+        await self._world.async_check_ready(daemon)
         self._targets.end_fault(interval)
 
     def _prepare_rolling_stop(self) -> Fault | None:
--- a/standins/soak/promises.py
+++ b/standins/soak/promises.py
@@ -20,6 +20,7 @@
     STOP = "a planned stop ends in time and cuts off nobody"
     ANSWERED = "what a host read whole is answered or refused"
     QUARANTINE = "after five crashes a prompt part reaches few servers"
+    READY = "a host that was started becomes ready"
     ALIVE = "no process ends by itself"
     FENCE = "duties are never done with an older fencing number"
     USAGE = "one window of usage is never reported two ways"
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -28,6 +28,8 @@
 # Name of the row store in fault intervals, beside those of hosts and servers.
 STORE: Final = "store"
 START_LIMIT_S: Final = 60.0
+# Shorter than the time in which all faults of a soak have to end.
+READY_LIMIT_S: Final = 30.0
 EVENT_INTERVAL_S: Final = 0.02
 EVENTS_PER_STREAM: Final = 25
 PLAIN_WORK_S: Final = 0.03
@@ -168,6 +170,17 @@
         """Wait until a host's readiness probe succeeds."""
         await async_wait_front_ready(self.client, daemon.readiness)
 
+    async def async_check_ready(self, daemon: Daemon) -> None:
+        """Check that a host that was started again becomes ready in time."""
+        is_ready = True
+        try:
+            async with asyncio.timeout(READY_LIMIT_S):
+                await self.async_wait_ready(daemon)
+        except TimeoutError:
+            is_ready = False
+        evidence = f"{daemon.name} was not ready after {READY_LIMIT_S:g} s"
+        self.report.record_check(Promise.READY, is_ready, evidence)
+
     async def async_kill(self, daemon: Daemon) -> None:
         """Kill a host's process."""
         assert daemon.process
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -384,6 +384,12 @@
             self.world.check_processes()
             self.assertEqual({Promise.ALIVE}, set(self.report.broken_counts))
 
+    @async_test
+    async def test_host_that_never_becomes_ready(self) -> None:
+        with mock.patch("standins.soak.world.READY_LIMIT_S", 0.1):
+            await self.world.async_check_ready(self.daemon)
+        self.assertEqual({Promise.READY}, set(self.report.broken_counts))
+
 
 class ShortSoak(testtools.TestCase):
     """Real processes for some seconds; `script/soak` runs longer ones."""
