Let evidence of a move suffice only with compared latencies

A version move of our own interface went on to the shift by failures alone: where no host knew a limit of slow answers, none was compared, and the evidence still sufficed. It is the fault of the slow version that was completed. A route now needs half as many compared latencies as requests.

FewRequestsPerHostTest failed before: sufficient instead of collecting.

--- a/tests/core/moves/test_evidence.py
+++ b/tests/core/moves/test_evidence.py
@@ -119,6 +119,31 @@
         self.assertNotEqual(Decision.STOP, verdict.decision)
 
 
+class FewRequestsPerHostTest(TestCase):
+    # A move was allowed to go on though no answer had been compared in time.
+    def test_latency_that_was_not_compared_does_not_suffice(self) -> None:
+        judging = make_recorder("judge")
+        for n in range(150):
+            recorder = make_recorder(f"h{n}")
+            for route in ROUTES:
+                for version, latency_s in ((OLD, 1.0), (NEW, 10.0)) * 3:
+                    recorder.record_outcome(
+                        0.0,
+                        SERVICE,
+                        version,
+                        route,
+                        LoadBand.LOW,
+                        True,
+                        latency_s,
+                    )
+            snapshot = recorder.snapshot(MOVE)
+            assert snapshot is not None
+            judging.merge(snapshot)
+            verdict = judging.verdict(n * 0.5, MOVE)
+        assert verdict is not None
+        self.assertEqual(Decision.COLLECTING, verdict.decision)
+
+
 class ServiceThatIsNeverFullTest(TestCase):
     """A version needs evidence only at loads that its service reaches."""
 
--- a/waxwingarch/core/moves/move_judge.py
+++ b/waxwingarch/core/moves/move_judge.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
-from math import sqrt
+from math import ceil, sqrt
 from typing import Final, Protocol
 
 from waxwingarch.core.base import HostId, ServiceId, VersionId
@@ -44,6 +44,8 @@
 }
 # From this fraction of the stop threshold on, a version's share is frozen.
 SUSPICION_SCORE: Final = 0.5
+# The part of the requests that a route needs whose latency was compared.
+MIN_TIMED_RATIO: Final = 0.5
 # Requests that the new version needs in the service's highest usual band.
 MIN_BAND_REQUESTS: Final = 60
 # A load band is usual for a service from this share of the old version's
@@ -374,7 +376,7 @@
     """Return the first gap in the evidence; empty if it suffices.
 
     Each route needs enough requests to detect an excess failure rate of
-    `DETECTABLE_EXCESS`.
+    `DETECTABLE_EXCESS`, and a part of them with a latency that was compared.
     """
     shares = route_shares(watch)
     if not shares:
@@ -390,6 +392,10 @@
         needed = trials_needed(watch.stop_threshold, null, DETECTABLE_EXCESS)
         if new_sample.trials < needed:
             return f"route {route}: {new_sample.trials} of {needed} requests"
+        timed = _total_sample(watch, watch.new, (route, ANY, Signal.SLOWNESS))
+        needed = ceil(MIN_TIMED_RATIO * needed)
+        if timed.trials < needed:
+            return f"route {route}: {timed.trials} of {needed} latencies"
     return _find_load_gap(watch)
 
 
