--- a/waxwingarch/core/rollouts/rollout_controller.py
+++ b/waxwingarch/core/rollouts/rollout_controller.py
@@ -356,6 +356,7 @@
                     new=counts.get(rollout.order.target, Cell()),
                     old=counts.get(OTHER_VERSIONS, Cell()),
                     verdict=self._recorder.last_verdict(rollout_id),
+                    trust_gap=self._recorder.confidence_gap(rollout_id),
                 )
             )
         return found
--- a/waxwingarch/core/rollouts/rollout_messages.py
+++ b/waxwingarch/core/rollouts/rollout_messages.py
@@ -85,7 +85,7 @@
     """The phase of a move on one host, with the evidence it has by now.
 
     `new` and `old` are the counts of all hosts; `reason` says why the move
-    was stopped.
+    was stopped, `trust_gap` what the evidence for the version lacks.
     """
 
     rollout_id: str
@@ -95,6 +95,7 @@
     new: Cell
     old: Cell
     verdict: Verdict | None
+    trust_gap: str
 
 
 # Events
--- a/waxwingarch/tasks/rollout_log.py
+++ b/waxwingarch/tasks/rollout_log.py
@@ -63,4 +63,5 @@
         "score": round(verdict.score, DECIMALS) if verdict else None,
         "worst": verdict.explain() if verdict else None,
         "missing": verdict.missing if verdict else None,
+        "trust_gap": progress.trust_gap,
     }
