Don't call an answer slow that is as fast as expected

A healthy version of a plain service was rolled back: the new servers were idle, so that less was expected of them, and answers far below the expectation differed by it alone (72% against 11% slow). On engines a wait up to the expected one now counts as expected; on plain servers the wait itself is compared.

--- a/waxwingarch/core/rollouts/rollout_evidence.py
+++ b/waxwingarch/core/rollouts/rollout_evidence.py
@@ -9,8 +9,12 @@
 
 from waxwingarch.core.backends.latency import MIN_LATENCY_S
 from waxwingarch.core.backends.load import ActiveAttempt
-from waxwingarch.core.backends.load_balancer import LoadBalancer
+from waxwingarch.core.backends.load_balancer import (
+    PLAIN_RESPONSE_S,
+    LoadBalancer,
+)
 from waxwingarch.core.backends.registry import Backend
+from waxwingarch.core.base import Server, ServerKind
 from waxwingarch.core.exchange.exchange_messages import (
     AttemptFinished,
     AttemptOutcome,
@@ -99,16 +103,12 @@
         backend = self._backend_of(state, attempt)
         if backend is None or attempt.is_wait_counted:
             return
-        wait_s = now - attempt.sent_at
-        ratio = max(wait_s, MIN_LATENCY_S) / max(
-            attempt.expected_s, MIN_LATENCY_S
-        )
         attempt.is_wait_counted = self._rollouts.record_latency(
             now,
             backend.server,
             state.exchange.route.name,
             self._band_of(backend),
-            ratio,
+            _wait_ratio(now - attempt.sent_at, attempt, backend.server),
             is_final=is_final,
         )
 
@@ -154,3 +154,18 @@
         server = backend.server
         load = self._load_balancer.loads.total_load(server.server_id)
         return load_band(load.running, server.slots)
+
+
+def _wait_ratio(
+    wait_s: float, attempt: ActiveAttempt, server: Server
+) -> float:
+    """Return the time to the first byte relative to a usual one.
+
+    On an engine a wait that is as expected or shorter counts as 1, so that
+    errors of the expectation don't make an answer slow. What is expected
+    of a plain server says nothing about its requests.
+    """
+    wait_s = max(wait_s, MIN_LATENCY_S)
+    if server.kind is not ServerKind.ENGINE:
+        return wait_s / PLAIN_RESPONSE_S
+    return max(1.0, wait_s / max(attempt.expected_s, MIN_LATENCY_S))
