Let an answer that ends with its connection clear no prompt part

A server that crashes after an event of an answer without a length may close the connection as at the end of the answer. That looked complete and cleared the part that had caused the crash. Found by reading; the test fails without the change.

--- a/tests/core/front/test_quarantine.py
+++ b/tests/core/front/test_quarantine.py
@@ -428,3 +428,25 @@
         node.handle(1.1, done)
         sound_at = node.quarantine.evidence.sound_at("p0")
         self.assertEqual(float("-inf"), sound_at)
+
+
+class SoundAnswers(testtools.TestCase):
+    """Which answers clear the parts of their prompts."""
+
+    def is_cleared(self, **end: Any) -> bool:
+        node = serving_front()
+        arrive(node, "r")
+        node.handle(1.1, ResponseStarted(request_id=RequestId("r")))
+        done = AttemptFinished(
+            request_id=RequestId("r"), outcome=AttemptOutcome.DONE, **end
+        )
+        node.handle(1.2, done)
+        return node.quarantine.evidence.sound_at("p0") > 0.0
+
+    def test_complete_answer_clears(self) -> None:
+        self.assertTrue(self.is_cleared())
+
+    # A crash that closed the connection between two events looked complete
+    # and cleared the part that had caused it.
+    def test_answer_that_ends_with_its_connection_says_nothing(self) -> None:
+        self.assertFalse(self.is_cleared(ended_by_close=True))
--- a/waxwingarch/core/exchange/crash_observer.py
+++ b/waxwingarch/core/exchange/crash_observer.py
@@ -37,12 +37,13 @@
         """Record the end of an attempt.
 
         A server that is leaving, or whose run was migrated, breaks its
-        responses for a reason of its own. An answer without a byte may be
-        complete by its form, and says nothing.
+        responses for a reason of its own. An answer without a byte, or one
+        that ends with its connection, may only look complete, and says
+        nothing.
         """
         head = state.exchange.head
         if event.outcome is AttemptOutcome.DONE:
-            if attempt.has_started:
+            if attempt.has_started and not event.ended_by_close:
                 self._quarantine.record_sound(now, head)
             return
         backend = self._load_balancer.registry.get(attempt.server_id)
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -191,7 +191,8 @@
     the response. `has_response` says that a complete error response of the
     server is at hand and can be forwarded. `retry_after_s` is what the
     server asked for, `last_event` the id of the last event that the caller
-    has received.
+    has received. `ended_by_close` means that only the end of the connection
+    ended the response: a crash of the server may look the same.
     """
 
     outcome: AttemptOutcome
@@ -199,6 +200,7 @@
     response_started: bool = False
     has_response: bool = False
     retry_after_s: float | None = None
+    ended_by_close: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -81,12 +81,14 @@
     """The part of the response that the caller has, over all attempts.
 
     `last_event` is the id of the last event that was passed on. `failure`
-    is the latest error response that can be forwarded.
+    is the latest error response that can be forwarded. `ended_by_close`
+    is about the current attempt.
     """
 
     response_started: bool = False
     last_event: int | None = None
     failure: FailureResponse | None = None
+    ended_by_close: bool = False
     activity_reported_at: float = field(default=float("-inf"))
 
 
@@ -139,6 +141,7 @@
             last_event=self.state.last_event,
             has_response=self.state.failure is not None,
             retry_after_s=retry_after_s,
+            ended_by_close=self.state.ended_by_close,
         )
 
     async def _async_attempt(
@@ -241,6 +244,7 @@
             return AttemptOutcome.FAILED, head.retry_after_s
         if not head.is_authentic:
             raise BadResponseError(f"{send.server.address}: not authentic")
+        self.state.ended_by_close = stream.ends_with_connection
         if send.streaming:
             await self._async_forward_events(stream, send)
         else:
