--- a/waxwingarch/core/rollouts/rollout_controller.py
+++ b/waxwingarch/core/rollouts/rollout_controller.py
@@ -270,7 +270,7 @@
         rollout = self._rollouts.get(server.service)
         return (
             rollout is not None
-            and rollout.phase in (RolloutPhase.TRIAL, RolloutPhase.SHIFTED)
+            and rollout.phase in OPEN_PHASES
             and server.version == rollout.order.target
         )
 
