--- a/waxwingarch/tasks/action_tasks.py
+++ b/waxwingarch/tasks/action_tasks.py
@@ -3,13 +3,15 @@
 import asyncio
 from collections.abc import Callable, Coroutine, Mapping
 from functools import partial
-from typing import Any
+from typing import Any, Final
 
 from eliot import write_traceback
 
 from waxwingarch.core.base import Action
 from waxwingarch.tasks.runner import FrontRunner
 
+CALL_TIMEOUT_S: Final = 1.0
+
 Call = Callable[[Any], Coroutine[Any, Any, None]]
 
 
@@ -35,6 +37,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def _deadline(self) -> float:
+        """Return the deadline of a call that begins now."""
+        return asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+
     def _start(self, call: Call, action: Action) -> None:
         task = asyncio.create_task(call(action))
         self._tasks.add(task)
--- a/waxwingarch/tasks/front_duties.py
+++ b/waxwingarch/tasks/front_duties.py
@@ -4,7 +4,6 @@
 store. Each host migrates the runs of its own exchanges.
 """
 
-import asyncio
 import time
 from typing import Final
 
@@ -44,7 +43,6 @@
 LEASE_TABLE: Final = "waxwing-lease"
 LEASE_KEY: Final = "duties"
 USAGE_TABLE: Final = "waxwing-usage"
-CALL_TIMEOUT_S: Final = 1.0
 
 
 def boot_now() -> float:
@@ -80,9 +78,6 @@
             },
         )
 
-    def _deadline(self) -> float:
-        return asyncio.get_running_loop().time() + CALL_TIMEOUT_S
-
     # Leader election lease
 
     async def _async_read_lease(self, action: ReadDutyRow) -> None:
--- a/waxwingarch/tasks/front_quarantine.py
+++ b/waxwingarch/tasks/front_quarantine.py
@@ -28,7 +28,6 @@
 
 QUARANTINE_TABLE: Final = "waxwing-quarantine"
 QUARANTINE_KEY: Final = "parts"
-CALL_TIMEOUT_S: Final = 1.0
 # Delay after a failed read, before the node retries it.
 READ_RETRY_DELAY_S: Final = 0.3
 
@@ -52,9 +51,6 @@
         )
         runner.connect(QuarantineChanged, _log_change)
 
-    def _deadline(self) -> float:
-        return asyncio.get_running_loop().time() + CALL_TIMEOUT_S
-
     async def _async_read(self, _action: ReadQuarantine) -> None:
         entries: tuple[QuarantineEntry, ...] | None = None
         try:
--- a/waxwingarch/tasks/front_rollouts.py
+++ b/waxwingarch/tasks/front_rollouts.py
@@ -26,7 +26,6 @@
 from waxwingarch.tasks.runner import FrontRunner
 
 STOPS_TABLE: Final = "waxwing-stops"
-CALL_TIMEOUT_S: Final = 1.0
 # Delay after a failed read of the stop marks, before the node retries it.
 READ_RETRY_DELAY_S: Final = 0.3
 
@@ -50,9 +49,6 @@
             },
         )
 
-    def _deadline(self) -> float:
-        return asyncio.get_running_loop().time() + CALL_TIMEOUT_S
-
     async def _async_read_stops(self, action: ReadStops) -> None:
         stopped: frozenset[str] | None = None
         try:
