Log by which key a failed request comes again

Ruled out as a key: the API key, as an account may have several, and the headers, as the deadline, the request id and the resumed event differ.

--- a/tests/front/test_logs.py
+++ b/tests/front/test_logs.py
@@ -23,6 +23,7 @@
     AttemptOutcome,
     ExchangeArrived,
 )
+from waxwingarch.core.quarantine.inputs import request_key
 from waxwingarch.tasks.front_log import FrontLog
 
 
@@ -127,12 +128,13 @@
             self.assertGreater(line["config_version"], 0)
             self.assertIn("listing_age_s", line)
 
-    def test_failed_attempt_names_the_shared_parts_of_its_prompt(self) -> None:
+    def test_failed_attempt_names_what_its_request_shares(self) -> None:
         lines = self.new_lines()
         node = serving_front(server("e1"))
         log = FrontLog(node, FrontMetrics())
         for name in ("r1", "r2"):
-            event: Event = ExchangeArrived(head=make_head(name))
+            head = make_head(name, digest="d")
+            event: Event = ExchangeArrived(head=head)
             log(1.0, event, node.handle(1.0, event))
         event = AttemptFinished(
             request_id=RequestId("r1"), outcome=AttemptOutcome.BROKEN
@@ -140,6 +142,10 @@
         log(1.1, event, node.handle(1.1, event))
         [line] = [x for x in lines if x["message_type"] == "attempt_failed"]
         self.assertEqual(("p0",), line["parts"])
+        account = node.table.account_for_key(head.key)
+        assert account is not None
+        key = request_key(account.account, "d")
+        self.assertEqual(key, line["whole_request"])
         self.assertEqual(1, line["beside"])
 
 
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -12,6 +12,7 @@
     ServerId,
     ServiceId,
 )
+from waxwingarch.core.quarantine.inputs import request_key
 from waxwingarch.core.refusal import Refusal
 from waxwingarch.core.routing.config import EngineTraits, RetryPolicy, Route
 
@@ -34,7 +35,8 @@
     `caller_timeout_s` is how long the caller waits, None if it does not say.
     Token counts are 0 where the caller gives none; `output_tokens` is the
     most that may be generated. `last_event` is the id of the event after
-    which the caller resumes a stream.
+    which the caller resumes a stream. `digest` is that of the method, target
+    and body; it is empty where no request can be known by its content.
     """
 
     request_id: RequestId
@@ -47,6 +49,7 @@
     has_token_counts: bool = False
     parts: tuple[PromptPart, ...] = ()
     last_event: int | None = None
+    digest: str = ""
 
     @property
     def shared_part(self) -> str | None:
@@ -82,6 +85,13 @@
         """Return the id that the caller gave to its request."""
         return self.head.request_id
 
+    @property
+    def whole_request(self) -> str | None:
+        """Return the key by which the same request is known again."""
+        if not self.head.digest:
+            return None
+        return request_key(self.account, self.head.digest)
+
     @property
     def retry_policy(self) -> RetryPolicy:
         """Return the route's policy on sending the request again."""
--- a/waxwingarch/core/once/claim.py
+++ b/waxwingarch/core/once/claim.py
@@ -174,7 +174,8 @@
 def body_digest(method: str, path: str, body: bytes) -> str:
     """Return the digest of a request's method, path and body.
 
-    It shows whether an idempotency key is reused for another request.
+    It shows whether an idempotency key is reused for another request, and
+    whether a request comes again.
     """
     request_line = f"{method} {path}\n".encode()
     return sha256(request_line + body).hexdigest()
--- a/waxwingarch/core/quarantine/quarantine.py
+++ b/waxwingarch/core/quarantine/quarantine.py
@@ -20,6 +20,7 @@
 )
 from waxwingarch.core.exchange.exchange_messages import ExchangeHead
 from waxwingarch.core.quarantine.crash_evidence import CrashEvidence
+from waxwingarch.core.quarantine.inputs import part_key
 from waxwingarch.core.quarantine.quarantine_messages import (
     Crash,
     PartOrigin,
@@ -27,7 +28,6 @@
     QuarantineChanged,
     QuarantineEntry,
     QuarantineReport,
-    part_key,
 )
 from waxwingarch.core.refusal import Refusal, RefusalReason
 
--- a/waxwingarch/core/quarantine/quarantine_messages.py
+++ b/waxwingarch/core/quarantine/quarantine_messages.py
@@ -3,9 +3,6 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Final
-
-import xxhash
 
 from waxwingarch.core.base import (
     Action,
@@ -15,17 +12,6 @@
     ServerId,
 )
 
-# Callers choose the ids of parts. Longer ones are known by their hash, so
-# that reports and rows stay small.
-MAX_PART_KEY_CHARS: Final = 24
-
-
-def part_key(part: str) -> str:
-    """Return the key by which a prompt part is known."""
-    if len(part) <= MAX_PART_KEY_CHARS:
-        return part
-    return xxhash.xxh3_64_hexdigest(part.encode())
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Crash:
--- a/waxwingarch/platform/exchange_codec.py
+++ b/waxwingarch/platform/exchange_codec.py
@@ -12,6 +12,7 @@
     PromptPart,
     SendRequest,
 )
+from waxwingarch.core.once.claim import body_digest
 from waxwingarch.platform.const import (
     HEADER_API_KEY,
     HEADER_DEADLINE_MS,
@@ -65,6 +66,7 @@
             has_token_counts=tokens is not None,
             parts=_parse_prompt_parts(headers.get(HEADER_PROMPT_PREFIX)),
             last_event=_parse_int(headers.get(HEADER_LAST_EVENT_ID)),
+            digest=body_digest(req.method, req.target, req.body),
         )
 
     def encode_request_headers(
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -52,6 +52,7 @@
     account: str | None
     shared_part: str | None
     shared_parts: tuple[str, ...] = ()
+    whole_request: str | None = None
     servers: list[Server] = field(default_factory=list)
     response_started_at: float | None = None
 
@@ -148,6 +149,7 @@
             account=exchange.account,
             shared_part=exchange.head.shared_part,
             shared_parts=exchange.head.shared_parts,
+            whole_request=exchange.whole_request,
         )
         self._histories[send.request_id] = history
         self._log_dispatch(now, history, send)
@@ -231,6 +233,7 @@
             server=server_id,
             end=event.outcome.value,
             parts=history.shared_parts[-MAX_LOGGED_PARTS:],
+            whole_request=history.whole_request,
             beside=len(self._front.load_balancer.loads.requests_on(server_id)),
             retry_after_s=event.retry_after_s,
             last_event=event.last_event,
--- a/waxwingarch/tasks/quarantine_operations.py
+++ b/waxwingarch/tasks/quarantine_operations.py
@@ -6,13 +6,13 @@
 
 from waxwingarch.adapters.http_messages import HttpRequest
 from waxwingarch.core.base import Event
+from waxwingarch.core.quarantine.inputs import part_key
 from waxwingarch.core.quarantine.quarantine import Quarantine
 from waxwingarch.core.quarantine.quarantine_messages import (
     PartOrigin,
     PartState,
     QuarantineEntry,
     QuarantineOrdered,
-    part_key,
 )
 from waxwingarch.exceptions import SettingsError
 from waxwingarch.tasks.admin import Admin, NotFoundError
