--- a/tests/core/front/crash_fleet.py
+++ b/tests/core/front/crash_fleet.py
@@ -6,7 +6,13 @@
 from dataclasses import dataclass, field, replace
 from random import Random
 
-from tests.core.front.builders import DOMAINS, config, make_head, server
+from tests.core.front.builders import (
+    DOMAINS,
+    POOL,
+    config,
+    make_head,
+    server,
+)
 from waxwingarch.adapters.report_codec import decode_report, encode_report
 from waxwingarch.core.backends.registry import BackendsListed, ListedBackend
 from waxwingarch.core.base import (
@@ -17,6 +23,7 @@
     RequestId,
     Server,
     ServerId,
+    ServiceId,
     VersionId,
 )
 from waxwingarch.core.exchange.exchange_messages import (
@@ -90,10 +97,11 @@
 
 
 class CrashFleet:
-    """Hosts that gossip, and servers that end when they begin on a part.
+    """Hosts that gossip, and servers that end when they begin on an input.
 
-    `reached` are the times at which requests with the poisoned part reached
-    a running server, `crashed_at` those at which a server crashed by it.
+    `poisons` are parts of prompts, and contents of whole requests. `reached`
+    are the times at which poisoned requests reached a running server,
+    `crashed_at` those at which a server crashed by one.
     """
 
     def __init__(
@@ -104,6 +112,7 @@
         *,
         with_codec: bool = True,
         sound_parts: int = SOUND_PARTS,
+        service: ServiceId = POOL,
     ) -> None:
         self.rng = Random(seed)
         self.now = 0.0
@@ -130,9 +139,12 @@
         self._ids = itertools.count()
         self._listing_version = 0
         self._attempts: dict[tuple[str, RequestId], int] = {}
+        self._retries: dict[RequestId, Callable[[], object]] = {}
         self.backends = {
             ServerId(f"e{n}"): _Backend(
-                server=server(f"e{n}", domain=DOMAINS[n % len(DOMAINS)])
+                server=server(
+                    f"e{n}", service, domain=DOMAINS[n % len(DOMAINS)]
+                )
             )
             for n in range(servers)
         }
@@ -227,9 +239,9 @@
 
     def _retry(self, request_id: RequestId) -> None:
         """Let the caller of a sound request try it once more."""
-        part, _, number = request_id.partition("-")
-        if part not in self.poisons and number.isdigit():
-            self._after(RETRY_AFTER_S, lambda: self.send(part, again=True))
+        retry = self._retries.pop(request_id, None)
+        if retry is not None:
+            self._after(RETRY_AFTER_S, retry)
 
     def _send_report(self, name: str, action: SendReport) -> None:
         report = action.report
@@ -261,20 +273,54 @@
         again: bool = False,
     ) -> RequestId:
         """Send a request with a shared part to a host, or to any."""
-        names = [n for n in self.nodes if n not in self.paused]
-        name = host or self.rng.choice(names)
         number = next(self._ids)
         head = make_head(
-            f"{part}-{number}" + ("-again" if again else ""),
+            f"{part}-{number}",
             path,
             parts=(
                 PromptPart(part=first, tokens=300),
                 PromptPart(part=part, tokens=200),
                 PromptPart(part=f"own-{number}", tokens=500),
             ),
+            digest=f"own-{number}",
         )
-        self.sound_sent += not {first, part} & self.poisons
-        self.post(name, ExchangeArrived(head=head))
+        if part not in self.poisons and not again:
+            self._retries[head.request_id] = lambda: self.send(
+                part, again=True
+            )
+        return self._arrive(head, host)
+
+    def send_whole(
+        self,
+        content: str,
+        host: str | None = None,
+        *,
+        path: str = "/read/x",
+        part: str | None = None,
+        again: bool = False,
+    ) -> RequestId:
+        """Send a request that other requests repeat as a whole."""
+        shared = [FIRST_PART, part] if part else []
+        head = make_head(
+            f"{content}-{next(self._ids)}",
+            path,
+            parts=tuple(
+                PromptPart(part=p, tokens=200)
+                for p in ([*shared, f"own-{content}"] if shared else [])
+            ),
+            digest=content,
+        )
+        if content not in self.poisons and not again:
+            self._retries[head.request_id] = lambda: self.send_whole(
+                content, path=path, part=part, again=True
+            )
+        return self._arrive(head, host)
+
+    def _arrive(self, head: ExchangeHead, host: str | None) -> RequestId:
+        names = [n for n in self.nodes if n not in self.paused]
+        self.sound_sent += not self._is_poisoned(head)
+        event = ExchangeArrived(head=head)
+        self.post(host or self.rng.choice(names), event)
         return head.request_id
 
     def load(
@@ -317,7 +363,9 @@
         return state.exchange.head
 
     def _is_poisoned(self, head: ExchangeHead) -> bool:
-        return any(part.part in self.poisons for part in head.parts)
+        return head.digest in self.poisons or any(
+            part.part in self.poisons for part in head.parts
+        )
 
     def _reach(self, server_id: ServerId, run: _Run) -> None:
         backend = self.backends[server_id]
@@ -363,6 +411,9 @@
             return
         run.started = True
         self._post_run(run, ResponseStarted(request_id=run.head.request_id))
+        if not run.head.parts:
+            self._complete(server_id, run)
+            return
         ends_at = self.now + self.rng.uniform(0.4, 1.6)
         self._after(
             ACTIVITY_S, lambda: self._go_on(server_id, born, run, ends_at)
@@ -374,15 +425,19 @@
         if not self._is_on(server_id, born, run):
             return
         if self.now >= ends_at:
-            del self.backends[server_id].runs[run.head.request_id]
-            self.served += 1
-            self._finish(run, AttemptOutcome.DONE)
+            self._complete(server_id, run)
             return
         self._post_run(run, ServerActivity(server_id=server_id))
         self._after(
             ACTIVITY_S, lambda: self._go_on(server_id, born, run, ends_at)
         )
 
+    def _complete(self, server_id: ServerId, run: _Run) -> None:
+        del self.backends[server_id].runs[run.head.request_id]
+        self.served += 1
+        self._retries.pop(run.head.request_id, None)
+        self._finish(run, AttemptOutcome.DONE)
+
     def _post_run(self, run: _Run, event: Event) -> None:
         if self._is_current(run):
             self._deliver(run.host, event)
