--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -126,9 +126,9 @@
         self.duty_status = 200
         self.config = FleetConfig()
         self.cloud_address = ""
-        # The ids of prompt parts under which servers crash, and the ids of
-        # the servers that crashed under one.
-        self.crashing_parts: set[str] = set()
+        # The ids of prompt parts and the targets under which servers crash,
+        # and the ids of the servers that crashed under one.
+        self.crashing_inputs: set[str] = set()
         self.crashes: list[str] = []
         self.crash_listener: ServerListener = lambda server: None
         self.async_restart_listener = self._async_register
@@ -166,7 +166,7 @@
             zone,
             engine=engine,
             runs=self.runs,
-            crashing_parts=self.crashing_parts,
+            crashing_inputs=self.crashing_inputs,
             on_crash=self.on_crash,
         )
         await server.async_setup()
--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -90,7 +90,7 @@
         *,
         engine: bool,
         runs: list[Run],
-        crashing_parts: AbstractSet[str] = frozenset(),
+        crashing_inputs: AbstractSet[str] = frozenset(),
         on_crash: Callable[["FleetServer"], None] = lambda server: None,
     ) -> None:
         self.server_id = server_id
@@ -107,8 +107,9 @@
         self.announces_leaving = False
         self.born = 1_000
         self._running: dict[str, tuple[Run, asyncio.Event]] = {}
-        # The ids of prompt parts under which the server crashes.
-        self._crashing_parts = crashing_parts
+        # The ids of prompt parts, and the targets, under which the server
+        # crashes.
+        self._crashing_inputs = crashing_inputs
         self.is_down = True
         self._on_crash = on_crash
         self._not_silent = asyncio.Event()
@@ -254,10 +255,10 @@
         await resp.async_send(200, body, [JSON_TYPE, *headers])
 
     def _crashes_on(self, run: Run) -> bool:
-        """Return whether a part of the prompt but the last is a bad one."""
+        """Return whether the target or a part but the last is a bad one."""
         prefix = run.headers.get(PROMPT_PREFIX_HEADER.lower(), "")
         parts = [entry.partition(":")[0] for entry in prefix.split(",")]
-        return not self._crashing_parts.isdisjoint(parts[:-1])
+        return not self._crashing_inputs.isdisjoint((run.target, *parts[:-1]))
 
     def _crash(self, run: Run) -> None:
         if self.is_down:
--- a/standins/soak/server_faults.py
+++ b/standins/soak/server_faults.py
@@ -156,7 +156,7 @@
             return None
         part = f"{self._rng.getrandbits(32):08x}"
         self._world.report.record_fault("crashing part", part)
-        self._world.fleet.crashing_parts.add(part)
+        self._world.fleet.crashing_inputs.add(part)
         self._load.crashing_part = part
 
         async def send_crashing_part() -> None:
--- a/tests/core/front/crash_fleet.py
+++ b/tests/core/front/crash_fleet.py
@@ -52,7 +52,7 @@
 )
 from waxwingarch.core.quarantine.quarantine_messages import (
     CancelAttempt,
-    PartState,
+    InputState,
     QuarantineChanged,
     QuarantineEntry,
     QuarantineRead,
@@ -554,19 +554,19 @@
     def held(self) -> set[str]:
         """Return the parts that any host refuses."""
         return {
-            entry.part
+            entry.key
             for node in self.nodes.values()
             for entry in node.quarantine.entries
-            if entry.state is PartState.HELD
+            if entry.state is InputState.HELD
         }
 
     def ever_held(self) -> set[str]:
         """Return the parts that a host has quarantined at any time."""
         return {
-            action.entry.part
+            action.entry.key
             for _, action in self.actions
             if isinstance(action, QuarantineChanged)
-            and action.entry.state is PartState.HELD
+            and action.entry.state is InputState.HELD
         }
 
     # Disruptions that are not due to a request
--- a/tests/core/front/test_quarantine.py
+++ b/tests/core/front/test_quarantine.py
@@ -7,7 +7,6 @@
 from tests.core.front.builders import (
     DOMAINS,
     arrive,
-    make_head,
     server,
     serving_front,
 )
@@ -16,7 +15,6 @@
     decode_quarantine,
     encode_quarantine,
 )
-from waxwingarch.core.backends.load import ActiveAttempt
 from waxwingarch.core.base import (
     Action,
     ExecutionStatus,
@@ -34,18 +32,19 @@
     MAX_REPORTED_CRASHES,
     CrashEvidence,
 )
+from waxwingarch.core.quarantine.entries import MAX_ENTRIES
 from waxwingarch.core.quarantine.quarantine import (
-    MAX_ENTRIES,
     QUARANTINE_IDLE_S,
     Quarantine,
 )
 from waxwingarch.core.quarantine.quarantine_messages import (
     CancelAttempt,
     Crash,
-    PartState,
+    InputState,
     QuarantineChanged,
     QuarantineOrdered,
     QuarantineReport,
+    RequestInputs,
 )
 from waxwingarch.core.refusal import RefusalReason
 
@@ -57,6 +56,11 @@
 MAX_REPORT_BYTES = 8000
 
 
+def inputs_of(name: str) -> RequestInputs:
+    """Return the inputs of a request with one shared part."""
+    return RequestInputs(request_id=RequestId(name), keys=("p0",))
+
+
 class BudgetOfThePoisonedPart(testtools.TestCase):
     """Incident second1: one prompt part ended server after server.
 
@@ -197,10 +201,10 @@
         self.assertEqual((), self.fleet.row)
         self.fleet.store_is_down = False
         self.fleet.run(self.fleet.now + 1.0)
-        self.assertEqual([POISON], [e.part for e in self.fleet.row])
+        self.assertEqual([POISON], [e.key for e in self.fleet.row])
 
     def test_order_of_an_operator_reaches_all_hosts(self) -> None:
-        self.fleet.post("h2", QuarantineOrdered(part="s1", held=True))
+        self.fleet.post("h2", QuarantineOrdered(key="s1", held=True))
         self.fleet.run(1.0)
         self.fleet.poisons = {"s1"}
         for name in self.fleet.nodes:
@@ -223,7 +227,7 @@
         self.node = serving_front()
 
     def order(self, now: float, *, held: bool) -> list[Action]:
-        return self.node.handle(now, QuarantineOrdered(part="p0", held=held))
+        return self.node.handle(now, QuarantineOrdered(key="p0", held=held))
 
     def test_request_that_did_not_run_is_told_to_wait(self) -> None:
         self.order(1.0, held=True)
@@ -266,34 +270,28 @@
         for at in (1.0, 3.0, 5.0):
             self.crash("r", at)
         self.tick(6.0)
-        self.assertEqual(PartState.HELD, self.state())
+        self.assertEqual(InputState.HELD, self.state())
 
     def crash(self, name: str, now: float) -> None:
         self.crashes += 1
         self.quarantine.record_break(
             now,
-            make_head(name),
-            ActiveAttempt(
-                server_id=ServerId(f"e{self.crashes}"),
-                sent_at=now,
-                prefill_tokens=0,
-                kv_tokens=0,
-                expected_s=0.1,
-            ),
+            inputs_of(name),
             server(f"e{self.crashes}"),
+            answered_for_s=0.0,
             in_rollout=False,
         )
 
     def tick(self, now: float) -> None:
         self.quarantine.tick(now, lambda _server: float("-inf"))
 
-    def state(self) -> PartState:
+    def state(self) -> InputState:
         [entry] = self.quarantine.entries
         return entry.state
 
     def is_refused(self, name: str, now: float, *, may_probe: bool) -> bool:
         refusal = self.quarantine.refusal_for(
-            now, make_head(name), may_probe=may_probe
+            now, inputs_of(name), may_probe=may_probe
         )
         return refusal is not None
 
@@ -312,12 +310,12 @@
     def test_probe_that_goes_well_releases_and_one_crash_holds(self) -> None:
         now = 7.0 + QUARANTINE_IDLE_S
         self.is_refused("b", now, may_probe=True)
-        self.quarantine.record_sound(now + 1, make_head("b"))
+        self.quarantine.record_sound(now + 1, inputs_of("b"))
         self.tick(now + 1)
-        self.assertEqual(PartState.PROBATION, self.state())
+        self.assertEqual(InputState.PROBATION, self.state())
         self.crash("d", now + 60)
         self.tick(now + 61)
-        self.assertEqual(PartState.HELD, self.state())
+        self.assertEqual(InputState.HELD, self.state())
 
     def test_probe_that_crashes_begins_the_time_again(self) -> None:
         now = 7.0 + QUARANTINE_IDLE_S
@@ -328,16 +326,16 @@
         self.assertTrue(self.is_refused("c", later, may_probe=True))
 
     def test_answer_that_goes_well_releases_at_once(self) -> None:
-        self.quarantine.record_sound(7.0, make_head("b"))
+        self.quarantine.record_sound(7.0, inputs_of("b"))
         self.tick(7.0)
-        self.assertEqual(PartState.CLEARED, self.state())
+        self.assertEqual(InputState.CLEARED, self.state())
 
     def test_older_news_does_not_undo_a_release(self) -> None:
         before = self.quarantine.report()
         self.quarantine.order(7.0, "p0", held=False)
         self.quarantine.record_report(8.0, before)
         self.tick(8.0)
-        self.assertEqual(PartState.PROBATION, self.state())
+        self.assertEqual(InputState.PROBATION, self.state())
 
     def test_memory_and_reports_are_bounded(self) -> None:
         for n in range(300):
@@ -366,13 +364,13 @@
             "incarnation": 1,
             "domain": DOMAINS[0],
             "at": at,
-            "parts": {"p0": 0},
+            "inputs": {"p0": 0},
         }
         self.evidence.record_crash(at, Crash(**(values | changes)))
 
     def verdict(self, now: float = 20.0) -> str | None:
         found = self.evidence.verdict(now, set(), {})
-        return found.part if found else None
+        return found.key if found else None
 
     def test_crashes_apart_condemn(self) -> None:
         for n in range(3):
@@ -411,8 +409,8 @@
     def test_hosts_join_what_they_saw_of_one_crash(self) -> None:
         for n in range(3):
             self.add(f"e{n}", 10.0 + 2 * n)
-            self.add(f"e{n}", 10.1 + 2 * n, parts={"p1": 1})
-        self.assertEqual(3, len(self.evidence.reported_crashes()))
+            self.add(f"e{n}", 10.1 + 2 * n, inputs={"p1": 1})
+        self.assertEqual(3, len(self.evidence.reported_crashes(set())))
         self.assertEqual("p1", self.verdict())
 
 
--- a/tests/front/test_quarantine_host.py
+++ b/tests/front/test_quarantine_host.py
@@ -1,6 +1,7 @@
-"""Tests of prompt parts under which servers crash, and their operators."""
+"""Tests of inputs under which servers crash, and of their operators."""
 
 import asyncio
+import itertools
 import json
 import os
 from typing import Any
@@ -48,9 +49,11 @@
         self.assertEqual(EXIT_OK, result.code, result.err)
         return json.loads(result.out)
 
-    async def async_status(self, host: Host, prompt: str) -> int:
+    async def async_status(
+        self, host: Host, prompt: str, path: str = "/draft/x"
+    ) -> int:
         response = await host.async_send(
-            "/draft/x", X_Waxwingarch_Prompt_Prefix=prompt
+            path, X_Waxwingarch_Prompt_Prefix=prompt
         )
         return response.status
 
@@ -69,11 +72,11 @@
             last = await self.async_status(host, f"aa:10,{PART}:20")
             self.assertEqual(200, last)
             [entry] = (await self.async_ctl_ok(host, "quarantine", "list"))[
-                "parts"
+                "inputs"
             ]
             self.assertEqual(
                 (PART, "held", "operator"),
-                (entry["part"], entry["state"], entry["origin"]),
+                (entry["input"], entry["state"], entry["origin"]),
             )
             for is_first in (True, False):
                 lifted = await self.async_ctl_ok(
@@ -82,12 +85,12 @@
                 self.assertEqual(is_first, lifted["changed"])
             self.assertEqual(200, await self.async_status(host, PROMPT))
             shown = await self.async_ctl_ok(host, "quarantine", "list")
-            self.assertEqual([], shown["parts"])
+            self.assertEqual([], shown["inputs"])
             shown = await self.async_ctl_ok(
                 host, "quarantine", "list", "--all"
             )
             self.assertEqual(
-                ["probation"], [p["state"] for p in shown["parts"]]
+                ["probation"], [p["state"] for p in shown["inputs"]]
             )
 
     @async_test
@@ -110,12 +113,14 @@
             await self.async_ctl_ok(host, "quarantine", "add", PART)
             await self.async_status(host, PROMPT)
             listed = (await host.async_metrics("/quarantine")).json()
-            self.assertEqual([PART], [p["part"] for p in listed["parts"]])
+            self.assertEqual([PART], [p["input"] for p in listed["inputs"]])
             lines = (await host.async_metrics()).body.decode().splitlines()
+            gauge = "waxwingarch_quarantined_inputs"
             for line in (
                 'waxwingarch_refusals_total{reason="quarantined"} 1.0',
-                'waxwingarch_quarantined_parts{origin="operator"} 1.0',
-                'waxwingarch_quarantined_parts{origin="crashes"} 0.0',
+                f'{gauge}{{kind="part",origin="operator"}} 1.0',
+                f'{gauge}{{kind="part",origin="crashes"}} 0.0',
+                f'{gauge}{{kind="request",origin="operator"}} 0.0',
             ):
                 self.assertIn(line, lines)
 
@@ -126,7 +131,10 @@
                 for argv in (("add", PART), ("lift", PART), ("list",)):
                     result = await self.async_ctl(host, "quarantine", *argv)
                     self.assertEqual(EXIT_UNKNOWN_OPERATOR, result.code)
-            for bad in ("", "a:10", "a,b", "a b", "x" * 257, "\u00e9"):
+            for bad in (
+                *("", "a:10", "a,b", "a b", "x" * 257, "\u00e9"),
+                *("request:", "request:a:b"),
+            ):
                 result = await self.async_ctl(host, "quarantine", "add", bad)
                 self.assertEqual(EXIT_SETTINGS, result.code, bad)
             result = await self.async_ctl(host, "quarantine", "lift", PART)
@@ -155,15 +163,18 @@
     async def test_part_is_refused_after_it_ended_both_engines(self) -> None:
         async with Host() as host:
             fleet = host.fleet
-            fleet.crashing_parts.add(PART)
+            fleet.crashing_inputs.add(PART)
             for engine in fleet.engines():
                 # Crashes at the same moment may have one cause.
                 engine.behaviour.event_s = 0.15
 
+            numbers = itertools.count()
+
             async def is_refused() -> bool:
-                await self.async_status(host, PROMPT)
+                path = f"/draft/x?{next(numbers)}"
+                await self.async_status(host, PROMPT, path)
                 listed = (await host.async_metrics("/quarantine")).json()
-                states = {p["part"]: p["state"] for p in listed["parts"]}
+                states = {p["input"]: p["state"] for p in listed["inputs"]}
                 return states == {PART: "held"}
 
             async with asyncio.timeout(20.0):
@@ -180,6 +191,41 @@
             await self.async_expect_sound(host)
             self.assertEqual(crashes, len(fleet.crashes))
 
+    # Incident second1 with split-read: nothing but its content tells that
+    # the request comes again.
+    @async_test
+    async def test_request_is_refused_after_it_ended_both_servers(
+        self,
+    ) -> None:
+        async with Host() as host:
+            fleet = host.fleet
+            fleet.crashing_inputs.add("/read/bad")
+
+            async def async_status(path: str) -> int:
+                return (await host.async_send(path, method="GET")).status
+
+            async def async_held() -> list[str]:
+                data = await self.async_ctl_ok(host, "quarantine", "list")
+                return [entry["kind"] for entry in data["inputs"]]
+
+            async with asyncio.timeout(20.0):
+                while not await async_held():
+                    await async_status("/read/bad")
+                    await asyncio.sleep(0.1)
+            self.assertEqual(["request"], await async_held())
+            crashes = len(fleet.crashes)
+            self.assertLessEqual(crashes, 4)
+            await async_until(
+                lambda: not any(s.is_down for s in fleet.servers),
+                "all servers are back",
+            )
+            for _ in range(5):
+                self.assertEqual(503, await async_status("/read/bad"))
+            async with asyncio.timeout(10.0):
+                while await async_status("/read/good") != 200:  # noqa: ASYNC110
+                    await asyncio.sleep(0.1)
+            self.assertEqual(crashes, len(fleet.crashes))
+
     async def async_expect_sound(self, host: Host) -> None:
         """Wait until sound requests with the same first part are served."""
         async with asyncio.timeout(10.0):
--- a/tests/front/test_quarantined_requests_host.py
+++ b/tests/front/test_quarantined_requests_host.py
@@ -31,7 +31,7 @@
                 lambda: len(host.front.exchanges), "the request was sent"
             )
             host.daemon._runner.post(
-                QuarantineOrdered(part=POISONED, held=True)
+                QuarantineOrdered(key=POISONED, held=True)
             )
             async with asyncio.timeout(AT_ONCE_S):
                 self.assertEqual(502, (await sending).status)
@@ -47,7 +47,7 @@
                 lambda: host.front.lease.held, "the duties are held"
             )
             host.daemon._runner.post(
-                QuarantineOrdered(part=POISONED, held=True)
+                QuarantineOrdered(key=POISONED, held=True)
             )
             rows = host.front.quarantine_rows
             await async_until(
--- a/tests/standins/test_fleet_server.py
+++ b/tests/standins/test_fleet_server.py
@@ -114,7 +114,7 @@
     @async_test
     async def test_crash_and_next_incarnation(self) -> None:
         fleet = await self.async_fleet()
-        fleet.crashing_parts.add("bad1")
+        fleet.crashing_inputs.add("bad1")
         engine = fleet.engines()[0]
         other = await self.async_open(engine)
         answer = await self.async_read_all(engine, "a:10,bad1:20,c:30")
@@ -141,7 +141,7 @@
     @async_test
     async def test_last_part_and_other_parts_crash_nothing(self) -> None:
         fleet = await self.async_fleet()
-        fleet.crashing_parts.add("bad1")
+        fleet.crashing_inputs.add("bad1")
         for parts in ("a:10,bad1:20", "bad1:5", "a:10,bad11:5,c:1", ""):
             for server in fleet.servers:
                 answer = await self.async_read_all(server, parts)
--- a/waxwingarch/adapters/front_metrics.py
+++ b/waxwingarch/adapters/front_metrics.py
@@ -16,8 +16,12 @@
 MAX_LABELS: Final = 64
 OTHER: Final = ("(other)", "(other)", "(other)")
 
-# The gauge has a value for each origin also while no part is quarantined.
-NO_HELD_PARTS: Final = {"crashes": 0, "operator": 0}
+# The gauge has all its values also while no input is quarantined.
+NO_HELD_INPUTS: Final = {
+    (kind, origin): 0
+    for kind in ("part", "request")
+    for origin in ("crashes", "operator")
+}
 
 Labels = tuple[str, str, str]
 
@@ -31,14 +35,14 @@
 
     def __init__(
         self,
-        held_parts: Callable[[], Mapping[str, int]] = dict,
+        held_inputs: Callable[[], Mapping[tuple[str, str], int]] = dict,
     ) -> None:
         """Begin with no events.
 
-        `held_parts` returns the number of quarantined prompt parts by
+        `held_inputs` returns the number of quarantined inputs by kind and
         origin.
         """
-        self.held_parts = held_parts
+        self.held_inputs = held_inputs
         self.refusals: Counter[str] = Counter()
         self.exchanges: Counter[Labels] = Counter()
         self.events: Counter[str] = Counter()
@@ -110,15 +114,15 @@
         )
         for reason, count in self._metrics.refusals.items():
             refusals.add_metric((reason,), count)
-        parts = GaugeMetricFamily(
-            "waxwingarch_quarantined_parts",
-            "Quarantined prompt parts, by who decided on them.",
-            labels=("origin",),
+        inputs = GaugeMetricFamily(
+            "waxwingarch_quarantined_inputs",
+            "Quarantined prompt parts and requests, by who decided on them.",
+            labels=("kind", "origin"),
         )
-        held = {**NO_HELD_PARTS, **self._metrics.held_parts()}
-        for origin, count in held.items():
-            parts.add_metric((origin,), count)
-        families: list[Any] = [exchanges, events, refusals, parts]
+        held = {**NO_HELD_INPUTS, **self._metrics.held_inputs()}
+        for kind_and_origin, count in held.items():
+            inputs.add_metric(kind_and_origin, count)
+        families: list[Any] = [exchanges, events, refusals, inputs]
         for name, histograms in self._metrics.histograms().items():
             family = HistogramMetricFamily(
                 name, "Seconds since the arrival.", labels=names
--- a/waxwingarch/adapters/quarantine_codec.py
+++ b/waxwingarch/adapters/quarantine_codec.py
@@ -1,4 +1,4 @@
-"""Encoding of quarantined prompt parts and crashes as JSON values."""
+"""Encoding of quarantined inputs and crashes as JSON values."""
 
 from collections.abc import Iterable
 from typing import Any
@@ -6,9 +6,9 @@
 from waxwingarch.core.base import FailureDomain, ServerId
 from waxwingarch.core.quarantine.quarantine_messages import (
     Crash,
-    PartOrigin,
-    PartState,
+    InputState,
     QuarantineEntry,
+    QuarantineOrigin,
     QuarantineReport,
 )
 
@@ -16,8 +16,7 @@
 def encode_entries(entries: Iterable[QuarantineEntry]) -> list[Any]:
     """Return entries as a JSON value."""
     return [
-        [e.part, e.number, e.state, e.origin, round(e.seen_at)]
-        for e in entries
+        [e.key, e.number, e.state, e.origin, round(e.seen_at)] for e in entries
     ]
 
 
@@ -25,13 +24,13 @@
     """Return the entries in a JSON value; raises `ValueError`."""
     return tuple(
         QuarantineEntry(
-            part=str(part),
+            key=str(key),
             number=int(number),
-            state=PartState(state),
-            origin=PartOrigin(origin),
+            state=InputState(state),
+            origin=QuarantineOrigin(origin),
             seen_at=float(seen_at),
         )
-        for part, number, state, origin, seen_at in raw
+        for key, number, state, origin, seen_at in raw
     )
 
 
@@ -40,7 +39,7 @@
     raw = {
         "held": encode_entries(report.entries),
         "crashes": [_encode_crash(crash) for crash in report.crashes],
-        "sound": {part: round(at, 2) for part, at in report.sound.items()},
+        "sound": {key: round(at, 2) for key, at in report.sound.items()},
     }
     return {name: value for name, value in raw.items() if value}
 
@@ -50,7 +49,7 @@
     return QuarantineReport(
         entries=decode_entries(raw.get("held", [])),
         crashes=tuple(_decode_crash(c) for c in raw.get("crashes", [])),
-        sound={str(p): float(at) for p, at in raw.get("sound", {}).items()},
+        sound={str(k): float(at) for k, at in raw.get("sound", {}).items()},
     )
 
 
@@ -60,20 +59,20 @@
         crash.incarnation,
         crash.domain,
         round(crash.at, 3),
-        crash.parts,
+        crash.inputs,
         crash.refuted,
         crash.in_rollout,
     ]
 
 
 def _decode_crash(raw: list[Any]) -> Crash:
-    server_id, incarnation, domain, at, parts, refuted, trial = raw
+    server_id, incarnation, domain, at, inputs, refuted, trial = raw
     return Crash(
         server_id=ServerId(str(server_id)),
         incarnation=int(incarnation),
         domain=FailureDomain(str(domain)),
         at=float(at),
-        parts={str(part): int(depth) for part, depth in parts.items()},
+        inputs={str(key): int(depth) for key, depth in inputs.items()},
         refuted=bool(refuted),
         in_rollout=bool(trial),
     )
--- a/waxwingarch/core/backends/load.py
+++ b/waxwingarch/core/backends/load.py
@@ -55,6 +55,12 @@
     is_wait_counted: bool = False
     is_rest_counted: bool = False
 
+    def answered_for_s(self, now: float) -> float:
+        """Return the time since the first byte, 0 without one."""
+        if self.first_byte_s is None:
+            return 0.0
+        return now - self.sent_at - self.first_byte_s
+
 
 @dataclass(kw_only=True, slots=True)
 class _OwnLoad:
--- a/waxwingarch/core/exchange/crash_observer.py
+++ b/waxwingarch/core/exchange/crash_observer.py
@@ -1,4 +1,4 @@
-"""What the outcomes of attempts say about the parts of their prompts."""
+"""What the outcomes of attempts say about the inputs of their requests."""
 
 from collections.abc import Iterable
 
@@ -41,10 +41,10 @@
         that ends with its connection, may only look complete, and says
         nothing.
         """
-        head = state.exchange.head
+        inputs = state.exchange.inputs
         if event.outcome is AttemptOutcome.DONE:
             if attempt.has_started and not event.ended_by_close:
-                self._quarantine.record_sound(now, head)
+                self._quarantine.record_sound(now, inputs)
             return
         backend = self._load_balancer.registry.get(attempt.server_id)
         if (
@@ -55,20 +55,20 @@
         ):
             self._quarantine.record_break(
                 now,
-                head,
-                attempt,
+                inputs,
                 backend.server,
+                answered_for_s=attempt.answered_for_s(now),
                 in_rollout=self._rollouts.is_under_move(backend.server),
             )
 
     def record_cancelled(
         self, now: float, state: ExchangeState, server_id: ServerId
     ) -> None:
-        """Record an attempt with a quarantined part that was cancelled."""
+        """Record an attempt with a quarantined input that was cancelled."""
         backend = self._load_balancer.registry.get(server_id)
         if backend is not None:
             self._quarantine.record_held(
-                now, state.exchange.head, backend.server
+                now, state.exchange.inputs, backend.server
             )
 
     def note_progress(
@@ -81,4 +81,8 @@
             exchange = state.exchange
             attempt = self._load_balancer.loads.attempt_of(exchange.request_id)
             if attempt is not None:
-                self._quarantine.note_progress(now, exchange.head, attempt)
+                self._quarantine.note_progress(
+                    now,
+                    exchange.inputs,
+                    answered_for_s=attempt.answered_for_s(now),
+                )
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -82,7 +82,7 @@
         self._crash_observer = CrashObserver(
             load_balancer, rollouts, quarantine
         )
-        # Whether this host may send a probe with a quarantined part.
+        # Whether this host may send a probe with a quarantined input.
         self.may_probe = False
         self._load_balancer = load_balancer
         self._admission = ExchangeAdmission(table, rates, rng)
@@ -120,7 +120,7 @@
                 LocalResponse(request_id=head.request_id, refusal=exc.refusal)
             ]
         held = self._quarantine.refusal_for(
-            now, head, may_probe=self.may_probe
+            now, exchange.inputs, may_probe=self.may_probe
         )
         if held is not None:
             self._admission.refund(now, exchange, cost)
@@ -283,7 +283,7 @@
         have been given up only for its silence.
         """
         service = state.exchange.service
-        if not self._quarantine.may_resend(now, state.exchange.head):
+        if not self._quarantine.may_resend(now, state.exchange.inputs):
             return None
         if state.migrated_cache is not None:
             backend = self._load_balancer.registry.get(
@@ -382,20 +382,20 @@
             health.record_failure(now, server_id, unreachable=unreachable)
 
     def tick_quarantine(self, now: float) -> list[Action]:
-        """Judge the evidence, and end requests with quarantined parts."""
+        """Judge the evidence, and end requests with quarantined inputs."""
         self._crash_observer.note_progress(now, self._exchanges.values())
         last_activity_at = self._load_balancer.loads.last_activity_at
         news = self._quarantine.tick(now, last_activity_at)
         return news + self._cancel_held(now) if news else []
 
     def _cancel_held(self, now: float) -> list[Action]:
-        """Cancel the attempts with quarantined parts that have not begun."""
+        """Cancel the attempts with quarantined inputs that have not begun."""
         held = [
             state
             for state in self._exchanges.values()
             if not state.response_started
             and not state.is_migrating
-            and self._quarantine.is_held(state.exchange.head)
+            and self._quarantine.is_held(state.exchange.inputs)
         ]
         actions: list[Action] = []
         for state in held:
@@ -434,7 +434,7 @@
             return [ForwardFailure(request_id=request_id)]
         if step is NextStep.REFUSE:
             held = self._quarantine.refusal_for(
-                now, state.exchange.head, may_probe=False
+                now, state.exchange.inputs, may_probe=False
             )
             refusal = state.refusal(
                 event,
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -12,7 +12,8 @@
     ServerId,
     ServiceId,
 )
-from waxwingarch.core.quarantine.inputs import request_key
+from waxwingarch.core.quarantine.inputs import part_key, request_key
+from waxwingarch.core.quarantine.quarantine_messages import RequestInputs
 from waxwingarch.core.refusal import Refusal
 from waxwingarch.core.routing.config import EngineTraits, RetryPolicy, Route
 
@@ -92,6 +93,14 @@
             return None
         return request_key(self.account, self.head.digest)
 
+    @property
+    def inputs(self) -> RequestInputs:
+        """Return the inputs under which servers may crash."""
+        keys = [part_key(part) for part in self.head.shared_parts]
+        if self.whole_request is not None:
+            keys.append(self.whole_request)
+        return RequestInputs(request_id=self.request_id, keys=tuple(keys))
+
     @property
     def retry_policy(self) -> RetryPolicy:
         """Return the route's policy on sending the request again."""
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -473,7 +473,7 @@
     def _handle_quarantine_ordered(
         self, now: float, event: QuarantineOrdered
     ) -> list[Action]:
-        self.quarantine.order(now, event.part, held=event.held)
+        self.quarantine.order(now, event.key, held=event.held)
         return self._tick_quarantine(now)
 
     def _tick_quarantine(self, now: float) -> list[Action]:
--- a/waxwingarch/core/quarantine/quarantine.py
+++ b/waxwingarch/core/quarantine/quarantine.py
@@ -1,8 +1,9 @@
-"""Quarantine of prompt parts under which backend servers crash.
+"""Quarantine of inputs under which backend servers crash.
 
-A crash of a server is evidence against the shared parts of the requests
+An input is a prompt part that requests share, or a whole request that comes
+again. A crash of a server is evidence against the inputs of the requests
 that it had not begun to answer well, on whichever host they were. An answer
-that goes well clears its parts. All hosts share the evidence and the
+that goes well clears its inputs. All hosts share the evidence and the
 verdicts in their reports.
 """
 
@@ -10,7 +11,6 @@
 from dataclasses import replace
 from typing import Final
 
-from waxwingarch.core.backends.load import ActiveAttempt
 from waxwingarch.core.base import (
     Action,
     ExecutionStatus,
@@ -18,33 +18,33 @@
     Server,
     ServerId,
 )
-from waxwingarch.core.exchange.exchange_messages import ExchangeHead
 from waxwingarch.core.quarantine.crash_evidence import CrashEvidence
-from waxwingarch.core.quarantine.inputs import part_key
+from waxwingarch.core.quarantine.entries import QuarantineEntries
+from waxwingarch.core.quarantine.inputs import InputKind, kind_of
 from waxwingarch.core.quarantine.quarantine_messages import (
     Crash,
-    PartOrigin,
-    PartState,
-    QuarantineChanged,
+    InputState,
     QuarantineEntry,
+    QuarantineOrigin,
     QuarantineReport,
+    RequestInputs,
 )
 from waxwingarch.core.refusal import Refusal, RefusalReason
 
 # An answer that has gone on for this long after its first byte went well:
-# a poisoned part ends the server when it begins to answer.
+# a poisoned input ends the server when it begins to answer.
 SOUND_AFTER_S: Final = 1.0
 # A request is in a crash if no answer to it had begun, or just then.
 BEGUN_WITHIN_S: Final = 0.2
-# A part stays in quarantine until no request with it came for this long.
+# An input stays in quarantine until no request with it came for this long.
 # Then the holder of the duties lets one request through, as a probe.
 QUARANTINE_IDLE_S: Final = 900.0
 # A probe without an outcome is given up after this time.
 PROBE_TIMEOUT_S: Final = 60.0
-# Entries of parts that were released are kept for this long, so that older
-# news of them is known as such.
-RELEASED_KEPT_S: Final = 3600.0
-MAX_ENTRIES: Final = 48
+# A request that was in this many crashes is sent no more until this time
+# after the last one: a verdict or a sound answer is known by then.
+SUSPECTED_AFTER: Final = 2
+SUSPECT_PAUSE_S: Final = 1.0
 # Activity of a server within these times of a broken response shows that
 # the process goes on: what was on the way arrives before, and a process
 # that was started again is back later.
@@ -53,9 +53,16 @@
 # Requests note at most this often that they still come.
 SEEN_STEP_S: Final = 10.0
 
+_MESSAGES: Final = {
+    InputKind.PART: "servers crashed under the prompt part {key}: leave it"
+    " out, or send it again when none came for {idle_s:.0f} s",
+    InputKind.REQUEST: "servers crashed under this request ({key}): change"
+    " it, or send it again when none came for {idle_s:.0f} s",
+}
+
 
 class Quarantine:
-    """The quarantined prompt parts, as far as this host knows them.
+    """The quarantined inputs, as far as this host knows them.
 
     `unix_time` converts the node's clock to the hosts' common time of day.
     """
@@ -63,141 +70,164 @@
     def __init__(self, unix_time: Callable[[float], float]) -> None:
         self._unix_time = unix_time
         self.evidence = CrashEvidence()
-        self._entries: dict[str, QuarantineEntry] = {}
-        self._held: set[str] = set()
+        self._entries = QuarantineEntries()
         # Requests that were in a crash, and when.
         self._crashed_once: dict[RequestId, float] = {}
         self._probes: dict[str, tuple[float, RequestId]] = {}
-        self._news: list[Action] = []
 
     # Requests
 
     def refusal_for(
-        self, now: float, head: ExchangeHead, *, may_probe: bool
+        self, now: float, inputs: RequestInputs, *, may_probe: bool
     ) -> Refusal | None:
-        """Return the refusal of a request with a quarantined part.
+        """Return the refusal of a request with a quarantined input.
 
-        With `may_probe` one request may pass for a part with which none
-        came for a long time.
+        With `may_probe` one request may pass for an input with which none
+        came for a long time. A request that may end the next server too is
+        refused until more is known.
         """
-        if not self._held:
-            return None
         unix_now = self._unix_time(now)
-        for part in _keys(head):
-            if part not in self._held:
+        for key in inputs.keys:
+            if key not in self._entries.held:
                 continue
-            if may_probe and self._may_probe(unix_now, part):
-                self._probes[part] = unix_now, head.request_id
+            if may_probe and self._may_probe(unix_now, key):
+                self._probes[key] = unix_now, inputs.request_id
                 continue
-            return self._refuse(unix_now, part)
-        return None
+            return self._refuse(unix_now, key)
+        paused_until = self._paused_until(unix_now, inputs)
+        if paused_until <= unix_now:
+            return None
+        return Refusal(
+            reason=RefusalReason.SUSPECTED,
+            ran=ExecutionStatus.NOT_RUN,
+            message="servers crashed while this request was on them: send it"
+            " again when it is known whether it was the cause",
+            retry_after_s=paused_until - unix_now,
+        )
 
-    def is_held(self, head: ExchangeHead) -> bool:
-        """Return whether a request has a quarantined part.
+    def is_held(self, inputs: RequestInputs) -> bool:
+        """Return whether a request has a quarantined input.
 
         A probe does not count as having it.
         """
-        return bool(self._held) and any(
-            part in self._held
-            and self._probes.get(part, (0.0, None))[1] != head.request_id
-            for part in _keys(head)
+        return any(
+            key in self._entries.held
+            and self._probes.get(key, (0.0, None))[1] != inputs.request_id
+            for key in inputs.keys
         )
 
-    def may_resend(self, now: float, head: ExchangeHead) -> bool:
+    def may_resend(self, now: float, inputs: RequestInputs) -> bool:
         """Return whether a request may be sent to another server.
 
-        A part that has ended servers apart from one another may end the
+        An input that has ended servers apart from one another may end the
         next one too, with the requests beside it.
         """
-        if self.is_held(head):
+        unix_now = self._unix_time(now)
+        if self.is_held(inputs) or (
+            self._paused_until(unix_now, inputs) > unix_now
+        ):
             return False
-        if head.request_id not in self._crashed_once:
+        if inputs.request_id not in self._crashed_once:
             return True
         return all(
-            len(self.evidence.losses(part, self._held)) <= 1
-            for part in _keys(head)
+            len(self.evidence.losses(key, self._entries.held)) <= 1
+            for key in inputs.keys
         )
 
-    def _may_probe(self, unix_now: float, part: str) -> bool:
-        entry = self._entries[part]
-        probed_at = self._probes.get(part, (float("-inf"), None))[0]
+    def _paused_until(self, unix_now: float, inputs: RequestInputs) -> float:
+        """Return until when a request is not sent, in Unix seconds."""
+        if not self.evidence.is_recent(unix_now):
+            return unix_now
+        held = self._entries.held
+        return max(
+            (
+                crashes[-1].at + SUSPECT_PAUSE_S
+                for key in inputs.keys
+                if kind_of(key) is InputKind.REQUEST
+                and len(crashes := self.evidence.crashes_under(key, held))
+                >= SUSPECTED_AFTER
+            ),
+            default=unix_now,
+        )
+
+    def _may_probe(self, unix_now: float, key: str) -> bool:
+        entry = self._entries[key]
+        probed_at = self._probes.get(key, (float("-inf"), None))[0]
         return (
-            entry.origin is PartOrigin.CRASHES
+            entry.origin is QuarantineOrigin.CRASHES
             and unix_now - entry.seen_at > QUARANTINE_IDLE_S
             and unix_now - probed_at > PROBE_TIMEOUT_S
         )
 
-    def _refuse(self, unix_now: float, part: str) -> Refusal:
-        entry = self._entries[part]
-        idle_s = unix_now - entry.seen_at
+    def _refuse(self, unix_now: float, key: str) -> Refusal:
+        idle_s = unix_now - self._entries[key].seen_at
         if SEEN_STEP_S < idle_s <= QUARANTINE_IDLE_S:
-            self._entries[part] = replace(entry, seen_at=unix_now)
+            self._entries.note_seen(key, unix_now)
         return Refusal(
             reason=RefusalReason.QUARANTINED,
             ran=ExecutionStatus.NOT_RUN,
-            message=f"servers crashed under the prompt part {part}: it is"
-            f" refused until none came for {QUARANTINE_IDLE_S:.0f} s",
+            message=_MESSAGES[kind_of(key)].format(
+                key=key, idle_s=QUARANTINE_IDLE_S
+            ),
             retry_after_s=QUARANTINE_IDLE_S,
         )
 
     # Outcomes
 
-    def record_sound(self, now: float, head: ExchangeHead) -> None:
+    def record_sound(self, now: float, inputs: RequestInputs) -> None:
         """Record that an answer went well."""
-        unix_now = self._unix_time(now)
-        self._crashed_once.pop(head.request_id, None)
-        self.evidence.record_sound(unix_now, _keys(head))
+        self._crashed_once.pop(inputs.request_id, None)
+        self.evidence.record_sound(self._unix_time(now), inputs.keys)
 
     def record_break(
         self,
         now: float,
-        head: ExchangeHead,
-        attempt: ActiveAttempt,
+        inputs: RequestInputs,
         server: Server,
         *,
+        answered_for_s: float,
         in_rollout: bool,
     ) -> None:
-        """Record that a response broke, as it does when its server crashes."""
-        if _went_well(now, attempt):
-            self.record_sound(now, head)
-            return
-        if _answered_for_s(now, attempt) > BEGUN_WITHIN_S:
+        """Record that a response broke, as it does when its server crashes.
+
+        `answered_for_s` is the time since its first byte.
+        """
+        if answered_for_s > SOUND_AFTER_S:
+            self.record_sound(now, inputs)
             return
-        parts = {part: n for n, part in enumerate(_keys(head))}
-        if not parts:
+        if answered_for_s > BEGUN_WITHIN_S or not inputs.keys:
             return
         unix_now = self._unix_time(now)
-        for part in self._held & parts.keys():
-            self._probes.pop(part, None)
-            self._entries[part] = replace(
-                self._entries[part], seen_at=unix_now
-            )
-        self._crashed_once[head.request_id] = unix_now
-        crash = replace(
-            _crash(unix_now, server, parts),
-            in_rollout=in_rollout,
+        for key in self._entries.held.intersection(inputs.keys):
+            self._probes.pop(key, None)
+            self._entries.note_seen(key, unix_now)
+        self._crashed_once[inputs.request_id] = unix_now
+        crash = _crash(unix_now, server, inputs.depths())
+        self.evidence.record_crash(
+            unix_now, replace(crash, in_rollout=in_rollout)
         )
-        self.evidence.record_crash(unix_now, crash)
 
     def record_held(
-        self, now: float, head: ExchangeHead, server: Server
+        self, now: float, inputs: RequestInputs, server: Server
     ) -> None:
-        """Record the quarantined parts of a cancelled attempt.
+        """Record the quarantined inputs of a cancelled attempt.
 
         If its server crashes nevertheless, they explain the crash.
         """
         unix_now = self._unix_time(now)
-        parts = {
-            part: n for n, part in enumerate(_keys(head)) if part in self._held
+        held = {
+            key: depth
+            for key, depth in inputs.depths().items()
+            if key in self._entries.held
         }
-        self.evidence.record_crash(unix_now, _crash(unix_now, server, parts))
+        self.evidence.record_crash(unix_now, _crash(unix_now, server, held))
 
     def note_progress(
-        self, now: float, head: ExchangeHead, attempt: ActiveAttempt
+        self, now: float, inputs: RequestInputs, *, answered_for_s: float
     ) -> None:
         """Record an answer in progress as sound if it has gone on well."""
-        if _went_well(now, attempt):
-            self.record_sound(now, head)
+        if answered_for_s > SOUND_AFTER_S:
+            self.record_sound(now, inputs)
 
     def needs_progress(self, now: float) -> bool:
         """Return whether answers in progress have to be looked at."""
@@ -207,10 +237,11 @@
 
     def report(self) -> QuarantineReport:
         """Return what this host tells its peers."""
+        held = self._entries.held
         return QuarantineReport(
             entries=self.entries,
-            crashes=self.evidence.reported_crashes(),
-            sound=self.evidence.reported_sound(self._held),
+            crashes=self.evidence.reported_crashes(held),
+            sound=self.evidence.reported_sound(held),
         )
 
     def record_report(self, now: float, report: QuarantineReport) -> None:
@@ -218,33 +249,27 @@
         unix_now = self._unix_time(now)
         for crash in report.crashes:
             self.evidence.record_crash(unix_now, crash)
-        for part, at in report.sound.items():
-            self.evidence.record_sound(min(at, unix_now), [part])
+        for key, at in report.sound.items():
+            self.evidence.record_sound(min(at, unix_now), [key])
         self.merge(report.entries)
 
     def merge(self, entries: Iterable[QuarantineEntry]) -> None:
         """Adopt entries of peers or of the store that are newer."""
-        for entry in entries:
-            known = self._entries.get(entry.part)
-            if known is not None and known.number >= entry.number:
-                if known.seen_at < entry.seen_at:
-                    self._entries[entry.part] = replace(
-                        known, seen_at=entry.seen_at
-                    )
-                continue
-            self._set(entry, own=False)
+        self._entries.merge(entries)
 
     # Decisions
 
     @property
     def entries(self) -> tuple[QuarantineEntry, ...]:
         """Return all entries, those that were released too."""
-        return tuple(self._entries.values())
+        return self._entries.all
 
-    def order(self, now: float, part: str, *, held: bool) -> None:
-        """Quarantine a part, or release it, as an operator says."""
-        state = PartState.HELD if held else PartState.PROBATION
-        self._decide(now, part_key(part), state, PartOrigin.OPERATOR)
+    def order(self, now: float, key: str, *, held: bool) -> None:
+        """Quarantine an input, or release it, as an operator says."""
+        state = InputState.HELD if held else InputState.PROBATION
+        self._entries.decide(
+            self._unix_time(now), key, state, QuarantineOrigin.OPERATOR
+        )
 
     def tick(
         self, now: float, last_activity_at: Callable[[ServerId], float]
@@ -263,138 +288,58 @@
                     unix_now - now + last_activity_at(crash.server_id),
                 ),
             )
-            self._judge(now, unix_now)
-        self._release_sound(now)
-        self._expire(unix_now)
-        news, self._news = self._news, []
-        return news
+            self._judge(unix_now)
+        self._release_sound(unix_now)
+        self._entries.expire(unix_now)
+        if self._crashed_once:
+            self._crashed_once = {
+                request_id: at
+                for request_id, at in self._crashed_once.items()
+                if unix_now - at < PROBE_TIMEOUT_S
+            }
+        return self._entries.take_news()
 
-    def _judge(self, now: float, unix_now: float) -> None:
+    def _judge(self, unix_now: float) -> None:
         while True:
             verdict = self.evidence.verdict(
-                unix_now, self._held, self._released()
+                unix_now, self._entries.held, self._entries.released_at()
             )
             if verdict is None:
                 return
-            self._decide(
-                now,
-                verdict.part,
-                PartState.HELD,
-                PartOrigin.CRASHES,
+            self._entries.decide(
+                unix_now,
+                verdict.key,
+                InputState.HELD,
+                QuarantineOrigin.CRASHES,
                 verdict.servers,
             )
 
-    def _released(self) -> Mapping[str, float]:
-        return {
-            part: entry.number / 1000
-            for part, entry in self._entries.items()
-            if entry.state is PartState.PROBATION
-        }
-
-    def _release_sound(self, now: float) -> None:
-        """Release the parts with which an answer went well after all."""
-        for part in sorted(self._held):
-            entry = self._entries[part]
+    def _release_sound(self, unix_now: float) -> None:
+        """Release the inputs with which an answer went well after all."""
+        for key in sorted(self._entries.held):
+            entry = self._entries[key]
             if (
-                entry.origin is not PartOrigin.CRASHES
-                or self.evidence.sound_at(part) <= entry.number / 1000
+                entry.origin is not QuarantineOrigin.CRASHES
+                or self.evidence.sound_at(key) <= entry.number / 1000
             ):
                 continue
-            probe = self._probes.pop(part, None)
-            state = PartState.PROBATION if probe else PartState.CLEARED
-            self._decide(now, part, state, PartOrigin.CRASHES)
-
-    def _decide(
-        self,
-        now: float,
-        part: str,
-        state: PartState,
-        origin: PartOrigin,
-        servers: tuple[ServerId, ...] = (),
-    ) -> None:
-        unix_now = self._unix_time(now)
-        known = self._entries.get(part)
-        number = int(unix_now * 1000)
-        if known is not None:
-            number = max(number, known.number + 1)
-        entry = QuarantineEntry(
-            part=part,
-            number=number,
-            state=state,
-            origin=origin,
-            seen_at=unix_now,
-        )
-        self._set(entry, own=True, servers=servers)
-
-    def _set(
-        self,
-        entry: QuarantineEntry,
-        *,
-        own: bool,
-        servers: tuple[ServerId, ...] = (),
-    ) -> None:
-        known = self._entries.get(entry.part)
-        self._entries[entry.part] = entry
-        if entry.state is PartState.HELD:
-            self._held.add(entry.part)
-        else:
-            self._held.discard(entry.part)
-        if known is None or known.state is not entry.state:
-            self._news.append(
-                QuarantineChanged(entry=entry, own=own, servers=servers)
+            probe = self._probes.pop(key, None)
+            state = InputState.PROBATION if probe else InputState.CLEARED
+            self._entries.decide(
+                unix_now, key, state, QuarantineOrigin.CRASHES
             )
-        while len(self._entries) > MAX_ENTRIES:
-            self._drop_one()
-
-    def _drop_one(self) -> None:
-        """Drop a released entry, else the one that was idle longest."""
-        entry = min(
-            self._entries.values(),
-            key=lambda e: (e.state is PartState.HELD, e.seen_at),
-        )
-        del self._entries[entry.part]
-        self._held.discard(entry.part)
-
-    def _expire(self, unix_now: float) -> None:
-        """Drop what is too old to matter."""
-        for part, entry in list(self._entries.items()):
-            if (
-                entry.state is not PartState.HELD
-                and unix_now - entry.number / 1000 > RELEASED_KEPT_S
-            ):
-                del self._entries[part]
-        if self._crashed_once:
-            self._crashed_once = {
-                request_id: at
-                for request_id, at in self._crashed_once.items()
-                if unix_now - at < PROBE_TIMEOUT_S
-            }
 
 
-def _crash(at: float, server: Server, parts: Mapping[str, int]) -> Crash:
+def _crash(at: float, server: Server, inputs: Mapping[str, int]) -> Crash:
     return Crash(
         server_id=server.server_id,
         incarnation=server.incarnation,
         domain=server.failure_domain,
         at=at,
-        parts=parts,
+        inputs=inputs,
     )
 
 
-def _keys(head: ExchangeHead) -> tuple[str, ...]:
-    return tuple(part_key(part) for part in head.shared_parts)
-
-
-def _answered_for_s(now: float, attempt: ActiveAttempt) -> float:
-    if attempt.first_byte_s is None:
-        return 0.0
-    return now - attempt.sent_at - attempt.first_byte_s
-
-
-def _went_well(now: float, attempt: ActiveAttempt) -> bool:
-    return _answered_for_s(now, attempt) > SOUND_AFTER_S
-
-
 def _has_gone_on(crashed_at: float, last_activity_at: float) -> bool:
     after_s = last_activity_at - crashed_at
     return GONE_ON_AFTER_S < after_s < GONE_ON_BEFORE_S
--- a/waxwingarch/core/quarantine/quarantine_messages.py
+++ b/waxwingarch/core/quarantine/quarantine_messages.py
@@ -1,4 +1,4 @@
-"""Records of crashes and quarantined prompt parts, events and actions."""
+"""Records of crashes and quarantined inputs, events and actions."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -13,30 +13,47 @@
 )
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestInputs:
+    """A request and the keys of its inputs.
+
+    These are the shared parts of its prompt from the first to the deepest,
+    then the whole request.
+    """
+
+    request_id: RequestId
+    keys: tuple[str, ...]
+
+    def depths(self) -> dict[str, int]:
+        """Return how deep each input is."""
+        return {key: n for n, key in enumerate(self.keys)}
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Crash:
     """The end of one server process, as far as hosts have seen it.
 
-    `at` is in Unix seconds. `parts` are the shared parts of the requests
-    that had not begun to be answered, with their depth in the prompt.
-    `refuted` means that the process went on. `in_rollout` means that its
-    version was on trial.
+    `at` is in Unix seconds. `inputs` are the shared parts of the requests
+    that had not begun to be answered, with their depth in the prompt, and
+    these requests as a whole, which are deeper than their parts. `refuted`
+    means that the process went on. `in_rollout` means that its version was
+    on trial.
     """
 
     server_id: ServerId
     incarnation: int
     domain: FailureDomain
     at: float
-    parts: Mapping[str, int]
+    inputs: Mapping[str, int]
     refuted: bool = False
     in_rollout: bool = False
 
 
-class PartState(StrEnum):
-    """State of a prompt part that was quarantined.
+class InputState(StrEnum):
+    """State of an input that was quarantined.
 
     HELD: requests with it are refused.
-    CLEARED: an answer with it went well; it is a part like any other.
+    CLEARED: an answer with it went well; it is an input like any other.
     PROBATION: released after a time, or by an operator; one crash is
     enough to quarantine it again.
     """
@@ -46,8 +63,8 @@
     PROBATION = "probation"
 
 
-class PartOrigin(StrEnum):
-    """Who decided on the state of a part."""
+class QuarantineOrigin(StrEnum):
+    """Who decided on the state of an input."""
 
     CRASHES = "crashes"
     OPERATOR = "operator"
@@ -55,25 +72,25 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class QuarantineEntry:
-    """What the fleet decided about a prompt part.
+    """What the fleet decided about an input, which is known by its key.
 
     The entry with the highest `number` holds; it is the Unix time of the
-    decision in milliseconds. `seen_at` is when a request with the part last
-    came, in Unix seconds.
+    decision in milliseconds. `seen_at` is when a request with the input
+    last came, in Unix seconds.
     """
 
-    part: str
+    key: str
     number: int
-    state: PartState
-    origin: PartOrigin
+    state: InputState
+    origin: QuarantineOrigin
     seen_at: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class QuarantineReport:
-    """What a host tells its peers about crashes and quarantined parts.
+    """What a host tells its peers about crashes and quarantined inputs.
 
-    `sound` has, for the parts under suspicion, when an answer with them
+    `sound` has, for the inputs under suspicion, when an answer with them
     last went well, in Unix seconds.
     """
 
@@ -101,9 +118,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class QuarantineOrdered(Event):
-    """An operator quarantines a prompt part, or lifts its quarantine."""
+    """An operator quarantines an input, or lifts its quarantine."""
 
-    part: str
+    key: str
     held: bool
 
 
@@ -124,7 +141,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class QuarantineChanged(Action):
-    """This host learnt or decided a new state of a part; it is logged.
+    """This host learnt or decided a new state of an input; it is logged.
 
     `own` says that this host decided it, on the crashes of `servers`.
     """
--- a/waxwingarch/core/quarantine/quarantine_rows.py
+++ b/waxwingarch/core/quarantine/quarantine_rows.py
@@ -5,7 +5,7 @@
 from waxwingarch.core.base import Action
 from waxwingarch.core.quarantine.quarantine import Quarantine
 from waxwingarch.core.quarantine.quarantine_messages import (
-    PartState,
+    InputState,
     QuarantineEntry,
     QuarantineRead,
     QuarantineWritten,
@@ -40,14 +40,14 @@
         if event.entries is None:
             return
         self._is_read = True
-        self._stored = {entry.part: entry for entry in event.entries}
+        self._stored = {entry.key: entry for entry in event.entries}
         self._quarantine.merge(event.entries)
 
     def handle_written(self, now: float, event: QuarantineWritten) -> None:
         """Note what is in the store, or repeat the write."""
         self._is_writing = False
         if event.written:
-            self._stored = {e.part: e for e in self._being_written}
+            self._stored = {e.key: e for e in self._being_written}
         else:
             self._next_write_at = now + WRITE_RETRY_S
 
@@ -76,13 +76,13 @@
     def _has_changed(self) -> bool:
         entries = self._quarantine.entries
         return any(self._differs(entry) for entry in entries) or any(
-            entry.state is PartState.HELD
+            entry.state is InputState.HELD
             for part, entry in self._stored.items()
-            if part not in {e.part for e in entries}
+            if part not in {e.key for e in entries}
         )
 
     def _differs(self, entry: QuarantineEntry) -> bool:
-        stored = self._stored.get(entry.part)
+        stored = self._stored.get(entry.key)
         return (
             stored is None
             or stored.number != entry.number
--- a/waxwingarch/core/refusal.py
+++ b/waxwingarch/core/refusal.py
@@ -26,6 +26,7 @@
     OUTCOME_UNKNOWN = "outcome unknown"
     STORE_DOWN = "store unavailable"
     QUARANTINED = "quarantined"
+    SUSPECTED = "suspected"
     RESUME_MISMATCH = "resume mismatch"
 
 
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -60,7 +60,7 @@
 from waxwingarch.tasks.front_rollouts import FrontRollouts
 from waxwingarch.tasks.quarantine_operations import (
     QuarantineOperations,
-    count_held_parts,
+    count_held_inputs,
 )
 from waxwingarch.tasks.runner import Runner
 from waxwingarch.tasks.settings_watch import SettingsWatch
@@ -137,7 +137,7 @@
             self._admin = Admin(settings.security.operator_key, on_error)
             self._quarantine_operations.register(self._admin)
         self.metrics = FrontMetrics(
-            lambda: count_held_parts(self.front.quarantine)
+            lambda: count_held_inputs(self.front.quarantine)
         )
         self._metrics_server = HttpServer(self._async_serve_metrics, on_error)
         self._runner.observe(FrontLog(self.front, self.metrics))
@@ -260,10 +260,10 @@
     async def _async_serve_metrics(
         self, req: HttpRequest, resp: HttpResponder
     ) -> None:
-        """Answer with the metrics, or with the quarantined prompt parts."""
+        """Answer with the metrics, or with the quarantined inputs."""
         if req.path == QUARANTINE_PATH:
-            parts = orjson.dumps(self._quarantine_operations.listing())
-            await resp.async_send(200, parts, [JSON_TYPE])
+            inputs = orjson.dumps(self._quarantine_operations.listing())
+            await resp.async_send(200, inputs, [JSON_TYPE])
             return
         body = self.metrics.text()
         await resp.async_send(
--- a/waxwingarch/tasks/front_entry.py
+++ b/waxwingarch/tasks/front_entry.py
@@ -47,6 +47,7 @@
     RefusalReason.NOT_READY: 503,
     RefusalReason.DRAINING: 503,
     RefusalReason.QUARANTINED: 503,
+    RefusalReason.SUSPECTED: 503,
     RefusalReason.BACKEND_FAILED: 502,
     RefusalReason.DEADLINE_UNREACHABLE: 504,
 }
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -80,8 +80,8 @@
             RunMigrated: self._log_next_decisions,
             CallerDisconnected: self._handle_disconnect,
             FrontTick: self._handle_tick,
-            QuarantineRead: self._log_decisions_on_parts,
-            QuarantineOrdered: self._log_decisions_on_parts,
+            QuarantineRead: self._log_decisions_on_inputs,
+            QuarantineOrdered: self._log_decisions_on_inputs,
         }
 
     def __call__(
@@ -118,7 +118,7 @@
             elif isinstance(action, SendRequest):
                 self._log_first_dispatch(now, action)
 
-    def _log_decisions_on_parts(
+    def _log_decisions_on_inputs(
         self, now: float, event: Event, actions: list[Action]
     ) -> None:
         """Log cancelled attempts, then the first decisions on requests."""
@@ -305,7 +305,7 @@
     def _handle_tick(
         self, now: float, event: FrontTick, actions: list[Action]
     ) -> None:
-        self._log_decisions_on_parts(now, event, actions)
+        self._log_decisions_on_inputs(now, event, actions)
         for action in actions:
             if isinstance(action, MigrateRun):
                 log_message(
--- a/waxwingarch/tasks/front_quarantine.py
+++ b/waxwingarch/tasks/front_quarantine.py
@@ -1,4 +1,4 @@
-"""Reads and writes the store row of the quarantined prompt parts."""
+"""Reads and writes the store row of the quarantined inputs."""
 
 import asyncio
 from typing import Final
@@ -10,6 +10,7 @@
     decode_entries,
     encode_entries,
 )
+from waxwingarch.core.quarantine.inputs import kind_of
 from waxwingarch.core.quarantine.quarantine_messages import (
     QuarantineChanged,
     QuarantineEntry,
@@ -27,6 +28,7 @@
 from waxwingarch.tasks.runner import FrontRunner
 
 QUARANTINE_TABLE: Final = "waxwing-quarantine"
+# The row also has whole requests; its name is that of the first version.
 QUARANTINE_KEY: Final = "parts"
 # Delay after a failed read, before the node retries it.
 READ_RETRY_DELAY_S: Final = 0.3
@@ -96,10 +98,11 @@
 def _log_change(action: QuarantineChanged) -> None:
     entry = action.entry
     log_message(
-        message_type="part_quarantined"
+        message_type="input_quarantined"
         if entry.state == "held"
-        else "part_released",
-        part=entry.part,
+        else "input_released",
+        input=entry.key,
+        kind=kind_of(entry.key).value,
         state=entry.state.value,
         origin=entry.origin.value,
         number=entry.number,
