--- a/waxwingarch/core/peers/report.py
+++ b/waxwingarch/core/peers/report.py
@@ -39,7 +39,7 @@
     that it decides by, and `confirmed_age_s` is how long ago these were
     known to be the newest. `config_number` is the operator's number of the
     configuration in force: the store may have lost its row.
-    `quarantine` is about prompt parts under which servers crash.
+    `quarantine` is about inputs under which servers crash.
     """
 
     host: HostId
