Name the whole request in the line of each exchange that ends

Whether a request that was in crashes was also answered could not be seen from the logs, as only failed attempts had its key.

--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -295,6 +295,7 @@
             service=history.service,
             account=history.account,
             servers=[server.server_id for server in history.servers],
+            whole_request=history.whole_request,
             first_byte_s=first_byte_s,
             whole_s=total_s,
             **self._decision_inputs(now),
