Quarantine a released request again after one crash beside another request

A request on probation needs one crash, but a second request in that crash counted as a tie, so that three more crashes were needed. Found by reading; the test failed before the change.

--- a/tests/core/front/test_quarantine.py
+++ b/tests/core/front/test_quarantine.py
@@ -400,6 +400,12 @@
         self.evidence.record_sound(13.0, ["p0"])
         self.assertIsNone(self.verdict())
 
+    def test_released_request_needs_one_crash_beside_any_other(self) -> None:
+        self.add("e0", 10.0, inputs={"request:a": 0, "request:b": 0})
+        found = self.evidence.verdict(20.0, set(), {"request:a": 5.0})
+        assert found is not None
+        self.assertEqual("request:a", found.key)
+
     def test_server_that_goes_on_refutes(self) -> None:
         for n in range(3):
             self.add(f"e{n}", 10.0 + 2 * n)
--- a/waxwingarch/core/quarantine/crash_evidence.py
+++ b/waxwingarch/core/quarantine/crash_evidence.py
@@ -192,7 +192,8 @@
                 now, key, crashes, held, released.get(key)
             ) or any(ids[key] < others for others in ids.values()):
                 continue
-            if len(crashes) < TIED_AFTER and _is_tied(key, ids):
+            is_new = key not in released
+            if is_new and len(crashes) < TIED_AFTER and _is_tied(key, ids):
                 continue
             depth = max(crash.inputs[key] for crash in crashes)
             rank = len(crashes), depth, key
