Keep a starting host alive on SIGHUP

A host got its handler of SIGHUP only after its imports, so that a reload during the start ended the process (exit by signal 1) and reset the connections that waited in the early socket. Found while looking for the cause of hosts that were not ready after a restart; reproduced with the signal at 0.02 to 1.2 s after the start. Ruled out: the settings watch, which reads the file at the start and follows its changes without a signal.

The signal is ignored from the first line of the entry point until the daemon handles it. Before the interpreter gets there it still ends the process. The new test failed before with a reset connection.

--- a/tests/front/test_early_socket.py
+++ b/tests/front/test_early_socket.py
@@ -61,7 +61,8 @@
         with socket.create_server((LOOPBACK, self.ports["callers"])):
             self.assertIsNone(listen_early(self.path))
 
-    def test_connection_opened_during_the_start_gets_a_response(self) -> None:
+    def start_daemon(self) -> subprocess.Popen[bytes]:
+        """Start a daemon; return once callers can connect to it."""
         env = {**os.environ, "WAXWINGARCH_CONFIG": str(self.path)}
         process = subprocess.Popen(
             [sys.executable, "-m", "waxwingarch.platform"],
@@ -79,9 +80,24 @@
             return True
 
         wait_until(can_connect, "it listens")
+        return process
+
+    def assert_refused_as_not_ready(self) -> None:
         self.conn.settimeout(20)
         self.conn.sendall(
             b"GET /x HTTP/1.1\r\nhost: h\r\n"
             b"x-waxwingarch-request-id: r1\r\n\r\n"
         )
         self.assertIn(b" 503 ", self.conn.recv(4096))
+
+    def test_connection_opened_during_the_start_gets_a_response(self) -> None:
+        self.start_daemon()
+        self.assert_refused_as_not_ready()
+
+    def test_reload_signal_during_the_start_does_not_end_the_process(
+        self,
+    ) -> None:
+        process = self.start_daemon()
+        process.send_signal(signal.SIGHUP)
+        self.assert_refused_as_not_ready()
+        self.assertIsNone(process.poll())
--- a/waxwingarch/platform/__main__.py
+++ b/waxwingarch/platform/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import os
+import signal
 import sys
 from pathlib import Path
 from typing import Final
@@ -15,6 +16,9 @@
 
 def main() -> int:
     """Run the daemon and return its exit code."""
+    # The daemon reloads its settings on SIGHUP once it runs. Until then the
+    # signal would end the process; the settings are still to be read.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     args = _build_parser().parse_args()
     sock = None if args.check else listen_early(args.settings)
     # This import takes most of the startup time. The socket listens before
