Don't close a connection of a draining host without announcing it

A response that began before SIGTERM ended after it: its head did not announce the close, and the connection was closed right after its end. A request that had been read meanwhile, behind it on the connection, got neither an answer nor a refusal; one in transit got a reset.

Ruled out: the idle connections, which stay open until the balancer has taken the host out, and the responses that began after SIGTERM, which announce the close. The connection now stays open as an idle one does, and its next response announces the close. The new test got nothing after the end of the first response before, and gets the second one now.

--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -126,6 +126,40 @@
         await server.async_unload()
 
 
+    # The connection was closed after a response that had begun before the
+    # drain and so did not announce it, with a request that was read.
+    @async_test
+    async def test_request_behind_an_unannounced_end_gets_a_response(
+        self,
+    ) -> None:
+        async def handle(req: HttpRequest, resp: HttpResponder) -> None:
+            if req.path == "/echo":
+                await resp.async_send(200, req.body)
+                return
+            await resp.async_start(200, [])
+            await ending.wait()
+            await resp.async_end()
+
+        ending = asyncio.Event()
+        server = HttpServer(handle)
+        port = await server.async_setup("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /begun HTTP/1.1\r\nhost: x\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertNotIn(b"connection: close", head)
+        server.start_drain()
+        writer.write(b"POST /echo HTTP/1.1\r\nhost: x\r\n")
+        writer.write(b"content-length: 2\r\n\r\nhi")
+        await asyncio.sleep(0.05)
+        ending.set()
+        rest = await reader.read()
+        self.assertTrue(rest.startswith(b"0\r\n\r\nHTTP/1.1 200"), rest)
+        self.assertIn(b"connection: close", rest)
+        self.assertTrue(rest.endswith(b"hi"))
+        writer.close()
+        await server.async_unload()
+
+
 class StalledProcessTest(testtools.TestCase):
     """Tests of a process that was suspended past a read deadline."""
 
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -176,11 +176,15 @@
         self._start_next_cycle()
 
     def _start_next_cycle(self) -> None:
-        """Wait for the next request, or close the connection."""
+        """Wait for the next request, or close the connection.
+
+        A connection whose close was not announced stays open, also while
+        the server drains: the next request may have been read already.
+        """
         if self._transport.is_closing():
             return
         is_done = self._conn.our_state is h11.DONE
-        if not is_done or self._close_announced or self._server.draining:
+        if not is_done or self._close_announced:
             self._transport.close()
             return
         try:
@@ -345,7 +349,7 @@
         return int(self._server.sockets[0].getsockname()[1])
 
     def start_drain(self) -> None:
-        """Close each connection after its next response.
+        """Close each connection after its next response that announces it.
 
         Idle connections stay open: a request may be in transit, and must
         get a response rather than a connection reset.
