Carry out the other actions of a step after an error in one

An error in the handler of one action dropped the actions after it in the same step, and left queued events for the next one who posts. A step that applies a configuration first logs it and then decides on the requests that wait: an error in the first left these without an answer or a refusal.

All actions and queued events are now carried out; the first error is raised to the caller of post as before, further ones are logged.

--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -125,7 +125,6 @@
         writer.close()
         await server.async_unload()
 
-
     # The connection was closed after a response that had begun before the
     # drain and so did not announce it, with a request that was read.
     @async_test
--- a/waxwingarch/tasks/runner.py
+++ b/waxwingarch/tasks/runner.py
@@ -52,18 +52,31 @@
         self._observers.append(observer)
 
     def post(self, event: Event) -> None:
-        """Handle an event; one posted by a handler is queued behind it."""
+        """Handle an event; one posted by a handler is queued behind it.
+
+        An error costs neither the other actions nor the queued events. The
+        first one is raised at the end, and the others are logged.
+        """
         self._pending.append(event)
         if self._is_stepping:
             return
         self._is_stepping = True
+        errors: list[Exception] = []
         try:
             while self._pending:
-                self._step(self._pending.popleft())
+                try:
+                    self._step(self._pending.popleft(), errors)
+                except Exception as exc:
+                    errors.append(exc)
         finally:
             self._is_stepping = False
+        for error in errors[1:]:
+            write_traceback(exc_info=(type(error), error, error.__traceback__))
+        if errors:
+            raise errors[0]
 
-    def _step(self, event: Event) -> None:
+    def _step(self, event: Event, errors: list[Exception]) -> None:
+        """Handle one event; add the errors in its actions to `errors`."""
         now = asyncio.get_running_loop().time()
         actions = self.node.handle(now, event)
         if self._recorder:
@@ -75,7 +88,11 @@
                 # The actions of the step must be carried out all the same.
                 write_traceback(exc_info=(type(exc), exc, exc.__traceback__))
         for action in actions:
-            self._handlers[type(action)](action)
+            try:
+                self._handlers[type(action)](action)
+            except Exception as exc:
+                # The other actions must be carried out all the same.
+                errors.append(exc)
 
 
 ContractRunner: TypeAlias = "Runner[ContractNode]"
