End an exchange on which the node's decision was lost

An error in one part of a tick loses the actions of the parts before it: the refusal of a request that waited for the host to be ready, or the call that moves a run, for whose outcome the end of the run's attempt then waits. The caller got neither an answer nor a refusal, and the host kept the exchange.

The task of an exchange now waits for a decision until one second after the time at which the node has to have made it (the startup wait, the deadline of an attempt). Then it ends the exchange itself: with 503 if nothing was sent, with 504 if it may have run, by closing a response that began, and takes it off the node. Ruled out: an order of the parts of a tick, as any of them may fail.

--- a/tests/front/test_lasting_errors_host.py
+++ b/tests/front/test_lasting_errors_host.py
@@ -1,13 +1,15 @@
 """Tests that one unexpected error does not stop a host's work for good."""
 
 import asyncio
-from unittest.mock import AsyncMock, patch
+from unittest.mock import AsyncMock, PropertyMock, patch
 
 import testtools
 
 from tests.front.base import Host, async_until
 from tests.helpers import async_test
 from waxwingarch.adapters.event_split import EventSplitter
+from waxwingarch.adapters.http_client import CutLinkError
+from waxwingarch.core.front_node import FrontNode
 from waxwingarch.tasks.front_log import FrontLog
 
 UNEXPECTED = ValueError("unexpected")
@@ -63,3 +65,53 @@
             with patch.object(FrontLog, "__call__", side_effect=UNEXPECTED):
                 response = await host.async_send("/draft/x")
             self.assertEqual(200, response.status)
+
+
+class LostDecisions(testtools.TestCase):
+    """The decision on a request is lost by an error in the same step."""
+
+    # Nothing owed the caller an end any more.
+    @async_test
+    async def test_request_that_waits_for_the_host_is_refused(self) -> None:
+        not_serving = PropertyMock(return_value=False)
+        async with Host() as host:
+            with (
+                patch.object(FrontNode, "serving", not_serving),
+                patch.object(
+                    host.front.duties, "tick", side_effect=UNEXPECTED
+                ),
+            ):
+                response = await host.async_send("/draft/x")
+            self.assertEqual(503, response.status)
+            self.assertEqual([], host.fleet.runs)
+            self.assertEqual(0, host.daemon.in_progress)
+
+    # The call that moves the run was lost, and the end of the attempt on its
+    # old server waited for the outcome of that call.
+    @async_test
+    async def test_answer_ends_without_the_call_that_moves_its_run(
+        self,
+    ) -> None:
+        async with Host() as host:
+            for server in host.fleet.engines():
+                server.behaviour.event_s = 0.3
+                server.behaviour.events = 10
+            request = asyncio.create_task(
+                host.async_send("/draft/x", deadline_ms=3000)
+            )
+            await async_until(lambda: host.fleet.runs, "it runs")
+            [run] = host.fleet.runs
+            [server] = [
+                s for s in host.fleet.engines() if s.server_id == run.server_id
+            ]
+            with patch.object(
+                host.front.duties, "tick", side_effect=UNEXPECTED
+            ):
+                host.fleet.register(server, "draining")
+                [state] = host.front.exchanges._exchanges.values()
+                await async_until(lambda: state.is_migrating, "it is moved")
+            await server.async_unload()
+            with testtools.ExpectedException(CutLinkError):
+                await request
+            self.assertEqual(0, host.daemon.in_progress)
+            self.assertEqual(0, len(host.front.exchanges))
--- a/waxwingarch/tasks/front_entry.py
+++ b/waxwingarch/tasks/front_entry.py
@@ -4,6 +4,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any, Final
 
@@ -18,7 +19,7 @@
     HttpResponder,
 )
 from waxwingarch.adapters.http_server import HttpServer
-from waxwingarch.core.base import Action, RequestId
+from waxwingarch.core.base import Action, ExecutionStatus, RequestId
 from waxwingarch.core.exchange.exchange_messages import (
     AbortResponse,
     AttemptFinished,
@@ -30,12 +31,18 @@
     LocalResponse,
     SendRequest,
 )
+from waxwingarch.core.exchange.state_machine import RETRY_AFTER_S
+from waxwingarch.core.front_node import STARTUP_WAIT_S
 from waxwingarch.core.quarantine.quarantine_messages import CancelAttempt
 from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.ports.front import BadHeadError, ExchangeCodec
 from waxwingarch.tasks.front_exchange import ExchangeForwarder
 from waxwingarch.tasks.runner import FrontRunner
 
+# The node decides on an exchange at the latest when its own limit of time is
+# over: the startup wait of a new one, the deadline of one that was sent. If
+# there is no decision this long after it, it was lost by an error.
+DECISION_SLACK_S: Final = 1.0
 # HTTP statuses of the refusals that this host sends itself.
 REFUSAL_STATUS: Final[dict[RefusalReason, int]] = {
     RefusalReason.BAD_REQUEST: 400,
@@ -50,6 +57,17 @@
     RefusalReason.BACKEND_FAILED: 502,
     RefusalReason.DEADLINE_UNREACHABLE: 504,
 }
+UNDECIDED: Final = Refusal(
+    reason=RefusalReason.NOT_READY,
+    ran=ExecutionStatus.NOT_RUN,
+    message="this host failed to handle the request: send it again",
+    retry_after_s=RETRY_AFTER_S,
+)
+UNDECIDED_AFTER_SENDING: Final = Refusal(
+    reason=RefusalReason.DEADLINE_UNREACHABLE,
+    ran=ExecutionStatus.UNKNOWN,
+    message="no answer in the time allowed: raise the timeout",
+)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -60,11 +78,14 @@
     action_available: asyncio.Event = field(default_factory=asyncio.Event)
     attempt: asyncio.Task[AttemptFinished] | None = None
 
-    async def async_next_action(self) -> Action:
-        while not self.actions:
+    async def async_next_action(self, deadline: float) -> Action | None:
+        """Return the next action; None if there is none by a deadline."""
+        if not self.actions:
             self.action_available.clear()
-            await self.action_available.wait()
-        return self.actions.popleft()
+            with suppress(TimeoutError):
+                async with asyncio.timeout_at(deadline):
+                    await self.action_available.wait()
+        return self.actions.popleft() if self.actions else None
 
     async def async_attempt(
         self, attempt: Coroutine[Any, Any, AttemptFinished]
@@ -190,10 +211,13 @@
             resp,
             head.request_id,
         )
+        decided_by = asyncio.get_running_loop().time() + STARTUP_WAIT_S
+        was_sent = False
         self._runner.post(ExchangeArrived(head=head))
         while True:
-            match await queue.async_next_action():
+            match await queue.async_next_action(decided_by + DECISION_SLACK_S):
                 case SendRequest() as send:
+                    was_sent, decided_by = True, send.expires_at
                     finished = await queue.async_attempt(
                         forwarder.async_send(send)
                     )
@@ -211,6 +235,22 @@
                 case AbortResponse():
                     resp.abort()
                     return
+                case None:
+                    await self._async_end_undecided(head, resp, was_sent)
+                    return
+
+    async def _async_end_undecided(
+        self, head: ExchangeHead, resp: HttpResponder, was_sent: bool
+    ) -> None:
+        """End an exchange on which the node's decision was lost."""
+        log_message(message_type="no_decision", request_id=head.request_id)
+        self._runner.post(CallerDisconnected(request_id=head.request_id))
+        if resp.started:
+            resp.abort()
+            return
+        await self._async_send_local_response(
+            resp, UNDECIDED_AFTER_SENDING if was_sent else UNDECIDED
+        )
 
     async def _async_send_local_response(
         self, resp: HttpResponder, refusal: Refusal
