Send a response to its last byte before the process stops

A request whose handler had ended counted as done while a part of its answer was still in the write buffer of its connection: a stopping process ended with it, and the caller got an answer that was cut off. Ruled out: streams, which wait for room in the buffer at each event; the buffer of a plain answer is larger the slower its caller reads.

A connection is busy now until its write buffer is empty. The grace of one second is as before. The new test, with an answer of 32 MB, had the rest of it missing before.

--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import testtools
 
@@ -22,6 +23,9 @@
     HttpServer,
 )
 
+# More than the buffers of the kernel hold.
+LARGE_BODY_BYTES = 32_000_000
+
 
 async def _handle_request(req: HttpRequest, resp: HttpResponder) -> None:
     if req.path == "/echo":
@@ -158,6 +162,40 @@
         writer.close()
         await server.async_unload()
 
+    # The process ended with a part of an answer in its write buffers.
+    @async_test
+    async def test_stop_waits_for_a_caller_that_reads_slowly(self) -> None:
+        def read_slowly() -> int:
+            """Read the answer in a thread; return the bytes received."""
+            with socket.create_connection(("127.0.0.1", port)) as conn:
+                conn.settimeout(2.0)
+                conn.sendall(b"GET /large HTTP/1.1\r\nhost: x\r\n\r\n")
+                received = len(conn.recv(1000))
+                stopping.wait(5.0)
+                time.sleep(0.2)
+                while received <= LARGE_BODY_BYTES:
+                    part = conn.recv(1_000_000)
+                    if not part:
+                        break
+                    received += len(part)
+                return received
+
+        async def handle(req: HttpRequest, resp: HttpResponder) -> None:
+            await resp.async_send(200, b"x" * LARGE_BODY_BYTES)
+            handled.set()
+
+        stopping, handled = threading.Event(), asyncio.Event()
+        server = HttpServer(handle)
+        port = await server.async_setup("127.0.0.1", 0)
+        with ThreadPoolExecutor() as pool:
+            reader = pool.submit(read_slowly)
+            await handled.wait()
+            stopping.set()
+            await server.async_unload()
+            # Blocks the loop, as if the process had ended.
+            received = reader.result()
+        self.assertGreater(received, LARGE_BODY_BYTES)
+
 
 class StalledProcessTest(testtools.TestCase):
     """Tests of a process that was suspended past a read deadline."""
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -306,14 +306,17 @@
             self._transport.close()
 
     def abort_if_busy(self) -> None:
-        """Abort the connection if a request is in progress."""
+        """Abort the connection if a response is still due on it."""
         if self.busy:
             self._transport.abort()
 
     @property
     def busy(self) -> bool:
-        """Whether a request is in progress on this connection."""
-        return self._task is not None
+        """Whether a request is in progress, or its response not all sent."""
+        return (
+            self._task is not None
+            or self._transport.get_write_buffer_size() > 0
+        )
 
 
 class HttpServer:
@@ -364,8 +367,8 @@
     async def async_unload(self) -> None:
         """Stop listening and close all connections.
 
-        Requests in progress get `STOP_GRACE_S` to finish and are aborted
-        after that.
+        Requests in progress get `STOP_GRACE_S` to finish, until the last
+        byte of their responses is sent, and are aborted after that.
         """
         if self._server:
             self._server.close()
