Await the first request on a new connection of a stopping host

A connection that had just been accepted counted as idle although its first request was in transit, so that its caller got a closed connection without an answer.

Ruled out: requests that the host had read, which are all logged; connections kept from before, whose answers announce the close. A connection without a request is now closed only 0.5 s after it was opened. The new test got a closed connection before.

--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -162,6 +162,26 @@
         writer.close()
         await server.async_unload()
 
+    # A caller that had just connected lost its first request, in transit.
+    @async_test
+    async def test_connection_without_a_request_yet_is_not_idle(self) -> None:
+        server = HttpServer(_handle_request)
+        port = await server.async_setup("127.0.0.1", 0)
+        server.start_drain()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        while not server.connections:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        server.close_idle()
+        unload = asyncio.create_task(server.async_unload())
+        await asyncio.sleep(0.1)
+        writer.write(b"POST /echo HTTP/1.1\r\nhost: x\r\n")
+        writer.write(b"content-length: 2\r\n\r\nhi")
+        response = await reader.read()
+        self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
+        self.assertIn(b"connection: close", response)
+        writer.close()
+        await unload
+
     # The process ended with a part of an answer in its write buffers.
     @async_test
     async def test_stop_waits_for_a_caller_that_reads_slowly(self) -> None:
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -24,6 +24,8 @@
 REQUEST_READ_TIMEOUT_S: Final = 10.0
 IDLE_TIMEOUT_S: Final = 75.0
 WRITE_STALL_TIMEOUT_S: Final = 20.0
+# A caller that has just connected sends its first request within this time.
+FIRST_REQUEST_TIMEOUT_S: Final = 0.5
 # Time that requests in progress get to finish when the server stops.
 STOP_GRACE_S: Final = 1.0
 STOP_POLL_S: Final = 0.02
@@ -59,6 +61,10 @@
         self._started = False
         self._disconnected = asyncio.Event()
         self._close_announced = False
+        self._first_request_due_at = (
+            asyncio.get_running_loop().time() + FIRST_REQUEST_TIMEOUT_S
+        )
+        self._has_had_request = False
 
     # asyncio.Protocol
 
@@ -154,6 +160,7 @@
             self._refuse(400, "bad_http", f"send a valid path: {exc}")
             return False
         self._started = False
+        self._has_had_request = True
         self._task = asyncio.get_running_loop().create_task(self._run(req))
         return True
 
@@ -301,7 +308,12 @@
     # drain
 
     def close_if_idle(self) -> None:
-        """Close a connection that has no request in progress."""
+        """Close a connection that has no request in progress.
+
+        The first request of a new connection is still in transit.
+        """
+        if self.expects_first_request:
+            return
         if self._task is None and self._conn.their_state is h11.IDLE:
             self._transport.close()
 
@@ -310,6 +322,12 @@
         if self.busy:
             self._transport.abort()
 
+    @property
+    def expects_first_request(self) -> bool:
+        """Whether the caller has just connected and sent no request yet."""
+        now = asyncio.get_running_loop().time()
+        return not self._has_had_request and now < self._first_request_due_at
+
     @property
     def busy(self) -> bool:
         """Whether a request is in progress, or its response not all sent."""
@@ -377,7 +395,10 @@
         deadline = loop.time() + STOP_GRACE_S
         while loop.time() < deadline:
             await asyncio.sleep(STOP_POLL_S)
-            if not any(conn.busy for conn in self.connections):
+            if not any(
+                conn.busy or conn.expects_first_request
+                for conn in self.connections
+            ):
                 break
         self.close_idle()
         for conn in list(self.connections):
