--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import testtools
 
@@ -22,6 +23,9 @@
     HttpServer,
 )
 
+# More than the buffers of the kernel hold.
+LARGE_BODY_BYTES = 32_000_000
+
 
 async def _handle_request(req: HttpRequest, resp: HttpResponder) -> None:
     if req.path == "/echo":
@@ -125,6 +129,93 @@
         writer.close()
         await server.async_unload()
 
+    # The connection was closed after a response that had begun before the
+    # drain and so did not announce it, with a request that was read.
+    @async_test
+    async def test_request_behind_an_unannounced_end_gets_a_response(
+        self,
+    ) -> None:
+        async def handle(req: HttpRequest, resp: HttpResponder) -> None:
+            if req.path == "/echo":
+                await resp.async_send(200, req.body)
+                return
+            await resp.async_start(200, [])
+            await ending.wait()
+            await resp.async_end()
+
+        ending = asyncio.Event()
+        server = HttpServer(handle)
+        port = await server.async_setup("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /begun HTTP/1.1\r\nhost: x\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertNotIn(b"connection: close", head)
+        server.start_drain()
+        writer.write(b"POST /echo HTTP/1.1\r\nhost: x\r\n")
+        writer.write(b"content-length: 2\r\n\r\nhi")
+        await asyncio.sleep(0.05)
+        ending.set()
+        rest = await reader.read()
+        self.assertTrue(rest.startswith(b"0\r\n\r\nHTTP/1.1 200"), rest)
+        self.assertIn(b"connection: close", rest)
+        self.assertTrue(rest.endswith(b"hi"))
+        writer.close()
+        await server.async_unload()
+
+    # A caller that had just connected lost its first request, in transit.
+    @async_test
+    async def test_connection_without_a_request_yet_is_not_idle(self) -> None:
+        server = HttpServer(_handle_request)
+        port = await server.async_setup("127.0.0.1", 0)
+        server.start_drain()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        while not server.connections:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        server.close_idle()
+        unload = asyncio.create_task(server.async_unload())
+        await asyncio.sleep(0.1)
+        writer.write(b"POST /echo HTTP/1.1\r\nhost: x\r\n")
+        writer.write(b"content-length: 2\r\n\r\nhi")
+        response = await reader.read()
+        self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
+        self.assertIn(b"connection: close", response)
+        writer.close()
+        await unload
+
+    # The process ended with a part of an answer in its write buffers.
+    @async_test
+    async def test_stop_waits_for_a_caller_that_reads_slowly(self) -> None:
+        def read_slowly() -> int:
+            """Read the answer in a thread; return the bytes received."""
+            with socket.create_connection(("127.0.0.1", port)) as conn:
+                conn.settimeout(2.0)
+                conn.sendall(b"GET /large HTTP/1.1\r\nhost: x\r\n\r\n")
+                received = len(conn.recv(1000))
+                stopping.wait(5.0)
+                time.sleep(0.2)
+                while received <= LARGE_BODY_BYTES:
+                    part = conn.recv(1_000_000)
+                    if not part:
+                        break
+                    received += len(part)
+                return received
+
+        async def handle(req: HttpRequest, resp: HttpResponder) -> None:
+            await resp.async_send(200, b"x" * LARGE_BODY_BYTES)
+            handled.set()
+
+        stopping, handled = threading.Event(), asyncio.Event()
+        server = HttpServer(handle)
+        port = await server.async_setup("127.0.0.1", 0)
+        with ThreadPoolExecutor() as pool:
+            reader = pool.submit(read_slowly)
+            await handled.wait()
+            stopping.set()
+            await server.async_unload()
+            # Blocks the loop, as if the process had ended.
+            received = reader.result()
+        self.assertGreater(received, LARGE_BODY_BYTES)
+
 
 class StalledProcessTest(testtools.TestCase):
     """Tests of a process that was suspended past a read deadline."""
