--- a/tests/core/front/crash_fleet.py
+++ b/tests/core/front/crash_fleet.py
@@ -2,7 +2,7 @@
 
 import heapq
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 from random import Random
 
@@ -113,6 +113,8 @@
         with_codec: bool = True,
         sound_parts: int = SOUND_PARTS,
         service: ServiceId = POOL,
+        domains: Sequence[FailureDomain] = DOMAINS,
+        retries: int = 1,
     ) -> None:
         self.rng = Random(seed)
         self.now = 0.0
@@ -134,6 +136,8 @@
         self.writes = 0
         self._sound_parts = sound_parts
         self._with_codec = with_codec
+        # How often callers of sound requests try again.
+        self._max_retries = retries
         self._due: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._ids = itertools.count()
@@ -143,7 +147,7 @@
         self.backends = {
             ServerId(f"e{n}"): _Backend(
                 server=server(
-                    f"e{n}", service, domain=DOMAINS[n % len(DOMAINS)]
+                    f"e{n}", service, domain=domains[n % len(domains)]
                 )
             )
             for n in range(servers)
@@ -238,7 +242,7 @@
         self._after(STORE_DELAY_S, lambda: self.post(name, written))
 
     def _retry(self, request_id: RequestId) -> None:
-        """Let the caller of a sound request try it once more."""
+        """Let the caller of a sound request try it again."""
         retry = self._retries.pop(request_id, None)
         if retry is not None:
             self._after(RETRY_AFTER_S, retry)
@@ -270,7 +274,7 @@
         *,
         first: str = FIRST_PART,
         path: str = "/draft/x",
-        again: bool = False,
+        retries: int = 0,
     ) -> RequestId:
         """Send a request with a shared part to a host, or to any."""
         number = next(self._ids)
@@ -284,9 +288,9 @@
             ),
             digest=f"own-{number}",
         )
-        if part not in self.poisons and not again:
+        if part not in self.poisons and retries < self._max_retries:
             self._retries[head.request_id] = lambda: self.send(
-                part, again=True
+                part, retries=retries + 1
             )
         return self._arrive(head, host)
 
@@ -297,7 +301,7 @@
         *,
         path: str = "/read/x",
         part: str | None = None,
-        again: bool = False,
+        retries: int = 0,
     ) -> RequestId:
         """Send a request that other requests repeat as a whole."""
         shared = [FIRST_PART, part] if part else []
@@ -310,9 +314,9 @@
             ),
             digest=content,
         )
-        if content not in self.poisons and not again:
+        if not self._is_poisoned(head) and retries < self._max_retries:
             self._retries[head.request_id] = lambda: self.send_whole(
-                content, path=path, part=part, again=True
+                content, path=path, part=part, retries=retries + 1
             )
         return self._arrive(head, host)
 
