Let a whole request crash servers in soaks

The fault "crashing request" lets one target of a plain route come again at any host, with the same account and body. As for parts it is checked how many runs begin 3 s after a number of crashes: the third, for parts the fifth.

The checks know the input that crashes servers by its name in place of a flag and a place in the prompt; the tests of parts check the same bound.

--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -158,7 +158,7 @@
         )
         if (
             call.key != KEY
-            or call.may_crash
+            or call.crashing_input
             or any(
                 interval.kind not in STORE_LINK_FAULTS
                 for interval in host_intervals
--- a/standins/soak/fleet_checks.py
+++ b/standins/soak/fleet_checks.py
@@ -6,13 +6,14 @@
 
 from standins.campaign_report import Report
 from standins.fleet_server import Run
-from standins.soak.load import CRASHING_PART_INDEX, Call, LoadGenerator
+from standins.soak.load import Call, LoadGenerator
 from standins.soak.promises import (
-    CONDEMNED_AFTER_CRASHES,
     CONTACT_S,
     DRAIN_APPLY_LIMIT_S,
     FAULT_RECOVERY_S,
     MAX_CONDEMNED_RUNS,
+    PART_CONDEMNED_AFTER,
+    REQUEST_CONDEMNED_AFTER,
     SCHEDULING_SLACK_S,
     THAW_SLACK_S,
     Promise,
@@ -35,7 +36,7 @@
     def check_all(self, runs: Mapping[str, Sequence[Run]]) -> None:
         """Check all; `runs` are by the id of their request."""
         self._check_draining_servers()
-        self._check_crashing_parts(runs)
+        self._check_crashing_inputs(runs)
         self._check_duties()
 
     def _had_fault(self, call: Call, names: set[str]) -> bool:
@@ -71,22 +72,28 @@
                     )
             self._report.record_check(Promise.DRAIN, True, "")
 
-    def _check_crashing_parts(self, runs: Mapping[str, Sequence[Run]]) -> None:
-        """Check what reached servers once a part had ended several."""
-        runs_of_part: dict[str, list[tuple[Call, Run]]] = defaultdict(list)
+    def _check_crashing_inputs(
+        self, runs: Mapping[str, Sequence[Run]]
+    ) -> None:
+        """Check what reached servers once an input had ended several."""
+        runs_by_input: dict[str, list[tuple[Call, Run]]] = defaultdict(list)
         for call in self._load.calls:
-            if call.may_crash:
-                part = call.parts[CRASHING_PART_INDEX]
-                runs_of_part[part] += [
+            if call.crashing_input:
+                runs_by_input[call.crashing_input] += [
                     (call, r) for r in runs[call.request_id]
                 ]
-        for part, found in runs_of_part.items():
+        for name, found in runs_by_input.items():
+            condemned_after = (
+                REQUEST_CONDEMNED_AFTER
+                if name.startswith("/")
+                else PART_CONDEMNED_AFTER
+            )
             crashed_at = sorted(
                 run.ended_at for _, run in found if run.ended == "crashed"
             )
-            if len(crashed_at) < CONDEMNED_AFTER_CRASHES:
+            if len(crashed_at) < condemned_after:
                 continue
-            since = crashed_at[CONDEMNED_AFTER_CRASHES - 1] + CONTACT_S
+            since = crashed_at[condemned_after - 1] + CONTACT_S
             late = [
                 f"{run.began_at - since:.1f} s at {call.host}"
                 for call, run in found
@@ -94,8 +101,8 @@
                 and not self._had_fault(call, names={call.host})
             ]
             evidence = (
-                f"part {part}: {len(crashed_at)} crashes; begun after"
-                f" {CONTACT_S:g} s from the fifth: {late}"
+                f"{name}: {len(crashed_at)} crashes; begun after"
+                f" {CONTACT_S:g} s from number {condemned_after}: {late}"
             )
             kept = len(late) <= MAX_CONDEMNED_RUNS
             self._report.record_check(Promise.QUARANTINE, kept, evidence)
--- a/standins/soak/load.py
+++ b/standins/soak/load.py
@@ -22,6 +22,8 @@
 CALL_TIMEOUT_S: Final = 15.0
 STAY_ON_HOST_PROBABILITY: Final = 0.85
 DISCONNECT_PROBABILITY: Final = 0.06
+# Bodies are smaller than this, in bytes; that which crashes servers is not.
+MAX_SIZE: Final = 4000
 # For each path: time limit of the route in seconds, and weight of the path
 # in the random choice of calls.
 ROUTES: Final = {
@@ -35,9 +37,8 @@
 NON_IDEMPOTENT_ROUTES: Final = ("/chat/", "/pay/")
 # The first part of all prompts.
 SHARED_PART: Final = "5a11"
-# Where the crashing part stands in the prompts that have it.
-CRASHING_PART_INDEX: Final = 1
 CRASHING_PART_PROBABILITY: Final = 0.25
+CRASHING_REQUEST_PROBABILITY: Final = 0.5
 PROMPT_PART_TOKENS: Final = 100
 
 
@@ -46,8 +47,9 @@
     """One request of a caller.
 
     Times are monotonic, in seconds. `size` is that of the body, in bytes.
-    `parts` are those of the prompt of a stream; `may_crash` says whether one
-    of them crashes servers. `has_begun` says whether a response began.
+    `parts` are those of the prompt of a stream; `crashing_input` is the one,
+    or the target, that crashes servers. `has_begun` says whether a response
+    began.
     """
 
     request_id: str
@@ -62,7 +64,7 @@
     error: str = ""
     disconnected_at: float | None = None
     parts: tuple[str, ...] = ()
-    may_crash: bool = False
+    crashing_input: str = ""
     has_begun: bool = False
     # Whether no connection could be opened, so that nothing was sent.
     is_unsent: bool = False
@@ -92,6 +94,8 @@
         self.added_keys: list[str] = []
         # The id of the part that crashes servers; empty while none does.
         self.crashing_part = ""
+        # Route and size of the request that crashes servers.
+        self.crashing_request: tuple[str, int] | None = None
         self._is_stopping = False
 
     async def async_run(self, callers: int) -> None:
@@ -130,21 +134,26 @@
             request_id=f"{caller}-{len(self.calls)}",
             route=route,
             key=rng.choice(keys),
-            size=rng.randrange(1, 4000),
+            size=rng.randrange(1, MAX_SIZE),
             host=host,
             incarnation=self._world.daemons[host].incarnation,
             sent_at=time.monotonic(),
         )
         if route in STREAM_ROUTES:
             self._add_parts(rng, call)
+        elif self.crashing_request and (
+            rng.random() < CRASHING_REQUEST_PROBABILITY
+        ):
+            call.key = KEY
+            call.route, call.size = self.crashing_request
+            call.crashing_input = f"{call.route}{call.size}"
         self.calls.append(call)
         return call
 
     def _add_parts(self, rng: Random, call: Call) -> None:
-        call.may_crash = bool(self.crashing_part) and (
-            rng.random() < CRASHING_PART_PROBABILITY
-        )
-        middle = (self.crashing_part,) if call.may_crash else ()
+        if self.crashing_part and rng.random() < CRASHING_PART_PROBABILITY:
+            call.crashing_input = self.crashing_part
+        middle = (call.crashing_input,) if call.crashing_input else ()
         call.parts = (SHARED_PART, *middle, f"{len(self.calls):x}")
 
     async def _async_call(
--- a/standins/soak/promises.py
+++ b/standins/soak/promises.py
@@ -19,7 +19,7 @@
     DRAIN = "a leaving server gets nothing new"
     STOP = "a planned stop ends in time and cuts off nobody"
     ANSWERED = "what a host read whole is answered or refused"
-    QUARANTINE = "after five crashes a prompt part reaches few servers"
+    QUARANTINE = "after some crashes an input reaches few servers"
     READY = "a host that was started becomes ready"
     ALIVE = "no process ends by itself"
     FENCE = "duties are never done with an older fencing number"
@@ -33,9 +33,10 @@
 CONFIG_APPLY_LIMIT_S: Final = 3.0
 # A server gets no new work this long after its row says "draining".
 DRAIN_APPLY_LIMIT_S: Final = 3.0
-# After this many crashes under a prompt part, and the time in which hosts
-# hear of each other, at most so many runs of requests with it begin.
-CONDEMNED_AFTER_CRASHES: Final = 5
+# After this many crashes under a prompt part or a whole request, and the time
+# in which hosts hear of each other, at most so many runs with it begin.
+PART_CONDEMNED_AFTER: Final = 5
+REQUEST_CONDEMNED_AFTER: Final = 3
 CONTACT_S: Final = 3.0
 MAX_CONDEMNED_RUNS: Final = 3
 # A host ends within this time after SIGTERM.
--- a/standins/soak/server_faults.py
+++ b/standins/soak/server_faults.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from standins.fleet_server import Behaviour, FleetServer
-from standins.soak.load import LoadGenerator
+from standins.soak.load import MAX_SIZE, LoadGenerator
 from standins.soak.targets import Fault, Preparation, Targets
 
 SERVER_FAULTS: Final = (
@@ -21,8 +21,10 @@
 # How long a server announces that it leaves, and drains after that.
 ANNOUNCED_S: Final = (1.0, 2.0)
 DRAINING_S: Final = (3.0, 4.0)
-# How long requests with a part that crashes servers come.
-CRASHING_PART_S: Final = (3.0, 12.0)
+# How long requests come under which servers crash.
+CRASHING_INPUT_S: Final = (3.0, 12.0)
+# The routes of which a whole request crashes servers.
+PLAIN_ROUTES: Final = ("/read/", "/pay/")
 POLL_INTERVAL_S: Final = 0.05
 
 
@@ -42,6 +44,7 @@
             "silence": self._prepare_silence,
             "until close": self._prepare_until_close,
             "crashing part": self._prepare_crashing_part,
+            "crashing request": self._prepare_crashing_request,
         }
 
     def _prepare_crash(self) -> Fault | None:
@@ -160,9 +163,30 @@
         self._load.crashing_part = part
 
         async def send_crashing_part() -> None:
-            await asyncio.sleep(self._rng.uniform(*CRASHING_PART_S))
+            await asyncio.sleep(self._rng.uniform(*CRASHING_INPUT_S))
             self._load.crashing_part = ""
-            while any(s.is_down for s in self._world.fleet.servers):  # noqa: ASYNC110
-                await asyncio.sleep(POLL_INTERVAL_S)
+            await self._async_servers_up()
 
         return send_crashing_part
+
+    def _prepare_crashing_request(self) -> Fault | None:
+        """Let one request come again and again under which servers crash."""
+        if self._load.crashing_request:
+            return None
+        route = self._rng.choice(PLAIN_ROUTES)
+        size = MAX_SIZE + len(self._world.fleet.crashing_inputs)
+        target = f"{route}{size}"
+        self._world.report.record_fault("crashing request", target)
+        self._world.fleet.crashing_inputs.add(target)
+        self._load.crashing_request = route, size
+
+        async def send_crashing_request() -> None:
+            await asyncio.sleep(self._rng.uniform(*CRASHING_INPUT_S))
+            self._load.crashing_request = None
+            await self._async_servers_up()
+
+        return send_crashing_request
+
+    async def _async_servers_up(self) -> None:
+        while any(s.is_down for s in self._world.fleet.servers):  # noqa: ASYNC110
+            await asyncio.sleep(POLL_INTERVAL_S)
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -147,7 +147,7 @@
     def _begin_crash(self, server: FleetServer) -> None:
         self.links[server.server_id].close()
         self._crashes[server.server_id] = self.begin_fault(
-            server.server_id, "crash", "by a part"
+            server.server_id, "crash", "by an input"
         )
 
     async def _async_end_crash(self, server: FleetServer) -> None:
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -309,14 +309,23 @@
         broken = self.broken_promises()
         self.assertNotIn(Promise.ANSWERED, broken)
 
-    def add_crashes(self, late_runs: int) -> None:
-        """Add five crashes under a part, and runs long after them."""
-        parts = {"parts": ("a", "bad", "b"), "may_crash": True}
+    def add_crashes(
+        self,
+        late_runs: int,
+        crashes: int = 5,
+        route: str = "/chat/",
+        name: str = "bad",
+    ) -> None:
+        """Add crashes under an input, and runs long after them."""
         crash_end = self.at + 0.2
-        for n in range(5 + late_runs):
-            sent_at = self.at + (0.1 if n < 5 else 4.0)
+        for n in range(crashes + late_runs):
+            sent_at = self.at + (0.1 if n < crashes else 4.0)
             call = self.add_call(
-                "/chat/", 502, sent_at=sent_at, ended_at=sent_at + 1, **parts
+                route,
+                502,
+                sent_at=sent_at,
+                ended_at=sent_at + 1,
+                crashing_input=name,
             )
             self.add_run(call, ended="crashed", ended_at=crash_end)
 
@@ -330,6 +339,14 @@
         self.add_crashes(late_runs=4)
         self.assertIn(Promise.QUARANTINE, self.broken_promises())
 
+    def test_few_runs_of_a_request_that_crashed_three_servers(self) -> None:
+        self.add_crashes(3, crashes=3, route="/read/", name="/read/4000")
+        self.assertNotIn(Promise.QUARANTINE, self.broken_promises())
+
+    def test_more_runs_of_a_request_that_crashed_three_servers(self) -> None:
+        self.add_crashes(4, crashes=3, route="/read/", name="/read/4000")
+        self.assertIn(Promise.QUARANTINE, self.broken_promises())
+
     def add_duty_call(self, at: float, fence: int, **body: Any) -> None:
         call = DutyCall(
             path="/usage", holder="h", fence=fence, body=body, at=self.at + at
