Don't take the time of day from reports before the first tick

Cause: a report that comes before the first tick was compared with a time of day that was not yet known (zero). The difference, the whole Unix time, was taken for that of the clocks, and was added to the own time until the next reports. Crashes of that time were twice the Unix time old, hence for good "recent" and different from what other hosts saw of them. Ruled out: the verdict itself; with equal times it condemns.

Change: before the first tick a report's time counts as equal to the own one. Crashes more than 5 s ahead are left out or dropped, whoever saw them.

Not seen on real hosts, whose first tick comes a few ms after the port of reports opens.

--- a/tests/core/front/test_gossip.py
+++ b/tests/core/front/test_gossip.py
@@ -2,13 +2,16 @@
 
 import testtools
 
+from tests.core.front.builders import front
 from waxwingarch.core.base import AccountId, Action, FailureDomain, HostId
+from waxwingarch.core.front_messages import FrontTick
 from waxwingarch.core.peers.peer_registry import MAX_RECIPIENTS_PER_STEP
 from waxwingarch.core.peers.report import (
     FollowTables,
     HostReport,
     HostsListed,
     PullState,
+    ReportReceived,
     SendReport,
     SharedTable,
 )
@@ -21,6 +24,7 @@
 )
 
 STEP_S = 0.1
+UNIX_OFFSET_S = 1e9
 
 
 def report(host: HostId, **changes: object) -> HostReport:
@@ -263,3 +267,17 @@
         [first] = gossip.update_following(0.0, 0.0, stopping=False)
         self.assertIsInstance(first, FollowTables)
         self.assertEqual([], gossip.update_following(0.1, 0.1, stopping=False))
+
+
+class TimeOfDay(testtools.TestCase):
+    """The hosts' common time, by which they compare what they saw."""
+
+    # The reports that came before the first tick doubled the time of day
+    # until the next ones: its crashes were far in the future.
+    def test_reports_before_the_first_tick_do_not_shift_it(self) -> None:
+        node = front()
+        for n in range(2, 5):
+            early = report(HostId(f"h{n}"), unix_now=UNIX_OFFSET_S + 1.0)
+            node.handle(1.0, ReportReceived(report=early))
+        node.handle(1.1, FrontTick(boot_now=1.1, unix_now=UNIX_OFFSET_S + 1.1))
+        self.assertEqual(UNIX_OFFSET_S + 1.2, node.unix_time(1.2))
--- a/tests/core/front/test_poisoned_requests.py
+++ b/tests/core/front/test_poisoned_requests.py
@@ -170,6 +170,36 @@
         self.assertIsNone(self.verdict())
 
 
+class CrashesInTheFuture(_Evidence):
+    """The time of day of a host was wrong as it saw a crash.
+
+    Such a crash kept its request refused as suspected for good.
+    """
+
+    def is_recent_after(self, now: float) -> bool:
+        self.evidence.expire(now)
+        return self.evidence.is_recent(now)
+
+    def test_one_that_a_peer_saw_is_left_out(self) -> None:
+        ahead = Crash(
+            server_id=ServerId("e0"),
+            incarnation=1,
+            domain=DOMAINS[0],
+            at=1e9,
+            inputs={ONE: 0},
+        )
+        self.evidence.record_crash(10.0, ahead)
+        self.assertFalse(self.is_recent_after(10.0))
+
+    def test_one_that_this_host_saw_is_dropped(self) -> None:
+        self.add(1e9, ONE)
+        self.assertFalse(self.is_recent_after(10.0))
+
+    def test_small_difference_between_hosts_is_allowed(self) -> None:
+        self.add(11.0, ONE)
+        self.assertTrue(self.is_recent_after(10.0))
+
+
 class RequestsInTheSameCrashes(_Evidence):
     def test_neither_is_condemned_before_a_fourth(self) -> None:
         for n in range(3):
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -355,7 +355,10 @@
         self, now: float, event: ReportReceived
     ) -> list[Action]:
         report = event.report
-        unix_now = now + self._unix_offset_s
+        # The own time of day is unknown before the first tick.
+        unix_now = report.unix_now
+        if self._is_started:
+            unix_now = now + self._unix_offset_s
         if not self.peers.record_report(now, report, unix_now):
             return []
         self._update_fleet_size()
--- a/waxwingarch/core/quarantine/crash_evidence.py
+++ b/waxwingarch/core/quarantine/crash_evidence.py
@@ -11,6 +11,9 @@
 
 # A crash is evidence for this long: requests with an input may be rare.
 CRASH_KEPT_S: Final = 900.0
+# The hosts' times of day agree better than this. A crash further ahead was
+# seen by a host whose time was wrong, and would count until then.
+MAX_AHEAD_S: Final = 5.0
 # Hosts see the end of one process at slightly different times.
 SAME_CRASH_S: Final = 1.5
 # Distinct losses without a sound answer that condemn an input.
@@ -99,7 +102,7 @@
 
     def record_crash(self, now: float, crash: Crash) -> None:
         """Add what a host saw of a crash to what is known of it."""
-        if now - crash.at > CRASH_KEPT_S:
+        if not _is_kept(now, crash):
             return
         self._sound.keep(crash.inputs)
         for index, known in enumerate(self._crashes):
@@ -116,10 +119,8 @@
         return bool(self._crashes) and now - self._crashes[-1].at < RECENT_S
 
     def expire(self, now: float) -> None:
-        """Drop crashes that are too old to count."""
-        self._crashes = [
-            c for c in self._crashes if now - c.at <= CRASH_KEPT_S
-        ]
+        """Drop crashes that are too old to count, or in the future."""
+        self._crashes = [c for c in self._crashes if _is_kept(now, c)]
 
     def refute(self, now: float, has_gone_on: Callable[[Crash], bool]) -> None:
         """Mark recent crashes of processes that went on afterwards."""
@@ -314,6 +315,10 @@
         del self._crashes[0]
 
 
+def _is_kept(now: float, crash: Crash) -> bool:
+    return -MAX_AHEAD_S <= now - crash.at <= CRASH_KEPT_S
+
+
 def _is_same(one: Crash, other: Crash) -> bool:
     return (
         one.server_id == other.server_id
