--- a/tests/core/front/crash_fleet.py
+++ b/tests/core/front/crash_fleet.py
@@ -61,6 +61,7 @@
     WriteQuarantine,
 )
 from waxwingarch.core.refusal import RefusalReason
+from waxwingarch.core.rollouts.rollout_messages import ReadStops, StopsRead
 
 TICK_S = 0.1
 DELAY_S = 0.002
@@ -231,6 +232,9 @@
                 self._after(STORE_DELAY_S, lambda: self.post(name, read))
             case WriteQuarantine(entries=entries):
                 self._write(name, entries)
+            case ReadStops():
+                stops = StopsRead(stopped=frozenset())
+                self._after(STORE_DELAY_S, lambda: self.post(name, stops))
             case _:
                 self.actions.append((name, action))
 
