Quarantine requests that crash servers of the own interface

Cause: ContractNode sent a request on to the next server after each cut connection, and took it again from every caller that repeated it. Nothing tied the crashes to the request. Against real engines (8 engines, 3 hosts) one such request ended all 8 before its first answer, and no sound request was served afterwards.

Ruled out: parts by block hashes of the prompt (left out: a first block is shared by whole services, and its soundness would need rules of its own); the hosts' reports, which the own interface does not have; a field of the member record, which would grow with the evidence; a flag on DispatchLost, which is part of the recorded claim traces.

Change: CrashGuard passes cuts on listed servers that are not leaving, and sound answers, to the existing Quarantine, with the whole request as the only input. It refuses on arrival (quarantined, suspected: 503, not run) and before a server is assigned; a request that was in two crashes ends as "backend failed". The state of an active request moves to a module of its own, host_refusal to request_refusals.py and the log line of the quarantine to tasks/quarantine_log.py, so that both programs use one copy.

--- a/standins/base.py
+++ b/standins/base.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import os
 import signal
 import sys
 from collections.abc import Sequence
@@ -171,6 +172,9 @@
             return True
         if self.faults.active("down", part):
             raise ApiError(503, "down", "try again later")
+        crash = self.faults.active("crash", part)
+        if crash and crash.request.text.encode() in exchange.req.body:
+            os._exit(1)
         slow = self.faults.active("slow", part)
         if slow is not None:
             await asyncio.sleep(slow.request.delay_ms / 1000)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -27,6 +27,7 @@
     "wrong_order",
     "ignore_fencing",
     "bad_version",
+    "crash",
 ]
 
 
@@ -38,7 +39,8 @@
     """Body of `POST /faults`; the kind decides which fields apply.
 
     Without `seconds` a fault lasts until it is cleared. One of a counted
-    kind also ends after `count` uses.
+    kind also ends after `count` uses. `crash` ends the process at a request
+    whose body has `text`.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -63,6 +65,7 @@
     above_running: int = Field(default=0, ge=0)
     route: str = ""
     factor: float = Field(default=0.1, gt=0)
+    text: str = ""
 
 
 @dataclass(kw_only=True, slots=True)
--- a/tests/core/cluster/test_item_store.py
+++ b/tests/core/cluster/test_item_store.py
@@ -23,14 +23,21 @@
 from waxwingarch.core.cluster.items import (
     CacheSummary,
     EvidenceCount,
+    InputCrash,
     Item,
     LeavingServer,
     LoadSummary,
+    QuarantinedInput,
     SettingsRevision,
+    SoundInput,
     SpentShare,
     StopMark,
 )
 from waxwingarch.core.cluster.merge import ItemKind, item_key, merge
+from waxwingarch.core.quarantine.quarantine_messages import (
+    InputState,
+    QuarantineOrigin,
+)
 
 SMALL = st.integers(0, 3)
 PROPERTY = settings(derandomize=True, deadline=None, max_examples=300)
@@ -93,6 +100,29 @@
         timed=SMALL,
         slow=SMALL,
     ),
+    st.builds(
+        InputCrash,
+        server_id=st.just(S1),
+        incarnation=SMALL,
+        domain=st.sampled_from(["d1", "d2"]),
+        at=SMALL.map(float),
+        key=st.sampled_from(["request:1", "request:2"]),
+        refuted=st.booleans(),
+        in_rollout=st.booleans(),
+    ),
+    st.builds(
+        QuarantinedInput,
+        key=st.sampled_from(["request:1", "request:2"]),
+        number=SMALL,
+        state=st.sampled_from(InputState),
+        origin=st.sampled_from(QuarantineOrigin),
+        seen_at=SMALL.map(float),
+    ),
+    st.builds(
+        SoundInput,
+        key=st.sampled_from(["request:1", "request:2"]),
+        at=SMALL.map(float),
+    ),
 )
 
 
--- a/tests/core/crashing_bus.py
+++ b/tests/core/crashing_bus.py
@@ -34,6 +34,8 @@
 FIRST_TOKEN_S: Final = 0.05
 ANSWER_S: Final = 0.4
 DOWN_S: Final = 5.0
+# A server that is down is listed for this long, as heartbeats lapse.
+LISTED_S: Final = 0.5
 TOKENS: Final = ("a", "b")
 POISON: Final = "poison"
 
@@ -49,6 +51,7 @@
         self._later: list[tuple[float, int, str, Event]] = []
         self._incarnations = {ServerId(f"s{n}"): 1 for n in range(servers)}
         self._down: dict[ServerId, float] = {}
+        self._unlist_at: list[float] = []
         self._attempts: dict[AttemptId, tuple[ServerId, str, RequestId]] = {}
         self._digests: dict[RequestId, str] = {}
         self.reached: list[float] = []
@@ -83,15 +86,21 @@
         if isinstance(event, AttemptLost) and event.kind is LossKind.CUT:
             server_id = self._attempts[attempt_id][0]
             if server_id not in self._down:
-                self._crash(server_id)
+                self.crash(server_id)
                 return
         if isinstance(event, AttemptEnded):
             del self._attempts[attempt_id]
         self.post(name, event)
 
-    def _crash(self, server_id: ServerId) -> None:
+    def live_servers(self) -> list[ServerId]:
+        """Return the servers that are not down."""
+        return [s for s in self._incarnations if s not in self._down]
+
+    def crash(self, server_id: ServerId) -> None:
+        """End a server, with the requests that are on it."""
         self.crashes.append(self.now)
         self._down[server_id] = self.now + DOWN_S
+        self._unlist_at.append(self.now + LISTED_S)
         for attempt_id, (on, name, request_id) in list(self._attempts.items()):
             if on == server_id:
                 del self._attempts[attempt_id]
@@ -107,14 +116,20 @@
         for server_id in back:
             del self._down[server_id]
             self._incarnations[server_id] += 1
-        if back:
+        if back or any(at <= self.now for at in self._unlist_at):
+            self._unlist_at = [t for t in self._unlist_at if t > self.now]
             self._list_servers()
 
+    def _is_listed(self, server_id: ServerId) -> bool:
+        back_at = self._down.get(server_id)
+        return back_at is None or self.now < back_at - DOWN_S + LISTED_S
+
     def _list_servers(self) -> None:
         listed = ServersListed(
             servers=tuple(
                 _server(server_id, incarnation)
                 for server_id, incarnation in self._incarnations.items()
+                if self._is_listed(server_id)
             ),
             entry_hosts=tuple(HostId(name) for name in self.nodes),
         )
--- a/tests/core/test_silent_engines.py
+++ b/tests/core/test_silent_engines.py
@@ -39,8 +39,18 @@
     admission.start_waiting.return_value = []
     servers.departure.return_value = None
     selector.choose.return_value = server("e1")
+    guard = Mock()
+    guard.refuse_arrival.return_value = None
+    guard.refusal_on_dispatch.return_value = None
     manager = RequestManager(
-        Mock(), admission, servers, selector, Mock(), Mock(), Mock()
+        Mock(),
+        admission,
+        servers,
+        selector,
+        Mock(),
+        Mock(),
+        Mock(),
+        guard,
     )
     actions = manager.handle_arrival(0.0, REQUEST)
     while manager._retry_budget.try_retry():
--- a/waxwingarch/adapters/caller_api.py
+++ b/waxwingarch/adapters/caller_api.py
@@ -24,6 +24,7 @@
     RefusalReason.NO_CAPACITY: 503,
     RefusalReason.NO_SERVER: 503,
     RefusalReason.QUARANTINED: 503,
+    RefusalReason.SUSPECTED: 503,
     RefusalReason.BACKEND_FAILED: 502,
     RefusalReason.NOT_READY: 503,
     RefusalReason.DRAINING: 503,
--- a/waxwingarch/adapters/item_codec.py
+++ b/waxwingarch/adapters/item_codec.py
@@ -6,6 +6,7 @@
 
 from waxwingarch.core.base import (
     AccountId,
+    FailureDomain,
     HostId,
     ServerId,
     ServiceId,
@@ -14,13 +15,20 @@
 from waxwingarch.core.cluster.items import (
     CacheSummary,
     EvidenceCount,
+    InputCrash,
     Item,
     LeavingServer,
     LoadSummary,
+    QuarantinedInput,
     SettingsRevision,
+    SoundInput,
     SpentShare,
     StopMark,
 )
+from waxwingarch.core.quarantine.quarantine_messages import (
+    InputState,
+    QuarantineOrigin,
+)
 from waxwingarch.exceptions import LinkError
 from waxwingarch.protocol import peer_pb2 as pb
 
@@ -97,6 +105,25 @@
             "slow",
         ),
     ),
+    InputCrash: (
+        "crash",
+        pb.InputCrash,
+        (
+            "server_id",
+            "incarnation",
+            "domain",
+            "at",
+            "key",
+            "refuted",
+            "in_rollout",
+        ),
+    ),
+    QuarantinedInput: (
+        "quarantined",
+        pb.QuarantinedInput,
+        ("key", "number", "state", "origin", "seen_at"),
+    ),
+    SoundInput: ("sound", pb.SoundInput, ("key", "at")),
 }
 
 
@@ -182,6 +209,37 @@
     )
 
 
+def _read_crash(raw: pb.InputCrash) -> Item:
+    return InputCrash(
+        server_id=ServerId(raw.server_id),
+        incarnation=raw.incarnation,
+        domain=FailureDomain(raw.domain),
+        at=_require_finite(raw.at),
+        key=raw.key,
+        refuted=raw.refuted,
+        in_rollout=raw.in_rollout,
+    )
+
+
+def _read_quarantined(raw: pb.QuarantinedInput) -> Item:
+    try:
+        state = InputState(raw.state)
+        origin = QuarantineOrigin(raw.origin)
+    except ValueError as exc:
+        raise MalformedMessageError(str(exc)) from exc
+    return QuarantinedInput(
+        key=raw.key,
+        number=raw.number,
+        state=state,
+        origin=origin,
+        seen_at=_require_finite(raw.seen_at),
+    )
+
+
+def _read_sound(raw: pb.SoundInput) -> Item:
+    return SoundInput(key=raw.key, at=_require_finite(raw.at))
+
+
 ITEM_READERS: Final[dict[str, Callable[[Any], Item]]] = {
     "revision": _read_revision,
     "leaving": _read_leaving,
@@ -190,6 +248,9 @@
     "load": _read_load,
     "cache": _read_cache,
     "evidence": _read_evidence,
+    "crash": _read_crash,
+    "quarantined": _read_quarantined,
+    "sound": _read_sound,
 }
 
 
--- a/waxwingarch/core/cluster/item_store.py
+++ b/waxwingarch/core/cluster/item_store.py
@@ -10,14 +10,19 @@
 from waxwingarch.core.cluster.items import (
     CacheSummary,
     EvidenceCount,
+    InputCrash,
     Item,
     LeavingServer,
     LoadSummary,
+    QuarantinedInput,
     SettingsRevision,
+    SoundInput,
     SpentShare,
     StopMark,
 )
 from waxwingarch.core.cluster.merge import ItemKey, ItemKind, item_key, wins
+from waxwingarch.core.quarantine.entries import RELEASED_KEPT_S
+from waxwingarch.core.quarantine.quarantine_messages import InputState
 
 # A leaving server is remembered for a day after its deadline, far longer
 # than a list of servers can lag behind.
@@ -34,11 +39,19 @@
     ItemKind.LOAD: 2_000,
     ItemKind.CACHE: 2_000,
     ItemKind.EVIDENCE: 20_000,
+    ItemKind.CRASH: 1_024,
+    ItemKind.QUARANTINED: 256,
+    ItemKind.SOUND: 1_024,
 }
 
 # Kinds that outlive VOLATILE_TTL_S and that the sync digest covers.
 DURABLE: Final = frozenset(
-    {ItemKind.REVISION, ItemKind.LEAVING, ItemKind.STOP}
+    {
+        ItemKind.REVISION,
+        ItemKind.LEAVING,
+        ItemKind.STOP,
+        ItemKind.QUARANTINED,
+    }
 )
 
 URGENCY: Final = {
@@ -128,12 +141,12 @@
         expired = list(self._expired_volatile(now))
         expired.extend(
             key
-            for key, item in self._items[ItemKind.LEAVING].items()
-            if not self._is_acceptable(unix_now, item)
-        )
-        expired.extend(
-            key
-            for key, item in self._items[ItemKind.SHARE].items()
+            for kind in (
+                ItemKind.LEAVING,
+                ItemKind.SHARE,
+                ItemKind.QUARANTINED,
+            )
+            for key, item in self._items[kind].items()
             if not self._is_acceptable(unix_now, item)
         )
         return self._drop_all(expired)
@@ -160,7 +173,13 @@
                 return not self.is_leaving(server, incarnation)
             case CacheSummary(server_id=server, incarnation=incarnation):
                 return not self.is_leaving(server, incarnation)
-            case SettingsRevision() | StopMark():
+            case InputCrash(at=at):
+                return unix_now < at + VOLATILE_TTL_S
+            case QuarantinedInput(state=state, number=number):
+                # As with a leaving server. A probation ends with its entry.
+                is_held = state is InputState.HELD
+                return is_held or unix_now < number / 1000 + RELEASED_KEPT_S
+            case SettingsRevision() | StopMark() | SoundInput():
                 return True
 
     def _expired_volatile(self, now: float) -> Iterator[ItemKey]:
--- a/waxwingarch/core/cluster/items.py
+++ b/waxwingarch/core/cluster/items.py
@@ -8,11 +8,16 @@
 
 from waxwingarch.core.base import (
     AccountId,
+    FailureDomain,
     HostId,
     ServerId,
     ServiceId,
     VersionId,
 )
+from waxwingarch.core.quarantine.quarantine_messages import (
+    InputState,
+    QuarantineOrigin,
+)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -123,6 +128,45 @@
     slow: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InputCrash:
+    """An input under which a server process ended, see `quarantine/`.
+
+    The latest crash wins, and of the same one what says that the process
+    went on.
+    """
+
+    server_id: ServerId
+    incarnation: int
+    domain: FailureDomain
+    at: float
+    key: str
+    refuted: bool
+    in_rollout: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class QuarantinedInput:
+    """The state of an input that was quarantined.
+
+    The greater `(number, seen_at)` wins.
+    """
+
+    key: str
+    number: int
+    state: InputState
+    origin: QuarantineOrigin
+    seen_at: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SoundInput:
+    """When an answer with a suspected input last went well."""
+
+    key: str
+    at: float
+
+
 Item = (
     SettingsRevision
     | LeavingServer
@@ -131,4 +175,7 @@
     | LoadSummary
     | CacheSummary
     | EvidenceCount
+    | InputCrash
+    | QuarantinedInput
+    | SoundInput
 )
--- a/waxwingarch/core/cluster/merge.py
+++ b/waxwingarch/core/cluster/merge.py
@@ -11,10 +11,13 @@
 from waxwingarch.core.cluster.items import (
     CacheSummary,
     EvidenceCount,
+    InputCrash,
     Item,
     LeavingServer,
     LoadSummary,
+    QuarantinedInput,
     SettingsRevision,
+    SoundInput,
     SpentShare,
     StopMark,
 )
@@ -30,6 +33,9 @@
     LOAD = "load"
     CACHE = "cache"
     EVIDENCE = "evidence"
+    CRASH = "crash"
+    QUARANTINED = "quarantined"
+    SOUND = "sound"
 
 
 class ItemKey(NamedTuple):
@@ -87,6 +93,19 @@
     )
 
 
+def _crash_key(item: InputCrash) -> ItemKey:
+    process = f"{item.server_id}\0{item.incarnation}"
+    return ItemKey(ItemKind.CRASH, process, item.key)
+
+
+def _crash_order(item: InputCrash) -> tuple[Any, ...]:
+    return (item.at, item.refuted, item.in_rollout, item.domain)
+
+
+def _quarantined_order(item: QuarantinedInput) -> tuple[Any, ...]:
+    return (item.number, item.seen_at, item.state, item.origin)
+
+
 def _load_order(item: LoadSummary) -> tuple[Any, ...]:
     return (
         item.incarnation,
@@ -118,6 +137,15 @@
         order=lambda item: (item.incarnation, item.sequence, item.blocks),
     ),
     EvidenceCount: MergeRule(key=_evidence_key, order=_evidence_order),
+    InputCrash: MergeRule(key=_crash_key, order=_crash_order),
+    QuarantinedInput: MergeRule(
+        key=lambda item: ItemKey(ItemKind.QUARANTINED, item.key),
+        order=_quarantined_order,
+    ),
+    SoundInput: MergeRule(
+        key=lambda item: ItemKey(ItemKind.SOUND, item.key),
+        order=lambda item: (item.at,),
+    ),
 }
 
 
--- a/waxwingarch/core/cluster/sizes.py
+++ b/waxwingarch/core/cluster/sizes.py
@@ -9,10 +9,13 @@
 from waxwingarch.core.cluster.items import (
     CacheSummary,
     EvidenceCount,
+    InputCrash,
     Item,
     LeavingServer,
     LoadSummary,
+    QuarantinedInput,
     SettingsRevision,
+    SoundInput,
     SpentShare,
     StopMark,
 )
@@ -86,6 +89,23 @@
     )
 
 
+def _crash_bytes(item: InputCrash) -> int:
+    texts = (item.server_id, item.domain, item.key)
+    flag_bytes = 2 + 2
+    return (
+        sum(_text_bytes(t) for t in texts)
+        + _varint_bytes(item.incarnation)
+        + DOUBLE_BYTES
+        + flag_bytes
+    )
+
+
+def _quarantined_bytes(item: QuarantinedInput) -> int:
+    texts = (item.key, item.state, item.origin)
+    numbers = _varint_bytes(item.number) + DOUBLE_BYTES
+    return sum(_text_bytes(t) for t in texts) + numbers
+
+
 def item_bytes(item: Item) -> int:
     """Return an upper bound of the item's encoded size."""
     match item:
@@ -110,6 +130,12 @@
             )
         case EvidenceCount():
             size_bytes = _evidence_bytes(item)
+        case InputCrash():
+            size_bytes = _crash_bytes(item)
+        case QuarantinedInput():
+            size_bytes = _quarantined_bytes(item)
+        case SoundInput(key=key):
+            size_bytes = _text_bytes(key) + DOUBLE_BYTES
     return NESTING_BYTES + size_bytes
 
 
--- a/waxwingarch/core/contract_node.py
+++ b/waxwingarch/core/contract_node.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Final
 
-from waxwingarch.core.base import Action, Event, ExecutionStatus
+from waxwingarch.core.base import Action, Event
 from waxwingarch.core.cluster.cluster import Cluster
 from waxwingarch.core.cluster.cluster_events import (
     ItemsChanged,
@@ -49,7 +49,7 @@
 from waxwingarch.core.placement.prefix import PrefixIndex
 from waxwingarch.core.placement.server_selector import ServerSelector
 from waxwingarch.core.randomness import RandomSource
-from waxwingarch.core.refusal import Refusal, RefusalReason
+from waxwingarch.core.refusal import RefusalReason
 from waxwingarch.core.request import (
     AttemptEnded,
     AttemptEvent,
@@ -57,17 +57,15 @@
     ChunkArrived,
     HandOverFetched,
     PlainAnswered,
-    Refuse,
-    Request,
 )
+from waxwingarch.core.requests.crash_guard import CrashGuard
 from waxwingarch.core.requests.evacuation import Evacuation
 from waxwingarch.core.requests.guarded import Identity, OnceReply
 from waxwingarch.core.requests.handoff import HandOverSender, OwnHostLeaving
 from waxwingarch.core.requests.request_manager import RequestManager
+from waxwingarch.core.requests.request_refusals import host_refusal
 from waxwingarch.core.servers.server_registry import ServerRegistry
 
-RETRY_AFTER_S: Final = 1.0
-
 # A lender may reuse loaned units of a limit this long after the loan has
 # ended at the borrower. A process that was paused for longer therefore has
 # to refresh its limits before it admits requests.
@@ -121,6 +119,14 @@
         )
         self.moves = MoveCoordinator(self.cluster, unix_offset)
         self.selector.filter_candidates = self.moves.filter_by_version
+        self.leases = DutyLeases(self.cluster, (MOVES_DUTY,))
+        self.crash_guard = CrashGuard(
+            self.cluster,
+            self.servers,
+            unix_offset,
+            is_on_trial=self.moves.is_on_trial,
+            may_probe=lambda now: self.leases.may_act(now, MOVES_DUTY),
+        )
         self.request_manager = RequestManager(
             identity,
             self.admission,
@@ -129,12 +135,12 @@
             self.fleet,
             self.moves,
             self.fleet.hand_over_peers,
+            self.crash_guard,
         )
         self.limits = HostLimits(self.cluster, self.admission)
         self.hand_over_sender = HandOverSender(
             self.request_manager, self.fleet.hand_over_peers, unix_offset
         )
-        self.leases = DutyLeases(self.cluster, (MOVES_DUTY,))
         self.move_duty = MoveDuty(
             self.cluster,
             self.servers,
@@ -210,7 +216,7 @@
     ) -> list[Action]:
         if self.draining:
             return [
-                _refuse_arrival(
+                host_refusal(
                     event.request,
                     RefusalReason.DRAINING,
                     "this host is stopping: send it again, another answers",
@@ -218,7 +224,7 @@
             ]
         if not self.serving:
             return [
-                _refuse_arrival(
+                host_refusal(
                     event.request,
                     RefusalReason.NOT_READY,
                     "this host has no settings yet: send it again",
@@ -301,6 +307,7 @@
     ) -> list[Action]:
         self.fleet.apply_items(now, action.items)
         self.moves.handle_items(now, action.items)
+        self.crash_guard.handle_items(now, action.items)
         return [
             consequence
             for item in action.items
@@ -355,6 +362,9 @@
             now, self.cluster.handle(now, event)
         )
         move_actions = self._consume_internal(now, self.moves.tick(now))
+        quarantine_actions = self._consume_internal(
+            now, self.crash_guard.tick(now)
+        )
         self.fleet.tick(now)
         loan_actions = self.limits.tick(now)
         duty_actions = self.leases.tick(now) + self.move_duty.tick(now)
@@ -363,6 +373,7 @@
         actions = (
             cluster_actions
             + move_actions
+            + quarantine_actions
             + loan_actions
             + duty_actions
             + evacuation_actions
@@ -398,15 +409,3 @@
             return actions
         self._is_drain_reported = True
         return [*actions, Drained()]
-
-
-def _refuse_arrival(
-    request: Request, reason: RefusalReason, message: str
-) -> Refuse:
-    refusal = Refusal(
-        reason=reason,
-        ran=ExecutionStatus.NOT_RUN,
-        message=message,
-        retry_after_s=RETRY_AFTER_S,
-    )
-    return Refuse(request_id=request.request_id, refusal=refusal)
--- a/waxwingarch/core/moves/move_coordinator.py
+++ b/waxwingarch/core/moves/move_coordinator.py
@@ -109,6 +109,15 @@
         items = self._cluster.store.items(ItemKind.STOP)
         return tuple(item for item in items if isinstance(item, StopMark))
 
+    def is_on_trial(self, server: Server) -> bool:
+        """Return whether a server has the new version of an active move."""
+        record = self._records.get(server.service)
+        return (
+            record is not None
+            and record.active
+            and server.version == record.new_version
+        )
+
     # Choice of the version for a request
 
     def filter_by_version(
--- a/waxwingarch/core/quarantine/quarantine.py
+++ b/waxwingarch/core/quarantine/quarantine.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Set as AbstractSet
 from dataclasses import replace
 from typing import Final
 
@@ -264,6 +265,11 @@
         """Return all entries, those that were released too."""
         return self._entries.all
 
+    @property
+    def held(self) -> AbstractSet[str]:
+        """Return the keys of the quarantined inputs."""
+        return self._entries.held
+
     def order(self, now: float, key: str, *, held: bool) -> None:
         """Quarantine an input, or release it, as an operator says."""
         state = InputState.HELD if held else InputState.PROBATION
--- a/waxwingarch/core/requests/guarded.py
+++ b/waxwingarch/core/requests/guarded.py
@@ -85,10 +85,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OnceReply(Event):
-    """The reply to a call of a request that runs at most once."""
+    """The reply to a call of a request that runs at most once.
+
+    `is_cut` says that the connection of a dispatch broke, as it does when
+    the server crashes.
+    """
 
     request_id: RequestId
     reply: Event
+    is_cut: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/requests/plain.py
+++ b/waxwingarch/core/requests/plain.py
@@ -109,6 +109,10 @@
             "send it again with a later deadline",
         )
 
+    def abort(self, reason: RefusalReason, message: str) -> list[Action]:
+        """End the request with a refusal."""
+        return self._fail(reason, message)
+
     def _handle_answer(self, event: AttemptEvent) -> list[Action]:
         self.state = RequestState.DONE
         return [
--- a/waxwingarch/core/requests/request_manager.py
+++ b/waxwingarch/core/requests/request_manager.py
@@ -1,7 +1,6 @@
 """Requests in progress on a host: admission, attempts, final answers."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
 from waxwingarch.core.base import Action, RequestId, Server, ServerId
@@ -22,6 +21,8 @@
     HandOverFetched,
     Request,
 )
+from waxwingarch.core.requests.active_request import ActiveRequest, Machine
+from waxwingarch.core.requests.crash_guard import CrashGuard
 from waxwingarch.core.requests.durations import DurationTracker
 from waxwingarch.core.requests.guarded import (
     AtMostOnceMachine,
@@ -47,26 +48,6 @@
     RequestState.CANCELLED: Outcome.CANCELLED,
 }
 
-Machine = StreamMachine | PlainMachine | AtMostOnceMachine
-
-
-@dataclass(kw_only=True, slots=True)
-class _ActiveRequest:
-    """An accepted request and its current attempt.
-
-    `server` is set while an attempt is in progress. `target` is where a
-    migrated stream continues, if that server is still available then.
-    """
-
-    machine: Machine
-    server: Server | None = None
-    attempt_started_at: float = 0.0
-    tokens_before_attempt: int = 0
-    target: ServerId | None = None
-    is_hand_over_requested: bool = False
-    retry_at: float = 0.0
-    assignments: int = 0
-
 
 class RequestManager:
     """Admits requests and drives each one to its final answer."""
@@ -80,7 +61,9 @@
         owners: OwnerView,
         observer: AttemptObserver,
         hand_over_peers: Callable[[str], tuple[str, ...]],
+        crash_guard: CrashGuard,
     ) -> None:
+        self._crash_guard = crash_guard
         self._observer = observer
         self._hand_over_peers = hand_over_peers
         self._identity = identity
@@ -90,7 +73,7 @@
         self._selector = selector
         self._retry_budget = RetryBudget()
         self._queued: dict[RequestId, Request] = {}
-        self._active: dict[RequestId, _ActiveRequest] = {}
+        self._active: dict[RequestId, ActiveRequest] = {}
         self._durations = DurationTracker()
 
     @property
@@ -108,6 +91,9 @@
         """Admit, queue or refuse a request."""
         if not self._servers.candidates(request.service):
             return [no_server_refusal(request)]
+        refuse = self._crash_guard.refuse_arrival(now, request)
+        if refuse is not None:
+            return [refuse]
         verdict = self._admission.offer(
             now, self._durations.pending_request(request)
         )
@@ -126,6 +112,7 @@
         entry = self._active.get(event.request_id)
         if entry is None:
             return []
+        self._crash_guard.record_event(now, entry, event)
         return self._follow_up(now, entry, entry.machine.handle(now, event))
 
     def handle_once_reply(self, now: float, event: OnceReply) -> list[Action]:
@@ -133,6 +120,7 @@
         entry = self._active.get(event.request_id)
         if entry is None or not isinstance(entry.machine, AtMostOnceMachine):
             return []
+        self._crash_guard.record_once_reply(now, entry, event)
         return self._follow_up(
             now, entry, entry.machine.handle_reply(now, event.reply)
         )
@@ -187,6 +175,7 @@
         """Handle expired deadlines; start requests if slots are free."""
         actions = self._refuse_queued(self._admission.expire(now))
         for entry in list(self._active.values()):
+            self._crash_guard.note_progress(now, entry)
             actions += self._follow_up(now, entry, entry.machine.tick(now))
         return actions + self._start_ready(now)
 
@@ -229,7 +218,8 @@
     def _start(self, now: float, request_id: RequestId) -> list[Action]:
         request = self._queued.pop(request_id)
         machine = self._make_machine(now, request)
-        entry = _ActiveRequest(machine=machine)
+        inputs = self._crash_guard.inputs_of(request)
+        entry = ActiveRequest(machine=machine, inputs=inputs)
         self._active[request_id] = entry
         return self._follow_up(now, entry, self._start_machine(now, entry))
 
@@ -244,9 +234,7 @@
             )
         return PlainMachine(now, request)
 
-    def _start_machine(
-        self, now: float, entry: _ActiveRequest
-    ) -> list[Action]:
+    def _start_machine(self, now: float, entry: ActiveRequest) -> list[Action]:
         """Start the claim protocol, or attach to a stream to resume.
 
         Any other request waits for a server.
@@ -263,7 +251,7 @@
         return entry.machine.attach(now, server, resume.stream_id)
 
     def _follow_up(
-        self, now: float, entry: _ActiveRequest, actions: list[Action]
+        self, now: float, entry: ActiveRequest, actions: list[Action]
     ) -> list[Action]:
         """Finish a request that ended; find a server for one that waits."""
         machine = entry.machine
@@ -278,7 +266,7 @@
             return [*actions, self._fetch_hand_over(now, entry)]
         return actions + self._assign_server(now, entry)
 
-    def _fetch_hand_over(self, now: float, entry: _ActiveRequest) -> Action:
+    def _fetch_hand_over(self, now: float, entry: ActiveRequest) -> Action:
         """Ask peers for the progress of a stream that no server holds."""
         resume = entry.machine.request.resume
         assert resume is not None
@@ -291,10 +279,14 @@
             peers=self._hand_over_peers(key),
         )
 
-    def _assign_server(
-        self, now: float, entry: _ActiveRequest
-    ) -> list[Action]:
-        request = entry.machine.request
+    def _assign_server(self, now: float, entry: ActiveRequest) -> list[Action]:
+        machine = entry.machine
+        request = machine.request
+        if not isinstance(machine, AtMostOnceMachine):
+            refusal = self._crash_guard.refusal_on_dispatch(now, entry)
+            if refusal is not None:
+                actions = machine.abort(refusal.reason, refusal.message)
+                return self._follow_up(now, entry, actions)
         is_retry = entry.assignments and entry.target is None
         if is_retry and not self._retry_budget.try_retry():
             entry.retry_at = now + RETRY_DELAY_S
@@ -309,7 +301,7 @@
         self._record_dispatch(now, entry, server)
         return entry.machine.assign(now, server)
 
-    def _target_server(self, entry: _ActiveRequest) -> Server | None:
+    def _target_server(self, entry: ActiveRequest) -> Server | None:
         """Return the migration target, or None if it is removed or leaving."""
         target_id, entry.target = entry.target, None
         if target_id is None or self._servers.departure(target_id):
@@ -317,7 +309,7 @@
         return self._servers.get(target_id)
 
     def _handle_no_server(
-        self, now: float, entry: _ActiveRequest
+        self, now: float, entry: ActiveRequest
     ) -> list[Action]:
         """Delay the next attempt and allow all servers for it again.
 
@@ -332,15 +324,16 @@
         return []
 
     def _record_dispatch(
-        self, now: float, entry: _ActiveRequest, server: Server
+        self, now: float, entry: ActiveRequest, server: Server
     ) -> None:
         entry.server = server
         entry.attempt_started_at = now
-        entry.tokens_before_attempt = _tokens(entry.machine)
+        entry.answer_began_at = None
+        entry.tokens_before_attempt = entry.tokens
         self._selector.record_dispatch(now, entry.machine.request, server)
 
     def _record_outcome(
-        self, now: float, entry: _ActiveRequest, outcome: Outcome
+        self, now: float, entry: ActiveRequest, outcome: Outcome
     ) -> None:
         if entry.server is None:
             return
@@ -352,7 +345,7 @@
     def _report_outcome(
         self,
         now: float,
-        entry: _ActiveRequest,
+        entry: ActiveRequest,
         server: Server,
         outcome: Outcome,
     ) -> None:
@@ -364,7 +357,7 @@
         leaving = self._servers.departure(server.server_id) is not None
         if outcome is Outcome.CANCELLED or leaving:
             return
-        tokens = _tokens(entry.machine) - entry.tokens_before_attempt
+        tokens = entry.tokens - entry.tokens_before_attempt
         self._observer.record_attempt(
             now,
             entry.machine.request,
@@ -374,12 +367,14 @@
             latency_s=(now - entry.attempt_started_at) / (tokens + 1),
         )
 
-    def _finish(self, now: float, entry: _ActiveRequest) -> list[Action]:
+    def _finish(self, now: float, entry: ActiveRequest) -> list[Action]:
         machine = entry.machine
         request = machine.request
         is_done = machine.state is RequestState.DONE
         self._record_outcome(now, entry, FINAL_OUTCOMES[machine.state])
         if is_done:
+            if not isinstance(machine, AtMostOnceMachine):
+                self._crash_guard.record_sound(now, entry)
             self._durations.record_duration(request, now - machine.started_at)
         self._active.pop(request.request_id, None)
         self._admission.release(now, request.request_id)
@@ -390,9 +385,3 @@
         for admitted in self._admission.start_waiting(now, len(self._queued)):
             actions += self._start(now, admitted.request_id)
         return actions
-
-
-def _tokens(machine: Machine) -> int:
-    if isinstance(machine, StreamMachine):
-        return machine.assembly.offset
-    return 0
--- a/waxwingarch/daemon.py
+++ b/waxwingarch/daemon.py
@@ -38,6 +38,7 @@
 from waxwingarch.core.cluster.members import Addresses, Member, MemberState
 from waxwingarch.core.cluster.messages import SendPeer
 from waxwingarch.core.events import Drained, DrainRequested
+from waxwingarch.core.quarantine.quarantine_messages import QuarantineChanged
 from waxwingarch.core.requests.handoff import OwnHostLeaving
 from waxwingarch.core.requests.handover import HandOver
 from waxwingarch.core.settings.settings import SettingsDelta
@@ -54,6 +55,7 @@
 from waxwingarch.tasks.operator_api import register_operations
 from waxwingarch.tasks.peer_transport import PeerTransport, TransportConfig
 from waxwingarch.tasks.platform_watch import PlatformWatch
+from waxwingarch.tasks.quarantine_log import log_quarantine_change
 from waxwingarch.tasks.runner import Runner
 from waxwingarch.tasks.server_watch import ServerWatch
 from waxwingarch.tasks.settings_apply import SettingsApply
@@ -125,6 +127,7 @@
         )
         self._runner.connect(Drained, self._handle_drained)
         self._runner.connect(Superseded, self._handle_superseded)
+        self._runner.connect(QuarantineChanged, log_quarantine_change)
         for kind in (SendPeer, PollRevision, ReadSettings, PullSettings):
             self._runner.connect(kind, self._peer_transport.execute)
 
--- a/waxwingarch/tasks/claims.py
+++ b/waxwingarch/tasks/claims.py
@@ -9,6 +9,7 @@
 from waxwingarch.adapters.claim_store import ClaimStore
 from waxwingarch.adapters.http_client import (
     ConnectFailedError,
+    CutLinkError,
     HttpClient,
     HttpResponse,
 )
@@ -90,8 +91,7 @@
         if exchange is None:
             self._post_reply(action.request_id, DispatchNotSent())
             return
-        call = self._async_dispatch(action, exchange)
-        self._spawn(action.request_id, call)
+        self._start(self._async_dispatch(action, exchange))
 
     def _handle_query(self, action: OnceQuery) -> None:
         self._spawn(action.request_id, self._async_query_outcome(action))
@@ -99,7 +99,10 @@
     def _spawn(
         self, request_id: RequestId, call: Coroutine[Any, Any, Event]
     ) -> None:
-        task = asyncio.create_task(self._async_post_reply(request_id, call))
+        self._start(self._async_post_reply(request_id, call))
+
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -128,11 +131,13 @@
 
     async def _async_dispatch(
         self, action: OnceDispatch, exchange: Exchange
-    ) -> Event:
+    ) -> None:
         """Send the request once, on a new connection.
 
         Reports `DispatchNotSent` only if no byte can have been sent.
         """
+        reply: Event = DispatchLost()
+        is_cut = False
         request = exchange.request
         loop = asyncio.get_running_loop()
         try:
@@ -152,11 +157,14 @@
                     loop.time(), action.request_id
                 ),
             )
+            reply = DispatchAnswered(answer=_to_stored_answer(response))
         except ConnectFailedError:
-            return DispatchNotSent()
-        except LinkError:
-            return DispatchLost()
-        return DispatchAnswered(answer=_to_stored_answer(response))
+            reply = DispatchNotSent()
+        except LinkError as exc:
+            is_cut = isinstance(exc, CutLinkError)
+        self._runner.post(
+            OnceReply(request_id=action.request_id, reply=reply, is_cut=is_cut)
+        )
 
     async def _async_query_outcome(self, action: OnceQuery) -> Event:
         deadline = min(
--- a/waxwingarch/tasks/front_quarantine.py
+++ b/waxwingarch/tasks/front_quarantine.py
@@ -10,7 +10,6 @@
     decode_entries,
     encode_entries,
 )
-from waxwingarch.core.quarantine.inputs import kind_of
 from waxwingarch.core.quarantine.quarantine_messages import (
     QuarantineChanged,
     QuarantineEntry,
@@ -25,6 +24,7 @@
     StoreUnavailableError,
 )
 from waxwingarch.tasks.action_tasks import ActionTasks
+from waxwingarch.tasks.quarantine_log import log_quarantine_change
 from waxwingarch.tasks.runner import FrontRunner
 
 QUARANTINE_TABLE: Final = "waxwing-quarantine"
@@ -51,7 +51,7 @@
                 WriteQuarantine: self._async_write,
             },
         )
-        runner.connect(QuarantineChanged, _log_change)
+        runner.connect(QuarantineChanged, log_quarantine_change)
 
     async def _async_read(self, _action: ReadQuarantine) -> None:
         entries: tuple[QuarantineEntry, ...] | None = None
@@ -93,19 +93,3 @@
     except (TypeError, ValueError) as exc:
         log_message(message_type="bad_quarantine_row", reason=str(exc))
         return ()
-
-
-def _log_change(action: QuarantineChanged) -> None:
-    entry = action.entry
-    log_message(
-        message_type="input_quarantined"
-        if entry.state == "held"
-        else "input_released",
-        input=entry.key,
-        kind=kind_of(entry.key).value,
-        state=entry.state.value,
-        origin=entry.origin.value,
-        number=entry.number,
-        own=action.own,
-        servers=list(action.servers),
-    )
