Don't call answers slow that are as fast as the old version's

A healthy version was rolled back (front/test_rollout_host): the limit is a running estimate of the old version's 90th percentile, which moves by a step of 3% at a time. Where many answers are alike (all below 20 ms count as 20 ms), it lies just below them after one answer in ten. The limit now lies a step above the estimate.

Ruled out: slower new servers (all answers counted as the same 20 ms).

--- a/tests/core/front/test_rollouts.py
+++ b/tests/core/front/test_rollouts.py
@@ -29,6 +29,8 @@
 STEP_S = 0.1
 ROLLBACK_S = 5.0
 BAD_RESPONSES = 50
+# Relative to the expected one.
+LATENCY = 1.0
 BOUNDS = ExposureBounds(share=0.1, extra=50.0)
 ORDER = RolloutOrder(
     service=POOL, target=VersionId("v2"), duration_s=DURATION_S, number=7
@@ -53,12 +55,22 @@
 class Hosts:
     """Simulated hosts that send requests and report to each other.
 
-    `rate_per_s` is the rate of requests of all hosts together.
+    `rate_per_s` is the rate of requests of all hosts together. With
+    `is_busy`, requests run on the old servers until the deadline.
     """
 
-    def __init__(self, count: int, rate_per_s: float, fails: Fails) -> None:
-        self.hosts = [make_controller(f"h{n}", n) for n in range(count)]
+    def __init__(
+        self,
+        count: int,
+        rate_per_s: float,
+        fails: Fails,
+        *,
+        seed: int = 0,
+        is_busy: bool = False,
+    ) -> None:
+        self.hosts = [make_controller(f"h{n}", seed + n) for n in range(count)]
         self.fails = fails
+        self.busy = {POOL} if is_busy else set()
         self.requests_per_step = rate_per_s * STEP_S / count
         self.rng = Random(5)
         self.now = 0.0
@@ -74,7 +86,9 @@
             for n, host in enumerate(self.hosts):
                 host.apply_orders(self.now, [ORDER])
                 self._send_requests(host)
-                actions = host.tick(self.now, holds_duties=n == 0, busy=set())
+                actions = host.tick(
+                    self.now, holds_duties=n == 0, busy=self.busy
+                )
                 for action in actions:
                     self._perform(host, action)
             for host in self.hosts:
@@ -106,7 +120,12 @@
             )
             if not bad:
                 host.record_latency(
-                    self.now, server, "draft", LoadBand.LOW, 1.0, is_final=True
+                    self.now,
+                    server,
+                    "draft",
+                    LoadBand.LOW,
+                    LATENCY,
+                    is_final=True,
                 )
 
     def _perform(self, host: RolloutController, action: Action) -> None:
@@ -147,6 +166,14 @@
             )
             self.assertLess(hosts.reported[-1][0], DURATION_S)
 
+    # The limit of slow answers stayed just below the latency that all
+    # answers had, so that all were slow from the shift on.
+    def test_completes_if_all_answers_are_alike(self) -> None:
+        for seed in range(20):
+            hosts = Hosts(1, 60, no_fault, seed=seed, is_busy=True)
+            hosts.run(DURATION_S + 1)
+            self.assertIs(RolloutState.COMPLETED, hosts.reported[-1][1])
+
     def test_stays_within_the_exposure_bound_until_then(self) -> None:
         for rate_per_s in (30, 60, 250):
             hosts = Hosts(8, rate_per_s, no_fault)
--- a/waxwingarch/core/moves/move_counts.py
+++ b/waxwingarch/core/moves/move_counts.py
@@ -155,12 +155,18 @@
 
     @property
     def slow_above_s(self) -> float | None:
-        """Latency above which a response is slow; None if not known yet."""
-        if self.log_latency is not None:
-            return exp(self.log_latency)
-        if len(self.first_latencies) < MIN_QUANTILE_REQUESTS:
-            return None
-        return self._first_quantile()
+        """Latency above which a response is slow; None if not known yet.
+
+        It lies a step above the estimate: where many latencies are alike,
+        the estimate may be a step above or below them, and stays there
+        once the old version gets no more requests.
+        """
+        log_latency = self.log_latency
+        if log_latency is None:
+            if len(self.first_latencies) < MIN_QUANTILE_REQUESTS:
+                return None
+            log_latency = log(self._first_quantile())
+        return exp(log_latency + QUANTILE_LOG_STEP)
 
     def _first_quantile(self) -> float:
         index = int(SLOW_QUANTILE * len(self.first_latencies))
