Let no single window make a trusted new version doubtful

Nothing bounded the loss; now a window lowers a score by at most half of the way from the highest to a doubtful one. Gains are as before.

--- a/waxwingarch/core/moves/move_confidence.py
+++ b/waxwingarch/core/moves/move_confidence.py
@@ -4,7 +4,9 @@
 only mean that little is known, so the opposite is tested as well: each
 score adds up how much likelier the outcomes are for a sound version than
 for one whose rate exceeds the null rate by a fixed amount. A score never
-exceeds `MAX_SCORE`, so that a late fault lowers it soon.
+exceeds `MAX_SCORE`, so that a late fault lowers it soon. Outcomes of one
+window may have a single cause, such as a pause of a host, so that a window
+lowers a score by a limited amount.
 """
 
 from collections.abc import Mapping
@@ -31,16 +33,22 @@
 # Above this null rate, hardly any outcome tells the versions apart.
 MAX_NULL_RATE: Final = 0.75
 MAX_SCORE: Final = 2 * TRUSTED_SCORE
+# No fewer windows than these take a score from the highest to a doubtful one.
+MIN_WINDOWS_TO_DOUBT: Final = 2
+MAX_WINDOW_LOSS: Final = (MAX_SCORE - DOUBTFUL_SCORE) / MIN_WINDOWS_TO_DOUBT
 # A route with a smaller share of the requests needs less than TRUSTED_SCORE:
 # the less is at stake, the closer to DOUBTFUL_SCORE.
 FULL_ROUTE_SHARE: Final = 0.5
 
+ScoreKey = tuple[str, Signal]
+
 
 @dataclass(kw_only=True, slots=True)
 class Confidence:
     """Scores that a version is sound, by route and signal."""
 
-    _scores: dict[tuple[str, Signal], float] = field(default_factory=dict)
+    _scores: dict[ScoreKey, float] = field(default_factory=dict)
+    _window_gains: dict[ScoreKey, float] = field(default_factory=dict)
 
     def add(
         self, route: str, signal: Signal, sample: Sample, null: float
@@ -51,8 +59,15 @@
         for key, excess in ((ALL_ROUTES, EXCESS), (route, ROUTE_EXCESS)):
             alternative = min(null + excess, MAX_RATE)
             gain = -log_likelihood_ratio(sample, null, alternative)
-            score = self._scores.get((key, signal), 0.0) + gain
-            self._scores[key, signal] = min(MAX_SCORE, max(-MAX_SCORE, score))
+            before = self._window_gains.get((key, signal), 0.0)
+            self._window_gains[key, signal] = before + gain
+
+    def end_window(self) -> None:
+        """Add what the outcomes of the window say to the scores."""
+        for key, gain in self._window_gains.items():
+            score = self._scores.get(key, 0.0) + max(gain, -MAX_WINDOW_LOSS)
+            self._scores[key] = min(MAX_SCORE, max(-MAX_SCORE, score))
+        self._window_gains.clear()
 
     def find_gap(self, route_shares: Mapping[str, float]) -> str:
         """Return the first score that is too low; empty if there is none.
--- a/waxwingarch/core/moves/move_judge.py
+++ b/waxwingarch/core/moves/move_judge.py
@@ -203,6 +203,7 @@
     for stream_key, scores in stream_scores.items():
         stream = watch.streams.setdefault(stream_key, CusumStream())
         stream.add(scores, watch.stop_threshold)
+    watch.confidence.end_window()
 
 
 def _overall_rate(
