Ask no score of a route whose comparisons mostly can't tell

Cause: no host knows a limit of the rare route 'digest' yet, so that the limit of all routes serves and most answers there are slow with the old version as well. A route now needs a score for slow answers only if most of its answers could be compared; a score against the version counts as before.

test_that_could_tell_nothing_needs_no_score failed before and passes now.

--- a/tests/core/moves/test_move_confidence.py
+++ b/tests/core/moves/test_move_confidence.py
@@ -3,6 +3,7 @@
 from testtools import TestCase
 
 from waxwingarch.core.moves.move_confidence import (
+    MAX_NULL_RATE,
     MIN_WINDOWS_TO_DOUBT,
     Confidence,
 )
@@ -54,3 +55,31 @@
         confidence = Confidence()
         add_window(confidence, "draft", SLOW)
         self.assertTrue(confidence.is_doubtful)
+
+
+class RouteWithoutComparison(TestCase):
+    """A route where most answers are slow with the old version as well."""
+
+    SHARES = {"draft": 0.75, "digest": 0.25}
+
+    def scores(self, telling: int, not_telling: int) -> Confidence:
+        """Return scores with a slow answer in each window of a route."""
+        confidence = trusted()
+        for _ in range(4):
+            add_window(confidence, "digest", FAST, 0.01, signal=Signal.FAILURE)
+        slow = Sample(trials=1, hits=1)
+        for _ in range(telling):
+            add_window(confidence, "digest", slow, MAX_NULL_RATE - 0.01)
+        for _ in range(not_telling):
+            add_window(confidence, "digest", slow, MAX_NULL_RATE + 0.01)
+        return confidence
+
+    # A single early comparison asked for a score that the route could not
+    # get any more.
+    def test_that_could_tell_nothing_needs_no_score(self) -> None:
+        gap = self.scores(telling=1, not_telling=5).find_gap(self.SHARES)
+        self.assertEqual("", gap)
+
+    def test_that_could_mostly_tell_needs_one(self) -> None:
+        gap = self.scores(telling=3, not_telling=2).find_gap(self.SHARES)
+        self.assertIn("slowness on route digest", gap)
--- a/waxwingarch/core/moves/move_confidence.py
+++ b/waxwingarch/core/moves/move_confidence.py
@@ -49,12 +49,19 @@
 
     _scores: dict[ScoreKey, float] = field(default_factory=dict)
     _window_gains: dict[ScoreKey, float] = field(default_factory=dict)
+    _telling: dict[ScoreKey, int] = field(default_factory=dict)
+    _not_telling: dict[ScoreKey, int] = field(default_factory=dict)
 
     def add(
         self, route: str, signal: Signal, sample: Sample, null: float
     ) -> None:
         """Add the new version's outcomes on a route in one window."""
-        if null > MAX_NULL_RATE:
+        is_telling = null <= MAX_NULL_RATE
+        outcomes = self._telling if is_telling else self._not_telling
+        outcomes[route, signal] = (
+            outcomes.get((route, signal), 0) + sample.trials
+        )
+        if not is_telling:
             return
         for key, excess in ((ALL_ROUTES, EXCESS), (route, ROUTE_EXCESS)):
             alternative = min(null + excess, MAX_RATE)
@@ -72,8 +79,8 @@
     def find_gap(self, route_shares: Mapping[str, float]) -> str:
         """Return the first score that is too low; empty if there is none.
 
-        A route on which slow answers can't be told from usual ones needs
-        no score of its own for them.
+        A route on which most slow answers can't be told from usual ones
+        needs no score of its own for them.
         """
         needed = {ALL_ROUTES: TRUSTED_SCORE} | {
             route: _needed_score(share)
@@ -83,7 +90,7 @@
             for route, level in needed.items():
                 key = (route, signal)
                 if route != ALL_ROUTES and signal is Signal.SLOWNESS:
-                    level = level if key in self._scores else DOUBTFUL_SCORE
+                    level = level if self._can_tell(key) else DOUBTFUL_SCORE
                 score = self._scores.get(key, 0.0)
                 if score < level:
                     return (
@@ -92,6 +99,10 @@
                     )
         return ""
 
+    def _can_tell(self, key: ScoreKey) -> bool:
+        """Return whether most outcomes could tell the versions apart."""
+        return self._telling.get(key, 0) > self._not_telling.get(key, 0)
+
     @property
     def is_doubtful(self) -> bool:
         """Whether a bad version is the likelier one on some route."""
