Don't say of an operation with a key that it has not run

A request with an idempotency key that is refused as quarantined or suspected on the own interface was told "not run", though an earlier request with the key may have run on the server that crashed: its caller could begin the operation anew with another key. The refusal now says unknown. Ruled out: requests without a key, whose every arrival is one of its own. Found in the read-through; the test failed before.

--- a/tests/core/test_crashing_requests.py
+++ b/tests/core/test_crashing_requests.py
@@ -160,6 +160,17 @@
         self.assertIs(RefusalReason.SUSPECTED, refusal.reason)
         self.assertIs(ExecutionStatus.NOT_RUN, refusal.ran)
 
+    # The refusal said "not run" of an operation whose server had crashed.
+    def test_operation_with_a_key_may_have_run_before(self) -> None:
+        bus = started_bus()
+        bus.arrive("h0", POISON)
+        bus.advance(0.9)
+        request = bus.request(body_digest=POISON, idempotency_key="k")
+        guard = bus.nodes["h0"].crash_guard
+        refuse = guard.refuse_arrival(bus.now, request)
+        assert refuse is not None
+        self.assertIs(ExecutionStatus.UNKNOWN, refuse.refusal.ran)
+
 
 class LostServers(testtools.TestCase):
     """Servers are lost for reasons of their own."""
--- a/waxwingarch/core/requests/crash_guard.py
+++ b/waxwingarch/core/requests/crash_guard.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Final
 
 from waxwingarch.core.base import (
@@ -83,12 +84,17 @@
         return RequestInputs(request_id=request.request_id, keys=keys)
 
     def refuse_arrival(self, now: float, request: Request) -> Refuse | None:
-        """Return the refusal of a request that arrives."""
+        """Return the refusal of a request that arrives.
+
+        An earlier request with the same idempotency key may have run.
+        """
         refusal = self._quarantine.refusal_for(
             now, self.inputs_of(request), may_probe=self._may_probe(now)
         )
         if refusal is None:
             return None
+        if request.idempotency_key is not None:
+            refusal = replace(refusal, ran=ExecutionStatus.UNKNOWN)
         return Refuse(request_id=request.request_id, refusal=refusal)
 
     def refusal_on_dispatch(
