Let the engine's slot be taken until both other requests wait for it

Cause: its first request ran for 15 ms, and the urgent one arrived after it had ended, so that the slot rightly went to the one that waited. Ruled out: the order itself, which the engine decides when a slot becomes free.

The first request now runs for 3 s, and the test checks that it still does when the others have arrived; what it expects of the order is as before.

--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -135,10 +135,16 @@
 class TestBatching(testtools.TestCase):
     @async_test
     async def test_urgent_request_is_admitted_first(self) -> None:
-        async with running_engine("--slots", "1") as peer:
-            for name, priority in (("a", 1), ("b", 5), ("c", 0)):
+        # The first one runs for 3 s, until the others wait for its slot.
+        options = ("--slots", "1", "--tokens-per-second", "20")
+        async with running_engine(*options) as peer:
+            for name, priority, tokens in (
+                ("a", 1, 60),
+                ("b", 5, 2),
+                ("c", 0, 2),
+            ):
                 await asyncio.sleep(0)
-                body = completion_body(name, priority=priority)
+                body = completion_body(name, tokens, priority=priority)
                 task = asyncio.create_task(
                     peer.send("POST", COMPLETIONS, body)
                 )
@@ -148,6 +154,7 @@
                     return name in peer.stand_in._streams
 
                 await wait_until(has_begun)
+            assert peer.journal("finished") == []
 
             async def all_finished() -> bool:
                 return len(peer.journal("finished")) == 3
