Read and log the rate that a server names

A response without the header ends a limit only if its request was sent after the limit was last named.

No decision uses it yet. The emulated server names a limit; the new tests of one host pass (plain responses, rejections and streams).

--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -22,6 +22,7 @@
 SERVER_STAMP_HEADER: Final = "X-Waxwingarch-Server-Stamp"
 NOT_EXECUTED_HEADER: Final = "X-Waxwingarch-Not-Executed"
 SERVER_LEAVING_HEADER: Final = "Server-Leaving"
+SERVER_LIMIT_HEADER: Final = "Server-Limit"
 PROMPT_PREFIX_HEADER: Final = "X-Waxwingarch-Prompt-Prefix"
 
 
@@ -105,6 +106,10 @@
         self.spot = False
         # Whether all responses say that this server is shutting down.
         self.announces_leaving = False
+        # The requests a second that all responses name as a limit, if any.
+        self.limit_per_s: float | None = None
+        # When requests arrived, in monotonic seconds.
+        self.arrived_at: list[float] = []
         self.born = 1_000
         self._running: dict[str, tuple[Run, asyncio.Event]] = {}
         # The ids of prompt parts, and the targets, under which the server
@@ -170,6 +175,7 @@
     async def _async_handle(
         self, req: HttpRequest, resp: HttpResponder
     ) -> None:
+        self.arrived_at.append(time.monotonic())
         await self._not_silent.wait()
         if req.path == "/-/kv-move":
             await self._async_kv_move(orjson.loads(req.body), resp)
@@ -188,6 +194,8 @@
         ]
         if self.announces_leaving:
             headers.append((SERVER_LEAVING_HEADER, "1"))
+        if self.limit_per_s is not None:
+            headers.append((SERVER_LIMIT_HEADER, f"{self.limit_per_s:g}"))
         if how == "shed":
             self.shed_at.append(time.monotonic())
             if self.behaviour.retry_after:
--- a/tests/front/test_server_notices_host.py
+++ b/tests/front/test_server_notices_host.py
@@ -114,6 +114,54 @@
             self.assertEqual(want, head.leaving, (value, status))
 
 
+class ServerLimits(testtools.TestCase):
+    def test_header(self) -> None:
+        codec = PlatformExchangeCodec()
+        for values, status, want in (
+            (("2.5",), 200, 2.5),
+            (("0",), 503, 0.0),
+            (("1",), 421, None),
+            (("1", "2"), 200, None),
+            (("-1",), 200, None),
+            (("nan",), 200, None),
+            (("inf",), 200, None),
+            (("many",), 200, None),
+        ):
+            headers = [("Server-Limit", value) for value in values]
+            head = codec.decode_response_head(status, headers)
+            self.assertEqual(want, head.limit_per_s, (values, status))
+
+    @async_test
+    async def test_limit_is_known_until_a_response_has_none(self) -> None:
+        """Streams and rejections name it as well as plain responses do."""
+        for path, how in (
+            ("/read/x", ""),
+            ("/read/x", "shed"),
+            ("/chat/x", ""),
+        ):
+            async with Host() as host:
+                plain = path == "/read/x"
+                fleet = host.fleet
+                first, *others = fleet.plain() if plain else fleet.engines()
+                first.limit_per_s = 50.0
+                first.behaviour.how, first.behaviour.count = how, 1
+                await self.async_send_until(host, path, first, 50.0)
+                first.limit_per_s = None
+                for other in others:
+                    fleet.store.put("servers", other.server_id, None)
+                await self.async_send_until(host, path, first, None)
+
+    async def async_send_until(
+        self, host: Host, path: str, server: FleetServer, want: float | None
+    ) -> None:
+        limits = host.front.load_balancer.limits
+        for _ in range(300):
+            await host.async_send(path)
+            if limits.limit_of(server.server_id) == want:
+                return
+        raise AssertionError(f"{path}: limit of the server is not {want}")
+
+
 class EndlessResponses(testtools.TestCase):
     """A response without end costs bounded memory and time."""
 
--- a/waxwingarch/core/backends/load_balancer.py
+++ b/waxwingarch/core/backends/load_balancer.py
@@ -21,6 +21,7 @@
 from waxwingarch.core.backends.pauses import ServerPauses
 from waxwingarch.core.backends.peer_evidence import PeerEvidence
 from waxwingarch.core.backends.registry import Backend, BackendRegistry
+from waxwingarch.core.backends.server_limits import ServerLimits
 from waxwingarch.core.base import FailureDomain, Server, ServerId, ServiceId
 from waxwingarch.core.exchange.exchange_messages import Exchange
 from waxwingarch.core.randomness import RandomSource
@@ -104,6 +105,7 @@
         self.peer_evidence = PeerEvidence()
         self.latency = LatencyTracker()
         self.pauses = ServerPauses(rng)
+        self.limits = ServerLimits()
 
     def choose(
         self,
@@ -219,6 +221,7 @@
         self.latency.forget(server_id)
         self.loads.forget(server_id)
         self.pauses.forget(server_id)
+        self.limits.forget(server_id)
 
     def _candidates(
         self,
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -15,6 +15,7 @@
     LeavingAnnounced,
     LeavingSource,
 )
+from waxwingarch.core.backends.server_limits import ServerLimitSeen
 from waxwingarch.core.base import Action, Event, ExecutionStatus, ServerId
 from waxwingarch.core.duties.autoscaler import ServersOrdered
 from waxwingarch.core.duties.coordinator import DutyCoordinator
@@ -165,6 +166,7 @@
             ConfigRead: self._handle_config_read,
             BackendsListed: self._handle_backends_listed,
             LeavingAnnounced: self._handle_leaving_announced,
+            ServerLimitSeen: self._handle_limit_seen,
             ExchangeArrived: self._handle_arrival,
             ResponseStarted: self._handle_response_started,
             ServerActivity: self._handle_server_activity,
@@ -283,6 +285,11 @@
         )
         return self._handle_leaving_backends(now, leaving)
 
+    def _handle_limit_seen(
+        self, now: float, event: ServerLimitSeen
+    ) -> list[Action]:
+        return self.load_balancer.limits.record_response(now, event)
+
     def _handle_peer_announcements(
         self, now: float, announced: Mapping[ServerId, int]
     ) -> list[Action]:
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -28,6 +28,7 @@
     BackendLeaving,
     BackendsListed,
 )
+from waxwingarch.core.backends.server_limits import ServerLimitChanged
 from waxwingarch.core.base import HostId
 from waxwingarch.core.duties.leader_election import StoreEraSeen
 from waxwingarch.core.front_messages import (
@@ -67,6 +68,7 @@
 from waxwingarch.tasks.table_watch import TableWatch
 
 MS_PER_S: Final = 1000
+LOGGED_DECIMALS: Final = 3
 TICK_INTERVAL_S: Final = 0.1
 # On the metrics address.
 QUARANTINE_PATH: Final = "/quarantine"
@@ -147,6 +149,7 @@
         ports.store.on_era = self._post_store_era
         self._runner.connect(ConfigApplied, self._log_config_applied)
         self._runner.connect(BackendLeaving, self._log_server_leaving)
+        self._runner.connect(ServerLimitChanged, self._log_server_limit)
 
     async def async_run(self) -> int:
         """Serve until the process is stopped; return the exit code."""
@@ -384,6 +387,15 @@
             learnt_from=action.source.value,
         )
 
+    def _log_server_limit(self, action: ServerLimitChanged) -> None:
+        log_message(
+            message_type="server_limit",
+            server=action.server_id,
+            per_s=action.per_s,
+            learnt_from=action.source.value,
+            age_s=round(action.age_s, LOGGED_DECIMALS),
+        )
+
 
 def on_error(exc: Exception) -> None:
     """Log an unexpected exception with its traceback."""
--- a/waxwingarch/platform/const.py
+++ b/waxwingarch/platform/const.py
@@ -31,6 +31,8 @@
 # "1" in all responses of a server that is leaving.
 HEADER_SERVER_LEAVING: Final = "server-leaving"
 HEADER_RETRY_AFTER: Final = "retry-after"
+# The requests a second that a server takes from all hosts together.
+HEADER_SERVER_LIMIT: Final = "server-limit"
 # Rises by one each time that the store returns from an older copy.
 HEADER_STORE_ERA: Final = "store-era"
 # Where the server fetches the KV cache of a migrated run: "ADDRESS/HANDLE".
--- a/waxwingarch/platform/exchange_codec.py
+++ b/waxwingarch/platform/exchange_codec.py
@@ -24,6 +24,7 @@
     HEADER_REQUEST_ID,
     HEADER_RETRY_AFTER,
     HEADER_SERVER_LEAVING,
+    HEADER_SERVER_LIMIT,
     HEADER_SERVER_STAMP,
     HEADER_TARGET_SERVER,
     HEADER_TENANT,
@@ -38,6 +39,7 @@
 HTTP_TOO_MANY_REQUESTS = 429
 HTTP_UNAVAILABLE = 503
 MAX_LOGGED_VALUE_CHARS = 40
+NUMBER_HEADERS = (HEADER_RETRY_AFTER, HEADER_SERVER_LIMIT)
 # Priority 0 is the most urgent; the header carries 9 at most.
 LEAST_URGENT_PRIORITY = 9
 
@@ -116,9 +118,12 @@
             misdirected=status == HTTP_MISDIRECTED,
             # Another server now has the address of a misdirected request.
             leaving=status != HTTP_MISDIRECTED and is_leaving(values),
-            retry_after_s=_parse_retry_after_s(values.get(HEADER_RETRY_AFTER))
+            retry_after_s=_parse_number(values, HEADER_RETRY_AFTER)
             if status in (HTTP_TOO_MANY_REQUESTS, HTTP_UNAVAILABLE)
             else None,
+            limit_per_s=_parse_number(values, HEADER_SERVER_LIMIT)
+            if status != HTTP_MISDIRECTED
+            else None,
         )
 
     def filter_response_headers(
@@ -164,30 +169,31 @@
 def _unique_values(headers: Headers) -> dict[str, str]:
     """Return the headers by lower-case name.
 
-    A `Retry-After` that occurs more than once is ambiguous and left out.
+    A number that occurs more than once is ambiguous and left out.
     """
     values = {name.lower(): value for name, value in headers}
-    if len(values) == len(headers) or HEADER_RETRY_AFTER not in values:
+    if len(values) == len(headers):
         return values
     names = [name.lower() for name, _ in headers]
-    if names.count(HEADER_RETRY_AFTER) > 1:
-        repeated = values.pop(HEADER_RETRY_AFTER)
-        _log_bad_header(HEADER_RETRY_AFTER, repeated, "occurs more than once")
+    for name in NUMBER_HEADERS:
+        if names.count(name) > 1:
+            _log_bad_header(name, values.pop(name), "occurs more than once")
     return values
 
 
-def _parse_retry_after_s(text: str | None) -> float | None:
-    """Parse `Retry-After` in seconds; None if it is not such a number."""
+def _parse_number(values: Mapping[str, str], name: str) -> float | None:
+    """Parse a header as a number from 0 up; None if it is not one."""
+    text = values.get(name)
     if text is None:
         return None
     try:
-        seconds = float(text)
+        number = float(text)
     except ValueError:
-        seconds = float("nan")
-    if not isfinite(seconds) or seconds < 0:
-        _log_bad_header(HEADER_RETRY_AFTER, text, "not a number of seconds")
+        number = float("nan")
+    if not isfinite(number) or number < 0:
+        _log_bad_header(name, text, "not a number from 0 up")
         return None
-    return seconds
+    return number
 
 
 def _log_bad_header(name: str, value: str, reason: str) -> None:
--- a/waxwingarch/ports/front.py
+++ b/waxwingarch/ports/front.py
@@ -195,6 +195,7 @@
     it did not execute the request, and `misdirected` that another server
     now has the address. `leaving` means that the server is shutting down.
     `retry_after_s` is how long the server asks this host to send it nothing.
+    `limit_per_s` are the requests a second that it takes from all hosts.
     """
 
     status: int
@@ -204,6 +205,7 @@
     misdirected: bool
     leaving: bool = False
     retry_after_s: float | None = None
+    limit_per_s: float | None = None
 
 
 class ExchangeCodec(Protocol):
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -19,6 +19,7 @@
     HttpResponder,
 )
 from waxwingarch.core.backends.registry import LeavingAnnounced
+from waxwingarch.core.backends.server_limits import ServerLimitSeen
 from waxwingarch.core.base import RequestId
 from waxwingarch.core.exchange.exchange_messages import (
     AttemptFinished,
@@ -163,6 +164,7 @@
             else POOLED_CONNECTION_MAX_IDLE_S,
         ) as stream:
             stream, head = await self._async_find_response(stream, send)
+            self._report_limit(head, send, now)
             return await self._async_handle_response(stream, head, send)
 
     def _first_byte_wait_until(self, send: SendRequest) -> float | None:
@@ -218,6 +220,20 @@
             f"{send.server.address}: too many stray responses"
         )
 
+    def _report_limit(
+        self, head: ResponseHead, send: SendRequest, sent_at: float
+    ) -> None:
+        """Report the limit that the server names, or no longer names."""
+        limits = self._runner.node.load_balancer.limits
+        known = limits.limit_of(send.server.server_id)
+        if head.misdirected or (head.limit_per_s is None and known is None):
+            return
+        self._runner.post(
+            ServerLimitSeen(
+                server=send.server, per_s=head.limit_per_s, sent_at=sent_at
+            )
+        )
+
     async def _async_handle_response(
         self, stream: ClientStream, head: ResponseHead, send: SendRequest
     ) -> tuple[AttemptOutcome, float | None]:
--- a/waxwingctl/logs.py
+++ b/waxwingctl/logs.py
@@ -16,6 +16,7 @@
     {
         "config_applied",
         "server_leaving",
+        "server_limit",
         "store_lost",
         "store_regained",
         "stopping",
