Show that hosts send more than a server's limit allows

Hosts, servers and reports on simulated time, with the rule's own count: requests in 4 s at the server, of hosts that had passed on the limit half a second before, from 3 s after it was first named.

--- /dev/null
+++ b/tests/core/front/limit_fleet.py
@@ -0,0 +1,249 @@
+"""Simulated hosts before servers that name a request rate as their limit."""
+
+import heapq
+from collections import defaultdict
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+from typing import Any, Final
+
+from tests.core.front.builders import (
+    DOMAINS,
+    LEDGER,
+    config,
+    make_head,
+    make_listing,
+    server,
+)
+from waxwingarch.adapters.report_codec import decode_report, encode_report
+from waxwingarch.core.backends.server_limits import ServerLimitSeen
+from waxwingarch.core.base import Action, Event, HostId, Server, ServerId
+from waxwingarch.core.exchange.exchange_messages import (
+    AttemptFinished,
+    AttemptOutcome,
+    ExchangeArrived,
+    LocalResponse,
+    SendRequest,
+)
+from waxwingarch.core.front_messages import (
+    ConfigRead,
+    FrontBounds,
+    FrontIdentity,
+    FrontTick,
+)
+from waxwingarch.core.front_node import FrontNode
+from waxwingarch.core.peers.report import (
+    HostsListed,
+    ReportReceived,
+    SendReport,
+)
+
+TICK_S: Final = 0.1
+LINK_S: Final = 0.002
+# The users' rule: in some `WINDOW_S`, from `CONTACT_S` after a server first
+# named its limit, it gets more than `RATIO` of what the limit allows and
+# `EXTRA`, from hosts that had a response with the limit `TOLD_S` before.
+WINDOW_S: Final = 4.0
+RATIO: Final = 1.5
+EXTRA: Final = 5
+CONTACT_S: Final = 3.0
+TOLD_S: Final = 0.5
+# The median and the spread of how long a server works on a request.
+WORK_S: Final = 0.06
+WORK_SPREAD: Final = 0.5
+
+
+@dataclass(kw_only=True)
+class LimitFleet:
+    """Hosts and plain servers on simulated time, with requests at random.
+
+    `limits` are the limits that servers name now. Hosts in `unheard` neither
+    send reports nor receive any; hosts in `down` do nothing. `arrivals` are
+    the times and hosts of what reached each server, and `refused` the times
+    of refusals and their retry-after.
+    """
+
+    hosts: int
+    servers: int
+    rate_per_s: float
+    seed: int
+    limits: dict[str, float] = field(default_factory=dict)
+    unheard: set[int] = field(default_factory=set)
+    down: set[int] = field(default_factory=set)
+    now: float = 0.0
+
+    def __post_init__(self) -> None:
+        self._rng = Random(self.seed)
+        self._ids = count()
+        self._due: list[tuple[float, int, Any]] = []
+        self._servers = [
+            server(f"p{n}", LEDGER, domain=DOMAINS[n % len(DOMAINS)])
+            for n in range(self.servers)
+        ]
+        self.arrivals: dict[str, list[tuple[float, int]]] = defaultdict(list)
+        self.told_at: dict[tuple[str, int], float] = {}
+        self.named_at: dict[str, float] = {}
+        self.refused: list[tuple[float, float | None]] = []
+        self.sent = 0
+        self.served = 0
+        self.nodes = [self._node(n) for n in range(self.hosts)]
+        self._next_arrival_at = 0.0
+        self._next_tick_at = 0.0
+
+    def _node(self, n: int) -> FrontNode:
+        identity = FrontIdentity(
+            host=HostId(f"h{n}"),
+            incarnation=1,
+            domain=DOMAINS[n % len(DOMAINS)],
+            address=str(n),
+            first_start=True,
+            duties=frozenset(),
+        )
+        node = FrontNode(identity, FrontBounds(), Random(self.seed * 999 + n))
+        node.handle(0.0, ConfigRead(cfg=config()))
+        node.handle(0.0, make_listing(1, *self._servers))
+        addresses = {HostId(f"h{i}"): str(i) for i in range(self.hosts)}
+        node.handle(0.0, HostsListed(addresses=addresses))
+        return node
+
+    def restart(self, n: int) -> None:
+        """Replace the process of a host."""
+        self.nodes[n] = self._node(n)
+
+    def run(self, until: float) -> None:
+        """Run up to a time."""
+        while True:
+            at = min(
+                self._next_tick_at,
+                self._next_arrival_at,
+                self._due[0][0] if self._due else float("inf"),
+            )
+            if at > until:
+                self.now = until
+                return
+            self.now = at
+            if at == self._next_tick_at:
+                self._next_tick_at += TICK_S
+                for n in range(self.hosts):
+                    self._post(n, FrontTick(boot_now=at, unix_now=at))
+            elif at == self._next_arrival_at:
+                self._next_arrival_at += self._rng.expovariate(self.rate_per_s)
+                self._arrive()
+            else:
+                _, _, step = heapq.heappop(self._due)
+                step()
+
+    def _later(self, at: float, step: Any) -> None:
+        heapq.heappush(self._due, (at, next(self._ids), step))
+
+    def _arrive(self) -> None:
+        head = make_head(
+            f"r{next(self._ids)}", "/read/x", parts=(), prompt_tokens=0
+        )
+        up = [n for n in range(self.hosts) if n not in self.down]
+        self.sent += 1
+        self._post(self._rng.choice(up), ExchangeArrived(head=head))
+
+    def _post(self, n: int, event: Event) -> None:
+        if n in self.down:
+            return
+        self._perform(n, self.nodes[n].handle(self.now, event))
+
+    def _perform(self, n: int, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case SendRequest():
+                    sent_at = self.now
+                    self._later(
+                        sent_at + LINK_S,
+                        lambda send=action, at=sent_at: self._reach(
+                            n, send, at
+                        ),
+                    )
+                case SendReport() if n not in self.unheard:
+                    report = decode_report(encode_report(action.report))
+                    for address in action.addresses:
+                        self._deliver(int(address), report)
+                case LocalResponse(refusal=refusal):
+                    self.refused.append((self.now, refusal.retry_after_s))
+
+    def _deliver(self, n: int, report: Any) -> None:
+        if n in self.unheard:
+            return
+        event = ReportReceived(report=report)
+        self._later(self.now + LINK_S, lambda: self._post(n, event))
+
+    def _reach(self, n: int, send: SendRequest, sent_at: float) -> None:
+        """Let a request reach its server, which answers later."""
+        name = str(send.server.server_id)
+        self.arrivals[name].append((self.now, n))
+        work_s = WORK_S * self._rng.lognormvariate(0, WORK_SPREAD)
+        self._later(
+            self.now + work_s, lambda: self._answer(n, send, name, sent_at)
+        )
+
+    def _answer(
+        self, n: int, send: SendRequest, name: str, sent_at: float
+    ) -> None:
+        limit = self.limits.get(name)
+        if limit is not None:
+            self.named_at.setdefault(name, self.now)
+            self.told_at.setdefault((name, n), self.now + LINK_S)
+        self._later(
+            self.now + LINK_S, lambda: self._end(n, send, limit, sent_at)
+        )
+
+    def _end(
+        self, n: int, send: SendRequest, limit: float | None, sent_at: float
+    ) -> None:
+        known = self.nodes[n].load_balancer.limits.limit_of(
+            send.server.server_id
+        )
+        if limit is not None or known is not None:
+            seen = ServerLimitSeen(
+                server=send.server, per_s=limit, sent_at=sent_at
+            )
+            self._post(n, seen)
+        self._post(
+            n,
+            AttemptFinished(
+                request_id=send.request_id, outcome=AttemptOutcome.DONE
+            ),
+        )
+        self.served += 1
+
+    # What the rule counts
+
+    def counted(self, name: str) -> list[float]:
+        """Return the times of the requests that the rule counts."""
+        since = self.named_at.get(name, float("inf")) + CONTACT_S
+        return [
+            at
+            for at, n in self.arrivals[name]
+            if at >= since
+            and at - TOLD_S >= self.told_at.get((name, n), float("inf"))
+        ]
+
+    def excess(self, name: str, limit: float) -> float:
+        """Return by how much the fullest window is over what is allowed."""
+        allowed = RATIO * limit * WINDOW_S + EXTRA
+        return fullest_window(self.counted(name)) - allowed
+
+    def arrived(self, name: str, since: float, until: float) -> int:
+        """Return how many requests reached a server in a time, of any host."""
+        return sum(since <= at < until for at, _ in self.arrivals[name])
+
+    def server(self, name: str) -> Server:
+        """Return one of the servers."""
+        [found] = [s for s in self._servers if s.server_id == ServerId(name)]
+        return found
+
+
+def fullest_window(times: list[float], window_s: float = WINDOW_S) -> int:
+    """Return the most events in any window of this length."""
+    most, first = 0, 0
+    for last, at in enumerate(times):
+        while times[first] <= at - window_s:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
