Keep a server's limit over all hosts together

Two engines that had named a limit of one request a second got 13 and 12 requests in 4 s from hosts that had passed it on; 11 are allowed. Nothing read the header: the load balancer chose the two engines as any other. The lines ruled out resends (all 43 dispatches were first attempts) and a limit that each host keeps alone (five requests of one host in 0.9 s). The class of fault is what a server says of itself and all hosts must share.

A limit is now told to all peers at once and then with each report, by the hosts that heard it. floor(limit) + 2 owners, chosen by rendezvous hash over the hosts that serve, divide it and space their requests; the others send the server nothing and use the rest of the service. With one token an owner at most, 4 s hold 5 N + 2 requests, where 6 N + 5 are allowed: the rest is for hosts that do not agree for a moment. A host that hears only a part of the known hosts uses that part of its share, so that hosts that hear nobody stay within the sum. All attempts pass one place, record_attempt; a call to move a run counts too, and a unit returns if no connection was made. Where no server takes a request now, it is refused at once and told when.

The failing test passes: no window over the bound with 1 and 9 hosts and limits from 0 to 20, with 60 hosts, with hosts that hear nobody, in two halves, after restarts and when the owners are gone.

--- a/tests/core/front/limit_fleet.py
+++ b/tests/core/front/limit_fleet.py
@@ -133,6 +133,11 @@
                 _, _, step = heapq.heappop(self._due)
                 step()
 
+    def finish(self) -> None:
+        """Send no more requests, and let those under way end."""
+        self._next_arrival_at = float("inf")
+        self.run(self.now + 2.0)
+
     def _later(self, at: float, step: Any) -> None:
         heapq.heappush(self._due, (at, next(self._ids), step))
 
--- a/tests/core/front/test_prompt_placement.py
+++ b/tests/core/front/test_prompt_placement.py
@@ -93,7 +93,12 @@
             backends=tuple(ListedBackend(server=s) for s in servers),
         )
         self.hosts = [
-            LoadBalancer(Random(n), DOMAINS[n % len(DOMAINS)], AnyVersion())
+            LoadBalancer(
+                Random(n),
+                HostId(f"h{n}"),
+                DOMAINS[n % len(DOMAINS)],
+                AnyVersion(),
+            )
             for n in range(HOSTS)
         ]
         for host in self.hosts:
--- a/waxwingarch/adapters/report_codec.py
+++ b/waxwingarch/adapters/report_codec.py
@@ -9,6 +9,7 @@
     encode_quarantine,
 )
 from waxwingarch.core.backends.load import ServerLoad
+from waxwingarch.core.backends.server_limits import ReportedLimit
 from waxwingarch.core.base import (
     AccountId,
     FailureDomain,
@@ -31,6 +32,7 @@
 # The age reported for versions that were never confirmed as the newest.
 # Their real age is infinite, which JSON cannot express.
 MAX_REPORTED_AGE_S: Final = 1e6
+AGE_DECIMALS: Final = 4
 
 
 class BadReportError(WaxwingError):
@@ -59,6 +61,14 @@
             "zone": report.domain,
             "avoid": report.avoided,
             "leaving": report.leaving,
+            "limits": {
+                server: [
+                    limit.incarnation,
+                    limit.per_s,
+                    round(limit.age_s, AGE_DECIMALS),
+                ]
+                for server, limit in report.limits.items()
+            },
             "adm": {a: round(n, 1) for a, n in report.admitted.items()},
             "began": _encode_windows(report.usage_counts),
             "moves": [[r.rollout_id, r.phase] for r in report.rollouts],
@@ -106,11 +116,22 @@
         },
         domain=FailureDomain(str(raw["zone"])),
         avoided=tuple(ServerId(str(s)) for s in raw["avoid"]),
-        # Hosts of an older version do not send "leaving", "num" and "quar".
+        # Hosts of an older version do not send "leaving", "limits", "num"
+        # and "quar".
         leaving={
             ServerId(server): int(incarnation)
             for server, incarnation in raw.get("leaving", {}).items()
         },
+        limits={
+            ServerId(server): ReportedLimit(
+                incarnation=int(incarnation),
+                per_s=None if per_s is None else float(per_s),
+                age_s=float(age_s),
+            )
+            for server, (incarnation, per_s, age_s) in raw.get(
+                "limits", {}
+            ).items()
+        },
         admitted={AccountId(a): float(n) for a, n in raw["adm"].items()},
         usage_counts=_decode_windows(raw["began"]),
         rollouts=tuple(
--- a/waxwingarch/core/backends/load_balancer.py
+++ b/waxwingarch/core/backends/load_balancer.py
@@ -22,7 +22,13 @@
 from waxwingarch.core.backends.peer_evidence import PeerEvidence
 from waxwingarch.core.backends.registry import Backend, BackendRegistry
 from waxwingarch.core.backends.server_limits import ServerLimits
-from waxwingarch.core.base import FailureDomain, Server, ServerId, ServiceId
+from waxwingarch.core.base import (
+    FailureDomain,
+    HostId,
+    Server,
+    ServerId,
+    ServiceId,
+)
 from waxwingarch.core.exchange.exchange_messages import Exchange
 from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.routing.config import EngineTraits
@@ -92,6 +98,7 @@
     def __init__(
         self,
         rng: RandomSource,
+        own_host: HostId,
         own_domain: FailureDomain,
         versions: VersionFilter,
     ) -> None:
@@ -105,7 +112,7 @@
         self.peer_evidence = PeerEvidence()
         self.latency = LatencyTracker()
         self.pauses = ServerPauses(rng)
-        self.limits = ServerLimits()
+        self.limits = ServerLimits(own_host, self.registry)
 
     def choose(
         self,
@@ -157,10 +164,20 @@
     def open_in_s(self, now: float, service: ServiceId) -> float | None:
         """Return when a service takes requests that it does not take now.
 
-        Returns None unless all its servers asked this host for a pause.
+        Returns None unless this host has to wait for all its servers: they
+        asked it for a pause, or are at the limit that they named.
         """
-        return self.pauses.first_end_in_s(
-            now, (b.server.server_id for b in self._allowed_backends(service))
+        waits_s = (
+            self._wait_s(now, b.server.server_id)
+            for b in self._allowed_backends(service)
+        )
+        return min(waits_s, default=0.0) or None
+
+    def _wait_s(self, now: float, server_id: ServerId) -> float:
+        """Return in how long a server takes a request from this host."""
+        return max(
+            self.pauses.remaining_s(now, server_id),
+            self.limits.wait_s(now, server_id),
         )
 
     def _allowed_backends(self, service: ServiceId) -> list[Backend]:
@@ -170,14 +187,14 @@
         )
 
     def _open_backends(self, now: float, service: ServiceId) -> list[Backend]:
-        """Return the usable servers that did not ask for a pause."""
+        """Return the usable servers that take a request of this host now."""
         allowed = self._allowed_backends(service)
-        if not self.pauses:
+        if not self.pauses and not self.limits:
             return allowed
         return [
             backend
             for backend in allowed
-            if not self.pauses.is_paused(now, backend.server.server_id)
+            if self._wait_s(now, backend.server.server_id) <= 0
         ]
 
     def record_attempt(
@@ -190,6 +207,7 @@
         """Record that an exchange is sent to a server."""
         server_id = pick.server.server_id
         self.health.record_attempt(now, server_id)
+        self.limits.take(now, server_id)
         self.loads.record_attempt(
             exchange.request_id,
             ActiveAttempt(
--- a/waxwingarch/core/backends/pauses.py
+++ b/waxwingarch/core/backends/pauses.py
@@ -1,6 +1,5 @@
 """Servers that asked this host to send them nothing for a time."""
 
-from collections.abc import Iterable
 from typing import Final
 
 from waxwingarch.core.base import ServerId
@@ -46,20 +45,11 @@
         del self._ends_at[server_id]
         return False
 
-    def first_end_in_s(
-        self, now: float, server_ids: Iterable[ServerId]
-    ) -> float | None:
-        """Return in how long the first of these servers is available.
-
-        Returns None if there are none, or one of them is available now.
-        """
-        remaining = [
-            self._ends_at[server_id] - now
-            if self.is_paused(now, server_id)
-            else 0.0
-            for server_id in server_ids
-        ]
-        return min(remaining, default=0.0) or None
+    def remaining_s(self, now: float, server_id: ServerId) -> float:
+        """Return how long a server's pause still lasts, 0 without one."""
+        if not self.is_paused(now, server_id):
+            return 0.0
+        return self._ends_at[server_id] - now
 
     def forget(self, server_id: ServerId) -> None:
         """Drop the pause of a server that has departed or restarted."""
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -258,6 +258,8 @@
         )
         if attempt is None:
             return self._finish(now, state, event, state.final_step(event))
+        if event.outcome is AttemptOutcome.NOT_SENT:
+            self._load_balancer.limits.give_back(attempt.server_id)
         if event.retry_after_s is not None:
             self._load_balancer.pauses.record(
                 now, attempt.server_id, event.retry_after_s
--- a/waxwingarch/core/exchange/migrations.py
+++ b/waxwingarch/core/exchange/migrations.py
@@ -104,6 +104,7 @@
         if self._can_resend(now, request_id, response_started=True):
             deadline = min(deadline, now + MAX_MIGRATION_S)
         state.is_migrating = state.may_be_stopped = True
+        self._load_balancer.limits.take(now, server_id)
         return [
             MigrateRun(
                 request_id=request_id,
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -83,6 +83,9 @@
 # A host that has just started knows the routes and servers after a few
 # calls to the store. Requests that arrive earlier wait up to this long.
 STARTUP_WAIT_S: Final = 0.5
+# Changes of the limits that servers name are told to the peers at once, but
+# no more often than this.
+LIMITS_TOLD_INTERVAL_S: Final = 0.1
 # The retry-after of a refusal by a stopping host: another host can serve
 # the request at once.
 RETRY_ELSEWHERE_AFTER_S: Final = 0.1
@@ -115,7 +118,9 @@
         self.rollouts = RolloutController(
             identity.host, identity.incarnation, bounds.exposure, rng
         )
-        self.load_balancer = LoadBalancer(rng, identity.domain, self.rollouts)
+        self.load_balancer = LoadBalancer(
+            rng, identity.host, identity.domain, self.rollouts
+        )
         self.rates = SharedRates(bounds.rate_window_s)
         self.resend_budget = ResendBudget(
             ratio=bounds.resend_ratio,
@@ -155,6 +160,7 @@
         self._unix_at_boot_s = 0.0
         self._unix_offset_s = 0.0
         self._rows_version = 0
+        self._limits_told_at = float("-inf")
         self._store_era: int | None = None
         self._is_started = False
         self._waiting_requests: deque[tuple[float, ExchangeHead]] = deque()
@@ -288,7 +294,15 @@
     def _handle_limit_seen(
         self, now: float, event: ServerLimitSeen
     ) -> list[Action]:
-        return self.load_balancer.limits.record_response(now, event)
+        """Record a server's limit; a change is told to the peers at once."""
+        self._start_limits(now)
+        changes = self.load_balancer.limits.record_response(now, event)
+        if changes and now >= self._limits_told_at + LIMITS_TOLD_INTERVAL_S:
+            self._limits_told_at = now
+            changes += self.gossip.send_reports(
+                now, lambda: self._build_report(now), all_at_once=True
+            )
+        return changes
 
     def _handle_peer_announcements(
         self, now: float, announced: Mapping[ServerId, int]
@@ -385,9 +399,14 @@
             self.load_balancer.registry.version,
             self.table.version,
         )
-        return self._handle_peer_announcements(
-            now, report.leaving
-        ) + self.gossip.handle_report(
+        changes: list[Action] = []
+        if report.limits:
+            self._start_limits(now)
+            changes += self.load_balancer.limits.record_report(
+                now, report.limits
+            )
+        changes += self._handle_peer_announcements(now, report.leaving)
+        return changes + self.gossip.handle_report(
             now, self._boot_now, report, own_versions
         )
 
@@ -413,6 +432,7 @@
             loads=self.load_balancer.loads.own_loads(),
             avoided=self.load_balancer.health.avoided_servers(now),
             leaving=self.load_balancer.registry.announced_leaving(),
+            limits=self.load_balancer.limits.reported(now),
             admitted=self.rates.own_usage(now, self.table.accounts.values()),
             usage_counts=self.usage.counts,
             rollouts=self.rollouts.phase_reports(),
@@ -520,6 +540,8 @@
         actions += self._handle_leaving_backends(
             now, self.load_balancer.registry.tick(now)
         )
+        if self.load_balancer.limits:
+            self._update_limit_hosts(now)
         for host in self.peers.silent_hosts(now):
             self.load_balancer.loads.forget_peer(host)
             self.load_balancer.peer_evidence.forget_peer(host)
@@ -539,6 +561,19 @@
             now, lambda: self._build_report(now)
         )
 
+    def _start_limits(self, now: float) -> None:
+        """Set the hosts that share limits, before the first limit is known."""
+        if not self.load_balancer.limits:
+            self._update_limit_hosts(now)
+
+    def _update_limit_hosts(self, now: float) -> None:
+        hosts = self.gossip.serving_hosts(now)
+        if self.stopping:
+            hosts -= {self.identity.host}
+        self.load_balancer.limits.tick(
+            now, hosts, self.gossip.heard_ratio(now)
+        )
+
     def _start(self, now: float, event: FrontTick) -> list[Action]:
         """Start at the first tick.
 
--- a/waxwingarch/core/peers/report.py
+++ b/waxwingarch/core/peers/report.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from waxwingarch.core.backends.load import ServerLoad
+from waxwingarch.core.backends.server_limits import ReportedLimit
 from waxwingarch.core.base import (
     AccountId,
     Action,
@@ -29,6 +30,7 @@
     `avoided` are the servers that its own requests found unhealthy.
     `leaving` are the incarnations of servers that announced to it or to
     another host that they are leaving; the listing does not show it yet.
+    `limits` are the request rates that servers named in responses to it.
     `unix_now` is its estimate of the time of day, in Unix seconds.
     `admitted` is what it used of each account's rate limit over the limit's
     window. `usage_counts` counts requests by the usage window in which they
@@ -57,6 +59,7 @@
     loads: Mapping[ServerId, ServerLoad] = field(default_factory=dict)
     avoided: tuple[ServerId, ...] = ()
     leaving: Mapping[ServerId, int] = field(default_factory=dict)
+    limits: Mapping[ServerId, ReportedLimit] = field(default_factory=dict)
     admitted: Mapping[AccountId, float] = field(default_factory=dict)
     usage_counts: WindowCounts | None = None
     rollouts: tuple[RolloutPhaseReport, ...] = ()
--- a/waxwingarch/core/peers/report_gossip.py
+++ b/waxwingarch/core/peers/report_gossip.py
@@ -8,13 +8,11 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import replace
-from functools import lru_cache
 from typing import Final
 
-import xxhash
-
 from waxwingarch.core.base import Action, HostId
 from waxwingarch.core.peers.peer_registry import Peer, PeerRegistry
+from waxwingarch.core.peers.rank import rank_of, rank_weight
 from waxwingarch.core.peers.report import (
     FollowTables,
     HostReport,
@@ -46,10 +44,6 @@
 # hosts, so that they can take over; in a small fleet all hosts get them.
 STANDBY_COUNT: Final = 5
 
-# Bounds the cache of rank weights: it holds those of a large fleet, one
-# for each host and salt.
-MAX_CACHED_WEIGHTS: Final = 4096
-
 _DUTY_SALT: Final = ""
 _FOLLOW_SALT: Final = "/follow"
 
@@ -196,7 +190,7 @@
         candidates = self._candidates(now)
         hosts = sorted(
             (r.host for r in candidates),
-            key=lambda host: _weight(host, _DUTY_SALT),
+            key=lambda host: rank_weight(host, _DUTY_SALT),
             reverse=True,
         )
         holders = {r.host for r in candidates if r.holds_duties}
@@ -211,9 +205,17 @@
         Hosts are ranked by a hash, so that all hosts with the same peers
         agree; `salt` gives each task a ranking of its own.
         """
-        own_weight = _weight(self._own_host, salt)
-        hosts = [r.host for r in self._candidates(now)]
-        return sum(_weight(host, salt) > own_weight for host in hosts)
+        hosts = (r.host for r in self._candidates(now))
+        return rank_of(self._own_host, hosts, salt)
+
+    def serving_hosts(self, now: float) -> frozenset[HostId]:
+        """Return this host and the live ones that are not stopping."""
+        hosts = {r.host for r in self._candidates(now)}
+        return frozenset(hosts | {self._own_host})
+
+    def heard_ratio(self, now: float) -> float:
+        """Return the share of the known hosts that are heard of."""
+        return self.peers.live_host_count(now) / self.peers.known_host_count
 
 
 def _host_of(peer: Peer) -> HostId | None:
@@ -223,8 +225,3 @@
 def _send_report(report: HostReport, peers: Iterable[Peer]) -> SendReport:
     addresses = tuple(peer.address for peer in peers)
     return SendReport(report=report, addresses=addresses)
-
-
-@lru_cache(maxsize=MAX_CACHED_WEIGHTS)
-def _weight(host: HostId, salt: str) -> int:
-    return int(xxhash.xxh3_64_intdigest(f"{host}{salt}".encode()))
