Let servers name limits in the soak

The emulated server keeps what arrived and which limit its response named. The new fault lets servers name 0.5 to 15 requests a second for some seconds; the check is the rule's own count, at the server, of hosts that had passed the limit on and had no fault of their own.

--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -48,6 +48,18 @@
     ended_at: float = float("inf")
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Arrival:
+    """A request that reached a server, at a monotonic time in seconds.
+
+    `limit_per_s` is the limit that the response names, if it names one.
+    """
+
+    at: float
+    request_id: str
+    limit_per_s: float | None
+
+
 @dataclass(kw_only=True, slots=True)
 class Behaviour:
     """How a server answers; the fault `how` hits the next `count` requests.
@@ -108,8 +120,7 @@
         self.announces_leaving = False
         # The requests a second that all responses name as a limit, if any.
         self.limit_per_s: float | None = None
-        # When requests arrived, in monotonic seconds.
-        self.arrived_at: list[float] = []
+        self.arrivals: list[Arrival] = []
         self.born = 1_000
         self._running: dict[str, tuple[Run, asyncio.Event]] = {}
         # The ids of prompt parts, and the targets, under which the server
@@ -175,7 +186,13 @@
     async def _async_handle(
         self, req: HttpRequest, resp: HttpResponder
     ) -> None:
-        self.arrived_at.append(time.monotonic())
+        self.arrivals.append(
+            Arrival(
+                at=time.monotonic(),
+                request_id=req.headers.get(REQUEST_ID_HEADER.lower(), ""),
+                limit_per_s=self.limit_per_s,
+            )
+        )
         await self._not_silent.wait()
         if req.path == "/-/kv-move":
             await self._async_kv_move(orjson.loads(req.body), resp)
--- a/standins/soak/fleet_checks.py
+++ b/standins/soak/fleet_checks.py
@@ -5,12 +5,16 @@
 from typing import Final
 
 from standins.campaign_report import Report
-from standins.fleet_server import Run
+from standins.fleet_server import Arrival, FleetServer, Run
 from standins.soak.load import Call, LoadGenerator
 from standins.soak.promises import (
     CONTACT_S,
     DRAIN_APPLY_LIMIT_S,
     FAULT_RECOVERY_S,
+    LIMIT_EXTRA,
+    LIMIT_RATIO,
+    LIMIT_TOLD_S,
+    LIMIT_WINDOW_S,
     MAX_CONDEMNED_RUNS,
     PART_CONDEMNED_AFTER,
     REQUEST_CONDEMNED_AFTER,
@@ -36,6 +40,7 @@
     def check_all(self, runs: Mapping[str, Sequence[Run]]) -> None:
         """Check all; `runs` are by the id of their request."""
         self._check_draining_servers()
+        self._check_limits()
         self._check_crashing_inputs(runs)
         self._check_duties()
 
@@ -72,6 +77,57 @@
                     )
             self._report.record_check(Promise.DRAIN, True, "")
 
+    def _check_limits(self) -> None:
+        calls = {call.request_id: call for call in self._load.calls}
+        for server in self._world.fleet.servers:
+            limited: list[Arrival] = []
+            for arrival in server.arrivals:
+                if limited and arrival.limit_per_s != limited[0].limit_per_s:
+                    self._check_limit(server, limited, calls)
+                    limited = []
+                if arrival.limit_per_s is not None:
+                    limited.append(arrival)
+            if limited:
+                self._check_limit(server, limited, calls)
+
+    def _check_limit(
+        self,
+        server: FleetServer,
+        arrivals: Sequence[Arrival],
+        calls: Mapping[str, Call],
+    ) -> None:
+        """Check what reached a server while it named one limit."""
+        limit_per_s = arrivals[0].limit_per_s
+        assert limit_per_s is not None
+        told_at: dict[str, float] = {}
+        counted: list[float] = []
+        for arrival in arrivals:
+            call = calls.get(arrival.request_id)
+            if call is None:
+                continue
+            told = told_at.setdefault(call.host, arrival.at)
+            if (
+                arrival.at >= arrivals[0].at + CONTACT_S
+                and arrival.at >= told + LIMIT_TOLD_S
+                and not self._world.had_fault(
+                    arrival.at - CONTACT_S, arrival.at, names={call.host}
+                )
+            ):
+                counted.append(arrival.at)
+        allowed = LIMIT_RATIO * limit_per_s * LIMIT_WINDOW_S + LIMIT_EXTRA
+        fullest = max(
+            (
+                sum(at - LIMIT_WINDOW_S < other <= at for other in counted)
+                for at in counted
+            ),
+            default=0,
+        )
+        evidence = (
+            f"{server.server_id}, limit {limit_per_s:g} a second: {fullest} "
+            f"in {LIMIT_WINDOW_S:g} s, {allowed:g} allowed"
+        )
+        self._report.record_check(Promise.LIMIT, fullest <= allowed, evidence)
+
     def _check_crashing_inputs(
         self, runs: Mapping[str, Sequence[Run]]
     ) -> None:
--- a/standins/soak/promises.py
+++ b/standins/soak/promises.py
@@ -19,6 +19,7 @@
     DRAIN = "a leaving server gets nothing new"
     STOP = "a planned stop ends in time and cuts off nobody"
     ANSWERED = "what a host read whole is answered or refused"
+    LIMIT = "a server gets no more than the limit that it names"
     QUARANTINE = "after some crashes an input reaches few servers"
     READY = "a host that was started becomes ready"
     ALIVE = "no process ends by itself"
@@ -39,6 +40,13 @@
 REQUEST_CONDEMNED_AFTER: Final = 3
 CONTACT_S: Final = 3.0
 MAX_CONDEMNED_RUNS: Final = 3
+# In some `LIMIT_WINDOW_S`, from `CONTACT_S` after a server first named its
+# limit, it gets at most `LIMIT_RATIO` of what that allows and `LIMIT_EXTRA`
+# requests from hosts that had passed the limit on `LIMIT_TOLD_S` before.
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_RATIO: Final = 1.5
+LIMIT_EXTRA: Final = 5
+LIMIT_TOLD_S: Final = 0.5
 # A host ends within this time after SIGTERM.
 STOP_GRACE_S: Final = 8.0
 # A call of a duty with an older fencing number is excused this long after a
--- a/standins/soak/server_faults.py
+++ b/standins/soak/server_faults.py
@@ -25,6 +25,9 @@
 CRASHING_INPUT_S: Final = (3.0, 12.0)
 # The routes of which a whole request crashes servers.
 PLAIN_ROUTES: Final = ("/read/", "/pay/")
+# The limits that servers name, in requests a second, and for how long.
+LIMITS_PER_S: Final = (0.5, 1.0, 4.0, 15.0)
+LIMIT_NAMED_S: Final = (6.0, 12.0)
 POLL_INTERVAL_S: Final = 0.05
 
 
@@ -42,6 +45,7 @@
             "leaving": self._prepare_leaving,
             "spoiled": self._prepare_spoiled,
             "silence": self._prepare_silence,
+            "limit": self._prepare_limit,
             "until close": self._prepare_until_close,
             "crashing part": self._prepare_crashing_part,
             "crashing request": self._prepare_crashing_request,
@@ -138,6 +142,24 @@
 
         return fall_silent
 
+    def _prepare_limit(self) -> Fault | None:
+        """Let a server name a limit in its answers for a time."""
+        server = self._targets.pick_server()
+        if server is None:
+            return None
+        limit_per_s = self._rng.choice(LIMITS_PER_S)
+        interval = self._targets.begin_fault(
+            server.server_id, "limit", f"{limit_per_s:g} a second"
+        )
+
+        async def name_limit() -> None:
+            server.limit_per_s = limit_per_s
+            await asyncio.sleep(self._rng.uniform(*LIMIT_NAMED_S))
+            server.limit_per_s = None
+            self._targets.end_fault(interval)
+
+        return name_limit
+
     def _prepare_until_close(self) -> Fault | None:
         """Let a server end its answers with their connections.
 
