--- a/tests/core/front/limit_fleet.py
+++ b/tests/core/front/simulated_fleet.py
@@ -1,4 +1,7 @@
-"""Simulated hosts before servers that name a request rate as their limit."""
+"""Simulated hosts and servers that share callers' requests.
+
+Servers may name limits, and hosts may be partitioned from all servers.
+"""
 
 import heapq
 from collections import defaultdict
@@ -48,19 +51,32 @@
 EXTRA: Final = 5
 CONTACT_S: Final = 3.0
 TOLD_S: Final = 0.5
+# How long a host waits for a connection that is not made.
+CONNECT_S: Final = 0.4
 # The median and the spread of how long a server works on a request.
 WORK_S: Final = 0.06
 WORK_SPREAD: Final = 0.5
 
 
 @dataclass(kw_only=True)
-class LimitFleet:
+class Call:
+    """A caller's request at a host."""
+
+    arrived_at: float
+    host: int
+    is_served: bool = False
+    ended_at: float | None = None
+
+
+@dataclass(kw_only=True)
+class SimulatedFleet:
     """Hosts and plain servers on simulated time, with requests at random.
 
     `limits` are the limits that servers name now. Hosts in `unheard` neither
-    send reports nor receive any; hosts in `down` do nothing. `arrivals` are
-    the times and hosts of what reached each server, and `refused` the times
-    of refusals and their retry-after.
+    send reports nor receive any; hosts in `down` do nothing. Hosts in
+    `partitioned` reach no server: their connections hang, or are reset at
+    once with `resets`. `arrivals` are the times and hosts of what reached
+    each server, and `refused` the times of refusals and their retry-after.
     """
 
     hosts: int
@@ -70,6 +86,9 @@
     limits: dict[str, float] = field(default_factory=dict)
     unheard: set[int] = field(default_factory=set)
     down: set[int] = field(default_factory=set)
+    partitioned: set[int] = field(default_factory=set)
+    resets: bool = False
+    path: str = "/read/x"
     now: float = 0.0
 
     def __post_init__(self) -> None:
@@ -84,8 +103,7 @@
         self.told_at: dict[tuple[str, int], float] = {}
         self.named_at: dict[str, float] = {}
         self.refused: list[tuple[float, float | None]] = []
-        self.sent = 0
-        self.served = 0
+        self.calls: dict[str, Call] = {}
         self.nodes = [self._node(n) for n in range(self.hosts)]
         self._next_arrival_at = 0.0
         self._next_tick_at = 0.0
@@ -143,11 +161,12 @@
 
     def _arrive(self) -> None:
         head = make_head(
-            f"r{next(self._ids)}", "/read/x", parts=(), prompt_tokens=0
+            f"r{next(self._ids)}", self.path, parts=(), prompt_tokens=0
         )
         up = [n for n in range(self.hosts) if n not in self.down]
-        self.sent += 1
-        self._post(self._rng.choice(up), ExchangeArrived(head=head))
+        host = self._rng.choice(up)
+        self.calls[head.request_id] = Call(arrived_at=self.now, host=host)
+        self._post(host, ExchangeArrived(head=head))
 
     def _post(self, n: int, event: Event) -> None:
         if n in self.down:
@@ -157,6 +176,8 @@
     def _perform(self, n: int, actions: list[Action]) -> None:
         for action in actions:
             match action:
+                case SendRequest() if n in self.partitioned:
+                    self._fail_to_connect(n, action)
                 case SendRequest():
                     sent_at = self.now
                     self._later(
@@ -171,6 +192,14 @@
                         self._deliver(int(address), report)
                 case LocalResponse(refusal=refusal):
                     self.refused.append((self.now, refusal.retry_after_s))
+                    self.calls[action.request_id].ended_at = self.now
+
+    def _fail_to_connect(self, n: int, send: SendRequest) -> None:
+        event = AttemptFinished(
+            request_id=send.request_id, outcome=AttemptOutcome.NOT_SENT
+        )
+        after_s = LINK_S if self.resets else CONNECT_S
+        self._later(self.now + after_s, lambda: self._post(n, event))
 
     def _deliver(self, n: int, report: Any) -> None:
         if n in self.unheard:
@@ -215,7 +244,24 @@
                 request_id=send.request_id, outcome=AttemptOutcome.DONE
             ),
         )
-        self.served += 1
+        call = self.calls[send.request_id]
+        call.is_served, call.ended_at = True, self.now
+
+    @property
+    def served(self) -> int:
+        """The number of callers' requests that were served."""
+        return sum(call.is_served for call in self.calls.values())
+
+    def served_at(
+        self, hosts: set[int], since: float, until: float
+    ) -> tuple[int, int]:
+        """Return the served and all requests that arrived at some hosts."""
+        calls = [
+            call
+            for call in self.calls.values()
+            if call.host in hosts and since <= call.arrived_at < until
+        ]
+        return sum(call.is_served for call in calls), len(calls)
 
     # What the rule counts
 
--- a/tests/core/front/test_server_limits.py
+++ b/tests/core/front/test_server_limits.py
@@ -9,7 +9,7 @@
     server,
     serving_front,
 )
-from tests.core.front.limit_fleet import LimitFleet
+from tests.core.front.simulated_fleet import SimulatedFleet
 from waxwingarch.adapters.report_codec import decode_report, encode_report
 from waxwingarch.core.backends.server_limits import (
     EXTRA_OWNERS,
@@ -37,10 +37,10 @@
 
 def limited_fleet(
     limits: dict[str, float], *, until: float = NAMED_AT_S + RUN_S, **more: int
-) -> LimitFleet:
+) -> SimulatedFleet:
     """Return a fleet that has run with servers that named limits."""
     values = {"hosts": 9, "servers": 8, "rate_per_s": 40, "seed": 1} | more
-    fleet = LimitFleet(**values)
+    fleet = SimulatedFleet(**values)
     fleet.run(NAMED_AT_S)
     fleet.limits = dict(limits)
     fleet.run(until)
@@ -85,7 +85,7 @@
         self.assertLessEqual(value, high, note)
 
     def test_hosts_that_hear_nothing_of_each_other(self) -> None:
-        fleet = LimitFleet(hosts=9, servers=8, rate_per_s=40, seed=2)
+        fleet = SimulatedFleet(hosts=9, servers=8, rate_per_s=40, seed=2)
         fleet.run(NAMED_AT_S)
         fleet.limits = {"p0": 1.0}
         fleet.unheard = set(range(9))
@@ -94,7 +94,7 @@
 
     def test_hosts_in_two_halves(self) -> None:
         """Reports of four hosts are lost, so that each side is a fleet."""
-        fleet = LimitFleet(hosts=9, servers=8, rate_per_s=40, seed=3)
+        fleet = SimulatedFleet(hosts=9, servers=8, rate_per_s=40, seed=3)
         fleet.limits = {"p0": 1.0}
         fleet.run(NAMED_AT_S)
         fleet.unheard = {0, 1, 2, 3}
@@ -138,7 +138,7 @@
         used = sum(fleet.arrived(n, since, fleet.now) for n in limits)
         self.assertGreater(used, 0.6 * 8.0 * (fleet.now - since))
         fleet.finish()
-        self.assertEqual(fleet.sent, fleet.served + len(fleet.refused))
+        self.assertEqual(len(fleet.calls), fleet.served + len(fleet.refused))
 
 
 class EndOfLimits(testtools.TestCase):
