Relay requests of a host that reaches no server

A host had no way to a server but connections of its own; the lines ruled out that it avoided servers that it could reach (all of both services were tried).

A path is judged for each service: it is lost when two of its servers gave no connection or no byte and none has answered on a new connection since, and is found again by one request in half a second. Meanwhile requests are sent to the address for peers of a host that reports a path, once at most. The peer serves it as its own: it charges the account, counts the usage and applies the route's attempts; what it says of whether the request ran goes on to the caller, whose close ends the run. Nothing is trusted for being relayed. Without such a peer, servers that have not failed are tried once each, then requests are refused at once. Peers hear of a lost path at once; servers that failed in it are not reported as avoided, are no evidence against versions or inputs, and are forgiven when the path is back. A connection that breaks is no sign of a partition: with it, crashes by an input counted as one in the tests of the quarantine.

--- a/tests/core/front/crash_fleet.py
+++ b/tests/core/front/crash_fleet.py
@@ -18,6 +18,7 @@
 from waxwingarch.core.base import (
     Action,
     Event,
+    ExecutionStatus,
     FailureDomain,
     HostId,
     RequestId,
@@ -145,6 +146,7 @@
         self._listing_version = 0
         self._attempts: dict[tuple[str, RequestId], int] = {}
         self._retries: dict[RequestId, Callable[[], object]] = {}
+        self._relays: dict[tuple[str, RequestId], _Run] = {}
         self.backends = {
             ServerId(f"e{n}"): _Backend(
                 server=server(
@@ -216,6 +218,18 @@
                 self._send(name, action)
             case SendReport():
                 self._send_report(name, action)
+            case LocalResponse(request_id=request_id, refusal=refusal) if (
+                name,
+                request_id,
+            ) in self._relays:
+                not_run = refusal.ran is ExecutionStatus.NOT_RUN
+                self._end_relay(
+                    name,
+                    request_id,
+                    AttemptOutcome.REJECTED
+                    if not_run
+                    else AttemptOutcome.FAILED,
+                )
             case LocalResponse(request_id=request_id, refusal=refusal):
                 self._attempts.pop((name, request_id), None)
                 self.refused.append((self.now, request_id, refusal.reason))
@@ -363,8 +377,27 @@
         self._attempts[name, send.request_id] = attempt
         run = _Run(host=name, attempt=attempt, head=head)
         server_id = send.server.server_id
+        if send.relay_to is not None:
+            peer = send.server.address
+            self._after(DELAY_S, lambda: self._reach_peer(peer, run))
+            return
         self._after(DELAY_S, lambda: self._reach(server_id, run))
 
+    def _reach_peer(self, peer: str, run: _Run) -> None:
+        """Let a relayed request reach a peer, which serves it as its own."""
+        if not self._is_current(run):
+            return
+        self._relays[peer, run.head.request_id] = run
+        head = replace(run.head, is_relayed=True)
+        self._deliver(peer, ExchangeArrived(head=head))
+
+    def _end_relay(
+        self, peer: str, request_id: RequestId, outcome: AttemptOutcome
+    ) -> None:
+        run = self._relays.pop((peer, request_id), None)
+        if run is not None:
+            self._finish(run, outcome)
+
     def _head_of(self, name: str, request_id: RequestId) -> ExchangeHead:
         state = self.nodes[name].exchanges.get(request_id)
         assert state is not None
@@ -460,6 +493,8 @@
             last_event=1 if run.started else None,
         )
         self._deliver(run.host, event)
+        if outcome is AttemptOutcome.DONE:
+            self._end_relay(run.host, run.head.request_id, outcome)
 
     # Servers
 
--- a/tests/core/front/simulated_fleet.py
+++ b/tests/core/front/simulated_fleet.py
@@ -5,7 +5,7 @@
 
 import heapq
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 from random import Random
 from typing import Any, Final
@@ -20,12 +20,20 @@
 )
 from waxwingarch.adapters.report_codec import decode_report, encode_report
 from waxwingarch.core.backends.server_limits import ServerLimitSeen
-from waxwingarch.core.base import Action, Event, HostId, Server, ServerId
+from waxwingarch.core.base import (
+    Action,
+    Event,
+    ExecutionStatus,
+    HostId,
+    Server,
+    ServerId,
+)
 from waxwingarch.core.exchange.exchange_messages import (
     AttemptFinished,
     AttemptOutcome,
     ExchangeArrived,
     LocalResponse,
+    ResponseStarted,
     SendRequest,
 )
 from waxwingarch.core.front_messages import (
@@ -40,6 +48,7 @@
     ReportReceived,
     SendReport,
 )
+from waxwingarch.core.refusal import Refusal
 
 TICK_S: Final = 0.1
 LINK_S: Final = 0.002
@@ -104,6 +113,7 @@
         self.named_at: dict[str, float] = {}
         self.refused: list[tuple[float, float | None]] = []
         self.calls: dict[str, Call] = {}
+        self.relayed_by: dict[tuple[int, str], int] = {}
         self.nodes = [self._node(n) for n in range(self.hosts)]
         self._next_arrival_at = 0.0
         self._next_tick_at = 0.0
@@ -176,6 +186,11 @@
     def _perform(self, n: int, actions: list[Action]) -> None:
         for action in actions:
             match action:
+                case SendRequest(relay_to=str()):
+                    self._later(
+                        self.now + LINK_S,
+                        lambda send=action: self._reach_peer(n, send),
+                    )
                 case SendRequest() if n in self.partitioned:
                     self._fail_to_connect(n, action)
                 case SendRequest():
@@ -191,8 +206,35 @@
                     for address in action.addresses:
                         self._deliver(int(address), report)
                 case LocalResponse(refusal=refusal):
-                    self.refused.append((self.now, refusal.retry_after_s))
-                    self.calls[action.request_id].ended_at = self.now
+                    self._refuse(n, action.request_id, refusal)
+
+    def _reach_peer(self, n: int, send: SendRequest) -> None:
+        """Let a relayed request reach a peer, which serves it as its own."""
+        peer = int(send.server.address)
+        if peer in self.down:
+            self._end_relay(n, send.request_id, AttemptOutcome.BROKEN)
+            return
+        self.relayed_by[peer, send.request_id] = n
+        head = self.nodes[n].exchanges.get(send.request_id).exchange.head
+        self._post(peer, ExchangeArrived(head=replace(head, is_relayed=True)))
+
+    def _end_relay(
+        self, n: int, request_id: str, outcome: AttemptOutcome
+    ) -> None:
+        event = AttemptFinished(request_id=request_id, outcome=outcome)
+        self._later(self.now + LINK_S, lambda: self._post(n, event))
+
+    def _refuse(self, n: int, request_id: str, refusal: Refusal) -> None:
+        relayed_by = self.relayed_by.pop((n, request_id), None)
+        if relayed_by is not None:
+            not_run = refusal.ran is ExecutionStatus.NOT_RUN
+            outcome = (
+                AttemptOutcome.REJECTED if not_run else AttemptOutcome.FAILED
+            )
+            self._end_relay(relayed_by, request_id, outcome)
+            return
+        self.refused.append((self.now, refusal.retry_after_s))
+        self.calls[request_id].ended_at = self.now
 
     def _fail_to_connect(self, n: int, send: SendRequest) -> None:
         event = AttemptFinished(
@@ -238,12 +280,19 @@
                 server=send.server, per_s=limit, sent_at=sent_at
             )
             self._post(n, seen)
+        if self.nodes[n].load_balancer.paths.lost_services():
+            # The times of other answers are left out, so that all servers
+            # look the same to the load balancer.
+            self._post(n, ResponseStarted(request_id=send.request_id))
         self._post(
             n,
             AttemptFinished(
                 request_id=send.request_id, outcome=AttemptOutcome.DONE
             ),
         )
+        relayed_by = self.relayed_by.pop((n, send.request_id), None)
+        if relayed_by is not None:
+            self._end_relay(relayed_by, send.request_id, AttemptOutcome.DONE)
         call = self.calls[send.request_id]
         call.is_served, call.ended_at = True, self.now
 
--- a/tests/front/test_store_returns_host.py
+++ b/tests/front/test_store_returns_host.py
@@ -266,7 +266,12 @@
             await watch.async_setup()
             await async_until(lambda: served, "the copy was read")
             self.assertEqual([1], served)
-            peers = FrontPeers(host.daemon._runner, HttpClient(), [watch])
+            peers = FrontPeers(
+                host.daemon._runner,
+                HttpClient(),
+                [watch],
+                host.daemon._entry.async_handle_relayed,
+            )
             await peers._async_pull(f"127.0.0.1:{host.ports[2]}")
             await watch.async_unload()
             self.assertEqual([1, 5], served)
--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -100,7 +100,8 @@
     """A response whose body is read as it is received.
 
     `headers` have lower-case names; `pairs` keep the received order and
-    spelling.
+    spelling. `on_new_connection` says that its request was the first one on
+    its connection.
     """
 
     def __init__(self, conn: "_ClientConnection", head: h11.Response) -> None:
@@ -109,6 +110,7 @@
         self.headers = _lower_case_headers(head)
         self.pairs = _raw_headers(head)
         self.complete = False
+        self.on_new_connection = not conn.is_reused
         self._conn.apply_keep_alive(self.headers.get("keep-alive", ""))
 
     @property
@@ -182,6 +184,7 @@
     ) -> None:
         self.address = address
         self.idle_since = 0.0
+        self.is_reused = False
         self._max_idle_s = MAX_REUSE_IDLE_S
         self._last_request: h11.Request | None = None
         self._reader = reader
@@ -406,6 +409,7 @@
             conn.close()
             return
         conn.idle_since = asyncio.get_running_loop().time()
+        conn.is_reused = True
         pool.append(conn)
 
     @asynccontextmanager
--- a/waxwingarch/adapters/report_codec.py
+++ b/waxwingarch/adapters/report_codec.py
@@ -15,6 +15,7 @@
     FailureDomain,
     HostId,
     ServerId,
+    ServiceId,
     VersionId,
 )
 from waxwingarch.core.moves.move_counts import (
@@ -60,6 +61,7 @@
             },
             "zone": report.domain,
             "avoid": report.avoided,
+            "lost": report.lost_services,
             "leaving": report.leaving,
             "limits": {
                 server: [
@@ -116,8 +118,9 @@
         },
         domain=FailureDomain(str(raw["zone"])),
         avoided=tuple(ServerId(str(s)) for s in raw["avoid"]),
-        # Hosts of an older version do not send "leaving", "limits", "num"
-        # and "quar".
+        # Hosts of an older version do not send "lost", "leaving", "limits",
+        # "num" and "quar".
+        lost_services=tuple(ServiceId(str(s)) for s in raw.get("lost", ())),
         leaving={
             ServerId(server): int(incarnation)
             for server, incarnation in raw.get("leaving", {}).items()
--- a/waxwingarch/core/backends/load_balancer.py
+++ b/waxwingarch/core/backends/load_balancer.py
@@ -18,6 +18,7 @@
     LoadTracker,
     PrefixCacheTracker,
 )
+from waxwingarch.core.backends.paths import PathMonitor
 from waxwingarch.core.backends.pauses import ServerPauses
 from waxwingarch.core.backends.peer_evidence import PeerEvidence
 from waxwingarch.core.backends.registry import Backend, BackendRegistry
@@ -113,6 +114,7 @@
         self.latency = LatencyTracker()
         self.pauses = ServerPauses(rng)
         self.limits = ServerLimits(own_host, self.registry)
+        self.paths = PathMonitor(self.registry)
 
     def choose(
         self,
@@ -275,6 +277,19 @@
             return False
         return self.peer_evidence.is_avoided(now, server_id)
 
+    def avoided_servers(self, now: float) -> tuple[ServerId, ...]:
+        """Return the avoided servers, to report to the peers.
+
+        Those of services to which this host has no path are left out: the
+        peers may well reach them.
+        """
+        return tuple(
+            server_id
+            for server_id in self.health.avoided_servers(now)
+            if (backend := self.registry.get(server_id)) is None
+            or not self.paths.is_lost(backend.server.service)
+        )
+
     def _sample(
         self,
         exchange: Exchange,
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -1,5 +1,6 @@
 """Follows the exchanges in progress on this host from arrival to end."""
 
+from dataclasses import replace
 from typing import Any, Final
 
 from waxwingarch.core.backends.load_balancer import LoadBalancer, Pick
@@ -28,6 +29,11 @@
     SendRequest,
 )
 from waxwingarch.core.exchange.migrations import RunMigrations
+from waxwingarch.core.exchange.relays import (
+    PeerSelector,
+    as_server,
+    relay_server_id,
+)
 from waxwingarch.core.exchange.state_machine import (
     ExchangeState,
     NextStep,
@@ -35,6 +41,7 @@
 )
 from waxwingarch.core.limits.resend_budget import ResendBudget
 from waxwingarch.core.limits.shared_rate import SharedRates
+from waxwingarch.core.peers.report import HostReport
 from waxwingarch.core.quarantine.quarantine import Quarantine
 from waxwingarch.core.quarantine.quarantine_messages import CancelAttempt
 from waxwingarch.core.randomness import RandomSource
@@ -59,6 +66,10 @@
 # route's longest pause between events, and for at least the minimum.
 IDLE_TIMEOUT_PER_EVENT_GAP: Final = 4.0
 MIN_STREAM_IDLE_TIMEOUT_S: Final = 1.2
+# Outcomes by which a server has answered, without a part of a response.
+ANSWERED_OUTCOMES: Final = frozenset(
+    {AttemptOutcome.REJECTED, AttemptOutcome.MISDIRECTED}
+)
 # Callers that are refused until a server takes requests again are told to
 # return spread over this share of that time after it.
 RETURN_SPREAD_RATIO: Final = 0.5
@@ -77,7 +88,9 @@
         rng: RandomSource,
         leaving_known_s: float,
         quarantine: Quarantine,
+        relay_peers: PeerSelector,
     ) -> None:
+        self._relay_peers = relay_peers
         self._quarantine = quarantine
         self._crash_observer = CrashObserver(
             load_balancer, rollouts, quarantine
@@ -85,6 +98,7 @@
         # Whether this host may send a probe with a quarantined input.
         self.may_probe = False
         self._load_balancer = load_balancer
+        self._paths = load_balancer.paths
         self._admission = ExchangeAdmission(table, rates, rng)
         self._resend_budget = resend_budget
         self._evidence = AttemptEvidence(load_balancer, rollouts)
@@ -125,11 +139,13 @@
         if held is not None:
             self._admission.refund(now, exchange, cost)
             return [LocalResponse(request_id=head.request_id, refusal=held)]
-        self._resend_budget.record_request(now, exchange.service)
-        state = ExchangeState(exchange=exchange)
-        send = self._dispatch(now, state, None)
+        if not head.is_relayed:
+            # The peer that relays a request has counted it.
+            self._resend_budget.record_request(now, exchange.service)
+        state = ExchangeState(exchange=exchange, rate_cost=cost)
+        send = self._dispatch_first(now, state)
         if send is None:
-            self._admission.refund(now, exchange, cost)
+            self._refund(now, state)
             refusal = self._no_server_refusal(now, exchange.service)
             return [LocalResponse(request_id=head.request_id, refusal=refusal)]
         self._exchanges[exchange.request_id] = state
@@ -143,8 +159,74 @@
         spread = 1 + RETURN_SPREAD_RATIO * self._rng.random()
         return no_server_refusal(open_in_s * spread)
 
+    def _refund(self, now: float, state: ExchangeState) -> None:
+        self._admission.refund(now, state.exchange, state.rate_cost)
+        state.rate_cost = 0.0
+
     # Dispatch
 
+    def _dispatch_first(
+        self, now: float, state: ExchangeState
+    ) -> SendRequest | None:
+        """Start the first attempt; None if the request has to be refused.
+
+        Without a path to the servers, a request now and then tries it, and
+        the others are relayed.
+        """
+        service = state.exchange.service
+        if self._paths.is_lost(service) and not self._paths.take_trial(
+            now, service
+        ):
+            return self._dispatch_without_path(now, state)
+        return self._dispatch(now, state, None)
+
+    def _dispatch_without_path(
+        self, now: float, state: ExchangeState
+    ) -> SendRequest | None:
+        """Relay a request; without a peer, try servers that did not fail.
+
+        A request is relayed once at most, so that hosts without a path
+        don't send it around.
+        """
+        service = state.exchange.service
+        if not state.exchange.head.is_relayed:
+            peer = self._relay_peers.choose(now, service, state.tried_peers)
+            if peer is not None:
+                return self._relay(now, state, peer)
+        if not self._paths.has_untried(service):
+            return None
+        return self._dispatch(now, state, None)
+
+    def _relay(
+        self, now: float, state: ExchangeState, peer: HostReport
+    ) -> SendRequest:
+        """Start an attempt by a peer, which charges the account's limit.
+
+        Its waits for servers are the peer's own, so that only the deadline
+        bounds the wait for the peer.
+        """
+        self._refund(now, state)
+        state.relayed_to = peer.host
+        state.tried_peers.add(peer.host)
+        state.response_started = False
+        self._relay_peers.begin(peer.host)
+        pick = Pick(
+            server=as_server(peer, state.exchange.service),
+            expected_s=0.0,
+            uncached_tokens=0,
+        )
+        return replace(
+            self._build_send(now, state, pick, None),
+            first_byte_deadline=state.exchange.expires_at,
+            new_connection=False,
+            relay_to=peer.host,
+        )
+
+    def _end_relay(self, state: ExchangeState) -> None:
+        if state.relayed_to is not None:
+            self._relay_peers.end(state.relayed_to)
+            state.relayed_to = None
+
     def _dispatch(
         self, now: float, state: ExchangeState, target: Server | None
     ) -> SendRequest | None:
@@ -215,6 +297,7 @@
             fresh_connection=exchange.retry_policy
             is RetryPolicy.NON_IDEMPOTENT,
             streaming=route.streaming,
+            new_connection=self._paths.is_lost(exchange.service),
         )
 
     # Attempts
@@ -230,6 +313,11 @@
         state = self._exchanges.get(event.request_id)
         if state is None:
             return None
+        if state.relayed_to is not None:
+            # The peer counts the usage of what it serves.
+            state.response_started = state.is_usage_counted = True
+            return None
+        self._record_path(state, on_new_connection=event.on_new_connection)
         self._load_balancer.record_response_start(now, state.exchange)
         self._evidence.record_first_byte(now, state)
         state.response_started = True
@@ -238,6 +326,27 @@
         state.is_usage_counted = True
         return state
 
+    def _record_path(
+        self, state: ExchangeState, *, on_new_connection: bool
+    ) -> None:
+        """Record that the server of an attempt answers."""
+        attempt = self._load_balancer.loads.attempt_of(
+            state.exchange.request_id
+        )
+        backend = (
+            self._load_balancer.registry.get(attempt.server_id)
+            if attempt
+            else None
+        )
+        if attempt is None or backend is None:
+            return
+        for server_id in self._paths.record_answer(
+            backend.server,
+            sent_at=attempt.sent_at,
+            on_new_connection=on_new_connection,
+        ):
+            self._load_balancer.health.forget(server_id)
+
     def handle_attempt_finished(
         self, now: float, event: AttemptFinished
     ) -> list[Action]:
@@ -253,11 +362,25 @@
             # migration has ended.
             state.deferred_outcome = event
             return []
+        if state.relayed_to is not None:
+            return self._handle_relay_finished(now, state, event)
+        if event.outcome in ANSWERED_OUTCOMES:
+            self._record_path(state, on_new_connection=True)
         attempt = self._load_balancer.loads.record_attempt_end(
             event.request_id
         )
         if attempt is None:
             return self._finish(now, state, event, state.final_step(event))
+        self._paths.record_failure(
+            now,
+            attempt.server_id,
+            event.outcome,
+            response_started=attempt.has_started,
+            last_activity_at=self._load_balancer.loads.last_activity_at(
+                attempt.server_id
+            ),
+            sent_at=attempt.sent_at,
+        )
         if event.outcome is AttemptOutcome.NOT_SENT:
             self._load_balancer.limits.give_back(attempt.server_id)
         if event.retry_after_s is not None:
@@ -265,8 +388,12 @@
                 now, attempt.server_id, event.retry_after_s
             )
         self._record_health(now, state, event, attempt.server_id)
-        self._crash_observer.record_outcome(now, state, event, attempt)
-        self._evidence.record_end(now, state, event, attempt)
+        if not self._paths.explains_failure(
+            state.exchange.service, attempt.sent_at
+        ):
+            # Without a path, failures say nothing about servers or inputs.
+            self._crash_observer.record_outcome(now, state, event, attempt)
+            self._evidence.record_end(now, state, event, attempt)
         step = state.record_outcome(now, event, attempt.server_id)
         if step is NextStep.RESEND:
             resend = self._resend(now, state, event)
@@ -275,6 +402,26 @@
             step = state.final_step(event)
         return self._finish(now, state, event, step)
 
+    def _handle_relay_finished(
+        self, now: float, state: ExchangeState, event: AttemptFinished
+    ) -> list[Action]:
+        """Handle the end of an attempt by a peer.
+
+        A peer that failed the request has tried what the route allows.
+        """
+        assert state.relayed_to is not None
+        server_id = relay_server_id(state.relayed_to)
+        self._end_relay(state)
+        step = state.record_outcome(now, event, server_id)
+        if step is NextStep.RESEND:
+            resend = None
+            if event.outcome is not AttemptOutcome.FAILED:
+                resend = self._resend(now, state, event)
+            if resend is not None:
+                return [resend]
+            step = state.final_step(event)
+        return self._finish(now, state, event, step)
+
     def _resend(
         self, now: float, state: ExchangeState, event: AttemptFinished
     ) -> SendRequest | None:
@@ -297,8 +444,13 @@
                 return self._dispatch(now, state, backend.server)
             state.migrated_cache = None
             return None
+        is_path_lost = self._paths.is_lost(service)
+        if is_path_lost and not state.may_have_run_on:
+            return self._dispatch_without_path(now, state)
         if not self._resend_budget.try_resend(now, service):
             return None
+        if is_path_lost:
+            return self._dispatch_without_path(now, state)
         send = self._dispatch(now, state, None)
         if send is None and event.response_started:
             state.tried_servers &= state.unreachable_servers
@@ -429,6 +581,7 @@
     ) -> list[Action]:
         request_id = event.request_id
         del self._exchanges[request_id]
+        self._end_relay(state)
         self._migrations.forget(request_id)
         if step is NextStep.ABORT:
             return [AbortResponse(request_id=request_id)]
@@ -450,6 +603,8 @@
     ) -> list[Action]:
         """Drop an exchange whose caller has disconnected."""
         state = self._exchanges.pop(event.request_id, None)
+        if state is not None:
+            self._end_relay(state)
         self._migrations.forget(event.request_id)
         attempt = self._load_balancer.loads.record_attempt_end(
             event.request_id
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -7,6 +7,7 @@
     AccountId,
     Action,
     Event,
+    HostId,
     RequestId,
     Server,
     ServerId,
@@ -38,6 +39,7 @@
     most that may be generated. `last_event` is the id of the event after
     which the caller resumes a stream. `digest` is that of the method, target
     and body; it is empty where no request can be known by its content.
+    `is_relayed` says that a peer without a path to the servers sent it.
     """
 
     request_id: RequestId
@@ -51,6 +53,7 @@
     parts: tuple[PromptPart, ...] = ()
     last_event: int | None = None
     digest: str = ""
+    is_relayed: bool = False
 
     @property
     def shared_part(self) -> str | None:
@@ -179,7 +182,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ResponseStarted(ExchangeEvent):
-    """The first byte of a response, or its first event, was received."""
+    """The first byte of a response, or its first event, was received.
+
+    `on_new_connection` says that the request opened its connection.
+    """
+
+    on_new_connection: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -251,7 +259,9 @@
     `stream_idle_timeout_s` bounds a pause in a stream. `resume_after` is
     the id of the last event that was passed on. With `migrated_cache` the
     server continues a run whose KV cache was copied to it.
-    `fresh_connection` asks for a connection that was not idle for long.
+    `fresh_connection` asks for a connection that was not idle for long, and
+    `new_connection` for one that was not used before. With `relay_to` the
+    server stands for a peer, which serves the request as its own.
     """
 
     request_id: RequestId
@@ -265,6 +275,8 @@
     migrated_cache: MigratedCache | None
     fresh_connection: bool
     streaming: bool
+    new_connection: bool = False
+    relay_to: HostId | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/exchange/state_machine.py
+++ b/waxwingarch/core/exchange/state_machine.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import Final
 
-from waxwingarch.core.base import ExecutionStatus, ServerId
+from waxwingarch.core.base import ExecutionStatus, HostId, ServerId
 from waxwingarch.core.exchange.exchange_messages import (
     NOT_RUN_OUTCOMES,
     AttemptFinished,
@@ -46,7 +46,9 @@
     `migrated_cache` says where the KV cache of its run was copied, and
     `may_be_stopped` that the server may have stopped the run to copy it.
     `deferred_outcome` is the end of an attempt that is handled only when
-    the migration of its run has ended.
+    the migration of its run has ended. `relayed_to` is the peer that the
+    current attempt was relayed to, and `tried_peers` all of them.
+    `rate_cost` is what the account's limit was charged here.
     """
 
     exchange: Exchange
@@ -61,6 +63,9 @@
     is_migrating: bool = False
     may_be_stopped: bool = False
     deferred_outcome: AttemptFinished | None = None
+    relayed_to: HostId | None = None
+    tried_peers: set[HostId] = field(default_factory=set)
+    rate_cost: float = 0.0
 
     def record_outcome(
         self, now: float, finished: AttemptFinished, server: ServerId
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -39,6 +39,7 @@
     ServerActivity,
     ServerSilent,
 )
+from waxwingarch.core.exchange.relays import PeerSelector
 from waxwingarch.core.front_messages import (
     ConfigApplied,
     ConfigRead,
@@ -129,6 +130,8 @@
         )
         self.quarantine = Quarantine(self.unix_time)
         self.quarantine_rows = QuarantineRows(self.quarantine)
+        self.gossip = ReportGossip(identity.host, bounds.change_known_s)
+        self.peers = self.gossip.peers
         self.exchanges = ExchangeManager(
             self.table,
             self.load_balancer,
@@ -138,9 +141,8 @@
             rng,
             bounds.change_known_s,
             self.quarantine,
+            PeerSelector(identity.domain, self.peers.live_reports, rng),
         )
-        self.gossip = ReportGossip(identity.host, bounds.change_known_s)
-        self.peers = self.gossip.peers
         self.duties = DutyCoordinator(
             identity.host,
             identity.incarnation,
@@ -177,7 +179,7 @@
             ResponseStarted: self._handle_response_started,
             ServerActivity: self._handle_server_activity,
             ServerSilent: self._handle_server_silent,
-            AttemptFinished: self.exchanges.handle_attempt_finished,
+            AttemptFinished: self._handle_attempt_finished,
             CallerDisconnected: self._handle_disconnect,
             RunMigrated: self.exchanges.handle_run_migrated,
             ReportReceived: self._handle_report_received,
@@ -335,7 +337,23 @@
             self.usage.record_start(
                 self.unix_time(now), state.exchange.account
             )
-        return []
+        return self._tell_path_changes(now)
+
+    def _handle_attempt_finished(
+        self, now: float, event: AttemptFinished
+    ) -> list[Action]:
+        actions = self.exchanges.handle_attempt_finished(now, event)
+        return actions + self._tell_path_changes(now)
+
+    def _tell_path_changes(self, now: float) -> list[Action]:
+        """Tell the peers at once that a path was lost, or is there again."""
+        changes = self.load_balancer.paths.take_changes()
+        if not changes:
+            return []
+        reports = self.gossip.send_reports(
+            now, lambda: self._build_report(now), all_at_once=True
+        )
+        return [*changes, *reports]
 
     def _handle_server_activity(
         self, now: float, event: ServerActivity
@@ -430,7 +448,8 @@
             holds_duties=self.lease.may_act(self._boot_now),
             domain=self.identity.domain,
             loads=self.load_balancer.loads.own_loads(),
-            avoided=self.load_balancer.health.avoided_servers(now),
+            avoided=self.load_balancer.avoided_servers(now),
+            lost_services=self.load_balancer.paths.lost_services(),
             leaving=self.load_balancer.registry.announced_leaving(),
             limits=self.load_balancer.limits.reported(now),
             admitted=self.rates.own_usage(now, self.table.accounts.values()),
--- a/waxwingarch/core/peers/report.py
+++ b/waxwingarch/core/peers/report.py
@@ -13,6 +13,7 @@
     FailureDomain,
     HostId,
     ServerId,
+    ServiceId,
 )
 from waxwingarch.core.moves.move_counts import HostEvidence
 from waxwingarch.core.quarantine.quarantine_messages import QuarantineReport
@@ -27,7 +28,8 @@
     """State of one host; a newer report replaces the one before it.
 
     `address` is where the host receives reports and answers pulls.
-    `avoided` are the servers that its own requests found unhealthy.
+    `avoided` are the servers that its own requests found unhealthy, and
+    `lost_services` the services of which it reaches no server.
     `leaving` are the incarnations of servers that announced to it or to
     another host that they are leaving; the listing does not show it yet.
     `limits` are the request rates that servers named in responses to it.
@@ -58,6 +60,7 @@
     holds_duties: bool = False
     loads: Mapping[ServerId, ServerLoad] = field(default_factory=dict)
     avoided: tuple[ServerId, ...] = ()
+    lost_services: tuple[ServiceId, ...] = ()
     leaving: Mapping[ServerId, int] = field(default_factory=dict)
     limits: Mapping[ServerId, ReportedLimit] = field(default_factory=dict)
     admitted: Mapping[AccountId, float] = field(default_factory=dict)
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -24,6 +24,7 @@
 )
 from waxwingarch.adapters.http_server import HttpServer
 from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_OK
+from waxwingarch.core.backends.paths import PathChanged
 from waxwingarch.core.backends.registry import (
     BackendLeaving,
     BackendsListed,
@@ -69,6 +70,8 @@
 
 MS_PER_S: Final = 1000
 LOGGED_DECIMALS: Final = 3
+# Bound of the server names in one log line.
+MAX_LOGGED_SERVERS: Final = 16
 TICK_INTERVAL_S: Final = 0.1
 # On the metrics address.
 QUARANTINE_PATH: Final = "/quarantine"
@@ -123,13 +126,15 @@
         )
         self._backend_rows = BackendRows(ports.rows)
         watches = [self._operator_table_watch, self._servers_table_watch]
-        self._front_peers = FrontPeers(self._runner, client, watches)
         self._duties = FrontDuties(self._runner, ports, identity.host)
         self._rollouts = FrontRollouts(self._runner, ports)
         self._quarantine = FrontQuarantine(self._runner, ports)
         self._entry = FrontEntry(
             self._runner, client, ports.exchanges, on_error
         )
+        self._front_peers = FrontPeers(
+            self._runner, client, watches, self._entry.async_handle_relayed
+        )
         self._readiness = Readiness(lambda: self.front.ready, on_error)
         self._quarantine_operations = QuarantineOperations(
             self.front.quarantine, self._runner.post
@@ -150,6 +155,7 @@
         self._runner.connect(ConfigApplied, self._log_config_applied)
         self._runner.connect(BackendLeaving, self._log_server_leaving)
         self._runner.connect(ServerLimitChanged, self._log_server_limit)
+        self._runner.connect(PathChanged, self._log_path_change)
 
     async def async_run(self) -> int:
         """Serve until the process is stopped; return the exit code."""
@@ -387,6 +393,13 @@
             learnt_from=action.source.value,
         )
 
+    def _log_path_change(self, action: PathChanged) -> None:
+        log_message(
+            message_type="path_lost" if action.is_lost else "path_regained",
+            service=action.service,
+            failed=action.failed[:MAX_LOGGED_SERVERS],
+        )
+
     def _log_server_limit(self, action: ServerLimitChanged) -> None:
         log_message(
             message_type="server_limit",
--- a/waxwingarch/platform/const.py
+++ b/waxwingarch/platform/const.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from waxwingarch.ports.front import RELAY_HEADER
+
 # The operator writes the first table, the servers register in the second.
 OPERATOR_TABLE: Final = "op"
 CONFIG_KEY: Final = "config"
@@ -55,6 +57,7 @@
         "x-waxwingarch-kv-backup",
         "x-waxwingarch-expected-version",
         "kv-fetch",
+        RELAY_HEADER,
     }
 )
 # Hop-by-hop headers, and those that the HTTP library writes itself.
--- a/waxwingarch/platform/exchange_codec.py
+++ b/waxwingarch/platform/exchange_codec.py
@@ -33,7 +33,7 @@
     MS_PER_S,
     SYSTEM_HEADERS,
 )
-from waxwingarch.ports.front import BadHeadError, ResponseHead
+from waxwingarch.ports.front import RELAY_HEADER, BadHeadError, ResponseHead
 
 HTTP_MISDIRECTED = 421
 HTTP_TOO_MANY_REQUESTS = 429
@@ -85,16 +85,13 @@
             for name, value in req.pairs
             if _is_forwarded(name.lower(), is_resuming)
         ]
-        remaining_ms = max(1, int((send.expires_at - now) * MS_PER_S))
-        headers.append((HEADER_DEADLINE_MS, str(remaining_ms)))
+        headers += _progress_headers(send, now)
         headers.append((HEADER_TARGET_SERVER, send.server.server_id))
         headers.append(
             (HEADER_PRIORITY, str(min(LEAST_URGENT_PRIORITY, send.priority)))
         )
         if send.account is not None:
             headers.append((HEADER_TENANT, send.account))
-        if send.resume_after is not None:
-            headers.append((HEADER_LAST_EVENT_ID, str(send.resume_after)))
         if send.migrated_cache is not None:
             source = (
                 f"{send.migrated_cache.address}/{send.migrated_cache.handle}"
@@ -102,6 +99,24 @@
             headers.append((HEADER_KV_SOURCE, source))
         return headers
 
+    def encode_relay_headers(
+        self, req: HttpRequest, send: SendRequest, now: float
+    ) -> list[tuple[str, str]]:
+        """Return the caller's headers with the time and events that are left.
+
+        The peer sets the others itself, as for a request of its own callers.
+        """
+        is_resuming = send.resume_after is not None
+        headers = [
+            (name, value)
+            for name, value in req.pairs
+            if name.lower() == HEADER_API_KEY
+            or _is_forwarded(name.lower(), is_resuming)
+        ]
+        headers += _progress_headers(send, now)
+        headers.append((RELAY_HEADER, "1"))
+        return headers
+
     def decode_response_head(
         self, status: int, headers: Headers
     ) -> ResponseHead:
@@ -133,6 +148,15 @@
         return [(n, v) for n, v in headers if n.lower() not in HOP_HEADERS]
 
 
+def _progress_headers(send: SendRequest, now: float) -> list[tuple[str, str]]:
+    """Return the time that is left, and after which event to go on."""
+    remaining_ms = max(1, int((send.expires_at - now) * MS_PER_S))
+    headers = [(HEADER_DEADLINE_MS, str(remaining_ms))]
+    if send.resume_after is not None:
+        headers.append((HEADER_LAST_EVENT_ID, str(send.resume_after)))
+    return headers
+
+
 def _is_forwarded(name: str, is_resuming: bool) -> bool:
     if name in SYSTEM_HEADERS or name in HOP_HEADERS:
         return False
--- a/waxwingarch/ports/front.py
+++ b/waxwingarch/ports/front.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Final, Protocol
 
 from waxwingarch.adapters.http_messages import Headers, HttpRequest
 from waxwingarch.core.backends.registry import ListedBackend
@@ -29,6 +29,9 @@
 from waxwingarch.core.routing.config import RoutingConfig
 from waxwingarch.exceptions import PlatformUnavailableError, WaxwingError
 
+# Marks a request that a peer relays to this host's address for peers.
+RELAY_HEADER: Final = "waxwingarch-relay"
+
 
 class HistoryLostError(WaxwingError):
     """The store no longer keeps all changes since a version.
@@ -219,6 +222,11 @@
     ) -> list[tuple[str, str]]:
         """Return the headers of the request that is sent to a server."""
 
+    def encode_relay_headers(
+        self, req: HttpRequest, send: SendRequest, now: float
+    ) -> list[tuple[str, str]]:
+        """Return the headers of the request that is relayed to a peer."""
+
     def decode_response_head(
         self, status: int, headers: Headers
     ) -> ResponseHead:
--- a/waxwingarch/tasks/front_entry.py
+++ b/waxwingarch/tasks/front_entry.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Final
 
 import orjson
@@ -31,6 +31,7 @@
     LocalResponse,
     SendRequest,
 )
+from waxwingarch.core.exchange.relays import MAX_RELAYED_REQUESTS
 from waxwingarch.core.exchange.state_machine import RETRY_AFTER_S
 from waxwingarch.core.front_node import STARTUP_WAIT_S
 from waxwingarch.core.quarantine.quarantine_messages import CancelAttempt
@@ -126,6 +127,7 @@
         self._client = client
         self._codec = codec
         self._queues: dict[RequestId, _ActionQueue] = {}
+        self._relayed_count = 0
         self.server = HttpServer(self._async_handle, on_error)
         for kind in (
             SendRequest,
@@ -165,11 +167,34 @@
         if queue is not None:
             queue.cancel_attempt()
 
+    async def async_handle_relayed(
+        self, req: HttpRequest, resp: HttpResponder
+    ) -> None:
+        """Serve a request that a peer relays, within the bound for these."""
+        if self._relayed_count >= MAX_RELAYED_REQUESTS:
+            log_message(message_type="relay_refused")
+            await _async_refuse(
+                resp, 503, "too many relayed requests", RETRY_AFTER_S
+            )
+            return
+        self._relayed_count += 1
+        try:
+            await self._async_serve_request(req, resp, is_relayed=True)
+        finally:
+            self._relayed_count -= 1
+
     async def _async_handle(
         self, req: HttpRequest, resp: HttpResponder
+    ) -> None:
+        await self._async_serve_request(req, resp, is_relayed=False)
+
+    async def _async_serve_request(
+        self, req: HttpRequest, resp: HttpResponder, *, is_relayed: bool
     ) -> None:
         try:
-            head = self._codec.decode_request_head(req)
+            head = replace(
+                self._codec.decode_request_head(req), is_relayed=is_relayed
+            )
             if head.request_id in self._queues:
                 raise BadHeadError("this request id is in progress here")
         except BadHeadError as exc:
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -61,6 +61,8 @@
 # Interval of the checks whether a migration has ended.
 MIGRATION_POLL_S: Final = 0.05
 
+# Statuses with which a host refuses a request that no server ran.
+REFUSED_STATUSES: Final = frozenset({429, 503})
 HTTP_SUCCESS_MIN: Final = 200
 HTTP_SUCCESS_MAX: Final = 299
 
@@ -82,17 +84,27 @@
     """The part of the response that the caller has, over all attempts.
 
     `last_event` is the id of the last event that was passed on. `failure`
-    is the latest error response that can be forwarded. `ended_by_close`
-    is about the current attempt.
+    is the latest error response that can be forwarded. `ended_by_close` and
+    `on_new_connection` are about the current attempt.
     """
 
     response_started: bool = False
     last_event: int | None = None
     failure: FailureResponse | None = None
     ended_by_close: bool = False
+    on_new_connection: bool = True
     activity_reported_at: float = field(default=float("-inf"))
 
 
+def _is_refused_by_peer(head: ResponseHead, send: SendRequest) -> bool:
+    """Return whether a peer says that no server ran the request."""
+    return (
+        send.relay_to is not None
+        and not head.is_authentic
+        and head.status in REFUSED_STATUSES
+    )
+
+
 class BadResponseError(LinkError):
     """A response is incomplete, not authentic or not for this request."""
 
@@ -150,6 +162,11 @@
     ) -> tuple[AttemptOutcome, float | None]:
         loop = asyncio.get_running_loop()
         now = loop.time()
+        encode_headers = (
+            self._codec.encode_request_headers
+            if send.relay_to is None
+            else self._codec.encode_relay_headers
+        )
         async with self._client.async_stream(
             self._req.method,
             send.server.address,
@@ -157,14 +174,17 @@
             deadline=send.expires_at,
             wait_until=lambda: self._first_byte_wait_until(send),
             connect_deadline=now + CONNECT_TIMEOUT_S,
-            headers=self._codec.encode_request_headers(self._req, send, now),
+            headers=encode_headers(self._req, send, now),
             body=self._req.body,
+            fresh=send.new_connection,
             max_idle_s=FRESH_CONNECTION_MAX_IDLE_S
             if send.fresh_connection
             else POOLED_CONNECTION_MAX_IDLE_S,
         ) as stream:
             stream, head = await self._async_find_response(stream, send)
-            self._report_limit(head, send, now)
+            self.state.on_new_connection = stream.on_new_connection
+            if send.relay_to is None:
+                self._report_limit(head, send, now)
             return await self._async_handle_response(stream, head, send)
 
     def _first_byte_wait_until(self, send: SendRequest) -> float | None:
@@ -208,7 +228,7 @@
             head = self._codec.decode_response_head(
                 stream.status, stream.pairs
             )
-            if head.leaving:
+            if head.leaving and send.relay_to is None:
                 self._runner.post(LeavingAnnounced(server=send.server))
             if head.request_id in (None, self._request_id):
                 return stream, head
@@ -237,7 +257,7 @@
     async def _async_handle_response(
         self, stream: ClientStream, head: ResponseHead, send: SendRequest
     ) -> tuple[AttemptOutcome, float | None]:
-        if head.not_executed:
+        if head.not_executed or _is_refused_by_peer(head, send):
             await self._async_discard_body(stream, send)
             outcome = (
                 AttemptOutcome.MISDIRECTED
@@ -304,7 +324,12 @@
 
     def _report_response_start(self, send: SendRequest) -> None:
         self.state.activity_reported_at = asyncio.get_running_loop().time()
-        self._runner.post(ResponseStarted(request_id=self._request_id))
+        self._runner.post(
+            ResponseStarted(
+                request_id=self._request_id,
+                on_new_connection=self.state.on_new_connection,
+            )
+        )
 
     def _report_activity(self, send: SendRequest) -> None:
         now = asyncio.get_running_loop().time()
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -176,6 +176,7 @@
             uncached_tokens=in_flight.prefill_tokens if in_flight else None,
             shared_part=history.shared_part,
             running=loads.total_load(server_id).running,
+            relayed_to=send.relay_to,
             limit_per_s=self._front.load_balancer.limits.limit_of(server_id),
             **self._decision_inputs(now),
         )
--- a/waxwingarch/tasks/front_peers.py
+++ b/waxwingarch/tasks/front_peers.py
@@ -13,6 +13,7 @@
 from waxwingarch.adapters.http_client import HttpClient
 from waxwingarch.adapters.http_messages import (
     JSON_TYPE,
+    Handler,
     HttpRequest,
     HttpResponder,
 )
@@ -29,7 +30,7 @@
     SendReport,
 )
 from waxwingarch.exceptions import LinkError
-from waxwingarch.ports.front import StoredRow
+from waxwingarch.ports.front import RELAY_HEADER, StoredRow
 from waxwingarch.tasks.runner import FrontRunner
 from waxwingarch.tasks.table_watch import TableChanges, TableWatch
 
@@ -56,7 +57,8 @@
 class FrontPeers:
     """Link to the other hosts.
 
-    Reports go over UDP and table changes over HTTP, at the same address.
+    Reports go over UDP, table changes and relayed requests over HTTP, at the
+    same address. `on_relayed` serves a relayed request.
     """
 
     def __init__(
@@ -64,13 +66,15 @@
         runner: FrontRunner,
         client: HttpClient,
         watches: list[TableWatch],
+        on_relayed: Handler,
     ) -> None:
+        self._on_relayed = on_relayed
         self.counts: Counter[str] = Counter()
         self._runner = runner
         self._client = client
         self._watches = {watch.table: watch for watch in watches}
         self._transport: asyncio.DatagramTransport | None = None
-        self._server = HttpServer(self._async_serve_changes)
+        self._server = HttpServer(self._async_serve)
         self._pull_task: asyncio.Task[None] | None = None
         self._pull_started_at = float("-inf")
         runner.connect(SendReport, self._send_report)
@@ -168,6 +172,14 @@
             )
             watch.merge(changes)
 
+    async def _async_serve(
+        self, req: HttpRequest, resp: HttpResponder
+    ) -> None:
+        if RELAY_HEADER in req.headers:
+            await self._on_relayed(req, resp)
+        else:
+            await self._async_serve_changes(req, resp)
+
     async def _async_serve_changes(
         self, req: HttpRequest, resp: HttpResponder
     ) -> None:
--- a/waxwingctl/logs.py
+++ b/waxwingctl/logs.py
@@ -17,6 +17,8 @@
         "config_applied",
         "server_leaving",
         "server_limit",
+        "path_lost",
+        "path_regained",
         "store_lost",
         "store_regained",
         "stopping",
