Show that brittle servers fall over one after the other

Four servers of eight slots on simulated time that reject what exceeds their slots and one waiting request, and fall over if they reject more than 0, 1 or 5 in a second.

--- a/tests/core/front/simulated_fleet.py
+++ b/tests/core/front/simulated_fleet.py
@@ -62,6 +62,8 @@
 TOLD_S: Final = 0.5
 # How long a host waits for a connection that is not made.
 CONNECT_S: Final = 0.4
+# How long a server that fell over is away.
+FALL_S: Final = 3.0
 # The median and the spread of how long a server works on a request.
 WORK_S: Final = 0.06
 WORK_SPREAD: Final = 0.5
@@ -77,6 +79,39 @@
     ended_at: float | None = None
 
 
+@dataclass(kw_only=True)
+class SimulatedServer:
+    """A server with slots, and room for some requests that wait.
+
+    It is `brittle` where it falls over if it rejects more requests in a
+    second than this. `running` are the ends of the requests that it has.
+    """
+
+    room: int = 1_000
+    brittle: int | None = None
+    running: list[float] = field(default_factory=list)
+    rejected_at: list[float] = field(default_factory=list)
+    fell_at: list[float] = field(default_factory=list)
+    is_up: bool = True
+    incarnation: int = 1
+
+    def end_of(self, now: float, slots: int, work_s: float) -> float | None:
+        """Return when a request that arrives ends; None if it is rejected."""
+        self.running = sorted(end for end in self.running if end > now)
+        if len(self.running) >= slots + self.room:
+            self.rejected_at.append(now)
+            return None
+        waits_for = len(self.running) - slots
+        begin = self.running[waits_for] if waits_for >= 0 else now
+        self.running.append(begin + work_s)
+        return begin + work_s
+
+    def falls_over(self, now: float) -> bool:
+        """Return whether it has rejected too many in the last second."""
+        late = [at for at in self.rejected_at if at > now - 1.0]
+        return self.brittle is not None and len(late) > self.brittle
+
+
 @dataclass(kw_only=True)
 class SimulatedFleet:
     """Hosts and plain servers on simulated time, with requests at random.
@@ -98,6 +133,7 @@
     partitioned: set[int] = field(default_factory=set)
     resets: bool = False
     path: str = "/read/x"
+    work_s: float = WORK_S
     now: float = 0.0
 
     def __post_init__(self) -> None:
@@ -112,11 +148,15 @@
         self.told_at: dict[tuple[str, int], float] = {}
         self.named_at: dict[str, float] = {}
         self.refused: list[tuple[float, float | None]] = []
+        self.simulated = {
+            str(s.server_id): SimulatedServer() for s in self._servers
+        }
         self.calls: dict[str, Call] = {}
         self.relayed_by: dict[tuple[int, str], int] = {}
         self.nodes = [self._node(n) for n in range(self.hosts)]
         self._next_arrival_at = 0.0
         self._next_tick_at = 0.0
+        self._listing_version = 1
 
     def _node(self, n: int) -> FrontNode:
         identity = FrontIdentity(
@@ -252,15 +292,60 @@
     def _reach(self, n: int, send: SendRequest, sent_at: float) -> None:
         """Let a request reach its server, which answers later."""
         name = str(send.server.server_id)
+        simulated = self.simulated[name]
+        if (
+            not simulated.is_up
+            or simulated.incarnation != send.server.incarnation
+        ):
+            self._end_early(n, send, AttemptOutcome.NOT_SENT)
+            return
         self.arrivals[name].append((self.now, n))
-        work_s = WORK_S * self._rng.lognormvariate(0, WORK_SPREAD)
-        self._later(
-            self.now + work_s, lambda: self._answer(n, send, name, sent_at)
-        )
+        work_s = self.work_s * self._rng.lognormvariate(0, WORK_SPREAD)
+        end = simulated.end_of(self.now, send.server.slots, work_s)
+        if end is not None:
+            self._later(end, lambda: self._answer(n, send, name, sent_at))
+            return
+        self._tell_brittleness(n, send, sent_at)
+        self._end_early(n, send, AttemptOutcome.REJECTED)
+        if simulated.falls_over(self.now):
+            self._fall_over(name)
+
+    def _end_early(
+        self, n: int, send: SendRequest, outcome: AttemptOutcome
+    ) -> None:
+        event = AttemptFinished(request_id=send.request_id, outcome=outcome)
+        self._later(self.now + LINK_S, lambda: self._post(n, event))
+
+    def _fall_over(self, name: str) -> None:
+        """End a server, which is back after some seconds."""
+        simulated = self.simulated[name]
+        simulated.fell_at.append(self.now)
+        simulated.is_up = False
+        simulated.incarnation += 1
+        simulated.running.clear()
+        self._later(self.now + FALL_S, lambda: self._start_again(name))
+
+    def _start_again(self, name: str) -> None:
+        simulated = self.simulated[name]
+        simulated.is_up = True
+        self._servers = [
+            replace(s, incarnation=simulated.incarnation)
+            if s.server_id == name
+            else s
+            for s in self._servers
+        ]
+        self._listing_version += 1
+        listing = make_listing(self._listing_version, *self._servers)
+        for n in range(self.hosts):
+            self._post(n, listing)
 
     def _answer(
         self, n: int, send: SendRequest, name: str, sent_at: float
     ) -> None:
+        if self.simulated[name].incarnation != send.server.incarnation:
+            self._end_early(n, send, AttemptOutcome.BROKEN)
+            return
+        self._tell_brittleness(n, send, sent_at)
         limit = self.limits.get(name)
         if limit is not None:
             self.named_at.setdefault(name, self.now)
@@ -312,6 +397,11 @@
         ]
         return sum(call.is_served for call in calls), len(calls)
 
+    def _tell_brittleness(
+        self, n: int, send: SendRequest, sent_at: float
+    ) -> None:
+        """Let a response tell that its server is brittle."""
+
     # What the rule counts
 
     def counted(self, name: str) -> list[float]:
