Use no more than the slots of brittle servers

Servers that fall over if they reject more than N requests in a second fell 12 times in 10 s (2.4 allowed; N = 0, nine hosts, 0.7 of the capacity, on simulated time). Each host judges room by loads that its peers reported some hundred milliseconds ago and resends a rejection to up to three more servers, so that a full server makes the next one full.

While a service's answers say that it is brittle, each host has a fixed part of nine tenths of each server's slots, by rank over the hosts that serve. The sum stays below the slots without any message, so that there is nothing to reject. What finds no room on its host is relayed to a peer that may have some, at most to four, and else refused at once. Breaks of these servers are no evidence against versions or inputs. A host that heard of it from a peer only holds to it for 3 s after the peer's last report.

The failing test passes for N = 0, 1 and 5 at 0.7, 1.5 and 3 times the capacity. Not covered: servers that are full by the memory of their requests, not by slots.

--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -23,6 +23,7 @@
 NOT_EXECUTED_HEADER: Final = "X-Waxwingarch-Not-Executed"
 SERVER_LEAVING_HEADER: Final = "Server-Leaving"
 SERVER_LIMIT_HEADER: Final = "Server-Limit"
+SERVER_BRITTLE_HEADER: Final = "Server-Brittle"
 PROMPT_PREFIX_HEADER: Final = "X-Waxwingarch-Prompt-Prefix"
 
 
@@ -121,6 +122,8 @@
         # The requests a second that all responses name as a limit, if any.
         self.limit_per_s: float | None = None
         self.arrivals: list[Arrival] = []
+        # The rejections a second that the server survives, if it is brittle.
+        self.brittle: int | None = None
         self.born = 1_000
         self._running: dict[str, tuple[Run, asyncio.Event]] = {}
         # The ids of prompt parts, and the targets, under which the server
@@ -213,6 +216,8 @@
             headers.append((SERVER_LEAVING_HEADER, "1"))
         if self.limit_per_s is not None:
             headers.append((SERVER_LIMIT_HEADER, f"{self.limit_per_s:g}"))
+        if self.brittle is not None:
+            headers.append((SERVER_BRITTLE_HEADER, str(self.brittle)))
         if how == "shed":
             self.shed_at.append(time.monotonic())
             if self.behaviour.retry_after:
--- a/tests/core/front/simulated_fleet.py
+++ b/tests/core/front/simulated_fleet.py
@@ -19,6 +19,7 @@
     server,
 )
 from waxwingarch.adapters.report_codec import decode_report, encode_report
+from waxwingarch.core.backends.brittle_servers import BrittlenessSeen
 from waxwingarch.core.backends.server_limits import ServerLimitSeen
 from waxwingarch.core.base import (
     Action,
@@ -400,7 +401,13 @@
     def _tell_brittleness(
         self, n: int, send: SendRequest, sent_at: float
     ) -> None:
-        """Let a response tell that its server is brittle."""
+        """Let a response tell whether its server is brittle."""
+        brittle = self.simulated[str(send.server.server_id)].brittle
+        seen = BrittlenessSeen(
+            server=send.server, rejections_per_s=brittle, sent_at=sent_at
+        )
+        if brittle is not None:
+            self._later(self.now + LINK_S, lambda: self._post(n, seen))
 
     # What the rule counts
 
--- a/tests/core/front/test_brittle_servers.py
+++ b/tests/core/front/test_brittle_servers.py
@@ -2,7 +2,17 @@
 
 import testtools
 
+from tests.core.front.builders import LEDGER, server, serving_front
 from tests.core.front.simulated_fleet import SimulatedFleet
+from waxwingarch.adapters.report_codec import decode_report, encode_report
+from waxwingarch.core.backends.brittle_servers import (
+    BRITTLE_VALID_S,
+    BrittlenessChanged,
+    BrittlenessSeen,
+)
+from waxwingarch.core.base import Action
+from waxwingarch.core.front_node import FrontNode
+from waxwingarch.core.peers.report import ReportReceived
 
 BRITTLE_AT_S = 3.0
 # The users' rule: servers may let fewer requests wait from this time on.
@@ -48,3 +58,68 @@
                 fleet = brittle_fleet(rejections, load * capacity_per_s)
                 falls = sum(len(s.fell_at) for s in fleet.simulated.values())
                 self.assertLessEqual(falls, MAX_FALLS, (rejections, load))
+
+    def test_serve_what_their_slots_allow(self) -> None:
+        capacity_per_s = SERVERS * SLOTS / WORK_S
+        for load, least in ((0.4, 0.9), (0.7, 0.75), (1.5, 0.4)):
+            fleet = brittle_fleet(1, load * capacity_per_s)
+            since = BRITTLE_AT_S + CONTACT_S
+            served, sent = fleet.served_at(
+                set(range(9)), since, fleet.now - 2.0
+            )
+            self.assertGreater(served / sent, least, load)
+
+    def test_refuse_the_rest_at_once(self) -> None:
+        fleet = brittle_fleet(1, 2.0 * SERVERS * SLOTS / WORK_S)
+        waits = [
+            call.ended_at - call.arrived_at
+            for call in fleet.calls.values()
+            if call.ended_at is not None
+            and not call.is_served
+            and call.arrived_at > BRITTLE_AT_S + CONTACT_S
+        ]
+        self.assertGreater(len(waits), 100)
+        self.assertLess(max(waits), 0.1)
+
+
+class WhatIsSaid(testtools.TestCase):
+    def see(
+        self, node: FrontNode, rejections: float | None, now: float
+    ) -> list[Action]:
+        seen = BrittlenessSeen(
+            server=server("p1", LEDGER),
+            rejections_per_s=rejections,
+            sent_at=now - 0.1,
+        )
+        return node.handle(now, seen)
+
+    def is_brittle(self, node: FrontNode, now: float) -> bool:
+        return node.load_balancer.brittle.is_brittle(now, LEDGER)
+
+    def test_holds_until_a_later_response(self) -> None:
+        node = serving_front()
+        [change, *_] = self.see(node, 1.0, 1.0)
+        self.assertIsInstance(change, BrittlenessChanged)
+        self.assertEqual([], self.see(node, 1.0, 1.05))
+        # The request of this response was sent before.
+        self.assertEqual([], self.see(node, None, 1.1))
+        self.assertTrue(self.is_brittle(node, 1.1))
+        [change, *_] = self.see(node, None, 1.3)
+        self.assertFalse(self.is_brittle(node, 1.3))
+
+    def test_ends_if_it_is_not_said_again(self) -> None:
+        node = serving_front()
+        self.see(node, 1.0, 1.0)
+        self.assertFalse(self.is_brittle(node, 1.1 + BRITTLE_VALID_S))
+
+    def test_peers_learn_it(self) -> None:
+        node, other = serving_front(), serving_front()
+        self.see(node, 1.0, 1.0)
+        data = encode_report(node._build_report(1.1))
+        report = decode_report(data.replace(b'"h1"', b'"h2"'))
+        other.handle(1.2, ReportReceived(report=report))
+        self.assertTrue(self.is_brittle(other, 1.2))
+        self.assertEqual((), other._build_report(1.2).brittle_services)
+        older = data.replace(b'"brittle":["ledger"],', b"")
+        self.assertNotEqual(data, older)
+        self.assertEqual((), decode_report(older).brittle_services)
--- a/tests/front/test_server_notices_host.py
+++ b/tests/front/test_server_notices_host.py
@@ -162,6 +162,33 @@
         raise AssertionError(f"{path}: limit of the server is not {want}")
 
 
+class BrittleServers(testtools.TestCase):
+    @async_test
+    async def test_only_slots_are_used_until_a_response_says_no_more(
+        self,
+    ) -> None:
+        """Slots of the emulated servers: 8, of which 7 are used."""
+        async with Host() as host:
+            servers = host.fleet.plain()
+            for server in servers:
+                server.brittle = 1
+                server.behaviour.work_s = 0.5
+            self.assertEqual(200, (await host.async_send("/read/x")).status)
+            answers = await asyncio.gather(
+                *(host.async_send("/pay/x") for _ in range(40))
+            )
+            statuses = [answer.status for answer in answers]
+            self.assertEqual(7 * len(servers), statuses.count(200))
+            self.assertEqual(40 - 7 * len(servers), statuses.count(503))
+            for server in servers:
+                server.brittle = None
+            await host.async_send("/read/x")
+            answers = await asyncio.gather(
+                *(host.async_send("/pay/x") for _ in range(40))
+            )
+            self.assertEqual({200}, {answer.status for answer in answers})
+
+
 class EndlessResponses(testtools.TestCase):
     """A response without end costs bounded memory and time."""
 
--- a/waxwingarch/adapters/report_codec.py
+++ b/waxwingarch/adapters/report_codec.py
@@ -71,6 +71,7 @@
                 ]
                 for server, limit in report.limits.items()
             },
+            "brittle": report.brittle_services,
             "adm": {a: round(n, 1) for a, n in report.admitted.items()},
             "began": _encode_windows(report.usage_counts),
             "moves": [[r.rollout_id, r.phase] for r in report.rollouts],
@@ -118,8 +119,11 @@
         },
         domain=FailureDomain(str(raw["zone"])),
         avoided=tuple(ServerId(str(s)) for s in raw["avoid"]),
-        # Hosts of an older version do not send "lost", "leaving", "limits",
-        # "num" and "quar".
+        # Hosts of an older version do not send "lost", "brittle", "leaving",
+        # "limits", "num" and "quar".
+        brittle_services=tuple(
+            ServiceId(str(s)) for s in raw.get("brittle", ())
+        ),
         lost_services=tuple(ServiceId(str(s)) for s in raw.get("lost", ())),
         leaving={
             ServerId(server): int(incarnation)
--- a/waxwingarch/core/backends/load.py
+++ b/waxwingarch/core/backends/load.py
@@ -177,6 +177,11 @@
             if own.running
         }
 
+    def own_running(self, server_id: ServerId) -> int:
+        """Return how many requests of this host are on a server."""
+        own = self._own.get(server_id)
+        return own.running if own else 0
+
     def total_load(self, server_id: ServerId) -> ServerLoad:
         """Return the load by all hosts, as far as they reported it."""
         own = self._own.get(server_id)
--- a/waxwingarch/core/backends/load_balancer.py
+++ b/waxwingarch/core/backends/load_balancer.py
@@ -11,6 +11,10 @@
 
 import xxhash
 
+from waxwingarch.core.backends.brittle_servers import (
+    ROOM_WAIT_S,
+    BrittleServers,
+)
 from waxwingarch.core.backends.health import HealthTracker
 from waxwingarch.core.backends.latency import LatencyTracker
 from waxwingarch.core.backends.load import (
@@ -114,6 +118,7 @@
         self.latency = LatencyTracker()
         self.pauses = ServerPauses(rng)
         self.limits = ServerLimits(own_host, self.registry)
+        self.brittle = BrittleServers(own_host)
         self.paths = PathMonitor(self.registry)
 
     def choose(
@@ -167,19 +172,29 @@
         """Return when a service takes requests that it does not take now.
 
         Returns None unless this host has to wait for all its servers: they
-        asked it for a pause, or are at the limit that they named.
+        asked it for a pause, are at the limit that they named, or are
+        brittle and have no room.
         """
         waits_s = (
-            self._wait_s(now, b.server.server_id)
+            self._wait_s(now, b.server)
             for b in self._allowed_backends(service)
         )
         return min(waits_s, default=0.0) or None
 
-    def _wait_s(self, now: float, server_id: ServerId) -> float:
+    def is_shared_out(self, now: float, service: ServiceId) -> bool:
+        """Return whether hosts have parts of what a service takes."""
+        return self.brittle.is_brittle(now, service)
+
+    def _wait_s(self, now: float, server: Server) -> float:
         """Return in how long a server takes a request from this host."""
+        server_id = server.server_id
+        has_room = not self.brittle or self.brittle.has_room(
+            now, server, self.loads.own_running(server_id)
+        )
         return max(
             self.pauses.remaining_s(now, server_id),
             self.limits.wait_s(now, server_id),
+            0.0 if has_room else ROOM_WAIT_S,
         )
 
     def _allowed_backends(self, service: ServiceId) -> list[Backend]:
@@ -191,12 +206,12 @@
     def _open_backends(self, now: float, service: ServiceId) -> list[Backend]:
         """Return the usable servers that take a request of this host now."""
         allowed = self._allowed_backends(service)
-        if not self.pauses and not self.limits:
+        if not self.pauses and not self.limits and not self.brittle:
             return allowed
         return [
             backend
             for backend in allowed
-            if self._wait_s(now, backend.server.server_id) <= 0
+            if self._wait_s(now, backend.server) <= 0
         ]
 
     def record_attempt(
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from typing import Any, Final
 
+from waxwingarch.core.backends.load import ActiveAttempt
 from waxwingarch.core.backends.load_balancer import LoadBalancer, Pick
 from waxwingarch.core.backends.registry import BackendLeaving
 from waxwingarch.core.base import (
@@ -178,22 +179,41 @@
             now, service
         ):
             return self._dispatch_without_path(now, state)
-        return self._dispatch(now, state, None)
+        return self._dispatch_or_relay(now, state)
 
-    def _dispatch_without_path(
+    def _dispatch_or_relay(
+        self, now: float, state: ExchangeState
+    ) -> SendRequest | None:
+        """Relay a request if the servers have room for other hosts only."""
+        send = self._dispatch(now, state, None)
+        if send is not None or not self._load_balancer.is_shared_out(
+            now, state.exchange.service
+        ):
+            return send
+        return self._relay_to_any(now, state)
+
+    def _relay_to_any(
         self, now: float, state: ExchangeState
     ) -> SendRequest | None:
-        """Relay a request; without a peer, try servers that did not fail.
+        """Relay a request to a peer that was not tried, if there is one.
 
-        A request is relayed once at most, so that hosts without a path
-        don't send it around.
+        A request is relayed once at most, so that hosts don't send it around.
         """
-        service = state.exchange.service
-        if not state.exchange.head.is_relayed:
-            peer = self._relay_peers.choose(now, service, state.tried_peers)
-            if peer is not None:
-                return self._relay(now, state, peer)
-        if not self._paths.has_untried(service):
+        if state.exchange.head.is_relayed:
+            return None
+        peer = self._relay_peers.choose(
+            now, state.exchange.service, state.tried_peers
+        )
+        return None if peer is None else self._relay(now, state, peer)
+
+    def _dispatch_without_path(
+        self, now: float, state: ExchangeState
+    ) -> SendRequest | None:
+        """Relay a request; without a peer, try servers that did not fail."""
+        relay = self._relay_to_any(now, state)
+        if relay is not None:
+            return relay
+        if not self._paths.has_untried(state.exchange.service):
             return None
         return self._dispatch(now, state, None)
 
@@ -326,6 +346,18 @@
         state.is_usage_counted = True
         return state
 
+    def _is_explained(
+        self, now: float, state: ExchangeState, attempt: ActiveAttempt
+    ) -> bool:
+        """Return whether a failure says nothing about versions and inputs.
+
+        It may come of a path that is lost, or of a brittle server.
+        """
+        service = state.exchange.service
+        return self._paths.explains_failure(
+            service, attempt.sent_at
+        ) or self._load_balancer.brittle.is_brittle(now, service)
+
     def _record_path(
         self, state: ExchangeState, *, on_new_connection: bool
     ) -> None:
@@ -388,10 +420,7 @@
                 now, attempt.server_id, event.retry_after_s
             )
         self._record_health(now, state, event, attempt.server_id)
-        if not self._paths.explains_failure(
-            state.exchange.service, attempt.sent_at
-        ):
-            # Without a path, failures say nothing about servers or inputs.
+        if not self._is_explained(now, state, attempt):
             self._crash_observer.record_outcome(now, state, event, attempt)
             self._evidence.record_end(now, state, event, attempt)
         step = state.record_outcome(now, event, attempt.server_id)
@@ -444,14 +473,15 @@
                 return self._dispatch(now, state, backend.server)
             state.migrated_cache = None
             return None
-        is_path_lost = self._paths.is_lost(service)
-        if is_path_lost and not state.may_have_run_on:
-            return self._dispatch_without_path(now, state)
-        if not self._resend_budget.try_resend(now, service):
+        # What only peers have rejected has reached no server yet.
+        is_first = not state.may_have_run_on and (
+            self._paths.is_lost(service) or not state.tried_servers
+        )
+        if not is_first and not self._resend_budget.try_resend(now, service):
             return None
-        if is_path_lost:
+        if self._paths.is_lost(service):
             return self._dispatch_without_path(now, state)
-        send = self._dispatch(now, state, None)
+        send = self._dispatch_or_relay(now, state)
         if send is None and event.response_started:
             state.tried_servers &= state.unreachable_servers
             send = self._dispatch(now, state, None)
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -8,6 +8,10 @@
 from collections.abc import Mapping
 from typing import Final
 
+from waxwingarch.core.backends.brittle_servers import (
+    BrittlenessChanged,
+    BrittlenessSeen,
+)
 from waxwingarch.core.backends.load_balancer import LoadBalancer
 from waxwingarch.core.backends.registry import (
     BackendLeaving,
@@ -175,6 +179,7 @@
             BackendsListed: self._handle_backends_listed,
             LeavingAnnounced: self._handle_leaving_announced,
             ServerLimitSeen: self._handle_limit_seen,
+            BrittlenessSeen: self._handle_brittleness_seen,
             ExchangeArrived: self._handle_arrival,
             ResponseStarted: self._handle_response_started,
             ServerActivity: self._handle_server_activity,
@@ -301,11 +306,28 @@
         changes = self.load_balancer.limits.record_response(now, event)
         if changes and now >= self._limits_told_at + LIMITS_TOLD_INTERVAL_S:
             self._limits_told_at = now
-            changes += self.gossip.send_reports(
-                now, lambda: self._build_report(now), all_at_once=True
-            )
+            changes += self._tell_all_peers(now)
         return changes
 
+    def _handle_brittleness_seen(
+        self, now: float, event: BrittlenessSeen
+    ) -> list[Action]:
+        """Record that a server is brittle; news are told at once."""
+        if not self.load_balancer.brittle:
+            self._update_limit_hosts(now)
+        if not self.load_balancer.brittle.record_response(now, event):
+            return []
+        changed = BrittlenessChanged(
+            service=event.server.service,
+            rejections_per_s=event.rejections_per_s,
+        )
+        return [changed, *self._tell_all_peers(now)]
+
+    def _tell_all_peers(self, now: float) -> list[Action]:
+        return self.gossip.send_reports(
+            now, lambda: self._build_report(now), all_at_once=True
+        )
+
     def _handle_peer_announcements(
         self, now: float, announced: Mapping[ServerId, int]
     ) -> list[Action]:
@@ -350,10 +372,7 @@
         changes = self.load_balancer.paths.take_changes()
         if not changes:
             return []
-        reports = self.gossip.send_reports(
-            now, lambda: self._build_report(now), all_at_once=True
-        )
-        return [*changes, *reports]
+        return [*changes, *self._tell_all_peers(now)]
 
     def _handle_server_activity(
         self, now: float, event: ServerActivity
@@ -418,6 +437,12 @@
             self.table.version,
         )
         changes: list[Action] = []
+        if report.brittle_services:
+            if not self.load_balancer.brittle:
+                self._update_limit_hosts(now)
+            self.load_balancer.brittle.record_report(
+                now, report.brittle_services
+            )
         if report.limits:
             self._start_limits(now)
             changes += self.load_balancer.limits.record_report(
@@ -452,6 +477,7 @@
             lost_services=self.load_balancer.paths.lost_services(),
             leaving=self.load_balancer.registry.announced_leaving(),
             limits=self.load_balancer.limits.reported(now),
+            brittle_services=self.load_balancer.brittle.reported(now),
             admitted=self.rates.own_usage(now, self.table.accounts.values()),
             usage_counts=self.usage.counts,
             rollouts=self.rollouts.phase_reports(),
@@ -529,9 +555,7 @@
         """Judge the evidence; a verdict of this host is told at once."""
         changes = self.exchanges.tick_quarantine(now)
         if any(isinstance(c, QuarantineChanged) and c.own for c in changes):
-            changes += self.gossip.send_reports(
-                now, lambda: self._build_report(now), all_at_once=True
-            )
+            changes += self._tell_all_peers(now)
         return changes
 
     def _tick_rollouts(self, now: float) -> list[Action]:
@@ -559,7 +583,7 @@
         actions += self._handle_leaving_backends(
             now, self.load_balancer.registry.tick(now)
         )
-        if self.load_balancer.limits:
+        if self.load_balancer.limits or self.load_balancer.brittle:
             self._update_limit_hosts(now)
         for host in self.peers.silent_hosts(now):
             self.load_balancer.loads.forget_peer(host)
@@ -589,9 +613,9 @@
         hosts = self.gossip.serving_hosts(now)
         if self.stopping:
             hosts -= {self.identity.host}
-        self.load_balancer.limits.tick(
-            now, hosts, self.gossip.heard_ratio(now)
-        )
+        heard_ratio = self.gossip.heard_ratio(now)
+        self.load_balancer.limits.tick(now, hosts, heard_ratio)
+        self.load_balancer.brittle.set_hosts(hosts, heard_ratio)
 
     def _start(self, now: float, event: FrontTick) -> list[Action]:
         """Start at the first tick.
@@ -611,7 +635,4 @@
     def _handle_stop(self, now: float, event: StopBegan) -> list[Action]:
         self.stopping = True
         self._accept_until = now + ACCEPT_WHILE_STOPPING_S
-        last_reports = self.gossip.send_reports(
-            now, lambda: self._build_report(now), all_at_once=True
-        )
-        return self.lease.resign(self._boot_now) + last_reports
+        return self.lease.resign(self._boot_now) + self._tell_all_peers(now)
--- a/waxwingarch/core/peers/report.py
+++ b/waxwingarch/core/peers/report.py
@@ -33,6 +33,7 @@
     `leaving` are the incarnations of servers that announced to it or to
     another host that they are leaving; the listing does not show it yet.
     `limits` are the request rates that servers named in responses to it.
+    `brittle_services` are those whose servers called themselves brittle.
     `unix_now` is its estimate of the time of day, in Unix seconds.
     `admitted` is what it used of each account's rate limit over the limit's
     window. `usage_counts` counts requests by the usage window in which they
@@ -63,6 +64,7 @@
     lost_services: tuple[ServiceId, ...] = ()
     leaving: Mapping[ServerId, int] = field(default_factory=dict)
     limits: Mapping[ServerId, ReportedLimit] = field(default_factory=dict)
+    brittle_services: tuple[ServiceId, ...] = ()
     admitted: Mapping[AccountId, float] = field(default_factory=dict)
     usage_counts: WindowCounts | None = None
     rollouts: tuple[RolloutPhaseReport, ...] = ()
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -24,6 +24,7 @@
 )
 from waxwingarch.adapters.http_server import HttpServer
 from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_OK
+from waxwingarch.core.backends.brittle_servers import BrittlenessChanged
 from waxwingarch.core.backends.paths import PathChanged
 from waxwingarch.core.backends.registry import (
     BackendLeaving,
@@ -156,6 +157,7 @@
         self._runner.connect(BackendLeaving, self._log_server_leaving)
         self._runner.connect(ServerLimitChanged, self._log_server_limit)
         self._runner.connect(PathChanged, self._log_path_change)
+        self._runner.connect(BrittlenessChanged, self._log_brittleness)
 
     async def async_run(self) -> int:
         """Serve until the process is stopped; return the exit code."""
@@ -400,6 +402,13 @@
             failed=action.failed[:MAX_LOGGED_SERVERS],
         )
 
+    def _log_brittleness(self, action: BrittlenessChanged) -> None:
+        log_message(
+            message_type="service_brittle",
+            service=action.service,
+            rejections_per_s=action.rejections_per_s,
+        )
+
     def _log_server_limit(self, action: ServerLimitChanged) -> None:
         log_message(
             message_type="server_limit",
--- a/waxwingarch/platform/const.py
+++ b/waxwingarch/platform/const.py
@@ -35,6 +35,8 @@
 HEADER_RETRY_AFTER: Final = "retry-after"
 # The requests a second that a server takes from all hosts together.
 HEADER_SERVER_LIMIT: Final = "server-limit"
+# The server falls over if it rejects more requests than this in a second.
+HEADER_SERVER_BRITTLE: Final = "server-brittle"
 # Rises by one each time that the store returns from an older copy.
 HEADER_STORE_ERA: Final = "store-era"
 # Where the server fetches the KV cache of a migrated run: "ADDRESS/HANDLE".
--- a/waxwingarch/platform/exchange_codec.py
+++ b/waxwingarch/platform/exchange_codec.py
@@ -23,6 +23,7 @@
     HEADER_PROMPT_PREFIX,
     HEADER_REQUEST_ID,
     HEADER_RETRY_AFTER,
+    HEADER_SERVER_BRITTLE,
     HEADER_SERVER_LEAVING,
     HEADER_SERVER_LIMIT,
     HEADER_SERVER_STAMP,
@@ -39,7 +40,11 @@
 HTTP_TOO_MANY_REQUESTS = 429
 HTTP_UNAVAILABLE = 503
 MAX_LOGGED_VALUE_CHARS = 40
-NUMBER_HEADERS = (HEADER_RETRY_AFTER, HEADER_SERVER_LIMIT)
+NUMBER_HEADERS = (
+    HEADER_RETRY_AFTER,
+    HEADER_SERVER_LIMIT,
+    HEADER_SERVER_BRITTLE,
+)
 # Priority 0 is the most urgent; the header carries 9 at most.
 LEAST_URGENT_PRIORITY = 9
 
@@ -139,6 +144,11 @@
             limit_per_s=_parse_number(values, HEADER_SERVER_LIMIT)
             if status != HTTP_MISDIRECTED
             else None,
+            brittle_rejections_per_s=_parse_number(
+                values, HEADER_SERVER_BRITTLE
+            )
+            if status != HTTP_MISDIRECTED
+            else None,
         )
 
     def filter_response_headers(
--- a/waxwingarch/ports/front.py
+++ b/waxwingarch/ports/front.py
@@ -198,7 +198,8 @@
     it did not execute the request, and `misdirected` that another server
     now has the address. `leaving` means that the server is shutting down.
     `retry_after_s` is how long the server asks this host to send it nothing.
-    `limit_per_s` are the requests a second that it takes from all hosts.
+    `limit_per_s` are the requests a second that it takes from all hosts, and
+    `brittle_rejections_per_s` those that it rejects without falling over.
     """
 
     status: int
@@ -209,6 +210,7 @@
     leaving: bool = False
     retry_after_s: float | None = None
     limit_per_s: float | None = None
+    brittle_rejections_per_s: float | None = None
 
 
 class ExchangeCodec(Protocol):
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -18,6 +18,7 @@
     HttpRequest,
     HttpResponder,
 )
+from waxwingarch.core.backends.brittle_servers import BrittlenessSeen
 from waxwingarch.core.backends.registry import LeavingAnnounced
 from waxwingarch.core.backends.server_limits import ServerLimitSeen
 from waxwingarch.core.base import RequestId
@@ -184,7 +185,7 @@
             stream, head = await self._async_find_response(stream, send)
             self.state.on_new_connection = stream.on_new_connection
             if send.relay_to is None:
-                self._report_limit(head, send, now)
+                self._report_notices(head, send, now)
             return await self._async_handle_response(stream, head, send)
 
     def _first_byte_wait_until(self, send: SendRequest) -> float | None:
@@ -240,19 +241,34 @@
             f"{send.server.address}: too many stray responses"
         )
 
-    def _report_limit(
+    def _report_notices(
         self, head: ResponseHead, send: SendRequest, sent_at: float
     ) -> None:
-        """Report the limit that the server names, or no longer names."""
-        limits = self._runner.node.load_balancer.limits
-        known = limits.limit_of(send.server.server_id)
-        if head.misdirected or (head.limit_per_s is None and known is None):
+        """Report what the server says of itself, or no longer says."""
+        if head.misdirected:
             return
-        self._runner.post(
-            ServerLimitSeen(
-                server=send.server, per_s=head.limit_per_s, sent_at=sent_at
+        server = send.server
+        balancer = self._runner.node.load_balancer
+        limit_per_s = head.limit_per_s
+        known_limit = balancer.limits.limit_of(server.server_id)
+        if limit_per_s is not None or known_limit is not None:
+            self._runner.post(
+                ServerLimitSeen(
+                    server=server, per_s=limit_per_s, sent_at=sent_at
+                )
+            )
+        rejections_per_s = head.brittle_rejections_per_s
+        now = asyncio.get_running_loop().time()
+        if rejections_per_s is not None or balancer.brittle.is_brittle(
+            now, server.service
+        ):
+            self._runner.post(
+                BrittlenessSeen(
+                    server=server,
+                    rejections_per_s=rejections_per_s,
+                    sent_at=sent_at,
+                )
             )
-        )
 
     async def _async_handle_response(
         self, stream: ClientStream, head: ResponseHead, send: SendRequest
--- a/waxwingctl/logs.py
+++ b/waxwingctl/logs.py
@@ -17,6 +17,7 @@
         "config_applied",
         "server_leaving",
         "server_limit",
+        "service_brittle",
         "path_lost",
         "path_regained",
         "store_lost",
