--- a/tests/core/front/test_server_limits.py
+++ b/tests/core/front/test_server_limits.py
@@ -274,3 +274,25 @@
         assert after_s is not None
         self.assertGreaterEqual(after_s, wait_s)
         self.assertLess(after_s, 1.6 * wait_s)
+
+
+class HostsWithoutAShare(testtools.TestCase):
+    # Guards against callers that are refused at a host which owns no part of
+    # the limits, while the owners have units left.
+    def test_relay_to_the_owners(self) -> None:
+        limits = {"p0": 1.0, "p1": 1.0, "p2": 1.0}
+        fleet = limited_fleet(limits, servers=3, rate_per_s=2, until=33.0)
+        without_share = {
+            n
+            for n, node in enumerate(fleet.nodes)
+            if not any(
+                node.load_balancer.limits.share_of(ServerId(name))
+                for name in limits
+            )
+        }
+        served, sent = fleet.served_at(
+            without_share, NAMED_AT_S + CONTACT_S, fleet.now - 1
+        )
+        self.assertGreaterEqual(served, 0.75 * sent)
+        for name in limits:
+            self.assertLessEqual(fleet.excess(name, 1.0), 0, name)
--- a/waxwingarch/core/backends/load_balancer.py
+++ b/waxwingarch/core/backends/load_balancer.py
@@ -183,7 +183,10 @@
 
     def is_shared_out(self, now: float, service: ServiceId) -> bool:
         """Return whether hosts have parts of what a service takes."""
-        return self.brittle.is_brittle(now, service)
+        return self.brittle.is_brittle(now, service) or any(
+            self.limits.limit_of(b.server.server_id) is not None
+            for b in self._allowed_backends(service)
+        )
 
     def _wait_s(self, now: float, server: Server) -> float:
         """Return in how long a server takes a request from this host."""
