Compute a host's ranks only when the hosts change

The limits and the parts of slots ranked this host among all hosts on each tick and each choice of a server. No decision differs.

--- a/tests/core/front/test_server_limits.py
+++ b/tests/core/front/test_server_limits.py
@@ -163,7 +163,8 @@
         for period in range(40):
             now = 1.0 + period * OWNERS_CHANGE_AFTER_S
             hosts = frozenset({node.identity.host, *"abcdefgh"})
-            limits.tick(now, hosts, 1.0)
+            node.load_balancer.ranks.set_hosts(hosts, 1.0)
+            limits.tick(now)
             shares.add(limits.share_of(name))
         self.assertEqual({0.0, 1 / (1 + EXTRA_OWNERS)}, shares)
 
--- a/waxwingarch/core/backends/brittle_servers.py
+++ b/waxwingarch/core/backends/brittle_servers.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from waxwingarch.core.base import Action, Event, HostId, Server, ServiceId
-from waxwingarch.core.peers.rank import rank_of
+from waxwingarch.core.base import Action, Event, Server, ServiceId
+from waxwingarch.core.peers.rank import HostRanks
 
 # The part of the slots that is used: a server notices a moment later than
 # its host that a request has ended.
@@ -73,11 +73,10 @@
 class BrittleServers:
     """The services whose servers are brittle, and this host's room there."""
 
-    def __init__(self, own_host: HostId) -> None:
-        self._own_host = own_host
+    def __init__(self, ranks: HostRanks) -> None:
+        """Start without any; `ranks` tells who shares the slots."""
+        self._ranks = ranks
         self._statements: dict[ServiceId, _Statement] = {}
-        self._hosts: frozenset[HostId] = frozenset((own_host,))
-        self._heard_ratio = 1.0
 
     def __len__(self) -> int:
         return len(self._statements)
@@ -114,10 +113,6 @@
             if statement.is_own(now)
         )
 
-    def set_hosts(self, hosts: frozenset[HostId], heard_ratio: float) -> None:
-        """Set the hosts that share the slots, as for `ServerLimits.tick`."""
-        self._hosts, self._heard_ratio = hosts, heard_ratio
-
     def has_room(self, now: float, server: Server, own_running: int) -> bool:
         """Return whether this host may send a server one more request."""
         if not self.is_brittle(now, server.service):
@@ -126,14 +121,10 @@
 
     def _own_slots(self, server: Server) -> int:
         """Return this host's part of a server's slots."""
-        if self._own_host not in self._hosts:
+        rank = self._ranks.rank(f"/slots/{server.server_id}")
+        if rank is None:
             return 0
         slots = max(1, int(server.slots * USED_SLOTS_RATIO))
-        used = int(slots * self._heard_ratio)
-        part, rest = divmod(used, len(self._hosts))
-        if not rest:
-            return part
-        rank = rank_of(
-            self._own_host, self._hosts, f"/slots/{server.server_id}"
-        )
+        used = int(slots * self._ranks.heard_ratio)
+        part, rest = divmod(used, len(self._ranks.hosts))
         return part + (rank < rest)
--- a/waxwingarch/core/backends/load_balancer.py
+++ b/waxwingarch/core/backends/load_balancer.py
@@ -35,6 +35,7 @@
     ServiceId,
 )
 from waxwingarch.core.exchange.exchange_messages import Exchange
+from waxwingarch.core.peers.rank import HostRanks
 from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.routing.config import EngineTraits
 
@@ -117,8 +118,9 @@
         self.peer_evidence = PeerEvidence()
         self.latency = LatencyTracker()
         self.pauses = ServerPauses(rng)
-        self.limits = ServerLimits(own_host, self.registry)
-        self.brittle = BrittleServers(own_host)
+        self.ranks = HostRanks(own_host)
+        self.limits = ServerLimits(self.ranks, self.registry)
+        self.brittle = BrittleServers(self.ranks)
         self.paths = PathMonitor(self.registry)
 
     def choose(
--- a/waxwingarch/core/backends/server_limits.py
+++ b/waxwingarch/core/backends/server_limits.py
@@ -12,8 +12,8 @@
 from typing import Final
 
 from waxwingarch.core.backends.registry import BackendRegistry
-from waxwingarch.core.base import Action, Event, HostId, Server, ServerId
-from waxwingarch.core.peers.rank import rank_of
+from waxwingarch.core.base import Action, Event, Server, ServerId
+from waxwingarch.core.peers.rank import HostRanks
 
 # A server whose limit is lower still gets this, as only its responses tell
 # that the limit has ended.
@@ -104,12 +104,11 @@
 class ServerLimits:
     """The limits that servers named, and this host's shares of them."""
 
-    def __init__(self, own_host: HostId, registry: BackendRegistry) -> None:
-        self._own_host = own_host
+    def __init__(self, ranks: HostRanks, registry: BackendRegistry) -> None:
+        """Start without limits; `ranks` tells who may be an owner."""
+        self._ranks = ranks
         self._registry = registry
         self._known: dict[ServerId, _KnownLimit] = {}
-        self._hosts: frozenset[HostId] = frozenset((own_host,))
-        self._heard_ratio = 1.0
 
     def __len__(self) -> int:
         return len(self._known)
@@ -227,15 +226,8 @@
 
     # Shares
 
-    def tick(
-        self, now: float, hosts: frozenset[HostId], heard_ratio: float
-    ) -> None:
-        """Update the shares to the hosts that may be owners.
-
-        `heard_ratio` is the share of the known hosts that are heard of.
-        The rest is left to the others, which may not hear this host.
-        """
-        self._hosts, self._heard_ratio = hosts, heard_ratio
+    def tick(self, now: float) -> None:
+        """Update the shares to the hosts that may be owners now."""
         for server_id, known in list(self._known.items()):
             if self._registry.get(server_id) is None:
                 del self._known[server_id]
@@ -247,6 +239,7 @@
     ) -> None:
         """Set the spacing of this host's requests.
 
+        The part of the hosts that this one does not hear of is left to them.
         A new owner waits for its first request, so that a change of owners
         is no occasion for all of them to send at once.
         """
@@ -254,14 +247,13 @@
         if per_s is None:
             known.free_at = None
             return
-        owners = min(len(self._hosts), floor(per_s) + EXTRA_OWNERS)
+        owners = min(len(self._ranks.hosts), floor(per_s) + EXTRA_OWNERS)
         period = (now - known.statement.as_of) // OWNERS_CHANGE_AFTER_S
-        task = f"/limit/{server_id}/{period:.0f}"
-        rank = rank_of(self._own_host, self._hosts, task)
-        if rank >= owners or self._own_host not in self._hosts:
+        rank = self._ranks.rank(f"/limit/{server_id}/{period:.0f}")
+        if rank is None or rank >= owners:
             known.free_at = None
             return
-        rate_per_s = max(per_s, MIN_RATE_PER_S) * self._heard_ratio
+        rate_per_s = max(per_s, MIN_RATE_PER_S) * self._ranks.heard_ratio
         known.interval_s = owners / rate_per_s
         if known.free_at is None:
             known.free_at = now + known.interval_s * (rank + 1) / owners
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -613,9 +613,8 @@
         hosts = self.gossip.serving_hosts(now)
         if self.stopping:
             hosts -= {self.identity.host}
-        heard_ratio = self.gossip.heard_ratio(now)
-        self.load_balancer.limits.tick(now, hosts, heard_ratio)
-        self.load_balancer.brittle.set_hosts(hosts, heard_ratio)
+        self.load_balancer.ranks.set_hosts(hosts, self.gossip.heard_ratio(now))
+        self.load_balancer.limits.tick(now)
 
     def _start(self, now: float, event: FrontTick) -> list[Action]:
         """Start at the first tick.
--- a/waxwingarch/core/peers/rank.py
+++ b/waxwingarch/core/peers/rank.py
@@ -23,3 +23,33 @@
     """Return a host's rank among others for a task, 0 being the first."""
     own_weight = rank_weight(host, task)
     return sum(rank_weight(other, task) > own_weight for other in others)
+
+
+class HostRanks:
+    """This host's ranks among the hosts that serve, for several tasks.
+
+    `heard_ratio` is the share of the known hosts that this host hears of.
+    """
+
+    def __init__(self, own_host: HostId) -> None:
+        self._own_host = own_host
+        self._ranks: dict[str, int] = {}
+        self.hosts: frozenset[HostId] = frozenset((own_host,))
+        self.heard_ratio = 1.0
+
+    def set_hosts(self, hosts: frozenset[HostId], heard_ratio: float) -> None:
+        """Set the hosts that serve; this one is missing while it stops."""
+        self.heard_ratio = heard_ratio
+        if hosts != self.hosts or len(self._ranks) > MAX_CACHED_WEIGHTS:
+            self.hosts = hosts
+            self._ranks.clear()
+
+    def rank(self, task: str) -> int | None:
+        """Return this host's rank, 0 being the first; None if it stops."""
+        if self._own_host not in self.hosts:
+            return None
+        rank = self._ranks.get(task)
+        if rank is None:
+            rank = rank_of(self._own_host, self.hosts, task)
+            self._ranks[task] = rank
+        return rank
