List what servers say of themselves on the metrics address

GET /servers shows for each server its limit, this host's share, whether it is brittle, leaving, avoided or paused, and the services that this host and its peers reach no server of.

--- a/tests/front/test_server_notices_host.py
+++ b/tests/front/test_server_notices_host.py
@@ -162,6 +162,23 @@
         raise AssertionError(f"{path}: limit of the server is not {want}")
 
 
+class ServersForOperators(testtools.TestCase):
+    @async_test
+    async def test_what_servers_say_and_lost_paths_are_listed(self) -> None:
+        async with Host() as host:
+            first, second = host.fleet.plain()
+            first.limit_per_s = 5.0
+            while not first.arrivals:
+                await host.async_send("/read/x")
+            state = (await host.async_metrics("/servers")).json()
+            servers = {s["server"]: s for s in state["servers"]}
+            self.assertEqual(len(host.fleet.servers), len(servers))
+            self.assertEqual(5.0, servers[first.server_id]["limit_per_s"])
+            self.assertIsNone(servers[second.server_id]["limit_per_s"])
+            self.assertEqual([], state["lost_services"])
+            self.assertEqual({}, state["lost_by_peers"])
+
+
 class BrittleServers(testtools.TestCase):
     @async_test
     async def test_only_slots_are_used_until_a_response_says_no_more(
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -66,6 +66,7 @@
     count_held_inputs,
 )
 from waxwingarch.tasks.runner import Runner
+from waxwingarch.tasks.server_state import build_server_state
 from waxwingarch.tasks.settings_watch import SettingsWatch
 from waxwingarch.tasks.table_watch import TableWatch
 
@@ -76,6 +77,7 @@
 TICK_INTERVAL_S: Final = 0.1
 # On the metrics address.
 QUARANTINE_PATH: Final = "/quarantine"
+SERVERS_PATH: Final = "/servers"
 METRICS_CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
 HOSTS_TABLE: Final = "waxwing-hosts"
 REGISTER_TIMEOUT_S: Final = 1.0
@@ -271,11 +273,16 @@
     async def _async_serve_metrics(
         self, req: HttpRequest, resp: HttpResponder
     ) -> None:
-        """Answer with the metrics, or with the quarantined inputs."""
+        """Answer with the metrics, the quarantined inputs or the servers."""
         if req.path == QUARANTINE_PATH:
             inputs = orjson.dumps(self._quarantine_operations.listing())
             await resp.async_send(200, inputs, [JSON_TYPE])
             return
+        if req.path == SERVERS_PATH:
+            now = asyncio.get_running_loop().time()
+            state = orjson.dumps(build_server_state(self.front, now))
+            await resp.async_send(200, state, [JSON_TYPE])
+            return
         body = self.metrics.text()
         await resp.async_send(
             200, body, [("content-type", METRICS_CONTENT_TYPE)]
