Partition a host from all servers in the soak

One host has links of its own to the servers, and a view of the store with their addresses, so that it alone can be cut off; the check is the rule's.

Not covered: connections that hang in place of being refused.

--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -11,7 +11,7 @@
 from standins.soak.config_faults import ConfigFaults
 from standins.soak.link import Link, LinkFault
 from standins.soak.load import LoadGenerator
-from standins.soak.promises import FAULT_RECOVERY_S
+from standins.soak.promises import FAULT_RECOVERY_S, PARTITION
 from standins.soak.server_faults import ServerFaults
 from standins.soak.targets import (
     MIN_UNDISTURBED_HOSTS,
@@ -40,6 +40,11 @@
 }
 
 
+# How long a host reaches no server, while another one is undisturbed.
+PARTITIONED_S: Final = (5.0, 9.0)
+MIN_HOSTS_FOR_PARTITION: Final = 2
+
+
 class FaultInjector:
     """Injects random faults, reproducibly from a seed.
 
@@ -67,6 +72,7 @@
             "power": self._prepare_power_loss,
             "link of host": self._prepare_host_link_fault,
             "link to server": self._prepare_server_link_fault,
+            "partition": self._prepare_partition,
             "store": self._prepare_store_fault,
             "bad row": self._prepare_malformed_row,
             **servers.choices,
@@ -236,6 +242,25 @@
         link = self._world.links[server.server_id]
         return lambda: self._async_apply_link_fault(link, interval, fault)
 
+    def _prepare_partition(self) -> Fault | None:
+        """Let a host reach no server, while all else reaches it."""
+        names = sorted(self._world.host_links)
+        undisturbed = {d.name for d in self._targets.undisturbed_daemons()}
+        free = [name for name in names if name in undisturbed]
+        if not free or len(undisturbed) < MIN_HOSTS_FOR_PARTITION:
+            return None
+        name = self._rng.choice(free)
+        links = self._world.host_links[name]
+        interval = self._targets.begin_fault(name, PARTITION)
+
+        async def partition() -> None:
+            links.partition()
+            await asyncio.sleep(self._rng.uniform(*PARTITIONED_S))
+            await links.async_heal()
+            self._targets.end_fault(interval)
+
+        return partition
+
     # The store and its rows
 
     def _prepare_store_fault(self) -> Fault | None:
--- a/standins/soak/fleet_checks.py
+++ b/standins/soak/fleet_checks.py
@@ -6,6 +6,8 @@
 
 from standins.campaign_report import Report
 from standins.fleet_server import Arrival, FleetServer, Run
+from standins.front_process import KEY
+from standins.soak.annex import ANNEX_PATH
 from standins.soak.load import Call, LoadGenerator
 from standins.soak.promises import (
     CONTACT_S,
@@ -17,6 +19,10 @@
     LIMIT_WINDOW_S,
     MAX_CONDEMNED_RUNS,
     PART_CONDEMNED_AFTER,
+    PARTITION,
+    PARTITIONED_EXTRA,
+    PARTITIONED_RATIO,
+    PARTITIONED_SERVED_RATIO,
     REQUEST_CONDEMNED_AFTER,
     SCHEDULING_SLACK_S,
     THAW_SLACK_S,
@@ -25,6 +31,7 @@
 from standins.soak.world import STORE, World
 
 USAGE_PATH_PART: Final = "usage"
+HTTP_OK: Final = 200
 
 
 class FleetChecker:
@@ -41,6 +48,7 @@
         """Check all; `runs` are by the id of their request."""
         self._check_draining_servers()
         self._check_limits()
+        self._check_partitions()
         self._check_crashing_inputs(runs)
         self._check_duties()
 
@@ -90,6 +98,41 @@
             if limited:
                 self._check_limit(server, limited, calls)
 
+    def _check_partitions(self) -> None:
+        for interval in self._world.fault_intervals:
+            if interval.kind != PARTITION:
+                continue
+            counts = {True: [0, 0], False: [0, 0]}
+            for call in self._load.calls:
+                if (
+                    interval.begin + CONTACT_S <= call.sent_at
+                    and call.ended_at <= interval.end
+                    and call.key == KEY
+                    and not call.crashing_input
+                    and call.disconnected_at is None
+                    and call.route != ANNEX_PATH
+                ):
+                    count = counts[call.host == interval.name]
+                    count[0] += call.status == HTTP_OK
+                    count[1] += 1
+            (served, sent), (others_served, others_sent) = (
+                counts[True],
+                counts[False],
+            )
+            allowed = PARTITIONED_EXTRA + PARTITIONED_RATIO * (
+                sent + others_sent
+            )
+            kept = (
+                sent - served <= allowed
+                or served * others_sent
+                >= PARTITIONED_SERVED_RATIO * others_served * sent
+            )
+            evidence = (
+                f"{interval.name}: {served} of {sent} served, "
+                f"{others_served} of {others_sent} at other hosts"
+            )
+            self._report.record_check(Promise.RELAYED, kept, evidence)
+
     def _check_limit(
         self,
         server: FleetServer,
--- a/standins/soak/link.py
+++ b/standins/soak/link.py
@@ -1,6 +1,7 @@
 """A loopback TCP proxy that injects faults into its connections."""
 
 import asyncio
+import socket
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Final
@@ -61,6 +62,9 @@
         self.delay_s = 0.0
         self._connections: set[_ProxiedConnection] = set()
         self._server: asyncio.Server | None = None
+        # Holds the port while the link is closed: the system could give it
+        # to an outgoing connection otherwise.
+        self._reserved: socket.socket | None = None
 
     async def async_setup(self) -> None:
         """Listen on a free port."""
@@ -77,17 +81,29 @@
     def close(self) -> None:
         """Refuse connections, as the address of a target that crashed."""
         self.reset()
-        if self._server:
-            self._server.close()
+        if self._server is None or not self._server.is_serving():
+            return
+        self._server.close()
+        host, _, port = self.address.rpartition(":")
+        self._reserved = socket.socket()
+        self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reserved.bind((host, int(port)))
+
+    def _release(self) -> None:
+        if self._reserved is not None:
+            self._reserved.close()
+            self._reserved = None
 
     async def async_reopen(self, target: str) -> None:
         """Accept connections again, to the next incarnation's address."""
         self.target = target
+        self._release()
         await self._async_listen(int(self.address.rpartition(":")[2]))
 
     async def async_unload(self) -> None:
         """Stop listening and reset the open connections."""
         self.close()
+        self._release()
 
     def reset(self) -> None:
         """Reset all open connections on both sides."""
--- a/standins/soak/promises.py
+++ b/standins/soak/promises.py
@@ -20,6 +20,7 @@
     STOP = "a planned stop ends in time and cuts off nobody"
     ANSWERED = "what a host read whole is answered or refused"
     LIMIT = "a server gets no more than the limit that it names"
+    RELAYED = "callers of a host that reaches no server are served"
     QUARANTINE = "after some crashes an input reaches few servers"
     READY = "a host that was started becomes ready"
     ALIVE = "no process ends by itself"
@@ -47,6 +48,14 @@
 LIMIT_RATIO: Final = 1.5
 LIMIT_EXTRA: Final = 5
 LIMIT_TOLD_S: Final = 0.5
+# Name of the fault of a host that reaches no server. From `CONTACT_S` after it
+# began, its callers are served `PARTITIONED_SERVED_RATIO` times as often as
+# those of others, or at most `PARTITIONED_EXTRA` and `PARTITIONED_RATIO` of
+# all calls fail there.
+PARTITION: Final = "partition"
+PARTITIONED_SERVED_RATIO: Final = 2 / 3
+PARTITIONED_EXTRA: Final = 10
+PARTITIONED_RATIO: Final = 0.02
 # A host ends within this time after SIGTERM.
 STOP_GRACE_S: Final = 8.0
 # A call of a duty with an older fencing number is excused this long after a
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -21,6 +21,7 @@
     ANNEX_WORK_S,
     add_annex,
 )
+from standins.soak.host_links import HostLinks
 from standins.soak.link import Link
 from standins.soak.promises import SCHEDULING_SLACK_S, STOP_GRACE_S, Promise
 from waxwingarch.adapters.http_client import HttpClient
@@ -70,6 +71,7 @@
     client: HttpClient = field(default_factory=HttpClient)
     daemons: dict[str, Daemon] = field(default_factory=dict)
     links: dict[str, Link] = field(default_factory=dict)
+    host_links: dict[str, HostLinks] = field(default_factory=dict)
     fault_intervals: list[FaultInterval] = field(default_factory=list)
     _crashes: dict[str, FaultInterval] = field(default_factory=dict)
 
@@ -91,6 +93,10 @@
             await link.async_setup()
             self.register(server)
         annex.behaviour.work_s = ANNEX_WORK_S
+        # One host has links of its own, so that it alone can be partitioned.
+        own = HostLinks(self.links, self.fleet.store.server.handler)
+        await own.async_setup()
+        self.host_links["host-0"] = own
         for n in range(hosts):
             await self._async_add(f"host-{n}", ZONES[n % len(ZONES)])
         for daemon in self.daemons.values():
@@ -107,6 +113,8 @@
                 await daemon.process.wait()
             for link in (daemon.callers, daemon.store, daemon.duties):
                 await link.async_unload()
+        for own_links in self.host_links.values():
+            await own_links.async_unload()
         for link in self.links.values():
             await link.async_unload()
         await self.client.async_unload()
@@ -115,7 +123,10 @@
     async def _async_add(self, name: str, zone: str) -> None:
         ports = [free_port() for _ in range(4)]
         callers = Link(f"{LISTEN_IP}:{ports[0]}")
-        store = Link(self.fleet.store.address)
+        own_links = self.host_links.get(name)
+        store = Link(
+            own_links.store_address if own_links else self.fleet.store.address
+        )
         duties = Link(self.fleet.cloud_address)
         for link in (callers, store, duties):
             await link.async_setup()
