Keep what a host has sent early to a limited server counted

The update of the shares on each tick put the next request of a host at one spacing from now, and so forgot what it had sent early. What remains is now scaled by a change of the spacing. The new test fails before and passes.

--- a/tests/core/front/test_server_limits.py
+++ b/tests/core/front/test_server_limits.py
@@ -297,3 +297,19 @@
         self.assertGreaterEqual(served, 0.75 * sent)
         for name in limits:
             self.assertLessEqual(fleet.excess(name, 1.0), 0, name)
+
+
+class BurstsOfOneHost(testtools.TestCase):
+    # Guards against debts that are forgotten when shares are updated, so
+    # that a host sends several times the limit in bursts.
+    def test_high_limits_are_kept(self) -> None:
+        for hosts, limit in ((1, 20.0), (3, 60.0)):
+            fleet = limited_fleet(
+                {"p0": limit, "p1": limit},
+                hosts=hosts,
+                servers=2,
+                rate_per_s=10 * int(limit),
+                until=NAMED_AT_S + 8.0,
+            )
+            for name in fleet.limits:
+                self.assertLessEqual(fleet.excess(name, limit), 0, name)
--- a/waxwingarch/core/backends/server_limits.py
+++ b/waxwingarch/core/backends/server_limits.py
@@ -254,10 +254,13 @@
             known.free_at = None
             return
         rate_per_s = max(per_s, MIN_RATE_PER_S) * self._ranks.heard_ratio
-        known.interval_s = owners / rate_per_s
+        previous_s, known.interval_s = known.interval_s, owners / rate_per_s
         if known.free_at is None:
             known.free_at = now + known.interval_s * (rank + 1) / owners
-        known.free_at = min(known.free_at, now + known.interval_s)
+        elif known.free_at > now:
+            # What was sent early stays counted, at the new spacing.
+            remaining_s = known.free_at - now
+            known.free_at = now + remaining_s * known.interval_s / previous_s
 
     def wait_s(self, now: float, server_id: ServerId) -> float:
         """Return in how long this host may send a server a request."""
