Let a host forget soon that servers were brittle

A host without requests reported for 10 s what its last response had said, so that the others took up again what their own responses had ended, and told all peers of each change (found on reading). It is now reported for 1 s after the last response that says it, and only the beginning is told at once. The new test fails before (still brittle after 3.7 s) and passes.

--- a/tests/core/front/test_brittle_servers.py
+++ b/tests/core/front/test_brittle_servers.py
@@ -1,5 +1,7 @@
 """Tests of servers that fall over if they reject many requests."""
 
+from dataclasses import replace
+
 import testtools
 
 from tests.core.front.builders import LEDGER, server, serving_front
@@ -112,6 +114,26 @@
         self.see(node, 1.0, 1.0)
         self.assertFalse(self.is_brittle(node, 1.1 + BRITTLE_VALID_S))
 
+    # Guards against hosts that remind each other of what has ended, and tell
+    # all peers of each change of mind.
+    def test_end_is_not_undone_by_the_reports_of_an_idle_peer(self) -> None:
+        node, idle = serving_front(), serving_front()
+        self.see(idle, 1.0, 1.0)
+        self.see(node, 1.0, 1.0)
+        self.see(node, None, 1.3)
+        changes = []
+        for step in range(60):
+            now = 1.4 + 0.1 * step
+            data = encode_report(idle._build_report(now))
+            report = replace(
+                decode_report(data.replace(b'"h1"', b'"h2"')), sequence=step
+            )
+            node.handle(now, ReportReceived(report=report))
+            if self.is_brittle(node, now):
+                changes += self.see(node, None, now + 0.05)
+        self.assertLess(len(changes), 20)
+        self.assertFalse(self.is_brittle(node, 5.0))
+
     def test_peers_learn_it(self) -> None:
         node, other = serving_front(), serving_front()
         self.see(node, 1.0, 1.0)
--- a/waxwingarch/core/backends/brittle_servers.py
+++ b/waxwingarch/core/backends/brittle_servers.py
@@ -16,6 +16,9 @@
 USED_SLOTS_RATIO: Final = 0.9
 # A service that no response has called brittle for this long is not.
 BRITTLE_VALID_S: Final = 10.0
+# A host reports what its responses said within this time, so that one that
+# has no more requests does not remind the others of what has ended.
+REPORTED_FOR_S: Final = 1.0
 # What a peer reports holds until its next reports.
 PEER_VALID_S: Final = 3.0
 # When callers come back that find no room.
@@ -111,6 +114,7 @@
             service
             for service, statement in sorted(self._statements.items())
             if statement.is_own(now)
+            and now - statement.brittle_at <= REPORTED_FOR_S
         )
 
     def has_room(self, now: float, server: Server, own_running: int) -> bool:
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -312,7 +312,10 @@
     def _handle_brittleness_seen(
         self, now: float, event: BrittlenessSeen
     ) -> list[Action]:
-        """Record that a server is brittle; news are told at once."""
+        """Record whether a server is brittle; peers hear at once that it is.
+
+        That it is no longer brittle, they learn from their own responses.
+        """
         if not self.load_balancer.brittle:
             self._update_limit_hosts(now)
         if not self.load_balancer.brittle.record_response(now, event):
@@ -321,6 +324,8 @@
             service=event.server.service,
             rejections_per_s=event.rejections_per_s,
         )
+        if event.rejections_per_s is None:
+            return [changed]
         return [changed, *self._tell_all_peers(now)]
 
     def _tell_all_peers(self, now: float) -> list[Action]:
