--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -3,7 +3,6 @@
 from dataclasses import replace
 from typing import Any, Final
 
-from waxwingarch.core.backends.load import ActiveAttempt
 from waxwingarch.core.backends.load_balancer import LoadBalancer, Pick
 from waxwingarch.core.backends.registry import BackendLeaving
 from waxwingarch.core.base import (
@@ -30,6 +29,10 @@
     SendRequest,
 )
 from waxwingarch.core.exchange.migrations import RunMigrations
+from waxwingarch.core.exchange.path_observer import (
+    ANSWERED_OUTCOMES,
+    PathObserver,
+)
 from waxwingarch.core.exchange.relays import (
     PeerSelector,
     as_server,
@@ -67,10 +70,6 @@
 # route's longest pause between events, and for at least the minimum.
 IDLE_TIMEOUT_PER_EVENT_GAP: Final = 4.0
 MIN_STREAM_IDLE_TIMEOUT_S: Final = 1.2
-# Outcomes by which a server has answered, without a part of a response.
-ANSWERED_OUTCOMES: Final = frozenset(
-    {AttemptOutcome.REJECTED, AttemptOutcome.MISDIRECTED}
-)
 # Callers that are refused until a server takes requests again are told to
 # return spread over this share of that time after it.
 RETURN_SPREAD_RATIO: Final = 0.5
@@ -100,6 +99,7 @@
         self.may_probe = False
         self._load_balancer = load_balancer
         self._paths = load_balancer.paths
+        self._path_observer = PathObserver(load_balancer)
         self._admission = ExchangeAdmission(table, rates, rng)
         self._resend_budget = resend_budget
         self._evidence = AttemptEvidence(load_balancer, rollouts)
@@ -337,7 +337,9 @@
             # The peer counts the usage of what it serves.
             state.response_started = state.is_usage_counted = True
             return None
-        self._record_path(state, on_new_connection=event.on_new_connection)
+        self._path_observer.record_answer(
+            event.request_id, on_new_connection=event.on_new_connection
+        )
         self._load_balancer.record_response_start(now, state.exchange)
         self._evidence.record_first_byte(now, state)
         state.response_started = True
@@ -346,39 +348,6 @@
         state.is_usage_counted = True
         return state
 
-    def _is_explained(
-        self, now: float, state: ExchangeState, attempt: ActiveAttempt
-    ) -> bool:
-        """Return whether a failure says nothing about versions and inputs.
-
-        It may come of a path that is lost, or of a brittle server.
-        """
-        service = state.exchange.service
-        return self._paths.explains_failure(
-            service, attempt.sent_at
-        ) or self._load_balancer.brittle.is_brittle(now, service)
-
-    def _record_path(
-        self, state: ExchangeState, *, on_new_connection: bool
-    ) -> None:
-        """Record that the server of an attempt answers."""
-        attempt = self._load_balancer.loads.attempt_of(
-            state.exchange.request_id
-        )
-        backend = (
-            self._load_balancer.registry.get(attempt.server_id)
-            if attempt
-            else None
-        )
-        if attempt is None or backend is None:
-            return
-        for server_id in self._paths.record_answer(
-            backend.server,
-            sent_at=attempt.sent_at,
-            on_new_connection=on_new_connection,
-        ):
-            self._load_balancer.health.forget(server_id)
-
     def handle_attempt_finished(
         self, now: float, event: AttemptFinished
     ) -> list[Action]:
@@ -397,22 +366,15 @@
         if state.relayed_to is not None:
             return self._handle_relay_finished(now, state, event)
         if event.outcome in ANSWERED_OUTCOMES:
-            self._record_path(state, on_new_connection=True)
+            self._path_observer.record_answer(
+                event.request_id, on_new_connection=True
+            )
         attempt = self._load_balancer.loads.record_attempt_end(
             event.request_id
         )
         if attempt is None:
             return self._finish(now, state, event, state.final_step(event))
-        self._paths.record_failure(
-            now,
-            attempt.server_id,
-            event.outcome,
-            response_started=attempt.has_started,
-            last_activity_at=self._load_balancer.loads.last_activity_at(
-                attempt.server_id
-            ),
-            sent_at=attempt.sent_at,
-        )
+        self._path_observer.record_end(now, event, attempt)
         if event.outcome is AttemptOutcome.NOT_SENT:
             self._load_balancer.limits.give_back(attempt.server_id)
         if event.retry_after_s is not None:
@@ -420,7 +382,9 @@
                 now, attempt.server_id, event.retry_after_s
             )
         self._record_health(now, state, event, attempt.server_id)
-        if not self._is_explained(now, state, attempt):
+        if not self._path_observer.explains_failure(
+            now, state.exchange.service, attempt
+        ):
             self._crash_observer.record_outcome(now, state, event, attempt)
             self._evidence.record_end(now, state, event, attempt)
         step = state.record_outcome(now, event, attempt.server_id)
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -39,7 +39,8 @@
     most that may be generated. `last_event` is the id of the event after
     which the caller resumes a stream. `digest` is that of the method, target
     and body; it is empty where no request can be known by its content.
-    `is_relayed` says that a peer without a path to the servers sent it.
+    `is_relayed` says that a peer sent it, which reaches no server itself or
+    has no part of what the servers take.
     """
 
     request_id: RequestId
--- a/waxwingarch/core/exchange/relays.py
+++ b/waxwingarch/core/exchange/relays.py
@@ -1,4 +1,4 @@
-"""Chooses the peer that serves a request for a host without a path."""
+"""Chooses the peer that serves what a host can't send to a server itself."""
 
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable
