--- a/review/standins/callers.py
+++ b/review/standins/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import time
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -13,16 +14,23 @@
 
 # A caller waits for at most this share of the time left if it is told to.
 RETRY_WAIT_RATIO: Final = 1 / 3
+# A caller allows a new connection this time to be established.
+CONNECT_LIMIT_S: Final = 1.0
 OK: Final = 200
 
 
 @dataclass(kw_only=True, slots=True)
 class Attempt:
-    """One attempt of a caller; `status` is 0 if there was no answer."""
+    """One attempt of a caller; `status` is 0 if there was no answer.
+
+    Times are monotonic; `ended_at` is when the answer was complete, or when
+    the caller gave up.
+    """
 
     request_id: str
     route: str
     sent_at: float
+    ended_at: float = float("inf")
     status: int = 0
     retry_after_s: float = 0.0
 
@@ -30,9 +38,16 @@
 class Callers:
     """Sends requests; an attempt that was refused is tried once more."""
 
-    def __init__(self, deployment: Deployment, deadline_s: float) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        deadline_s: float,
+        deadlines_s: Mapping[str, float] | None = None,
+    ) -> None:
+        """Set the deadline, and those of routes that have another one."""
         self._deployment = deployment
         self._deadline_s = deadline_s
+        self._deadlines_s = deadlines_s or {}
         self._numbers = itertools.count()
         self.attempts: list[Attempt] = []
 
@@ -57,7 +72,8 @@
     ) -> None:
         """Send a request, and once more to another host if it is refused."""
         hosts = self._deployment.hosts
-        deadline = time.monotonic() + self._deadline_s
+        deadline_s = self._deadlines_s.get(route, self._deadline_s)
+        deadline = time.monotonic() + deadline_s
         first = await self._async_attempt(
             client, hosts[turn % len(hosts)], route, deadline
         )
@@ -95,14 +111,16 @@
                 "POST",
                 host.callers,
                 f"{route}{number}",
-                deadline=now + left_s + 1.0,
-                connect_deadline=now + 1.0,
+                deadline=now + left_s,
+                connect_deadline=now + CONNECT_LIMIT_S,
                 headers=headers,
                 body=f"body {number}".encode(),
             )
         except LinkError as exc:
+            attempt.ended_at = time.monotonic()
             record.add(f"no answer to {attempt.request_id}: {exc}")
             return attempt
+        attempt.ended_at = time.monotonic()
         attempt.status = answer.status
         attempt.retry_after_s = float(answer.headers.get("retry-after", 0))
         record.add(f"answered {attempt.request_id}: {answer.status}")
