--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import sys
-from pathlib import Path
 from typing import Any, Final
 
 from review.standins.deployment import (
@@ -13,6 +12,7 @@
     Deployment,
     HostProcess,
     Record,
+    run_case,
     say,
     wants_trouble,
 )
@@ -168,14 +168,7 @@
 
 def main() -> int:
     """Run the case."""
-    record = Record(Path(__file__).with_name("record.txt"))
-    try:
-        return asyncio.run(Case(record).async_run())
-    except (OSError, TimeoutError) as exc:
-        say(f"the case could not run: {exc!r}")
-        return EXIT_NOT_RUN
-    finally:
-        record.close()
+    return run_case(__file__, lambda record: Case(record).async_run())
 
 
 if __name__ == "__main__":
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -16,7 +16,7 @@
 import time
 import tomllib
 from base64 import b64encode
-from collections.abc import Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Final
@@ -279,6 +279,30 @@
             )
 
 
+def run_case(
+    file: str, start: Callable[[Record], Coroutine[Any, Any, int]]
+) -> int:
+    """Run a case whose module is `file`, and return its exit code.
+
+    SIGTERM ends the case, and with it all processes that it started.
+    """
+    record = Record(Path(file).with_name("record.txt"))
+
+    async def async_main() -> int:
+        task = asyncio.ensure_future(start(record))
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        return await task
+
+    try:
+        return asyncio.run(async_main())
+    except (OSError, TimeoutError, asyncio.CancelledError) as exc:
+        say(f"the case could not run: {exc!r}")
+        return EXIT_NOT_RUN
+    finally:
+        record.close()
+
+
 def wants_trouble() -> bool:
     """Return whether the disruption is wanted: not with TROUBLE=0."""
     return os.environ.get("TROUBLE", "1") != "0"
