Review: each case reads TROUBLE and names its record itself

Cause: both stood only in the common stand-ins, so that a case did not show how it is run without its disruption, nor what it writes. The checks and bounds are unchanged.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import sys
+from pathlib import Path
 from typing import Any, Final
 
 from review.standins.deployment import (
@@ -14,7 +15,6 @@
     Record,
     run_case,
     say,
-    wants_trouble,
 )
 from standins.front_process import call_headers
 from standins.soak.host_links import HostLinks
@@ -36,6 +36,9 @@
 AT_OTHERS_S: Final = (0.0, 0.02, 0.04)
 AT_PARTITIONED_S: Final = (0.70, 0.76, 0.82, 0.88)
 NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
+# With TROUBLE=0 the case runs without its disruption.
+WANTS_TROUBLE: Final = os.environ.get("TROUBLE", "1") != "0"
+RECORD: Final = Path(__file__).with_name("record.txt")
 
 
 class Case:
@@ -50,7 +53,7 @@
     async def async_run(self) -> int:
         """Run the case and return the exit code."""
         wants_partition = (
-            wants_trouble() and os.environ.get("PARTITION", "1") != "0"
+            WANTS_TROUBLE and os.environ.get("PARTITION", "1") != "0"
         )
         fleet = self.deployment.fleet
         links: HostLinks | None = None
@@ -95,7 +98,7 @@
         """Send copies of one request, of which the first crash servers."""
         target = f"/pay/round-{number}"
         fleet = self.deployment.fleet
-        if wants_trouble():
+        if WANTS_TROUBLE:
             fleet.crashing_inputs.add(target)
         for server in fleet.plain():
             server.behaviour.work_s = DEADLY_WORK_S
@@ -168,7 +171,7 @@
 
 def main() -> int:
     """Run the case."""
-    return run_case(__file__, lambda record: Case(record).async_run())
+    return run_case(RECORD, lambda record: Case(record).async_run())
 
 
 if __name__ == "__main__":
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -280,13 +280,13 @@
 
 
 def run_case(
-    file: str, start: Callable[[Record], Coroutine[Any, Any, int]]
+    path: Path, start: Callable[[Record], Coroutine[Any, Any, int]]
 ) -> int:
-    """Run a case whose module is `file`, and return its exit code.
+    """Run a case with its record at a path, and return its exit code.
 
     SIGTERM ends the case, and with it all processes that it started.
     """
-    record = Record(Path(file).with_name("record.txt"))
+    record = Record(path)
 
     async def async_main() -> int:
         task = asyncio.ensure_future(start(record))
@@ -303,11 +303,6 @@
         record.close()
 
 
-def wants_trouble() -> bool:
-    """Return whether the disruption is wanted: not with TROUBLE=0."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def say(text: str) -> None:
     """Write a line to the standard output."""
     sys.stdout.write(f"{text}\n")
