Refuse a request as run or unknown once an attempt is under way (REFUSED)

Their host has no path to the servers and had relayed them to a peer; then the request was quarantined and the attempt cancelled.

Cause: whether a request may have run was a set to which each way of ending an attempt had to add the server. A cancelled attempt has no outcome; the code that cancels added the server only if the loads knew the attempt, and a relayed one has no load. So the refusal said "not run" by default.

Ruled out: the peer's answers (none came before the refusal), and attempts at own servers, which get 502 as they should.

Change: `ExchangeState.record_dispatch`, at the one place that builds an attempt, notes where it was sent. From there on the request may run; only its own outcome (nothing sent, rejected, misdirected) takes that back. `refusal` asks `may_have_run`, so that a path that ends an exchange without an outcome can't claim more than is known.

--- a/script/red_front.py
+++ b/script/red_front.py
@@ -45,7 +45,7 @@
     Mutation(
         promise="REFUSED",
         path="waxwingarch/core/exchange/state_machine.py",
-        old="        if not self.may_have_run_on:\n",
+        old="        if not self.may_have_run:\n",
         new="        if self.exchange:\n",
         test=CORE + "test_exchanges.py::AfterFailures::"
         "test_one_that_may_have_run_is_not_called_not_run",
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -36,7 +36,6 @@
 from waxwingarch.core.exchange.relays import (
     PeerSelector,
     as_server,
-    relay_server_id,
 )
 from waxwingarch.core.exchange.state_machine import (
     ExchangeState,
@@ -228,7 +227,6 @@
         self._refund(now, state)
         state.relayed_to = peer.host
         state.tried_peers.add(peer.host)
-        state.response_started = False
         self._relay_peers.begin(peer.host)
         pick = Pick(
             server=as_server(peer, state.exchange.service),
@@ -236,7 +234,7 @@
             uncached_tokens=0,
         )
         return replace(
-            self._build_send(now, state, pick, None),
+            self._start_attempt(now, state, pick, None),
             first_byte_deadline=state.exchange.expires_at,
             new_connection=False,
             relay_to=peer.host,
@@ -263,9 +261,8 @@
         )
         state.tried_servers.add(pick.server.server_id)
         migrated_cache, state.migrated_cache = state.migrated_cache, None
-        state.response_started = False
         state.may_be_stopped = False
-        return self._build_send(now, state, pick, migrated_cache)
+        return self._start_attempt(now, state, pick, migrated_cache)
 
     def _pick_server(
         self,
@@ -281,13 +278,15 @@
         # The target has a copy of the run's KV cache: it reads no prompt.
         return Pick(server=target, expected_s=0.1, uncached_tokens=0)
 
-    def _build_send(
+    def _start_attempt(
         self,
         now: float,
         state: ExchangeState,
         pick: Pick,
         migrated_cache: Any,
     ) -> SendRequest:
+        """Record the dispatch of an attempt and return its action."""
+        state.record_dispatch(pick.server.server_id)
         exchange = state.exchange
         route = exchange.route
         first_byte_timeout_s = max(
@@ -387,7 +386,7 @@
         ):
             self._crash_observer.record_outcome(now, state, event, attempt)
             self._evidence.record_end(now, state, event, attempt)
-        step = state.record_outcome(now, event, attempt.server_id)
+        step = state.record_outcome(now, event)
         if step is NextStep.RESEND:
             resend = self._resend(now, state, event)
             if resend is not None:
@@ -402,10 +401,8 @@
 
         A peer that failed the request has tried what the route allows.
         """
-        assert state.relayed_to is not None
-        server_id = relay_server_id(state.relayed_to)
         self._end_relay(state)
-        step = state.record_outcome(now, event, server_id)
+        step = state.record_outcome(now, event)
         if step is NextStep.RESEND:
             resend = None
             if event.outcome is not AttemptOutcome.FAILED:
@@ -551,7 +548,6 @@
             attempt = self._load_balancer.loads.record_attempt_end(request_id)
             if attempt is not None:
                 self._load_balancer.health.end_trial(attempt.server_id)
-                state.may_have_run_on.add(attempt.server_id)
                 self._crash_observer.record_cancelled(
                     now, state, attempt.server_id
                 )
--- a/waxwingarch/core/exchange/state_machine.py
+++ b/waxwingarch/core/exchange/state_machine.py
@@ -39,9 +39,11 @@
 class ExchangeState:
     """State of an exchange in progress.
 
-    `may_have_run_on` are the servers that may have run the request,
-    `tried_servers` all that it was sent to, and `unreachable_servers` those
-    to which no connection could be made. `response_started` is about
+    `sent_to` is the server or peer of the attempt in progress, which may run
+    the request until its outcome says that it did not. `may_have_run_on` are
+    those of the ended attempts that may have run it, `tried_servers` all
+    servers that it was sent to, and `unreachable_servers` those to which no
+    connection could be made. `response_started` is about
     the current attempt, `is_usage_counted` about the whole exchange.
     `migrated_cache` says where the KV cache of its run was copied, and
     `may_be_stopped` that the server may have stopped the run to copy it.
@@ -54,6 +56,7 @@
     exchange: Exchange
     tried_servers: set[ServerId] = field(default_factory=set)
     unreachable_servers: set[ServerId] = field(default_factory=set)
+    sent_to: ServerId | None = None
     may_have_run_on: set[ServerId] = field(default_factory=set)
     rejection_count: int = 0
     response_started: bool = False
@@ -67,13 +70,25 @@
     tried_peers: set[HostId] = field(default_factory=set)
     rate_cost: float = 0.0
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any server may have run the request, or still runs it."""
+        return self.sent_to is not None or bool(self.may_have_run_on)
+
+    def record_dispatch(self, server: ServerId) -> None:
+        """Record that an attempt is sent to a server, or to a peer."""
+        self.sent_to = server
+        self.response_started = False
+
     def record_outcome(
-        self, now: float, finished: AttemptFinished, server: ServerId
+        self, now: float, finished: AttemptFinished
     ) -> NextStep:
-        """Record the end of an attempt and return the next step.
+        """Record the end of the attempt and return the next step.
 
         A resend also needs a server and a unit of the resend budget.
         """
+        assert self.sent_to is not None
+        server, self.sent_to = self.sent_to, None
         not_run = finished.outcome in NOT_RUN_OUTCOMES
         if finished.outcome is AttemptOutcome.NOT_SENT:
             self.unreachable_servers.add(server)
@@ -154,9 +169,10 @@
     ) -> Refusal:
         """Return the refusal that this host sends as the final response.
 
-        `not_run_refusal` is for a request that no server has run.
+        `not_run_refusal` is for a request that no server has run. An attempt
+        that was cancelled has no outcome, so that its server may run it.
         """
-        if not self.may_have_run_on:
+        if not self.may_have_run:
             return not_run_refusal
         if finished.outcome is AttemptOutcome.EXPIRED:
             return Refusal(
