Keep a stream at a server that is silent for a second (LOST, TWICE)

Cause: a host left a silent server 1.2 s after the last byte of a stream, and 0.6 to 0.9 s after the last byte of any response while it waited for the first event. A sound server may pause for a second or so, and the usual pause between two events counts towards that time. The server woke up after its stream had gone on elsewhere and still had the run for more than 0.4 s; or the other servers rejected the stream, and the host closed the caller's connection in the middle of an answer that its server would have gone on with.

Change: a stream stays with its server for 1.6 s after the last byte (`STREAM_STAYS_S`), before its first event too. That the server is silent is reported when it was before, so that new requests avoid it; the silence is counted once. Plain requests are left as before: they run once, or may run more than once. Relayed streams leave this to the peer.

The soak gets the kind "pause" (half or all sound servers of a service do nothing for 0.8 to 1.3 s) and the check that no stream goes on at two servers.

--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections import defaultdict
+from itertools import pairwise
 from typing import Final
 
 import orjson
@@ -28,6 +29,7 @@
     FAULT_RECOVERY_S,
     LOSS_SLACK_S,
     MISSED_CHANGE_S,
+    OVERLAP_LIMIT_S,
     PARTITION,
     RESPONSE_SLACK_S,
     SCHEDULING_SLACK_S,
@@ -48,6 +50,8 @@
 STOPS: Final = {"stop", "rolling stop"}
 # Faults of a server by which it breaks off responses that it began.
 BREAKING_SERVER_FAULTS: Final = {"crash", "leaving", "link to server"}
+# Faults of a server by which it ends a run later than it should.
+LATE_END_FAULTS: Final = {"silence", "link to server"}
 BROKEN_RUNS: Final = ("broken", "crashed")
 SERVICES: Final = {
     route: ENGINE_SERVICE if route in STREAM_ROUTES else PLAIN_SERVICE
@@ -89,6 +93,8 @@
         self._check_complete(call)
         if call.route in NON_IDEMPOTENT_ROUTES:
             self._check_run_once(call, runs)
+        if call.route in STREAM_ROUTES:
+            self._check_alone(call, runs)
         if call.disconnected_at is None:
             self._check_in_time(call)
             self._check_served(call)
@@ -139,6 +145,30 @@
         if call.status in NOT_RUN_STATUSES:
             self._record_call_check(Promise.NOT_RUN, not runs, call)
 
+    def _check_alone(self, call: Call, runs: list[Run]) -> None:
+        """Check that no server still has a run that another has continued.
+
+        A host that was disturbed, or that did not reach the first server,
+        could not know or end it. Nor could one whose server was silent for
+        longer than a sound one is.
+        """
+        ordered = sorted(runs, key=lambda run: run.began_at)
+        for earlier, later in pairwise(ordered):
+            if self._world.had_fault(
+                call.sent_at - FAULT_RECOVERY_S,
+                later.began_at,
+                names={call.host},
+            ) or self._world.had_fault(
+                earlier.began_at,
+                later.began_at,
+                names={earlier.server_id},
+                kinds=LATE_END_FAULTS,
+            ):
+                continue
+            overlap_s = earlier.ended_at - later.began_at
+            limit_s = OVERLAP_LIMIT_S + SCHEDULING_SLACK_S
+            self._record_call_check(Promise.ALONE, overlap_s <= limit_s, call)
+
     def _check_in_time(self, call: Call) -> None:
         if self._had_fault(call, names={call.host}):
             return
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -36,6 +36,7 @@
     "link to server": 2,
     "store": 2,
     "silence": 2,
+    "pause": 2,
     "config series": 2,
 }
 
--- a/standins/soak/promises.py
+++ b/standins/soak/promises.py
@@ -10,6 +10,7 @@
     WHOLE = "a success is the caller's own whole answer"
     ONCE = "what may not be repeated runs at most once"
     NOT_RUN = "refused as not run, it did not run"
+    ALONE = "a stream goes on at one server at a time"
     IN_TIME = "a request ends within its route's time limit"
     GONE = "a caller that leaves ends its run"
     SERVED = "a sound host with sound servers serves every request"
@@ -67,6 +68,12 @@
 MISSED_CHANGE_S: Final = 20.0
 # A host may send its response this long after the time limit.
 RESPONSE_SLACK_S: Final = 0.5
+# A server may still have a run this long after another has continued it.
+OVERLAP_LIMIT_S: Final = 0.4
+# A server that is silent for at most this long is sound.
+SOUND_SILENCE_S: Final = 1.3
+# Kind of the interval in which several sound servers are silent.
+PAUSE: Final = "pause"
 # A server ends a run this long after its caller has disconnected.
 CANCEL_LIMIT_S: Final = 0.5
 # A host that stops may close a connection on which a request crosses this
--- a/standins/soak/server_faults.py
+++ b/standins/soak/server_faults.py
@@ -3,8 +3,10 @@
 import asyncio
 from typing import Final
 
+from standins.fleet import ENGINE_SERVICE, PLAIN_SERVICE
 from standins.fleet_server import Behaviour, FleetServer
 from standins.soak.load import MAX_SIZE, LoadGenerator
+from standins.soak.promises import PAUSE, SOUND_SILENCE_S
 from standins.soak.targets import Fault, Preparation, Targets
 
 SERVER_FAULTS: Final = (
@@ -18,6 +20,9 @@
     "stray",
 )
 SILENCE_S: Final = (1.0, 2.5)
+# How long sound servers do nothing, and which share of a service's servers.
+PAUSE_S: Final = (0.8, SOUND_SILENCE_S)
+PAUSED_RATIO: Final = (0.5, 1.0)
 # How long a server announces that it leaves, and drains after that.
 ANNOUNCED_S: Final = (1.0, 2.0)
 DRAINING_S: Final = (3.0, 4.0)
@@ -45,6 +50,7 @@
             "leaving": self._prepare_leaving,
             "spoiled": self._prepare_spoiled,
             "silence": self._prepare_silence,
+            PAUSE: self._prepare_pause,
             "limit": self._prepare_limit,
             "until close": self._prepare_until_close,
             "crashing part": self._prepare_crashing_part,
@@ -142,6 +148,38 @@
 
         return fall_silent
 
+    def _prepare_pause(self) -> Fault | None:
+        """Let many sound servers of a service do nothing for a second.
+
+        No caller may notice more than the time that this takes, so it opens
+        the intervals of the servers' faults only for the time limits.
+        """
+        service = self._rng.choice((ENGINE_SERVICE, PLAIN_SERVICE))
+        sound = [
+            server
+            for server in self._world.fleet.servers
+            if server.service == service
+            and self._targets.is_undisturbed(server)
+        ]
+        count = round(len(sound) * self._rng.choice(PAUSED_RATIO))
+        if not count:
+            return None
+        paused_s = self._rng.uniform(*PAUSE_S)
+        paused = self._rng.sample(sound, count)
+        intervals = [
+            self._targets.begin_fault(s.server_id, PAUSE, f"{paused_s:.1f} s")
+            for s in paused
+        ]
+
+        async def pause() -> None:
+            await asyncio.gather(
+                *(server.async_fall_silent(paused_s) for server in paused)
+            )
+            for interval in intervals:
+                self._targets.end_fault(interval)
+
+        return pause
+
     def _prepare_limit(self) -> Fault | None:
         """Let a server name a limit in its answers for a time."""
         server = self._targets.pick_server()
--- a/standins/soak/targets.py
+++ b/standins/soak/targets.py
@@ -43,16 +43,17 @@
         undisturbed = [
             server
             for server in self.world.fleet.servers
-            if self._is_undisturbed(server)
+            if self.is_undisturbed(server)
             and sum(
-                self._is_undisturbed(other)
+                self.is_undisturbed(other)
                 for other in self.world.servers_of_same_service(server)
             )
             > 1
         ]
         return self.rng.choice(undisturbed) if undisturbed else None
 
-    def _is_undisturbed(self, server: FleetServer) -> bool:
+    def is_undisturbed(self, server: FleetServer) -> bool:
+        """Return whether a server runs and has no fault."""
         return not (server.is_down or server.server_id in self.disturbed_names)
 
     def begin_fault(
--- a/waxwingarch/core/backends/health.py
+++ b/waxwingarch/core/backends/health.py
@@ -133,6 +133,11 @@
         record.avoid_s = min(MAX_AVOID_S, record.avoid_s * 2)
         return True
 
+    def is_silent(self, server_id: ServerId) -> bool:
+        """Return whether no bytes came since a pause that was recorded."""
+        record = self._records.get(server_id)
+        return record is not None and record.is_silent
+
     def record_silence(self, now: float, server_id: ServerId) -> None:
         """Record that a response has paused for too long."""
         self.record_failure(now, server_id, unreachable=False)
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -69,6 +69,13 @@
 # route's longest pause between events, and for at least the minimum.
 IDLE_TIMEOUT_PER_EVENT_GAP: Final = 4.0
 MIN_STREAM_IDLE_TIMEOUT_S: Final = 1.2
+# After the first-byte deadline, a server without any activity for this long
+# counts as down.
+SERVER_ACTIVE_WITHIN_S: Final = 0.6
+# A sound server may send nothing for a second or so, after the pause between
+# two events. A stream stays with it for that long: it would run at two
+# servers otherwise, or be cut where no other server takes it.
+STREAM_STAYS_S: Final = 1.6
 # Callers that are refused until a server takes requests again are told to
 # return spread over this share of that time after it.
 RETURN_SPREAD_RATIO: Final = 0.5
@@ -311,6 +318,9 @@
             expires_at=exchange.expires_at,
             first_byte_deadline=first_byte_deadline,
             stream_idle_timeout_s=stream_idle_timeout_s,
+            stays_silent_s=STREAM_STAYS_S
+            if route.streaming
+            else SERVER_ACTIVE_WITHIN_S,
             resume_after=state.last_event,
             migrated_cache=migrated_cache,
             fresh_connection=exchange.retry_policy
@@ -499,9 +509,10 @@
         """Record what the outcome says about the health of the server.
 
         A rejection, and an attempt that ended because its run was migrated,
-        say nothing. A request that expired counts as a failure only if the
-        server has sent no bytes, to this or other requests, since the
-        request arrived: else it is slow, not dead.
+        say nothing. A silence was recorded while it lasted. A request that
+        expired counts as a failure only if the server has sent no bytes, to
+        this or other requests, since the request arrived: else it is slow,
+        not dead.
         """
         health = self._load_balancer.health
         if event.outcome is AttemptOutcome.DONE:
@@ -509,6 +520,10 @@
         elif (
             event.outcome is AttemptOutcome.REJECTED
             or state.migrated_cache is not None
+            or (
+                event.outcome is AttemptOutcome.SILENT
+                and health.is_silent(server_id)
+            )
         ):
             health.end_trial(server_id)
         elif event.outcome is AttemptOutcome.EXPIRED:
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -203,7 +203,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServerSilent(ExchangeEvent):
-    """A server sends nothing, in a response that only it can continue.
+    """A server sends nothing, in a stream that stays with it so far.
 
     It is posted once for each pause that is too long.
     """
@@ -257,7 +257,9 @@
 
     Times are on the node's clock. Where the request may be sent to another
     server, `first_byte_deadline` bounds the wait for the first byte.
-    `stream_idle_timeout_s` bounds a pause in a stream. `resume_after` is
+    After a pause of `stream_idle_timeout_s` in a stream the server counts as
+    silent. An attempt stays with a server that has sent nothing, to any
+    request of this host, for up to `stays_silent_s`. `resume_after` is
     the id of the last event that was passed on. With `migrated_cache` the
     server continues a run whose KV cache was copied to it.
     `fresh_connection` asks for a connection that was not idle for long, and
@@ -272,6 +274,7 @@
     expires_at: float
     first_byte_deadline: float
     stream_idle_timeout_s: float
+    stays_silent_s: float
     resume_after: int | None
     migrated_cache: MigratedCache | None
     fresh_connection: bool
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -22,6 +22,9 @@
 from waxwingarch.core.backends.registry import LeavingAnnounced
 from waxwingarch.core.backends.server_limits import ServerLimitSeen
 from waxwingarch.core.base import RequestId
+from waxwingarch.core.exchange.exchange_manager import (
+    SERVER_ACTIVE_WITHIN_S,
+)
 from waxwingarch.core.exchange.exchange_messages import (
     AttemptFinished,
     AttemptOutcome,
@@ -44,9 +47,6 @@
 # While a server sends other responses, the wait for a slow one is extended
 # in steps of this length.
 FIRST_BYTE_POLL_S: Final = 0.3
-# After the first-byte deadline, a server without any activity for this long
-# counts as down.
-SERVER_ACTIVE_WITHIN_S: Final = 0.6
 # The events of a stream are reported as activity at most this often.
 ACTIVITY_REPORT_INTERVAL_S: Final = 0.2
 # At most this many responses to earlier requests are skipped before the one
@@ -85,8 +85,9 @@
     """The part of the response that the caller has, over all attempts.
 
     `last_event` is the id of the last event that was passed on. `failure`
-    is the latest error response that can be forwarded. `ended_by_close` and
-    `on_new_connection` are about the current attempt.
+    is the latest error response that can be forwarded. `sent_at`,
+    `ended_by_close`, `on_new_connection` and `is_silence_reported` are about
+    the current attempt.
     """
 
     response_started: bool = False
@@ -94,6 +95,8 @@
     failure: FailureResponse | None = None
     ended_by_close: bool = False
     on_new_connection: bool = True
+    sent_at: float = float("-inf")
+    is_silence_reported: bool = False
     activity_reported_at: float = field(default=float("-inf"))
 
 
@@ -161,8 +164,9 @@
     async def _async_attempt(
         self, send: SendRequest
     ) -> tuple[AttemptOutcome, float | None]:
-        loop = asyncio.get_running_loop()
-        now = loop.time()
+        now = asyncio.get_running_loop().time()
+        self.state.sent_at = now
+        self.state.is_silence_reported = False
         encode_headers = (
             self._codec.encode_request_headers
             if send.relay_to is None
@@ -198,15 +202,17 @@
         now = asyncio.get_running_loop().time()
         if now < send.first_byte_deadline:
             return min(send.first_byte_deadline, now + FIRST_BYTE_POLL_S)
+        if now >= send.expires_at:
+            return None
         last_activity_at = (
             self._runner.node.load_balancer.loads.last_activity_at(
                 send.server.server_id
             )
         )
-        if now >= send.expires_at:
-            return None
-        is_active = now - last_activity_at <= SERVER_ACTIVE_WITHIN_S
-        if not is_active and self._may_give_up(now):
+        silent_s = now - max(last_activity_at, self.state.sent_at)
+        if silent_s > SERVER_ACTIVE_WITHIN_S and send.streaming:
+            self._report_silence(send)
+        if silent_s > send.stays_silent_s and self._may_give_up(now):
             return None
         return now + FIRST_BYTE_POLL_S
 
@@ -425,6 +431,7 @@
         Raises `SilentLinkError` if the server sends nothing for too long.
         """
         loop = asyncio.get_running_loop()
+        silent_since = loop.time()
         while awaiting_first_event:
             until = self._first_byte_wait_until(send)
             if until is None:
@@ -433,22 +440,32 @@
                 return await stream.async_read(until)
             except SilentLinkError:
                 continue
-        is_silence_reported = False
+        self.state.is_silence_reported = False
+        idle_until = silent_since + send.stream_idle_timeout_s
+        leave_at = max(idle_until, silent_since + send.stays_silent_s)
         while True:
-            idle_until = loop.time() + send.stream_idle_timeout_s
             try:
                 return await stream.async_read(
                     min(send.expires_at, idle_until)
                 )
             except SilentLinkError:
                 now = loop.time()
-                if now >= send.expires_at or self._may_give_up(now):
+                if now >= send.expires_at:
+                    raise
+                if now >= leave_at and self._may_give_up(now):
                     raise
-            if not is_silence_reported:
-                is_silence_reported = True
-                self._report_silence(send)
+            self._report_silence(send)
+            idle_until = (
+                leave_at
+                if now < leave_at
+                else now + send.stream_idle_timeout_s
+            )
 
     def _report_silence(self, send: SendRequest) -> None:
+        """Report a pause that is too long, once, if a server makes it."""
+        if self.state.is_silence_reported or send.relay_to is not None:
+            return
+        self.state.is_silence_reported = True
         server_id = send.server.server_id
         self._runner.post(
             ServerSilent(request_id=self._request_id, server_id=server_id)
