Refuse requests that are being read when the host stops

A host ended as soon as no request was in progress, 2.6 s after SIGTERM at the earliest. One whose head or body was being read then did not count: its caller saw its connection reset in the middle of sending, with up to five seconds of the grace period left.

No rule is broken by it, as the request was not read whole, but its caller learns nothing.

Change: the drain waits for a request that has been read in part, within the grace period, and a connection with a part of a head is not closed as idle. The request is then served, or refused with 503 and a Retry-After.

Test: tests/front/test_stop_host.py; test_is_refused_after_that fails before (connection closed, 0 bytes).

--- /dev/null
+++ b/tests/front/test_stop_host.py
@@ -0,0 +1,78 @@
+"""Tests of requests that a host is reading when it is told to stop."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import Any
+
+import testtools
+
+from standins.front_process import KEY, call_headers
+from tests.front.base import Host
+from tests.helpers import async_test
+from waxwingarch.core.front_node import ACCEPT_WHILE_STOPPING_S
+
+BODY_END = b"0\r\n\r\n"
+DEADLINE_MS = 8000
+
+
+def head(request_id: str, path: str) -> bytes:
+    """Return the head of a request whose body comes in chunks."""
+    fields = [
+        *call_headers(request_id, DEADLINE_MS, KEY),
+        ("Transfer-Encoding", "chunked"),
+    ]
+    lines = [f"POST {path} HTTP/1.1", *(f"{k}: {v}" for k, v in fields)]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+@asynccontextmanager
+async def open_connection(host: Host) -> Any:
+    """Open a caller's connection, and close it at the end."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", host.ports[0])
+    try:
+        yield reader, writer
+    finally:
+        writer.transport.abort()
+
+
+class PartlyReadRequests(testtools.TestCase):
+    """The body of a request comes in chunks around SIGTERM."""
+
+    async def async_send_around_stop(
+        self, host: Host, path: str, first_part: bytes, ends_after_s: float
+    ) -> bytes:
+        """Send a part of a request, stop the host, and send the rest."""
+        request = head("parts", path) + b"3\r\nabc\r\n" + BODY_END
+        async with open_connection(host) as (reader, writer):
+            writer.write(request[: len(first_part) or 20])
+            await asyncio.sleep(0.1)
+            host.daemon.stop()
+            await asyncio.sleep(ends_after_s)
+            writer.write(request[len(first_part) or 20 :])
+            return bytes(await reader.readuntil(b"\r\n"))
+
+    @async_test
+    async def test_is_served_while_the_host_still_accepts(self) -> None:
+        for path in ("/pay/x", "/chat/x"):
+            async with Host() as host:
+                status = await self.async_send_around_stop(
+                    host, path, head("parts", path), 0.5
+                )
+                self.assertIn(b" 200 ", status, path)
+                await host.task
+
+    # The host ended with seconds of its grace period left, and closed the
+    # connection of a caller that had not yet sent the end of its body.
+    @async_test
+    async def test_is_refused_after_that(self) -> None:
+        for first_part in (b"", head("parts", "/pay/x")):
+            async with Host() as host:
+                status = await self.async_send_around_stop(
+                    host,
+                    "/pay/x",
+                    first_part,
+                    ACCEPT_WHILE_STOPPING_S + 1.0,
+                )
+                self.assertIn(b" 503 ", status)
+                await host.task
+                self.assertEqual([], host.fleet.runs)
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -314,7 +314,7 @@
         """
         if self.expects_first_request:
             return
-        if self._task is None and self._conn.their_state is h11.IDLE:
+        if self._task is None and not self.is_receiving:
             self._transport.close()
 
     def abort_if_busy(self) -> None:
@@ -328,6 +328,14 @@
         now = asyncio.get_running_loop().time()
         return not self._has_had_request and now < self._first_request_due_at
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of the next request has been read."""
+        return self._task is None and (
+            self._conn.their_state is h11.SEND_BODY
+            or bool(self._conn.trailing_data[0])
+        )
+
     @property
     def busy(self) -> bool:
         """Whether a request is in progress, or its response not all sent."""
@@ -377,6 +385,11 @@
         """
         self.draining = True
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a request has been read on some connection."""
+        return any(conn.is_receiving for conn in self.connections)
+
     def close_idle(self) -> None:
         """Close the connections that have no request in progress."""
         for conn in list(self.connections):
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -210,7 +210,8 @@
         """Let exchanges in progress finish within the grace period.
 
         At first the host still accepts requests, until the external load
-        balancer has noticed that it is stopping.
+        balancer has noticed that it is stopping. A request that it reads
+        after that is refused, so that its caller can go elsewhere.
         """
         loop = asyncio.get_running_loop()
         drain_deadline = (
@@ -222,7 +223,9 @@
         self._runner.post(StopBegan())
         self._entry.server.start_drain()
         await asyncio.sleep(ACCEPT_WHILE_STOPPING_S)
-        while loop.time() < drain_deadline and self._entry.in_progress:
+        while loop.time() < drain_deadline and (
+            self._entry.in_progress or self._entry.server.is_receiving
+        ):
             self._entry.server.close_idle()
             await asyncio.sleep(DRAIN_POLL_S)
 
