--- a/waxwingarch/adapters/addresses.py
+++ b/waxwingarch/adapters/addresses.py
@@ -1,11 +1,17 @@
 """Conversion between socket addresses and their text form."""
 
 from functools import lru_cache
+from typing import Final
+
+MAX_PORT: Final = 65_535
 
 
 @lru_cache(maxsize=4096)
 def split_address(address: str) -> tuple[str, int]:
-    """Return the IP address and port of "ip:port" or "[ip]:port"."""
+    """Return the IP address and port of "ip:port" or "[ip]:port".
+
+    Raises `ValueError` if the port is not a number.
+    """
     host, _, port = address.rpartition(":")
     return host.strip("[]"), int(port)
 
--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -50,6 +50,10 @@
     """No connection could be opened; the request was not sent."""
 
 
+class UnsendableRequestError(ConnectFailedError):
+    """A request can't be written as HTTP, so that nothing was sent."""
+
+
 class NotPermittedError(ConnectFailedError):
     """The caller's `permit` check failed; the request was not sent."""
 
@@ -195,7 +199,21 @@
     async def async_send(
         self, method: str, target: str, headers: Headers, body: bytes
     ) -> None:
-        """Write one request, with Host and Content-Length added."""
+        """Write one request, with Host and Content-Length added.
+
+        Raises `UnsendableRequestError`.
+        """
+        try:
+            data = self._encode_request(method, target, headers, body)
+        except (h11.LocalProtocolError, ValueError) as exc:
+            raise UnsendableRequestError(f"{self.address}: {exc}") from exc
+        # The write buffer is not drained: a server may respond before it
+        # has read the body, and then waits for its response to be read.
+        self._writer.write(data)
+
+    def _encode_request(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> bytes:
         pairs = list(headers)
         if not any(name.lower() == "host" for name, _ in headers):
             pairs.insert(0, ("host", self.address))
@@ -210,10 +228,7 @@
         data = self._conn.send(head) or b""
         if body:
             data += self._conn.send(h11.Data(data=body)) or b""
-        data += self._conn.send(h11.EndOfMessage()) or b""
-        # The write buffer is not drained: a server may respond before it
-        # has read the body, and then waits for its response to be read.
-        self._writer.write(data)
+        return data + (self._conn.send(h11.EndOfMessage()) or b"")
 
     def apply_keep_alive(self, header: str) -> None:
         """Limit the idle time to what a Keep-Alive header announces."""
@@ -378,7 +393,8 @@
                 transport, _ = await loop.create_connection(
                     lambda: protocol, host, int(port)
                 )
-        except (OSError, ValueError) as exc:
+        except (OSError, ValueError, OverflowError) as exc:
+            # An address that is no address raises one of the last two.
             raise ConnectFailedError(f"{address}: cannot connect") from exc
         writer = asyncio.StreamWriter(transport, protocol, reader, loop)
         sock = writer.get_extra_info("socket")
--- a/waxwingarch/platform/rows_codec.py
+++ b/waxwingarch/platform/rows_codec.py
@@ -5,11 +5,18 @@
 reclaimable one.
 """
 
-from typing import Any, TypeVar
+from ipaddress import ip_address
+from typing import Annotated, Any, Final, TypeVar
 
 import orjson
-from pydantic import BaseModel, Field, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+)
 
+from waxwingarch.adapters.addresses import MAX_PORT, split_address
 from waxwingarch.core.backends.registry import ListedBackend
 from waxwingarch.core.base import (
     AccountId,
@@ -53,6 +60,13 @@
 # between two events of a stream.
 DEFAULT_LATENCY_OBJECTIVE_MS = 1000
 DEFAULT_MAX_GAP_MS = 300
+# Bounds of what a server says of itself. Beyond these, the entry is by
+# another writer or damaged.
+MAX_NAME_CHARS: Final = 200
+MAX_SLOTS: Final = 1_000_000
+MAX_UNIX_MS: Final = 2**53
+MAX_LEAVES_MS: Final = 86_400_000.0
+MAX_LOGGED_REASON_CHARS: Final = 200
 
 
 Model = TypeVar("Model", bound=BaseModel)
@@ -133,18 +147,38 @@
     limits: _LimitsRow = Field(default_factory=_LimitsRow)
 
 
+def _check_address(text: str) -> str:
+    """Return the address if it is IP:PORT; raises `ValueError`."""
+    host, port = split_address(text)
+    ip_address(host)
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f"port {port} is not from 1 to {MAX_PORT}")
+    return text
+
+
+_Name = Annotated[str, Field(min_length=1, max_length=MAX_NAME_CHARS)]
+_Address = Annotated[
+    str,
+    Field(max_length=MAX_NAME_CHARS, pattern=r"^[0-9A-Fa-f.:\[\]]+\z"),
+    AfterValidator(_check_address),
+]
+
+
 class _ServerRow(BaseModel):
-    service: str
-    address: str
-    zone: str
+    # Any host may read this row, and any writer may have left it.
+    model_config = ConfigDict(strict=True, allow_inf_nan=False)
+
+    service: _Name
+    address: _Address
+    zone: _Name
     state: str
-    version: str = ""
-    slots: int = 1
+    version: str = Field(default="", max_length=MAX_NAME_CHARS)
+    slots: int = Field(default=1, ge=1, le=MAX_SLOTS)
     # When the process started, in Unix milliseconds: its incarnation.
-    born: int = 0
+    born: int = Field(default=0, ge=0, le=MAX_UNIX_MS)
     spot: bool = False
     # Time until a server that is being taken away stops serving.
-    leaves_ms: float | None = None
+    leaves_ms: float | None = Field(default=None, ge=0, le=MAX_LEAVES_MS)
     # The models that a model engine serves; plain services have none.
     models: list[dict[str, Any]] | None = None
 
@@ -233,12 +267,11 @@
 
     def decode_backend(self, key: str, value: bytes) -> ListedBackend:
         """Decode a server's registration; raises `BadRowError`."""
+        if not _is_header_value(key):
+            raise BadRowError(f"id {key!r} can't be sent in a header")
         row = _decode_row(_ServerRow, value)
         if row.state not in (SERVER_READY, SERVER_DRAINING):
             raise BadRowError(f"state {row.state!r} is unknown")
-        host, colon, port = row.address.rpartition(":")
-        if not (host and colon and port.isdigit()):
-            raise BadRowError(f"address {row.address!r} is not IP:PORT")
         kind = ServerKind.ENGINE if row.models else ServerKind.PLAIN
         server = Server(
             server_id=ServerId(key),
@@ -261,12 +294,18 @@
         )
 
 
+def _is_header_value(text: str) -> bool:
+    """Return whether a text can be sent as the value of a header."""
+    return text.isascii() and text.isprintable() and text.strip() == text != ""
+
+
 def _decode_row(model: type[Model], value: bytes) -> Model:
     """Parse and validate a JSON value; raises `BadRowError`."""
     try:
         return model.model_validate(orjson.loads(value))
-    except (ValidationError, orjson.JSONDecodeError) as exc:
-        raise BadRowError(f"not a {model.__name__}: {exc}") from exc
+    except (ValueError, RecursionError) as exc:
+        reason = str(exc)[:MAX_LOGGED_REASON_CHARS]
+        raise BadRowError(f"not a {model.__name__}: {reason}") from exc
 
 
 def _to_route(row: _RouteRow) -> Route:
