Read the store's tables past rows that are not valid

One odd row cost more than itself, in the same way as an odd entry of the server list: a value that is no base64, a row without a key or with an odd version made each read of its table raise, so that the table was read again and again and never followed. A host's row that is no text or no address ended the task that learns of the other hosts. An odd row of the lease ended the call without a word to the node, and no host did the duties any more.

Change: the rows of a response are validated one by one at the border; one without a key or version is left out, a value that is no base64 is empty, and both are logged. A response without rows or version counts as an outage of the store, like one that is no JSON. Rows of hosts, of the lease and of settled usage that are not valid hold nothing.

Tests: five in tests/front/test_odd_rows_host.py (OddRowsOfOtherTables, OddResponsesOfTheStore); all five fail on the code before.

--- a/tests/front/test_odd_rows_host.py
+++ b/tests/front/test_odd_rows_host.py
@@ -23,7 +23,8 @@
 from waxwingarch.adapters.http_server import HttpServer
 from waxwingarch.adapters.report_codec import encode_report
 from waxwingarch.platform.rows_codec import PlatformRowCodec
-from waxwingarch.ports.front import BadRowError
+from waxwingarch.platform.store import PlatformRowStore
+from waxwingarch.ports.front import BadRowError, StoreUnavailableError
 
 NESTED_LISTS = 100_000
 # The odd fields of a server's row whose other fields are sound.
@@ -235,3 +236,121 @@
                 )
         server.handler.assert_not_called()
         await server.async_unload()
+
+
+class OddRowsOfOtherTables(testtools.TestCase):
+    """One odd row of a table costs neither the other rows nor a task."""
+
+    # Guards against hosts that never learn of their peers.
+    @async_test
+    async def test_hosts_beside_odd_ones_are_known(self) -> None:
+        async with Host() as host:
+            for key, value in (
+                ("odd-1", b"\xff"),
+                ("odd-2", b"127.0.0.1:99999"),
+                ("odd-3", b"no address"),
+                ("sound", b"127.0.0.1:9"),
+            ):
+                row = b64encode(value).decode()
+                host.fleet.store.put("waxwing-hosts", key, row)
+            peers = host.front.peers
+            known = peers.known_host_count
+            host.daemon._register(0.0)
+            await async_until(
+                lambda: peers.known_host_count > known, "the host is known"
+            )
+            self.assertEqual(known + 1, peers.known_host_count)
+
+    # Guards against duties that no host does any more.
+    @async_test
+    async def test_lease_is_taken_from_an_odd_row(self) -> None:
+        for value in (b"\xff", b"[]", b'{"a":1}', b"[1,2,null,4]", b"7"):
+            async with Host() as host:
+                await self.async_check_lease_survives(host, value)
+
+    async def async_check_lease_survives(
+        self, host: Host, value: bytes
+    ) -> None:
+        """Check that a host writes its lease over a row that holds none."""
+        store, lease = host.fleet.store, host.front.lease
+        await async_until(lambda: lease.held, "it is held")
+        odd = b64encode(value).decode()
+        store.put("waxwing-lease", "duties", odd)
+        await async_until(
+            lambda: (
+                lease.held
+                and store.rows["waxwing-lease", "duties"].value != odd
+            ),
+            "the lease is written again",
+        )
+
+    @async_test
+    async def test_row_that_is_no_base64_names_no_server(self) -> None:
+        async with Host() as host:
+            registry = host.front.load_balancer.registry
+            host.fleet.store.put("servers", "odd", "\u00a7\u00a7")
+            added = await host.fleet.async_add_server(
+                "p-new", PLAIN_SERVICE, engine=False
+            )
+            await async_until(
+                lambda: registry.get(added.server_id), "the next row is read"
+            )
+            self.assertIsNone(registry.get("odd"))
+
+
+class OddResponsesOfTheStore(testtools.TestCase):
+    SOUND = {"key": "sound", "value": "dg==", "row_version": 3}
+
+    async def async_read(self, body: Any) -> Any:
+        """Read a table from a store that sends this body."""
+
+        async def async_answer(req: Any, resp: Any) -> None:
+            data = body if isinstance(body, bytes) else orjson.dumps(body)
+            await resp.async_send(200, data)
+
+        server = HttpServer(async_answer)
+        port = await server.async_setup("127.0.0.1", 0)
+        store = PlatformRowStore(HttpClient(), f"127.0.0.1:{port}")
+        try:
+            deadline = asyncio.get_running_loop().time() + 5.0
+            return await store.async_read("t", deadline=deadline)
+        finally:
+            await server.async_unload()
+
+    # Guards against a table that is read again and again without its rows.
+    @async_test
+    async def test_odd_rows_are_left_out(self) -> None:
+        odd: tuple[Any, ...] = (
+            None,
+            7,
+            [],
+            {},
+            {"value": "dg=="},
+            {"key": 7},
+            {"key": "a", "row_version": "x"},
+            {"key": "a", "row_version": -1},
+            {"key": "a", "row_version": 2**63},
+            {"key": "a", "value": 5},
+        )
+        for row in odd:
+            rows = await self.async_read(
+                {"rows": [row, self.SOUND], "row_version": 9, "now_ms": 1}
+            )
+            self.assertEqual(["sound"], [r.key for r in rows.rows], row)
+            self.assertEqual(b"v", rows.rows[0].value)
+
+    @async_test
+    async def test_response_that_is_none_is_an_outage(self) -> None:
+        for body in (
+            b"",
+            b"[" * NESTED_LISTS,
+            [],
+            7,
+            {},
+            {"rows": 5, "row_version": 1},
+            {"rows": []},
+            {"rows": [], "row_version": "x"},
+            {"rows": [], "row_version": 1, "now_ms": None},
+        ):
+            with testtools.ExpectedException(StoreUnavailableError):
+                await self.async_read(body)
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -11,7 +11,7 @@
 import orjson
 from eliot import log_message, write_traceback
 
-from waxwingarch.adapters.addresses import split_address
+from waxwingarch.adapters.addresses import check_address, split_address
 from waxwingarch.adapters.front_metrics import FrontMetrics
 from waxwingarch.adapters.front_settings import (
     FrontSettings,
@@ -50,6 +50,7 @@
 from waxwingarch.ports.front import (
     BadRowError,
     FrontPorts,
+    Rows,
     RowWrite,
     StoreUnavailableError,
 )
@@ -74,6 +75,7 @@
 LOGGED_DECIMALS: Final = 3
 # Bound of the server names in one log line.
 MAX_LOGGED_SERVERS: Final = 16
+MAX_LOGGED_REASON_CHARS: Final = 200
 TICK_INTERVAL_S: Final = 0.1
 # On the metrics address.
 QUARANTINE_PATH: Final = "/quarantine"
@@ -339,12 +341,7 @@
                 log_message(message_type="not_registered", reason=str(exc))
                 await asyncio.sleep(REGISTER_RETRY_DELAY_S)
                 continue
-            addresses = {
-                HostId(r.key): r.value.decode()
-                for r in rows.rows
-                if r.value is not None
-            }
-            self._runner.post(HostsListed(addresses=addresses))
+            self._runner.post(HostsListed(addresses=_decode_hosts(rows)))
             return
 
     # Handlers of table changes and of actions
@@ -429,6 +426,26 @@
         )
 
 
+def _decode_hosts(rows: Rows) -> dict[HostId, str]:
+    """Return the addresses of the hosts; a row that has none is left out."""
+    addresses = {}
+    for row in rows.rows:
+        if row.value is None:
+            continue
+        try:
+            address = row.value.decode()
+            check_address(address)
+        except ValueError as exc:
+            log_message(
+                message_type="bad_host_row",
+                key=row.key,
+                reason=str(exc)[:MAX_LOGGED_REASON_CHARS],
+            )
+            continue
+        addresses[HostId(row.key)] = address
+    return addresses
+
+
 def on_error(exc: Exception) -> None:
     """Log an unexpected exception with its traceback."""
     write_traceback(exc_info=(type(exc), exc, exc.__traceback__))
--- a/waxwingarch/platform/rows_codec.py
+++ b/waxwingarch/platform/rows_codec.py
@@ -5,7 +5,6 @@
 reclaimable one.
 """
 
-from ipaddress import ip_address
 from typing import Annotated, Any, Final, TypeVar
 
 import orjson
@@ -16,7 +15,7 @@
     Field,
 )
 
-from waxwingarch.adapters.addresses import MAX_PORT, split_address
+from waxwingarch.adapters.addresses import check_address
 from waxwingarch.core.backends.registry import ListedBackend
 from waxwingarch.core.base import (
     AccountId,
@@ -147,20 +146,11 @@
     limits: _LimitsRow = Field(default_factory=_LimitsRow)
 
 
-def _check_address(text: str) -> str:
-    """Return the address if it is IP:PORT; raises `ValueError`."""
-    host, port = split_address(text)
-    ip_address(host)
-    if not 0 < port <= MAX_PORT:
-        raise ValueError(f"port {port} is not from 1 to {MAX_PORT}")
-    return text
-
-
 _Name = Annotated[str, Field(min_length=1, max_length=MAX_NAME_CHARS)]
 _Address = Annotated[
     str,
     Field(max_length=MAX_NAME_CHARS, pattern=r"^[0-9A-Fa-f.:\[\]]+\z"),
-    AfterValidator(_check_address),
+    AfterValidator(check_address),
 ]
 
 
--- a/waxwingarch/platform/store.py
+++ b/waxwingarch/platform/store.py
@@ -7,6 +7,7 @@
 
 import orjson
 from eliot import log_message
+from pydantic import BaseModel, ConfigDict, Field
 
 from waxwingarch.adapters.http_client import (
     ConnectFailedError,
@@ -14,7 +15,12 @@
     HttpResponse,
 )
 from waxwingarch.adapters.http_messages import JSON_TYPE
-from waxwingarch.core.store_version import count_of, era_of, make_version
+from waxwingarch.core.store_version import (
+    ERA_BITS,
+    count_of,
+    era_of,
+    make_version,
+)
 from waxwingarch.exceptions import LinkError
 from waxwingarch.platform.const import HEADER_STORE_ERA, MS_PER_S
 from waxwingarch.ports.front import (
@@ -39,6 +45,15 @@
 HTTP_PRECONDITION_FAILED: Final = 412
 
 
+class _WireRow(BaseModel):
+    model_config = ConfigDict(strict=True)
+
+    key: str
+    value: str | None = None
+    deleted: bool = False
+    row_version: int = Field(default=0, ge=0, lt=1 << ERA_BITS)
+
+
 class PlatformRowStore:
     """`RowStore` over the platform's HTTP API.
 
@@ -75,10 +90,11 @@
                     f"{table}: the store returned from a copy during a read"
                 )
             first_era = era
-            stored_rows += [_decode_row(row, era) for row in body["rows"]]
-            if key is not None or not body.get("has_more"):
+            page = _decode_page(table, body, era)
+            stored_rows += page
+            if key is not None or not body.get("has_more") or not page:
                 return _decode_rows(stored_rows, body, era)
-            query["from"] = stored_rows[-1].key + "\0"
+            query["from"] = page[-1].key + "\0"
 
     async def async_changes(
         self, table: str, after: int, wait_s: float, *, deadline: float
@@ -101,8 +117,7 @@
         if era != era_of(after):
             raise HistoryLostError(f"{table}: {after} is of another era")
         body = self._decode_success(response)
-        rows = [_decode_row(row, era) for row in body["rows"]]
-        return _decode_rows(rows, body, era)
+        return _decode_rows(_decode_page(table, body, era), body, era)
 
     async def async_write(
         self, writes: Sequence[RowWrite], *, deadline: float
@@ -138,14 +153,15 @@
         response = await self._async_call("POST", "/-/rows-tx", body, deadline)
         if response.status not in (HTTP_OK, HTTP_PRECONDITION_FAILED):
             raise StoreUnavailableError(f"store: status {response.status}")
-        reply = _decode_json(response)
+        reply = {"rows": [], "row_version": 0} | _decode_json(response)
         era = self._era or 0
-        rows = reply.get("rows", ())
+        table = writes[0].table if writes else ""
+        rows = _decode_rows(_decode_page(table, reply, era), reply, era)
         return WriteResult(
             applied=response.status == HTTP_OK,
-            version=make_version(era, int(reply.get("row_version", 0))),
-            clock_ms=int(reply.get("now_ms", 0)),
-            rows=tuple(_decode_row(row, era) for row in rows),
+            version=rows.version,
+            clock_ms=rows.clock_ms,
+            rows=rows.rows,
         )
 
     async def _async_get(self, target: str, deadline: float) -> HttpResponse:
@@ -187,7 +203,7 @@
         self._era = era
         self.on_era(era)
 
-    def _decode_success(self, response: HttpResponse) -> Any:
+    def _decode_success(self, response: HttpResponse) -> dict[str, Any]:
         """Return the body; raises `StoreUnavailableError` for an error."""
         if response.status != HTTP_OK:
             raise StoreUnavailableError(f"store: status {response.status}")
@@ -210,13 +226,18 @@
     return None
 
 
-def _decode_json(response: HttpResponse) -> Any:
+def _decode_json(response: HttpResponse) -> dict[str, Any]:
     try:
-        return orjson.loads(response.body)
+        body = orjson.loads(response.body)
     except orjson.JSONDecodeError as exc:
-        raise StoreUnavailableError(
-            f"store: not JSON: {exc}", maybe_applied=True
-        ) from exc
+        raise _invalid_response(f"not JSON: {exc}") from exc
+    if not isinstance(body, dict):
+        raise _invalid_response("not a JSON object")
+    return body
+
+
+def _invalid_response(reason: str) -> StoreUnavailableError:
+    return StoreUnavailableError(f"store: {reason}", maybe_applied=True)
 
 
 def _row_id(write: RowWrite) -> dict[str, Any]:
@@ -224,22 +245,57 @@
     return {"table": write.table, "part": PART, "key": write.key}
 
 
-def _decode_row(row: dict[str, Any], era: int) -> StoredRow:
-    value = row.get("value")
-    if row.get("deleted"):
-        value = None
+def _decode_page(
+    table: str, body: dict[str, Any], era: int
+) -> list[StoredRow]:
+    """Return the rows in a response.
+
+    A row without a key or a version is left out, and the others hold.
+    """
+    rows = body.get("rows")
+    if not isinstance(rows, list):
+        raise _invalid_response("no list of rows")
+    decoded = []
+    for row in rows:
+        try:
+            decoded.append(_decode_row(table, _WireRow(**row), era))
+        except (TypeError, ValueError) as exc:
+            _log_bad_row(table, None, exc)
+    return decoded
+
+
+def _decode_row(table: str, row: _WireRow, era: int) -> StoredRow:
+    """Return a row; a value that is not base64 is empty."""
+    value = None
+    if row.value is not None and not row.deleted:
+        try:
+            value = b64decode(row.value, validate=True)
+        except ValueError as exc:
+            _log_bad_row(table, row.key, exc)
+            value = b""
     return StoredRow(
-        key=row["key"],
-        value=None if value is None else b64decode(value),
-        version=make_version(era, int(row.get("row_version", 0))),
+        key=row.key, value=value, version=make_version(era, row.row_version)
+    )
+
+
+def _log_bad_row(table: str, key: str | None, exc: Exception) -> None:
+    log_message(
+        message_type="bad_row",
+        table=table,
+        key=key,
+        reason=str(exc)[:MAX_LOGGED_VALUE_CHARS],
     )
 
 
 def _decode_rows(
     rows: list[StoredRow], body: dict[str, Any], era: int
 ) -> Rows:
-    return Rows(
-        rows=tuple(rows),
-        version=make_version(era, int(body["row_version"])),
-        clock_ms=int(body.get("now_ms", 0)),
-    )
+    """Return the rows with the version and the clock of a response."""
+    try:
+        return Rows(
+            rows=tuple(rows),
+            version=make_version(era, int(body["row_version"])),
+            clock_ms=int(body.get("now_ms", 0)),
+        )
+    except (KeyError, TypeError, ValueError, OverflowError) as exc:
+        raise _invalid_response(f"no version or clock: {exc!r}") from exc
--- a/waxwingarch/tasks/front_duties.py
+++ b/waxwingarch/tasks/front_duties.py
@@ -276,26 +276,40 @@
 
 
 def _decode_lease_row(row: StoredRow | None) -> DutyLeaseRow | None:
+    """Return the lease in a row; a row that is not valid holds none."""
     if row is None or row.value is None:
         return None
-    holder, incarnation, until_ms, busy, *rest = orjson.loads(row.value)
-    # Hosts of an older version write no era.
-    era, first_window = rest or (0, 0)
-    return DutyLeaseRow(
-        holder=HostId(holder),
-        incarnation=incarnation,
-        until_ms=until_ms,
-        busy_accounts=tuple(AccountId(account) for account in busy),
-        era=era,
-        first_window=first_window,
-    )
+    try:
+        holder, incarnation, until_ms, busy, *rest = orjson.loads(row.value)
+        # Hosts of an older version write no era.
+        era, first_window = rest or (0, 0)
+        return DutyLeaseRow(
+            holder=HostId(str(holder)),
+            incarnation=int(incarnation),
+            until_ms=int(until_ms),
+            busy_accounts=tuple(AccountId(str(account)) for account in busy),
+            era=int(era),
+            first_window=int(first_window),
+        )
+    except (TypeError, ValueError, OverflowError) as exc:
+        log_message(message_type="bad_lease_row", reason=repr(exc))
+        return None
 
 
 def _decode_settled_counts(
     rows: tuple[StoredRow, ...],
 ) -> dict[AccountId, int] | None:
-    """Return the counts from the row that another host wrote first."""
+    """Return the counts from the row that another host wrote first.
+
+    Returns None without such a row, or if it is not valid.
+    """
     for row in rows:
         if row.value is not None:
-            return dict(orjson.loads(row.value))
+            try:
+                return {
+                    AccountId(str(account)): int(count)
+                    for account, count in orjson.loads(row.value).items()
+                }
+            except (AttributeError, TypeError, ValueError) as exc:
+                log_message(message_type="bad_usage_row", reason=repr(exc))
     return None
