Let followers and attempts outlive errors that they did not expect

Other operators saw machines that stopped following a list after one odd entry. On the users' platform the table watches and the ticks outlived any error before; elsewhere one error was the last thing that a task did: the polls of the own interface's list of servers and of its notices, the watch of the settings file, and the pull of table changes from a peer. An odd entry of the own interface's list cost the whole list. An attempt with an unexpected error ended its request with 500, also where another server could serve it.

Change: these loops log the traceback and go on; an odd entry of the list is left out and logged; a reply of a peer that is not valid is a failed pull; an attempt that raises has failed as a broken one does, so that what may be repeated goes on elsewhere.

--- a/tests/adapters/test_platform.py
+++ b/tests/adapters/test_platform.py
@@ -170,6 +170,31 @@
         self.assertTrue(budget.reads_per_s * 400 <= 2000)
 
 
+class OddEntries(testtools.TestCase):
+    # The list of servers was not followed any more.
+    @async_test
+    async def test_others_of_a_list_hold(self) -> None:
+        fake = _ScriptedPlatform()
+        cloud = HttpCloud(await fake.async_start_link())
+        odd = [
+            None,
+            [],
+            {},
+            SERVER | {"address": "127.0.0.1:99999"},
+            SERVER | {"address": None},
+            SERVER | {"slots": "many"},
+            SERVER | {"incarnation": 1e999},
+            SERVER | {"kind": "odd"},
+            SERVER | {"state": "odd"},
+        ]
+        listed = {"hosts": [*odd, SERVER], "entry_hosts": odd, "as_of": 1.0}
+        fake.responses = [(200, listed)]
+        found = await cloud.async_hosts(deadline=_deadline())
+        self.assertEqual(["s1"], [s.server.server_id for s in found.servers])
+        self.assertEqual((), found.entry_hosts)
+        await fake.server.async_unload()
+
+
 class ObjectStoreAndCloud(testtools.TestCase):
     @async_test
     async def test_object_store(self) -> None:
--- a/tests/front/test_settings_watch.py
+++ b/tests/front/test_settings_watch.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Any
+from unittest import mock
 
 import testtools
 from eliot import add_destinations, remove_destination
@@ -76,3 +77,14 @@
         os.utime(self.path, ns=(1, 1))
         await async_until(lambda: self.applied == [30], "it is in force")
         await self.watch.async_unload()
+
+    # Changes of the file were not noticed any more.
+    @async_test
+    async def test_watch_goes_on_after_an_error(self) -> None:
+        failing = mock.Mock(side_effect=[PermissionError("unexpected")])
+        await self.watch.async_setup()
+        with mock.patch.object(self.watch, "_file_stamp", failing):
+            await async_until(lambda: failing.called, "a look fails")
+        self.write(lines=20, extra=1)
+        await async_until(lambda: self.applied == [20], "the file is read")
+        await self.watch.async_unload()
--- a/waxwingarch/adapters/platform.py
+++ b/waxwingarch/adapters/platform.py
@@ -3,11 +3,14 @@
 This is the platform of the contract node.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import asdict
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 from urllib.parse import quote, urlencode
 
+from eliot import log_message
+
+from waxwingarch.adapters.addresses import check_address
 from waxwingarch.adapters.platform_http import PlatformLink
 from waxwingarch.core.base import (
     FailureDomain,
@@ -42,6 +45,9 @@
 )
 
 MS_PER_S: Final = 1000
+MAX_LOGGED_REASON_CHARS: Final = 200
+
+Entry = TypeVar("Entry")
 
 HTTP_OK: Final = 200
 HTTP_NO_CONTENT: Final = 204
@@ -176,17 +182,15 @@
         """Return the list of servers and entry hosts, which lags behind."""
         body = await self._async_get("/v1/cloud/hosts", deadline)
         return HostList(
-            servers=tuple(_parse_server(s) for s in body["hosts"]),
-            entry_hosts=tuple(
-                _parse_entry_host(h) for h in body["entry_hosts"]
-            ),
+            servers=_parse_entries(_parse_server, body["hosts"]),
+            entry_hosts=_parse_entries(_parse_entry_host, body["entry_hosts"]),
             as_of=float(body["as_of"]),
         )
 
     async def async_offers(self, *, deadline: float) -> tuple[Offer, ...]:
         """Return the offers of servers that can be started now."""
         body = await self._async_get("/v1/cloud/offers", deadline)
-        return tuple(_parse_offer(o) for o in body["offers"])
+        return _parse_entries(_parse_offer, body["offers"])
 
     async def async_start(
         self, order: StartOrder, *, deadline: float
@@ -233,7 +237,7 @@
         query = urlencode({"after": after, "wait_ms": int(wait_s * MS_PER_S)})
         body = await self._async_get(f"/v1/cloud/notices?{query}", deadline)
         return ReclaimNotices(
-            notices=tuple(_parse_notice(n) for n in body["notices"]),
+            notices=_parse_entries(_parse_notice, body["notices"]),
             seq=int(body["seq"]),
         )
 
@@ -267,10 +271,33 @@
         )
 
 
+def _parse_entries(
+    parse: Callable[[dict[str, Any]], Entry], entries: Iterable[Any]
+) -> tuple[Entry, ...]:
+    """Parse the entries of a list; one that is not valid is left out."""
+    parsed = []
+    for entry in entries:
+        try:
+            parsed.append(parse(entry))
+        except (
+            AttributeError,
+            KeyError,
+            OverflowError,
+            TypeError,
+            ValueError,
+        ) as exc:
+            log_message(
+                message_type="bad_entry",
+                parser=parse.__name__.removeprefix("_parse_"),
+                reason=repr(exc)[:MAX_LOGGED_REASON_CHARS],
+            )
+    return tuple(parsed)
+
+
 def _parse_server(body: dict[str, Any]) -> ListedServer:
     server = Server(
         server_id=ServerId(body["server_id"]),
-        address=body["address"],
+        address=check_address(body["address"]),
         failure_domain=FailureDomain(body["failure_domain"]),
         service=ServiceId(body["service"]),
         kind=ServerKind(body["kind"]),
--- a/waxwingarch/tasks/attempts.py
+++ b/waxwingarch/tasks/attempts.py
@@ -4,7 +4,7 @@
 from typing import Any, Final
 
 import orjson
-from eliot import log_message
+from eliot import log_message, write_traceback
 
 from waxwingarch.adapters.http_client import (
     ClientStream,
@@ -119,6 +119,10 @@
             self._report_loss(action, kind)
         except (ValueError, KeyError, TypeError):
             self._report_loss(action, LossKind.FAILED)
+        except Exception as exc:
+            # Nothing else would end the attempt.
+            write_traceback(exc_info=(type(exc), exc, exc.__traceback__))
+            self._report_loss(action, LossKind.FAILED)
 
     def _post(self, event: AttemptEvent) -> None:
         self._runner.post(event)
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from eliot import log_message
+from eliot import log_message, write_traceback
 
 from waxwingarch.adapters.event_split import EventSplitter
 from waxwingarch.adapters.http_client import (
@@ -14,6 +14,7 @@
     SilentLinkError,
 )
 from waxwingarch.adapters.http_messages import (
+    CallerDisconnectedError,
     Headers,
     HttpRequest,
     HttpResponder,
@@ -148,6 +149,12 @@
         except LinkError as exc:
             self._log_invalid("response_broken", send, exc)
             outcome = AttemptOutcome.BROKEN
+        except CallerDisconnectedError:
+            raise
+        except Exception as exc:
+            # The request may go on at another server.
+            write_traceback(exc_info=(type(exc), exc, exc.__traceback__))
+            outcome = AttemptOutcome.BROKEN
         if outcome in (AttemptOutcome.SILENT, AttemptOutcome.BROKEN):
             is_expired = asyncio.get_running_loop().time() >= send.expires_at
             outcome = AttemptOutcome.EXPIRED if is_expired else outcome
--- a/waxwingarch/tasks/front_peers.py
+++ b/waxwingarch/tasks/front_peers.py
@@ -150,17 +150,24 @@
                 f"{STATE_PATH}?{urlencode(own_versions)}",
                 deadline=deadline,
             )
-            tables = orjson.loads(response.body)
-        except (LinkError, ValueError) as exc:
+            changes_of = {
+                table: _decode_changes(raw)
+                for table, raw in orjson.loads(response.body).items()
+                if table in self._watches
+            }
+        except (
+            LinkError,
+            AttributeError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as exc:
             log_message(
-                message_type="pull_failed", peer=address, reason=str(exc)
+                message_type="pull_failed", peer=address, reason=repr(exc)
             )
             return
-        for table, raw in tables.items():
-            watch = self._watches.get(table)
-            if watch is None:
-                continue
-            changes = _decode_changes(raw)
+        for table, changes in changes_of.items():
+            watch = self._watches[table]
             log_message(
                 message_type="pulled",
                 peer=address,
--- a/waxwingarch/tasks/platform_watch.py
+++ b/waxwingarch/tasks/platform_watch.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Any, Final
 
-from eliot import log_message
+from eliot import log_message, write_traceback
 
 from waxwingarch.adapters.platform_http import Backoff
 from waxwingarch.core.base import HostId, ServerId
@@ -85,6 +85,10 @@
                     message_type="platform_unavailable", reason=str(exc)
                 )
                 pause_s = backoff.next_s()
+            except Exception as exc:
+                # The list or the notices would not be followed any more.
+                write_traceback(exc_info=(type(exc), exc, exc.__traceback__))
+                pause_s = backoff.next_s()
             await asyncio.sleep(pause_s)
 
     async def _async_poll_list(self) -> float:
--- a/waxwingarch/tasks/server_watch.py
+++ b/waxwingarch/tasks/server_watch.py
@@ -65,10 +65,11 @@
             last_sequence = self._last_sequence.get(server.server_id, 0)
             target = f"/v1/cache/events?after={last_sequence}"
             response = await self._async_get(server, target)
+            sequence = int(response["seq"])
+            events = tuple(_parse_event(entry) for entry in response["events"])
         except (LinkError, ValueError, KeyError, TypeError):
             return
-        self._last_sequence[server.server_id] = int(response["seq"])
-        events = tuple(_parse_event(entry) for entry in response["events"])
+        self._last_sequence[server.server_id] = sequence
         self._runner.post(
             CacheRead(
                 server_id=server.server_id,
--- a/waxwingarch/tasks/settings_watch.py
+++ b/waxwingarch/tasks/settings_watch.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from typing import Final
 
-from eliot import log_message
+from eliot import log_message, write_traceback
 
 from waxwingarch.adapters.front_settings import (
     FrontSettings,
@@ -80,8 +80,12 @@
     async def _async_run(self) -> None:
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
-            if self._file_stamp() != self._read_stamp:
-                self.reload("the file changed")
+            try:
+                if self._file_stamp() != self._read_stamp:
+                    self.reload("the file changed")
+            except Exception as exc:
+                # The file would not be followed any more.
+                write_traceback(exc_info=(type(exc), exc, exc.__traceback__))
 
     def _file_stamp(self) -> tuple[int, int]:
         """Return the file's mtime and size, or zeros if it is missing."""
