--- a/tests/core/front/test_exchanges.py
+++ b/tests/core/front/test_exchanges.py
@@ -249,6 +249,25 @@
         assert isinstance(resent, SendRequest)
         self.assertEqual(7, resent.resume_after)
 
+    def test_server_that_had_it_gets_it_on_a_new_connection(self) -> None:
+        # The response to the first attempt has the same id.
+        node = serving_front(server("e1"), server("e2"))
+        first = self.sent(node, "r", "/draft/x")
+        self.assertFalse(first.new_connection)
+        node.handle(1.1, ResponseStarted(request_id=RequestId("r")))
+        for n, end in enumerate(
+            (AttemptOutcome.SILENT, AttemptOutcome.NOT_SENT)
+        ):
+            actions = node.handle(
+                1.2 + n / 10,
+                attempt_finished(
+                    "r", end, response_started=True, last_event=1
+                ),
+            )
+        [again] = [a for a in actions if isinstance(a, SendRequest)]
+        self.assertEqual(first.server, again.server)
+        self.assertTrue(again.new_connection)
+
     def test_stream_that_may_not_resume_is_aborted(self) -> None:
         node = serving_front()
         self.sent(node, "r", "/chat/x")
--- a/tests/front/test_relay_host.py
+++ b/tests/front/test_relay_host.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import AsyncExitStack
 from typing import Any
+from unittest.mock import patch
 
 import testtools
 
@@ -13,8 +14,15 @@
 from waxwingarch.adapters.front_settings import FrontSettings
 from waxwingarch.adapters.http_client import ConnectFailedError, HttpClient
 from waxwingarch.adapters.ini import parse_ini, validate
+from waxwingarch.core.base import Action
+from waxwingarch.core.exchange.exchange_messages import (
+    ExchangeArrived,
+    LocalResponse,
+)
+from waxwingarch.core.exchange.state_machine import no_server_refusal
 from waxwingarch.exceptions import LinkError
 from waxwingarch.front_daemon import FrontDaemon
+from waxwingarch.platform.exchange_codec import PlatformExchangeCodec
 from waxwingarch.platform.wiring import platform_ports
 
 DEADLINE_S = 5.0
@@ -249,3 +257,36 @@
             except LinkError as exc:
                 raise AssertionError("no answer") from exc
             self.assertEqual(503, response.status)
+            # By its id the other host knows that it is not an earlier one.
+            self.assertEqual(
+                "again", response.headers["x-waxwingarch-request-id"]
+            )
+
+
+class RefusalsOfPeers(testtools.TestCase):
+    # Guards against a resend of what a peer runs, after a refusal that may be
+    # that of an earlier request on the same connection.
+    @async_test
+    async def test_without_an_id_it_proves_nothing(self) -> None:
+        async with TwoHosts() as hosts:
+            await hosts.async_lose_paths()
+            await hosts.async_send("/pay/x")
+            hosts.sound.front._handlers[ExchangeArrived] = _refuse_arrival
+            response = await hosts.async_send("/pay/x")
+            self.assertEqual(503, response.status)
+            with patch.object(
+                PlatformExchangeCodec,
+                "encode_refusal_headers",
+                lambda codec, request_id: [],
+            ):
+                response = await hosts.async_send("/pay/x")
+            self.assertEqual(502, response.status)
+
+
+def _refuse_arrival(now: float, event: ExchangeArrived) -> list[Action]:
+    """Refuse a request as a host without a server does."""
+    return [
+        LocalResponse(
+            request_id=event.head.request_id, refusal=no_server_refusal()
+        )
+    ]
--- a/waxwingarch/core/exchange/state_machine.py
+++ b/waxwingarch/core/exchange/state_machine.py
@@ -41,10 +41,11 @@
 
     `sent_to` is the server or peer of the attempt in progress, which may run
     the request until its outcome says that it did not. `may_have_run_on` are
-    those of the ended attempts that may have run it, `tried_servers` all
-    servers that it was sent to, and `unreachable_servers` those to which no
-    connection could be made. `response_started` is about
-    the current attempt, `is_usage_counted` about the whole exchange.
+    those of the ended attempts that may have run it, and `dispatched_to` all
+    of them. `tried_servers` are the servers that get it no more, and
+    `unreachable_servers` those to which no connection could be made.
+    `response_started` is about the current attempt, `is_usage_counted` about
+    the whole exchange.
     `migrated_cache` says where the KV cache of its run was copied, and
     `may_be_stopped` that the server may have stopped the run to copy it.
     `deferred_outcome` is the end of an attempt that is handled only when
@@ -57,6 +58,7 @@
     tried_servers: set[ServerId] = field(default_factory=set)
     unreachable_servers: set[ServerId] = field(default_factory=set)
     sent_to: ServerId | None = None
+    dispatched_to: set[ServerId] = field(default_factory=set)
     may_have_run_on: set[ServerId] = field(default_factory=set)
     rejection_count: int = 0
     response_started: bool = False
@@ -75,10 +77,16 @@
         """Whether any server may have run the request, or still runs it."""
         return self.sent_to is not None or bool(self.may_have_run_on)
 
-    def record_dispatch(self, server: ServerId) -> None:
-        """Record that an attempt is sent to a server, or to a peer."""
+    def record_dispatch(self, server: ServerId) -> bool:
+        """Record that an attempt is sent to a server, or to a peer.
+
+        Returns whether it is the first one there.
+        """
+        is_first_there = server not in self.dispatched_to
+        self.dispatched_to.add(server)
         self.sent_to = server
         self.response_started = False
+        return is_first_there
 
     def record_outcome(
         self, now: float, finished: AttemptFinished
--- a/waxwingarch/platform/calls.py
+++ b/waxwingarch/platform/calls.py
@@ -46,8 +46,15 @@
         # the run's KV cache.
         body = {"id": request_id, "target": target.address, "last": True}
         try:
+            # Responses to calls have no id, so that one on a connection of
+            # other requests might be meant for those.
             response = await _async_post(
-                self._client, source.address, MOVE_PATH, body, deadline
+                self._client,
+                source.address,
+                MOVE_PATH,
+                body,
+                deadline,
+                fresh=True,
             )
         except LinkError as exc:
             was_sent = not isinstance(exc, ConnectFailedError)
@@ -167,6 +174,8 @@
     body: Mapping[str, Any],
     deadline: float,
     headers: list[tuple[str, str]] | None = None,
+    *,
+    fresh: bool = False,
 ) -> HttpResponse:
     """Send one call; logs and raises `LinkError` if there is no response."""
     try:
@@ -177,6 +186,7 @@
             deadline=deadline,
             headers=[JSON_TYPE, *(headers or [])],
             body=orjson.dumps(body),
+            fresh=fresh,
         )
     except LinkError as exc:
         log_message(message_type="call_failed", path=path, reason=str(exc))
--- a/waxwingarch/platform/exchange_codec.py
+++ b/waxwingarch/platform/exchange_codec.py
@@ -157,6 +157,12 @@
         """Return a response's headers without the hop-by-hop ones."""
         return [(n, v) for n, v in headers if n.lower() not in HOP_HEADERS]
 
+    def encode_refusal_headers(
+        self, request_id: RequestId
+    ) -> list[tuple[str, str]]:
+        """Return the headers of this host's own response to a request."""
+        return [(HEADER_REQUEST_ID, request_id)]
+
 
 def _progress_headers(send: SendRequest, now: float) -> list[tuple[str, str]]:
     """Return the time that is left, and after which event to go on."""
--- a/waxwingarch/ports/front.py
+++ b/waxwingarch/ports/front.py
@@ -239,6 +239,11 @@
     ) -> list[tuple[str, str]]:
         """Return the response headers that are passed on to the caller."""
 
+    def encode_refusal_headers(
+        self, request_id: RequestId
+    ) -> list[tuple[str, str]]:
+        """Return the headers of this host's own response to a request."""
+
 
 class EngineClient(Protocol):
     """Control calls to model engines."""
--- a/waxwingarch/tasks/front_entry.py
+++ b/waxwingarch/tasks/front_entry.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from typing import Any, Final
@@ -65,6 +65,12 @@
     message="this host failed to handle the request: send it again",
     retry_after_s=RETRY_AFTER_S,
 )
+TOO_MANY_RELAYS: Final = Refusal(
+    reason=RefusalReason.NO_CAPACITY,
+    ran=ExecutionStatus.NOT_RUN,
+    message="too many relayed requests",
+    retry_after_s=RETRY_AFTER_S,
+)
 UNDECIDED_AFTER_SENDING: Final = Refusal(
     reason=RefusalReason.DEADLINE_UNREACHABLE,
     ran=ExecutionStatus.UNKNOWN,
@@ -171,12 +177,6 @@
         self, req: HttpRequest, resp: HttpResponder
     ) -> None:
         """Serve a request that a peer relays, within the bound for these."""
-        if self._relayed_count >= MAX_RELAYED_REQUESTS:
-            log_message(message_type="relay_refused")
-            await _async_refuse(
-                resp, 503, "too many relayed requests", RETRY_AFTER_S
-            )
-            return
         self._relayed_count += 1
         try:
             await self._async_serve_request(req, resp, is_relayed=True)
@@ -201,6 +201,12 @@
             log_message(message_type="bad_request", reason=str(exc))
             await _async_refuse(resp, 400, str(exc), None)
             return
+        if is_relayed and self._relayed_count > MAX_RELAYED_REQUESTS:
+            log_message(
+                message_type="relay_refused", request_id=head.request_id
+            )
+            await self._async_send_local_response(head, resp, TOO_MANY_RELAYS)
+            return
         self._queues[head.request_id] = _ActionQueue()
         serve_task = asyncio.ensure_future(self._async_serve(head, req, resp))
         disconnect_task = asyncio.ensure_future(resp.disconnected.wait())
@@ -253,7 +259,7 @@
                     if finished.outcome is AttemptOutcome.DONE:
                         return
                 case LocalResponse(refusal=refusal):
-                    await self._async_send_local_response(resp, refusal)
+                    await self._async_send_local_response(head, resp, refusal)
                     return
                 case ForwardFailure():
                     await forwarder.async_forward_failure()
@@ -274,16 +280,19 @@
         if resp.started:
             resp.abort()
             return
-        await self._async_send_local_response(
-            resp, UNDECIDED_AFTER_SENDING if was_sent else UNDECIDED
-        )
+        refusal = UNDECIDED_AFTER_SENDING if was_sent else UNDECIDED
+        await self._async_send_local_response(head, resp, refusal)
 
     async def _async_send_local_response(
-        self, resp: HttpResponder, refusal: Refusal
+        self, head: ExchangeHead, resp: HttpResponder, refusal: Refusal
     ) -> None:
-        status = REFUSAL_STATUS[refusal.reason]
+        """Send a refusal, with the id by which a peer knows its request."""
         await _async_refuse(
-            resp, status, refusal.message, refusal.retry_after_s
+            resp,
+            REFUSAL_STATUS[refusal.reason],
+            refusal.message,
+            refusal.retry_after_s,
+            self._codec.encode_refusal_headers(head.request_id),
         )
 
 
@@ -292,8 +301,9 @@
     status: int,
     message: str,
     retry_after_s: float | None,
+    more_headers: Sequence[tuple[str, str]] = (),
 ) -> None:
-    headers = [JSON_TYPE]
+    headers = [JSON_TYPE, *more_headers]
     if retry_after_s is not None:
         headers.append(("retry-after", f"{retry_after_s:.2f}"))
     body = orjson.dumps({"error": {"message": message}})
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -110,6 +110,15 @@
     )
 
 
+def _may_lack_id(head: ResponseHead, send: SendRequest) -> bool:
+    """Return whether a peer's response needs no id to be the right one.
+
+    A refusal does, as a resend depends on it: peers of an older version
+    send none.
+    """
+    return send.relay_to is not None and not _is_refused_by_peer(head, send)
+
+
 class BadResponseError(LinkError):
     """A response is incomplete, not authentic or not for this request."""
 
@@ -236,16 +245,34 @@
     ) -> tuple[ClientStream, ResponseHead]:
         """Return the response to this request and its head.
 
-        Responses to other requests on the connection are skipped.
+        Responses to other requests on the connection are skipped. One
+        without an id is that to this request only where no other request
+        came before on the connection; a peer sends no others.
         """
+        is_first = stream.on_new_connection
         for _ in range(MAX_STRAY_RESPONSES + 1):
             head = self._codec.decode_response_head(
                 stream.status, stream.pairs
             )
             if head.leaving and send.relay_to is None:
                 self._runner.post(LeavingAnnounced(server=send.server))
-            if head.request_id in (None, self._request_id):
+            if head.request_id == self._request_id:
                 return stream, head
+            if head.request_id is None:
+                if is_first or _may_lack_id(head, send):
+                    return stream, head
+                if send.relay_to is not None:
+                    raise BadResponseError(
+                        f"{send.server.address}: a refusal without an id"
+                    )
+            is_first = False
+            log_message(
+                message_type="response_skipped",
+                request_id=self._request_id,
+                server=send.server.server_id,
+                status=head.status,
+                answers=head.request_id,
+            )
             stream = await stream.async_next_response(
                 max(send.first_byte_deadline, self._short_body_deadline(send)),
                 lambda: self._first_byte_wait_until(send),
