--- a/tests/core/front/test_exchanges.py
+++ b/tests/core/front/test_exchanges.py
@@ -397,6 +397,17 @@
         self.assertIsNone(action.migrated_cache)
         self.assertEqual(4, action.resume_after)
 
+    def test_run_whose_events_have_no_ids_stays(self) -> None:
+        # It was stopped, and could not go on after its last event.
+        node = serving_front()
+        send = arrive(node, "r", "/chat/x")
+        assert isinstance(send, SendRequest)
+        started = ResponseStarted(
+            request_id=RequestId("r"), has_event_ids=False
+        )
+        node.handle(1.1, started)
+        self.assertEqual([], self.announce_leaving(node, send))
+
     def test_failed_migration_of_a_non_resumable_run_aborts(self) -> None:
         node, send = self.start_run()
         self.announce_leaving(node, send)
@@ -507,6 +518,19 @@
             pass
         self.assertFalse(self.can_leave(without_budget))
 
+    def test_stream_whose_events_have_no_ids_stays(self) -> None:
+        node = serving_front()
+        arrive(node, "r")
+        started = ResponseStarted(
+            request_id=RequestId("r"), has_event_ids=False
+        )
+        node.handle(1.1, started)
+        self.assertFalse(
+            node.exchanges.may_leave_silent_server(
+                2.0, RequestId("r"), response_started=True
+            )
+        )
+
     def test_last_attempt_stays(self) -> None:
         node = serving_front(server("e1"), server("e2"), server("e3"))
         self.assertTrue(self.can_leave(node))
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -17,6 +17,7 @@
     HttpRequest,
     json_body,
 )
+from waxwingarch.exceptions import WaxwingError
 
 BACKLOG: Final = 1024
 MAX_HEADER_BYTES: Final = 32 * 1024
@@ -262,8 +263,14 @@
                 "the caller stopped reading"
             ) from None
 
-    async def async_start(self, status: int, headers: Headers) -> None:
+    def _begin_response(self) -> None:
+        """Mark the response as started; it has one head."""
+        if self._started:
+            raise ResponseStartedError("the caller has a head already")
         self._started = True
+
+    async def async_start(self, status: int, headers: Headers) -> None:
+        self._begin_response()
         extra = [("transfer-encoding", "chunked"), *self._close_header()]
         self._write(
             h11.Response(
@@ -283,7 +290,7 @@
     async def async_send(
         self, status: int, body: bytes, headers: Headers = ()
     ) -> None:
-        self._started = True
+        self._begin_response()
         if self._disconnected.is_set():
             raise CallerDisconnectedError("the caller closed the connection")
         extra = [("content-length", str(len(body))), *self._close_header()]
@@ -345,6 +352,10 @@
         )
 
 
+class ResponseStartedError(WaxwingError):
+    """A second response to a request; close the connection instead."""
+
+
 class HttpServer:
     """Listens on one address and runs a handler for each request."""
 
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -345,6 +345,7 @@
         state = self._exchanges.get(event.request_id)
         if state is None:
             return None
+        state.has_event_ids = event.has_event_ids
         if state.relayed_to is not None:
             # The peer counts the usage of what it serves.
             state.response_started = state.is_usage_counted = True
@@ -367,7 +368,7 @@
         state = self._exchanges.get(event.request_id)
         if state is None:
             return []
-        if event.last_event is not None:
+        if event.response_started:
             state.last_event = event.last_event
         if state.is_migrating and event.outcome is AttemptOutcome.BROKEN:
             # A migration stops the run on its server, which breaks the
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -185,10 +185,12 @@
 class ResponseStarted(ExchangeEvent):
     """The first byte of a response, or its first event, was received.
 
-    `on_new_connection` says that the request opened its connection.
+    `on_new_connection` says that the request opened its connection, and
+    `has_event_ids` that the stream can be resumed after its events.
     """
 
     on_new_connection: bool = True
+    has_event_ids: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -219,8 +221,9 @@
     the response. `has_response` says that a complete error response of the
     server is at hand and can be forwarded. `retry_after_s` is what the
     server asked for, `last_event` the id of the last event that the caller
-    has received. `ended_by_close` means that only the end of the connection
-    ended the response: a crash of the server may look the same.
+    has received, None if it had none. `ended_by_close` means that only the
+    end of the connection ended the response: a crash of the server may look
+    the same.
     """
 
     outcome: AttemptOutcome
--- a/waxwingarch/core/exchange/migrations.py
+++ b/waxwingarch/core/exchange/migrations.py
@@ -87,7 +87,8 @@
     def _start(self, now: float, request_id: RequestId) -> list[Action]:
         """Migrate a run whose response has started, if a server can take it.
 
-        Any other run stays on its server.
+        Any other run stays on its server, as does one whose events have no
+        ids: it could not go on after them.
         """
         state = self._exchanges.get(request_id)
         server_id = self._load_balancer.loads.server_of(request_id)
@@ -98,7 +99,12 @@
         pick = self._load_balancer.choose(
             now, exchange, exchange.traits, {server_id}
         )
-        if source is None or pick is None or not state.response_started:
+        if (
+            source is None
+            or pick is None
+            or not state.response_started
+            or not state.has_event_ids
+        ):
             return []
         deadline = exchange.expires_at
         if self._can_resend(now, request_id, response_started=True):
--- a/waxwingarch/core/exchange/state_machine.py
+++ b/waxwingarch/core/exchange/state_machine.py
@@ -45,7 +45,7 @@
     of them. `tried_servers` are the servers that get it no more, and
     `unreachable_servers` those to which no connection could be made.
     `response_started` is about the current attempt, `is_usage_counted` about
-    the whole exchange.
+    the whole exchange. Without `has_event_ids` its stream can't be resumed.
     `migrated_cache` says where the KV cache of its run was copied, and
     `may_be_stopped` that the server may have stopped the run to copy it.
     `deferred_outcome` is the end of an attempt that is handled only when
@@ -63,6 +63,7 @@
     rejection_count: int = 0
     response_started: bool = False
     is_usage_counted: bool = False
+    has_event_ids: bool = True
     last_event: int | None = None
     migrated_cache: MigratedCache | None = None
     is_migrating: bool = False
@@ -128,11 +129,21 @@
             request_id=self.exchange.request_id,
             outcome=AttemptOutcome.SILENT,
             response_started=response_started,
+            last_event=self._position(),
         )
         return self._may_resend(
             now, silent, not_run=False, also_run_on=(server,)
         )
 
+    def _position(self) -> int | None:
+        """Return after which event a stream goes on; None if unknown.
+
+        While it runs, its forwarder knows how far it has come.
+        """
+        if not self.has_event_ids:
+            return None
+        return self.last_event if self.last_event is not None else 0
+
     def _may_resend(
         self,
         now: float,
@@ -143,6 +154,9 @@
         exchange = self.exchange
         if now >= exchange.expires_at:
             return False
+        if finished.response_started and finished.last_event is None:
+            # Nothing tells which part of the response the caller has.
+            return False
         if not_run:
             # A non-idempotent request that may have run before was sent
             # again only to continue its migrated run, and that server did
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -6,7 +6,7 @@
 
 from eliot import log_message, write_traceback
 
-from waxwingarch.adapters.event_split import EventSplitter
+from waxwingarch.adapters.event_split import EventBatch, EventSplitter
 from waxwingarch.adapters.http_client import (
     ClientStream,
     ConnectFailedError,
@@ -85,7 +85,9 @@
 class ResponseState:
     """The part of the response that the caller has, over all attempts.
 
-    `last_event` is the id of the last event that was passed on. `failure`
+    `last_event` is the id of the last event that was passed on, None if it
+    had none, so that the stream can't be resumed. `status` and
+    `content_type` are those that the response began with. `failure`
     is the latest error response that can be forwarded. `sent_at`,
     `ended_by_close`, `on_new_connection` and `is_silence_reported` are about
     the current attempt.
@@ -93,6 +95,8 @@
 
     response_started: bool = False
     last_event: int | None = None
+    status: int = 0
+    content_type: str = ""
     failure: FailureResponse | None = None
     ended_by_close: bool = False
     on_new_connection: bool = True
@@ -119,6 +123,12 @@
     return send.relay_to is not None and not _is_refused_by_peer(head, send)
 
 
+def _content_type(stream: ClientStream) -> str:
+    """Return the media type of a response, without its parameters."""
+    value = stream.headers.get("content-type", "")
+    return value.partition(";")[0].strip().lower()
+
+
 class BadResponseError(LinkError):
     """A response is incomplete, not authentic or not for this request."""
 
@@ -234,6 +244,8 @@
 
     def _may_give_up(self, now: float) -> bool:
         """Return whether the silence of a server may end this attempt."""
+        if self.state.response_started and self.state.last_event is None:
+            return False
         return self._runner.node.exchanges.may_leave_silent_server(
             now,
             self._request_id,
@@ -378,12 +390,15 @@
             reason=str(exc),
         )
 
-    def _report_response_start(self, send: SendRequest) -> None:
+    def _report_response_start(
+        self, send: SendRequest, *, has_event_ids: bool = False
+    ) -> None:
         self.state.activity_reported_at = asyncio.get_running_loop().time()
         self._runner.post(
             ResponseStarted(
                 request_id=self._request_id,
                 on_new_connection=self.state.on_new_connection,
+                has_event_ids=has_event_ids,
             )
         )
 
@@ -409,6 +424,9 @@
         self, stream: ClientStream, send: SendRequest
     ) -> None:
         """Forward each event when it is complete."""
+        is_resumed = self.state.response_started
+        if is_resumed:
+            self._check_same_type(stream, send)
         splitter = EventSplitter()
         awaiting_first_event = True
         while True:
@@ -417,18 +435,22 @@
             )
             if chunk is None:
                 break
-            events, last_id = splitter.feed(chunk)
-            if not events:
+            batch = splitter.feed(chunk)
+            if not batch.data:
                 continue
+            if is_resumed:
+                self._check_continues(batch, send)
             if awaiting_first_event:
                 awaiting_first_event = False
-                self._report_response_start(send)
+                self._report_response_start(
+                    send, has_event_ids=batch.ids[-1:] != (None,)
+                )
             else:
                 self._report_activity(send)
             await self._async_start_response(stream)
-            await self._resp.async_write(events)
-            if last_id is not None:
-                self.state.last_event = last_id
+            await self._resp.async_write(batch.data)
+            if batch.ids:
+                self.state.last_event = batch.ids[-1]
         if splitter.incomplete:
             raise BadResponseError(
                 f"{send.server.address}: stream ended within an event"
@@ -438,6 +460,29 @@
         await self._async_start_response(stream)
         await self._resp.async_end()
 
+    def _check_same_type(
+        self, stream: ClientStream, send: SendRequest
+    ) -> None:
+        """Raise `BadResponseError` if a response can't go on with this one.
+
+        The caller has the head of the first one.
+        """
+        found = stream.status, _content_type(stream)
+        if found != (self.state.status, self.state.content_type):
+            raise BadResponseError(
+                f"{send.server.address}: {found} does not continue the stream"
+            )
+
+    def _check_continues(self, batch: EventBatch, send: SendRequest) -> None:
+        """Raise `BadResponseError` if the caller may have an event already."""
+        last_event = self.state.last_event
+        assert last_event is not None
+        if not batch.continues(last_event):
+            raise BadResponseError(
+                f"{send.server.address}: events do not go on after"
+                f" {last_event}"
+            )
+
     async def _async_check_not_stopped(self, send: SendRequest) -> None:
         """Raise `BadResponseError` if the server may have stopped the run.
 
@@ -510,6 +555,8 @@
         if self.state.response_started:
             return
         self.state.response_started = True
+        self.state.status = stream.status
+        self.state.content_type = _content_type(stream)
         headers: Headers = self._codec.filter_response_headers(stream.pairs)
         await self._resp.async_start(stream.status, headers)
 
