Use a server again when its entry is back (RECOVER)

Cause: a missing entry marked the server as leaving, for good, with the same mark as a server that says so itself. When the entry came back with the same incarnation, only the time of its lapse was cleared.

Change: a backend that counts as leaving only for its missing entry is marked as lapsed and is usable again when its entry is back and ready. One that said that it leaves, in its entry or in a response, stays leaving. The same class of record on a related path: a server that was dropped 20 s after its entry lapsed kept its avoidance, pause, limit and cached prompts for a later process of its id; these go with it now.

--- a/waxwingarch/core/backends/registry.py
+++ b/waxwingarch/core/backends/registry.py
@@ -79,7 +79,8 @@
     """What this host knows of a server.
 
     `listed_at` is when this incarnation was first listed, and
-    `unlisted_since` when a listing first lacked it.
+    `unlisted_since` when a listing first lacked it. `is_lapsed` says that it
+    counts as leaving only because its entry is missing.
     """
 
     server: Server
@@ -87,6 +88,7 @@
     leaving_since: float | None = None
     leaves_at: float | None = None
     unlisted_since: float | None = None
+    is_lapsed: bool = False
 
     @property
     def is_usable(self) -> bool:
@@ -95,7 +97,12 @@
 
 
 class BackendRegistry:
-    """The known servers by id; an incarnation that leaves stays leaving."""
+    """The known servers by id.
+
+    An incarnation that says that it leaves stays leaving. One whose entry
+    lapsed is usable again when its entry is back: it may have lost only the
+    store for a while.
+    """
 
     def __init__(self, departed_kept_s: float) -> None:
         """Create an empty registry.
@@ -107,6 +114,7 @@
         self._last_listing: dict[ServerId, ListedBackend] = {}
         self._usable_by_service: dict[ServiceId, list[Backend]] | None = None
         self._unlisted: set[ServerId] = set()
+        self._dropped: list[ServerId] = []
         # Servers that announced that they are leaving, by incarnation. The
         # listing does not say so yet.
         self._announced: dict[ServerId, int] = {}
@@ -218,14 +226,21 @@
             if backend.is_usable:
                 if now - since >= RELIST_GRACE_S:
                     backend.leaving_since = now
+                    backend.is_lapsed = True
                     self._usable_by_service = None
                     leaving.append(self._leaving_action(server_id))
             elif now - since > self._departed_kept_s:
                 del self._backends[server_id]
                 self._unlisted.discard(server_id)
                 self._announced.pop(server_id, None)
+                self._dropped.append(server_id)
         return leaving
 
+    def take_dropped(self) -> list[ServerId]:
+        """Return the servers that were dropped since the last call."""
+        dropped, self._dropped = self._dropped, []
+        return dropped
+
     def _apply_entry(self, now: float, listed: ListedBackend) -> bool:
         """Apply one entry; return whether the server is newly leaving."""
         server = listed.server
@@ -238,7 +253,11 @@
             self._announced.pop(server.server_id, None)
         known.server = server
         if not listed.draining:
+            if known.is_lapsed:
+                known.is_lapsed = False
+                known.leaving_since = None
             return False
+        known.is_lapsed = False
         self._announced.pop(server.server_id, None)
         if listed.leaves_in_s is not None and known.leaves_at is None:
             known.leaves_at = now + listed.leaves_in_s
@@ -263,6 +282,7 @@
         if after_outage or not backend.is_usable:
             return False
         backend.leaving_since = now
+        backend.is_lapsed = True
         return True
 
     def _leaving_action(
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -588,6 +588,8 @@
         actions += self._handle_leaving_backends(
             now, self.load_balancer.registry.tick(now)
         )
+        for server_id in self.load_balancer.registry.take_dropped():
+            self.load_balancer.forget(server_id)
         if self.load_balancer.limits or self.load_balancer.brittle:
             self._update_limit_hosts(now)
         for host in self.peers.silent_hosts(now):
