End the judgement of a full quarantine (CONFIG)

Cause: the entry that a verdict makes was the one that the full table dropped, as a request comes before parts, so that the evidence had the same verdict again. Each turn also added to the news.

Change: the table never drops the entry that was just made, and each input is judged once in a round, since a displaced input that the evidence still condemns could displace the next one in turn.

--- a/waxwingarch/core/quarantine/entries.py
+++ b/waxwingarch/core/quarantine/entries.py
@@ -111,12 +111,15 @@
                 QuarantineChanged(entry=entry, own=own, servers=servers)
             )
         while len(self._entries) > MAX_ENTRIES:
-            self._drop_one()
+            self._drop_one(entry.key)
 
-    def _drop_one(self) -> None:
-        """Drop a released entry, else the request or part idle longest."""
+    def _drop_one(self, kept: str) -> None:
+        """Drop a released entry, else the request or part idle longest.
+
+        The one with the key `kept` was just made and stays.
+        """
         entry = min(
-            self._entries.values(),
+            (e for e in self._entries.values() if e.key != kept),
             key=lambda e: (
                 e.state is InputState.HELD,
                 kind_of(e.key) is InputKind.PART,
--- a/waxwingarch/core/quarantine/quarantine.py
+++ b/waxwingarch/core/quarantine/quarantine.py
@@ -306,12 +306,19 @@
         return self._entries.take_news()
 
     def _judge(self, unix_now: float) -> None:
+        """Quarantine the inputs that the evidence condemns, each once.
+
+        In a full table a verdict may displace an input that was condemned
+        just before, and whose evidence would condemn it again.
+        """
+        judged: set[str] = set()
         while True:
             verdict = self.evidence.verdict(
                 unix_now, self._entries.held, self._entries.released_at()
             )
-            if verdict is None:
+            if verdict is None or verdict.key in judged:
                 return
+            judged.add(verdict.key)
             self._entries.decide(
                 unix_now,
                 verdict.key,
