Bound the time that a body in small parts costs (CONFIG)

Cause: a reader took all parts of the buffered bytes without a pause, 64 KiB of one-byte chunks in 0.1 s, and its bounds were on bytes of payload alone, so that a response could cost 10 s and more of processor time.

Change: a reader lets other tasks run after 256 parts, and a response may have 10,000 parts of less than 64 bytes at once and 2,000 a second; a long stream of short events stays far below. The reader is that of servers, peers, the store and the duties. A caller's body is processed in the same turns, and refused with 400 after 100,000 small parts.

--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -16,6 +16,10 @@
 
 import h11
 
+from waxwingarch.adapters.http_messages import (
+    MAX_PARTS_PER_TURN,
+    SMALL_PART_BYTES,
+)
 from waxwingarch.exceptions import LinkError
 
 READ_BYTES: Final = 64 * 1024
@@ -25,6 +29,9 @@
 # Bounds of what is read from one response; a server may send without end.
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 MAX_INFORMATIONAL_RESPONSES: Final = 8
+# A response may have so many small parts at once, and so many a second.
+MAX_SMALL_PARTS: Final = 10_000
+SMALL_PARTS_PER_S: Final = 2_000
 # A connection is reused for this fraction of the idle time that its
 # server announced, because the server's timer started before ours.
 KEEP_ALIVE_USED_RATIO: Final = 0.5
@@ -115,6 +122,8 @@
         self.pairs = _raw_headers(head)
         self.complete = False
         self.on_new_connection = not conn.is_reused
+        self._started_at = asyncio.get_running_loop().time()
+        self._small_parts = 0
         self._conn.apply_keep_alive(self.headers.get("keep-alive", ""))
 
     @property
@@ -126,7 +135,7 @@
         """Return the next part of the body, or None at its end.
 
         `deadline` is on the loop's clock. Raises `SilentLinkError`,
-        `CutLinkError`.
+        `CutLinkError`, and `EndlessResponseError` for too many small parts.
         """
         if self.complete:
             return None
@@ -140,6 +149,25 @@
                 return b"".join(parts) if parts else None
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
+                self._count_part(len(event.data))
+            if len(parts) >= MAX_PARTS_PER_TURN:
+                await asyncio.sleep(0)
+                return b"".join(parts)
+
+    def _count_part(self, size_bytes: int) -> None:
+        """Bound the time that the parts of this response take to parse."""
+        if size_bytes >= SMALL_PART_BYTES:
+            return
+        self._small_parts += 1
+        if self._small_parts <= MAX_SMALL_PARTS:
+            return
+        lasted_s = asyncio.get_running_loop().time() - self._started_at
+        allowed = MAX_SMALL_PARTS + SMALL_PARTS_PER_S * lasted_s
+        if self._small_parts > allowed:
+            raise EndlessResponseError(
+                f"{self._conn.address}: {self._small_parts} parts of less"
+                f" than {SMALL_PART_BYTES} bytes"
+            )
 
     async def async_next_response(
         self, deadline: float, wait_until: WaitUntil
--- a/waxwingarch/adapters/http_messages.py
+++ b/waxwingarch/adapters/http_messages.py
@@ -11,6 +11,13 @@
 Headers = Sequence[tuple[str, str]]
 
 
+# A chunk of a body with fewer bytes than this costs more to parse than to
+# send.
+SMALL_PART_BYTES: Final = 64
+# After so many parts of a body, its reader lets other tasks run.
+MAX_PARTS_PER_TURN: Final = 256
+
+
 class CallerDisconnectedError(ConnectionError):
     """The caller closed its connection or stopped reading the response.
 
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -11,6 +11,8 @@
 
 from waxwingarch.adapters.http_messages import (
     JSON_TYPE,
+    MAX_PARTS_PER_TURN,
+    SMALL_PART_BYTES,
     CallerDisconnectedError,
     Handler,
     Headers,
@@ -22,6 +24,7 @@
 BACKLOG: Final = 1024
 MAX_HEADER_BYTES: Final = 32 * 1024
 MAX_BODY_BYTES: Final = 8 * 1024 * 1024
+MAX_SMALL_PARTS: Final = 100_000
 REQUEST_READ_TIMEOUT_S: Final = 10.0
 IDLE_TIMEOUT_S: Final = 75.0
 WRITE_STALL_TIMEOUT_S: Final = 20.0
@@ -40,6 +43,7 @@
     head: h11.Request | None = None
     parts: list[bytes] = field(default_factory=list)
     size_bytes: int = 0
+    small_parts: int = 0
 
 
 class _Connection(asyncio.Protocol):
@@ -116,8 +120,16 @@
             self._timer = None
 
     def _process_events(self) -> None:
-        """Process h11 events until a request starts or more data is needed."""
+        """Process h11 events until a request starts or more data is needed.
+
+        A body in many parts is processed in turns with other tasks.
+        """
+        parts = 0
         while self._task is None:
+            if parts >= MAX_PARTS_PER_TURN:
+                self._transport.pause_reading()
+                asyncio.get_running_loop().call_soon(self._go_on_reading)
+                return
             try:
                 event = self._conn.next_event()
             except h11.RemoteProtocolError as exc:
@@ -125,9 +137,16 @@
                 return
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
+            parts += isinstance(event, h11.Data)
             if not self._handle_event(event):
                 return
 
+    def _go_on_reading(self) -> None:
+        if self._transport.is_closing():
+            return
+        self._transport.resume_reading()
+        self._process_events()
+
     def _handle_event(self, event: object) -> bool:
         """Handle one h11 event; return False if the connection ends."""
         match event:
@@ -142,6 +161,10 @@
                 if self._partial.size_bytes > MAX_BODY_BYTES:
                     self._refuse(413, "body_too_large", "send a smaller body")
                     return False
+                self._partial.small_parts += len(event.data) < SMALL_PART_BYTES
+                if self._partial.small_parts > MAX_SMALL_PARTS:
+                    self._refuse(400, "bad_http", "send the body in one part")
+                    return False
                 self._partial.parts.append(bytes(event.data))
             case h11.EndOfMessage():
                 self._cancel_timer()
