--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -8,6 +8,7 @@
 import json
 import re
 import socket
+import weakref
 from collections import deque
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
@@ -26,6 +27,10 @@
 # Connections that were idle for longer are closed, not reused.
 MAX_REUSE_IDLE_S: Final = 5.0
 MAX_IDLE_PER_ADDRESS: Final = 64
+# Each idle connection takes a file descriptor.
+MAX_IDLE: Final = 512
+# Idle connections that can't be reused are closed within this time.
+IDLE_CHECK_INTERVAL_S: Final = 1.0
 # Bounds of what is read from one response; a server may send without end.
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 MAX_INFORMATIONAL_RESPONSES: Final = 8
@@ -403,11 +408,18 @@
     """Sends requests to any address and reuses idle connections.
 
     A connection idle for longer than `MAX_REUSE_IDLE_S` is not reused: a
-    middlebox may have dropped its state without closing either end.
+    middlebox may have dropped its state without closing either end. It is
+    closed, also if no other request goes to its address.
     """
 
     def __init__(self) -> None:
         self._idle: dict[str, deque[_ClientConnection]] = {}
+        self._idle_check: asyncio.TimerHandle | None = None
+
+    @property
+    def idle_count(self) -> int:
+        """The number of idle connections, to all addresses."""
+        return sum(map(len, self._idle.values()))
 
     async def _async_connect(
         self, address: str, deadline: float
@@ -448,13 +460,46 @@
         return None
 
     def _return_to_pool(self, conn: _ClientConnection) -> None:
-        pool = self._idle.setdefault(conn.address, deque())
-        if len(pool) >= MAX_IDLE_PER_ADDRESS or not conn.prepare_reuse():
+        pool = self._idle.get(conn.address, ())
+        if (
+            len(pool) >= MAX_IDLE_PER_ADDRESS
+            or self.idle_count >= MAX_IDLE
+            or not conn.prepare_reuse()
+        ):
             conn.close()
             return
         conn.idle_since = asyncio.get_running_loop().time()
         conn.is_reused = True
-        pool.append(conn)
+        self._idle.setdefault(conn.address, deque()).append(conn)
+        self._schedule_idle_check()
+
+    def _schedule_idle_check(self) -> None:
+        if self._idle_check is not None:
+            return
+        # The timer must not keep a client that nobody else does.
+        client_ref = weakref.ref(self)
+
+        def close_stale() -> None:
+            client = client_ref()
+            if client is not None:
+                client.close_stale()
+
+        self._idle_check = asyncio.get_running_loop().call_later(
+            IDLE_CHECK_INTERVAL_S, close_stale
+        )
+
+    def close_stale(self) -> None:
+        """Close the idle connections that can't be reused."""
+        self._idle_check = None
+        for address, pool in list(self._idle.items()):
+            stale = [conn for conn in pool if conn.is_stale]
+            for conn in stale:
+                conn.close()
+                pool.remove(conn)
+            if not pool:
+                del self._idle[address]
+        if self._idle:
+            self._schedule_idle_check()
 
     @asynccontextmanager
     async def async_stream(
@@ -541,6 +586,9 @@
 
     async def async_unload(self) -> None:
         """Close all idle connections."""
+        if self._idle_check is not None:
+            self._idle_check.cancel()
+            self._idle_check = None
         for address in list(self._idle):
             self.forget(address)
 
