Sample a large service from its own usable servers alone (ROUTE)

Cause: the sample of a large service was widened by the servers that may have a shared part cached, taken from the registry by id. Neither the service nor the version that a rollout allows nor a pause or limit held for these.

Change: they are looked up among the usable servers of the request, which are in id order, so that all filters come first and the cost stays at a few comparisons for each.

Tests: SharedPartsOfTwoServices in test_large_services.py for 10, 100, 130, 150, 200 and 400 servers, and for a server that asked for a pause; both fail on the code before.

--- a/tests/core/front/test_large_services.py
+++ b/tests/core/front/test_large_services.py
@@ -8,8 +8,11 @@
 import testtools
 
 from tests.core.front.builders import (
+    POOL,
     arrive,
+    config,
     make_listing,
+    route,
     server,
     serving_front,
 )
@@ -23,11 +26,16 @@
     BackendsListed,
     ListedBackend,
 )
+from waxwingarch.core.base import ServerKind, ServiceId
 from waxwingarch.core.exchange.exchange_messages import (
     LocalResponse,
+    PromptPart,
+    ResponseStarted,
     SendRequest,
 )
+from waxwingarch.core.front_messages import ConfigRead
 from waxwingarch.core.front_node import FrontNode
+from waxwingarch.core.routing.config import TrafficSplit
 
 SERVER_COUNT = 3000
 # A bound that holds whichever servers are drawn: with 64 drawn of 3,000, a
@@ -106,6 +114,73 @@
         self.assertNotIsInstance(arrive(made, "r"), LocalResponse)
 
 
+class SharedPartsOfTwoServices(testtools.TestCase):
+    """Another service has cached parts of the same prompts."""
+
+    def make_node(self, count: int) -> FrontNode:
+        """Return a node with two engine services whose prompts share parts.
+
+        The route /other/ is that of the second service.
+        """
+        other = ServiceId("other")
+        cfg = config(version=2)
+        [pool] = [s for s in cfg.services if s.service == POOL]
+        routes = (
+            *cfg.routes,
+            route("other", splits=(TrafficSplit(service=other, weight=1),)),
+        )
+        node = serving_front()
+        services = (*cfg.services, replace(pool, service=other))
+        node.handle(
+            0.5,
+            ConfigRead(cfg=replace(cfg, routes=routes, services=services)),
+        )
+        others = [
+            replace(server(f"o{n}"), service=other, kind=ServerKind.ENGINE)
+            for n in range(4)
+        ]
+        engines = [server(name) for name in names(count)]
+        node.handle(0.6, make_listing(2, *engines, *others))
+        for n in range(8):
+            send = self.send(node, f"o{n}", 0.7, "/other/x")
+            self.assertEqual(other, send.server.service)
+            node.handle(0.8, ResponseStarted(request_id=send.request_id))
+        return node
+
+    def send(
+        self, node: FrontNode, name: str, now: float, path: str = "/draft/x"
+    ) -> SendRequest:
+        """Send a request most of whose prompt is a part that all share."""
+        parts = (
+            PromptPart(part="p0", tokens=20_000),
+            PromptPart(part=f"own-{name}", tokens=100),
+        )
+        action = arrive(
+            node, name, path, now, parts=parts, prompt_tokens=20_100
+        )
+        assert isinstance(action, SendRequest)
+        return action
+
+    # Guards against requests that run on the servers of another service, in
+    # a service of which only a sample is compared.
+    def test_requests_stay_in_their_service(self) -> None:
+        for count in (10, 100, 130, 150, 200, 400):
+            node = self.make_node(count)
+            for n in range(100):
+                send = self.send(node, f"r{n}", 1.0)
+                self.assertEqual(POOL, send.server.service, count)
+
+    # Guards against a pause that servers of a large service ask for in vain.
+    def test_paused_holders_get_nothing(self) -> None:
+        for count in (100, 200):
+            node = self.make_node(count)
+            paused = self.send(node, "r", 1.0).server.server_id
+            node.load_balancer.pauses.record(1.0, paused, 60.0)
+            for n in range(100):
+                send = self.send(node, f"r{n}", 2.0)
+                self.assertNotEqual(paused, send.server.server_id, count)
+
+
 class AppliedListings(testtools.TestCase):
     def test_tick_visits_only_unlisted_servers(self) -> None:
         made = large()
--- a/waxwingarch/core/backends/load_balancer.py
+++ b/waxwingarch/core/backends/load_balancer.py
@@ -4,7 +4,8 @@
 servers that are slow, fail or are in another failure domain.
 """
 
-from collections.abc import Collection, Mapping
+from bisect import bisect_left
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 from heapq import nlargest
 from typing import Final, Protocol
@@ -316,7 +317,11 @@
         usable: list[Backend],
         preferred: Collection[ServerId],
     ) -> list[Backend]:
-        """Return random servers, and those that may have a prompt cached."""
+        """Return random servers, and those that may have a prompt cached.
+
+        All are among the usable ones: other services may have cached the
+        same parts.
+        """
         count = len(usable)
         indices = {self._rng.randrange(count) for _ in range(SAMPLED_SERVERS)}
         shared_part = exchange.head.shared_part
@@ -330,8 +335,8 @@
         likely_holders -= {usable[index].server.server_id for index in indices}
         sample = [usable[index] for index in sorted(indices)]
         for server_id in sorted(likely_holders):
-            backend = self.registry.get(server_id)
-            if backend is not None and backend.is_usable:
+            backend = _find_by_id(usable, server_id)
+            if backend is not None:
                 sample.append(backend)
         return sample
 
@@ -398,6 +403,19 @@
 DEPARTED_KEPT_S: Final = 20.0
 
 
+def _find_by_id(
+    backends: Sequence[Backend], server_id: ServerId
+) -> Backend | None:
+    """Return the server with an id from a list in id order."""
+    index = bisect_left(
+        backends, server_id, key=lambda backend: backend.server.server_id
+    )
+    if index == len(backends):
+        return None
+    found = backends[index]
+    return found if found.server.server_id == server_id else None
+
+
 def _preferred_by_hash(
     exchange: Exchange, candidates: list[Backend]
 ) -> dict[ServerId, float]:
