--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,8 @@
 import pytest
 from _pytest.unittest import TestCaseFunction
 
+from tests.helpers import note_stream_writers
+
 
 def _with_traceback(
     report: Callable[..., None],
@@ -30,6 +32,7 @@
 
 @pytest.hookimpl
 def pytest_configure() -> None:
-    """Wrap both methods with which a test case reports a failure."""
+    """Wrap the methods that report a failure; note stream writers."""
+    note_stream_writers()
     TestCaseFunction.addError = _with_traceback(TestCaseFunction.addError)
     TestCaseFunction.addFailure = _with_traceback(TestCaseFunction.addFailure)
--- a/tests/front/test_store_returns_host.py
+++ b/tests/front/test_store_returns_host.py
@@ -268,7 +268,7 @@
             self.assertEqual([1], served)
             peers = FrontPeers(
                 host.daemon._runner,
-                HttpClient(),
+                host.client,
                 [watch],
                 host.daemon._entry.async_handle_relayed,
             )
@@ -278,7 +278,7 @@
 
     def watch_of(self, host: Host, served: list[int]) -> TableWatch:
         ports = host.daemon._ports
-        rows = PlatformRowStore(HttpClient(), host.fleet.store.address)
+        rows = PlatformRowStore(host.client, host.fleet.store.address)
 
         def record(watch: TableWatch) -> None:
             row = watch.rows[ports.rows.config_key]
--- a/tests/standins/test_fleet_server.py
+++ b/tests/standins/test_fleet_server.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any
 
 import testtools
@@ -22,10 +24,22 @@
         super().setUp()
         self.writers: list[asyncio.StreamWriter] = []
 
-    async def async_fleet(self) -> Fleet:
+    @asynccontextmanager
+    async def running_fleet(self) -> AsyncIterator[Fleet]:
+        """Run a fleet; close all connections to it at the end."""
         fleet = Fleet()
         await fleet.async_setup(engines=2, plain=1)
-        return fleet
+        try:
+            yield fleet
+        finally:
+            for writer in self.writers:
+                writer.transport.abort()
+            await asyncio.gather(
+                *(w.wait_closed() for w in self.writers),
+                return_exceptions=True,
+            )
+            self.writers.clear()
+            await fleet.async_unload()
 
     async def async_open(self, server: FleetServer, parts: str = "") -> Any:
         """Send a request and return the reader of its connection."""
@@ -53,14 +67,11 @@
     """Answers with neither a length nor chunks end with the connection."""
 
     async def async_answer(self, *, engine: bool, how: str = "") -> bytes:
-        fleet = await self.async_fleet()
-        server = (fleet.engines() if engine else fleet.plain())[0]
-        server.behaviour.until_close = True
-        server.behaviour.how, server.behaviour.count = how, 1
-        try:
+        async with self.running_fleet() as fleet:
+            server = (fleet.engines() if engine else fleet.plain())[0]
+            server.behaviour.until_close = True
+            server.behaviour.how, server.behaviour.count = how, 1
             return await self.async_read_all(server)
-        finally:
-            await fleet.async_unload()
 
     @async_test
     async def test_whole_answers(self) -> None:
@@ -86,21 +97,20 @@
 class SilentServer(FleetCase):
     @async_test
     async def test_streams_and_requests_go_on_after_the_silence(self) -> None:
-        fleet = await self.async_fleet()
-        engine = fleet.engines()[0]
-        engine.behaviour.event_s = 0.05
-        began = await self.async_open(engine)
-        await began.readuntil(b"token 1\n\n")
-        silence = asyncio.create_task(engine.async_fall_silent(SILENT_S))
-        await asyncio.sleep(0)
-        silent_at = time.monotonic()
-        later = await self.async_open(engine)
-        for reader in (began, later):
-            await reader.readuntil(b"token")
-            self.assertGreaterEqual(time.monotonic() - silent_at, SILENT_S)
-            await reader.readuntil(b"token 5\n\n")
-        await silence
-        await fleet.async_unload()
+        async with self.running_fleet() as fleet:
+            engine = fleet.engines()[0]
+            engine.behaviour.event_s = 0.05
+            began = await self.async_open(engine)
+            await began.readuntil(b"token 1\n\n")
+            silence = asyncio.create_task(engine.async_fall_silent(SILENT_S))
+            await asyncio.sleep(0)
+            silent_at = time.monotonic()
+            later = await self.async_open(engine)
+            for reader in (began, later):
+                await reader.readuntil(b"token")
+                self.assertGreaterEqual(time.monotonic() - silent_at, SILENT_S)
+                await reader.readuntil(b"token 5\n\n")
+            await silence
 
 
 class CrashingParts(FleetCase):
@@ -113,38 +123,38 @@
 
     @async_test
     async def test_crash_and_next_incarnation(self) -> None:
-        fleet = await self.async_fleet()
-        fleet.crashing_inputs.add("bad1")
-        engine = fleet.engines()[0]
-        other = await self.async_open(engine)
-        answer = await self.async_read_all(engine, "a:10,bad1:20,c:30")
-        self.assertNotIn(b"token", answer)
-        self.assertNotIn(b"token 5", await other.read())
-        with testtools.ExpectedException(ConnectionRefusedError):
-            await self.async_open(engine)
-        self.assertTrue(self.has_row(fleet, engine))
-        born = engine.born
-        await async_until(
-            lambda: not self.has_row(fleet, engine), "its row has lapsed"
-        )
-        await async_until(
-            lambda: self.has_row(fleet, engine), "it is registered again"
-        )
-        self.assertGreater(engine.born, born)
-        self.assertIn(b"token 5", await self.async_read_all(engine, "a:10"))
-        self.assertEqual([engine.server_id], fleet.crashes)
-        await fleet.async_unload()
+        async with self.running_fleet() as fleet:
+            fleet.crashing_inputs.add("bad1")
+            engine = fleet.engines()[0]
+            other = await self.async_open(engine)
+            answer = await self.async_read_all(engine, "a:10,bad1:20,c:30")
+            self.assertNotIn(b"token", answer)
+            self.assertNotIn(b"token 5", await other.read())
+            with testtools.ExpectedException(ConnectionRefusedError):
+                await self.async_open(engine)
+            self.assertTrue(self.has_row(fleet, engine))
+            born = engine.born
+            await async_until(
+                lambda: not self.has_row(fleet, engine), "its row has lapsed"
+            )
+            await async_until(
+                lambda: self.has_row(fleet, engine), "it is registered again"
+            )
+            self.assertGreater(engine.born, born)
+            self.assertIn(
+                b"token 5", await self.async_read_all(engine, "a:10")
+            )
+            self.assertEqual([engine.server_id], fleet.crashes)
 
     def has_row(self, fleet: Fleet, server: FleetServer) -> bool:
         return ("servers", server.server_id) in fleet.store.rows
 
     @async_test
     async def test_last_part_and_other_parts_crash_nothing(self) -> None:
-        fleet = await self.async_fleet()
-        fleet.crashing_inputs.add("bad1")
-        for parts in ("a:10,bad1:20", "bad1:5", "a:10,bad11:5,c:1", ""):
-            for server in fleet.servers:
-                answer = await self.async_read_all(server, parts)
-                self.assertIn(b" 200 ", answer)
-        self.assertEqual([], fleet.crashes)
-        await fleet.async_unload()
+        async with self.running_fleet() as fleet:
+            fleet.crashing_inputs.add("bad1")
+            for parts in ("a:10,bad1:20", "bad1:5", "a:10,bad11:5,c:1", ""):
+                for server in fleet.servers:
+                    answer = await self.async_read_all(server, parts)
+                    self.assertIn(b" 200 ", answer)
+            self.assertEqual([], fleet.crashes)
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -3,6 +3,8 @@
 import asyncio
 import tempfile
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -21,6 +23,7 @@
 from standins.soak.load import Call, LoadGenerator
 from standins.soak.promises import Promise
 from standins.soak.world import STORE, Daemon, World
+from tests.front.raw_server import raw_server
 from tests.helpers import async_test
 from waxwingarch.adapters.http_client import HttpResponse
 
@@ -42,8 +45,15 @@
     )
 
 
+def _is_dropping(link: Link) -> bool:
+    return any(conn.dropping_writers for conn in link._connections)
+
+
 class LinkTest(testtools.TestCase):
-    async def async_echo_link(self) -> Link:
+    @asynccontextmanager
+    async def echo_link(self) -> AsyncIterator[Link]:
+        """Run a link to a server that sends back what it gets."""
+
         async def echo(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
@@ -52,12 +62,13 @@
                 await writer.drain()
             writer.close()
 
-        server = await asyncio.start_server(echo, "127.0.0.1", 0)
-        self.addCleanup(server.close)
-        port = server.sockets[0].getsockname()[1]
-        link = Link(f"127.0.0.1:{port}")
-        await link.async_setup()
-        return link
+        async with raw_server(echo) as address:
+            link = Link(address)
+            await link.async_setup()
+            try:
+                yield link
+            finally:
+                await link.async_unload()
 
     async def async_echo_once(
         self, link: Link, within_s: float = 0.2
@@ -73,65 +84,60 @@
 
     @async_test
     async def test_forwards_bytes_unchanged(self) -> None:
-        link = await self.async_echo_link()
-        self.assertEqual(b"hello", await self.async_echo_once(link, 5.0))
-        await link.async_unload()
+        async with self.echo_link() as link:
+            self.assertEqual(b"hello", await self.async_echo_once(link, 5.0))
 
     @async_test
     async def test_drops_one_direction_or_both(self) -> None:
-        link = await self.async_echo_link()
-        for fault in (
-            LinkFault.CUT_THERE,
-            LinkFault.CUT_BACK,
-            LinkFault.SILENT,
-        ):
-            link.fault = fault
-            with testtools.ExpectedException(TimeoutError):
-                await self.async_echo_once(link)
-        link.fault = LinkFault.NONE
-        self.assertEqual(b"hello", await self.async_echo_once(link, 5.0))
-        await link.async_unload()
+        async with self.echo_link() as link:
+            for fault in (
+                LinkFault.CUT_THERE,
+                LinkFault.CUT_BACK,
+                LinkFault.SILENT,
+            ):
+                link.fault = fault
+                with testtools.ExpectedException(TimeoutError):
+                    await self.async_echo_once(link)
+            link.fault = LinkFault.NONE
+            self.assertEqual(b"hello", await self.async_echo_once(link, 5.0))
 
     @async_test
     async def test_refuses_and_delays(self) -> None:
-        link = await self.async_echo_link()
-        link.fault = LinkFault.REFUSE
-        with testtools.ExpectedException(ConnectionResetError):
-            if not await self.async_echo_once(link, 5.0):
-                raise ConnectionResetError
-        link.fault, link.delay_s = LinkFault.DELAY, 0.1
-        before = time.monotonic()
-        self.assertEqual(b"hello", await self.async_echo_once(link, 5.0))
-        self.assertGreaterEqual(time.monotonic() - before, 0.2)
-        await link.async_unload()
+        async with self.echo_link() as link:
+            link.fault = LinkFault.REFUSE
+            with testtools.ExpectedException(ConnectionResetError):
+                if not await self.async_echo_once(link, 5.0):
+                    raise ConnectionResetError
+            link.fault, link.delay_s = LinkFault.DELAY, 0.1
+            before = time.monotonic()
+            self.assertEqual(b"hello", await self.async_echo_once(link, 5.0))
+            self.assertGreaterEqual(time.monotonic() - before, 0.2)
 
     @async_test
     async def test_closed_link_refuses_until_it_is_reopened(self) -> None:
-        link = await self.async_echo_link()
-        link.close()
-        with testtools.ExpectedException(ConnectionRefusedError):
-            await self.async_echo_once(link)
-        await link.async_reopen(link.target)
-        self.assertEqual(b"hello", await self.async_echo_once(link, 5.0))
-        await link.async_unload()
+        async with self.echo_link() as link:
+            link.close()
+            with testtools.ExpectedException(ConnectionRefusedError):
+                await self.async_echo_once(link)
+            await link.async_reopen(link.target)
+            self.assertEqual(b"hello", await self.async_echo_once(link, 5.0))
 
     @async_test
     async def test_direction_stays_silent_after_a_dropped_byte(self) -> None:
-        link = await self.async_echo_link()
-        host, _, port = link.address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        link.fault = LinkFault.CUT_THERE
-        writer.write(b"lost")
-        async with asyncio.timeout(5.0):
-            while not any(conn.dropping_writers for conn in link._connections):  # noqa: ASYNC110
-                await asyncio.sleep(0.01)
-        link.fault = LinkFault.NONE
-        writer.write(b"later")
-        with testtools.ExpectedException(TimeoutError):
-            async with asyncio.timeout(0.2):
-                await reader.read(100)
-        writer.transport.abort()
-        await link.async_unload()
+        async with self.echo_link() as link:
+            host, _, port = link.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            link.fault = LinkFault.CUT_THERE
+            writer.write(b"lost")
+            async with asyncio.timeout(5.0):
+                while not _is_dropping(link):  # noqa: ASYNC110
+                    await asyncio.sleep(0.01)
+            link.fault = LinkFault.NONE
+            writer.write(b"later")
+            with testtools.ExpectedException(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await reader.read(100)
+            writer.transport.abort()
 
 
 class PromiseCheckerTest(testtools.TestCase):
