Tell restarted hosts of the soak that the system has run before

Trace: the holder was killed as the store returned from an older copy, was started again with `first_start = true`, took the lease and settled the windows anew. The platform says so only at the first start of the whole system; the emulator wrote it at each. Restarted hosts now get false. The end of each run is noted now.

Neither bound nor check is changed.

--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -254,6 +254,19 @@
             body=req.body,
         )
         self.runs.append(run)
+        try:
+            await self._async_answer(run, req, resp, how, headers)
+        finally:
+            run.ended_at = min(run.ended_at, time.monotonic())
+
+    async def _async_answer(
+        self,
+        run: Run,
+        req: HttpRequest,
+        resp: HttpResponder,
+        how: str,
+        headers: list[tuple[str, str]],
+    ) -> None:
         if how == "lost":
             run.ended = "broken"
             resp.abort()
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -144,6 +144,7 @@
     ) -> None:
         await end(daemon)
         await asyncio.sleep(self._rng.uniform(0, 2))
+        self._world.note_restart(daemon)
         await self._world.async_start(daemon)
         await self._world.async_check_ready(daemon)
         self._targets.end_fault(interval)
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -167,6 +167,13 @@
 
     # Processes
 
+    def note_restart(self, daemon: Daemon) -> None:
+        """Tell a host that the system has run before, as the platform does."""
+        text = daemon.settings.read_text()
+        daemon.settings.write_text(
+            text.replace("first_start = true", "first_start = false")
+        )
+
     async def async_start(self, daemon: Daemon) -> None:
         """Start a host's process, which appends to the host's log file."""
         daemon.incarnation += 1
