--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -10,7 +10,7 @@
 import orjson
 
 from standins.fleet_store import LISTEN_IP
-from standins.until_close import UntilCloseResponder, reset
+from standins.until_close import UntilCloseResponder, reset, send_raw
 from waxwingarch.adapters.http_messages import (
     JSON_TYPE,
     HttpRequest,
@@ -25,6 +25,9 @@
 SERVER_LIMIT_HEADER: Final = "Server-Limit"
 SERVER_BRITTLE_HEADER: Final = "Server-Brittle"
 PROMPT_PREFIX_HEADER: Final = "X-Waxwingarch-Prompt-Prefix"
+SMALL_CHUNK: Final = b"1\r\nx\r\n"
+SMALL_CHUNKS_PER_WRITE: Final = 2_000
+ENDLESS_PAUSE_S: Final = 0.005
 
 
 @dataclass(kw_only=True, slots=True)
@@ -66,6 +69,7 @@
     """How a server answers; the fault `how` hits the next `count` requests.
 
     `how` is one of: error (500), shed (503, not run), mute (no response),
+    endless (a body in chunks of one byte that does not end),
     cut (the connection of a stream closes within an event), reset (the
     connection is reset after an event or within the body), lost (the request
     runs, then the connection closes), unsigned (no server stamp), stray (the
@@ -277,6 +281,10 @@
             run.ended = "error"
             await resp.async_send(500, b"failed", headers)
             return
+        if how == "endless":
+            run.ended = "broken"
+            await _async_send_without_end(resp, headers)
+            return
         if how == "stray":
             headers[0] = (REQUEST_ID_HEADER, "another-request")
         if self.engine:
@@ -379,6 +387,16 @@
         await resp.async_send(self.behaviour.move_status, reply, [JSON_TYPE])
 
 
+async def _async_send_without_end(
+    resp: HttpResponder, headers: list[tuple[str, str]]
+) -> None:
+    """Send chunks of one byte until the caller closes the connection."""
+    await resp.async_start(200, [JSON_TYPE, *headers])
+    while not resp.disconnected.is_set():
+        send_raw(resp, SMALL_CHUNK * SMALL_CHUNKS_PER_WRITE)
+        await asyncio.sleep(ENDLESS_PAUSE_S)
+
+
 async def _async_disconnected_within(
     resp: HttpResponder, within_s: float
 ) -> bool:
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -29,7 +29,22 @@
 LINK_FAULTS: Final = tuple(
     fault for fault in LinkFault if fault is not LinkFault.NONE
 )
-MALFORMED_ROWS: Final = (b"\xff\xfe", b"{}", b'{"address": 7}', b"[]")
+MALFORMED_ROWS: Final = (
+    b"\xff\xfe",
+    b"{}",
+    b'{"address": 7}',
+    b"[]",
+    b"[" * 5_000,
+    *(
+        b'{"service": "ledger", "zone": "za", "state": "ready", ' + odd + b"}"
+        for odd in (
+            b'"address": "127.0.0.1:99999"',
+            b'"address": "127.0.0.1:0"',
+            b'"address": "127.0.0.1:9", "slots": 0',
+            b'"address": "127.0.0.1:9", "born": 1e30',
+        )
+    ),
+)
 # How many times as often as the others a fault is chosen.
 WEIGHTS: Final = {
     "link of host": 2,
--- a/standins/soak/server_faults.py
+++ b/standins/soak/server_faults.py
@@ -18,11 +18,14 @@
     "lost",
     "unsigned",
     "stray",
+    "endless",
 )
 SILENCE_S: Final = (1.0, 2.5)
 # How long sound servers do nothing, and which share of a service's servers.
 PAUSE_S: Final = (0.8, SOUND_SILENCE_S)
 PAUSED_RATIO: Final = (0.5, 1.0)
+# How long the entry of a server that lives on is missing.
+LAPSED_S: Final = (2.0, 5.0)
 # How long a server announces that it leaves, and drains after that.
 ANNOUNCED_S: Final = (1.0, 2.0)
 DRAINING_S: Final = (3.0, 4.0)
@@ -47,6 +50,7 @@
         self.choices: dict[str, Preparation] = {
             "crash": self._prepare_crash,
             "drain": self._prepare_drain,
+            "lapse": self._prepare_lapse,
             "leaving": self._prepare_leaving,
             "spoiled": self._prepare_spoiled,
             "silence": self._prepare_silence,
@@ -94,6 +98,21 @@
 
         return drain
 
+    def _prepare_lapse(self) -> Fault | None:
+        """Let a server's entry be gone for a time, and come back."""
+        server = self._targets.pick_server()
+        if server is None:
+            return None
+        interval = self._targets.begin_fault(server.server_id, "lapse")
+
+        async def lapse() -> None:
+            self._world.fleet.store.put("servers", server.server_id, None)
+            await asyncio.sleep(self._rng.uniform(*LAPSED_S))
+            self._targets.end_fault(interval)
+            self._world.register(server)
+
+        return lapse
+
     def _prepare_leaving(self) -> Fault | None:
         """Let a server announce in its answers that it leaves, and leave."""
         server = self._targets.pick_server()
--- a/standins/until_close.py
+++ b/standins/until_close.py
@@ -25,6 +25,11 @@
     transport.abort()
 
 
+def send_raw(resp: HttpResponder, data: bytes) -> None:
+    """Write bytes to the connection of a response that has begun."""
+    _transport(resp).write(data)
+
+
 class UntilCloseResponder:
     """Sends a response with neither a length nor chunks.
 
