Wait before an entry counts that is back after an outage

A server whose entry had lapsed was used again as soon as it was listed. A store that returns from an older copy also lists servers that have left since, until their heartbeats are missed (3.6 s): they would get requests long after they had counted as gone (DRAIN).

Such an entry counts once it has stayed for 5 s, without an outage at once.

Test: test_entry_of_an_older_copy_does_not_count.

--- a/tests/core/front/test_lapsed_entries.py
+++ b/tests/core/front/test_lapsed_entries.py
@@ -11,6 +11,7 @@
 )
 from waxwingarch.core.backends.load_balancer import DEPARTED_KEPT_S
 from waxwingarch.core.backends.registry import (
+    BACK_AFTER_OUTAGE_S,
     RELIST_GRACE_S,
     LeavingAnnounced,
 )
@@ -71,6 +72,26 @@
         node.handle(9.0, make_listing(3, P1, P2))
         self.assertEqual({"p1", "p2"}, self.used(node, 9.1))
 
+    # Guards against requests to a server that has left: a store that returns
+    # from an older copy lists it until its heartbeats are missed.
+    def test_entry_of_an_older_copy_does_not_count(self) -> None:
+        node = serving_front(P1, P2)
+        node.handle(2.0, make_listing(2, P2))
+        node.handle(7.0, make_listing(3, P1, P2, after_outage=True))
+        self.assertEqual({"p2"}, self.used(node, 7.1))
+        node.handle(10.0, make_listing(4, P2))
+        tick(node, 7.1 + BACK_AFTER_OUTAGE_S)
+        self.assertEqual({"p2"}, self.used(node, 7.1 + BACK_AFTER_OUTAGE_S))
+
+    def test_entry_that_stays_after_an_outage_counts(self) -> None:
+        node = serving_front(P1, P2)
+        node.handle(2.0, make_listing(2, P2))
+        node.handle(7.0, make_listing(3, P1, P2, after_outage=True))
+        tick(node, 7.1 + BACK_AFTER_OUTAGE_S)
+        self.assertEqual(
+            {"p1", "p2"}, self.used(node, 7.1 + BACK_AFTER_OUTAGE_S)
+        )
+
     def test_it_is_kept_when_its_entry_is_back(self) -> None:
         node = serving_front(P1, P2)
         node.handle(2.0, make_listing(2, P2))
--- a/waxwingarch/core/backends/registry.py
+++ b/waxwingarch/core/backends/registry.py
@@ -11,6 +11,10 @@
 # Servers that are missing from a listing after an outage of the store
 # register again within about two heartbeats after it.
 RELIST_GRACE_S: Final = 2.5
+# A store that returns from an older copy lists servers that have left since,
+# until their heartbeats are missed. An entry that is back after an outage
+# counts once it has stayed for this long.
+BACK_AFTER_OUTAGE_S: Final = 5.0
 # A report has to fit into one datagram.
 MAX_REPORTED_LEAVING: Final = 32
 
@@ -80,7 +84,8 @@
 
     `listed_at` is when this incarnation was first listed, and
     `unlisted_since` when a listing first lacked it. `is_lapsed` says that it
-    counts as leaving only because its entry is missing.
+    counts as leaving only because its entry was missing, and `back_at` when
+    an entry that is back counts.
     """
 
     server: Server
@@ -89,6 +94,7 @@
     leaves_at: float | None = None
     unlisted_since: float | None = None
     is_lapsed: bool = False
+    back_at: float = float("inf")
 
     @property
     def is_usable(self) -> bool:
@@ -115,6 +121,8 @@
         self._usable_by_service: dict[ServiceId, list[Backend]] | None = None
         self._unlisted: set[ServerId] = set()
         self._dropped: list[ServerId] = []
+        # Lapsed servers whose entry is back, but does not count yet.
+        self._returning: set[ServerId] = set()
         # Servers that announced that they are leaving, by incarnation. The
         # listing does not say so yet.
         self._announced: dict[ServerId, int] = {}
@@ -164,7 +172,7 @@
                 continue
             known = self._backends.get(server_id)
             old_incarnation = known.server.incarnation if known else 0
-            if self._apply_entry(now, listed):
+            if self._apply_entry(now, listed, event.after_outage):
                 change.leaving.append(self._leaving_action(server_id))
             self._backends[server_id].unlisted_since = None
             self._unlisted.discard(server_id)
@@ -234,6 +242,10 @@
                 self._unlisted.discard(server_id)
                 self._announced.pop(server_id, None)
                 self._dropped.append(server_id)
+        for server_id in sorted(self._returning):
+            returning = self._backends[server_id]
+            if now >= returning.back_at:
+                self._end_lapse(returning)
         return leaving
 
     def take_dropped(self) -> list[ServerId]:
@@ -241,7 +253,16 @@
         dropped, self._dropped = self._dropped, []
         return dropped
 
-    def _apply_entry(self, now: float, listed: ListedBackend) -> bool:
+    def _end_lapse(self, backend: Backend) -> None:
+        """Use a server again whose entry is back."""
+        backend.is_lapsed = False
+        backend.leaving_since = None
+        self._returning.discard(backend.server.server_id)
+        self._usable_by_service = None
+
+    def _apply_entry(
+        self, now: float, listed: ListedBackend, after_outage: bool
+    ) -> bool:
         """Apply one entry; return whether the server is newly leaving."""
         server = listed.server
         known = self._backends.get(server.server_id)
@@ -253,11 +274,14 @@
             self._announced.pop(server.server_id, None)
         known.server = server
         if not listed.draining:
-            if known.is_lapsed:
-                known.is_lapsed = False
-                known.leaving_since = None
+            if known.is_lapsed and after_outage:
+                known.back_at = now + BACK_AFTER_OUTAGE_S
+                self._returning.add(server.server_id)
+            elif known.is_lapsed:
+                self._end_lapse(known)
             return False
         known.is_lapsed = False
+        self._returning.discard(server.server_id)
         self._announced.pop(server.server_id, None)
         if listed.leaves_in_s is not None and known.leaves_at is None:
             known.leaves_at = now + listed.leaves_in_s
@@ -276,6 +300,7 @@
         if backend.unlisted_since is not None:
             return False
         backend.unlisted_since = now
+        self._returning.discard(backend.server.server_id)
         self._unlisted.add(backend.server.server_id)
         if not after_outage:
             self._announced.pop(backend.server.server_id, None)
