Extend the lease only for a renewal that was applied (ONE)

The holder then believed in its lease for longer than the row says.

The row's end is compared with that of the renewal, and an older one is written again. Test: test_lost_renewal_that_was_not_applied_extends_nothing, which fails on the code before.

--- a/tests/core/front/test_duties.py
+++ b/tests/core/front/test_duties.py
@@ -102,6 +102,24 @@
         self.assertTrue(first.may_act(1.2))
         self.assertFalse(second.may_act(1.2))
 
+    # Guards against a holder that counts on a renewal which the store has
+    # never applied, as the row is its own from the one before.
+    def test_lost_renewal_that_was_not_applied_extends_nothing(self) -> None:
+        row = StoredLease()
+        lease = self.candidate(row, "a", 0.0)
+        valid_until = lease._valid_until
+        [renewal] = lease.tick(2.5, 0)
+        self.assertIsInstance(renewal, WriteDutyRow)
+        actions = lease.handle_store_failure(
+            DutyStoreFailed(boot_now=2.6, maybe_applied=True)
+        )
+        self.assertEqual([ReadDutyRow()], actions)
+        [again] = lease.handle_row_read(row.read(2.7))
+        self.assertIsInstance(again, WriteDutyRow)
+        self.assertEqual(valid_until, lease._valid_until)
+        row.serve(lease, 2.7, [again])
+        self.assertGreater(lease._valid_until, valid_until)
+
     def test_renewals_keep_the_lease_and_its_fencing_number(self) -> None:
         row = StoredLease()
         lease = self.candidate(row, "a", 0.0)
--- a/waxwingarch/core/duties/leader_election.py
+++ b/waxwingarch/core/duties/leader_election.py
@@ -160,6 +160,7 @@
         self._version = 0
         self._valid_until = float("-inf")
         self._pending_valid_until = float("-inf")
+        self._pending_until_ms = 0
         self._next_at = 0.0
         self._holder_seen_at = float("-inf")
         self._held_since = float("-inf")
@@ -260,6 +261,9 @@
             self._incarnation,
         )
         if is_own and self.held:
+            if row.until_ms < self._pending_until_ms:
+                # It is from the renewal before: this one was not applied.
+                return self._write_lease(event.boot_now)
             # A renewal whose reply was lost was applied.
             self._valid_until = max(
                 self._valid_until, self._pending_valid_until
@@ -353,7 +357,8 @@
         self._written_era = self._era
         self._pending_valid_until = boot_now + self._term_s - TAKEOVER_MARGIN_S
         until_s = boot_now + self._clock_ahead_s + self._term_s
-        return [self._write_row(int(until_s * MS_PER_S) + 1)]
+        self._pending_until_ms = int(until_s * MS_PER_S) + 1
+        return [self._write_row(self._pending_until_ms)]
 
     def _write_row(self, until_ms: int) -> WriteDutyRow:
         row = DutyLeaseRow(
