Follow a table from the version of its first page

The version of the first page is used. Changes that the later pages show already are delivered once more, which changes nothing. Test: test_version_is_that_of_the_first_page, which fails on the code before.

--- a/tests/front/test_odd_rows_host.py
+++ b/tests/front/test_odd_rows_host.py
@@ -298,6 +298,41 @@
             self.assertIsNone(registry.get("odd"))
 
 
+class PagesOfATable(testtools.TestCase):
+    # Guards against a change to an earlier page that is never seen, as it
+    # came while a later one was read.
+    @async_test
+    async def test_version_is_that_of_the_first_page(self) -> None:
+        pages = [
+            {
+                "rows": [{"key": "a", "value": "dg==", "row_version": 3}],
+                "row_version": 5,
+                "has_more": True,
+            },
+            {
+                "rows": [{"key": "b", "value": "dg==", "row_version": 4}],
+                "row_version": 8,
+            },
+        ]
+        asked: list[str | None] = []
+
+        async def async_answer(req: Any, resp: Any) -> None:
+            asked.append(req.query.get("from"))
+            await resp.async_send(200, orjson.dumps(pages[len(asked) - 1]))
+
+        server = HttpServer(async_answer)
+        port = await server.async_setup("127.0.0.1", 0)
+        client = HttpClient()
+        store = PlatformRowStore(client, f"127.0.0.1:{port}")
+        deadline = asyncio.get_running_loop().time() + 5.0
+        rows = await store.async_read("t", deadline=deadline)
+        await client.async_unload()
+        await server.async_unload()
+        self.assertEqual([None, "a\0"], asked)
+        self.assertEqual(["a", "b"], [row.key for row in rows.rows])
+        self.assertEqual(5, rows.version)
+
+
 class OddResponsesOfTheStore(testtools.TestCase):
     SOUND = {"key": "sound", "value": "dg==", "row_version": 3}
 
--- a/waxwingarch/platform/store.py
+++ b/waxwingarch/platform/store.py
@@ -73,12 +73,17 @@
     async def async_read(
         self, table: str, *, deadline: float, key: str | None = None
     ) -> Rows:
-        """Return all rows of a table, page by page, or the row of a key."""
+        """Return all rows of a table, page by page, or the row of a key.
+
+        The version is that of the first page: a row of it may change while
+        the others are read, and is found among the changes after it.
+        """
         query = {"table": table, "part": PART, "limit": str(PAGE_ROWS)}
         if key is not None:
             # On the wire, `target` is the exclusive end of the key range.
             query |= {"from": key, "target": key + "\0", "limit": "1"}
         stored_rows: list[StoredRow] = []
+        first_body: dict[str, Any] | None = None
         first_era = None
         while True:
             target = f"/-/rows-get?{urlencode(query)}"
@@ -90,10 +95,11 @@
                     f"{table}: the store returned from a copy during a read"
                 )
             first_era = era
+            first_body = first_body or body
             page = _decode_page(table, body, era)
             stored_rows += page
             if key is not None or not body.get("has_more") or not page:
-                return _decode_rows(stored_rows, body, era)
+                return _decode_rows(stored_rows, first_body, era)
             query["from"] = page[-1].key + "\0"
 
     async def async_changes(
