Take a path with two slashes for a path (ROUTE)

From the review's report: `//x/pay/2` was parsed as a URL reference that names a host, so that it ran on the route of `/pay/`, though no prefix begins it.

The origin form of a target is parsed behind a fixed origin; the absolute form as before. Test: test_path_with_two_slashes_is_one, which fails on the code before (path /pay/2 instead of //x/pay/2).

--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -76,6 +76,32 @@
                 "GET", address, "/echo", deadline=now() + 5
             )
 
+    # Guards against a request that runs on a route whose prefix does not
+    # begin its path.
+    @async_test
+    async def test_path_with_two_slashes_is_one(self) -> None:
+        paths: list[str] = []
+
+        async def async_answer(req: HttpRequest, resp: HttpResponder) -> None:
+            paths.append(f"{req.path} {req.query}")
+            await resp.async_send(200, b"")
+
+        server = HttpServer(async_answer)
+        port = await server.async_setup("127.0.0.1", 0)
+        client = HttpClient()
+        for target in ("//x/pay/2", "/pay/2?a=1", "//", "http://h/pay/2"):
+            await client.async_request(
+                "GET",
+                f"127.0.0.1:{port}",
+                target,
+                deadline=asyncio.get_running_loop().time() + 5,
+            )
+        await client.async_unload()
+        await server.async_unload()
+        self.assertEqual(
+            ["//x/pay/2 {}", "/pay/2 {'a': '1'}", "// {}", "/pay/2 {}"], paths
+        )
+
     @async_test
     async def test_malformed_requests_are_rejected(self) -> None:
         server = HttpServer(_handle_request)
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -25,6 +25,7 @@
 MAX_HEADER_BYTES: Final = 32 * 1024
 MAX_BODY_BYTES: Final = 8 * 1024 * 1024
 MAX_SMALL_PARTS: Final = 100_000
+ORIGIN: Final = "http://host"
 REQUEST_READ_TIMEOUT_S: Final = 10.0
 IDLE_TIMEOUT_S: Final = 75.0
 WRITE_STALL_TIMEOUT_S: Final = 20.0
@@ -456,7 +457,9 @@
     """Return the handler's view of a request; raises `ValueError`."""
     headers = head.headers
     raw_target = head.target.decode("ascii", "replace")
-    target = urlsplit(raw_target)
+    # A path may begin with two slashes; as a reference it would name a host.
+    is_path = raw_target.startswith("/")
+    target = urlsplit(f"{ORIGIN}{raw_target}" if is_path else raw_target)
     return HttpRequest(
         method=head.method.decode("ascii"),
         target=raw_target,
