Name the longest silence of a stream, end a read at an unreadable page

`max_silence_s` and `MAX_STREAM_SILENCE_S` say what `stays_silent_s` and `STREAM_STAYS_S` were. A page of a table none of whose rows can be read counts as an outage of the store: the read ended there and took the rows behind it for removed.

--- a/tests/front/test_odd_rows_host.py
+++ b/tests/front/test_odd_rows_host.py
@@ -386,6 +386,7 @@
             {"rows": []},
             {"rows": [], "row_version": "x"},
             {"rows": [], "row_version": 1, "now_ms": None},
+            {"rows": [{}], "row_version": 1, "has_more": True},
         ):
             with testtools.ExpectedException(StoreUnavailableError):
                 await self.async_read(body)
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -75,7 +75,7 @@
 # A sound server may send nothing for a second or so, after the pause between
 # two events. A stream stays with it for that long: it would run at two
 # servers otherwise, or be cut where no other server takes it.
-STREAM_STAYS_S: Final = 1.6
+MAX_STREAM_SILENCE_S: Final = 1.6
 # Callers that are refused until a server takes requests again are told to
 # return spread over this share of that time after it.
 RETURN_SPREAD_RATIO: Final = 0.5
@@ -318,7 +318,7 @@
             expires_at=exchange.expires_at,
             first_byte_deadline=first_byte_deadline,
             stream_idle_timeout_s=stream_idle_timeout_s,
-            stays_silent_s=STREAM_STAYS_S
+            max_silence_s=MAX_STREAM_SILENCE_S
             if route.streaming
             else SERVER_ACTIVE_WITHIN_S,
             resume_after=state.last_event,
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -261,8 +261,8 @@
     Times are on the node's clock. Where the request may be sent to another
     server, `first_byte_deadline` bounds the wait for the first byte.
     After a pause of `stream_idle_timeout_s` in a stream the server counts as
-    silent. An attempt stays with a server that has sent nothing, to any
-    request of this host, for up to `stays_silent_s`. `resume_after` is
+    silent; one that has sent nothing, to any request of this host, for
+    `max_silence_s` may be left for another. `resume_after` is
     the id of the last event that was passed on. With `migrated_cache` the
     server continues a run whose KV cache was copied to it.
     `fresh_connection` asks for a connection that was not idle for long, and
@@ -277,7 +277,7 @@
     expires_at: float
     first_byte_deadline: float
     stream_idle_timeout_s: float
-    stays_silent_s: float
+    max_silence_s: float
     resume_after: int | None
     migrated_cache: MigratedCache | None
     fresh_connection: bool
--- a/waxwingarch/platform/store.py
+++ b/waxwingarch/platform/store.py
@@ -98,8 +98,10 @@
             first_body = first_body or body
             page = _decode_page(table, body, era)
             stored_rows += page
-            if key is not None or not body.get("has_more") or not page:
+            if key is not None or not body.get("has_more"):
                 return _decode_rows(stored_rows, first_body, era)
+            if not page:
+                raise _invalid_response(f"{table}: a page without a row")
             query["from"] = page[-1].key + "\0"
 
     async def async_changes(
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -238,7 +238,7 @@
         silent_s = now - max(last_activity_at, self.state.sent_at)
         if silent_s > SERVER_ACTIVE_WITHIN_S and send.streaming:
             self._report_silence(send)
-        if silent_s > send.stays_silent_s and self._may_give_up(now):
+        if silent_s > send.max_silence_s and self._may_give_up(now):
             return None
         return now + FIRST_BYTE_POLL_S
 
@@ -521,7 +521,7 @@
                 continue
         self.state.is_silence_reported = False
         idle_until = silent_since + send.stream_idle_timeout_s
-        leave_at = max(idle_until, silent_since + send.stays_silent_s)
+        leave_at = max(idle_until, silent_since + send.max_silence_s)
         while True:
             try:
                 return await stream.async_read(
