--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -49,6 +49,8 @@
     keys: tuple[str, ...] = ("key-1",)
     plain_timeout_ms: int = 2000
     stream_timeout_ms: int = 5000
+    stream_objective_ms: int = 500
+    stream_gap_ms: int = 200
     limits: dict[str, int] = field(
         default_factory=lambda: {"idle_timeout_ms": 15000}
     )
@@ -62,11 +64,11 @@
             "host": HOST_NAME,
             "kind": "streaming",
             "timeout_ms": self.stream_timeout_ms,
-            "target_latency_ms": 500,
+            "target_latency_ms": self.stream_objective_ms,
             "priority": 1,
             "service": ENGINE_SERVICE,
             "max_attempts": 2,
-            "target_gap_ms": 200,
+            "target_gap_ms": self.stream_gap_ms,
         }
         plain = {
             "host": HOST_NAME,
@@ -116,9 +118,13 @@
 
 
 class Fleet:
-    """A platform with servers, all in this process."""
+    """A platform with servers, all in this process.
 
-    def __init__(self) -> None:
+    `server_type` is that of the servers, which may be other processes.
+    """
+
+    def __init__(self, server_type: type[FleetServer] = FleetServer) -> None:
+        self._server_type = server_type
         self.store = FleetStore()
         self.servers: list[FleetServer] = []
         self.runs: list[Run] = []
@@ -160,7 +166,7 @@
     ) -> FleetServer:
         """Start a server and register it."""
         zone = ZONES[len(self.servers) % len(ZONES)]
-        server = FleetServer(
+        server = self._server_type(
             server_id,
             service,
             zone,
--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -81,7 +81,9 @@
     `move_reply` replaces the body of its response, and `move_status` its
     status.
     With `until_close` all answers have neither a length nor chunks and end
-    with their connection.
+    with their connection. With `ignores_close` an engine does not look at
+    its caller's connection between two events, so that it notices a close
+    only as it writes.
     """
 
     events: int = 5
@@ -95,6 +97,7 @@
     move_reply: bytes = b""
     move_status: int = 200
     until_close: bool = False
+    ignores_close: bool = False
 
 
 class FleetServer:
@@ -110,6 +113,8 @@
         runs: list[Run],
         crashing_inputs: AbstractSet[str] = frozenset(),
         on_crash: Callable[["FleetServer"], None] = lambda server: None,
+        on_run_end: Callable[[Run], None] = lambda run: None,
+        port: int = 0,
     ) -> None:
         self.server_id = server_id
         self.service = service
@@ -135,14 +140,16 @@
         self._crashing_inputs = crashing_inputs
         self.is_down = True
         self._on_crash = on_crash
+        self._on_run_end = on_run_end
+        self._port = port
         self._not_silent = asyncio.Event()
         self._not_silent.set()
         self.server = HttpServer(self._async_handle)
 
     async def async_setup(self) -> None:
-        """Listen on a free port."""
+        """Listen on the given port, or on a free one."""
         self.server = HttpServer(self._async_handle)
-        port = await self.server.async_setup(LISTEN_IP, 0)
+        port = await self.server.async_setup(LISTEN_IP, self._port)
         self.address = f"{LISTEN_IP}:{port}"
         self.is_down = False
 
@@ -160,6 +167,9 @@
             else:
                 conn.abort()
 
+    async def async_apply_behaviour(self) -> None:
+        """Put a changed behaviour in force, where this is needed."""
+
     async def async_fall_silent(self, silent_s: float) -> None:
         """Do nothing for a time, also amid streams, and then go on."""
         self._not_silent.clear()
@@ -262,6 +272,7 @@
             await self._async_answer(run, req, resp, how, headers)
         finally:
             run.ended_at = min(run.ended_at, time.monotonic())
+            self._on_run_end(run)
 
     async def _async_answer(
         self,
@@ -333,11 +344,9 @@
         try:
             await resp.async_start(200, [kind, *headers])
             for number in range(first_number, self.behaviour.events + 1):
-                disconnected = await _async_disconnected_within(
-                    resp, self.behaviour.event_s
-                )
+                disconnected = await self._async_pause(resp)
                 await self._not_silent.wait()
-                if disconnected or resp.disconnected.is_set():
+                if disconnected or self._sees_close(resp):
                     run.ended = "dropped"
                     return
                 if self._crashes_on(run):
@@ -365,6 +374,16 @@
             run.ended_at = time.monotonic()
             self._running.pop(run.request_id, None)
 
+    async def _async_pause(self, resp: HttpResponder) -> bool:
+        """Wait for the next event; return whether the caller has gone."""
+        if self.behaviour.ignores_close:
+            await asyncio.sleep(self.behaviour.event_s)
+            return False
+        return await _async_disconnected_within(resp, self.behaviour.event_s)
+
+    def _sees_close(self, resp: HttpResponder) -> bool:
+        return not self.behaviour.ignores_close and resp.disconnected.is_set()
+
     async def _async_cut(self, resp: HttpResponder) -> None:
         if self.behaviour.until_close:
             # The end of the connection is all that shows the cut.
--- /dev/null
+++ b/standins/pauses.py
@@ -0,0 +1,281 @@
+"""Stops processes of servers in series, beside faults of hosts.
+
+Prints for each seed how many streams went on at another server, and how
+many of them ran at two servers at once.
+"""
+
+import argparse
+import asyncio
+import json
+import re
+import tempfile
+import time
+from collections import Counter, defaultdict
+from itertools import pairwise
+from pathlib import Path
+from random import Random
+from typing import Final
+
+from standins.campaign_report import Report
+from standins.fleet import ENGINE_SERVICE, PLAIN_SERVICE, Fleet
+from standins.fleet_server import Run
+from standins.server_process import ProcessServer
+from standins.soak.load import (
+    NON_IDEMPOTENT_ROUTES,
+    STREAM_ROUTES,
+    Call,
+    LoadGenerator,
+)
+from standins.soak.promises import OVERLAP_LIMIT_S, Promise
+from standins.soak.world import World
+
+EVENT_INTERVAL_S: Final = 0.05
+EVENTS_PER_STREAM: Final = 40
+PAUSED_RATIOS: Final = (1.0, 0.6, 0.3)
+PAUSE_INTERVAL_S: Final = 6.0
+FIRST_PAUSE_S: Final = 3.0
+CONFIG_LEAD_S: Final = 0.6
+STREAM_TIMEOUTS_MS: Final = (8000, 9000, 10000)
+BESIDE: Final = ("none", "restart", "kill", "freeze", "cut", "crash")
+OK: Final = 200
+MS_PER_S: Final = 1000
+STREAM_DEADLINE_S: Final = 10.0
+# Callers leave a stream after the longest of these gaps.
+MIN_PATIENCE_S: Final = 2.0
+PATIENCE_PER_OBJECTIVE: Final = 4
+PATIENCE_PER_GAP: Final = 8
+LOGGED: Final = (
+    "dispatched",
+    "server_silent",
+    "attempt_failed",
+    "exchange_ended",
+    "path_lost",
+    "server_left",
+)
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="python -m standins.pauses", description=__doc__
+    )
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--hosts", type=int, default=4)
+    parser.add_argument("--engines", type=int, default=9)
+    parser.add_argument("--plain", type=int, default=4)
+    parser.add_argument("--callers", type=int, default=50)
+    parser.add_argument(
+        "--pause", type=float, nargs=2, default=(1.0, 1.3), metavar="SECONDS"
+    )
+    parser.add_argument("--beside", choices=BESIDE, default="none")
+    parser.add_argument("--ignore-close", action="store_true")
+    parser.add_argument("--objective-ms", type=int, default=400)
+    parser.add_argument("--gap-ms", type=int, default=300)
+    parser.add_argument("--keep", type=Path, help="folder for the logs")
+    return parser
+
+
+class Series:
+    """The pauses of one run, and what happens beside them."""
+
+    def __init__(
+        self, world: World, rng: Random, args: argparse.Namespace
+    ) -> None:
+        self._world = world
+        self._rng = rng
+        self._args = args
+        self._configs = 0
+
+    async def async_run(self, until: float) -> None:
+        """Pause servers of a service in turn until a monotonic time."""
+        await asyncio.sleep(FIRST_PAUSE_S)
+        number = 0
+        while time.monotonic() < until - PAUSE_INTERVAL_S:
+            self._change_config()
+            await asyncio.sleep(CONFIG_LEAD_S)
+            length_s = self._rng.uniform(*self._args.pause)
+            service = PLAIN_SERVICE if number % 4 == 3 else ENGINE_SERVICE
+            ratio = PAUSED_RATIOS[number % len(PAUSED_RATIOS)]
+            paused = self._choose(service, ratio)
+            self._world.report.record_fault("pause", f"{length_s:.2f} s")
+            await asyncio.gather(
+                self._async_beside(length_s),
+                *(self._async_pause(s, length_s) for s in paused),
+            )
+            await asyncio.sleep(PAUSE_INTERVAL_S - CONFIG_LEAD_S - length_s)
+            number += 1
+
+    def _choose(self, service: str, ratio: float) -> list[ProcessServer]:
+        servers = [
+            s
+            for s in self._world.fleet.servers
+            if s.service == service and isinstance(s, ProcessServer)
+        ]
+        return self._rng.sample(servers, round(len(servers) * ratio))
+
+    async def _async_pause(
+        self, server: ProcessServer, length_s: float
+    ) -> None:
+        await server.async_fall_silent(length_s)
+
+    def _change_config(self) -> None:
+        cfg = self._world.fleet.config
+        cfg.version += 1 + self._rng.randrange(3)
+        self._configs += 1
+        if self._configs % 2:
+            cfg.limits = {
+                "idle_timeout_ms": self._rng.choice((3000, 15000, 8000))
+            }
+        else:
+            cfg.stream_timeout_ms = self._rng.choice(STREAM_TIMEOUTS_MS)
+        self._world.fleet.put_config()
+
+    async def _async_beside(self, length_s: float) -> None:
+        world = self._world
+        daemon = world.daemons["host-0"]
+        await asyncio.sleep(self._rng.uniform(0, 0.3))
+        match self._args.beside:
+            case "restart" | "kill":
+                end = (
+                    world.async_stop
+                    if self._args.beside == "restart"
+                    else world.async_kill
+                )
+                await end(daemon)
+                world.note_restart(daemon)
+                await world.async_start(daemon)
+                await world.async_wait_ready(daemon)
+            case "freeze":
+                world.freeze(daemon)
+                await asyncio.sleep(length_s)
+                world.thaw(daemon)
+            case "cut":
+                links = world.host_links["host-0"]
+                links.partition()
+                await asyncio.sleep(length_s + 1.0)
+                await links.async_heal()
+            case "crash":
+                server = self._rng.choice(world.fleet.engines())
+                await server.async_unload()
+                await asyncio.sleep(length_s)
+                server.born += 1
+                await server.async_setup()
+                world.register(server)
+
+
+def overlaps(runs: list[Run]) -> list[float]:
+    """Return for how many seconds each run and the one before it lasted."""
+    ordered = sorted(runs, key=lambda run: run.began_at)
+    return [
+        min(a.ended_at, b.ended_at) - b.began_at for a, b in pairwise(ordered)
+    ]
+
+
+def report_lines(
+    world: World, calls: list[Call], began_at: float
+) -> list[str]:
+    """Return what the callers and the servers saw, with evidence."""
+    runs: dict[str, list[Run]] = defaultdict(list)
+    for run in world.fleet.runs:
+        runs[run.request_id].append(run)
+    moved = [c for c in calls if c.route in STREAM_ROUTES]
+    moved = [c for c in moved if len(runs[c.request_id]) > 1]
+    overlapping = [
+        c for c in moved if max(overlaps(runs[c.request_id])) > OVERLAP_LIMIT_S
+    ]
+    twice = [
+        c
+        for c in calls
+        if c.route in NON_IDEMPOTENT_ROUTES and len(runs[c.request_id]) > 1
+    ]
+    statuses = Counter((c.route, c.status or c.error[:9]) for c in calls)
+    lines = [
+        f"streams at more than one server {len(moved)}, at two at once"
+        f" {len(overlapping)}, run twice {len(twice)},"
+        f" longest overlap {_longest(overlapping, runs):.2f} s",
+        " ".join(
+            f"{r}{s}:{n}" for (r, s), n in sorted(statuses.items(), key=str)
+        ),
+    ]
+    for call in [*twice, *moved][:60]:
+        parts = [
+            f"{r.server_id} {r.began_at - began_at:.2f}.."
+            f"{r.ended_at - began_at:.2f} {r.ended}"
+            f" from {r.headers.get('last-event-id')}"
+            for r in sorted(runs[call.request_id], key=lambda r: r.began_at)
+        ]
+        lines.append(
+            f"  {call.request_id} {call.route} {call.host}"
+            f" {call.status or call.error}"
+            f" sent {call.sent_at - began_at:.2f}: {'; '.join(parts)}"
+        )
+    return lines
+
+
+def _longest(calls: list[Call], runs: dict[str, list[Run]]) -> float:
+    return max((max(overlaps(runs[c.request_id])) for c in calls), default=0)
+
+
+def log_lines(folder: Path, request_id: str) -> list[str]:
+    """Return the hosts' log lines about a request."""
+    found = []
+    for path in sorted(folder.glob("*.log")):
+        for line in path.read_text(errors="replace").splitlines():
+            if re.search(f'"{re.escape(request_id)}"', line):
+                fields = json.loads(line)
+                if fields.get("message_type") in LOGGED:
+                    found.append(f"{path.stem}: {line}")
+    return found
+
+
+async def async_pauses(
+    args: argparse.Namespace, seed: int, folder: Path
+) -> list[str]:
+    """Run one series of pauses, and return the report's lines."""
+    report = Report(promises=tuple(Promise))
+    world = World(folder=folder, report=report, fleet=Fleet(ProcessServer))
+    try:
+        cfg = world.fleet.config
+        cfg.stream_objective_ms = args.objective_ms
+        cfg.stream_gap_ms = args.gap_ms
+        cfg.stream_timeout_ms = max(STREAM_TIMEOUTS_MS)
+        await world.async_setup(args.hosts, args.engines, args.plain)
+        for server in world.fleet.engines():
+            server.behaviour.events = EVENTS_PER_STREAM
+            server.behaviour.event_s = EVENT_INTERVAL_S
+            server.behaviour.ignores_close = args.ignore_close
+        await world.async_apply_behaviours()
+        load = LoadGenerator(world, report, seed)
+        load.patience_s = max(
+            MIN_PATIENCE_S,
+            PATIENCE_PER_OBJECTIVE * args.objective_ms / MS_PER_S,
+            PATIENCE_PER_GAP * args.gap_ms / MS_PER_S,
+        )
+        load.stream_deadline_s = STREAM_DEADLINE_S
+        began_at = time.monotonic()
+        callers = asyncio.create_task(load.async_run(args.callers))
+        series = Series(world, Random(seed), args)
+        await series.async_run(began_at + args.seconds)
+        load.stop_calls()
+        await callers
+        return report_lines(world, load.calls, began_at)
+    finally:
+        await world.async_unload()
+
+
+def main() -> None:
+    """Run a series for each seed and print what was seen."""
+    args = build_parser().parse_args()
+    for seed in range(args.seed, args.seed + args.seeds):
+        with tempfile.TemporaryDirectory() as name:
+            folder = args.keep / f"seed-{seed}" if args.keep else Path(name)
+            folder.mkdir(parents=True, exist_ok=True)
+            lines = asyncio.run(async_pauses(args, seed, folder))
+        print(f"seed {seed}, pauses {args.pause} s beside {args.beside}")
+        print("\n".join(lines), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/soak/host_links.py
+++ b/standins/soak/host_links.py
@@ -2,7 +2,7 @@
 
 from base64 import b64decode, b64encode
 from collections.abc import Awaitable, Callable, Mapping
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 import orjson
 
@@ -19,16 +19,22 @@
 HTTP_OK: Final = 200
 
 
+class Registered(Protocol):
+    """What hosts reach at an address: a server, or a link to one."""
+
+    address: str
+
+
 class HostLinks:
     """A host's own links, and a view of the store with their addresses.
 
-    Each leads to the link of a server that all hosts share, so that the
-    faults of that one are felt as well.
+    Each leads to where all hosts reach a server, so that the faults of a
+    link that they share are felt as well.
     """
 
     def __init__(
         self,
-        servers: Mapping[str, Link],
+        servers: Mapping[str, Registered],
         store: Callable[[HttpRequest, HttpResponder], Awaitable[None]],
     ) -> None:
         self._servers = servers
--- a/standins/soak/load.py
+++ b/standins/soak/load.py
@@ -97,6 +97,10 @@
         # Route and size of the request that crashes servers.
         self.crashing_request: tuple[str, int] | None = None
         self._is_stopping = False
+        # Callers leave a stream after a gap of this length.
+        self.patience_s = float("inf")
+        # Replaces the deadlines that callers of streams state.
+        self.stream_deadline_s: float | None = None
 
     async def async_run(self, callers: int) -> None:
         """Run the callers until `stop_calls` is called."""
@@ -183,22 +187,31 @@
         self, call: Call, client: HttpClient
     ) -> HttpResponse:
         route_s, _ = ROUTES[call.route]
+        is_stream = call.route in STREAM_ROUTES
+        if is_stream and self.stream_deadline_s is not None:
+            route_s = self.stream_deadline_s
         daemon = self._world.daemons[call.host]
         headers = call_headers(call.request_id, int(route_s * 1000), call.key)
         if call.parts:
             entries = (f"{part}:{PROMPT_PART_TOKENS}" for part in call.parts)
             headers.append((PROMPT_PREFIX_HEADER, ",".join(entries)))
-        deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + CALL_TIMEOUT_S
+        patience_s = self.patience_s if is_stream else CALL_TIMEOUT_S
         async with client.async_stream(
             "POST",
             daemon.callers.address,
             f"{call.route}{call.size}",
-            deadline=deadline,
+            deadline=min(deadline, loop.time() + patience_s),
             headers=headers,
             body=b"x" * call.size,
         ) as stream:
             call.has_begun = True
-            body = await stream.async_read_rest(deadline)
+            parts = []
+            while not stream.complete:
+                until = min(deadline, loop.time() + patience_s)
+                parts.append(await stream.async_read(until) or b"")
+            body = b"".join(parts)
         return HttpResponse(
             status=stream.status, headers=stream.headers, body=body
         )
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -15,13 +15,14 @@
 from standins.fleet_store import LISTEN_IP
 from standins.front_process import async_start_front, async_wait_front_ready
 from standins.ports import free_port
+from standins.server_process import ProcessServer
 from standins.soak.annex import (
     ANNEX,
     ANNEX_SERVER,
     ANNEX_WORK_S,
     add_annex,
 )
-from standins.soak.host_links import HostLinks
+from standins.soak.host_links import HostLinks, Registered
 from standins.soak.link import Link
 from standins.soak.promises import SCHEDULING_SLACK_S, STOP_GRACE_S, Promise
 from waxwingarch.adapters.http_client import HttpClient
@@ -63,7 +64,11 @@
 
 @dataclass(kw_only=True, slots=True)
 class World:
-    """An emulated platform, hosts as processes, and links between them."""
+    """An emulated platform, hosts as processes, and links between them.
+
+    Servers are processes as well if the fleet makes them so. Hosts then
+    reach them without a link, which would hide what their kernel does.
+    """
 
     folder: Path
     report: Report
@@ -93,8 +98,12 @@
             await link.async_setup()
             self.register(server)
         annex.behaviour.work_s = ANNEX_WORK_S
+        await self.async_apply_behaviours()
         # One host has links of its own, so that it alone can be partitioned.
-        own = HostLinks(self.links, self.fleet.store.server.handler)
+        own = HostLinks(
+            {s.server_id: self._registered(s) for s in self.fleet.servers},
+            self.fleet.store.server.handler,
+        )
         await own.async_setup()
         self.host_links["host-0"] = own
         for n in range(hosts):
@@ -145,9 +154,20 @@
             duties=duties,
         )
 
+    async def async_apply_behaviours(self) -> None:
+        """Put the behaviours of all servers in force."""
+        for server in self.fleet.servers:
+            await server.async_apply_behaviour()
+
+    def _registered(self, server: FleetServer) -> Registered:
+        """Return what hosts reach a server at."""
+        if isinstance(server, ProcessServer):
+            return server
+        return self.links[server.server_id]
+
     def register(self, server: FleetServer, state: str = "ready") -> None:
-        """Write a server's row, with the address of its link."""
-        address = self.links[server.server_id].address
+        """Write a server's row, with the address at which it is reached."""
+        address = self._registered(server).address
         self.fleet.register(server, state, address=address)
 
     async def async_register_again(self, server: FleetServer) -> None:
--- a/tests/front/base.py
+++ b/tests/front/base.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from standins.fleet import Fleet
+from standins.fleet_server import FleetServer
 from standins.front_process import KEY, call_headers
 from standins.ports import free_address, free_port
 from waxwingarch.adapters.front_settings import FrontSettings
@@ -34,8 +35,8 @@
 class Host:
     """One front daemon and the emulated platform that it runs on."""
 
-    def __init__(self) -> None:
-        self.fleet = Fleet()
+    def __init__(self, server_type: type[FleetServer] = FleetServer) -> None:
+        self.fleet = Fleet(server_type)
         self.client = HttpClient()
         self._stack = AsyncExitStack()
         self._request_count = 0
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from math import isfinite
 from typing import Final
 
 from eliot import log_message, write_traceback
@@ -62,6 +63,7 @@
 
 # Interval of the checks whether a migration has ended.
 MIGRATION_POLL_S: Final = 0.05
+LOGGED_DECIMALS: Final = 3
 
 # Statuses with which a host refuses a request that no server ran.
 REFUSED_STATUSES: Final = frozenset({429, 503})
@@ -239,9 +241,32 @@
         if silent_s > SERVER_ACTIVE_WITHIN_S and send.streaming:
             self._report_silence(send)
         if silent_s > send.max_silence_s and self._may_give_up(now):
+            self._log_leave(send, silent_s)
             return None
         return now + FIRST_BYTE_POLL_S
 
+    def _log_leave(self, send: SendRequest, silent_s: float) -> None:
+        """Log that the silence of a server ends this attempt.
+
+        The server may be at work on the request, or may not have read it.
+        """
+        loads = self._runner.node.load_balancer.loads
+        now = asyncio.get_running_loop().time()
+        active_at = loads.last_activity_at(send.server.server_id)
+        log_message(
+            message_type="server_left",
+            request_id=self._request_id,
+            server=send.server.server_id,
+            silent_s=round(silent_s, LOGGED_DECIMALS),
+            max_silence_s=round(send.max_silence_s, LOGGED_DECIMALS),
+            server_active_ago_s=round(now - active_at, LOGGED_DECIMALS)
+            if isfinite(active_at)
+            else None,
+            sent_ago_s=round(now - self.state.sent_at, LOGGED_DECIMALS),
+            last_event=self.state.last_event,
+            on_new_connection=self.state.on_new_connection,
+        )
+
     def _may_give_up(self, now: float) -> bool:
         """Return whether the silence of a server may end this attempt."""
         if self.state.response_started and self.state.last_event is None:
@@ -532,6 +557,7 @@
                 if now >= send.expires_at:
                     raise
                 if now >= leave_at and self._may_give_up(now):
+                    self._log_leave(send, now - silent_since)
                     raise
             self._report_silence(send)
             idle_until = (
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -177,6 +177,7 @@
             shared_part=history.shared_part,
             running=loads.total_load(server_id).running,
             relayed_to=send.relay_to,
+            resume_after=send.resume_after,
             limit_per_s=self._front.load_balancer.limits.limit_of(server_id),
             **self._decision_inputs(now),
         )
