Stay with a silent server for as long as the caller waits (TWICE)

Callers' streams ran at two servers at once: a host left a server that was silent for 1.6 s, and a server that was only stopped went on with its run when it woke. On processes, pauses of 1.4 to 3.0 s gave 23 streams at two servers in 30 s, 10 of them for over 0.4 s (docs/incidents/twice.md).

Cause: a fixed time-out stood for the time in which a sound server may be silent, which nothing bounds. What is bounded is how long the caller waits; until then nothing is lost by staying, as a stream that has paused is late already. The time comes from the route: the longest of 2 s, four times the objective and eight times the pause, less 0.4 s for the next server.

Ruled out: that callers of dead servers lose by it.

--- a/tests/core/front/builders.py
+++ b/tests/core/front/builders.py
@@ -100,6 +100,7 @@
         "timeout_s": 5.0,
         "latency_objective_s": 0.5,
         "max_event_gap_s": 0.2,
+        "caller_patience_s": 2.0,
         "priority": 1,
         "splits": (TrafficSplit(service=POOL, weight=1),),
         "max_attempts": 2,
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -72,10 +72,10 @@
 # After the first-byte deadline, a server without any activity for this long
 # counts as down.
 SERVER_ACTIVE_WITHIN_S: Final = 0.6
-# A sound server may send nothing for a second or so, after the pause between
-# two events. A stream stays with it for that long: it would run at two
-# servers otherwise, or be cut where no other server takes it.
-MAX_STREAM_SILENCE_S: Final = 1.6
+# A stream stays with a silent server, which may go on: it would run at two
+# servers otherwise, or be cut where no other server takes it. It is left in
+# time for another server to send an event before the caller leaves.
+TAKEOVER_TIME_S: Final = 0.4
 # Callers that are refused until a server takes requests again are told to
 # return spread over this share of that time after it.
 RETURN_SPREAD_RATIO: Final = 0.5
@@ -318,7 +318,7 @@
             expires_at=exchange.expires_at,
             first_byte_deadline=first_byte_deadline,
             stream_idle_timeout_s=stream_idle_timeout_s,
-            max_silence_s=MAX_STREAM_SILENCE_S
+            max_silence_s=route.caller_patience_s - TAKEOVER_TIME_S
             if route.streaming
             else SERVER_ACTIVE_WITHIN_S,
             resume_after=state.last_event,
--- a/waxwingarch/core/routing/config.py
+++ b/waxwingarch/core/routing/config.py
@@ -35,6 +35,7 @@
     `timeout_s` bounds the wait of a caller. `latency_objective_s` is the
     objective for the time to the response or, for a stream, to its first
     event; `max_event_gap_s` is the longest pause between two events.
+    A caller leaves a stream that has sent nothing for `caller_patience_s`.
     Priority 0 is the most urgent. `max_attempts` bounds the backend
     servers that may run one request. The requests of a `public` route need
     no key of a client account.
@@ -48,6 +49,7 @@
     timeout_s: float
     latency_objective_s: float
     max_event_gap_s: float
+    caller_patience_s: float
     priority: int
     splits: tuple[TrafficSplit, ...]
     max_attempts: int
--- a/waxwingarch/platform/rows_codec.py
+++ b/waxwingarch/platform/rows_codec.py
@@ -59,6 +59,11 @@
 # between two events of a stream.
 DEFAULT_LATENCY_OBJECTIVE_MS = 1000
 DEFAULT_MAX_GAP_MS = 300
+# A caller leaves a stream after the longest of a time without an event, a
+# multiple of the latency objective and a multiple of the longest pause.
+MIN_CALLER_PATIENCE_S: Final = 2.0
+CALLER_PATIENCE_PER_OBJECTIVE: Final = 4
+CALLER_PATIENCE_PER_GAP: Final = 8
 # Bounds of what a server says of itself. Beyond these, the entry is by
 # another writer or damaged.
 MAX_NAME_CHARS: Final = 200
@@ -311,6 +316,8 @@
     )
     if not splits and row.service:
         splits = (TrafficSplit(service=ServiceId(row.service), weight=1),)
+    latency_objective_s = row.target_latency_ms / MS_PER_S
+    max_event_gap_s = row.target_gap_ms / MS_PER_S
     return Route(
         name=row.name,
         host=row.host,
@@ -318,8 +325,13 @@
         streaming=streaming,
         retry_policy=retry_policy,
         timeout_s=row.timeout_ms / MS_PER_S,
-        latency_objective_s=row.target_latency_ms / MS_PER_S,
-        max_event_gap_s=row.target_gap_ms / MS_PER_S,
+        latency_objective_s=latency_objective_s,
+        max_event_gap_s=max_event_gap_s,
+        caller_patience_s=max(
+            MIN_CALLER_PATIENCE_S,
+            CALLER_PATIENCE_PER_OBJECTIVE * latency_objective_s,
+            CALLER_PATIENCE_PER_GAP * max_event_gap_s,
+        ),
         priority=row.priority,
         splits=splits,
         max_attempts=row.max_attempts,
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -237,13 +237,19 @@
                 send.server.server_id
             )
         )
-        silent_s = now - max(last_activity_at, self.state.sent_at)
+        silent_since = max(last_activity_at, self.state.sent_at)
+        silent_s = now - silent_since
         if silent_s > SERVER_ACTIVE_WITHIN_S and send.streaming:
             self._report_silence(send)
-        if silent_s > send.max_silence_s and self._may_give_up(now):
+        poll_at = now + FIRST_BYTE_POLL_S
+        leave_at = silent_since + send.max_silence_s
+        if now < leave_at:
+            # The caller of a stream leaves soon after this time.
+            return min(leave_at, poll_at) if send.streaming else poll_at
+        if self._may_give_up(now):
             self._log_leave(send, silent_s)
             return None
-        return now + FIRST_BYTE_POLL_S
+        return poll_at
 
     def _log_leave(self, send: SendRequest, silent_s: float) -> None:
         """Log that the silence of a server ends this attempt.
