--- a/standins/until_close.py
+++ b/standins/until_close.py
@@ -71,6 +71,12 @@
         await self.async_write(body)
         await self.async_end()
 
+    async def async_send_until_close(
+        self, status: int, body: bytes, headers: Headers
+    ) -> None:
+        """Send a complete response and close the connection."""
+        await self.async_send(status, body, headers)
+
     def abort(self) -> None:
         """Close the connection without sending what is buffered."""
         self._resp.abort()
--- a/tests/front/test_stopped_servers_host.py
+++ b/tests/front/test_stopped_servers_host.py
@@ -9,6 +9,7 @@
 from standins.server_process import ProcessServer
 from tests.front.base import Host, async_until, event_ids
 from tests.helpers import async_test
+from waxwingarch.adapters.http_client import CutLinkError
 
 EVENT_S = 0.1
 # Callers of a route with this objective leave after four times as long.
@@ -74,3 +75,30 @@
             later = host.fleet.runs[1]
             self.assertLess(later.began_at - stopped_at, PATIENCE_S - 0.2)
             await silence
+
+
+class KilledServers(testtools.TestCase):
+    """The process of a server is killed amid a response without a length."""
+
+    async def async_stream_past_kill(self, path: str) -> tuple[bytes, int]:
+        """Return the body that comes, and the number of runs."""
+        async with Host(ProcessServer) as host:
+            for server in host.fleet.engines():
+                server.behaviour.until_close = True
+            request = await async_start_stream(host, path)
+            [run] = host.fleet.runs
+            await server_of(host, run).async_unload()
+            return await request, len(host.fleet.runs)
+
+    # Guards against a part of a stream that looks complete: the kernel ends
+    # the connections of a killed process as those of complete responses.
+    @async_test
+    async def test_stream_does_not_look_complete(self) -> None:
+        with testtools.ExpectedException(CutLinkError):
+            await self.async_stream_past_kill("/chat/x")
+
+    @async_test
+    async def test_stream_that_may_be_resumed_goes_on(self) -> None:
+        body, runs = await self.async_stream_past_kill("/draft/x")
+        self.assertEqual(list(range(1, 11)), event_ids(body))
+        self.assertEqual(2, runs)
--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -459,17 +459,31 @@
                 return conn
         return None
 
+    async def async_is_refused(self, address: str, deadline: float) -> bool:
+        """Return whether nothing listens at an address.
+
+        A connection that was opened is kept for the next request.
+        """
+        try:
+            conn = await self._async_connect(address, deadline)
+        except ConnectFailedError as exc:
+            return isinstance(exc.__cause__, ConnectionRefusedError)
+        self._add_to_pool(conn)
+        return False
+
     def _return_to_pool(self, conn: _ClientConnection) -> None:
+        if not conn.prepare_reuse():
+            conn.close()
+            return
+        conn.is_reused = True
+        self._add_to_pool(conn)
+
+    def _add_to_pool(self, conn: _ClientConnection) -> None:
         pool = self._idle.get(conn.address, ())
-        if (
-            len(pool) >= MAX_IDLE_PER_ADDRESS
-            or self.idle_count >= MAX_IDLE
-            or not conn.prepare_reuse()
-        ):
+        if len(pool) >= MAX_IDLE_PER_ADDRESS or self.idle_count >= MAX_IDLE:
             conn.close()
             return
         conn.idle_since = asyncio.get_running_loop().time()
-        conn.is_reused = True
         self._idle.setdefault(conn.address, deque()).append(conn)
         self._schedule_idle_check()
 
--- a/waxwingarch/adapters/http_messages.py
+++ b/waxwingarch/adapters/http_messages.py
@@ -70,6 +70,11 @@
     ) -> None:
         """Send a complete response with its Content-Length."""
 
+    async def async_send_until_close(
+        self, status: int, body: bytes, headers: Headers
+    ) -> None:
+        """Send a response without a length, and close the connection."""
+
     def abort(self) -> None:
         """Close the connection without finishing the response."""
 
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -35,6 +35,8 @@
 STOP_GRACE_S: Final = 1.0
 STOP_POLL_S: Final = 0.02
 WRITE_HIGH_WATER_BYTES: Final = 256 * 1024
+# Statuses whose responses have no body.
+BODYLESS_STATUSES: Final = frozenset({204, 304})
 
 
 @dataclass(slots=True)
@@ -326,6 +328,25 @@
         data += self._conn.send(h11.EndOfMessage()) or b""
         self._transport.write(data)
 
+    async def async_send_until_close(
+        self, status: int, body: bytes, headers: Headers
+    ) -> None:
+        if self._no_body_due(status):
+            await self.async_send(status, b"", headers)
+            return
+        self._begin_response()
+        if self._disconnected.is_set():
+            raise CallerDisconnectedError("the caller closed the connection")
+        # The state of this connection's own h11 connection stays that of a
+        # response that is due, so that it is closed after this one.
+        self._transport.write(_encode_until_close(status, body, headers))
+
+    def _no_body_due(self, status: int) -> bool:
+        head = self._partial.head
+        return status in BODYLESS_STATUSES or (
+            head is not None and head.method == b"HEAD"
+        )
+
     def _close_header(self) -> list[tuple[str, str]]:
         """Return `connection: close` if the server is draining."""
         if not self._server.draining:
@@ -474,5 +495,19 @@
     )
 
 
+def _encode_until_close(status: int, body: bytes, headers: Headers) -> bytes:
+    """Encode a response whose body ends with the connection.
+
+    h11 frames a body by itself, except for a client of HTTP/1.0.
+    """
+    conn = h11.Connection(h11.SERVER)
+    conn.receive_data(b"GET / HTTP/1.0\r\n\r\n")
+    while not isinstance(conn.next_event(), h11.EndOfMessage):
+        pass
+    head = h11.Response(status_code=status, headers=_encoded(headers))
+    data = conn.send(head) or b""
+    return data + (conn.send(h11.Data(data=body)) or b"")
+
+
 def _encoded(headers: Headers) -> list[tuple[bytes, bytes]]:
     return [(k.encode("ascii"), v.encode("latin-1")) for k, v in headers]
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -5,6 +5,7 @@
 from math import isfinite
 from typing import Final
 
+import orjson
 from eliot import log_message, write_traceback
 
 from waxwingarch.adapters.event_split import EventBatch, EventSplitter
@@ -15,6 +16,7 @@
     SilentLinkError,
 )
 from waxwingarch.adapters.http_messages import (
+    JSON_TYPE,
     CallerDisconnectedError,
     Headers,
     HttpRequest,
@@ -131,6 +133,19 @@
     return value.partition(";")[0].strip().lower()
 
 
+def _check_text(stream: ClientStream, body: bytes, send: SendRequest) -> None:
+    """Raise `BadResponseError` if a body breaks off, as far as it shows."""
+    media_type = _content_type(stream)
+    if not (media_type == JSON_TYPE[1] or media_type.endswith("+json")):
+        return
+    try:
+        orjson.loads(body)
+    except orjson.JSONDecodeError as exc:
+        raise BadResponseError(
+            f"{send.server.address}: incomplete body: {exc}"
+        ) from exc
+
+
 class BadResponseError(LinkError):
     """A response is incomplete, not authentic or not for this request."""
 
@@ -446,10 +461,19 @@
         body = await stream.async_read_rest(
             send.expires_at, MAX_RESPONSE_BYTES
         )
+        if stream.ends_with_connection:
+            _check_text(stream, body, send)
+            await self._async_check_alive(send)
         self._report_response_start(send)
         self.state.response_started = True
         headers = self._codec.filter_response_headers(stream.pairs)
-        await self._resp.async_send(stream.status, body, headers)
+        if stream.ends_with_connection:
+            # A length would say more of the body than the server did.
+            await self._resp.async_send_until_close(
+                stream.status, body, headers
+            )
+        else:
+            await self._resp.async_send(stream.status, body, headers)
 
     async def _async_forward_events(
         self, stream: ClientStream, send: SendRequest
@@ -488,6 +512,7 @@
             )
         if stream.ends_with_connection:
             await self._async_check_not_stopped(send)
+            await self._async_check_alive(send)
         await self._async_start_response(stream)
         await self._resp.async_end()
 
@@ -530,6 +555,24 @@
                 f"{send.server.address}: run stopped to migrate it"
             )
 
+    async def _async_check_alive(self, send: SendRequest) -> None:
+        """Raise `BadResponseError` if the server has ended.
+
+        The end of its process closes a connection as the end of a response
+        without a length does. A leaving server takes no new connections,
+        but ends its responses.
+        """
+        registry = self._runner.node.load_balancer.registry
+        backend = registry.get(send.server.server_id)
+        if backend is not None and backend.leaving_since is not None:
+            return
+        deadline = asyncio.get_running_loop().time() + CONNECT_TIMEOUT_S
+        if await self._client.async_is_refused(send.server.address, deadline):
+            raise BadResponseError(
+                f"{send.server.address}: ended at the end of a response"
+                " without a length"
+            )
+
     async def _async_next_chunk(
         self,
         stream: ClientStream,
