--- a/tests/front/base.py
+++ b/tests/front/base.py
@@ -35,7 +35,12 @@
 class Host:
     """One front daemon and the emulated platform that it runs on."""
 
-    def __init__(self, server_type: type[FleetServer] = FleetServer) -> None:
+    def __init__(
+        self,
+        server_type: type[FleetServer] = FleetServer,
+        more_settings: str = "",
+    ) -> None:
+        self._more_settings = more_settings
         self.fleet = Fleet(server_type)
         self.client = HttpClient()
         self._stack = AsyncExitStack()
@@ -49,6 +54,7 @@
         text = self.fleet.settings(
             "host-1", self.ports, admin=self.admin_address
         )
+        text += self._more_settings
         settings = validate(FrontSettings, parse_ini(text, "made"), "made")
         client = HttpClient()
         self.daemon = FrontDaemon(
--- a/tests/front/test_stop_host.py
+++ b/tests/front/test_stop_host.py
@@ -7,7 +7,7 @@
 import testtools
 
 from standins.front_process import KEY, call_headers
-from tests.front.base import Host
+from tests.front.base import Host, async_until
 from tests.helpers import async_test
 from waxwingarch.core.front_node import ACCEPT_WHILE_STOPPING_S
 
@@ -76,3 +76,65 @@
                 self.assertIn(b" 503 ", status)
                 await host.task
                 self.assertEqual([], host.fleet.runs)
+
+
+class LongRequests(testtools.TestCase):
+    """Requests that last until the grace period of a stopping host ends."""
+
+    WORK_S = 3.3
+    SETTINGS = "[bounds]\nstop_grace_s = 4.0\n"
+
+    @asynccontextmanager
+    async def slow_host(self) -> Any:
+        """Run a host whose plain servers work for longer than it has left."""
+        async with Host(more_settings=self.SETTINGS) as host:
+            for server in host.fleet.plain():
+                server.behaviour.work_s = self.WORK_S
+            host.fleet.config.version = 2
+            host.fleet.config.plain_timeout_ms = 15_000
+            host.fleet.put_config()
+            await async_until(
+                lambda: host.front.table.version == 2, "the time-out is known"
+            )
+            yield host
+
+    # Guards against requests that were taken by a stopping host and cut at
+    # its end, without an answer.
+    @async_test
+    async def test_is_answered_at_the_end(self) -> None:
+        async with self.slow_host() as host:
+            host.daemon.stop()
+            await asyncio.sleep(1.0)
+            response = await host.async_send("/pay/x", deadline_ms=DEADLINE_MS)
+            self.assertEqual(504, response.status)
+            self.assertEqual(1, len(host.fleet.runs))
+            await host.task
+
+    @async_test
+    async def test_is_refused_where_it_is_known_to_last_too_long(self) -> None:
+        async with self.slow_host() as host:
+            first = await host.async_send("/pay/x", deadline_ms=DEADLINE_MS)
+            self.assertEqual(200, first.status)
+            host.daemon.stop()
+            await asyncio.sleep(0.5)
+            late = await host.async_send("/pay/x", deadline_ms=DEADLINE_MS)
+            self.assertEqual(503, late.status)
+            self.assertIn("retry-after", late.headers)
+            self.assertEqual(1, len(host.fleet.runs))
+            short = await host.async_send("/draft/x")
+            self.assertEqual(200, short.status)
+            await host.task
+
+    @async_test
+    async def test_one_in_progress_shows_how_long_others_last(self) -> None:
+        async with self.slow_host() as host:
+            first = asyncio.create_task(
+                host.async_send("/pay/x", deadline_ms=DEADLINE_MS)
+            )
+            await asyncio.sleep(2.0)
+            host.daemon.stop()
+            await asyncio.sleep(1.6)
+            late = await host.async_send("/pay/x", deadline_ms=DEADLINE_MS)
+            self.assertEqual(503, late.status)
+            self.assertEqual(200, (await first).status)
+            await host.task
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -21,6 +21,7 @@
     AttemptFinished,
     AttemptOutcome,
     CallerDisconnected,
+    Exchange,
     ExchangeHead,
     ForwardFailure,
     LocalResponse,
@@ -37,10 +38,12 @@
     PeerSelector,
     as_server,
 )
+from waxwingarch.core.exchange.run_times import RunTimes
 from waxwingarch.core.exchange.state_machine import (
     ExchangeState,
     NextStep,
     no_server_refusal,
+    stopping_refusal,
 )
 from waxwingarch.core.limits.resend_budget import ResendBudget
 from waxwingarch.core.limits.shared_rate import SharedRates
@@ -76,6 +79,10 @@
 # servers otherwise, or be cut where no other server takes it. It is left in
 # time for another server to send an event before the caller leaves.
 TAKEOVER_TIME_S: Final = 0.4
+# Outcomes that say how long requests of a route last.
+LASTED_OUTCOMES: Final = frozenset(
+    {AttemptOutcome.DONE, AttemptOutcome.EXPIRED}
+)
 # Callers that are refused until a server takes requests again are told to
 # return spread over this share of that time after it.
 RETURN_SPREAD_RATIO: Final = 0.5
@@ -111,6 +118,9 @@
         self._evidence = AttemptEvidence(load_balancer, rollouts)
         self._rng = rng
         self._exchanges: dict[RequestId, ExchangeState] = {}
+        self._run_times = RunTimes()
+        # When this host ends what is in progress, on the node's clock.
+        self.ends_at = float("inf")
         self._migrations = RunMigrations(
             load_balancer, self._exchanges, self.can_resend, leaving_known_s
         )
@@ -143,6 +153,8 @@
         held = self._quarantine.refusal_for(
             now, exchange.inputs, may_probe=self.may_probe
         )
+        if self._may_outlast_host(now, exchange):
+            held = stopping_refusal()
         if held is not None:
             self._admission.refund(now, exchange, cost)
             return [LocalResponse(request_id=head.request_id, refusal=held)]
@@ -158,6 +170,25 @@
         self._exchanges[exchange.request_id] = state
         return [send]
 
+    def _may_outlast_host(self, now: float, exchange: Exchange) -> bool:
+        """Return whether requests of its route last until this host ends.
+
+        Such a request would end without an answer.
+        """
+        if self.ends_at == float("inf"):
+            return False
+        route = exchange.route.name
+        in_progress_s = (
+            now - state.exchange.arrived_at
+            for state in self._exchanges.values()
+            if state.exchange.route.name == route
+        )
+        longest_s = max(
+            self._run_times.longest_s(now, route),
+            max(in_progress_s, default=0.0),
+        )
+        return now + min(longest_s, exchange.expires_at - now) > self.ends_at
+
     def _no_server_refusal(self, now: float, service: ServiceId) -> Refusal:
         """Refuse a request for now, or until a paused server takes more."""
         open_in_s = self._load_balancer.open_in_s(now, service)
@@ -563,22 +594,46 @@
         ]
         actions: list[Action] = []
         for state in held:
-            request_id = state.exchange.request_id
-            attempt = self._load_balancer.loads.record_attempt_end(request_id)
-            if attempt is not None:
-                self._load_balancer.health.end_trial(attempt.server_id)
-                self._crash_observer.record_cancelled(
-                    now, state, attempt.server_id
-                )
-            cancelled = AttemptFinished(
-                request_id=request_id,
-                outcome=AttemptOutcome.BROKEN,
-                response_started=state.last_event is not None,
-            )
-            actions.append(CancelAttempt(request_id=request_id))
-            actions += self._finish(
-                now, state, cancelled, state.final_step(cancelled)
+            server_id = self._load_balancer.loads.server_of(
+                state.exchange.request_id
             )
+            if server_id is not None:
+                self._crash_observer.record_cancelled(now, state, server_id)
+            actions += self._cancel(now, state, AttemptOutcome.BROKEN)
+        return actions
+
+    def _cancel(
+        self, now: float, state: ExchangeState, outcome: AttemptOutcome
+    ) -> list[Action]:
+        """Cancel the attempt of an exchange and end the exchange."""
+        request_id = state.exchange.request_id
+        attempt = self._load_balancer.loads.record_attempt_end(request_id)
+        if attempt is not None:
+            self._load_balancer.health.end_trial(attempt.server_id)
+        cancelled = AttemptFinished(
+            request_id=request_id,
+            outcome=outcome,
+            response_started=state.last_event is not None,
+        )
+        step = state.final_step(cancelled)
+        return [
+            CancelAttempt(request_id=request_id),
+            *self._finish(now, state, cancelled, step),
+        ]
+
+    def end_all(self, now: float) -> list[Action]:
+        """Answer the requests that have no response yet, as the host ends.
+
+        Responses that have begun can only be completed or broken off.
+        """
+        waiting = [
+            state
+            for state in self._exchanges.values()
+            if not state.response_started and state.last_event is None
+        ]
+        actions: list[Action] = []
+        for state in waiting:
+            actions += self._cancel(now, state, AttemptOutcome.STOPPED)
         return actions
 
     def _finish(
@@ -590,6 +645,11 @@
     ) -> list[Action]:
         request_id = event.request_id
         del self._exchanges[request_id]
+        if event.outcome in LASTED_OUTCOMES:
+            exchange = state.exchange
+            self._run_times.record(
+                now, exchange.route.name, now - exchange.arrived_at
+            )
         self._end_relay(state)
         self._migrations.forget(request_id)
         if step is NextStep.ABORT:
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -142,6 +142,7 @@
     BROKEN: the connection failed or the response was not valid.
     SILENT: no bytes came from the server in the time allowed.
     EXPIRED: the time of the request was over.
+    STOPPED: this host ended before the response did.
     """
 
     DONE = "done"
@@ -152,6 +153,7 @@
     BROKEN = "broken"
     SILENT = "silent"
     EXPIRED = "expired"
+    STOPPED = "stopped"
 
 
 # Outcomes after which it is certain that the request did not run.
--- /dev/null
+++ b/waxwingarch/core/exchange/run_times.py
@@ -0,0 +1,38 @@
+"""How long the requests of each route have lasted lately."""
+
+from typing import Final
+
+# A duration is forgotten after one to two windows.
+WINDOW_S: Final = 30.0
+
+
+class RunTimes:
+    """The longest recent duration of an exchange, by route.
+
+    Times are on the node's clock, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self._window_ends_at = float("-inf")
+        self._previous: dict[str, float] = {}
+        self._current: dict[str, float] = {}
+
+    def record(self, now: float, route: str, duration_s: float) -> None:
+        """Record an exchange that has ended."""
+        self._advance(now)
+        self._current[route] = max(duration_s, self._current.get(route, 0.0))
+
+    def longest_s(self, now: float, route: str) -> float:
+        """Return the longest duration, 0 if none is known."""
+        self._advance(now)
+        return max(
+            self._current.get(route, 0.0), self._previous.get(route, 0.0)
+        )
+
+    def _advance(self, now: float) -> None:
+        if now < self._window_ends_at:
+            return
+        is_next = now < self._window_ends_at + WINDOW_S
+        self._previous = self._current if is_next else {}
+        self._current = {}
+        self._window_ends_at = now + WINDOW_S
--- a/waxwingarch/core/exchange/state_machine.py
+++ b/waxwingarch/core/exchange/state_machine.py
@@ -23,6 +23,9 @@
 # a misdirected attempt counts as one. They count apart from the route's
 # `max_attempts`, which bounds the servers that may have run the request.
 MAX_REJECTIONS: Final = 3
+# The retry-after of a refusal by a stopping host: another host can serve
+# the request at once.
+RETRY_ELSEWHERE_AFTER_S: Final = 0.1
 
 
 class NextStep(StrEnum):
@@ -196,6 +199,13 @@
         """
         if not self.may_have_run:
             return not_run_refusal
+        if finished.outcome is AttemptOutcome.STOPPED:
+            return Refusal(
+                reason=RefusalReason.DEADLINE_UNREACHABLE,
+                ran=ExecutionStatus.UNKNOWN,
+                message="this host stopped before the answer came; the"
+                " request may have run",
+            )
         if finished.outcome is AttemptOutcome.EXPIRED:
             return Refusal(
                 reason=RefusalReason.DEADLINE_UNREACHABLE,
@@ -217,3 +227,13 @@
         message="no backend server has room: send it again later",
         retry_after_s=retry_after_s or RETRY_AFTER_S,
     )
+
+
+def stopping_refusal() -> Refusal:
+    """Build the refusal of a request that came while this host stops."""
+    return Refusal(
+        reason=RefusalReason.DRAINING,
+        ran=ExecutionStatus.NOT_RUN,
+        message="this host is stopping: send it again, another answers",
+        retry_after_s=RETRY_ELSEWHERE_AFTER_S,
+    )
--- a/waxwingarch/core/front_messages.py
+++ b/waxwingarch/core/front_messages.py
@@ -70,7 +70,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StopBegan(Event):
-    """The process was asked to stop and begins to drain."""
+    """The process was asked to stop and begins to drain.
+
+    What is in progress is ended at `ends_at`, on the node's clock.
+    """
+
+    ends_at: float = float("inf")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StopEnds(Event):
+    """The process ends now, and with it what is still in progress."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -20,7 +20,7 @@
     LeavingSource,
 )
 from waxwingarch.core.backends.server_limits import ServerLimitSeen
-from waxwingarch.core.base import Action, Event, ExecutionStatus, ServerId
+from waxwingarch.core.base import Action, Event, ServerId
 from waxwingarch.core.duties.autoscaler import ServersOrdered
 from waxwingarch.core.duties.coordinator import DutyCoordinator
 from waxwingarch.core.duties.leader_election import (
@@ -44,6 +44,7 @@
     ServerSilent,
 )
 from waxwingarch.core.exchange.relays import PeerSelector
+from waxwingarch.core.exchange.state_machine import stopping_refusal
 from waxwingarch.core.front_messages import (
     ConfigApplied,
     ConfigRead,
@@ -51,6 +52,7 @@
     FrontIdentity,
     FrontTick,
     StopBegan,
+    StopEnds,
 )
 from waxwingarch.core.limits.resend_budget import ResendBudget
 from waxwingarch.core.limits.shared_rate import SharedRates
@@ -71,7 +73,6 @@
 )
 from waxwingarch.core.quarantine.quarantine_rows import QuarantineRows
 from waxwingarch.core.randomness import RandomSource
-from waxwingarch.core.refusal import Refusal, RefusalReason
 from waxwingarch.core.rollouts.rollout_controller import RolloutController
 from waxwingarch.core.rollouts.rollout_messages import (
     RolloutsRead,
@@ -91,19 +92,6 @@
 # Changes of the limits that servers name are told to the peers at once, but
 # no more often than this.
 LIMITS_TOLD_INTERVAL_S: Final = 0.1
-# The retry-after of a refusal by a stopping host: another host can serve
-# the request at once.
-RETRY_ELSEWHERE_AFTER_S: Final = 0.1
-
-
-def _stopping_response(head: ExchangeHead) -> LocalResponse:
-    refusal = Refusal(
-        reason=RefusalReason.DRAINING,
-        ran=ExecutionStatus.NOT_RUN,
-        message="this host is stopping: send it again, another answers",
-        retry_after_s=RETRY_ELSEWHERE_AFTER_S,
-    )
-    return LocalResponse(request_id=head.request_id, refusal=refusal)
 
 
 class FrontNode(Node):
@@ -205,6 +193,7 @@
             QuarantineWritten: self._handle_quarantine_written,
             QuarantineOrdered: self._handle_quarantine_ordered,
             StopBegan: self._handle_stop,
+            StopEnds: self._handle_stop_end,
         }
 
     @property
@@ -228,7 +217,11 @@
     ) -> list[Action]:
         head = event.head
         if now >= self._accept_until:
-            return [_stopping_response(head)]
+            return [
+                LocalResponse(
+                    request_id=head.request_id, refusal=stopping_refusal()
+                )
+            ]
         if self.serving:
             return self.exchanges.handle_arrival(now, head)
         self._waiting_requests.append((now, head))
@@ -641,4 +634,8 @@
     def _handle_stop(self, now: float, event: StopBegan) -> list[Action]:
         self.stopping = True
         self._accept_until = now + ACCEPT_WHILE_STOPPING_S
+        self.exchanges.ends_at = event.ends_at
         return self.lease.resign(self._boot_now) + self._tell_all_peers(now)
+
+    def _handle_stop_end(self, now: float, event: StopEnds) -> list[Action]:
+        return self.exchanges.end_all(now)
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -38,6 +38,7 @@
     ConfigRead,
     FrontTick,
     StopBegan,
+    StopEnds,
 )
 from waxwingarch.core.front_node import ACCEPT_WHILE_STOPPING_S, FrontNode
 from waxwingarch.core.peers.report import (
@@ -213,7 +214,8 @@
 
         At first the host still accepts requests, until the external load
         balancer has noticed that it is stopping. A request that it reads
-        after that is refused, so that its caller can go elsewhere.
+        after that is refused, so that its caller can go elsewhere. What has
+        no response at the end gets one that says so.
         """
         loop = asyncio.get_running_loop()
         drain_deadline = (
@@ -222,7 +224,7 @@
         log_message(
             message_type="stopping", in_progress=self._entry.in_progress
         )
-        self._runner.post(StopBegan())
+        self._runner.post(StopBegan(ends_at=drain_deadline))
         self._entry.server.start_drain()
         await asyncio.sleep(ACCEPT_WHILE_STOPPING_S)
         while loop.time() < drain_deadline and (
@@ -230,6 +232,7 @@
         ):
             self._entry.server.close_idle()
             await asyncio.sleep(DRAIN_POLL_S)
+        self._runner.post(StopEnds())
 
     async def async_unload(self) -> None:
         """Stop all parts."""
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -23,7 +23,7 @@
     SendRequest,
     ServerSilent,
 )
-from waxwingarch.core.front_messages import ConfigRead, FrontTick
+from waxwingarch.core.front_messages import ConfigRead, FrontTick, StopEnds
 from waxwingarch.core.front_node import FrontNode
 from waxwingarch.core.quarantine.quarantine_messages import (
     CancelAttempt,
@@ -82,6 +82,7 @@
             FrontTick: self._handle_tick,
             QuarantineRead: self._log_decisions_on_inputs,
             QuarantineOrdered: self._log_decisions_on_inputs,
+            StopEnds: self._log_decisions_on_inputs,
         }
 
     def __call__(
