--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -37,6 +37,10 @@
 # A response may have so many small parts at once, and so many a second.
 MAX_SMALL_PARTS: Final = 10_000
 SMALL_PARTS_PER_S: Final = 2_000
+# A process that ends closes all of its sockets within this time. A server
+# that only rejects a connection takes or rejects the next one as well.
+END_CHECK_DELAY_S: Final = 0.03
+END_CHECKS: Final = 2
 # A connection is reused for this fraction of the idle time that its
 # server announced, because the server's timer started before ours.
 KEEP_ALIVE_USED_RATIO: Final = 0.5
@@ -459,16 +463,24 @@
                 return conn
         return None
 
-    async def async_is_refused(self, address: str, deadline: float) -> bool:
-        """Return whether nothing listens at an address.
+    async def async_has_ended(self, address: str, deadline: float) -> bool:
+        """Return whether the process at an address has ended, as far as seen.
 
-        A connection that was opened is kept for the next request.
+        The sockets of a process that ends are closed one after the other, so
+        that it may take a connection after another one was closed. A
+        connection that stays open is kept for the next request.
         """
-        try:
-            conn = await self._async_connect(address, deadline)
-        except ConnectFailedError as exc:
-            return isinstance(exc.__cause__, ConnectionRefusedError)
-        self._add_to_pool(conn)
+        for _ in range(END_CHECKS):
+            try:
+                conn = await self._async_connect(address, deadline)
+            except ConnectFailedError as exc:
+                return isinstance(exc.__cause__, ConnectionRefusedError)
+            conn.idle_since = asyncio.get_running_loop().time()
+            await asyncio.sleep(END_CHECK_DELAY_S)
+            if not conn.is_stale:
+                self._add_to_pool(conn)
+                return False
+            conn.close()
         return False
 
     def _return_to_pool(self, conn: _ClientConnection) -> None:
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -567,7 +567,7 @@
         if backend is not None and backend.leaving_since is not None:
             return
         deadline = asyncio.get_running_loop().time() + CONNECT_TIMEOUT_S
-        if await self._client.async_is_refused(send.server.address, deadline):
+        if await self._client.async_has_ended(send.server.address, deadline):
             raise BadResponseError(
                 f"{send.server.address}: ended at the end of a response"
                 " without a length"
