--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -224,6 +224,17 @@
         self.add_run(call, server_id="e-1")
         self.assertIn(Promise.ONCE, self.broken_promises())
 
+    def test_second_run_from_one_copy_of_a_run(self) -> None:
+        call = self.add_call("/chat/", 502)
+        self.add_run(call)
+        for server_id in ("e-1", "e-2"):
+            run = self.add_run(call, server_id=server_id)
+            run.headers["kv-from"] = "127.0.0.1:1/h-1"
+            expected = server_id == "e-2"
+            self.assertEqual(
+                expected, Promise.ONCE in self.broken_promises(), server_id
+            )
+
     def test_run_of_a_call_refused_as_not_run(self) -> None:
         self.add_run(self.add_call("/pay/", 503))
         self.assertIn(Promise.NOT_RUN, self.broken_promises())
@@ -443,3 +454,8 @@
             "--engines=3", "--callers=16", "--only", "silence"
         )
         self.assertGreater(report.checks[Promise.ANSWERED], 0)
+
+    # Guards against what only the kernel of a stopped or killed server does.
+    def test_keeps_promises_with_servers_as_processes(self) -> None:
+        report = self.run_soak("--processes", "--engines=3")
+        self.assertGreater(report.checks[Promise.ONCE], 0)
