--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -78,6 +78,26 @@
 
     # Guards against a request that runs on a route whose prefix does not
     # begin its path.
+    # Guards against "not run" for a request that a handler had sent on
+    # before its error.
+    @async_test
+    async def test_request_may_have_run_before_an_error(self) -> None:
+        async def handle(req: HttpRequest, resp: HttpResponder) -> None:
+            raise ValueError("made")
+
+        server, client = HttpServer(handle), HttpClient()
+        port = await server.async_setup("127.0.0.1", 0)
+        response = await client.async_request(
+            "POST",
+            f"127.0.0.1:{port}",
+            "/pay",
+            deadline=asyncio.get_running_loop().time() + 5,
+        )
+        await client.async_unload()
+        await server.async_unload()
+        self.assertEqual(500, response.status)
+        self.assertEqual("unknown", response.json()["error"]["ran"])
+
     @async_test
     async def test_path_with_two_slashes_is_one(self) -> None:
         paths: list[str] = []
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -19,6 +19,7 @@
     HttpRequest,
     json_body,
 )
+from waxwingarch.core.base import ExecutionStatus
 from waxwingarch.exceptions import WaxwingError
 
 BACKLOG: Final = 1024
@@ -204,7 +205,13 @@
             if self._started:
                 self._transport.abort()
             else:
-                self._refuse(500, "internal", "report this to the operators")
+                # The handler may have sent the request on before.
+                self._refuse(
+                    500,
+                    "internal",
+                    "report this to the operators",
+                    ran=ExecutionStatus.UNKNOWN,
+                )
         finally:
             self._task = None
         self._start_next_cycle()
@@ -241,11 +248,18 @@
             f"send valid HTTP/1.1: {exc}",
         )
 
-    def _refuse(self, status: int, kind: str, remedy: str) -> None:
+    def _refuse(
+        self,
+        status: int,
+        kind: str,
+        remedy: str,
+        *,
+        ran: ExecutionStatus = ExecutionStatus.NOT_RUN,
+    ) -> None:
         if self._conn.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             self._transport.abort()
             return
-        error = {"type": kind, "message": remedy, "ran": "not run"}
+        error = {"type": kind, "message": remedy, "ran": ran.value}
         body = json_body({"error": error})
         headers = _encoded(
             [
