--- a/tests/front/test_cut_responses_host.py
+++ b/tests/front/test_cut_responses_host.py
@@ -205,3 +205,15 @@
             ).items():
                 note = (response.__name__, cut_at, answer)
                 self.assertEqual(502, status_of(answer), note)
+
+    # Guards against a response without a body that is taken for one that
+    # was cut.
+    @async_test
+    async def test_no_body_is_due_without_content(self) -> None:
+        def no_content(request_id: str) -> bytes:
+            return head(request_id, JSON).replace(b"200 OK", b"204 Empty")
+
+        server = CuttingServer(no_content, resets=False)
+        whole = len(no_content("c-000"))
+        [answer] = (await async_call_each(server, [whole])).values()
+        self.assertEqual(204, status_of(answer), answer)
--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -18,6 +18,7 @@
 import h11
 
 from waxwingarch.adapters.http_messages import (
+    BODYLESS_STATUSES,
     MAX_PARTS_PER_TURN,
     SMALL_PART_BYTES,
 )
@@ -138,6 +139,8 @@
     @property
     def ends_with_connection(self) -> bool:
         """Whether only the end of the connection ends the body."""
+        if self.status in BODYLESS_STATUSES or self._conn.is_head_request:
+            return False
         return not self.headers.keys() & FRAMING_HEADERS
 
     async def async_read(self, deadline: float) -> bytes | None:
@@ -267,6 +270,14 @@
             data += self._conn.send(h11.Data(data=body)) or b""
         return data + (self._conn.send(h11.EndOfMessage()) or b"")
 
+    @property
+    def is_head_request(self) -> bool:
+        """Whether the last request asked for the head only."""
+        return (
+            self._last_request is not None
+            and self._last_request.method == b"HEAD"
+        )
+
     def apply_keep_alive(self, header: str) -> None:
         """Limit the idle time to what a Keep-Alive header announces."""
         timeout = KEEP_ALIVE_TIMEOUT.search(header)
@@ -476,11 +487,16 @@
             except ConnectFailedError as exc:
                 return isinstance(exc.__cause__, ConnectionRefusedError)
             conn.idle_since = asyncio.get_running_loop().time()
-            await asyncio.sleep(END_CHECK_DELAY_S)
-            if not conn.is_stale:
+            is_open = False
+            try:
+                await asyncio.sleep(END_CHECK_DELAY_S)
+                is_open = not conn.is_stale
+            finally:
+                if not is_open:
+                    conn.close()
+            if is_open:
                 self._add_to_pool(conn)
                 return False
-            conn.close()
         return False
 
     def _return_to_pool(self, conn: _ClientConnection) -> None:
--- a/waxwingarch/adapters/http_messages.py
+++ b/waxwingarch/adapters/http_messages.py
@@ -16,6 +16,8 @@
 SMALL_PART_BYTES: Final = 64
 # After so many parts of a body, its reader lets other tasks run.
 MAX_PARTS_PER_TURN: Final = 256
+# Statuses whose responses have no body.
+BODYLESS_STATUSES: Final = frozenset({204, 304})
 
 
 class CallerDisconnectedError(ConnectionError):
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -36,8 +36,6 @@
 STOP_GRACE_S: Final = 1.0
 STOP_POLL_S: Final = 0.02
 WRITE_HIGH_WATER_BYTES: Final = 256 * 1024
-# Statuses whose responses have no body.
-BODYLESS_STATUSES: Final = frozenset({204, 304})
 
 
 @dataclass(slots=True)
@@ -345,9 +343,6 @@
     async def async_send_until_close(
         self, status: int, body: bytes, headers: Headers
     ) -> None:
-        if self._no_body_due(status):
-            await self.async_send(status, b"", headers)
-            return
         self._begin_response()
         if self._disconnected.is_set():
             raise CallerDisconnectedError("the caller closed the connection")
@@ -355,12 +350,6 @@
         # response that is due, so that it is closed after this one.
         self._transport.write(_encode_until_close(status, body, headers))
 
-    def _no_body_due(self, status: int) -> bool:
-        head = self._partial.head
-        return status in BODYLESS_STATUSES or (
-            head is not None and head.method == b"HEAD"
-        )
-
     def _close_header(self) -> list[tuple[str, str]]:
         """Return `connection: close` if the server is draining."""
         if not self._server.draining:
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -150,14 +150,16 @@
             return [
                 LocalResponse(request_id=head.request_id, refusal=exc.refusal)
             ]
-        held = self._quarantine.refusal_for(
-            now, exchange.inputs, may_probe=self.may_probe
+        refused = (
+            stopping_refusal()
+            if self._may_outlast_host(now, exchange)
+            else self._quarantine.refusal_for(
+                now, exchange.inputs, may_probe=self.may_probe
+            )
         )
-        if self._may_outlast_host(now, exchange):
-            held = stopping_refusal()
-        if held is not None:
+        if refused is not None:
             self._admission.refund(now, exchange, cost)
-            return [LocalResponse(request_id=head.request_id, refusal=held)]
+            return [LocalResponse(request_id=head.request_id, refusal=refused)]
         if not head.is_relayed:
             # The peer that relays a request has counted it.
             self._resend_budget.record_request(now, exchange.service)
