--- a/script/red_front.py
+++ b/script/red_front.py
@@ -76,11 +76,41 @@
         promise="LOST",
         path="waxwingarch/core/front_node.py",
         old="        if now >= self._accept_until:\n"
-        "            return [_stopping_response(head)]\n",
+        "            return [\n"
+        "                LocalResponse(\n"
+        "                    request_id=head.request_id, "
+        "refusal=stopping_refusal()\n"
+        "                )\n"
+        "            ]\n",
         new="",
         test=CORE + "test_exchanges.py::Life::"
         "test_takes_nothing_that_it_may_not_finish_before_the_end",
     ),
+    Mutation(
+        promise="LOST",
+        path="waxwingarch/front_daemon.py",
+        old="        self._runner.post(StopEnds())\n",
+        new="",
+        test="tests/front/test_stop_host.py::LongRequests::"
+        "test_is_answered_at_the_end",
+    ),
+    Mutation(
+        promise="TWICE",
+        path="waxwingarch/core/exchange/exchange_manager.py",
+        old="            max_silence_s=route.caller_patience_s "
+        "- TAKEOVER_TIME_S\n",
+        new="            max_silence_s=1.6\n",
+        test="tests/front/test_stopped_servers_host.py::StoppedServers::"
+        "test_stream_stays_for_as_long_as_its_caller_waits",
+    ),
+    Mutation(
+        promise="MIXED",
+        path="waxwingarch/tasks/front_exchange.py",
+        old="            _check_text(stream, body, send)\n",
+        new="",
+        test="tests/front/test_cut_responses_host.py::CutResponses::"
+        "test_text_that_breaks_off_is_a_failure",
+    ),
     Mutation(
         promise="LOST",
         path="waxwingarch/front_daemon.py",
