--- a/standins/front_process.py
+++ b/standins/front_process.py
@@ -24,9 +24,14 @@
     *,
     stderr: IO[bytes] | None = None,
     python: Sequence[str] = (),
+    tree: Path | None = None,
     **options: int,
 ) -> Process:
-    """Start a daemon; `python` are options of the interpreter."""
+    """Start a daemon.
+
+    `python` are options of the interpreter, and `tree` is the folder of
+    another build to run.
+    """
     return await asyncio.create_subprocess_exec(
         sys.executable,
         *python,
@@ -36,6 +41,7 @@
         str(settings),
         stdout=stdout,
         stderr=stderr,
+        cwd=tree,
         **options,  # type: ignore[arg-type]
     )
 
--- a/standins/pauses.py
+++ b/standins/pauses.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 from collections import Counter, defaultdict
+from collections.abc import Awaitable, Callable
 from itertools import pairwise
 from pathlib import Path
 from random import Random
@@ -25,7 +26,7 @@
     LoadGenerator,
 )
 from standins.soak.promises import OVERLAP_LIMIT_S, Promise
-from standins.soak.world import World
+from standins.soak.world import Daemon, World
 
 EVENT_INTERVAL_S: Final = 0.05
 EVENTS_PER_STREAM: Final = 40
@@ -34,7 +35,25 @@
 FIRST_PAUSE_S: Final = 3.0
 CONFIG_LEAD_S: Final = 0.6
 STREAM_TIMEOUTS_MS: Final = (8000, 9000, 10000)
-BESIDE: Final = ("none", "restart", "kill", "freeze", "cut", "crash")
+BESIDE: Final = (
+    "none",
+    "restart",
+    "kill",
+    "freeze",
+    "cut",
+    "crash",
+    "drain",
+    "drain-kill",
+    "drain-restart",
+    "lapse",
+    "cut-peer-kill",
+    "cut-peer-freeze",
+)
+# How many servers say that they are draining, and for how long.
+DRAINING: Final = 4
+DRAIN_S: Final = 2.5
+# The entry of a stopped server is gone for this share of its stop.
+LAPSED_RATIO: Final = 2 / 3
 MAX_LISTED_CALLS: Final = 60
 # One pause in so many is of plain servers, the others of engines.
 PLAIN_EVERY: Final = 4
@@ -63,6 +82,15 @@
     )
     parser.add_argument("--beside", choices=BESIDE, default="none")
     parser.add_argument("--ignore-close", action="store_true")
+    parser.add_argument("--calm", action="store_true", help="stop nothing")
+    parser.add_argument("--patient", action="store_true")
+    parser.add_argument("--events", type=int, default=EVENTS_PER_STREAM)
+    parser.add_argument("--event-s", type=float, default=EVENT_INTERVAL_S)
+    parser.add_argument("--work-s", type=float, help="work of plain requests")
+    parser.add_argument("--tree", type=Path, help="folder of another build")
+    parser.add_argument(
+        "--tree-hosts", type=int, default=99, help="how many hosts run it"
+    )
     parser.add_argument("--objective-ms", type=int, default=400)
     parser.add_argument("--gap-ms", type=int, default=300)
     parser.add_argument("--keep", type=Path, help="folder for the logs")
@@ -82,6 +110,9 @@
 
     async def async_run(self, until: float) -> None:
         """Pause servers of a service in turn until a monotonic time."""
+        if self._args.calm:
+            await asyncio.sleep(until - time.monotonic())
+            return
         await asyncio.sleep(FIRST_PAUSE_S)
         number = 0
         while time.monotonic() < until - PAUSE_INTERVAL_S:
@@ -111,7 +142,22 @@
     async def _async_pause(
         self, server: ProcessServer, length_s: float
     ) -> None:
+        if self._args.beside != "lapse":
+            await server.async_fall_silent(length_s)
+            return
+        lapse = asyncio.create_task(self._async_lapse(server, length_s))
         await server.async_fall_silent(length_s)
+        await lapse
+
+    async def _async_lapse(
+        self, server: ProcessServer, length_s: float
+    ) -> None:
+        """Let the entry of a server be gone amid its stop."""
+        present_s = length_s * (1 - LAPSED_RATIO) / 2
+        await asyncio.sleep(present_s)
+        self._world.fleet.store.put("servers", server.server_id, None)
+        await asyncio.sleep(length_s * LAPSED_RATIO)
+        self._world.register(server)
 
     def _change_config(self) -> None:
         cfg = self._world.fleet.config
@@ -125,30 +171,72 @@
             cfg.stream_timeout_ms = self._rng.choice(STREAM_TIMEOUTS_MS)
         self._world.fleet.put_config()
 
+    async def _async_restart(
+        self, daemon: Daemon, end: Callable[[Daemon], Awaitable[None]]
+    ) -> None:
+        await end(daemon)
+        self._world.note_restart(daemon)
+        await self._world.async_start(daemon)
+        await self._world.async_wait_ready(daemon)
+
+    async def _async_freeze(self, daemon: Daemon, length_s: float) -> None:
+        self._world.freeze(daemon)
+        await asyncio.sleep(length_s)
+        self._world.thaw(daemon)
+
+    async def _async_cut(self, length_s: float) -> None:
+        links = self._world.host_links["host-0"]
+        links.partition()
+        await asyncio.sleep(length_s + 1.0)
+        await links.async_heal()
+
+    async def _async_drain(self) -> None:
+        """Let servers say that they drain, and be new ones after it."""
+        engines = self._world.fleet.engines()
+        draining = self._rng.sample(engines, min(DRAINING, len(engines)))
+        for server in draining:
+            self._world.register(server, "draining")
+        await asyncio.sleep(DRAIN_S)
+        for server in draining:
+            server.born += 1
+            self._world.register(server)
+
     async def _async_beside(self, length_s: float) -> None:
         world = self._world
         daemon = world.daemons["host-0"]
+        peer = world.daemons["host-1"]
         await asyncio.sleep(self._rng.uniform(0, 0.3))
         match self._args.beside:
-            case "restart" | "kill":
-                end = (
-                    world.async_stop
-                    if self._args.beside == "restart"
-                    else world.async_kill
-                )
-                await end(daemon)
-                world.note_restart(daemon)
-                await world.async_start(daemon)
-                await world.async_wait_ready(daemon)
+            case "restart":
+                await self._async_restart(daemon, world.async_stop)
+            case "kill":
+                await self._async_restart(daemon, world.async_kill)
             case "freeze":
-                world.freeze(daemon)
-                await asyncio.sleep(length_s)
-                world.thaw(daemon)
+                await self._async_freeze(daemon, length_s)
             case "cut":
-                links = world.host_links["host-0"]
-                links.partition()
-                await asyncio.sleep(length_s + 1.0)
-                await links.async_heal()
+                await self._async_cut(length_s)
+            case "drain":
+                await self._async_drain()
+            case "drain-kill":
+                await asyncio.gather(
+                    self._async_drain(),
+                    self._async_restart(daemon, world.async_kill),
+                )
+            case "drain-restart":
+                await asyncio.gather(
+                    self._async_drain(),
+                    self._async_restart(daemon, world.async_stop),
+                )
+            case "cut-peer-kill":
+                await asyncio.gather(
+                    self._async_cut(length_s),
+                    self._async_restart(peer, world.async_kill),
+                )
+            case "cut-peer-freeze":
+                await asyncio.gather(
+                    self._async_cut(length_s),
+                    self._async_freeze(peer, length_s),
+                )
             case "crash":
                 server = self._rng.choice(world.fleet.engines())
                 await server.async_unload()
@@ -218,7 +306,17 @@
 ) -> list[str]:
     """Run one series of pauses, and return the report's lines."""
     report = Report(promises=tuple(Promise))
-    world = World(folder=folder, report=report, fleet=Fleet(ProcessServer))
+    trees = {
+        f"host-{n}": args.tree
+        for n in range(min(args.hosts, args.tree_hosts))
+        if args.tree
+    }
+    world = World(
+        folder=folder,
+        report=report,
+        fleet=Fleet(ProcessServer),
+        trees=trees,
+    )
     try:
         cfg = world.fleet.config
         cfg.stream_objective_ms = args.objective_ms
@@ -226,15 +324,22 @@
         cfg.stream_timeout_ms = max(STREAM_TIMEOUTS_MS)
         await world.async_setup(args.hosts, args.engines, args.plain)
         for server in world.fleet.engines():
-            server.behaviour.events = EVENTS_PER_STREAM
-            server.behaviour.event_s = EVENT_INTERVAL_S
+            server.behaviour.events = args.events
+            server.behaviour.event_s = args.event_s
             server.behaviour.ignores_close = args.ignore_close
+        if args.work_s is not None:
+            for server in world.fleet.plain():
+                server.behaviour.work_s = args.work_s
         await world.async_apply_behaviours()
         load = LoadGenerator(world, report, seed)
-        load.patience_s = max(
-            MIN_PATIENCE_S,
-            PATIENCE_PER_OBJECTIVE * args.objective_ms / MS_PER_S,
-            PATIENCE_PER_GAP * args.gap_ms / MS_PER_S,
+        load.patience_s = (
+            float("inf")
+            if args.patient
+            else max(
+                MIN_PATIENCE_S,
+                PATIENCE_PER_OBJECTIVE * args.objective_ms / MS_PER_S,
+                PATIENCE_PER_GAP * args.gap_ms / MS_PER_S,
+            )
         )
         load.stream_deadline_s = STREAM_DEADLINE_S
         began_at = time.monotonic()
@@ -256,7 +361,8 @@
             folder = args.keep / f"seed-{seed}" if args.keep else Path(name)
             folder.mkdir(parents=True, exist_ok=True)
             lines = asyncio.run(async_pauses(args, seed, folder))
-        print(f"seed {seed}, pauses {args.pause} s beside {args.beside}")
+        stops = "nothing" if args.calm else f"{args.pause} s"
+        print(f"seed {seed}, stops of {stops} beside {args.beside}")
         print("\n".join(lines), flush=True)
 
 
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -68,6 +68,7 @@
 
     Servers are processes as well if the fleet makes them so. Hosts then
     reach them without a link, which would hide what their kernel does.
+    `trees` are the folders of the hosts that run another build, by name.
     """
 
     folder: Path
@@ -78,6 +79,7 @@
     links: dict[str, Link] = field(default_factory=dict)
     host_links: dict[str, HostLinks] = field(default_factory=dict)
     fault_intervals: list[FaultInterval] = field(default_factory=list)
+    trees: dict[str, Path] = field(default_factory=dict)
     _crashes: dict[str, FaultInterval] = field(default_factory=dict)
 
     async def async_setup(self, hosts: int, engines: int, plain: int) -> None:
@@ -199,7 +201,10 @@
         daemon.incarnation += 1
         with (self.folder / f"{daemon.name}.log").open("ab") as log:
             daemon.process = await async_start_front(
-                daemon.settings, log, stderr=log
+                daemon.settings,
+                log,
+                stderr=log,
+                tree=self.trees.get(daemon.name),
             )
         # Until here `process` is the one before, which may have been killed.
         daemon.is_stopping = False
