--- a/tests/core/front/builders.py
+++ b/tests/core/front/builders.py
@@ -4,6 +4,10 @@
 from typing import Any
 
 from waxwingarch.core.backends.registry import BackendsListed, ListedBackend
+from waxwingarch.core.backends.server_checks import (
+    CheckResult,
+    ServerChecked,
+)
 from waxwingarch.core.base import (
     AccountId,
     Action,
@@ -20,7 +24,10 @@
     ExchangeArrived,
     ExchangeHead,
     PromptPart,
+    SendRequest,
+    SilenceLasts,
 )
+from waxwingarch.core.exchange.silence import Silence
 from waxwingarch.core.front_messages import (
     ConfigRead,
     FrontBounds,
@@ -238,3 +245,44 @@
         now, ExchangeArrived(head=make_head(name, path, **more))
     )
     return action
+
+
+def check(
+    node: FrontNode, send: Action, at: float, result: CheckResult
+) -> list[Action]:
+    """Report that the server of an attempt is silent, and a check of it.
+
+    Returns the actions after the report of the silence.
+    """
+    assert isinstance(send, SendRequest)
+    server_id = send.server.server_id
+    actions = node.handle(
+        at, SilenceLasts(request_id=send.request_id, server_id=server_id)
+    )
+    node.handle(
+        at, ServerChecked(server_id=server_id, result=result, began_at=at)
+    )
+    return actions
+
+
+def may_leave(
+    node: FrontNode,
+    send: Action,
+    now: float,
+    *,
+    since: float = 1.0,
+    response_started: bool = True,
+) -> bool:
+    """Return whether the attempt may leave a server silent since a time."""
+    assert isinstance(send, SendRequest)
+    silence = Silence(
+        send=send, since=since, response_started=response_started
+    )
+    return node.exchanges.silence.may_leave(now, silence)
+
+
+def may_leave_lost_server(node: FrontNode, send: Action, now: float) -> bool:
+    """Return whether the attempt may leave a server that two checks missed."""
+    for at in (now - 0.7, now):
+        check(node, send, at, CheckResult.NO_ANSWER)
+    return may_leave(node, send, now, since=now - 1.0)
--- a/tests/front/base.py
+++ b/tests/front/base.py
@@ -9,6 +9,7 @@
 from standins.fleet_server import FleetServer
 from standins.front_process import KEY, call_headers
 from standins.ports import free_address, free_port
+from standins.soak.link import Link
 from waxwingarch.adapters.front_settings import FrontSettings
 from waxwingarch.adapters.http_client import HttpClient, HttpResponse
 from waxwingarch.adapters.ini import parse_ini, validate
@@ -79,6 +80,24 @@
         await asyncio.gather(self.task, return_exceptions=True)
         await self.daemon.async_unload()
 
+    async def async_add_links(self) -> dict[str, Link]:
+        """Put a link before each server; return the links by server id."""
+        links = {}
+        for server in self.fleet.servers:
+            link = links[server.server_id] = Link(server.address)
+            self._stack.push_async_callback(link.async_unload)
+            await link.async_setup()
+            self.fleet.register(server, address=link.address)
+        registry = self.front.load_balancer.registry
+        await async_until(
+            lambda: all(
+                registry.get(server_id).server.address == link.address
+                for server_id, link in links.items()
+            ),
+            "the links are known",
+        )
+        return links
+
     @property
     def front(self) -> Any:
         """Return the daemon's front node."""
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -19,7 +19,7 @@
 from standins.soak.__main__ import async_soak, build_parser
 from standins.soak.checks import PromiseChecker
 from standins.soak.faults import FaultInjector
-from standins.soak.link import Link, LinkFault
+from standins.soak.link import DROPS_ANYTHING, Link, LinkFault
 from standins.soak.load import Call, LoadGenerator
 from standins.soak.promises import Promise
 from standins.soak.world import STORE, Daemon, World
@@ -74,13 +74,13 @@
         self, link: Link, within_s: float = 0.2
     ) -> bytes:
         host, _, port = link.address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        try:
-            writer.write(b"hello")
-            async with asyncio.timeout(within_s):
+        async with asyncio.timeout(within_s):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            try:
+                writer.write(b"hello")
                 return await reader.read(100)
-        finally:
-            writer.transport.abort()
+            finally:
+                writer.transport.abort()
 
     @async_test
     async def test_forwards_bytes_unchanged(self) -> None:
@@ -101,6 +101,19 @@
             link.fault = LinkFault.NONE
             self.assertEqual(b"hello", await self.async_echo_once(link, 5.0))
 
+    # A path that loses packets loses those that open connections as well.
+    @async_test
+    async def test_new_connections_get_no_answer_while_bytes_are_dropped(
+        self,
+    ) -> None:
+        async with self.echo_link() as link:
+            host, _, port = link.address.rpartition(":")
+            for fault in DROPS_ANYTHING:
+                link.fault = fault
+                with testtools.ExpectedException(TimeoutError):
+                    async with asyncio.timeout(0.2):
+                        await asyncio.open_connection(host, int(port))
+
     @async_test
     async def test_refuses_and_delays(self) -> None:
         async with self.echo_link() as link:
--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -474,6 +474,13 @@
                 return conn
         return None
 
+    async def async_check(self, address: str, deadline: float) -> None:
+        """Open a connection, and keep it for the next request.
+
+        Raises `ConnectFailedError`, whose cause says why it can't be opened.
+        """
+        self._add_to_pool(await self._async_connect(address, deadline))
+
     async def async_has_ended(self, address: str, deadline: float) -> bool:
         """Return whether the process at an address has ended, as far as seen.
 
--- a/waxwingarch/const.py
+++ b/waxwingarch/const.py
@@ -12,6 +12,12 @@
 HEADER_REQUEST_ID: Final = "x-request-id"
 HEADER_DEADLINE_MS: Final = "x-deadline-ms"
 
+# Within a region a connection opens in a few milliseconds, and a lost SYN is
+# retransmitted only after a second.
+BACKEND_CONNECT_TIMEOUT_S: Final = 0.4
+# Decimals of the times in log lines, which are in seconds.
+LOGGED_DECIMALS: Final = 3
+
 # Exit codes of the daemon and of the command-line tool.
 EXIT_OK: Final = 0
 EXIT_FAILURE: Final = 1
--- a/waxwingarch/core/backends/load_balancer.py
+++ b/waxwingarch/core/backends/load_balancer.py
@@ -27,6 +27,7 @@
 from waxwingarch.core.backends.pauses import ServerPauses
 from waxwingarch.core.backends.peer_evidence import PeerEvidence
 from waxwingarch.core.backends.registry import Backend, BackendRegistry
+from waxwingarch.core.backends.server_checks import ServerChecks
 from waxwingarch.core.backends.server_limits import ServerLimits
 from waxwingarch.core.base import (
     FailureDomain,
@@ -116,6 +117,7 @@
         self.loads = LoadTracker()
         self.prefix_caches = PrefixCacheTracker()
         self.health = HealthTracker()
+        self.checks = ServerChecks()
         self.peer_evidence = PeerEvidence()
         self.latency = LatencyTracker()
         self.pauses = ServerPauses(rng)
@@ -259,6 +261,7 @@
         """Drop what is known of a server that has departed or restarted."""
         self.prefix_caches.forget(server_id)
         self.health.forget(server_id)
+        self.checks.forget(server_id)
         self.latency.forget(server_id)
         self.loads.forget(server_id)
         self.pauses.forget(server_id)
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -39,6 +39,7 @@
     as_server,
 )
 from waxwingarch.core.exchange.run_times import RunTimes
+from waxwingarch.core.exchange.silence import SilenceJudge
 from waxwingarch.core.exchange.state_machine import (
     ExchangeState,
     NextStep,
@@ -75,9 +76,8 @@
 # After the first-byte deadline, a server without any activity for this long
 # counts as down.
 SERVER_ACTIVE_WITHIN_S: Final = 0.6
-# A stream stays with a silent server, which may go on: it would run at two
-# servers otherwise, or be cut where no other server takes it. It is left in
-# time for another server to send an event before the caller leaves.
+# A server is left in time for another one to respond before the caller
+# leaves.
 TAKEOVER_TIME_S: Final = 0.4
 # Outcomes that say how long requests of a route last.
 LASTED_OUTCOMES: Final = frozenset(
@@ -88,6 +88,22 @@
 RETURN_SPREAD_RATIO: Final = 0.5
 
 
+def _leave_alive_at(
+    exchange: Exchange, first_byte_deadline: float, expected_s: float
+) -> float:
+    """Return when a silent server that is alive may be left for another.
+
+    A stream stays, as it would run at two servers. Any other request that
+    may be repeated is left in time for another response.
+    """
+    if exchange.route.streaming:
+        return float("inf")
+    takeover_s = max(
+        TAKEOVER_TIME_S, FIRST_BYTE_TIMEOUT_PER_EXPECTED * expected_s
+    )
+    return max(first_byte_deadline, exchange.expires_at - takeover_s)
+
+
 class ExchangeManager:
     """Admits requests, dispatches their attempts and handles the outcomes."""
 
@@ -121,8 +137,14 @@
         self._run_times = RunTimes()
         # When this host ends what is in progress, on the node's clock.
         self.ends_at = float("inf")
+        self.silence = SilenceJudge(
+            load_balancer, self._exchanges, resend_budget
+        )
         self._migrations = RunMigrations(
-            load_balancer, self._exchanges, self.can_resend, leaving_known_s
+            load_balancer,
+            self._exchanges,
+            self.silence.can_resend,
+            leaving_known_s,
         )
 
     def __len__(self) -> int:
@@ -354,6 +376,9 @@
             max_silence_s=route.caller_patience_s - TAKEOVER_TIME_S
             if route.streaming
             else SERVER_ACTIVE_WITHIN_S,
+            leave_alive_at=_leave_alive_at(
+                exchange, first_byte_deadline, pick.expected_s
+            ),
             resume_after=state.last_event,
             migrated_cache=migrated_cache,
             fresh_connection=exchange.retry_policy
@@ -495,47 +520,6 @@
             send = self._dispatch(now, state, None)
         return send
 
-    def may_leave_silent_server(
-        self, now: float, request_id: RequestId, *, response_started: bool
-    ) -> bool:
-        """Return whether the silence of a server may end an attempt.
-
-        It may if the request can be resent, or if nothing of the response
-        was sent and the caller may find another server itself.
-        `response_started` is that of `AttemptFinished`.
-        """
-        state = self._exchanges.get(request_id)
-        if state is None:
-            return False
-        if not response_started:
-            return self._has_untried_server(now, state)
-        return self.can_resend(now, request_id, response_started=True)
-
-    def can_resend(
-        self, now: float, request_id: RequestId, *, response_started: bool
-    ) -> bool:
-        """Return whether a request would be resent if its server is silent.
-
-        `response_started` is that of `AttemptFinished`.
-        """
-        state = self._exchanges.get(request_id)
-        server_id = self._load_balancer.loads.server_of(request_id)
-        if state is None or server_id is None:
-            return False
-        if not state.may_resend_after_silence(
-            now, server_id, response_started=response_started
-        ):
-            return False
-        return state.migrated_cache is not None or (
-            self._resend_budget.can_resend(now, state.exchange.service)
-            and self._has_untried_server(now, state)
-        )
-
-    def _has_untried_server(self, now: float, state: ExchangeState) -> bool:
-        return self._load_balancer.has_choice(
-            now, state.exchange.service, state.tried_servers
-        )
-
     def _record_health(
         self,
         now: float,
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -215,6 +215,13 @@
     server_id: ServerId
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SilenceLasts(ExchangeEvent):
+    """A server still sends nothing; posted a few times a second."""
+
+    server_id: ServerId
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AttemptFinished(ExchangeEvent):
     """An attempt ended.
@@ -263,8 +270,9 @@
     Times are on the node's clock. Where the request may be sent to another
     server, `first_byte_deadline` bounds the wait for the first byte.
     After a pause of `stream_idle_timeout_s` in a stream the server counts as
-    silent; one that has sent nothing, to any request of this host, for
-    `max_silence_s` may be left for another. `resume_after` is
+    silent. One that has sent nothing, to any request of this host, for
+    `max_silence_s` may be left for another if it does not take a connection
+    either; one that does may be left at `leave_alive_at`. `resume_after` is
     the id of the last event that was passed on. With `migrated_cache` the
     server continues a run whose KV cache was copied to it.
     `fresh_connection` asks for a connection that was not idle for long, and
@@ -280,6 +288,7 @@
     first_byte_deadline: float
     stream_idle_timeout_s: float
     max_silence_s: float
+    leave_alive_at: float
     resume_after: int | None
     migrated_cache: MigratedCache | None
     fresh_connection: bool
--- a/waxwingarch/core/exchange/migrations.py
+++ b/waxwingarch/core/exchange/migrations.py
@@ -26,7 +26,7 @@
     def __call__(
         self, now: float, request_id: RequestId, *, response_started: bool
     ) -> bool:
-        """Return whether it would; see `ExchangeManager.can_resend`."""
+        """Return whether it would; see `SilenceJudge.can_resend`."""
 
 
 class RunMigrations:
--- a/waxwingarch/core/exchange/path_observer.py
+++ b/waxwingarch/core/exchange/path_observer.py
@@ -4,6 +4,7 @@
 
 from waxwingarch.core.backends.load import ActiveAttempt
 from waxwingarch.core.backends.load_balancer import LoadBalancer
+from waxwingarch.core.backends.server_checks import Contact
 from waxwingarch.core.base import RequestId, ServiceId
 from waxwingarch.core.exchange.exchange_messages import (
     AttemptFinished,
@@ -43,7 +44,18 @@
     def record_end(
         self, now: float, event: AttemptFinished, attempt: ActiveAttempt
     ) -> None:
-        """Record the end of an attempt at a server, if it is a failure."""
+        """Record the end of an attempt at a server, if it is a failure.
+
+        A server that took a connection meanwhile is silent, but reached.
+        """
+        if (
+            event.outcome is AttemptOutcome.SILENT
+            and self._load_balancer.checks.contact(
+                attempt.server_id, attempt.sent_at
+            )
+            is Contact.ALIVE
+        ):
+            return
         self._paths.record_failure(
             now,
             attempt.server_id,
--- /dev/null
+++ b/waxwingarch/core/exchange/silence.py
@@ -0,0 +1,136 @@
+"""Decides whether an attempt may leave a server that sends nothing.
+
+Silence alone is no evidence: a server that is stopped or busy goes on with
+the run when it wakes, beside that of the next server.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+
+from waxwingarch.core.backends.load_balancer import LoadBalancer
+from waxwingarch.core.backends.server_checks import (
+    CheckResult,
+    Contact,
+    ServerChecked,
+)
+from waxwingarch.core.base import Action, RequestId
+from waxwingarch.core.exchange.exchange_messages import (
+    SendRequest,
+    SilenceLasts,
+)
+from waxwingarch.core.exchange.state_machine import ExchangeState
+from waxwingarch.core.limits.resend_budget import ResendBudget
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Silence:
+    """The silence of a server that an attempt waits for.
+
+    `since` is on the node's clock. `response_started` is that of
+    `AttemptFinished`.
+    """
+
+    send: SendRequest
+    since: float
+    response_started: bool
+
+
+class SilenceJudge:
+    """Judges the silence of servers for the exchanges in progress."""
+
+    def __init__(
+        self,
+        load_balancer: LoadBalancer,
+        exchanges: Mapping[RequestId, ExchangeState],
+        resend_budget: ResendBudget,
+    ) -> None:
+        self._load_balancer = load_balancer
+        self._exchanges = exchanges
+        self._resend_budget = resend_budget
+
+    def handle_silence(self, now: float, event: SilenceLasts) -> list[Action]:
+        """Check a silent server, unless it was checked just now."""
+        backend = self._load_balancer.registry.get(event.server_id)
+        if backend is None:
+            return []
+        return self._load_balancer.checks.begin(now, backend.server)
+
+    def handle_check(self, now: float, event: ServerChecked) -> list[Action]:
+        """Record the result of a check.
+
+        A server that leaves refuses connections and still ends its
+        responses.
+        """
+        backend = self._load_balancer.registry.get(event.server_id)
+        is_leaving = backend is not None and backend.leaving_since is not None
+        if is_leaving and event.result is CheckResult.REFUSED:
+            event = replace(event, result=CheckResult.FAILED)
+        self._load_balancer.checks.record(event)
+        return []
+
+    def contact(self, silence: Silence) -> Contact:
+        """Return what is known of a server since it fell silent.
+
+        One that has left, and was dropped, is checked no more.
+        """
+        server_id = silence.send.server.server_id
+        backend = self._load_balancer.registry.get(server_id)
+        if backend is None:
+            return Contact.LOST
+        return self._load_balancer.checks.contact(server_id, silence.since)
+
+    def may_leave(self, now: float, silence: Silence) -> bool:
+        """Return whether the silence may end the attempt.
+
+        Where the server is alive, another attempt must be possible. Where
+        it is lost, and nothing of the response was sent, the caller may
+        find another server itself.
+        """
+        send = silence.send
+        state = self._exchanges.get(send.request_id)
+        if state is None or now < self._leave_at(silence):
+            return False
+        if self.can_resend(
+            now, send.request_id, response_started=silence.response_started
+        ):
+            return True
+        return (
+            not silence.response_started
+            and self.contact(silence) is not Contact.ALIVE
+            and self._has_untried_server(now, state)
+        )
+
+    def _leave_at(self, silence: Silence) -> float:
+        """Return when the server may be left, as far as known by now."""
+        lost_at = silence.since + silence.send.max_silence_s
+        return {
+            Contact.UNKNOWN: float("inf"),
+            Contact.ALIVE: silence.send.leave_alive_at,
+            Contact.DOUBTFUL: lost_at,
+            Contact.LOST: float("-inf"),
+        }[self.contact(silence)]
+
+    def can_resend(
+        self, now: float, request_id: RequestId, *, response_started: bool
+    ) -> bool:
+        """Return whether a request would be resent if its server is silent.
+
+        `response_started` is that of `AttemptFinished`.
+        """
+        state = self._exchanges.get(request_id)
+        server_id = self._load_balancer.loads.server_of(request_id)
+        if state is None or server_id is None:
+            return False
+        if not state.may_resend_after_silence(
+            now, server_id, response_started=response_started
+        ):
+            return False
+        return state.migrated_cache is not None or (
+            self._resend_budget.can_resend(now, state.exchange.service)
+            and self._has_untried_server(now, state)
+        )
+
+    def _has_untried_server(self, now: float, state: ExchangeState) -> bool:
+        return self._load_balancer.has_choice(
+            now, state.exchange.service, state.tried_servers
+        )
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -19,6 +19,7 @@
     LeavingAnnounced,
     LeavingSource,
 )
+from waxwingarch.core.backends.server_checks import ServerChecked
 from waxwingarch.core.backends.server_limits import ServerLimitSeen
 from waxwingarch.core.base import Action, Event, ServerId
 from waxwingarch.core.duties.autoscaler import ServersOrdered
@@ -42,6 +43,7 @@
     RunMigrated,
     ServerActivity,
     ServerSilent,
+    SilenceLasts,
 )
 from waxwingarch.core.exchange.relays import PeerSelector
 from waxwingarch.core.exchange.state_machine import stopping_refusal
@@ -172,6 +174,8 @@
             ResponseStarted: self._handle_response_started,
             ServerActivity: self._handle_server_activity,
             ServerSilent: self._handle_server_silent,
+            SilenceLasts: self.exchanges.silence.handle_silence,
+            ServerChecked: self.exchanges.silence.handle_check,
             AttemptFinished: self._handle_attempt_finished,
             CallerDisconnected: self._handle_disconnect,
             RunMigrated: self.exchanges.handle_run_migrated,
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -23,7 +23,7 @@
     HttpResponder,
 )
 from waxwingarch.adapters.http_server import HttpServer
-from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_OK
+from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_OK, LOGGED_DECIMALS
 from waxwingarch.core.backends.brittle_servers import BrittlenessChanged
 from waxwingarch.core.backends.paths import PathChanged
 from waxwingarch.core.backends.registry import (
@@ -57,6 +57,7 @@
 )
 from waxwingarch.tasks.admin import Admin
 from waxwingarch.tasks.backend_rows import BackendRows
+from waxwingarch.tasks.front_checks import FrontChecks
 from waxwingarch.tasks.front_duties import FrontDuties, boot_now
 from waxwingarch.tasks.front_entry import FrontEntry, Readiness
 from waxwingarch.tasks.front_log import FrontLog
@@ -73,7 +74,6 @@
 from waxwingarch.tasks.table_watch import TableWatch
 
 MS_PER_S: Final = 1000
-LOGGED_DECIMALS: Final = 3
 # Bound of the server names in one log line.
 MAX_LOGGED_SERVERS: Final = 16
 MAX_LOGGED_REASON_CHARS: Final = 200
@@ -133,6 +133,7 @@
         self._backend_rows = BackendRows(ports.rows)
         watches = [self._operator_table_watch, self._servers_table_watch]
         self._duties = FrontDuties(self._runner, ports, identity.host)
+        self._checks = FrontChecks(self._runner, client)
         self._rollouts = FrontRollouts(self._runner, ports)
         self._quarantine = FrontQuarantine(self._runner, ports)
         self._entry = FrontEntry(
@@ -249,6 +250,7 @@
         await self._operator_table_watch.async_unload()
         await self._servers_table_watch.async_unload()
         await self._duties.async_unload()
+        await self._checks.async_unload()
         await self._rollouts.async_unload()
         await self._quarantine.async_unload()
         await self._front_peers.async_unload()
--- /dev/null
+++ b/waxwingarch/tasks/front_checks.py
@@ -0,0 +1,80 @@
+"""Opens connections to silent servers, to see whether they are alive."""
+
+import asyncio
+import errno
+from typing import Final
+
+from eliot import log_message
+
+from waxwingarch.adapters.http_client import ConnectFailedError, HttpClient
+from waxwingarch.const import BACKEND_CONNECT_TIMEOUT_S, LOGGED_DECIMALS
+from waxwingarch.core.backends.server_checks import (
+    CheckResult,
+    CheckServer,
+    ServerChecked,
+)
+from waxwingarch.tasks.action_tasks import ActionTasks
+from waxwingarch.tasks.runner import FrontRunner
+
+# Errors of this host's own, which say nothing about a server.
+OWN_ERRORS: Final = frozenset(
+    {
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRNOTAVAIL,
+    }
+)
+
+
+class FrontChecks(ActionTasks):
+    """Carries out the checks that the node orders, each in a task."""
+
+    def __init__(self, runner: FrontRunner, client: HttpClient) -> None:
+        super().__init__()
+        self._runner = runner
+        self._client = client
+        self.connect(runner, {CheckServer: self._async_check})
+
+    async def _async_check(self, action: CheckServer) -> None:
+        """Check a server; a result is posted even after an error."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        result = CheckResult.FAILED
+        try:
+            result = await self._async_connect(action, began_at)
+        finally:
+            log_message(
+                message_type="server_checked",
+                server=action.server.server_id,
+                result=result,
+                took_s=round(loop.time() - began_at, LOGGED_DECIMALS),
+            )
+            self._runner.post(
+                ServerChecked(
+                    server_id=action.server.server_id,
+                    result=result,
+                    began_at=began_at,
+                )
+            )
+
+    async def _async_connect(
+        self, action: CheckServer, began_at: float
+    ) -> CheckResult:
+        try:
+            await self._client.async_check(
+                action.server.address, began_at + BACKEND_CONNECT_TIMEOUT_S
+            )
+        except ConnectFailedError as exc:
+            return _result_of(exc.__cause__)
+        return CheckResult.TAKEN
+
+
+def _result_of(cause: BaseException | None) -> CheckResult:
+    """Return what an error in opening a connection says of the server."""
+    if isinstance(cause, ConnectionRefusedError):
+        return CheckResult.REFUSED
+    if isinstance(cause, OSError) and cause.errno not in OWN_ERRORS:
+        return CheckResult.NO_ANSWER
+    return CheckResult.FAILED
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -22,6 +22,7 @@
     HttpRequest,
     HttpResponder,
 )
+from waxwingarch.const import BACKEND_CONNECT_TIMEOUT_S, LOGGED_DECIMALS
 from waxwingarch.core.backends.brittle_servers import BrittlenessSeen
 from waxwingarch.core.backends.registry import LeavingAnnounced
 from waxwingarch.core.backends.server_limits import ServerLimitSeen
@@ -36,14 +37,13 @@
     SendRequest,
     ServerActivity,
     ServerSilent,
+    SilenceLasts,
 )
+from waxwingarch.core.exchange.silence import Silence
 from waxwingarch.exceptions import LinkError
 from waxwingarch.ports.front import ExchangeCodec, ResponseHead
 from waxwingarch.tasks.runner import FrontRunner
 
-# Within a region a connection opens in a few milliseconds, and a lost SYN is
-# retransmitted only after a second.
-CONNECT_TIMEOUT_S: Final = 0.4
 # A non-idempotent request needs a new connection or one that was just in
 # use: the server may close an idle one at the moment of sending.
 FRESH_CONNECTION_MAX_IDLE_S: Final = 0.5
@@ -51,6 +51,9 @@
 # While a server sends other responses, the wait for a slow one is extended
 # in steps of this length.
 FIRST_BYTE_POLL_S: Final = 0.3
+# Interval of the decisions whether to leave a stream that has paused for too
+# long.
+SILENCE_POLL_S: Final = 0.1
 # The events of a stream are reported as activity at most this often.
 ACTIVITY_REPORT_INTERVAL_S: Final = 0.2
 # At most this many responses to earlier requests are skipped before the one
@@ -65,7 +68,6 @@
 
 # Interval of the checks whether a migration has ended.
 MIGRATION_POLL_S: Final = 0.05
-LOGGED_DECIMALS: Final = 3
 
 # Statuses with which a host refuses a request that no server ran.
 REFUSED_STATUSES: Final = frozenset({429, 503})
@@ -221,7 +223,7 @@
             self._req.target,
             deadline=send.expires_at,
             wait_until=lambda: self._first_byte_wait_until(send),
-            connect_deadline=now + CONNECT_TIMEOUT_S,
+            connect_deadline=now + BACKEND_CONNECT_TIMEOUT_S,
             headers=encode_headers(self._req, send, now),
             body=self._req.body,
             fresh=send.new_connection,
@@ -239,46 +241,61 @@
         """Return until when to wait for the first byte; None to give up.
 
         After the first-byte deadline the wait goes on for as long as the
-        server sends other responses: it is slow then, not down. It goes on
-        as well where no other server can take over.
+        server sends other responses, or is alive as far as known: it is
+        slow then, not lost. It goes on as well where no other server can
+        take over.
         """
         now = asyncio.get_running_loop().time()
+        if now >= send.expires_at:
+            return None
+        if send.first_byte_deadline >= send.expires_at:
+            return min(send.expires_at, now + FIRST_BYTE_POLL_S)
+        silence = self._first_byte_silence(send)
+        silent_s = now - silence.since
+        check_at = send.first_byte_deadline - BACKEND_CONNECT_TIMEOUT_S
+        if now >= check_at and silent_s >= SERVER_ACTIVE_WITHIN_S:
+            self._report_lasting_silence(send)
         if now < send.first_byte_deadline:
             return min(send.first_byte_deadline, now + FIRST_BYTE_POLL_S)
-        if now >= send.expires_at:
+        if silent_s > SERVER_ACTIVE_WITHIN_S and send.streaming:
+            self._report_silence(send)
+        if self._may_leave(silence):
             return None
+        return now + FIRST_BYTE_POLL_S
+
+    def _first_byte_silence(self, send: SendRequest) -> Silence:
+        """Return since when the server has sent nothing to this host."""
         last_activity_at = (
             self._runner.node.load_balancer.loads.last_activity_at(
                 send.server.server_id
             )
         )
-        silent_since = max(last_activity_at, self.state.sent_at)
-        silent_s = now - silent_since
-        if silent_s > SERVER_ACTIVE_WITHIN_S and send.streaming:
-            self._report_silence(send)
-        poll_at = now + FIRST_BYTE_POLL_S
-        leave_at = silent_since + send.max_silence_s
-        if now < leave_at:
-            # The caller of a stream leaves soon after this time.
-            return min(leave_at, poll_at) if send.streaming else poll_at
-        if self._may_give_up(now):
-            self._log_leave(send, silent_s)
-            return None
-        return poll_at
+        return Silence(
+            send=send,
+            since=max(last_activity_at, self.state.sent_at),
+            response_started=self.state.response_started,
+        )
 
-    def _log_leave(self, send: SendRequest, silent_s: float) -> None:
-        """Log that the silence of a server ends this attempt.
+    def _may_leave(self, silence: Silence) -> bool:
+        """Return whether to leave a silent server, and log that it is left.
 
         The server may be at work on the request, or may not have read it.
         """
-        loads = self._runner.node.load_balancer.loads
+        if self.state.response_started and self.state.last_event is None:
+            return False
         now = asyncio.get_running_loop().time()
+        judge = self._runner.node.exchanges.silence
+        if not judge.may_leave(now, silence):
+            return False
+        send = silence.send
+        loads = self._runner.node.load_balancer.loads
         active_at = loads.last_activity_at(send.server.server_id)
         log_message(
             message_type="server_left",
             request_id=self._request_id,
             server=send.server.server_id,
-            silent_s=round(silent_s, LOGGED_DECIMALS),
+            contact=judge.contact(silence),
+            silent_s=round(now - silence.since, LOGGED_DECIMALS),
             max_silence_s=round(send.max_silence_s, LOGGED_DECIMALS),
             server_active_ago_s=round(now - active_at, LOGGED_DECIMALS)
             if isfinite(active_at)
@@ -287,16 +304,7 @@
             last_event=self.state.last_event,
             on_new_connection=self.state.on_new_connection,
         )
-
-    def _may_give_up(self, now: float) -> bool:
-        """Return whether the silence of a server may end this attempt."""
-        if self.state.response_started and self.state.last_event is None:
-            return False
-        return self._runner.node.exchanges.may_leave_silent_server(
-            now,
-            self._request_id,
-            response_started=self.state.response_started,
-        )
+        return True
 
     async def _async_find_response(
         self, stream: ClientStream, send: SendRequest
@@ -402,7 +410,7 @@
         return AttemptOutcome.DONE, None
 
     def _can_resend(self) -> bool:
-        return self._runner.node.exchanges.can_resend(
+        return self._runner.node.exchanges.silence.can_resend(
             asyncio.get_running_loop().time(),
             self._request_id,
             response_started=self.state.response_started,
@@ -566,7 +574,9 @@
         backend = registry.get(send.server.server_id)
         if backend is not None and backend.leaving_since is not None:
             return
-        deadline = asyncio.get_running_loop().time() + CONNECT_TIMEOUT_S
+        deadline = (
+            asyncio.get_running_loop().time() + BACKEND_CONNECT_TIMEOUT_S
+        )
         if await self._client.async_has_ended(send.server.address, deadline):
             raise BadResponseError(
                 f"{send.server.address}: ended at the end of a response"
@@ -594,26 +604,24 @@
             except SilentLinkError:
                 continue
         self.state.is_silence_reported = False
-        idle_until = silent_since + send.stream_idle_timeout_s
-        leave_at = max(idle_until, silent_since + send.max_silence_s)
+        wait_until = silent_since + send.stream_idle_timeout_s
+        silence = Silence(
+            send=send,
+            since=silent_since,
+            response_started=self.state.response_started,
+        )
         while True:
             try:
                 return await stream.async_read(
-                    min(send.expires_at, idle_until)
+                    min(send.expires_at, wait_until)
                 )
             except SilentLinkError:
                 now = loop.time()
-                if now >= send.expires_at:
-                    raise
-                if now >= leave_at and self._may_give_up(now):
-                    self._log_leave(send, now - silent_since)
+                if now >= send.expires_at or self._may_leave(silence):
                     raise
             self._report_silence(send)
-            idle_until = (
-                leave_at
-                if now < leave_at
-                else now + send.stream_idle_timeout_s
-            )
+            self._report_lasting_silence(send)
+            wait_until = now + SILENCE_POLL_S
 
     def _report_silence(self, send: SendRequest) -> None:
         """Report a pause that is too long, once, if a server makes it."""
@@ -625,6 +633,15 @@
             ServerSilent(request_id=self._request_id, server_id=server_id)
         )
 
+    def _report_lasting_silence(self, send: SendRequest) -> None:
+        """Report that a server is still silent, which has it checked."""
+        if send.relay_to is not None:
+            return
+        server_id = send.server.server_id
+        self._runner.post(
+            SilenceLasts(request_id=self._request_id, server_id=server_id)
+        )
+
     async def _async_start_response(self, stream: ClientStream) -> None:
         """Send the response head, unless an earlier attempt has sent it."""
         if self.state.response_started:
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -7,6 +7,7 @@
 from eliot import log_message
 
 from waxwingarch.adapters.front_metrics import FrontMetrics
+from waxwingarch.const import LOGGED_DECIMALS
 from waxwingarch.core.backends.registry import BackendsListed
 from waxwingarch.core.base import Action, Event, HostId, RequestId, Server
 from waxwingarch.core.exchange.exchange_messages import (
@@ -34,7 +35,6 @@
 
 # Interval of the checks whether the lease or the peers have changed.
 CHECK_INTERVAL_S: Final = 0.5
-DECIMALS: Final = 3
 # Bound of the host names in one log line, because all hosts of a large fleet
 # may join or fail at once.
 MAX_LOGGED_HOSTS: Final = 8
@@ -99,7 +99,9 @@
         return {
             "config_version": self._front.table.version,
             "listing_version": registry.version,
-            "listing_age_s": round(now - registry.last_listed_at, DECIMALS),
+            "listing_age_s": round(
+                now - registry.last_listed_at, LOGGED_DECIMALS
+            ),
             "hosts_heard": self._front.peers.live_host_count(now),
         }
 
@@ -171,7 +173,7 @@
             account=history.account,
             server=server_id,
             attempt=len(history.servers),
-            expected_s=round(in_flight.expected_s, DECIMALS)
+            expected_s=round(in_flight.expected_s, LOGGED_DECIMALS)
             if in_flight
             else None,
             uncached_tokens=in_flight.prefill_tokens if in_flight else None,
@@ -215,7 +217,7 @@
             message_type="server_silent",
             request_id=event.request_id,
             server=event.server_id,
-            after_s=round(now - history.arrived_at, DECIMALS),
+            after_s=round(now - history.arrived_at, LOGGED_DECIMALS),
             server_avoided=health.is_avoided(now, event.server_id),
             **self._decision_inputs(now),
         )
@@ -241,7 +243,7 @@
             beside=len(self._front.load_balancer.loads.requests_on(server_id)),
             retry_after_s=event.retry_after_s,
             last_event=event.last_event,
-            after_s=round(now - history.arrived_at, DECIMALS),
+            after_s=round(now - history.arrived_at, LOGGED_DECIMALS),
             server_avoided=self._front.load_balancer.health.is_avoided(
                 now, server_id
             ),
@@ -286,9 +288,10 @@
         first_byte_s = None
         if history.response_started_at is not None:
             first_byte_s = round(
-                history.response_started_at - history.arrived_at, DECIMALS
+                history.response_started_at - history.arrived_at,
+                LOGGED_DECIMALS,
             )
-        total_s = round(now - history.arrived_at, DECIMALS)
+        total_s = round(now - history.arrived_at, LOGGED_DECIMALS)
         labels = (history.service, last_server.failure_domain, outcome)
         self._metrics.record(labels, first_byte_s, total_s)
         log_message(
@@ -338,7 +341,7 @@
         alive = {report.host for report in self._front.peers.live_reports(now)}
         joined = alive - set(self._alive_since)
         lost_after_s = {
-            host: round(now - since, DECIMALS)
+            host: round(now - since, LOGGED_DECIMALS)
             for host, since in self._alive_since.items()
             if host not in alive
         }
