Emulate copies of runs as the platform's pages have them

A call to move a run copied nothing, took any target, ignored last and never conflicted; any handle could be used, as often as it came. A second run from a copy, or a run from a copy that was never made, looked like a continued one.

The soak and standins.pauses count runs by copy. The soak excuses no longer a stream that runs at two servers because the first one was silent.

--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -1,6 +1,7 @@
 """A model engine or plain server of the emulated users' platform."""
 
 import asyncio
+import itertools
 import time
 from collections.abc import Callable
 from collections.abc import Set as AbstractSet
@@ -10,6 +11,7 @@
 import orjson
 
 from standins.fleet_store import LISTEN_IP
+from standins.run_copies import RunCopies
 from standins.until_close import UntilCloseResponder, reset, send_raw
 from waxwingarch.adapters.http_messages import (
     JSON_TYPE,
@@ -24,10 +26,13 @@
 SERVER_LEAVING_HEADER: Final = "Server-Leaving"
 SERVER_LIMIT_HEADER: Final = "Server-Limit"
 SERVER_BRITTLE_HEADER: Final = "Server-Brittle"
+KV_SOURCE_HEADER: Final = "Kv-From"
 PROMPT_PREFIX_HEADER: Final = "X-Waxwingarch-Prompt-Prefix"
 SMALL_CHUNK: Final = b"1\r\nx\r\n"
 SMALL_CHUNKS_PER_WRITE: Final = 2_000
 ENDLESS_PAUSE_S: Final = 0.005
+STOP_POLL_S: Final = 0.005
+HTTP_OK: Final = 200
 
 
 @dataclass(kw_only=True, slots=True)
@@ -51,6 +56,11 @@
     began_at: float = field(default_factory=time.monotonic)
     ended_at: float = float("inf")
 
+    @property
+    def copy(self) -> str:
+        """The copy from which the run goes on; empty for a new run."""
+        return self.headers.get(KV_SOURCE_HEADER.lower(), "")
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Arrival:
@@ -74,9 +84,8 @@
     connection is reset after an event or within the body), lost (the request
     runs, then the connection closes), unsigned (no server stamp), stray (the
     response carries the id of another request). `event_s` is the pause
-    between events, `work_s` the duration of a plain request. `handles` holds
-    for each handle of a KV cache how many events were sent before it moved.
-    `retry_after` is the Retry-After header of the responses to shed requests.
+    between events, `work_s` the duration of a plain request. `retry_after`
+    is the Retry-After header of the responses to shed requests.
     A call to move a run takes `move_delay_s` until the run is stopped;
     `move_reply` replaces the body of its response, and `move_status` its
     status.
@@ -91,7 +100,6 @@
     work_s: float = 0.002
     how: str = ""
     count: int = 0
-    handles: dict[str, int] = field(default_factory=dict)
     retry_after: str = ""
     move_delay_s: float = 0.0
     move_reply: bytes = b""
@@ -135,6 +143,9 @@
         self.brittle: int | None = None
         self.born = 1_000
         self._running: dict[str, tuple[Run, asyncio.Event]] = {}
+        self._moving: set[str] = set()
+        self._handles = itertools.count(1)
+        self._copies = RunCopies()
         # The ids of prompt parts, and the targets, under which the server
         # crashes.
         self._crashing_inputs = crashing_inputs
@@ -157,6 +168,7 @@
         """Abort all connections and stop, as in a crash."""
         self.is_down = True
         self._abort_connections()
+        await self._copies.async_unload()
         await self.server.async_unload()
 
     def _abort_connections(self) -> None:
@@ -214,6 +226,8 @@
         if req.path == "/-/kv-move":
             await self._async_kv_move(orjson.loads(req.body), resp)
             return
+        if await self._copies.async_handle(req, resp):
+            return
         target = req.headers.get("x-waxwingarch-target-instance")
         if target not in (None, self.server_id):
             await resp.async_send(
@@ -243,6 +257,14 @@
         if how == "mute":
             await resp.disconnected.wait()
             return
+        handle = req.headers.get(KV_SOURCE_HEADER.lower(), "").partition("/")[
+            2
+        ]
+        if handle and not self._copies.take(handle):
+            await resp.async_send(
+                503, b"", [*headers, (NOT_EXECUTED_HEADER, "1")]
+            )
+            return
         if self.behaviour.until_close:
             resp = UntilCloseResponder(resp)
         await self._async_run(req, resp, how, headers)
@@ -344,7 +366,7 @@
         try:
             await resp.async_start(200, [kind, *headers])
             for number in range(first_number, self.behaviour.events + 1):
-                disconnected = await self._async_pause(resp)
+                disconnected = await self._async_pause(resp, stop)
                 await self._not_silent.wait()
                 if disconnected or self._sees_close(resp):
                     run.ended = "dropped"
@@ -374,12 +396,26 @@
             run.ended_at = time.monotonic()
             self._running.pop(run.request_id, None)
 
-    async def _async_pause(self, resp: HttpResponder) -> bool:
-        """Wait for the next event; return whether the caller has gone."""
-        if self.behaviour.ignores_close:
-            await asyncio.sleep(self.behaviour.event_s)
-            return False
-        return await _async_disconnected_within(resp, self.behaviour.event_s)
+    async def _async_pause(
+        self, resp: HttpResponder, stop: asyncio.Event
+    ) -> bool:
+        """Wait for the next event, or until the run is stopped.
+
+        Returns whether the caller has gone.
+        """
+        waits = [asyncio.create_task(stop.wait())]
+        if not self.behaviour.ignores_close:
+            waits.append(asyncio.create_task(resp.disconnected.wait()))
+        try:
+            await asyncio.wait(
+                waits,
+                timeout=self.behaviour.event_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            for wait in waits:
+                wait.cancel()
+        return self._sees_close(resp)
 
     def _sees_close(self, resp: HttpResponder) -> bool:
         return not self.behaviour.ignores_close and resp.disconnected.is_set()
@@ -392,18 +428,47 @@
             resp.abort()
 
     async def _async_kv_move(self, order: Any, resp: HttpResponder) -> None:
-        found = self._running.get(order["id"])
+        """Copy a run to another engine; with `last`, stop it first."""
+        request_id = order["id"]
+        found = self._running.get(request_id)
         if found is None:
             await resp.async_send(404, b"")
             return
-        run, stop = found
+        if request_id in self._moving:
+            await resp.async_send(409, b"")
+            return
+        self._moving.add(request_id)
+        try:
+            await self._async_move(*found, order, resp)
+        finally:
+            self._moving.discard(request_id)
+
+    async def _async_move(
+        self,
+        run: Run,
+        stop: asyncio.Event,
+        order: Any,
+        resp: HttpResponder,
+    ) -> None:
+        handle = f"h-{self.server_id}-{self.born}-{next(self._handles)}"
+        is_last = bool(order.get("last"))
         await asyncio.sleep(self.behaviour.move_delay_s)
-        stop.set()
-        handle = f"h-{order['id']}"
-        self.behaviour.handles[handle] = run.events
-        body = orjson.dumps({"handle": handle, "created": run.events})
+        if is_last:
+            stop.set()
+            while run.request_id in self._running:  # noqa: ASYNC110
+                await asyncio.sleep(STOP_POLL_S)
+            self._copies.keep(handle, order["target"])
+        status = self.behaviour.move_status
+        if status == HTTP_OK and not await self._copies.async_send(
+            handle, order["target"], self.address
+        ):
+            status = 503
+        fields: dict[str, Any] = {"created": run.events}
+        if is_last or status == HTTP_OK:
+            fields |= {"handle": handle}
+        body = orjson.dumps(fields)
         reply = self.behaviour.move_reply or body
-        await resp.async_send(self.behaviour.move_status, reply, [JSON_TYPE])
+        await resp.async_send(status, reply, [JSON_TYPE])
 
 
 async def _async_send_without_end(
@@ -414,15 +479,3 @@
     while not resp.disconnected.is_set():
         send_raw(resp, SMALL_CHUNK * SMALL_CHUNKS_PER_WRITE)
         await asyncio.sleep(ENDLESS_PAUSE_S)
-
-
-async def _async_disconnected_within(
-    resp: HttpResponder, within_s: float
-) -> bool:
-    """Return whether the caller disconnects within a time."""
-    try:
-        async with asyncio.timeout(within_s):
-            await resp.disconnected.wait()
-    except TimeoutError:
-        return False
-    return True
--- a/standins/pauses.py
+++ b/standins/pauses.py
@@ -269,14 +269,16 @@
     twice = [
         c
         for c in calls
-        if c.route in NON_IDEMPOTENT_ROUTES and len(runs[c.request_id]) > 1
+        if c.route in NON_IDEMPOTENT_ROUTES
+        and _has_repeated(runs[c.request_id])
     ]
     statuses = Counter(
         (c.route, c.status or c.error.partition(":")[0]) for c in calls
     )
+    copied = sum(bool(run.copy) for run in world.fleet.runs)
     lines = [
         f"streams at more than one server {len(moved)}, at two at once"
-        f" {len(overlapping)}, run twice {len(twice)},"
+        f" {len(overlapping)}, run twice {len(twice)}, from copies {copied},"
         f" longest overlap {_longest(overlapping, runs):.2f} s",
         " ".join(
             f"{r}{s}:{n}" for (r, s), n in sorted(statuses.items(), key=str)
@@ -297,6 +299,12 @@
     return lines
 
 
+def _has_repeated(runs: list[Run]) -> bool:
+    """Return whether there are two new runs, or two from one copy."""
+    copies = [run.copy for run in runs]
+    return len(copies) != len(set(copies))
+
+
 def _longest(calls: list[Call], runs: dict[str, list[Run]]) -> float:
     return max((max(overlaps(runs[c.request_id])) for c in calls), default=0)
 
--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -51,7 +51,7 @@
 # Faults of a server by which it breaks off responses that it began.
 BREAKING_SERVER_FAULTS: Final = {"crash", "leaving", "link to server"}
 # Faults of a server by which it ends a run later than it should.
-LATE_END_FAULTS: Final = {"silence", "link to server"}
+LATE_END_FAULTS: Final = {"link to server"}
 BROKEN_RUNS: Final = ("broken", "crashed")
 SERVICES: Final = {
     route: ENGINE_SERVICE if route in STREAM_ROUTES else PLAIN_SERVICE
@@ -139,10 +139,9 @@
         self._record_call_check(Promise.WHOLE, complete, call)
 
     def _check_run_once(self, call: Call, runs: list[Run]) -> None:
-        # Runs that take over a moved KV cache continue an earlier run, each
-        # a copy of its own.
-        sources = [run.headers.get("kv-from", "") for run in runs]
-        is_once = len(sources) == len(set(sources))
+        # A run from a copy continues an earlier run, if the copy is used once.
+        copies = [run.copy for run in runs]
+        is_once = len(copies) == len(set(copies))
         self._record_call_check(Promise.ONCE, is_once, call)
         if call.status in NOT_RUN_STATUSES:
             self._record_call_check(Promise.NOT_RUN, not runs, call)
@@ -151,8 +150,7 @@
         """Check that no server still has a run that another has continued.
 
         A host that was disturbed, or that did not reach the first server,
-        could not know or end it. Nor could one whose server was silent for
-        longer than a sound one is.
+        could not know or end it.
         """
         ordered = sorted(runs, key=lambda run: run.began_at)
         for earlier, later in pairwise(ordered):
