Move no run off a server whose entry is back, or that is silent

A call that reached it while it was stopped was carried out late, when it had been given up, and its copy was wasted.

Cause: a move was scheduled when a server was first missed, and nothing looked again when it was due. Now a run stays whose server leaves no more, and the call waits for as long as the server sends nothing.

--- a/tests/core/front/test_exchanges.py
+++ b/tests/core/front/test_exchanges.py
@@ -449,6 +449,32 @@
         assert isinstance(move, MigrateRun)
         self.assertEqual(send.expires_at, move.deadline)
 
+    # All streams of a server moved whose entry had lapsed for a moment.
+    def test_run_stays_where_the_entry_is_back(self) -> None:
+        node, send = self.start_run()
+        known = [b.server for b in node.load_balancer.registry.all_backends()]
+        others = [s for s in known if s != send.server]
+        node.handle(1.2, make_listing(2, *others))
+        node.handle(1.8, make_listing(3, *known))
+        for now in (2.3, 3.0):
+            moves = [
+                a for a in self.tick(node, now) if isinstance(a, MigrateRun)
+            ]
+            self.assertEqual([], moves)
+
+    # A stopped server stopped the run late, when its call was given up.
+    def test_run_on_a_silent_server_is_moved_when_bytes_come(self) -> None:
+        node, send = self.start_run()
+        server_id = send.server.server_id
+        node.handle(
+            2.3,
+            ServerSilent(request_id=RequestId("r"), server_id=server_id),
+        )
+        self.assertEqual([], self.announce_leaving(node, send))
+        node.handle(3.0, ServerActivity(server_id=server_id))
+        moves = [a for a in self.tick(node, 3.1) if isinstance(a, MigrateRun)]
+        self.assertEqual([send.server], [move.source for move in moves])
+
     def test_server_unlisted_after_an_outage_is_the_last_choice(self) -> None:
         # A host whose calls the store refused for 10 s went on sending to
         # a server that had left in the meantime.
--- a/tests/front/test_moved_runs_host.py
+++ b/tests/front/test_moved_runs_host.py
@@ -18,6 +18,9 @@
 # A run is moved this long after its server was seen to leave.
 MOVE_AFTER_S = 1.0
 STOP_S = 2.0
+# An entry is gone for a part of a short stop.
+SHORT_STOP_S = 1.3
+LAPSE_S = 0.9
 DEADLINE_MS = 12_000
 # How long a run may go on at a server after another has continued it.
 MAX_OVERLAP_S = 0.4
@@ -112,6 +115,38 @@
         )
         self.assertEqual([None] * len(results), results)
 
+    # Guards against runs that are moved off a server that is back at once.
+    @async_test
+    async def test_entry_lapses_while_the_server_is_stopped(self) -> None:
+        async with Host(ProcessServer) as host:
+            await self.async_slow_down(host)
+            requests = [
+                asyncio.create_task(
+                    host.async_send(path, deadline_ms=DEADLINE_MS)
+                )
+                for path in PATHS
+            ]
+            await async_until(
+                lambda: len(host.fleet.runs) == len(PATHS), "they run"
+            )
+            await asyncio.sleep(2 * EVENT_S)
+            first = host.fleet.runs[0].server_id
+            [server] = [
+                s for s in host.fleet.engines() if s.server_id == first
+            ]
+            silence = asyncio.create_task(
+                server.async_fall_silent(SHORT_STOP_S)
+            )
+            host.fleet.store.put("servers", first, None)
+            await asyncio.sleep(LAPSE_S)
+            host.fleet.register(server)
+            await silence
+            for response in await asyncio.gather(*requests):
+                self.assertEqual(
+                    list(range(1, EVENTS + 1)), event_ids(response.body)
+                )
+            self.assertEqual(len(PATHS), len(host.fleet.runs))
+
     # Guards against a run at two servers, or two runs from one copy, where
     # the call to move it reaches its source late.
     @async_test
--- a/waxwingarch/core/exchange/migrations.py
+++ b/waxwingarch/core/exchange/migrations.py
@@ -73,10 +73,22 @@
         due = [r for r, at in self._migrate_at.items() if at <= now]
         actions: list[Action] = []
         for request_id in due:
+            if self._is_source_silent(request_id):
+                continue
             del self._migrate_at[request_id]
             actions += self._start(now, request_id)
         return actions
 
+    def _is_source_silent(self, request_id: RequestId) -> bool:
+        """Return whether the server of a run sends nothing at the moment.
+
+        It would carry out the call late, when it has been given up.
+        """
+        server_id = self._load_balancer.loads.server_of(request_id)
+        return server_id is not None and self._load_balancer.health.is_silent(
+            server_id
+        )
+
     def may_continue_at(self, now: float, backend: Backend) -> bool:
         """Return whether a stopped run may be sent to a server now."""
         return (
@@ -88,7 +100,8 @@
         """Migrate a run whose response has started, if a server can take it.
 
         Any other run stays on its server, as does one whose events have no
-        ids: it could not go on after them.
+        ids: it could not go on after them. So does one whose server leaves
+        no more, as its entry is back.
         """
         state = self._exchanges.get(request_id)
         server_id = self._load_balancer.loads.server_of(request_id)
@@ -101,6 +114,7 @@
         )
         if (
             source is None
+            or source.is_usable
             or pick is None
             or not state.response_started
             or not state.has_event_ids
