Take no check for evidence that its own host slept through

A host that was frozen, or short of processor time, found its timers due when its sockets were full.

Also fills a cell of the postmortem's matrix that was empty: requests that may run once at a stopped server whose path resets run once.

--- a/tests/front/test_stopped_servers_host.py
+++ b/tests/front/test_stopped_servers_host.py
@@ -62,6 +62,24 @@
             self.assertEqual(list(range(1, 11)), event_ids(await request))
             self.assertEqual(1, len(host.fleet.runs))
 
+    # Guards against a stream that leaves a sound server because its own host
+    # was frozen: the host's timers were due when its sockets were full.
+    @async_test
+    async def test_silence_while_the_host_slept_is_none(self) -> None:
+        for silent_s, asleep_s in ((1.0, 4.5), (0.0, 4.5), (4.0, 3.0)):
+            async with Host(ProcessServer) as host:
+                request = await async_start_stream(host, "/draft/x")
+                [run] = host.fleet.runs
+                silence = asyncio.create_task(
+                    server_of(host, run).async_fall_silent(silent_s)
+                )
+                await asyncio.sleep(0)
+                # The host runs in this process.
+                time.sleep(asleep_s)  # noqa: ASYNC251
+                await silence
+                self.assertEqual(list(range(1, 11)), event_ids(await request))
+                self.assertEqual(1, len(host.fleet.runs))
+
 
 class LostServers(testtools.TestCase):
     """A server is lost amid a stream: no packet of it comes any more."""
@@ -178,6 +196,33 @@
         await self.async_check(warm=False, kill_after_s=0.3)
         await self.async_check(warm=True, kill_after_s=0.3)
 
+    # Guards against a second run where the path resets the connections of a
+    # server that is stopped, and so still has the first.
+    @async_test
+    async def test_path_resets_while_the_server_is_stopped(self) -> None:
+        for reset_after_s in (0.1, 0.6):
+            async with Host(ProcessServer) as host:
+                links = await host.async_add_links()
+                for server in host.fleet.servers:
+                    server.behaviour.work_s = server.behaviour.event_s = 0.4
+                    await server.async_apply_behaviour()
+                sent = asyncio.create_task(self.async_send_all(host))
+                await asyncio.sleep(0.2)
+                silences = [
+                    asyncio.create_task(server.async_fall_silent(1.0))
+                    for server in host.fleet.servers
+                ]
+                await asyncio.sleep(reset_after_s)
+                for link in links.values():
+                    link.reset()
+                statuses = await sent
+                await asyncio.gather(*silences)
+                await asyncio.sleep(0.2)
+                ids = [run.request_id for run in host.fleet.runs]
+                self.assertEqual(len(ids), len(set(ids)), (statuses, ids))
+                for _, status in statuses:
+                    self.assertNotIn(status, (408, 421, 429, 503), statuses)
+
     @async_test
     async def test_stopped_or_killed_at_work(self) -> None:
         for kills in (False, True):
--- a/waxwingarch/tasks/front_checks.py
+++ b/waxwingarch/tasks/front_checks.py
@@ -16,6 +16,9 @@
 from waxwingarch.tasks.action_tasks import ActionTasks
 from waxwingarch.tasks.runner import FrontRunner
 
+# A check that ends later than this after its deadline shows that this host
+# did not run meanwhile, and says nothing about a server.
+MAX_OWN_DELAY_S: Final = 0.1
 # Errors of this host's own, which say nothing about a server.
 OWN_ERRORS: Final = frozenset(
     {
@@ -62,11 +65,13 @@
     async def _async_connect(
         self, action: CheckServer, began_at: float
     ) -> CheckResult:
+        deadline = began_at + BACKEND_CONNECT_TIMEOUT_S
         try:
-            await self._client.async_check(
-                action.server.address, began_at + BACKEND_CONNECT_TIMEOUT_S
-            )
+            await self._client.async_check(action.server.address, deadline)
         except ConnectFailedError as exc:
+            ended_at = asyncio.get_running_loop().time()
+            if ended_at > deadline + MAX_OWN_DELAY_S:
+                return CheckResult.FAILED
             return _result_of(exc.__cause__)
         return CheckResult.TAKEN
 
