Bound the wait for a server that is alive by what others of its route take

With a limit of 10 s a part of 20 requests got 502 with work of 1 and 3 s (test_slow_service_is_not_refused). The judge of silent servers mends that, but would wait until shortly before the caller's limit for one server that hangs.

A request that may be repeated now leaves a server that is alive after four times the mean response time of its route lately, on this host, and as late as possible where another attempt could not end in time either (test_leaves_when_others_are_answered_far_sooner).

--- a/script/red_front.py
+++ b/script/red_front.py
@@ -96,12 +96,27 @@
     ),
     Mutation(
         promise="TWICE",
-        path="waxwingarch/core/exchange/exchange_manager.py",
-        old="            max_silence_s=route.caller_patience_s "
-        "- TAKEOVER_TIME_S\n",
-        new="            max_silence_s=1.6\n",
+        path="waxwingarch/core/exchange/silence.py",
+        old="Contact.ALIVE: silence.send.leave_alive_at,",
+        new="Contact.ALIVE: lost_at,",
+        test="tests/front/test_stopped_servers_host.py::StoppedServers::"
+        "test_stream_stays_with_a_stopped_server",
+    ),
+    Mutation(
+        promise="TWICE",
+        path="waxwingarch/core/exchange/silence.py",
+        old='Contact.UNKNOWN: float("inf"),',
+        new="Contact.UNKNOWN: lost_at,",
         test="tests/front/test_stopped_servers_host.py::StoppedServers::"
-        "test_stream_stays_for_as_long_as_its_caller_waits",
+        "test_silence_while_the_host_slept_is_none",
+    ),
+    Mutation(
+        promise="TWICE",
+        path="waxwingarch/core/exchange/migrations.py",
+        old="            or source.is_usable\n",
+        new="",
+        test="tests/front/test_moved_runs_host.py::MovedRuns::"
+        "test_entry_lapses_while_the_server_is_stopped",
     ),
     Mutation(
         promise="MIXED",
--- a/tests/core/front/test_silence.py
+++ b/tests/core/front/test_silence.py
@@ -117,6 +117,32 @@
         # In time for another server to answer.
         self.assertTrue(may_leave(node, send, late, **stays))
 
+    def respond(self, node: FrontNode, took_s: float) -> None:
+        """Let requests of the route be answered in a time."""
+        for n in range(30):
+            arrive(node, f"before-{n}", "/read/x", now=0.1)
+            for event in (
+                ResponseStarted(request_id=RequestId(f"before-{n}")),
+                AttemptFinished(
+                    request_id=RequestId(f"before-{n}"),
+                    outcome=AttemptOutcome.DONE,
+                ),
+            ):
+                node.handle(0.1 + took_s, event)
+
+    # Guards against a wait until the caller's limit for a server that hangs,
+    # and against leaving sound servers of a service that has become slow.
+    def test_leaves_when_others_are_answered_far_sooner(self) -> None:
+        for took_s, may_leave_at_2_s in ((0.05, True), (0.8, False)):
+            node = serving_front()
+            self.respond(node, took_s)
+            send = arrive(node, "r", "/read/x")
+            check(node, send, 1.7, CheckResult.TAKEN)
+            self.assertEqual(
+                may_leave_at_2_s,
+                may_leave(node, send, 2.0, response_started=False),
+            )
+
     def test_last_attempt_is_not_ended(self) -> None:
         node = serving_front(
             *(server(name, LEDGER) for name in ("p1", "p2", "p3"))
--- a/tests/front/test_whole_answers_host.py
+++ b/tests/front/test_whole_answers_host.py
@@ -16,6 +16,8 @@
 
 # Longer than a host waits for a silent server that another can replace.
 SILENCE_S = 2.0
+SLOW_REQUESTS = 20
+MAX_RUNS_PER_REQUEST = 1.2
 # Longer than callers wait for an event.
 SLOW_EVENT_S = 2.2
 # How long a sound server may send nothing, and its pause before that.
@@ -286,6 +288,33 @@
                 response = await request
                 self.assertEqual(200, response.status, path)
 
+    # The host took sound servers that were slow for lost ones, ran requests
+    # twice and answered 502.
+    @async_test
+    async def test_slow_service_is_not_refused(self) -> None:
+        async with Host() as host:
+            host.fleet.config.plain_timeout_ms = 10_000
+            host.fleet.config.version = 2
+            host.fleet.put_config()
+            await async_until(
+                lambda: host.front.table.version == 2, "10 s are allowed"
+            )
+            for work_s in (1.0, 3.0):
+                for server in host.fleet.plain():
+                    server.behaviour.work_s = work_s
+                host.fleet.runs.clear()
+                responses = await asyncio.gather(
+                    *(
+                        host.async_send("/read/x", deadline_ms=10_000)
+                        for _ in range(SLOW_REQUESTS)
+                    )
+                )
+                statuses = [response.status for response in responses]
+                self.assertEqual([200] * SLOW_REQUESTS, statuses)
+                self.assertLessEqual(
+                    len(host.fleet.runs), MAX_RUNS_PER_REQUEST * SLOW_REQUESTS
+                )
+
 
 class MovedRuns(testtools.TestCase):
     """A run whose server leaves is moved while that server is silent."""
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -38,7 +38,7 @@
     PeerSelector,
     as_server,
 )
-from waxwingarch.core.exchange.run_times import RunTimes
+from waxwingarch.core.exchange.run_times import ResponseTimes, RunTimes
 from waxwingarch.core.exchange.silence import SilenceJudge
 from waxwingarch.core.exchange.state_machine import (
     ExchangeState,
@@ -79,6 +79,9 @@
 # A server is left in time for another one to respond before the caller
 # leaves.
 TAKEOVER_TIME_S: Final = 0.4
+# A response that takes this many times as long as the mean of its route is
+# slow for its server's reasons, not for the request's.
+SLOW_PER_MEAN_RESPONSE: Final = 4.0
 # Outcomes that say how long requests of a route last.
 LASTED_OUTCOMES: Final = frozenset(
     {AttemptOutcome.DONE, AttemptOutcome.EXPIRED}
@@ -89,19 +92,29 @@
 
 
 def _leave_alive_at(
-    exchange: Exchange, first_byte_deadline: float, expected_s: float
+    now: float,
+    exchange: Exchange,
+    first_byte_deadline: float,
+    mean_response_s: float | None,
 ) -> float:
     """Return when a silent server that is alive may be left for another.
 
     A stream stays, as it would run at two servers. Any other request that
-    may be repeated is left in time for another response.
+    may be repeated is left when it takes far longer than others of its route
+    do, or as late as possible where others take as long.
     """
     if exchange.route.streaming:
         return float("inf")
-    takeover_s = max(
-        TAKEOVER_TIME_S, FIRST_BYTE_TIMEOUT_PER_EXPECTED * expected_s
+    last_resort_at = max(
+        first_byte_deadline, exchange.expires_at - TAKEOVER_TIME_S
     )
-    return max(first_byte_deadline, exchange.expires_at - takeover_s)
+    if mean_response_s is None:
+        return last_resort_at
+    leave_at = max(
+        first_byte_deadline, now + SLOW_PER_MEAN_RESPONSE * mean_response_s
+    )
+    is_useful = leave_at + mean_response_s <= exchange.expires_at
+    return leave_at if is_useful else last_resort_at
 
 
 class ExchangeManager:
@@ -135,6 +148,7 @@
         self._rng = rng
         self._exchanges: dict[RequestId, ExchangeState] = {}
         self._run_times = RunTimes()
+        self._response_times = ResponseTimes()
         # When this host ends what is in progress, on the node's clock.
         self.ends_at = float("inf")
         self.silence = SilenceJudge(
@@ -377,7 +391,10 @@
             if route.streaming
             else SERVER_ACTIVE_WITHIN_S,
             leave_alive_at=_leave_alive_at(
-                exchange, first_byte_deadline, pick.expected_s
+                now,
+                exchange,
+                first_byte_deadline,
+                self._response_times.mean_s(route.name),
             ),
             resume_after=state.last_event,
             migrated_cache=migrated_cache,
@@ -411,6 +428,11 @@
         self._path_observer.record_answer(
             event.request_id, on_new_connection=event.on_new_connection
         )
+        attempt = self._load_balancer.loads.attempt_of(event.request_id)
+        if attempt is not None and not state.response_started:
+            self._response_times.record(
+                state.exchange.route.name, now - attempt.sent_at
+            )
         self._load_balancer.record_response_start(now, state.exchange)
         self._evidence.record_first_byte(now, state)
         state.response_started = True
--- a/waxwingarch/core/exchange/run_times.py
+++ b/waxwingarch/core/exchange/run_times.py
@@ -1,9 +1,11 @@
-"""How long the requests of each route have lasted lately."""
+"""How long the requests of each route have lasted or waited lately."""
 
 from typing import Final
 
 # A duration is forgotten after one to two windows.
 WINDOW_S: Final = 30.0
+# Weight of the newest response in the moving average of response times.
+RESPONSE_WEIGHT: Final = 0.1
 
 
 class RunTimes:
@@ -36,3 +38,22 @@
         self._previous = self._current if is_next else {}
         self._current = {}
         self._window_ends_at = now + WINDOW_S
+
+
+class ResponseTimes:
+    """The mean time from a dispatch to the first byte, by route, in seconds.
+
+    It follows the work of a service, also where that becomes slower.
+    """
+
+    def __init__(self) -> None:
+        self._means: dict[str, float] = {}
+
+    def record(self, route: str, first_byte_s: float) -> None:
+        """Record that a server has responded."""
+        mean = self._means.get(route, first_byte_s)
+        self._means[route] = mean + RESPONSE_WEIGHT * (first_byte_s - mean)
+
+    def mean_s(self, route: str) -> float | None:
+        """Return the mean, None if no response is known."""
+        return self._means.get(route)
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -253,7 +253,7 @@
         silence = self._first_byte_silence(send)
         silent_s = now - silence.since
         check_at = send.first_byte_deadline - BACKEND_CONNECT_TIMEOUT_S
-        if now >= check_at and silent_s >= SERVER_ACTIVE_WITHIN_S:
+        if now >= check_at and silent_s >= BACKEND_CONNECT_TIMEOUT_S:
             self._report_lasting_silence(silence)
         if now < send.first_byte_deadline:
             return min(send.first_byte_deadline, now + FIRST_BYTE_POLL_S)
