--- a/standins/pauses.py
+++ b/standins/pauses.py
@@ -25,7 +25,7 @@
     Call,
     LoadGenerator,
 )
-from standins.soak.promises import OVERLAP_LIMIT_S, Promise
+from standins.soak.promises import CANCEL_LIMIT_S, OVERLAP_LIMIT_S, Promise
 from standins.soak.world import Daemon, World
 
 EVENT_INTERVAL_S: Final = 0.05
@@ -58,6 +58,8 @@
 # One pause in so many is of plain servers, the others of engines.
 PLAIN_EVERY: Final = 4
 MS_PER_S: Final = 1000
+# The errors of calls whose callers left.
+CALLER_LEFT: Final = ("no end", "SilentLinkError")
 STREAM_DEADLINE_S: Final = 10.0
 # Callers leave a stream after the longest of these gaps.
 MIN_PATIENCE_S: Final = 2.0
@@ -107,6 +109,8 @@
         self._rng = rng
         self._args = args
         self._configs = 0
+        # The stops of servers, with their beginnings and ends.
+        self.stops: list[tuple[str, float, float]] = []
 
     async def async_run(self, until: float) -> None:
         """Pause servers of a service in turn until a monotonic time."""
@@ -142,12 +146,12 @@
     async def _async_pause(
         self, server: ProcessServer, length_s: float
     ) -> None:
-        if self._args.beside != "lapse":
+        began_at = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            if self._args.beside == "lapse":
+                group.create_task(self._async_lapse(server, length_s))
             await server.async_fall_silent(length_s)
-            return
-        lapse = asyncio.create_task(self._async_lapse(server, length_s))
-        await server.async_fall_silent(length_s)
-        await lapse
+        self.stops.append((server.server_id, began_at, time.monotonic()))
 
     async def _async_lapse(
         self, server: ProcessServer, length_s: float
@@ -254,8 +258,40 @@
     ]
 
 
+def count_late_ends(
+    calls: list[Call],
+    runs: dict[str, list[Run]],
+    stops: list[tuple[str, float, float]],
+) -> int:
+    """Return how many runs went on after their caller had left.
+
+    A run at a server that was stopped meanwhile has the bound from the end
+    of the stop on.
+    """
+    count = 0
+    for call in calls:
+        if call.status or not call.error.startswith(CALLER_LEFT):
+            continue
+        for run in runs[call.request_id]:
+            woke_at = max(
+                (
+                    end
+                    for name, begin, end in stops
+                    if name == run.server_id
+                    and begin < call.ended_at + CANCEL_LIMIT_S
+                    and end > call.ended_at
+                ),
+                default=call.ended_at,
+            )
+            count += woke_at + CANCEL_LIMIT_S < run.ended_at < float("inf")
+    return count
+
+
 def report_lines(
-    world: World, calls: list[Call], began_at: float
+    world: World,
+    calls: list[Call],
+    stops: list[tuple[str, float, float]],
+    began_at: float,
 ) -> list[str]:
     """Return what the callers and the servers saw, with evidence."""
     runs: dict[str, list[Run]] = defaultdict(list)
@@ -279,7 +315,9 @@
     lines = [
         f"streams at more than one server {len(moved)}, at two at once"
         f" {len(overlapping)}, run twice {len(twice)}, from copies {copied},"
-        f" longest overlap {_longest(overlapping, runs):.2f} s",
+        f" longest overlap {_longest(overlapping, runs):.2f} s,"
+        f" at work after the caller left"
+        f" {count_late_ends(calls, runs, stops)}",
         " ".join(
             f"{r}{s}:{n}" for (r, s), n in sorted(statuses.items(), key=str)
         ),
@@ -356,7 +394,7 @@
         await series.async_run(began_at + args.seconds)
         load.stop_calls()
         await callers
-        return report_lines(world, load.calls, began_at)
+        return report_lines(world, load.calls, series.stops, began_at)
     finally:
         await world.async_unload()
 
