Keep streams of a server whose entry has been gone for long; move the bounds

A stream of a server that serves on after its entry was dropped counted its silence as a loss at once, without a check. Nothing is known of such a server: the stream stays, and keep-alive probes end a connection that is lost (test_server_without_an_entry_is_not_checked_or_left).

leave_alive_at and its limits stand beside the judge that uses them; a silent stream is looked at five times a second, not ten.

--- a/tests/core/front/test_silence.py
+++ b/tests/core/front/test_silence.py
@@ -246,8 +246,10 @@
         node.handle(4.0, ServerActivity(server_id=server_id))
         self.assertFalse(health.is_avoided(4.0, server_id))
 
-    def test_server_without_an_entry_is_not_checked(self) -> None:
+    # Guards against leaving a server that serves on after its entry is gone.
+    def test_server_without_an_entry_is_not_checked_or_left(self) -> None:
         node = serving_front()
         send = start_stream(node)
         del node.load_balancer.registry._backends[send.server.server_id]
         self.assertEqual(0, self.report(node, send, 2.0))
+        self.assertFalse(may_leave(node, send, LONG_S, since=SILENT_SINCE_S))
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -39,7 +39,11 @@
     as_server,
 )
 from waxwingarch.core.exchange.run_times import ResponseTimes, RunTimes
-from waxwingarch.core.exchange.silence import SilenceJudge
+from waxwingarch.core.exchange.silence import (
+    TAKEOVER_TIME_S,
+    SilenceJudge,
+    leave_alive_at,
+)
 from waxwingarch.core.exchange.state_machine import (
     ExchangeState,
     NextStep,
@@ -76,12 +80,6 @@
 # After the first-byte deadline, a server without any activity for this long
 # counts as down.
 SERVER_ACTIVE_WITHIN_S: Final = 0.6
-# A server is left in time for another one to respond before the caller
-# leaves.
-TAKEOVER_TIME_S: Final = 0.4
-# A response that takes this many times as long as the mean of its route is
-# slow for its server's reasons, not for the request's.
-SLOW_PER_MEAN_RESPONSE: Final = 4.0
 # Outcomes that say how long requests of a route last.
 LASTED_OUTCOMES: Final = frozenset(
     {AttemptOutcome.DONE, AttemptOutcome.EXPIRED}
@@ -91,32 +89,6 @@
 RETURN_SPREAD_RATIO: Final = 0.5
 
 
-def _leave_alive_at(
-    now: float,
-    exchange: Exchange,
-    first_byte_deadline: float,
-    mean_response_s: float | None,
-) -> float:
-    """Return when a silent server that is alive may be left for another.
-
-    A stream stays, as it would run at two servers. Any other request that
-    may be repeated is left when it takes far longer than others of its route
-    do, or as late as possible where others take as long.
-    """
-    if exchange.route.streaming:
-        return float("inf")
-    last_resort_at = max(
-        first_byte_deadline, exchange.expires_at - TAKEOVER_TIME_S
-    )
-    if mean_response_s is None:
-        return last_resort_at
-    leave_at = max(
-        first_byte_deadline, now + SLOW_PER_MEAN_RESPONSE * mean_response_s
-    )
-    is_useful = leave_at + mean_response_s <= exchange.expires_at
-    return leave_at if is_useful else last_resort_at
-
-
 class ExchangeManager:
     """Admits requests, dispatches their attempts and handles the outcomes."""
 
@@ -390,7 +362,7 @@
             max_silence_s=route.caller_patience_s - TAKEOVER_TIME_S
             if route.streaming
             else SERVER_ACTIVE_WITHIN_S,
-            leave_alive_at=_leave_alive_at(
+            leave_alive_at=leave_alive_at(
                 now,
                 exchange,
                 first_byte_deadline,
--- a/waxwingarch/core/exchange/silence.py
+++ b/waxwingarch/core/exchange/silence.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from typing import Final
 
 from waxwingarch.core.backends.load_balancer import LoadBalancer
 from waxwingarch.core.backends.server_checks import (
@@ -15,12 +16,46 @@
 )
 from waxwingarch.core.base import Action, RequestId
 from waxwingarch.core.exchange.exchange_messages import (
+    Exchange,
     SendRequest,
     SilenceLasts,
 )
 from waxwingarch.core.exchange.state_machine import ExchangeState
 from waxwingarch.core.limits.resend_budget import ResendBudget
 
+# A server is left in time for another one to respond before the caller
+# leaves.
+TAKEOVER_TIME_S: Final = 0.4
+# A response that takes this many times as long as the mean of its route is
+# slow for its server's reasons, not for the request's.
+SLOW_PER_MEAN_RESPONSE: Final = 4.0
+
+
+def leave_alive_at(
+    now: float,
+    exchange: Exchange,
+    first_byte_deadline: float,
+    mean_response_s: float | None,
+) -> float:
+    """Return when a silent server that is alive may be left for another.
+
+    A stream stays, as it would run at two servers. Any other request that
+    may be repeated is left when it takes far longer than others of its route
+    do, or as late as possible where others take as long.
+    """
+    if exchange.route.streaming:
+        return float("inf")
+    last_resort_at = max(
+        first_byte_deadline, exchange.expires_at - TAKEOVER_TIME_S
+    )
+    if mean_response_s is None:
+        return last_resort_at
+    leave_at = max(
+        first_byte_deadline, now + SLOW_PER_MEAN_RESPONSE * mean_response_s
+    )
+    is_useful = leave_at + mean_response_s <= exchange.expires_at
+    return leave_at if is_useful else last_resort_at
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Silence:
@@ -74,13 +109,12 @@
     def contact(self, silence: Silence) -> Contact:
         """Return what is known of a server since it fell silent.
 
-        One that has left, and was dropped, is checked no more.
+        Nothing is known of one whose entry has been gone for long, as it is
+        checked no more. Keep-alive probes end its connection if it is lost.
         """
-        server_id = silence.send.server.server_id
-        backend = self._load_balancer.registry.get(server_id)
-        if backend is None:
-            return Contact.LOST
-        return self._load_balancer.checks.contact(server_id, silence.since)
+        return self._load_balancer.checks.contact(
+            silence.send.server.server_id, silence.since
+        )
 
     def may_leave(self, now: float, silence: Silence) -> bool:
         """Return whether the silence may end the attempt.
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -53,7 +53,7 @@
 FIRST_BYTE_POLL_S: Final = 0.3
 # Interval of the decisions whether to leave a stream that has paused for too
 # long.
-SILENCE_POLL_S: Final = 0.1
+SILENCE_POLL_S: Final = 0.2
 # The events of a stream are reported as activity at most this often.
 ACTIVITY_REPORT_INTERVAL_S: Final = 0.2
 # At most this many responses to earlier requests are skipped before the one
