--- a/standins/soak/link.py
+++ b/standins/soak/link.py
@@ -83,7 +83,7 @@
         self._fault = fault
         if self._listener is None:
             return
-        self._stop_accepting()
+        self._stop_accepting(self._listener)
         if fault in DROPS_ANYTHING:
             self._fill_queue(self._listener)
         else:
@@ -115,10 +115,13 @@
         listener.listen(BACKLOG)
         self._accepting = asyncio.create_task(self._async_accept(listener))
 
-    def _stop_accepting(self) -> None:
-        if self._accepting is not None:
-            self._accepting.cancel()
-            self._accepting = None
+    def _stop_accepting(self, listener: socket.socket) -> None:
+        if self._accepting is None:
+            return
+        self._accepting.cancel()
+        self._accepting = None
+        # The cancelled wait ends only later, when the socket may be closed.
+        asyncio.get_running_loop().remove_reader(listener)
 
     async def _async_accept(self, listener: socket.socket) -> None:
         loop = asyncio.get_running_loop()
@@ -141,7 +144,7 @@
         self.reset()
         if self._listener is None:
             return
-        self._stop_accepting()
+        self._stop_accepting(self._listener)
         self._listener.close()
         self._listener = None
         if self._filler is not None:
