One way to change a host's configuration in tests; close the link's filler

Six tests wrote a configuration and waited until the host had it, each in its own words; Host.async_change_config does it now. The assertions stay.

A link whose fault changed from one that drops bytes to another lost the socket that fills its queue without closing it, and closed it in two places otherwise.

--- a/standins/soak/link.py
+++ b/standins/soak/link.py
@@ -84,6 +84,7 @@
         if self._listener is None:
             return
         self._stop_accepting(self._listener)
+        self._close_filler()
         if fault in DROPS_ANYTHING:
             self._fill_queue(self._listener)
         else:
@@ -108,10 +109,12 @@
         self._filler.setblocking(False)
         self._filler.connect_ex(listener.getsockname())
 
-    def _start_accepting(self, listener: socket.socket) -> None:
+    def _close_filler(self) -> None:
         if self._filler is not None:
             self._filler.close()
             self._filler = None
+
+    def _start_accepting(self, listener: socket.socket) -> None:
         listener.listen(BACKLOG)
         self._accepting = asyncio.create_task(self._async_accept(listener))
 
@@ -147,9 +150,7 @@
         self._stop_accepting(self._listener)
         self._listener.close()
         self._listener = None
-        if self._filler is not None:
-            self._filler.close()
-            self._filler = None
+        self._close_filler()
         host, _, port = self.address.rpartition(":")
         self._reserved = socket.socket()
         self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/tests/front/base.py
+++ b/tests/front/base.py
@@ -80,6 +80,18 @@
         await asyncio.gather(self.task, return_exceptions=True)
         await self.daemon.async_unload()
 
+    async def async_change_config(self, **fields: Any) -> None:
+        """Write fields of a next configuration; wait until it is applied."""
+        cfg = self.fleet.config
+        for name, value in fields.items():
+            setattr(cfg, name, value)
+        cfg.version += 1
+        self.fleet.put_config()
+        await async_until(
+            lambda: self.front.table.version == cfg.version,
+            f"the configuration is applied: {fields}",
+        )
+
     async def async_add_links(self) -> dict[str, Link]:
         """Put a link before each server; return the links by server id."""
         links = {}
--- a/tests/front/test_moved_runs_host.py
+++ b/tests/front/test_moved_runs_host.py
@@ -77,13 +77,7 @@
             server.behaviour.event_s = EVENT_S
             server.behaviour.move_delay_s = COPY_S
             await server.async_apply_behaviour()
-        host.fleet.config.version += 1
-        host.fleet.config.stream_timeout_ms = DEADLINE_MS
-        host.fleet.put_config()
-        await async_until(
-            lambda: host.front.table.version == host.fleet.config.version,
-            "the time limit is known",
-        )
+        await host.async_change_config(stream_timeout_ms=DEADLINE_MS)
 
     def ends(self, host: Host) -> tuple[FleetServer, FleetServer]:
         [run] = host.fleet.runs
--- a/tests/front/test_platform_host.py
+++ b/tests/front/test_platform_host.py
@@ -134,12 +134,7 @@
     @async_test
     async def test_route_timeout_gives_504(self) -> None:
         async with Host() as host:
-            host.fleet.config.plain_timeout_ms = 300
-            host.fleet.config.version = 2
-            host.fleet.put_config()
-            await async_until(
-                lambda: host.front.table.version == 2, "version 2 is there"
-            )
+            await host.async_change_config(plain_timeout_ms=300)
             self.set_fault(host, "mute")
             loop = asyncio.get_running_loop()
             started_at = loop.time()
--- a/tests/front/test_stopped_servers_host.py
+++ b/tests/front/test_stopped_servers_host.py
@@ -24,13 +24,8 @@
     for server in host.fleet.engines():
         server.behaviour.events, server.behaviour.event_s = 10, EVENT_S
         await server.async_apply_behaviour()
-    host.fleet.config.version += 1
-    host.fleet.config.stream_objective_ms = OBJECTIVE_MS
-    host.fleet.config.stream_timeout_ms = 15_000
-    host.fleet.put_config()
-    await async_until(
-        lambda: host.front.table.version == host.fleet.config.version,
-        "the objective is known",
+    await host.async_change_config(
+        stream_objective_ms=OBJECTIVE_MS, stream_timeout_ms=15_000
     )
 
     async def send() -> bytes:
--- a/tests/front/test_whole_answers_host.py
+++ b/tests/front/test_whole_answers_host.py
@@ -96,12 +96,7 @@
     @async_test
     async def test_resumable_stream_stays_with_a_slow_server(self) -> None:
         async with Host() as host:
-            host.fleet.config.version = 2
-            host.fleet.config.stream_timeout_ms = 15_000
-            host.fleet.put_config()
-            await async_until(
-                lambda: host.front.table.version == 2, "15 s are allowed"
-            )
+            await host.async_change_config(stream_timeout_ms=15_000)
             for server in host.fleet.engines():
                 server.behaviour.event_s = EVENT_PAUSE_S
             request = asyncio.create_task(
@@ -272,12 +267,7 @@
     @async_test
     async def test_request_waits_where_no_server_is_left_to_try(self) -> None:
         async with Host() as host:
-            host.fleet.config.plain_timeout_ms = 5000
-            host.fleet.config.version = 2
-            host.fleet.put_config()
-            await async_until(
-                lambda: host.front.table.version == 2, "5 s are allowed"
-            )
+            await host.async_change_config(plain_timeout_ms=5000)
             for path, servers in (
                 ("/read/x", host.fleet.plain()),
                 ("/draft/x", host.fleet.engines()),
@@ -293,12 +283,7 @@
     @async_test
     async def test_slow_service_is_not_refused(self) -> None:
         async with Host() as host:
-            host.fleet.config.plain_timeout_ms = 10_000
-            host.fleet.config.version = 2
-            host.fleet.put_config()
-            await async_until(
-                lambda: host.front.table.version == 2, "10 s are allowed"
-            )
+            await host.async_change_config(plain_timeout_ms=10_000)
             for work_s in (1.0, 3.0):
                 for server in host.fleet.plain():
                     server.behaviour.work_s = work_s
