--- a/standins/pauses.py
+++ b/standins/pauses.py
@@ -10,7 +10,7 @@
 import time
 from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable
-from itertools import pairwise
+from itertools import combinations
 from pathlib import Path
 from random import Random
 from typing import Final
@@ -19,6 +19,7 @@
 from standins.fleet import ENGINE_SERVICE, PLAIN_SERVICE, Fleet
 from standins.fleet_server import Run
 from standins.server_process import ProcessServer
+from standins.soak.link import LinkEnd
 from standins.soak.load import (
     NON_IDEMPOTENT_ROUTES,
     STREAM_ROUTES,
@@ -48,6 +49,10 @@
     "lapse",
     "cut-peer-kill",
     "cut-peer-freeze",
+    "reset",
+    "reset-host-end",
+    "reset-host-end-for-good",
+    "reset-cut",
 )
 # How many servers say that they are draining, and for how long.
 DRAINING: Final = 4
@@ -114,7 +119,7 @@
 
     async def async_run(self, until: float) -> None:
         """Pause servers of a service in turn until a monotonic time."""
-        if self._args.calm:
+        if self._args.calm and self._args.beside == "none":
             await asyncio.sleep(until - time.monotonic())
             return
         await asyncio.sleep(FIRST_PAUSE_S)
@@ -126,7 +131,7 @@
             is_plain = number % PLAIN_EVERY == PLAIN_EVERY - 1
             service = PLAIN_SERVICE if is_plain else ENGINE_SERVICE
             ratio = PAUSED_RATIOS[number % len(PAUSED_RATIOS)]
-            paused = self._choose(service, ratio)
+            paused = [] if self._args.calm else self._choose(service, ratio)
             self._world.report.record_fault("pause", f"{length_s:.2f} s")
             await asyncio.gather(
                 self._async_beside(length_s),
@@ -209,6 +214,7 @@
         world = self._world
         daemon = world.daemons["host-0"]
         peer = world.daemons["host-1"]
+        links = world.host_links["host-0"]
         await asyncio.sleep(self._rng.uniform(0, 0.3))
         match self._args.beside:
             case "restart":
@@ -241,6 +247,15 @@
                     self._async_cut(length_s),
                     self._async_freeze(peer, length_s),
                 )
+            case "reset":
+                links.reset()
+            case "reset-host-end":
+                links.reset(LinkEnd.CLIENT)
+            case "reset-host-end-for-good":
+                links.reset(LinkEnd.CLIENT_FOR_GOOD)
+            case "reset-cut":
+                links.reset()
+                await self._async_cut(length_s)
             case "crash":
                 server = self._rng.choice(world.fleet.engines())
                 await server.async_unload()
@@ -251,13 +266,20 @@
 
 
 def overlaps(runs: list[Run]) -> list[float]:
-    """Return for how many seconds each run and the one before it lasted."""
+    """Return how long each two runs at different servers lasted at once."""
     ordered = sorted(runs, key=lambda run: run.began_at)
     return [
-        min(a.ended_at, b.ended_at) - b.began_at for a, b in pairwise(ordered)
+        min(a.ended_at, b.ended_at) - b.began_at
+        for a, b in combinations(ordered, 2)
+        if a.server_id != b.server_id
     ]
 
 
+def is_at_two(runs: list[Run]) -> bool:
+    """Return whether a run went on beside that of another server."""
+    return max(overlaps(runs), default=0.0) > OVERLAP_LIMIT_S
+
+
 def count_late_ends(
     calls: list[Call],
     runs: dict[str, list[Run]],
@@ -299,9 +321,12 @@
         runs[run.request_id].append(run)
     moved = [c for c in calls if c.route in STREAM_ROUTES]
     moved = [c for c in moved if len(runs[c.request_id]) > 1]
-    overlapping = [
-        c for c in moved if max(overlaps(runs[c.request_id])) > OVERLAP_LIMIT_S
+    elsewhere = [
+        c
+        for c in moved
+        if len({run.server_id for run in runs[c.request_id]}) > 1
     ]
+    overlapping = [c for c in moved if is_at_two(runs[c.request_id])]
     twice = [
         c
         for c in calls
@@ -313,7 +338,8 @@
     )
     copied = sum(bool(run.copy) for run in world.fleet.runs)
     lines = [
-        f"streams at more than one server {len(moved)}, at two at once"
+        f"streams at more than one server {len(elsewhere)}, again at one"
+        f" {len(moved) - len(elsewhere)}, at two at once"
         f" {len(overlapping)}, run twice {len(twice)}, from copies {copied},"
         f" longest overlap {_longest(overlapping, runs):.2f} s,"
         f" at work after the caller left"
--- a/standins/soak/host_links.py
+++ b/standins/soak/host_links.py
@@ -7,7 +7,7 @@
 import orjson
 
 from standins.fleet_store import LISTEN_IP
-from standins.soak.link import Link
+from standins.soak.link import Link, LinkEnd
 from waxwingarch.adapters.http_messages import (
     Headers,
     HttpRequest,
@@ -62,6 +62,11 @@
         for link in self._links.values():
             link.close()
 
+    def reset(self, end: LinkEnd = LinkEnd.BOTH) -> None:
+        """Reset all connections to servers once; take new ones at once."""
+        for link in self._links.values():
+            link.reset(end)
+
     async def async_heal(self) -> None:
         """Accept connections to servers again."""
         for shared_address, link in self._links.items():
--- a/standins/soak/link.py
+++ b/standins/soak/link.py
@@ -28,6 +28,20 @@
     SILENT = "silent"
 
 
+class LinkEnd(StrEnum):
+    """Which end of a link's connections is reset.
+
+    With CLIENT_FOR_GOOD the target is never told: what it writes is taken.
+    With CLIENT it is told by what comes back for its next bytes. The client
+    is not told with TARGET.
+    """
+
+    BOTH = "both"
+    CLIENT = "client"
+    CLIENT_FOR_GOOD = "client for good"
+    TARGET = "target"
+
+
 DROPS_TO_TARGET: Final = (LinkFault.CUT_THERE, LinkFault.SILENT)
 DROPS_FROM_TARGET: Final = (LinkFault.CUT_BACK, LinkFault.SILENT)
 DROPS_ANYTHING: Final = frozenset((*DROPS_TO_TARGET, *DROPS_FROM_TARGET))
@@ -38,16 +52,27 @@
     """A connection through a link.
 
     `dropping_writers` are those to which nothing is forwarded any more.
+    `reset_end` says which end was reset, if one was.
     """
 
     client_writer: asyncio.StreamWriter
     target_writer: asyncio.StreamWriter
     dropping_writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    reset_end: LinkEnd | None = None
+
+    def reset(self, end: LinkEnd = LinkEnd.BOTH) -> None:
+        """Reset an end: a response that ends with it is cut off."""
+        self.reset_end = end
+        if end is LinkEnd.CLIENT_FOR_GOOD:
+            self.dropping_writers.add(self.client_writer)
+        if end is not LinkEnd.TARGET:
+            reset_transport(self.client_writer.transport)
+        if end in (LinkEnd.BOTH, LinkEnd.TARGET):
+            reset_transport(self.target_writer.transport)
 
-    def reset(self) -> None:
-        """Reset both ends: a response that ends with them is cut off."""
-        reset_transport(self.client_writer.transport)
-        reset_transport(self.target_writer.transport)
+    def passes_end_on(self, writer: asyncio.StreamWriter) -> bool:
+        """Return whether the other end learns that one has closed."""
+        return self.reset_end is None and writer not in self.dropping_writers
 
 
 class Link:
@@ -174,10 +199,10 @@
         self._release()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def reset(self) -> None:
-        """Reset all open connections on both sides."""
+    def reset(self, end: LinkEnd = LinkEnd.BOTH) -> None:
+        """Reset one or both ends of all open connections."""
         for connection in list(self._connections):
-            connection.reset()
+            connection.reset(end)
 
     async def _async_handle_connection(
         self, reader: asyncio.StreamReader, client_writer: asyncio.StreamWriter
@@ -234,7 +259,7 @@
                     continue
                 writer.write(data)
                 await writer.drain()
-            if writer not in connection.dropping_writers:
+            if connection.passes_end_on(writer):
                 writer.write_eof()
         except (OSError, RuntimeError):
             connection.reset()
