--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -83,6 +83,10 @@
     """The connection was closed before the response was complete."""
 
 
+class InvalidBytesError(LinkError):
+    """Bytes that are no response were received; check the server."""
+
+
 class EndlessResponseError(LinkError):
     """A response exceeds the bound of its size; check the server."""
 
@@ -322,7 +326,9 @@
         try:
             event = self._conn.next_event()
         except h11.RemoteProtocolError as exc:
-            raise CutLinkError(f"{self.address}: {exc}") from exc
+            if self._reader.at_eof():
+                raise CutLinkError(f"{self.address}: {exc}") from exc
+            raise InvalidBytesError(f"{self.address}: {exc}") from exc
         if isinstance(event, h11.ConnectionClosed):
             raise CutLinkError(f"{self.address}: closed")
         return event
@@ -481,18 +487,16 @@
         """
         self._add_to_pool(await self._async_connect(address, deadline))
 
-    async def async_has_ended(self, address: str, deadline: float) -> bool:
-        """Return whether the process at an address has ended, as far as seen.
+    async def async_stays_open(self, address: str, deadline: float) -> bool:
+        """Return whether the process at an address keeps a connection open.
 
         The sockets of a process that ends are closed one after the other, so
         that it may take a connection after another one was closed. A
-        connection that stays open is kept for the next request.
+        connection that stays open is kept for the next request. Raises
+        `ConnectFailedError`, whose cause says why none can be opened.
         """
         for _ in range(END_CHECKS):
-            try:
-                conn = await self._async_connect(address, deadline)
-            except ConnectFailedError as exc:
-                return isinstance(exc.__cause__, ConnectionRefusedError)
+            conn = await self._async_connect(address, deadline)
             conn.idle_since = asyncio.get_running_loop().time()
             is_open = False
             try:
@@ -503,7 +507,7 @@
                     conn.close()
             if is_open:
                 self._add_to_pool(conn)
-                return False
+                return True
         return False
 
     def _return_to_pool(self, conn: _ClientConnection) -> None:
--- a/waxwingarch/core/backends/server_checks.py
+++ b/waxwingarch/core/backends/server_checks.py
@@ -19,9 +19,13 @@
 
 
 class CheckResult(StrEnum):
-    """The end of one check; FAILED says nothing about the server."""
+    """The end of one check; FAILED says nothing about the server.
+
+    REJECTED means that the server closed the connection that it took.
+    """
 
     TAKEN = "taken"
+    REJECTED = "rejected"
     REFUSED = "refused"
     NO_ANSWER = "no answer"
     FAILED = "failed"
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from waxwingarch.core.backends.server_checks import CheckResult
 from waxwingarch.core.base import (
     AccountId,
     Action,
@@ -236,7 +237,8 @@
     server asked for, `last_event` the id of the last event that the caller
     has received, None if it had none. `ended_by_close` means that only the
     end of the connection ended the response: a crash of the server may look
-    the same.
+    the same. `next_connection` is what became of a connection to the server
+    that was opened after that of the attempt broke, None without one.
     """
 
     outcome: AttemptOutcome
@@ -245,6 +247,7 @@
     has_response: bool = False
     retry_after_s: float | None = None
     ended_by_close: bool = False
+    next_connection: CheckResult | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/tasks/front_checks.py
+++ b/waxwingarch/tasks/front_checks.py
@@ -13,6 +13,7 @@
     CheckServer,
     ServerChecked,
 )
+from waxwingarch.core.base import Server
 from waxwingarch.tasks.action_tasks import ActionTasks
 from waxwingarch.tasks.runner import FrontRunner
 
@@ -76,6 +77,24 @@
         return CheckResult.TAKEN
 
 
+async def async_check_ended(
+    client: HttpClient, server: Server, deadline: float
+) -> CheckResult:
+    """Return what becomes of a connection after another one has ended.
+
+    It tells a process that has ended from one that has closed a connection,
+    and from a path that has.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        stays_open = await client.async_stays_open(server.address, deadline)
+    except ConnectFailedError as exc:
+        if loop.time() > deadline + MAX_OWN_DELAY_S:
+            return CheckResult.FAILED
+        return _result_of(exc.__cause__)
+    return CheckResult.TAKEN if stays_open else CheckResult.REJECTED
+
+
 def _result_of(cause: BaseException | None) -> CheckResult:
     """Return what an error in opening a connection says of the server."""
     if isinstance(cause, ConnectionRefusedError):
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -12,6 +12,7 @@
 from waxwingarch.adapters.http_client import (
     ClientStream,
     ConnectFailedError,
+    CutLinkError,
     HttpClient,
     SilentLinkError,
 )
@@ -25,6 +26,7 @@
 from waxwingarch.const import BACKEND_CONNECT_TIMEOUT_S, LOGGED_DECIMALS
 from waxwingarch.core.backends.brittle_servers import BrittlenessSeen
 from waxwingarch.core.backends.registry import LeavingAnnounced
+from waxwingarch.core.backends.server_checks import CheckResult
 from waxwingarch.core.backends.server_limits import ServerLimitSeen
 from waxwingarch.core.base import RequestId
 from waxwingarch.core.exchange.exchange_manager import (
@@ -42,6 +44,7 @@
 from waxwingarch.core.exchange.silence import Silence
 from waxwingarch.exceptions import LinkError
 from waxwingarch.ports.front import ExchangeCodec, ResponseHead
+from waxwingarch.tasks.front_checks import async_check_ended
 from waxwingarch.tasks.runner import FrontRunner
 
 # A non-idempotent request needs a new connection or one that was just in
@@ -66,6 +69,11 @@
 # rest of it is awaited for this long where nothing depends on it.
 SHORT_BODY_TIMEOUT_S: Final = 1.0
 
+# After a connection broke, the next one to its server is awaited for this
+# long where the request is not held up for more: a sound one takes
+# milliseconds.
+NEXT_CONNECTION_TIMEOUT_S: Final = 0.1
+
 # Interval of the checks whether a migration has ended.
 MIGRATION_POLL_S: Final = 0.05
 
@@ -174,7 +182,7 @@
 
     async def async_send(self, send: SendRequest) -> AttemptFinished:
         """Carry out one attempt and return its outcome."""
-        retry_after_s = None
+        retry_after_s = next_connection = None
         try:
             async with asyncio.timeout_at(send.expires_at):
                 outcome, retry_after_s = await self._async_attempt(send)
@@ -184,6 +192,9 @@
             outcome = AttemptOutcome.NOT_SENT
         except SilentLinkError:
             outcome = AttemptOutcome.SILENT
+        except CutLinkError as exc:
+            outcome = AttemptOutcome.BROKEN
+            next_connection = await self._async_check_next(send, exc)
         except LinkError as exc:
             self._log_invalid("response_broken", send, exc)
             outcome = AttemptOutcome.BROKEN
@@ -204,7 +215,38 @@
             has_response=self.state.failure is not None,
             retry_after_s=retry_after_s,
             ended_by_close=self.state.ended_by_close,
+            next_connection=next_connection,
+        )
+
+    async def _async_check_next(
+        self, send: SendRequest, exc: CutLinkError
+    ) -> CheckResult | None:
+        """Return whether the server of a broken connection takes another.
+
+        Returns None for a peer, and where no time is left.
+        """
+        began_at = asyncio.get_running_loop().time()
+        result = None
+        if send.relay_to is None and began_at < send.expires_at:
+            wait_s = (
+                BACKEND_CONNECT_TIMEOUT_S
+                if send.streaming
+                else NEXT_CONNECTION_TIMEOUT_S
+            )
+            deadline = min(began_at + wait_s, send.expires_at)
+            result = await async_check_ended(
+                self._client, send.server, deadline
+            )
+        log_message(
+            message_type="connection_broken",
+            request_id=self._request_id,
+            server=send.server.server_id,
+            reason=str(exc),
+            next_connection=result,
+            last_event=self.state.last_event,
+            sent_ago_s=round(began_at - self.state.sent_at, LOGGED_DECIMALS),
         )
+        return result
 
     async def _async_attempt(
         self, send: SendRequest
@@ -577,7 +619,8 @@
         deadline = (
             asyncio.get_running_loop().time() + BACKEND_CONNECT_TIMEOUT_S
         )
-        if await self._client.async_has_ended(send.server.address, deadline):
+        result = await async_check_ended(self._client, send.server, deadline)
+        if result is CheckResult.REFUSED:
             raise BadResponseError(
                 f"{send.server.address}: ended at the end of a response"
                 " without a length"
