--- a/waxwingarch/core/backends/health.py
+++ b/waxwingarch/core/backends/health.py
@@ -18,6 +18,9 @@
 # it has to be avoided again, up to the maximum.
 INITIAL_AVOID_S: Final = 1.0
 MAX_AVOID_S: Final = 8.0
+# Connections of a server that break within this time count as one failure:
+# their path may have been reset.
+BREAKS_TOGETHER_S: Final = 0.1
 # The average halves in this time while there are no new results.
 FAILURE_HALF_LIFE_S: Final = 4.0
 # A report lists at most this many avoided servers, since it has to fit
@@ -32,7 +35,8 @@
     `avoid_s` is how long the server is avoided the next time.
     `is_on_trial` is set while the single request is in flight that tries
     a dead server again. `is_silent` is set while no bytes have come since
-    a response paused for too long.
+    a response paused for too long. `broken_at` is when a connection last
+    broke though the server took the next one.
     """
 
     failure_ratio: float = 0.0
@@ -40,6 +44,7 @@
     updated_at: float = 0.0
     avoid_until: float = float("-inf")
     avoid_s: float = INITIAL_AVOID_S
+    broken_at: float = float("-inf")
     is_on_trial: bool = False
     is_silent: bool = False
 
@@ -133,6 +138,18 @@
         record.avoid_s = min(MAX_AVOID_S, record.avoid_s * 2)
         return True
 
+    def record_break(self, now: float, server_id: ServerId) -> None:
+        """Record that a connection broke whose server takes the next one."""
+        record = self._records.setdefault(
+            server_id, _ServerHealth(updated_at=now)
+        )
+        is_first = now - record.broken_at > BREAKS_TOGETHER_S
+        record.broken_at = now
+        if is_first:
+            self.record_failure(now, server_id, unreachable=False)
+        else:
+            self.end_trial(server_id)
+
     def is_silent(self, server_id: ServerId) -> bool:
         """Return whether no bytes came since a pause that was recorded."""
         record = self._records.get(server_id)
--- a/waxwingarch/core/backends/load_balancer.py
+++ b/waxwingarch/core/backends/load_balancer.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 from heapq import nlargest
+from types import MappingProxyType
 from typing import Final, Protocol
 
 import xxhash
@@ -75,6 +76,9 @@
 TIE_MARGIN_S: Final = 0.002
 
 
+NONE_PREFERRED: Final[Mapping[ServerId, float]] = MappingProxyType({})
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Pick:
     """The chosen server and what is expected of it.
@@ -146,23 +150,40 @@
             preferred = _preferred_by_hash(exchange, candidates)
         scored = []
         for backend in candidates:
-            server = backend.server
-            uncached_tokens = self._uncached_tokens(
-                exchange, server, preferred
-            )
-            wait_s = self._expected_wait_s(
-                now, server, traits, uncached_tokens, exchange
-            )
-            pick = Pick(
-                server=server,
-                expected_s=wait_s,
-                uncached_tokens=uncached_tokens,
-            )
-            scored.append((self._score(now, server, wait_s), pick))
+            pick = self.pick(now, exchange, traits, backend.server, preferred)
+            score = self._score(now, pick.server, pick.expected_s)
+            scored.append((score, pick))
         best = min(score for score, _ in scored)
         tied = [pick for score, pick in scored if score <= best + TIE_MARGIN_S]
         return tied[self._rng.randrange(len(tied))]
 
+    def pick(
+        self,
+        now: float,
+        exchange: Exchange,
+        traits: EngineTraits | None,
+        server: Server,
+        preferred: Mapping[ServerId, float] = NONE_PREFERRED,
+    ) -> Pick:
+        """Return a server with what it has to do for an exchange."""
+        uncached_tokens = self._uncached_tokens(exchange, server, preferred)
+        return Pick(
+            server=server,
+            expected_s=self._expected_wait_s(
+                now, server, traits, uncached_tokens, exchange
+            ),
+            uncached_tokens=uncached_tokens,
+        )
+
+    def open_backend(
+        self, now: float, service: ServiceId, server_id: ServerId
+    ) -> Backend | None:
+        """Return a server of a service if it takes a request now."""
+        for backend in self._open_backends(now, service):
+            if backend.server.server_id == server_id:
+                return backend
+        return None
+
     def has_choice(
         self,
         now: float,
--- a/waxwingarch/core/exchange/crash_observer.py
+++ b/waxwingarch/core/exchange/crash_observer.py
@@ -4,6 +4,7 @@
 
 from waxwingarch.core.backends.load import ActiveAttempt
 from waxwingarch.core.backends.load_balancer import LoadBalancer
+from waxwingarch.core.backends.server_checks import CheckResult
 from waxwingarch.core.base import ServerId
 from waxwingarch.core.exchange.exchange_messages import (
     AttemptFinished,
@@ -39,7 +40,8 @@
         A server that is leaving, or whose run was migrated, breaks its
         responses for a reason of its own. An answer without a byte, or one
         that ends with its connection, may only look complete, and says
-        nothing.
+        nothing. Nor does a broken connection whose server takes the next
+        one: its process has not ended.
         """
         inputs = state.exchange.inputs
         if event.outcome is AttemptOutcome.DONE:
@@ -49,6 +51,7 @@
         backend = self._load_balancer.registry.get(attempt.server_id)
         if (
             event.outcome is AttemptOutcome.BROKEN
+            and event.next_connection is not CheckResult.TAKEN
             and backend is not None
             and backend.is_usable
             and state.migrated_cache is None
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -5,6 +5,7 @@
 
 from waxwingarch.core.backends.load_balancer import LoadBalancer, Pick
 from waxwingarch.core.backends.registry import BackendLeaving
+from waxwingarch.core.backends.server_checks import CheckResult
 from waxwingarch.core.base import (
     Action,
     RequestId,
@@ -222,6 +223,14 @@
         the others are relayed.
         """
         service = state.exchange.service
+        run_at = state.exchange.head.run_at
+        if run_at is not None and not self._paths.is_lost(service):
+            state.run_at = run_at
+            backend = self._migrations.backend_to_return_to(
+                now, service, run_at
+            )
+            if backend is not None:
+                return self._return_to(now, state, backend.server)
         if self._paths.is_lost(service) and not self._paths.take_trial(
             now, service
         ):
@@ -286,6 +295,7 @@
             first_byte_deadline=state.exchange.expires_at,
             new_connection=False,
             relay_to=peer.host,
+            run_at=state.run_at,
         )
 
     def _end_relay(self, state: ExchangeState) -> None:
@@ -300,10 +310,14 @@
 
         With `target` the attempt goes to that server.
         """
-        exchange = state.exchange
         pick = self._pick_server(now, state, target)
-        if pick is None:
-            return None
+        return None if pick is None else self._send_to(now, state, pick)
+
+    def _send_to(
+        self, now: float, state: ExchangeState, pick: Pick
+    ) -> SendRequest:
+        """Start an attempt at a server."""
+        exchange = state.exchange
         self._load_balancer.record_attempt(
             now, exchange, pick, exchange.traits
         )
@@ -421,6 +435,8 @@
         if state is None:
             return []
         if event.response_started:
+            if event.last_event != state.last_event:
+                state.return_count = 0
             state.last_event = event.last_event
         if state.is_migrating and event.outcome is AttemptOutcome.BROKEN:
             # A migration stops the run on its server, which breaks the
@@ -467,8 +483,8 @@
 
         A peer that failed the request has tried what the route allows.
         """
-        self._end_relay(state)
         step = state.record_outcome(now, event)
+        self._end_relay(state)
         if step is NextStep.RESEND:
             resend = None
             if event.outcome is not AttemptOutcome.FAILED:
@@ -500,6 +516,16 @@
                 return self._dispatch(now, state, backend.server)
             state.migrated_cache = None
             return None
+        if state.returns_to is not None:
+            backend = self._migrations.backend_to_return_to(
+                now, service, state.returns_to
+            )
+            if backend is not None and not self._paths.is_lost(service):
+                if not self._resend_budget.try_resend(now, service):
+                    return None
+                return self._return_to(now, state, backend.server)
+            if not state.may_try_another:
+                return None
         # What only peers have rejected has reached no server yet.
         is_first = not state.may_have_run_on and (
             self._paths.is_lost(service) or not state.tried_servers
@@ -514,6 +540,15 @@
             send = self._dispatch(now, state, None)
         return send
 
+    def _return_to(
+        self, now: float, state: ExchangeState, server: Server
+    ) -> SendRequest:
+        """Send a stream to the server that may still have its run."""
+        state.return_count += 1
+        exchange = state.exchange
+        pick = self._load_balancer.pick(now, exchange, exchange.traits, server)
+        return self._send_to(now, state, pick)
+
     def _record_health(
         self,
         now: float,
@@ -552,6 +587,8 @@
                 health.end_trial(server_id)
             else:
                 health.record_failure(now, server_id, unreachable=False)
+        elif event.next_connection is CheckResult.TAKEN:
+            health.record_break(now, server_id)
         else:
             unreachable = event.outcome is AttemptOutcome.NOT_SENT
             health.record_failure(now, server_id, unreachable=unreachable)
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -41,7 +41,9 @@
     which the caller resumes a stream. `digest` is that of the method, target
     and body; it is empty where no request can be known by its content.
     `is_relayed` says that a peer sent it, which reaches no server itself or
-    has no part of what the servers take.
+    has no part of what the servers take. `run_at` is the server that may
+    still have a run of it, as far as that peer knows, and `asks_for_server`
+    that the peer has to be told which one runs it.
     """
 
     request_id: RequestId
@@ -56,6 +58,8 @@
     last_event: int | None = None
     digest: str = ""
     is_relayed: bool = False
+    run_at: ServerId | None = None
+    asks_for_server: bool = False
 
     @property
     def shared_part(self) -> str | None:
@@ -239,6 +243,7 @@
     end of the connection ended the response: a crash of the server may look
     the same. `next_connection` is what became of a connection to the server
     that was opened after that of the attempt broke, None without one.
+    `served_by` is the server that a peer sent the request to, as it says.
     """
 
     outcome: AttemptOutcome
@@ -248,6 +253,7 @@
     retry_after_s: float | None = None
     ended_by_close: bool = False
     next_connection: CheckResult | None = None
+    served_by: ServerId | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -284,7 +290,8 @@
     server continues a run whose KV cache was copied to it.
     `fresh_connection` asks for a connection that was not idle for long, and
     `new_connection` for one that was not used before. With `relay_to` the
-    server stands for a peer, which serves the request as its own.
+    server stands for a peer, which serves the request as its own; `run_at`
+    is the server that may still have a run of it.
     """
 
     request_id: RequestId
@@ -302,6 +309,7 @@
     streaming: bool
     new_connection: bool = False
     relay_to: HostId | None = None
+    run_at: ServerId | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/exchange/migrations.py
+++ b/waxwingarch/core/exchange/migrations.py
@@ -5,7 +5,7 @@
 
 from waxwingarch.core.backends.load_balancer import LoadBalancer
 from waxwingarch.core.backends.registry import Backend, BackendLeaving
-from waxwingarch.core.base import Action, RequestId
+from waxwingarch.core.base import Action, RequestId, ServerId, ServiceId
 from waxwingarch.core.exchange.exchange_messages import MigrateRun
 from waxwingarch.core.exchange.state_machine import ExchangeState
 
@@ -96,6 +96,17 @@
             or now < backend.leaving_since + self._leaving_known_s
         )
 
+    def backend_to_return_to(
+        self, now: float, service: ServiceId, server_id: ServerId
+    ) -> Backend | None:
+        """Return a server if a run that it may still have may go on there."""
+        backend = self._load_balancer.registry.get(server_id)
+        if backend is None or backend.server.service != service:
+            return None
+        if backend.is_usable:
+            return self._load_balancer.open_backend(now, service, server_id)
+        return backend if self.may_continue_at(now, backend) else None
+
     def _start(self, now: float, request_id: RequestId) -> list[Action]:
         """Migrate a run whose response has started, if a server can take it.
 
--- a/waxwingarch/core/exchange/state_machine.py
+++ b/waxwingarch/core/exchange/state_machine.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import Final
 
+from waxwingarch.core.backends.server_checks import CheckResult
 from waxwingarch.core.base import ExecutionStatus, HostId, ServerId
 from waxwingarch.core.exchange.exchange_messages import (
     NOT_RUN_OUTCOMES,
@@ -23,11 +24,29 @@
 # a misdirected attempt counts as one. They count apart from the route's
 # `max_attempts`, which bounds the servers that may have run the request.
 MAX_REJECTIONS: Final = 3
+# A stream goes back to a server that is alive after at most this many broken
+# connections in a row without an event: the server breaks them itself then.
+MAX_RETURNS: Final = 3
 # The retry-after of a refusal by a stopping host: another host can serve
 # the request at once.
 RETRY_ELSEWHERE_AFTER_S: Final = 0.1
 
 
+# Outcomes after which the server may still be at work on the request.
+RUN_GOES_ON_OUTCOMES: Final = frozenset(
+    {AttemptOutcome.BROKEN, AttemptOutcome.SILENT}
+)
+# Outcomes by which a server says that it has no run, or has no more.
+ENDED_OUTCOMES: Final = frozenset(
+    {
+        AttemptOutcome.REJECTED,
+        AttemptOutcome.MISDIRECTED,
+        AttemptOutcome.FAILED,
+        AttemptOutcome.DONE,
+    }
+)
+
+
 class NextStep(StrEnum):
     """What the host does after an attempt ended."""
 
@@ -54,7 +73,10 @@
     `deferred_outcome` is the end of an attempt that is handled only when
     the migration of its run has ended. `relayed_to` is the peer that the
     current attempt was relayed to, and `tried_peers` all of them.
-    `rate_cost` is what the account's limit was charged here.
+    `rate_cost` is what the account's limit was charged here. `run_at` is the
+    server that may still have a run whose connection broke or fell silent.
+    `returns_to` is the same server if the stream has to go on there, and
+    `return_count` how often it did since its last event.
     """
 
     exchange: Exchange
@@ -75,12 +97,21 @@
     relayed_to: HostId | None = None
     tried_peers: set[HostId] = field(default_factory=set)
     rate_cost: float = 0.0
+    run_at: ServerId | None = None
+    returns_to: ServerId | None = None
+    return_count: int = 0
 
     @property
     def may_have_run(self) -> bool:
         """Whether any server may have run the request, or still runs it."""
         return self.sent_to is not None or bool(self.may_have_run_on)
 
+    @property
+    def may_try_another(self) -> bool:
+        """Whether the route allows an attempt at another server."""
+        run_on = self.may_have_run_on
+        return len(run_on) < self.exchange.route.max_attempts
+
     def record_dispatch(self, server: ServerId) -> bool:
         """Record that an attempt is sent to a server, or to a peer.
 
@@ -89,6 +120,7 @@
         is_first_there = server not in self.dispatched_to
         self.dispatched_to.add(server)
         self.sent_to = server
+        self.returns_to = None
         self.response_started = False
         return is_first_there
 
@@ -110,6 +142,7 @@
             )
         else:
             self.may_have_run_on.add(server)
+        self._note_run(server, finished)
         if finished.outcome is AttemptOutcome.DONE:
             return NextStep.FINISH
         if finished.outcome is not AttemptOutcome.EXPIRED and self._may_resend(
@@ -118,6 +151,33 @@
             return NextStep.RESEND
         return self.final_step(finished)
 
+    def _note_run(self, server: ServerId, finished: AttemptFinished) -> None:
+        """Note which server may still have the run, and whether to go back.
+
+        A connection that broke is no end of a run: its path may have been
+        reset, and the server notices late. One that takes the next
+        connection gets the stream again. So does the server of a peer
+        whose connection broke, which sees whether that server is there.
+        """
+        self.returns_to = None
+        if self.relayed_to is not None:
+            self.run_at = finished.served_by or self.run_at
+        elif finished.outcome in ENDED_OUTCOMES:
+            self.run_at = None if server == self.run_at else self.run_at
+            return
+        elif finished.outcome in RUN_GOES_ON_OUTCOMES:
+            self.run_at = server
+        if (
+            finished.outcome is AttemptOutcome.BROKEN
+            and self.exchange.retry_policy is RetryPolicy.RESUMABLE
+            and (
+                self.relayed_to is not None
+                or finished.next_connection is CheckResult.TAKEN
+            )
+            and self.return_count < MAX_RETURNS
+        ):
+            self.returns_to = self.run_at
+
     def may_resend_after_silence(
         self, now: float, server: ServerId, *, response_started: bool
     ) -> bool:
@@ -178,6 +238,8 @@
             and exchange.retry_policy is not RetryPolicy.RESUMABLE
         ):
             return False
+        if self.returns_to is not None:
+            return True
         run_on = self.may_have_run_on.union(also_run_on)
         return len(run_on) < exchange.route.max_attempts
 
--- a/waxwingarch/platform/const.py
+++ b/waxwingarch/platform/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from waxwingarch.ports.front import RELAY_HEADER
+from waxwingarch.ports.front import RELAY_HEADER, RUN_AT_HEADER
 
 # The operator writes the first table, the servers register in the second.
 OPERATOR_TABLE: Final = "op"
@@ -60,9 +60,11 @@
         "x-waxwingarch-expected-version",
         "kv-fetch",
         RELAY_HEADER,
+        RUN_AT_HEADER,
     }
 )
-# Hop-by-hop headers, and those that the HTTP library writes itself.
+# Headers that concern one connection, and those that the HTTP library writes
+# itself.
 HOP_HEADERS: Final = frozenset(
     {
         "connection",
@@ -76,6 +78,7 @@
         "upgrade",
         "content-length",
         "expect",
+        RUN_AT_HEADER,
     }
 )
 
--- a/waxwingarch/platform/exchange_codec.py
+++ b/waxwingarch/platform/exchange_codec.py
@@ -6,7 +6,7 @@
 from eliot import log_message
 
 from waxwingarch.adapters.http_messages import Headers, HttpRequest
-from waxwingarch.core.base import RequestId
+from waxwingarch.core.base import RequestId, ServerId
 from waxwingarch.core.exchange.exchange_messages import (
     ExchangeHead,
     PromptPart,
@@ -34,7 +34,12 @@
     MS_PER_S,
     SYSTEM_HEADERS,
 )
-from waxwingarch.ports.front import RELAY_HEADER, BadHeadError, ResponseHead
+from waxwingarch.ports.front import (
+    RELAY_HEADER,
+    RUN_AT_HEADER,
+    BadHeadError,
+    ResponseHead,
+)
 
 HTTP_MISDIRECTED = 421
 HTTP_TOO_MANY_REQUESTS = 429
@@ -74,6 +79,8 @@
             parts=_parse_prompt_parts(headers.get(HEADER_PROMPT_PREFIX)),
             last_event=_parse_int(headers.get(HEADER_LAST_EVENT_ID)),
             digest=body_digest(req.method, req.target, req.body),
+            run_at=_parse_server_id(headers),
+            asks_for_server=RUN_AT_HEADER in headers,
         )
 
     def encode_request_headers(
@@ -120,6 +127,7 @@
         ]
         headers += _progress_headers(send, now)
         headers.append((RELAY_HEADER, "1"))
+        headers.append((RUN_AT_HEADER, send.run_at or ""))
         return headers
 
     def decode_response_head(
@@ -149,6 +157,7 @@
             )
             if status != HTTP_MISDIRECTED
             else None,
+            run_at=_parse_server_id(values),
         )
 
     def filter_response_headers(
@@ -157,6 +166,10 @@
         """Return a response's headers without the hop-by-hop ones."""
         return [(n, v) for n, v in headers if n.lower() not in HOP_HEADERS]
 
+    def encode_run_headers(self, server_id: ServerId) -> list[tuple[str, str]]:
+        """Return the headers that tell a peer which server runs a request."""
+        return [(RUN_AT_HEADER, server_id)]
+
     def encode_refusal_headers(
         self, request_id: RequestId
     ) -> list[tuple[str, str]]:
@@ -189,6 +202,12 @@
     return number / MS_PER_S
 
 
+def _parse_server_id(headers: Mapping[str, str]) -> ServerId | None:
+    """Return the server that a host names to its peer, if it does."""
+    text = headers.get(RUN_AT_HEADER, "")
+    return ServerId(text) if text else None
+
+
 def _parse_int(text: str | None) -> int | None:
     if text is None:
         return None
--- a/waxwingarch/ports/front.py
+++ b/waxwingarch/ports/front.py
@@ -14,6 +14,7 @@
     HostId,
     RequestId,
     Server,
+    ServerId,
     ServiceId,
 )
 from waxwingarch.core.duties.autoscaler import OrderKey
@@ -31,6 +32,9 @@
 
 # Marks a request that a peer relays to this host's address for peers.
 RELAY_HEADER: Final = "waxwingarch-relay"
+# The server that may have a run of a relayed request, in the request, and the
+# one that runs it, in the response. A host of an older version sends neither.
+RUN_AT_HEADER: Final = "waxwingarch-run-at"
 
 
 class HistoryLostError(WaxwingError):
@@ -198,6 +202,7 @@
     it did not execute the request, and `misdirected` that another server
     now has the address. `leaving` means that the server is shutting down.
     `retry_after_s` is how long the server asks this host to send it nothing.
+    `run_at` is the server to which a peer sent the request, if it says so.
     `limit_per_s` are the requests a second that it takes from all hosts, and
     `brittle_rejections_per_s` those that it rejects without falling over.
     """
@@ -211,6 +216,7 @@
     retry_after_s: float | None = None
     limit_per_s: float | None = None
     brittle_rejections_per_s: float | None = None
+    run_at: ServerId | None = None
 
 
 class ExchangeCodec(Protocol):
@@ -239,6 +245,9 @@
     ) -> list[tuple[str, str]]:
         """Return the response headers that are passed on to the caller."""
 
+    def encode_run_headers(self, server_id: ServerId) -> list[tuple[str, str]]:
+        """Return the headers that tell a peer which server runs a request."""
+
     def encode_refusal_headers(
         self, request_id: RequestId
     ) -> list[tuple[str, str]]:
--- a/waxwingarch/tasks/front_entry.py
+++ b/waxwingarch/tasks/front_entry.py
@@ -192,8 +192,12 @@
         self, req: HttpRequest, resp: HttpResponder, *, is_relayed: bool
     ) -> None:
         try:
+            head = self._codec.decode_request_head(req)
             head = replace(
-                self._codec.decode_request_head(req), is_relayed=is_relayed
+                head,
+                is_relayed=is_relayed,
+                run_at=head.run_at if is_relayed else None,
+                asks_for_server=is_relayed and head.asks_for_server,
             )
             if head.request_id in self._queues:
                 raise BadHeadError("this request id is in progress here")
@@ -242,6 +246,7 @@
             req,
             resp,
             head.request_id,
+            names_server=head.asks_for_server,
         )
         decided_by = asyncio.get_running_loop().time() + STARTUP_WAIT_S
         was_sent = False
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -19,7 +19,6 @@
 from waxwingarch.adapters.http_messages import (
     JSON_TYPE,
     CallerDisconnectedError,
-    Headers,
     HttpRequest,
     HttpResponder,
 )
@@ -28,7 +27,7 @@
 from waxwingarch.core.backends.registry import LeavingAnnounced
 from waxwingarch.core.backends.server_checks import CheckResult
 from waxwingarch.core.backends.server_limits import ServerLimitSeen
-from waxwingarch.core.base import RequestId
+from waxwingarch.core.base import RequestId, ServerId
 from waxwingarch.core.exchange.exchange_manager import (
     SERVER_ACTIVE_WITHIN_S,
 )
@@ -103,8 +102,8 @@
     had none, so that the stream can't be resumed. `status` and
     `content_type` are those that the response began with. `failure`
     is the latest error response that can be forwarded. `sent_at`,
-    `ended_by_close`, `on_new_connection` and `is_silence_reported` are about
-    the current attempt.
+    `ended_by_close`, `on_new_connection`, `is_silence_reported` and
+    `served_by`, the server that a peer names, are about the current attempt.
     """
 
     response_started: bool = False
@@ -115,6 +114,7 @@
     ended_by_close: bool = False
     on_new_connection: bool = True
     sent_at: float = float("-inf")
+    served_by: ServerId | None = None
     is_silence_reported: bool = False
     activity_reported_at: float = field(default=float("-inf"))
 
@@ -171,7 +171,11 @@
         req: HttpRequest,
         resp: HttpResponder,
         request_id: RequestId,
+        *,
+        names_server: bool = False,
     ) -> None:
+        """Serve one exchange; `names_server` tells the peer which runs it."""
+        self._names_server = names_server
         self._runner = runner
         self._client = client
         self._codec = codec
@@ -216,6 +220,7 @@
             retry_after_s=retry_after_s,
             ended_by_close=self.state.ended_by_close,
             next_connection=next_connection,
+            served_by=self.state.served_by,
         )
 
     async def _async_check_next(
@@ -254,6 +259,7 @@
         now = asyncio.get_running_loop().time()
         self.state.sent_at = now
         self.state.is_silence_reported = False
+        self.state.served_by = None
         encode_headers = (
             self._codec.encode_request_headers
             if send.relay_to is None
@@ -275,6 +281,8 @@
         ) as stream:
             stream, head = await self._async_find_response(stream, send)
             self.state.on_new_connection = stream.on_new_connection
+            if send.relay_to is not None:
+                self.state.served_by = head.run_at
             if send.relay_to is None:
                 self._report_notices(head, send, now)
             return await self._async_handle_response(stream, head, send)
@@ -552,18 +560,21 @@
                 )
             else:
                 self._report_activity(send)
-            await self._async_start_response(stream)
+            await self._async_start_response(stream, send)
             await self._resp.async_write(batch.data)
             if batch.ids:
                 self.state.last_event = batch.ids[-1]
         if splitter.incomplete:
-            raise BadResponseError(
-                f"{send.server.address}: stream ended within an event"
+            ended = (
+                CutLinkError
+                if stream.ends_with_connection
+                else BadResponseError
             )
+            raise ended(f"{send.server.address}: stream ended within an event")
         if stream.ends_with_connection:
             await self._async_check_not_stopped(send)
             await self._async_check_alive(send)
-        await self._async_start_response(stream)
+        await self._async_start_response(stream, send)
         await self._resp.async_end()
 
     def _check_same_type(
@@ -688,14 +699,18 @@
             )
         )
 
-    async def _async_start_response(self, stream: ClientStream) -> None:
+    async def _async_start_response(
+        self, stream: ClientStream, send: SendRequest
+    ) -> None:
         """Send the response head, unless an earlier attempt has sent it."""
         if self.state.response_started:
             return
         self.state.response_started = True
         self.state.status = stream.status
         self.state.content_type = _content_type(stream)
-        headers: Headers = self._codec.filter_response_headers(stream.pairs)
+        headers = self._codec.filter_response_headers(stream.pairs)
+        if self._names_server:
+            headers += self._codec.encode_run_headers(send.server.server_id)
         await self._resp.async_start(stream.status, headers)
 
     async def async_forward_failure(self) -> None:
