Draw resets of a live path in the soak; check streams at two servers beside them

The soak's links always reset both ends, and its check of streams at two servers excused every fault of the host. A path is reset at both ends, at the host's or at the server's, new connections are taken, and the check excuses it no more; it compares all runs of a request at different servers. Every other server looks at its connections only as it writes.

--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections import defaultdict
-from itertools import pairwise
+from itertools import combinations
 from typing import Final
 
 import orjson
@@ -31,6 +31,7 @@
     MISSED_CHANGE_S,
     OVERLAP_LIMIT_S,
     PARTITION,
+    PATH_RESET,
     RESPONSE_SLACK_S,
     SCHEDULING_SLACK_S,
     SHORT_PLAIN_TIMEOUT_S,
@@ -149,16 +150,23 @@
     def _check_alone(self, call: Call, runs: list[Run]) -> None:
         """Check that no server still has a run that another has continued.
 
-        A host that was disturbed, or that did not reach the first server,
-        could not know or end it.
+        A host that was disturbed could not know or end it, nor could one
+        that did not reach the first server. One whose connections were only
+        reset reaches it.
         """
         ordered = sorted(runs, key=lambda run: run.began_at)
-        for earlier, later in pairwise(ordered):
-            if self._world.had_fault(
-                call.sent_at - FAULT_RECOVERY_S,
-                later.began_at,
-                names={call.host},
-            ) or self._world.had_fault(
+        for earlier, later in combinations(ordered, 2):
+            if earlier.server_id == later.server_id:
+                continue
+            disturbing = {
+                interval.kind
+                for interval in self._world.intervals_between(
+                    call.sent_at - FAULT_RECOVERY_S,
+                    later.began_at,
+                    {call.host},
+                )
+            }
+            if disturbing - {PATH_RESET} or self._world.had_fault(
                 earlier.began_at,
                 later.began_at,
                 names={earlier.server_id},
@@ -276,6 +284,12 @@
         return (
             any(run.ended in BROKEN_RUNS for run in runs)
             or self._was_partitioned_off(call)
+            or self._world.had_fault(
+                call.sent_at,
+                call.ended_at,
+                names={call.host},
+                kinds={PATH_RESET},
+            )
             or self._world.had_fault(
                 call.sent_at,
                 call.ended_at,
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -9,9 +9,14 @@
 
 from standins.fault_intervals import FaultInterval
 from standins.soak.config_faults import ConfigFaults
-from standins.soak.link import Link, LinkFault
+from standins.soak.link import Link, LinkEnd, LinkFault
 from standins.soak.load import LoadGenerator
-from standins.soak.promises import FAULT_RECOVERY_S, PARTITION
+from standins.soak.promises import (
+    FAULT_RECOVERY_S,
+    PARTITION,
+    PATH_RESET,
+    PATH_RESET_S,
+)
 from standins.soak.server_faults import ServerFaults
 from standins.soak.targets import (
     MIN_UNDISTURBED_HOSTS,
@@ -53,6 +58,7 @@
     "silence": 2,
     "pause": 2,
     "config series": 2,
+    PATH_RESET: 2,
 }
 
 
@@ -66,6 +72,7 @@
     "power",
     "link of host",
     "partition",
+    PATH_RESET,
     "store",
     "bad row",
     "crash",
@@ -111,6 +118,7 @@
             "link of host": self._prepare_host_link_fault,
             "link to server": self._prepare_server_link_fault,
             "partition": self._prepare_partition,
+            PATH_RESET: self._prepare_path_reset,
             "store": self._prepare_store_fault,
             "bad row": self._prepare_malformed_row,
             **servers.choices,
@@ -300,6 +308,24 @@
 
         return partition
 
+    def _prepare_path_reset(self) -> Fault | None:
+        """Reset a host's connections to servers, at one end or both."""
+        names = sorted(self._world.host_links)
+        undisturbed = {d.name for d in self._targets.undisturbed_daemons()}
+        free = [name for name in names if name in undisturbed]
+        if not free:
+            return None
+        name = self._rng.choice(free)
+        end = self._rng.choice(tuple(LinkEnd))
+        interval = self._targets.begin_fault(name, PATH_RESET, end)
+
+        async def reset() -> None:
+            self._world.host_links[name].reset(end)
+            await asyncio.sleep(PATH_RESET_S)
+            self._targets.end_fault(interval)
+
+        return reset
+
     # The store and its rows
 
     def _prepare_store_fault(self) -> Fault | None:
--- a/standins/soak/promises.py
+++ b/standins/soak/promises.py
@@ -54,6 +54,11 @@
 # those of others, or at most `PARTITIONED_EXTRA` and `PARTITIONED_RATIO` of
 # all calls fail there.
 PARTITION: Final = "partition"
+# Kind of the fault of a host whose connections to servers are reset, while
+# new ones are taken. The host and the servers learn of it after at most so
+# long, as connections are not idle for longer.
+PATH_RESET: Final = "path reset"
+PATH_RESET_S: Final = 5.0
 PARTITIONED_SERVED_RATIO: Final = 2 / 3
 PARTITIONED_EXTRA: Final = 10
 PARTITIONED_RATIO: Final = 0.02
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -96,6 +96,8 @@
             server.behaviour.events = EVENTS_PER_STREAM
             server.behaviour.event_s = EVENT_INTERVAL_S
             server.behaviour.work_s = PLAIN_WORK_S
+            # Some servers look at their connections only as they write.
+            server.behaviour.ignores_close = len(self.links) % 2 == 1
             link = self.links[server.server_id] = Link(server.address)
             await link.async_setup()
             self.register(server)
