--- a/waxwingarch/adapters/front_metrics.py
+++ b/waxwingarch/adapters/front_metrics.py
@@ -6,6 +6,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from waxwingarch.adapters.held_bytes import HeldBytes
+
 LOWEST_US: Final = 100
 HIGHEST_US: Final = 60_000_000
 SIGNIFICANT_DIGITS: Final = 2
@@ -36,13 +38,15 @@
     def __init__(
         self,
         held_inputs: Callable[[], Mapping[tuple[str, str], int]] = dict,
+        held: HeldBytes | None = None,
     ) -> None:
         """Begin with no events.
 
         `held_inputs` returns the number of quarantined inputs by kind and
-        origin.
+        origin. `held` is the account of the bytes that the host holds.
         """
         self.held_inputs = held_inputs
+        self.held = held or HeldBytes()
         self.refusals: Counter[str] = Counter()
         self.exchanges: Counter[Labels] = Counter()
         self.events: Counter[str] = Counter()
@@ -122,7 +126,32 @@
         held = {**NO_HELD_INPUTS, **self._metrics.held_inputs()}
         for kind_and_origin, count in held.items():
             inputs.add_metric(kind_and_origin, count)
-        families: list[Any] = [exchanges, events, refusals, inputs]
+        held_bytes = GaugeMetricFamily(
+            "waxwingarch_held_bytes",
+            "Bytes of bodies and events that are held now, the most so far,"
+            " and the limit.",
+            labels=("kind",),
+        )
+        account = self._metrics.held
+        for kind, count in (
+            ("now", account.held_bytes),
+            ("peak", account.peak_bytes),
+            ("limit", account.limit_bytes),
+        ):
+            held_bytes.add_metric((kind,), count)
+        given_up = CounterMetricFamily(
+            "waxwingarch_given_up_bodies",
+            "Bodies without a length that were given up to make room.",
+        )
+        given_up.add_metric((), account.given_up)
+        families: list[Any] = [
+            exchanges,
+            events,
+            refusals,
+            inputs,
+            held_bytes,
+            given_up,
+        ]
         for name, histograms in self._metrics.histograms().items():
             family = HistogramMetricFamily(
                 name, "Seconds since the arrival.", labels=names
--- a/waxwingarch/adapters/front_settings.py
+++ b/waxwingarch/adapters/front_settings.py
@@ -24,8 +24,13 @@
 from waxwingarch.core.rollouts.exposure import ExposureBounds
 
 PositiveSeconds = Annotated[float, Field(gt=0)]
+PositiveInt = Annotated[int, Field(gt=0)]
 NotNegative = Annotated[float, Field(ge=0)]
 MS_PER_S = 1000
+BYTES_PER_MB = 1_000_000
+# The share of the memory that bodies may hold: the process itself, buffers of
+# connections and copies that are being made take the rest.
+HELD_MEMORY_RATIO = 0.2
 
 
 def _normalize_list(value: str) -> str:
@@ -79,7 +84,10 @@
 
 
 class BoundsSection(_Section):
-    """Limits and windows of a deployment."""
+    """Limits and windows of a deployment.
+
+    `memory_mb` is the memory that this process may use in all.
+    """
 
     resend_ratio: NotNegative = 0.2
     resend_extra: NotNegative = 50.0
@@ -92,6 +100,7 @@
     stop_grace_s: PositiveSeconds = 8.0
     exposure_share: NotNegative = 0.1
     exposure_extra: NotNegative = 50.0
+    memory_mb: PositiveInt = 300
 
 
 class LogSection(_Section):
@@ -138,6 +147,10 @@
             duties=frozenset(kinds),
         )
 
+    def held_limit_bytes(self) -> int:
+        """Return how many bytes of bodies the host holds at most."""
+        return int(self.bounds.memory_mb * BYTES_PER_MB * HELD_MEMORY_RATIO)
+
     def front_bounds(self) -> FrontBounds:
         """Return the limits for the front node."""
         bounds = self.bounds
--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -17,6 +17,11 @@
 
 import h11
 
+from waxwingarch.adapters.held_bytes import (
+    HeldBody,
+    HeldBytes,
+    NoRoomError,
+)
 from waxwingarch.adapters.http_messages import (
     BODYLESS_STATUSES,
     MAX_PARTS_PER_TURN,
@@ -25,6 +30,10 @@
 from waxwingarch.exceptions import LinkError
 
 READ_BYTES: Final = 64 * 1024
+# Bounds of what is received and not yet parsed, for each connection: that of
+# the kernel, which doubles it, and that of the stream reader, likewise.
+RECEIVE_BUFFER_BYTES: Final = 64 * 1024
+READER_LIMIT_BYTES: Final = 32 * 1024
 # Connections that were idle for longer are closed, not reused.
 MAX_REUSE_IDLE_S: Final = 5.0
 MAX_IDLE_PER_ADDRESS: Final = 64
@@ -51,6 +60,7 @@
 TCP_PROBE_COUNT: Final = 2
 SOCKET_OPTIONS: Final = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_PROBE_IDLE_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_PROBE_INTERVAL_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_PROBE_COUNT),
@@ -129,8 +139,14 @@
     its connection.
     """
 
-    def __init__(self, conn: "_ClientConnection", head: h11.Response) -> None:
+    def __init__(
+        self,
+        conn: "_ClientConnection",
+        head: h11.Response,
+        held: HeldBody,
+    ) -> None:
         self._conn = conn
+        self.held = held
         self.status = int(head.status_code)
         self.headers = _lower_case_headers(head)
         self.pairs = _raw_headers(head)
@@ -139,6 +155,8 @@
         self._started_at = asyncio.get_running_loop().time()
         self._small_parts = 0
         self._conn.apply_keep_alive(self.headers.get("keep-alive", ""))
+        self._length = _parse_length(self.headers)
+        held.on_give_up = None if self._length is not None else conn.close
 
     @property
     def ends_with_connection(self) -> bool:
@@ -194,31 +212,68 @@
         of the next one, as in `HttpClient.async_stream`. Returns the next
         response on the connection; raises the errors of `async_read`.
         """
-        await self.async_read_rest(deadline)
+        await self.async_discard_rest(deadline, MAX_BODY_BYTES)
         self._conn.expect_response_again()
         head = await _async_head(self._conn, deadline, wait_until)
-        return ClientStream(self._conn, head)
+        return ClientStream(self._conn, head, self.held)
 
     async def async_read_rest(
         self, deadline: float, max_bytes: int = MAX_BODY_BYTES
     ) -> bytes:
-        """Return the rest of the body.
+        """Return the rest of the body, which is held until the stream ends.
+
+        Raises the errors of `async_read`, `EndlessResponseError` for more
+        than `max_bytes`, and `NoRoomError`.
+        """
+        parts: list[bytes] = []
+        size_bytes = 0
+        if self._length is not None:
+            self._check_size(self._length, max_bytes)
+            await self.held.async_hold(self._length, deadline)
+        while not self.complete:
+            part = await self._async_read_part(deadline)
+            size_bytes += len(part)
+            self._check_size(size_bytes, max_bytes)
+            if size_bytes > self.held.size_bytes:
+                await self.held.async_hold(size_bytes, deadline)
+            parts.append(part)
+        return b"".join(parts)
+
+    async def async_discard_rest(
+        self, deadline: float, max_bytes: int
+    ) -> None:
+        """Read the rest of the body without holding it.
 
         Raises the errors of `async_read`, and `EndlessResponseError` for
         more than `max_bytes`.
         """
-        parts: list[bytes] = []
-        remaining = max_bytes
+        size_bytes = 0
         while not self.complete:
+            size_bytes += len(await self.async_read(deadline) or b"")
+            self._check_size(size_bytes, max_bytes)
+
+    async def _async_read_part(self, deadline: float) -> bytes:
+        """Return the next part of the body, empty at its end.
+
+        A body that was given up ends with its connection, which is no end.
+        """
+        try:
             part = await self.async_read(deadline)
-            if part:
-                parts.append(part)
-                remaining -= len(part)
-            if remaining < 0:
-                raise EndlessResponseError(
-                    f"{self._conn.address}: body exceeds {max_bytes} bytes"
-                )
-        return b"".join(parts)
+        except CutLinkError:
+            if not self.held.is_given_up:
+                raise
+            part = None
+        if self.held.is_given_up:
+            raise NoRoomError(
+                f"{self._conn.address}: given up to make room for others"
+            )
+        return part or b""
+
+    def _check_size(self, size_bytes: int, max_bytes: int) -> None:
+        if size_bytes > max_bytes:
+            raise EndlessResponseError(
+                f"{self._conn.address}: body exceeds {max_bytes} bytes"
+            )
 
 
 class _ClientConnection:
@@ -433,7 +488,9 @@
     closed, also if no other request goes to its address.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, held: HeldBytes | None = None) -> None:
+        """Create a client whose responses are held on an account."""
+        self.held = held or HeldBytes()
         self._idle: dict[str, deque[_ClientConnection]] = {}
         self._idle_check: asyncio.TimerHandle | None = None
 
@@ -447,7 +504,7 @@
     ) -> _ClientConnection:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        reader = _CountingReader(loop=loop)
+        reader = _CountingReader(limit=READER_LIMIT_BYTES, loop=loop)
         protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
         try:
             async with asyncio.timeout_at(deadline):
@@ -585,14 +642,16 @@
             connect_by = min(deadline, connect_deadline or deadline)
             conn = await self._async_connect(address, connect_by)
         stream: ClientStream | None = None
+        held = HeldBody(self.held)
         try:
             if not permit():
                 raise NotPermittedError(f"{address}: too late to send")
             await conn.async_send(method, target, headers, body)
             head = await _async_head(conn, deadline, wait_until)
-            stream = ClientStream(conn, head)
+            stream = ClientStream(conn, head, held)
             yield stream
         finally:
+            held.release()
             if stream is not None and conn.is_response_complete:
                 self._return_to_pool(conn)
             else:
@@ -614,7 +673,7 @@
         """Send a request and return its complete response.
 
         Arguments and errors are those of `async_stream`; `deadline`
-        bounds the body as well.
+        bounds the body as well, which is not held up by those of others.
         """
         async with self.async_stream(
             method,
@@ -627,6 +686,7 @@
             connect_deadline=connect_deadline,
             permit=permit,
         ) as stream:
+            stream.held.is_essential = True
             data = await stream.async_read_rest(deadline)
         return HttpResponse(
             status=stream.status, headers=stream.headers, body=data
@@ -661,6 +721,14 @@
     raise SilentLinkError(f"{conn.address}: no answer so far; given up")
 
 
+def _parse_length(headers: dict[str, str]) -> int | None:
+    """Return the length that a response states, if it does."""
+    if "transfer-encoding" in headers:
+        return None
+    text = headers.get("content-length", "")
+    return int(text) if text.isdecimal() else None
+
+
 def _lower_case_headers(head: h11.Response) -> dict[str, str]:
     return {
         k.decode("ascii").lower(): v.decode("latin-1") for k, v in head.headers
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any, Final
 from urllib.parse import parse_qsl, urlsplit
 
 import h11
 
+from waxwingarch.adapters.held_bytes import HeldBody, HeldBytes
 from waxwingarch.adapters.http_messages import (
     JSON_TYPE,
     MAX_PARTS_PER_TURN,
@@ -35,7 +36,16 @@
 # Time that requests in progress get to finish when the server stops.
 STOP_GRACE_S: Final = 1.0
 STOP_POLL_S: Final = 0.02
-WRITE_HIGH_WATER_BYTES: Final = 256 * 1024
+WRITE_HIGH_WATER_BYTES: Final = 64 * 1024
+# A body is written in parts of this size, each when there is room for it.
+WRITE_BYTES: Final = 64 * 1024
+# Bounds of what the kernel holds of a connection, which doubles them.
+SOCKET_BUFFER_BYTES: Final = 64 * 1024
+# A request that is read is held once by its handler, and once more while it
+# is written to a server.
+COPIES_OF_REQUEST: Final = 2
+# At most this much of the next requests is read during the one in progress.
+READ_AHEAD_BYTES: Final = 64 * 1024
 
 
 @dataclass(slots=True)
@@ -60,6 +70,7 @@
             h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
         )
         self._partial = _PartialRequest()
+        self._held = HeldBody(server.held)
         self._transport: asyncio.Transport
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -79,6 +90,9 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        sock = transport.get_extra_info("socket")
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            sock.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
         self._server.connections.add(self)
         self._start_timer(IDLE_TIMEOUT_S)
 
@@ -86,6 +100,8 @@
         self._cancel_timer()
         self._disconnected.set()
         self._can_write.set()
+        if self._task is None:
+            self._held.release()
         self._server.connections.discard(self)
 
     def data_received(self, data: bytes) -> None:
@@ -97,6 +113,8 @@
         if self._task is None:
             self._start_timer(REQUEST_READ_TIMEOUT_S)
             self._process_events()
+        elif len(self._conn.trailing_data[0]) > READ_AHEAD_BYTES:
+            self._transport.pause_reading()
 
     def eof_received(self) -> bool:
         self._disconnected.set()
@@ -163,6 +181,10 @@
                 if self._partial.size_bytes > MAX_BODY_BYTES:
                     self._refuse(413, "body_too_large", "send a smaller body")
                     return False
+                held_bytes = self._partial.size_bytes * COPIES_OF_REQUEST
+                if not self._held.try_hold(held_bytes):
+                    self._refuse(503, "no_room", "send it again later")
+                    return False
                 self._partial.small_parts += len(event.data) < SMALL_PART_BYTES
                 if self._partial.small_parts > MAX_SMALL_PARTS:
                     self._refuse(400, "bad_http", "send the body in one part")
@@ -181,7 +203,9 @@
         head = self._partial.head
         assert head is not None
         try:
-            req = _build_request(head, b"".join(self._partial.parts))
+            body = b"".join(self._partial.parts)
+            self._partial.parts.clear()
+            req = _build_request(head, body)
         except ValueError as exc:
             self._refuse(400, "bad_http", f"send a valid path: {exc}")
             return False
@@ -212,6 +236,7 @@
                 )
         finally:
             self._task = None
+            self._held.release()
         self._start_next_cycle()
 
     def _start_next_cycle(self) -> None:
@@ -232,6 +257,7 @@
             self._transport.close()
             return
         self._start_timer(IDLE_TIMEOUT_S)
+        self._transport.resume_reading()
         self._process_events()
 
     # error responses
@@ -336,9 +362,16 @@
             status_code=status, headers=_encoded([*headers, *extra])
         )
         data = self._conn.send(head) or b""
-        data += self._conn.send(h11.Data(data=body)) or b""
-        data += self._conn.send(h11.EndOfMessage()) or b""
+        if len(body) <= WRITE_BYTES:
+            data += self._conn.send(h11.Data(data=body)) or b""
+            data += self._conn.send(h11.EndOfMessage()) or b""
+            self._transport.write(data)
+            return
         self._transport.write(data)
+        for part in _parts_of(body):
+            self._write(h11.Data(data=part))
+            await self._drain()
+        self._write(h11.EndOfMessage())
 
     async def async_send_until_close(
         self, status: int, body: bytes, headers: Headers
@@ -348,7 +381,10 @@
             raise CallerDisconnectedError("the caller closed the connection")
         # The state of this connection's own h11 connection stays that of a
         # response that is due, so that it is closed after this one.
-        self._transport.write(_encode_until_close(status, body, headers))
+        self._transport.write(_encode_head_until_close(status, headers))
+        for part in _parts_of(body):
+            self._transport.write(part)
+            await self._drain()
 
     def _close_header(self) -> list[tuple[str, str]]:
         """Return `connection: close` if the server is draining."""
@@ -416,6 +452,8 @@
         self.on_error = on_error
         self.connections: set[_Connection] = set()
         self.draining = False
+        # Set before the server listens, if several share an account.
+        self.held = HeldBytes()
         self._server: asyncio.Server | None = None
 
     async def async_setup(
@@ -498,8 +536,14 @@
     )
 
 
-def _encode_until_close(status: int, body: bytes, headers: Headers) -> bytes:
-    """Encode a response whose body ends with the connection.
+def _parts_of(body: bytes) -> Iterator[bytes]:
+    """Return a body in parts that are written one after the other."""
+    for begin in range(0, len(body), WRITE_BYTES):
+        yield body[begin : begin + WRITE_BYTES]
+
+
+def _encode_head_until_close(status: int, headers: Headers) -> bytes:
+    """Encode the head of a response whose body ends with the connection.
 
     h11 frames a body by itself, except for a client of HTTP/1.0.
     """
@@ -508,8 +552,7 @@
     while not isinstance(conn.next_event(), h11.EndOfMessage):
         pass
     head = h11.Response(status_code=status, headers=_encoded(headers))
-    data = conn.send(head) or b""
-    return data + (conn.send(h11.Data(data=body)) or b"")
+    return conn.send(head) or b""
 
 
 def _encoded(headers: Headers) -> list[tuple[bytes, bytes]]:
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -142,6 +142,8 @@
         self._front_peers = FrontPeers(
             self._runner, client, watches, self._entry.async_handle_relayed
         )
+        for server in (self._entry.server, self._front_peers.server):
+            server.held = client.held
         self._readiness = Readiness(lambda: self.front.ready, on_error)
         self._quarantine_operations = QuarantineOperations(
             self.front.quarantine, self._runner.post
@@ -151,7 +153,7 @@
             self._admin = Admin(settings.security.operator_key, on_error)
             self._quarantine_operations.register(self._admin)
         self.metrics = FrontMetrics(
-            lambda: count_held_inputs(self.front.quarantine)
+            lambda: count_held_inputs(self.front.quarantine), client.held
         )
         self._metrics_server = HttpServer(self._async_serve_metrics, on_error)
         self._runner.observe(FrontLog(self.front, self.metrics))
--- a/waxwingarch/platform/start.py
+++ b/waxwingarch/platform/start.py
@@ -11,6 +11,7 @@
     FrontSettings,
     read_front_settings,
 )
+from waxwingarch.adapters.held_bytes import HeldBytes
 from waxwingarch.adapters.http_client import HttpClient
 from waxwingarch.adapters.log_stream import LogStream
 from waxwingarch.const import EXIT_OK, EXIT_SETTINGS
@@ -52,7 +53,7 @@
 async def _async_run(
     settings: FrontSettings, watch: SettingsWatch, sock: socket.socket | None
 ) -> int:
-    client = HttpClient()
+    client = HttpClient(HeldBytes(settings.held_limit_bytes()))
     ports = platform_ports(settings, client)
     daemon = FrontDaemon(settings, client, ports, watch, sock)
     return await daemon.async_run()
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -9,6 +9,7 @@
 from eliot import log_message, write_traceback
 
 from waxwingarch.adapters.event_split import EventBatch, EventSplitter
+from waxwingarch.adapters.held_bytes import FREE_BYTES
 from waxwingarch.adapters.http_client import (
     ClientStream,
     ConnectFailedError,
@@ -61,9 +62,10 @@
 # At most this many responses to earlier requests are skipped before the one
 # to this request.
 MAX_STRAY_RESPONSES: Final = 2
-# The largest response of a server that is not streamed. Some dozens are held
-# in memory at the same time on a host with 200 MB.
+# The largest response of a server that is not streamed, and the largest body
+# of an error response or a rejection.
 MAX_RESPONSE_BYTES: Final = 4 * 1024 * 1024
+MAX_ERROR_BYTES: Final = 64 * 1024
 # The body of a rejection is short, and so is that of an error response: the
 # rest of it is awaited for this long where nothing depends on it.
 SHORT_BODY_TIMEOUT_S: Final = 1.0
@@ -441,7 +443,7 @@
             deadline = send.expires_at
             if self._can_resend():
                 deadline = self._short_body_deadline(send)
-            body = await stream.async_read_rest(deadline, MAX_RESPONSE_BYTES)
+            body = await stream.async_read_rest(deadline, MAX_ERROR_BYTES)
             self._report_response_start(send)
             if head.is_authentic:
                 self.state.failure = FailureResponse(
@@ -478,8 +480,8 @@
         The rejection counts also if its body is invalid or does not end.
         """
         try:
-            await stream.async_read_rest(
-                self._short_body_deadline(send), MAX_RESPONSE_BYTES
+            await stream.async_discard_rest(
+                self._short_body_deadline(send), MAX_ERROR_BYTES
             )
         except LinkError as exc:
             self._log_invalid("rejection_cut", send, exc)
@@ -549,6 +551,9 @@
             if chunk is None:
                 break
             batch = splitter.feed(chunk)
+            incomplete_bytes = len(splitter.incomplete)
+            if max(incomplete_bytes, stream.held.size_bytes) > FREE_BYTES:
+                await stream.held.async_hold(incomplete_bytes, send.expires_at)
             if not batch.data:
                 continue
             if is_resumed:
--- a/waxwingarch/tasks/front_peers.py
+++ b/waxwingarch/tasks/front_peers.py
@@ -74,7 +74,7 @@
         self._client = client
         self._watches = {watch.table: watch for watch in watches}
         self._transport: asyncio.DatagramTransport | None = None
-        self._server = HttpServer(self._async_serve)
+        self.server = HttpServer(self._async_serve)
         self._pull_task: asyncio.Task[None] | None = None
         self._pull_started_at = float("-inf")
         runner.connect(SendReport, self._send_report)
@@ -87,7 +87,7 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: _ReportProtocol(self), local_addr=(host, port)
         )
-        await self._server.async_setup(host, port)
+        await self.server.async_setup(host, port)
 
     async def async_unload(self) -> None:
         """Stop listening."""
@@ -95,7 +95,7 @@
             self._pull_task.cancel()
         if self._transport is not None:
             self._transport.close()
-        await self._server.async_unload()
+        await self.server.async_unload()
 
     def handle_datagram(self, data: bytes) -> None:
         """Post the report in a datagram; count and drop an invalid one."""
