Let streams of the soak's processes last longer than they may run at two servers

Streams of 0.5 s could not be at work at two servers for longer than the 0.4 s that are allowed and 0.5 s of slack. They last 1.5 s where servers are processes.

--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -33,6 +33,8 @@
 # Shorter than the time in which all faults of a soak have to end.
 READY_LIMIT_S: Final = 30.0
 EVENT_INTERVAL_S: Final = 0.02
+# Streams of processes last longer than a run may go on beside the next one.
+PROCESS_EVENT_INTERVAL_S: Final = 0.06
 EVENTS_PER_STREAM: Final = 25
 PLAIN_WORK_S: Final = 0.03
 
@@ -94,7 +96,11 @@
         self.fleet.async_restart_listener = self._async_end_crash
         for server in self.fleet.servers:
             server.behaviour.events = EVENTS_PER_STREAM
-            server.behaviour.event_s = EVENT_INTERVAL_S
+            server.behaviour.event_s = (
+                PROCESS_EVENT_INTERVAL_S
+                if isinstance(server, ProcessServer)
+                else EVENT_INTERVAL_S
+            )
             server.behaviour.work_s = PLAIN_WORK_S
             # Some servers look at their connections only as they write.
             server.behaviour.ignores_close = len(self.links) % 2 == 1
