Refuse what a stopping host knows nothing of, if it may outlast the host (LOST)

Cause: a route without a finished request counted as one of 0 s; requests in progress show only how long they have lasted so far. Change: such a request may last until its deadline, and gets 503, not run, if that is after the end; another host serves it. Reports of other hosts are not asked: a host learns of a route with its first finished request. The new test failed before (504 for 503). test_is_answered_at_the_end and test_is_refused_where_it_is_known_to_last_too_long relied on the 0 s; they send a first request now, and ask the same of what follows.

--- a/tests/core/test_run_times.py
+++ b/tests/core/test_run_times.py
@@ -11,10 +11,10 @@
         for route, duration_s in (("a", 1.0), ("a", 7.0), ("a", 2.0)):
             times.record(0.0, route, duration_s)
         self.assertEqual(7.0, times.longest_s(1.0, "a"))
-        self.assertEqual(0.0, times.longest_s(1.0, "b"))
+        self.assertIsNone(times.longest_s(1.0, "b"))
 
     def test_is_forgotten_after_two_windows(self) -> None:
-        for later, expected in ((1.5, 7.0), (2.5, 0.0), (9.0, 0.0)):
+        for later, expected in ((1.5, 7.0), (2.5, None), (9.0, None)):
             times = RunTimes()
             times.record(0.0, "a", 7.0)
             self.assertEqual(expected, times.longest_s(later * WINDOW_S, "a"))
--- a/tests/front/test_stop_host.py
+++ b/tests/front/test_stop_host.py
@@ -103,24 +103,50 @@
     @async_test
     async def test_is_answered_at_the_end(self) -> None:
         async with self.slow_host() as host:
+            for server in host.fleet.plain():
+                server.behaviour.work_s = 0.01
+            first = await host.async_send("/pay/x", deadline_ms=DEADLINE_MS)
+            self.assertEqual(200, first.status)
+            for server in host.fleet.plain():
+                server.behaviour.work_s = self.WORK_S
             host.daemon.stop()
             await asyncio.sleep(1.0)
             response = await host.async_send("/pay/x", deadline_ms=DEADLINE_MS)
             self.assertEqual(504, response.status)
+            self.assertEqual(2, len(host.fleet.runs))
+            await host.task
+
+    # Guards against requests of a route that nothing is known of, which a
+    # host that has just started took and cut at its end.
+    @async_test
+    async def test_is_refused_where_nothing_is_known_of_its_route(
+        self,
+    ) -> None:
+        async with self.slow_host() as host:
+            host.daemon.stop()
+            await asyncio.sleep(0.5)
+            for path in ("/pay/x", "/read/x", "/chat/x"):
+                late = await host.async_send(path, deadline_ms=DEADLINE_MS)
+                self.assertEqual(503, late.status, path)
+                self.assertIn("retry-after", late.headers)
+            in_time = await host.async_send("/pay/x", deadline_ms=2000)
+            self.assertNotEqual(503, in_time.status)
             self.assertEqual(1, len(host.fleet.runs))
             await host.task
 
     @async_test
     async def test_is_refused_where_it_is_known_to_last_too_long(self) -> None:
         async with self.slow_host() as host:
-            first = await host.async_send("/pay/x", deadline_ms=DEADLINE_MS)
-            self.assertEqual(200, first.status)
+            for path in ("/pay/x", "/draft/x"):
+                first = await host.async_send(path, deadline_ms=DEADLINE_MS)
+                self.assertEqual(200, first.status)
+            host.fleet.runs.clear()
             host.daemon.stop()
             await asyncio.sleep(0.5)
             late = await host.async_send("/pay/x", deadline_ms=DEADLINE_MS)
             self.assertEqual(503, late.status)
             self.assertIn("retry-after", late.headers)
-            self.assertEqual(1, len(host.fleet.runs))
+            self.assertEqual([], host.fleet.runs)
             short = await host.async_send("/draft/x")
             self.assertEqual(200, short.status)
             await host.task
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -182,22 +182,23 @@
         return [send]
 
     def _may_outlast_host(self, now: float, exchange: Exchange) -> bool:
-        """Return whether requests of its route last until this host ends.
+        """Return whether requests of its route may last until this host ends.
 
-        Such a request would end without an answer.
+        Such a request would end without an answer. One of a route that no
+        request has ended on lately may last until its deadline.
         """
         if self.ends_at == float("inf"):
             return False
         route = exchange.route.name
+        known_s = self._run_times.longest_s(now, route)
+        if known_s is None:
+            return exchange.expires_at > self.ends_at
         in_progress_s = (
             now - state.exchange.arrived_at
             for state in self._exchanges.values()
             if state.exchange.route.name == route
         )
-        longest_s = max(
-            self._run_times.longest_s(now, route),
-            max(in_progress_s, default=0.0),
-        )
+        longest_s = max(known_s, max(in_progress_s, default=0.0))
         return now + min(longest_s, exchange.expires_at - now) > self.ends_at
 
     def _no_server_refusal(self, now: float, service: ServiceId) -> Refusal:
--- a/waxwingarch/core/exchange/run_times.py
+++ b/waxwingarch/core/exchange/run_times.py
@@ -24,12 +24,15 @@
         self._advance(now)
         self._current[route] = max(duration_s, self._current.get(route, 0.0))
 
-    def longest_s(self, now: float, route: str) -> float:
-        """Return the longest duration, 0 if none is known."""
+    def longest_s(self, now: float, route: str) -> float | None:
+        """Return the longest duration, None if none is known."""
         self._advance(now)
-        return max(
-            self._current.get(route, 0.0), self._previous.get(route, 0.0)
-        )
+        known = [
+            window[route]
+            for window in (self._current, self._previous)
+            if route in window
+        ]
+        return max(known, default=None)
 
     def _advance(self, now: float) -> None:
         if now < self._window_ends_at:
