--- a/script/red_front.py
+++ b/script/red_front.py
@@ -7,6 +7,7 @@
 CORE: Final = "tests/core/front/"
 NOTICES: Final = "tests/front/test_server_notices_host.py::"
 HOST: Final = "tests/front/test_platform_host.py::"
+BROKEN: Final = "tests/front/test_broken_paths_host.py::"
 
 FRONT_MUTATIONS: Final = (
     Mutation(
@@ -42,6 +43,21 @@
         test=CORE + "test_exchanges.py::LeavingServers::"
         "test_copy_that_cannot_be_taken_up_is_no_new_run",
     ),
+    Mutation(
+        promise="TWICE",
+        path="waxwingarch/core/exchange/state_machine.py",
+        old="or finished.next_connection is CheckResult.TAKEN",
+        new="",
+        test=BROKEN + "ResetPaths::test_stream_goes_on_at_the_same_server",
+    ),
+    Mutation(
+        promise="TWICE",
+        path="waxwingarch/platform/exchange_codec.py",
+        old='headers.append((RUN_AT_HEADER, send.run_at or ""))',
+        new='headers.append((RUN_AT_HEADER, ""))',
+        test=BROKEN + "CutHosts::"
+        "test_peer_goes_on_at_the_server_that_has_the_run",
+    ),
     Mutation(
         promise="REFUSED",
         path="waxwingarch/core/exchange/state_machine.py",
--- a/tests/front/test_broken_paths_host.py
+++ b/tests/front/test_broken_paths_host.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from standins.fleet import ENGINE_SERVICE
 from standins.fleet_server import Run
 from standins.pauses import is_at_two
 from standins.server_process import ProcessServer
@@ -131,6 +132,7 @@
     @async_test
     async def test_peer_goes_on_at_the_server_that_has_the_run(self) -> None:
         async with TwoHosts() as hosts:
+            await _async_add_engines(hosts, 2)
             for server in hosts.fleet.engines():
                 server.behaviour.events = 10
                 server.behaviour.event_s = 0.1
@@ -138,6 +140,12 @@
             await async_until(lambda: hosts.fleet.runs, "it runs")
             await asyncio.sleep(0.25)
             [run] = hosts.fleet.runs
+            # Without being told, the peer would choose another server.
+            hosts.sound.front.load_balancer.health.record_failure(
+                asyncio.get_running_loop().time() + 2.0,
+                run.server_id,
+                unreachable=True,
+            )
             hosts.partition()
             _reset_connections(hosts, run)
             response = await call
@@ -148,6 +156,37 @@
             for each in runs:
                 self.assertNotIn("waxwingarch-run-at", each.headers)
 
+    @async_test
+    async def test_caller_can_not_name_a_server(self) -> None:
+        async with Host() as host:
+            for server in host.fleet.engines():
+                name = server.server_id
+                response = await host.async_send(
+                    "/draft/x", waxwingarch_run_at=name
+                )
+                self.assertNotIn("waxwingarch-run-at", response.headers)
+            reached = servers_of(host.fleet.runs)
+            # The same request goes to the same server, whatever it names.
+            self.assertEqual(1, len(reached), host.fleet.runs)
+            for run in host.fleet.runs:
+                self.assertNotIn("waxwingarch-run-at", run.headers)
+
+
+async def _async_add_engines(hosts: TwoHosts, count: int) -> None:
+    """Add engines that the cut host does not try before it relays."""
+    for n in range(count):
+        await hosts.fleet.async_add_server(
+            f"more-{n}", ENGINE_SERVICE, engine=True
+        )
+    for front in (hosts.daemon.front, hosts.sound.front):
+        registry = front.load_balancer.registry
+        await async_until(
+            lambda registry=registry: (
+                len(registry) == len(hosts.fleet.servers)
+            ),
+            "the engines are known",
+        )
+
 
 def _reset_connections(hosts: Any, run: Run) -> None:
     """Break the connections to the server of a run."""
