Charge no retry for an attempt that reached no server (own interface)

The record of that host shows it whole: four engines had crashed, the platform's list still named them, and each of three requests tried them in turn. 8 of the 10 retries of the budget went to connections that were refused; the third request had none left after four more and waited for 10 s.

The budget bounds the load that retries add to servers. An attempt that reached no server adds none, so that it is not charged, and neither is a look for a server that finds none. A second round over all servers is charged as before.

--- a/tests/core/test_silent_engines.py
+++ b/tests/core/test_silent_engines.py
@@ -1,4 +1,4 @@
-"""Tests of the own interface beside an engine that falls silent."""
+"""Tests of the own interface beside engines that are silent or gone."""
 
 from unittest.mock import Mock
 
@@ -6,9 +6,12 @@
 
 from tests.core.front.builders import POOL, server
 from waxwingarch.core.base import AccountId, Action, RequestId, ServerKind
+from waxwingarch.core.limits.retry_budget import RetryBudget
 from waxwingarch.core.request import (
+    AttemptLost,
     ChunkArrived,
     DropAttempt,
+    LossKind,
     Request,
     StartAttempt,
 )
@@ -31,8 +34,11 @@
 )
 
 
-def started_manager() -> tuple[RequestManager, list[Action]]:
-    """Return a manager without retries, whose request is on an engine."""
+def started_manager() -> tuple[RequestManager, list[Action], Mock]:
+    """Return a manager without retries, its actions and its selector.
+
+    Its request is on an engine.
+    """
     admission, servers, selector = Mock(), Mock(), Mock()
     admission.offer.return_value.request_id = REQUEST.request_id
     admission.expire.return_value = []
@@ -55,14 +61,14 @@
     actions = manager.handle_arrival(0.0, REQUEST)
     while manager._retry_budget.try_retry():
         pass
-    return manager, actions
+    return manager, actions, selector
 
 
 class SilentEngines(testtools.TestCase):
     def test_held_stream_is_kept_without_a_retry_to_resume_it(self) -> None:
         # A sound engine's stream was cancelled after 1.5 s of silence, and
         # the request then waited for a retry until its deadline.
-        manager, [start] = started_manager()
+        manager, [start], _ = started_manager()
         assert isinstance(start, StartAttempt)
         chunk = ChunkArrived(
             request_id=REQUEST.request_id,
@@ -78,3 +84,41 @@
                 if isinstance(action, DropAttempt) and action.cancel
             ]
             self.assertEqual([], cancelled, tenths)
+
+
+class GoneEngines(testtools.TestCase):
+    # Guards against a request that waits until its deadline beside sound
+    # engines, as the retries were spent on engines that were gone (LOST).
+    def test_attempt_that_reached_no_engine_costs_no_retry(self) -> None:
+        manager, actions, selector = started_manager()
+        for n in range(2, 6):
+            [start] = actions
+            assert isinstance(start, StartAttempt)
+            lost = AttemptLost(
+                request_id=REQUEST.request_id,
+                attempt_id=start.attempt_id,
+                kind=LossKind.NOT_SENT,
+            )
+            selector.choose.return_value = server(f"e{n}")
+            actions = [
+                action
+                for action in manager.handle_attempt_event(0.1, lost)
+                if not isinstance(action, DropAttempt)
+            ]
+
+    def test_wait_for_an_engine_costs_no_retry(self) -> None:
+        manager, [start], selector = started_manager()
+        assert isinstance(start, StartAttempt)
+        manager._retry_budget = RetryBudget(burst=1.0)
+        selector.choose.return_value = None
+        lost = AttemptLost(
+            request_id=REQUEST.request_id,
+            attempt_id=start.attempt_id,
+            kind=LossKind.FAILED,
+        )
+        manager.handle_attempt_event(0.1, lost)
+        for tenths in range(2, 20):
+            self.assertEqual([], manager.tick(tenths / 10), tenths)
+        selector.choose.return_value = server("e2")
+        [start] = manager.tick(2.0)
+        self.assertIsInstance(start, StartAttempt)
--- a/waxwingarch/core/requests/active_request.py
+++ b/waxwingarch/core/requests/active_request.py
@@ -17,7 +17,8 @@
 
     `server` is set while an attempt is in progress. `target` is where a
     migrated stream continues, if that server is still available then.
-    `answer_began_at` is when the first byte of the attempt came.
+    `answer_began_at` is when the first byte of the attempt came. `is_unsent`
+    says that the last attempt reached no server.
     """
 
     machine: Machine
@@ -30,6 +31,7 @@
     is_hand_over_requested: bool = False
     retry_at: float = 0.0
     assignments: int = 0
+    is_unsent: bool = False
 
     @property
     def tokens(self) -> int:
--- a/waxwingarch/core/requests/request_manager.py
+++ b/waxwingarch/core/requests/request_manager.py
@@ -12,13 +12,16 @@
 )
 from waxwingarch.core.limits.admission_messages import Refusal as NotAdmitted
 from waxwingarch.core.limits.retry_budget import RetryBudget
+from waxwingarch.core.once.once_messages import DispatchNotSent
 from waxwingarch.core.once.once_state import OwnerView
 from waxwingarch.core.placement.placement_messages import Outcome
 from waxwingarch.core.placement.server_selector import ServerSelector
 from waxwingarch.core.request import (
     AttemptEvent,
+    AttemptLost,
     FetchHandOver,
     HandOverFetched,
+    LossKind,
     Request,
 )
 from waxwingarch.core.requests.active_request import ActiveRequest, Machine
@@ -113,6 +116,12 @@
         if entry is None:
             return []
         self._crash_guard.record_event(now, entry, event)
+        attempt = entry.machine.attempt
+        if attempt is not None and attempt.attempt_id == event.attempt_id:
+            entry.is_unsent = (
+                isinstance(event, AttemptLost)
+                and event.kind is LossKind.NOT_SENT
+            )
         return self._follow_up(now, entry, entry.machine.handle(now, event))
 
     def handle_once_reply(self, now: float, event: OnceReply) -> list[Action]:
@@ -121,6 +130,7 @@
         if entry is None or not isinstance(entry.machine, AtMostOnceMachine):
             return []
         self._crash_guard.record_once_reply(now, entry, event)
+        entry.is_unsent = isinstance(event.reply, DispatchNotSent)
         return self._follow_up(
             now, entry, entry.machine.handle_reply(now, event.reply)
         )
@@ -287,8 +297,11 @@
             if refusal is not None:
                 actions = machine.abort(refusal.reason, refusal.message)
                 return self._follow_up(now, entry, actions)
-        is_retry = entry.assignments and entry.target is None
-        if is_retry and not self._retry_budget.try_retry():
+        # What reached no server adds no load that the budget has to bound.
+        is_retry = (
+            entry.assignments and entry.target is None and not entry.is_unsent
+        )
+        if is_retry and not self._retry_budget.can_retry:
             entry.retry_at = now + RETRY_DELAY_S
             return []
         server = self._target_server(entry)
@@ -297,6 +310,8 @@
             server = self._selector.choose(now, request, excluded)
         if server is None:
             return self._handle_no_server(now, entry)
+        if is_retry:
+            self._retry_budget.try_retry()
         entry.assignments += 1
         self._record_dispatch(now, entry, server)
         return entry.machine.assign(now, server)
@@ -313,13 +328,15 @@
     ) -> list[Action]:
         """Delay the next attempt and allow all servers for it again.
 
-        A request that runs at most once is not delayed: its claim
-        protocol decides what follows.
+        That attempt is charged to the budget, which bounds how often all
+        servers are tried. A request that runs at most once is not delayed:
+        its claim protocol decides what follows.
         """
         if isinstance(entry.machine, AtMostOnceMachine):
             actions = entry.machine.handle_no_server(now)
             return self._follow_up(now, entry, actions)
         entry.machine.failed_servers.clear()
+        entry.is_unsent = False
         entry.retry_at = now + RETRY_DELAY_S
         return []
 
