Say of a given up stream that it was, not that its connection broke

A host that closes the connection of the largest body to make room for others raised NoRoomError only where the whole body is held.

`ClientStream.async_read` now says so to all its readers.

--- a/tests/adapters/test_held_bytes.py
+++ b/tests/adapters/test_held_bytes.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from tests.front.raw_server import raw_server
+from tests.front.raw_server import ServeConnection, raw_server
 from tests.helpers import async_test
 from waxwingarch.adapters.held_bytes import (
     FREE_BYTES,
@@ -27,6 +27,20 @@
     return asyncio.get_running_loop().time() + seconds
 
 
+def answer_with(data: bytes) -> ServeConnection:
+    """Return a server that writes so much and then waits."""
+
+    async def async_serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(data)
+        await reader.read()
+        writer.close()
+
+    return async_serve
+
+
 class Account(testtools.TestCase):
     @async_test
     async def test_short_bodies_always_have_room(self) -> None:
@@ -119,6 +133,25 @@
         self.assertLessEqual(set(ends), {600_000, NoRoomError})
         self.assertEqual(0, client.held.held_bytes)
 
+    # Guards against a stream that goes back to its server as after a broken
+    # path, or looks whole, though this host has closed its connection.
+    @async_test
+    async def test_stream_that_is_given_up_says_so(self) -> None:
+        for framing in (b"Transfer-Encoding: chunked", b"Connection: close"):
+            client = HttpClient(HeldBytes(LIMIT))
+            head = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n"
+            async with (
+                raw_server(answer_with(head + b"2\r\nxx\r\n")) as address,
+                client.async_stream(
+                    "GET", address, "/", deadline=soon()
+                ) as stream,
+            ):
+                await stream.async_read(soon())
+                stream.held.try_hold(LIMIT)
+                client.held.give_up_largest()
+                with testtools.ExpectedException(NoRoomError):
+                    await stream.async_read(soon())
+
     @async_test
     async def test_length_beyond_the_bound_is_not_read(self) -> None:
         client = HttpClient()
--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -169,10 +169,25 @@
         """Return the next part of the body, or None at its end.
 
         `deadline` is on the loop's clock. Raises `SilentLinkError`,
-        `CutLinkError`, and `EndlessResponseError` for too many small parts.
+        `CutLinkError`, `EndlessResponseError` for too many small parts, and
+        `NoRoomError` for a body that was given up: it ends with its
+        connection, which is neither its end nor the server's.
         """
         if self.complete:
             return None
+        try:
+            part = await self._async_next_part(deadline)
+        except CutLinkError:
+            if not self.held.is_given_up:
+                raise
+            part = None
+        if self.held.is_given_up:
+            raise NoRoomError(
+                f"{self._conn.address}: given up to make room for others"
+            )
+        return part
+
+    async def _async_next_part(self, deadline: float) -> bytes | None:
         parts: list[bytes] = []
         while True:
             event = await self._conn.async_event(deadline, wait=not parts)
@@ -231,7 +246,7 @@
             self._check_size(self._length, max_bytes)
             await self.held.async_hold(self._length, deadline)
         while not self.complete:
-            part = await self._async_read_part(deadline)
+            part = await self.async_read(deadline) or b""
             size_bytes += len(part)
             self._check_size(size_bytes, max_bytes)
             if size_bytes > self.held.size_bytes:
@@ -252,23 +267,6 @@
             size_bytes += len(await self.async_read(deadline) or b"")
             self._check_size(size_bytes, max_bytes)
 
-    async def _async_read_part(self, deadline: float) -> bytes:
-        """Return the next part of the body, empty at its end.
-
-        A body that was given up ends with its connection, which is no end.
-        """
-        try:
-            part = await self.async_read(deadline)
-        except CutLinkError:
-            if not self.held.is_given_up:
-                raise
-            part = None
-        if self.held.is_given_up:
-            raise NoRoomError(
-                f"{self._conn.address}: given up to make room for others"
-            )
-        return part or b""
-
     def _check_size(self, size_bytes: int, max_bytes: int) -> None:
         if size_bytes > max_bytes:
             raise EndlessResponseError(
