Hold nothing for a length that no body follows

The answer to HEAD, and a 204 or 304, may state the length of a body that doesn't follow. It was reserved on the account of held bytes, and beyond the bound of a response the answer was an error.

--- a/tests/adapters/test_held_bytes.py
+++ b/tests/adapters/test_held_bytes.py
@@ -152,6 +152,20 @@
                 with testtools.ExpectedException(NoRoomError):
                     await stream.async_read(soon())
 
+    @async_test
+    async def test_length_without_a_body_takes_no_room(self) -> None:
+        client = HttpClient()
+        for method, status in (("HEAD", 200), ("GET", 304)):
+            head = b"HTTP/1.1 %d OK\r\n" % status
+            head += b"Content-Length: 10000000000\r\n\r\n"
+            async with raw_server(answer_with(head)) as address:
+                answer = await client.async_request(
+                    method, address, "/", deadline=soon()
+                )
+                await client.async_unload()
+            self.assertEqual((status, b""), (answer.status, answer.body))
+        self.assertEqual(0, client.held.peak_bytes)
+
     @async_test
     async def test_length_beyond_the_bound_is_not_read(self) -> None:
         client = HttpClient()
--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -155,15 +155,19 @@
         self._started_at = asyncio.get_running_loop().time()
         self._small_parts = 0
         self._conn.apply_keep_alive(self.headers.get("keep-alive", ""))
-        self._length = _parse_length(self.headers)
+        self._length = _parse_length(self.headers) if self._has_body else 0
         held.on_give_up = None if self._length is not None else conn.close
 
+    @property
+    def _has_body(self) -> bool:
+        """Whether the headers describe a body that follows them."""
+        is_bodyless = self.status in BODYLESS_STATUSES
+        return not is_bodyless and not self._conn.is_head_request
+
     @property
     def ends_with_connection(self) -> bool:
         """Whether only the end of the connection ends the body."""
-        if self.status in BODYLESS_STATUSES or self._conn.is_head_request:
-            return False
-        return not self.headers.keys() & FRAMING_HEADERS
+        return self._has_body and not self.headers.keys() & FRAMING_HEADERS
 
     async def async_read(self, deadline: float) -> bytes | None:
         """Return the next part of the body, or None at its end.
