Count no crash where this host closed the connection (LOST)

A response that is given up for its endless bytes, or to make room for others, was evidence of a crash by the input of its request: three servers that write without end would have sound requests quarantined. The process of such a server has not ended; this host closed its connection.

`AttemptFinished.ended_by_host` says so, and the crash observer passes over it as it does over a server that takes the next connection. The server still counts as failing.

--- a/tests/front/test_server_notices_host.py
+++ b/tests/front/test_server_notices_host.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from typing import Any
+from unittest.mock import patch
 
 import testtools
 
@@ -267,6 +268,18 @@
         for part in PARTS:
             await self.async_ask(part)
 
+    # Guards against a sound request that is quarantined as the servers that
+    # were given up for their endless bytes count as crashed by it (LOST).
+    @async_test
+    async def test_server_that_still_writes_has_not_crashed(self) -> None:
+        for part in sorted(PARTS.keys() - {"past its length", "rejection"}):
+            async with Host() as host:
+                await self.async_only_server(host, FloodServer(part))
+                quarantine = host.front.exchanges._quarantine
+                with patch.object(type(quarantine), "record_break") as crashed:
+                    await self.async_status(host)
+                crashed.assert_not_called()
+
     @async_test
     async def test_bytes_on_an_idle_connection(self) -> None:
         """The next request is sent on another connection."""
--- a/waxwingarch/core/exchange/crash_observer.py
+++ b/waxwingarch/core/exchange/crash_observer.py
@@ -41,7 +41,7 @@
         responses for a reason of its own. An answer without a byte, or one
         that ends with its connection, may only look complete, and says
         nothing. Nor does a broken connection whose server takes the next
-        one: its process has not ended.
+        one, or one that this host closed: the process has not ended.
         """
         inputs = state.exchange.inputs
         if event.outcome is AttemptOutcome.DONE:
@@ -52,6 +52,7 @@
         if (
             event.outcome is AttemptOutcome.BROKEN
             and event.next_connection is not CheckResult.TAKEN
+            and not event.ended_by_host
             and backend is not None
             and backend.is_usable
             and state.migrated_cache is None
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -244,6 +244,8 @@
     the same. `next_connection` is what became of a connection to the server
     that was opened after that of the attempt broke, None without one.
     `served_by` is the server that a peer sent the request to, as it says.
+    `ended_by_host` says that this host closed the connection for what the
+    server had written, and not the server.
     """
 
     outcome: AttemptOutcome
@@ -254,6 +256,7 @@
     ended_by_close: bool = False
     next_connection: CheckResult | None = None
     served_by: ServerId | None = None
+    ended_by_host: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -9,12 +9,14 @@
 from eliot import log_message, write_traceback
 
 from waxwingarch.adapters.event_split import EventBatch, EventSplitter
-from waxwingarch.adapters.held_bytes import FREE_BYTES
+from waxwingarch.adapters.held_bytes import FREE_BYTES, NoRoomError
 from waxwingarch.adapters.http_client import (
     ClientStream,
     ConnectFailedError,
     CutLinkError,
+    EndlessResponseError,
     HttpClient,
+    InvalidBytesError,
     SilentLinkError,
 )
 from waxwingarch.adapters.http_messages import (
@@ -23,6 +25,7 @@
     HttpRequest,
     HttpResponder,
 )
+from waxwingarch.adapters.sse import BadEventError
 from waxwingarch.const import BACKEND_CONNECT_TIMEOUT_S, LOGGED_DECIMALS
 from waxwingarch.core.backends.brittle_servers import BrittlenessSeen
 from waxwingarch.core.backends.registry import LeavingAnnounced
@@ -78,6 +81,14 @@
 # Interval of the checks whether a migration has ended.
 MIGRATION_POLL_S: Final = 0.05
 
+# Errors after which this host closes a connection that the server left open.
+CLOSED_BY_HOST: Final = (
+    BadEventError,
+    EndlessResponseError,
+    InvalidBytesError,
+    NoRoomError,
+)
+
 # Statuses with which a host refuses a request that no server ran.
 REFUSED_STATUSES: Final = frozenset({429, 503})
 HTTP_SUCCESS_MIN: Final = 200
@@ -189,6 +200,7 @@
     async def async_send(self, send: SendRequest) -> AttemptFinished:
         """Carry out one attempt and return its outcome."""
         retry_after_s = next_connection = None
+        ended_by_host = False
         try:
             async with asyncio.timeout_at(send.expires_at):
                 outcome, retry_after_s = await self._async_attempt(send)
@@ -204,6 +216,7 @@
         except LinkError as exc:
             self._log_invalid("response_broken", send, exc)
             outcome = AttemptOutcome.BROKEN
+            ended_by_host = isinstance(exc, CLOSED_BY_HOST)
         except CallerDisconnectedError:
             raise
         except Exception as exc:
@@ -223,6 +236,7 @@
             ended_by_close=self.state.ended_by_close,
             next_connection=next_connection,
             served_by=self.state.served_by,
+            ended_by_host=ended_by_host,
         )
 
     async def _async_check_next(
