Split the dispatch to a chosen server from that of a migrated run

`_dispatch` chose a server or took a given one by a parameter that may be None; the second is `_continue_at` now, beside `_return_to`. The two faults of the soak that choose a host with links share the choice.

--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -289,14 +289,19 @@
         link = self._world.links[server.server_id]
         return lambda: self._async_apply_link_fault(link, interval, fault)
 
+    def _choose_linked_host(self, min_hosts: int) -> str | None:
+        """Choose an undisturbed host with links, of so many or more."""
+        undisturbed = {d.name for d in self._targets.undisturbed_daemons()}
+        free = sorted(undisturbed & self._world.host_links.keys())
+        if not free or len(undisturbed) < min_hosts:
+            return None
+        return self._rng.choice(free)
+
     def _prepare_partition(self) -> Fault | None:
         """Let a host reach no server, while all else reaches it."""
-        names = sorted(self._world.host_links)
-        undisturbed = {d.name for d in self._targets.undisturbed_daemons()}
-        free = [name for name in names if name in undisturbed]
-        if not free or len(undisturbed) < MIN_HOSTS_FOR_PARTITION:
+        name = self._choose_linked_host(MIN_HOSTS_FOR_PARTITION)
+        if name is None:
             return None
-        name = self._rng.choice(free)
         links = self._world.host_links[name]
         interval = self._targets.begin_fault(name, PARTITION)
 
@@ -310,12 +315,9 @@
 
     def _prepare_path_reset(self) -> Fault | None:
         """Reset a host's connections to servers, at one end or both."""
-        names = sorted(self._world.host_links)
-        undisturbed = {d.name for d in self._targets.undisturbed_daemons()}
-        free = [name for name in names if name in undisturbed]
-        if not free:
+        name = self._choose_linked_host(1)
+        if name is None:
             return None
-        name = self._rng.choice(free)
         end = self._rng.choice(tuple(LinkEnd))
         interval = self._targets.begin_fault(name, PATH_RESET, end)
 
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -81,6 +81,8 @@
 # After the first-byte deadline, a server without any activity for this long
 # counts as down.
 SERVER_ACTIVE_WITHIN_S: Final = 0.6
+# A server with a copy of a run's KV cache starts to write within this time.
+EXPECTED_WITH_CACHE_S: Final = 0.1
 # Outcomes that say how long requests of a route last.
 LASTED_OUTCOMES: Final = frozenset(
     {AttemptOutcome.DONE, AttemptOutcome.EXPIRED}
@@ -242,7 +244,7 @@
         self, now: float, state: ExchangeState
     ) -> SendRequest | None:
         """Relay a request if the servers have room for other hosts only."""
-        send = self._dispatch(now, state, None)
+        send = self._dispatch(now, state)
         if send is not None or not self._load_balancer.is_shared_out(
             now, state.exchange.service
         ):
@@ -272,7 +274,7 @@
             return relay
         if not self._paths.has_untried(state.exchange.service):
             return None
-        return self._dispatch(now, state, None)
+        return self._dispatch(now, state)
 
     def _relay(
         self, now: float, state: ExchangeState, peer: HostReport
@@ -305,13 +307,13 @@
             state.relayed_to = None
 
     def _dispatch(
-        self, now: float, state: ExchangeState, target: Server | None
+        self, now: float, state: ExchangeState
     ) -> SendRequest | None:
-        """Choose a server and start an attempt; None if there is no server.
-
-        With `target` the attempt goes to that server.
-        """
-        pick = self._pick_server(now, state, target)
+        """Choose a server and start an attempt; None if there is no server."""
+        exchange = state.exchange
+        pick = self._load_balancer.choose(
+            now, exchange, exchange.traits, state.tried_servers
+        )
         return None if pick is None else self._send_to(now, state, pick)
 
     def _send_to(
@@ -327,20 +329,6 @@
         state.may_be_stopped = False
         return self._start_attempt(now, state, pick, migrated_cache)
 
-    def _pick_server(
-        self,
-        now: float,
-        state: ExchangeState,
-        target: Server | None,
-    ) -> Pick | None:
-        if target is None:
-            exchange = state.exchange
-            return self._load_balancer.choose(
-                now, exchange, exchange.traits, state.tried_servers
-            )
-        # The target has a copy of the run's KV cache: it reads no prompt.
-        return Pick(server=target, expected_s=0.1, uncached_tokens=0)
-
     def _start_attempt(
         self,
         now: float,
@@ -514,7 +502,7 @@
             if backend is not None and self._migrations.may_continue_at(
                 now, backend
             ):
-                return self._dispatch(now, state, backend.server)
+                return self._continue_at(now, state, backend.server)
             state.migrated_cache = None
             return None
         if state.returns_to is not None:
@@ -538,9 +526,20 @@
         send = self._dispatch_or_relay(now, state)
         if send is None and event.response_started:
             state.tried_servers &= state.unreachable_servers
-            send = self._dispatch(now, state, None)
+            send = self._dispatch(now, state)
         return send
 
+    def _continue_at(
+        self, now: float, state: ExchangeState, server: Server
+    ) -> SendRequest:
+        """Send a migrated run to the server that has its KV cache."""
+        pick = Pick(
+            server=server,
+            expected_s=EXPECTED_WITH_CACHE_S,
+            uncached_tokens=0,
+        )
+        return self._send_to(now, state, pick)
+
     def _return_to(
         self, now: float, state: ExchangeState, server: Server
     ) -> SendRequest:
