--- a/tests/front/test_stop_host.py
+++ b/tests/front/test_stop_host.py
@@ -7,6 +7,7 @@
 import testtools
 
 from standins.front_process import KEY, call_headers
+from standins.server_process import ProcessServer
 from tests.front.base import Host, async_until
 from tests.helpers import async_test
 from waxwingarch.core.front_node import ACCEPT_WHILE_STOPPING_S
@@ -164,3 +165,43 @@
             self.assertEqual(503, late.status)
             self.assertEqual(200, (await first).status)
             await host.task
+
+
+class StreamsAmidAStop(testtools.TestCase):
+    """Streams that last for most of the grace period of a stopping host."""
+
+    GRACE_S = 8.0
+    DEADLINE_MS = 15_000
+    EVENTS = 70
+    EVENT_S = 0.1
+    COUNT = 19
+    FIRST_S = 1.5
+    LAST_S = 2.4
+
+    async def async_send_late(self, host: Host, n: int) -> int:
+        """Send a stream some time after the signal; return its status."""
+        span_s = self.LAST_S - self.FIRST_S
+        await asyncio.sleep(self.FIRST_S + span_s * n / (self.COUNT - 1))
+        response = await host.async_send(
+            "/chat/x", deadline_ms=self.DEADLINE_MS
+        )
+        return response.status
+
+    # Guards against streams that a host which has just started took amid its
+    # stop and cut at its end (LOST).
+    @async_test
+    async def test_is_refused_if_it_would_be_cut(self) -> None:
+        settings = f"[bounds]\nstop_grace_s = {self.GRACE_S}\n"
+        async with Host(ProcessServer, more_settings=settings) as host:
+            for server in host.fleet.engines():
+                server.behaviour.events = self.EVENTS
+                server.behaviour.event_s = self.EVENT_S
+                await server.async_apply_behaviour()
+            await host.async_change_config(stream_timeout_ms=self.DEADLINE_MS)
+            host.daemon.stop()
+            statuses = await asyncio.gather(
+                *(self.async_send_late(host, n) for n in range(self.COUNT))
+            )
+            self.assertEqual({503}, set(statuses))
+            self.assertEqual([], host.fleet.runs)
+            await host.task
