Note delays of the soak's own process among its events

The soak runs callers, links, store and servers in one process. A delay of over 0.5 s is in the events now; it excuses no check.

--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -44,6 +44,7 @@
 NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
 DENIED: Final = (401, 403)
 PROCESS_CHECK_INTERVAL_S: Final = 0.25
+NOTED_DELAY_S: Final = 0.5
 # Faults of a host's links that its callers must not notice.
 STORE_LINK_FAULTS: Final = ("link to store", "link to duties")
 # Faults of a host after which it may close connections without an answer.
@@ -76,9 +77,17 @@
         self._report = report
 
     async def async_run(self) -> None:
-        """Check that the processes are running, until cancelled."""
+        """Check that the processes are running, until cancelled.
+
+        Delays of this process, which runs callers, links and servers, go
+        into the events: they can explain a late call, but excuse none.
+        """
         while True:
+            due_at = time.monotonic() + PROCESS_CHECK_INTERVAL_S
             await asyncio.sleep(PROCESS_CHECK_INTERVAL_S)
+            delay_s = time.monotonic() - due_at
+            if delay_s > NOTED_DELAY_S:
+                self._report.record_note(f"soak delayed by {delay_s:.1f} s")
             self._world.check_processes()
 
     def check_all(self) -> None:
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -17,7 +17,11 @@
 from standins.fleet_server import Run
 from standins.front_process import KEY
 from standins.soak.__main__ import async_soak, build_parser
-from standins.soak.checks import PromiseChecker
+from standins.soak.checks import (
+    NOTED_DELAY_S,
+    PROCESS_CHECK_INTERVAL_S,
+    PromiseChecker,
+)
 from standins.soak.faults import FaultInjector
 from standins.soak.link import DROPS_ANYTHING, Link, LinkFault
 from standins.soak.load import Call, LoadGenerator
@@ -431,6 +435,19 @@
             self.world.check_processes()
             self.assertEqual({Promise.ALIVE}, set(self.report.broken_counts))
 
+    @async_test
+    async def test_delay_of_the_soak_is_among_the_events(self) -> None:
+        checker = PromiseChecker(
+            self.world, mock.Mock(), mock.Mock(), self.report
+        )
+        task = asyncio.create_task(checker.async_run())
+        await asyncio.sleep(0)
+        time.sleep(PROCESS_CHECK_INTERVAL_S + 2 * NOTED_DELAY_S)  # noqa: ASYNC251
+        await asyncio.sleep(0.01)
+        task.cancel()
+        [(_, event)] = self.report.log
+        self.assertIn("soak delayed by 1.0 s", event)
+
     @async_test
     async def test_host_that_never_becomes_ready(self) -> None:
         with mock.patch("standins.soak.world.READY_LIMIT_S", 0.1):
