Take the memory of the process from its settings, not from a template field

The default of [bounds] memory_mb is now 160, that of the smallest machines of the sites, and the template leaves it: 32 MB of bodies and events at most in place of 60 MB on machines of 300 MB. A deployment may set more.

--- a/waxwingarch/adapters/front_settings.py
+++ b/waxwingarch/adapters/front_settings.py
@@ -86,7 +86,8 @@
 class BoundsSection(_Section):
     """Limits and windows of a deployment.
 
-    `memory_mb` is the memory that this process may use in all.
+    `memory_mb` is the memory that this process may use in all. Its default
+    is that of the smallest machines of a deployment.
     """
 
     resend_ratio: NotNegative = 0.2
@@ -100,7 +101,7 @@
     stop_grace_s: PositiveSeconds = 8.0
     exposure_share: NotNegative = 0.1
     exposure_extra: NotNegative = 50.0
-    memory_mb: PositiveInt = 300
+    memory_mb: PositiveInt = 160
 
 
 class LogSection(_Section):
