--- a/waxwingarch/core/requests/request_manager.py
+++ b/waxwingarch/core/requests/request_manager.py
@@ -298,10 +298,10 @@
                 actions = machine.abort(refusal.reason, refusal.message)
                 return self._follow_up(now, entry, actions)
         # What reached no server adds no load that the budget has to bound.
-        is_retry = (
+        costs_retry = (
             entry.assignments and entry.target is None and not entry.is_unsent
         )
-        if is_retry and not self._retry_budget.can_retry:
+        if costs_retry and not self._retry_budget.can_retry:
             entry.retry_at = now + RETRY_DELAY_S
             return []
         server = self._target_server(entry)
@@ -310,7 +310,7 @@
             server = self._selector.choose(now, request, excluded)
         if server is None:
             return self._handle_no_server(now, entry)
-        if is_retry:
+        if costs_retry:
             self._retry_budget.try_retry()
         entry.assignments += 1
         self._record_dispatch(now, entry, server)
