Ask in one place whether a route allows another server

`ExchangeState.may_try_another` came in beside the last lines of `_may_resend`, which count the same servers against the same bound. The second calls the first now. Behaviour is unchanged.

--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -513,7 +513,7 @@
                 if not self._resend_budget.try_resend(now, service):
                     return None
                 return self._return_to(now, state, backend.server)
-            if not state.may_try_another:
+            if not state.may_try_another():
                 return None
         # What only peers have rejected has reached no server yet.
         is_first = not state.may_have_run_on and (
--- a/waxwingarch/core/exchange/state_machine.py
+++ b/waxwingarch/core/exchange/state_machine.py
@@ -106,10 +106,9 @@
         """Whether any server may have run the request, or still runs it."""
         return self.sent_to is not None or bool(self.may_have_run_on)
 
-    @property
-    def may_try_another(self) -> bool:
-        """Whether the route allows an attempt at another server."""
-        run_on = self.may_have_run_on
+    def may_try_another(self, also_run_on: Collection[ServerId] = ()) -> bool:
+        """Return whether the route allows an attempt at another server."""
+        run_on = self.may_have_run_on.union(also_run_on)
         return len(run_on) < self.exchange.route.max_attempts
 
     def record_dispatch(self, server: ServerId) -> bool:
@@ -240,8 +239,7 @@
             return False
         if self.returns_to is not None:
             return True
-        run_on = self.may_have_run_on.union(also_run_on)
-        return len(run_on) < exchange.route.max_attempts
+        return self.may_try_another(also_run_on)
 
     def final_step(self, finished: AttemptFinished) -> NextStep:
         """Return the step that ends the exchange without a resend."""
