Read an error in opening a connection in one place

`async_check_ended` repeated how `FrontChecks` tells a late check of this host's own from what the error says of the server. `_result_of` decides both. Behaviour is unchanged.

--- a/waxwingarch/tasks/front_checks.py
+++ b/waxwingarch/tasks/front_checks.py
@@ -70,10 +70,7 @@
         try:
             await self._client.async_check(action.server.address, deadline)
         except ConnectFailedError as exc:
-            ended_at = asyncio.get_running_loop().time()
-            if ended_at > deadline + MAX_OWN_DELAY_S:
-                return CheckResult.FAILED
-            return _result_of(exc.__cause__)
+            return _result_of(exc, deadline)
         return CheckResult.TAKEN
 
 
@@ -85,18 +82,19 @@
     It tells a process that has ended from one that has closed a connection,
     and from a path that has.
     """
-    loop = asyncio.get_running_loop()
     try:
         stays_open = await client.async_stays_open(server.address, deadline)
     except ConnectFailedError as exc:
-        if loop.time() > deadline + MAX_OWN_DELAY_S:
-            return CheckResult.FAILED
-        return _result_of(exc.__cause__)
+        return _result_of(exc, deadline)
     return CheckResult.TAKEN if stays_open else CheckResult.REJECTED
 
 
-def _result_of(cause: BaseException | None) -> CheckResult:
+def _result_of(exc: ConnectFailedError, deadline: float) -> CheckResult:
     """Return what an error in opening a connection says of the server."""
+    ended_at = asyncio.get_running_loop().time()
+    if ended_at > deadline + MAX_OWN_DELAY_S:
+        return CheckResult.FAILED
+    cause = exc.__cause__
     if isinstance(cause, ConnectionRefusedError):
         return CheckResult.REFUSED
     if isinstance(cause, OSError) and cause.errno not in OWN_ERRORS:
