--- a/tests/adapters/test_small_parts.py
+++ b/tests/adapters/test_small_parts.py
@@ -88,7 +88,6 @@
         await client.async_unload()
         return ends
 
-    # Guards against a host that answers nothing for seconds.
     async def async_check(self, size: int, servers: int) -> None:
         """Check that bodies in chunks of a size are given up in time."""
         async with LagMeter() as lag:
@@ -99,6 +98,7 @@
         )
         self.assertLess(lag.longest_s, MAX_LAG_S, note)
 
+    # These guard against a host that answers nothing for seconds.
     @async_test
     async def test_chunks_of_a_byte(self) -> None:
         for servers in (1, 5):
