Log on which connection an attempt goes, and where its rejection came

No line said either. Ruled out: the listing of all responses, as only rejections decide on a resend and only skipped ones are too many. Change: attempt_sent and attempt_rejected; response_skipped says its place. A connection knows its number, age, counts and the ids of its latest 256 requests. No decision reads them.

--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import json
 import re
 import socket
@@ -39,6 +40,8 @@
 MAX_IDLE_PER_ADDRESS: Final = 64
 # Each idle connection takes a file descriptor.
 MAX_IDLE: Final = 512
+# The latest request ids that are known of a connection.
+MAX_KNOWN_REQUESTS: Final = 256
 # Idle connections that can't be reused are closed within this time.
 IDLE_CHECK_INTERVAL_S: Final = 1.0
 # Bounds of what is read from one response; a server may send without end.
@@ -131,12 +134,27 @@
         return json.loads(self.body) if self.body else None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConnectionUse:
+    """The connection that a request goes on, as it is sent.
+
+    `connection` is unique in a client. `request_count` includes this
+    request, and `had_request` says that an earlier one had the same id.
+    """
+
+    connection: int
+    age_s: float
+    request_count: int
+    had_request: bool
+
+
 class ClientStream:
     """A response whose body is read as it is received.
 
     `headers` have lower-case names; `pairs` keep the received order and
     spelling. `on_new_connection` says that its request was the first one on
-    its connection.
+    its connection, and `number` how many responses were received there,
+    with this one. Without answers too many that is the number of requests.
     """
 
     def __init__(
@@ -152,6 +170,7 @@
         self.pairs = _raw_headers(head)
         self.complete = False
         self.on_new_connection = not conn.is_reused
+        self.number = conn.response_count
         self._started_at = asyncio.get_running_loop().time()
         self._small_parts = 0
         self._conn.apply_keep_alive(self.headers.get("keep-alive", ""))
@@ -286,8 +305,14 @@
         address: str,
         reader: _CountingReader,
         writer: asyncio.StreamWriter,
+        number: int,
     ) -> None:
         self.address = address
+        self.response_count = 0
+        self._number = number
+        self._opened_at = asyncio.get_running_loop().time()
+        self._request_count = 0
+        self._request_ids: deque[str] = deque(maxlen=MAX_KNOWN_REQUESTS)
         self.idle_since = 0.0
         self.is_reused = False
         self._max_idle_s = MAX_REUSE_IDLE_S
@@ -331,6 +356,19 @@
             data += self._conn.send(h11.Data(data=body)) or b""
         return data + (self._conn.send(h11.EndOfMessage()) or b"")
 
+    def record_request(self, request_id: str | None) -> ConnectionUse:
+        """Record a request that is about to be sent."""
+        self._request_count += 1
+        use = ConnectionUse(
+            connection=self._number,
+            age_s=asyncio.get_running_loop().time() - self._opened_at,
+            request_count=self._request_count,
+            had_request=request_id in self._request_ids,
+        )
+        if request_id is not None:
+            self._request_ids.append(request_id)
+        return use
+
     @property
     def is_head_request(self) -> bool:
         """Whether the last request asked for the head only."""
@@ -427,6 +465,7 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self.async_event(deadline)
             if isinstance(event, h11.Response):
+                self.response_count += 1
                 return event
         raise EndlessResponseError(
             f"{self.address}: too many informational responses"
@@ -494,6 +533,7 @@
         """Create a client whose responses are held on an account."""
         self.held = held or HeldBytes()
         self._idle: dict[str, deque[_ClientConnection]] = {}
+        self._numbers = itertools.count(1)
         self._idle_check: asyncio.TimerHandle | None = None
 
     @property
@@ -520,7 +560,7 @@
         sock = writer.get_extra_info("socket")
         for level, option, value in SOCKET_OPTIONS:
             sock.setsockopt(level, option, value)
-        return _ClientConnection(address, reader, writer)
+        return _ClientConnection(address, reader, writer, next(self._numbers))
 
     def _pop_idle(
         self, address: str, max_idle_s: float
@@ -628,6 +668,8 @@
         connect_deadline: float | None = None,
         permit: Callable[[], bool] = lambda: True,
         wait_until: WaitUntil | None = None,
+        request_id: str | None = None,
+        on_send: Callable[[ConnectionUse], None] = lambda use: None,
     ) -> AsyncIterator[ClientStream]:
         """Send a request and yield its response as a stream.
 
@@ -636,7 +678,9 @@
         one. `permit` is called right before the request is written; if
         it returns False, nothing is sent. `wait_until` replaces
         `deadline` for the head: it returns the time to wait until and is
-        called again each time that passes, until it returns None. Raises
+        called again each time that passes, until it returns None.
+        `request_id` is the id that the response repeats, if any, and
+        `on_send` is told which connection the request goes on. Raises
         `ConnectFailedError` when nothing was sent.
         """
         conn = None if fresh else self._pop_idle(address, max_idle_s)
@@ -648,6 +692,7 @@
         try:
             if not permit():
                 raise NotPermittedError(f"{address}: too late to send")
+            on_send(conn.record_request(request_id))
             await conn.async_send(method, target, headers, body)
             head = await _async_head(conn, deadline, wait_until)
             stream = ClientStream(conn, head, held)
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 from math import isfinite
-from typing import Final
+from typing import Any, Final
 
 import orjson
 from eliot import log_message, write_traceback
@@ -13,6 +13,7 @@
 from waxwingarch.adapters.http_client import (
     ClientStream,
     ConnectFailedError,
+    ConnectionUse,
     CutLinkError,
     EndlessResponseError,
     HttpClient,
@@ -115,8 +116,9 @@
     had none, so that the stream can't be resumed. `status` and
     `content_type` are those that the response began with. `failure`
     is the latest error response that can be forwarded. `sent_at`,
-    `ended_by_close`, `on_new_connection`, `is_silence_reported` and
-    `served_by`, the server that a peer names, are about the current attempt.
+    `ended_by_close`, `on_new_connection`, `connection`,
+    `is_silence_reported` and `served_by`, the server that a peer names, are
+    about the current attempt.
     """
 
     response_started: bool = False
@@ -126,6 +128,7 @@
     failure: FailureResponse | None = None
     ended_by_close: bool = False
     on_new_connection: bool = True
+    connection: ConnectionUse | None = None
     sent_at: float = float("-inf")
     served_by: ServerId | None = None
     is_silence_reported: bool = False
@@ -294,6 +297,8 @@
             max_idle_s=FRESH_CONNECTION_MAX_IDLE_S
             if send.fresh_connection
             else POOLED_CONNECTION_MAX_IDLE_S,
+            request_id=self._request_id,
+            on_send=lambda use: self._log_sent(send, use),
         ) as stream:
             stream, head = await self._async_find_response(stream, send)
             self.state.on_new_connection = stream.on_new_connection
@@ -404,6 +409,7 @@
                 server=send.server.server_id,
                 status=head.status,
                 answers=head.request_id,
+                **self._answer_fields(stream),
             )
             stream = await stream.async_next_response(
                 max(send.first_byte_deadline, self._short_body_deadline(send)),
@@ -452,6 +458,16 @@
                 if head.misdirected
                 else AttemptOutcome.REJECTED
             )
+            log_message(
+                message_type="attempt_rejected",
+                request_id=self._request_id,
+                server=send.server.server_id,
+                status=head.status,
+                end=outcome.value,
+                answers=head.request_id,
+                retry_after_s=head.retry_after_s,
+                **self._answer_fields(stream),
+            )
             return outcome, head.retry_after_s
         if not HTTP_SUCCESS_MIN <= head.status <= HTTP_SUCCESS_MAX:
             deadline = send.expires_at
@@ -500,6 +516,33 @@
         except LinkError as exc:
             self._log_invalid("rejection_cut", send, exc)
 
+    def _log_sent(self, send: SendRequest, use: ConnectionUse) -> None:
+        """Log which connection an attempt goes on."""
+        self.state.connection = use
+        log_message(
+            message_type="attempt_sent",
+            request_id=self._request_id,
+            server=send.server.server_id,
+            address=send.server.address,
+            connection=use.connection,
+            connection_age_s=round(use.age_s, LOGGED_DECIMALS),
+            request_count=use.request_count,
+            had_request=use.had_request,
+        )
+
+    def _answer_fields(self, stream: ClientStream) -> dict[str, Any]:
+        """Return where an answer came, for the log."""
+        use = self.state.connection
+        assert use is not None
+        now = asyncio.get_running_loop().time()
+        return {
+            "connection": use.connection,
+            "request_count": use.request_count,
+            "response_number": stream.number,
+            "had_request": use.had_request,
+            "sent_ago_s": round(now - self.state.sent_at, LOGGED_DECIMALS),
+        }
+
     def _log_invalid(
         self, message_type: str, send: SendRequest, exc: LinkError
     ) -> None:
