Tests of copied refusals, failing (TWICE, REFUSED)

Evidence: a server that refuses the first attempt of each request and copies the refusal into the next attempt on the connection. With two entries at one address, and with the same request in two exchanges, the copy is taken for the answer: 503 with ran ['req-1'], 503 with ran ['same']. Ruled out: the same through one server id, which dispatched_to covers. Change: none of the product.

--- a/tests/front/raw_server.py
+++ b/tests/front/raw_server.py
@@ -83,17 +83,25 @@
 
 @asynccontextmanager
 async def only_servers(
-    host: Host, *serves: ServeConnection, engines: bool = False
+    host: Host,
+    *serves: ServeConnection,
+    engines: bool = False,
+    one_address: bool = False,
 ) -> AsyncIterator[None]:
-    """Replace the two servers of a service by one or two raw ones."""
+    """Replace the two servers of a service by one or two raw ones.
+
+    With `one_address` two entries name the address of the first.
+    """
     fleet = host.fleet
     servers = fleet.engines() if engines else fleet.plain()
     registry = host.front.load_balancer.registry
-    used = servers[: len(serves)]
-    for server in servers[len(serves) :]:
+    count = 2 if one_address else len(serves)
+    used = servers[:count]
+    for server in servers[count:]:
         fleet.store.put("servers", server.server_id, None)
     async with raw_server(serves[0]) as first, raw_server(serves[-1]) as last:
-        for server, address in zip(used, (first, last), strict=False):
+        addresses = (first, first if one_address else last)
+        for server, address in zip(used, addresses, strict=False):
             fleet.register(server, address=address, born=2_000)
         await async_until(
             lambda: (
