Send each request id once on a connection (TWICE, REFUSED)

Cause: an answer was matched by its id alone, and the guard against a second attempt on the same connection had another key than the pool: server ids of one exchange (dispatched_to), where connections are kept by address. Two entries at one address share connections, and so do two exchanges with the same request id. Class: knowledge of a connection that is kept elsewhere. Ruled out: closing each connection after a refusal, as a busy server refuses many requests and new connections are dear; closing it after an answer too many, which the ids make needless. Change: a connection knows the ids that it has carried, and a request goes on one that has not had its id. It is closed after 256 requests with an id, so that it forgets none. The first answer with the id is then the answer.

--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 client over h11 with pooled connections.
 
 A connection returns to the pool only after a complete response was read
-from it; a connection with an unfinished response is closed.
+from it; a connection with an unfinished response is closed. It carries each
+request id once, so that the id of a response tells which request it answers.
 """
 
 import asyncio
@@ -40,8 +41,9 @@
 MAX_IDLE_PER_ADDRESS: Final = 64
 # Each idle connection takes a file descriptor.
 MAX_IDLE: Final = 512
-# The latest request ids that are known of a connection.
-MAX_KNOWN_REQUESTS: Final = 256
+# A connection is closed after this many requests with an id: it knows all of
+# their ids.
+MAX_REQUESTS_PER_CONNECTION: Final = 256
 # Idle connections that can't be reused are closed within this time.
 IDLE_CHECK_INTERVAL_S: Final = 1.0
 # Bounds of what is read from one response; a server may send without end.
@@ -139,13 +141,12 @@
     """The connection that a request goes on, as it is sent.
 
     `connection` is unique in a client. `request_count` includes this
-    request, and `had_request` says that an earlier one had the same id.
+    request.
     """
 
     connection: int
     age_s: float
     request_count: int
-    had_request: bool
 
 
 class ClientStream:
@@ -305,14 +306,14 @@
         address: str,
         reader: _CountingReader,
         writer: asyncio.StreamWriter,
-        number: int,
+        number: int = 0,
     ) -> None:
         self.address = address
         self.response_count = 0
         self._number = number
         self._opened_at = asyncio.get_running_loop().time()
         self._request_count = 0
-        self._request_ids: deque[str] = deque(maxlen=MAX_KNOWN_REQUESTS)
+        self._request_ids: set[str] = set()
         self.idle_since = 0.0
         self.is_reused = False
         self._max_idle_s = MAX_REUSE_IDLE_S
@@ -363,12 +364,15 @@
             connection=self._number,
             age_s=asyncio.get_running_loop().time() - self._opened_at,
             request_count=self._request_count,
-            had_request=request_id in self._request_ids,
         )
         if request_id is not None:
-            self._request_ids.append(request_id)
+            self._request_ids.add(request_id)
         return use
 
+    def had_request(self, request_id: str | None) -> bool:
+        """Return whether an earlier request here had the same id."""
+        return request_id in self._request_ids
+
     @property
     def is_head_request(self) -> bool:
         """Whether the last request asked for the head only."""
@@ -483,6 +487,8 @@
         has_surplus = self._conn.trailing_data[0] or self._reader.unread_bytes
         if has_surplus or not self._is_all_sent:
             return False
+        if len(self._request_ids) >= MAX_REQUESTS_PER_CONNECTION:
+            return False
         try:
             self._conn.start_next_cycle()
         except h11.LocalProtocolError:
@@ -563,19 +569,22 @@
         return _ClientConnection(address, reader, writer, next(self._numbers))
 
     def _pop_idle(
-        self, address: str, max_idle_s: float
+        self, address: str, max_idle_s: float, request_id: str | None
     ) -> _ClientConnection | None:
-        """Take the most recently used idle connection out of the pool."""
-        pool = self._idle.get(address)
-        while pool:
-            conn = pool.pop()
+        """Take the most recently used idle connection out of the pool.
+
+        One that had the request before is left there.
+        """
+        pool = self._idle.get(address, deque())
+        for conn in reversed(tuple(pool)):
             if conn.is_stale:
                 conn.close()
+                pool.remove(conn)
             elif conn.idle_s > max_idle_s:
                 # The other connections have been idle for longer still.
-                pool.append(conn)
                 return None
-            else:
+            elif not conn.had_request(request_id):
+                pool.remove(conn)
                 return conn
         return None
 
@@ -679,11 +688,14 @@
         it returns False, nothing is sent. `wait_until` replaces
         `deadline` for the head: it returns the time to wait until and is
         called again each time that passes, until it returns None.
-        `request_id` is the id that the response repeats, if any, and
-        `on_send` is told which connection the request goes on. Raises
+        `request_id` is the id that the response repeats, if any: the
+        request goes on a connection that has not carried it. `on_send` is
+        told which one that is. Raises
         `ConnectFailedError` when nothing was sent.
         """
-        conn = None if fresh else self._pop_idle(address, max_idle_s)
+        conn = None
+        if not fresh:
+            conn = self._pop_idle(address, max_idle_s, request_id)
         if conn is None:
             connect_by = min(deadline, connect_deadline or deadline)
             conn = await self._async_connect(address, connect_by)
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -527,7 +527,6 @@
             connection=use.connection,
             connection_age_s=round(use.age_s, LOGGED_DECIMALS),
             request_count=use.request_count,
-            had_request=use.had_request,
         )
 
     def _answer_fields(self, stream: ClientStream) -> dict[str, Any]:
@@ -539,7 +538,6 @@
             "connection": use.connection,
             "request_count": use.request_count,
             "response_number": stream.number,
-            "had_request": use.had_request,
             "sent_ago_s": round(now - self.state.sent_at, LOGGED_DECIMALS),
         }
 
