Leave it to the connections which of them had a request

Cause: dispatched_to guarded against copies of refusals by server ids, beside the pool that now does it by connection: two places for one rule, of which the former forced a new connection where an unused pooled one serves. Ruled out: other readers of dispatched_to; there is none. Change: dispatched_to is gone. test_server_that_had_it_gets_it_on_a_new_- connection asked for the mechanism; that the server gets it again stays, and that no copy is taken for the answer is asked on a host's sockets by test_copy_of_a_refusal_is_not_taken_for_the_next_answer.

--- a/tests/core/front/test_exchanges.py
+++ b/tests/core/front/test_exchanges.py
@@ -250,11 +250,9 @@
         assert isinstance(resent, SendRequest)
         self.assertEqual(7, resent.resume_after)
 
-    def test_server_that_had_it_gets_it_on_a_new_connection(self) -> None:
-        # The response to the first attempt has the same id.
+    def test_server_that_had_it_gets_it_again(self) -> None:
         node = serving_front(server("e1"), server("e2"))
         first = self.sent(node, "r", "/draft/x")
-        self.assertFalse(first.new_connection)
         node.handle(1.1, ResponseStarted(request_id=RequestId("r")))
         for n, end in enumerate(
             (AttemptOutcome.SILENT, AttemptOutcome.NOT_SENT)
@@ -267,7 +265,6 @@
             )
         [again] = [a for a in actions if isinstance(a, SendRequest)]
         self.assertEqual(first.server, again.server)
-        self.assertTrue(again.new_connection)
 
     def test_stream_that_may_not_resume_is_aborted(self) -> None:
         node = serving_front()
--- a/tests/front/test_resumed_streams_host.py
+++ b/tests/front/test_resumed_streams_host.py
@@ -84,6 +84,31 @@
         await reader.readuntil(b"\r\n\r\n")
 
 
+class CopyingServers(Servers):
+    """Two servers: one breaks off, and then each refuses once.
+
+    After that either answers, behind a copy of the refusal where one was
+    given.
+    """
+
+    async def async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if not self.requests:
+            await super().async_serve(reader, writer)
+            return
+        request_id = await async_read_request(reader)
+        self.requests += 1
+        refusal = b""
+        if self.requests <= 3:
+            refusal = head(request_id, "503 Busy", "", NOT_EXECUTED)
+            writer.write(refusal)
+            await async_read_request(reader)
+            self.requests += 1
+        writer.write(refusal + head(request_id) + self._follow)
+        await reader.readuntil(b"\r\n\r\n")
+
+
 async def async_call(host: Host, path: str = "/draft/x") -> bytes:
     """Return all bytes of the response body, as they came."""
     reader, writer = await asyncio.open_connection(LISTEN_IP, host.ports[0])
@@ -142,6 +167,16 @@
         self.assertEqual(1, response.count(b"HTTP/1.1"), note)
         self.assertEqual(is_complete, response.endswith(CHUNKS_END), note)
 
+    # Guards against a stream that is taken from the server that runs it, as
+    # that copies its refusal of the attempt before.
+    @async_test
+    async def test_copy_of_a_refusal_is_not_taken_for_the_next_answer(
+        self,
+    ) -> None:
+        servers = CopyingServers(chunk(BEGIN), chunk(event(3)) + CHUNKS_END)
+        await self.async_check(servers, BEGIN + event(3), is_complete=True)
+        self.assertEqual(4, servers.requests)
+
     # Guards against an error's text, or its head, in the caller's stream.
     @async_test
     async def test_error_of_the_next_server_is_not_passed_on(self) -> None:
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -337,7 +337,7 @@
         migrated_cache: Any,
     ) -> SendRequest:
         """Record the dispatch of an attempt and return its action."""
-        is_first_there = state.record_dispatch(pick.server.server_id)
+        state.record_dispatch(pick.server.server_id)
         exchange = state.exchange
         route = exchange.route
         first_byte_timeout_s = max(
@@ -376,10 +376,7 @@
             fresh_connection=exchange.retry_policy
             is RetryPolicy.NON_IDEMPOTENT,
             streaming=route.streaming,
-            # A connection that had this request before may still carry the
-            # response to that attempt, with the same id.
-            new_connection=self._paths.is_lost(exchange.service)
-            or not is_first_there,
+            new_connection=self._paths.is_lost(exchange.service),
         )
 
     # Attempts
--- a/waxwingarch/core/exchange/state_machine.py
+++ b/waxwingarch/core/exchange/state_machine.py
@@ -63,9 +63,9 @@
 
     `sent_to` is the server or peer of the attempt in progress, which may run
     the request until its outcome says that it did not. `may_have_run_on` are
-    those of the ended attempts that may have run it, and `dispatched_to` all
-    of them. `tried_servers` are the servers that get it no more, and
-    `unreachable_servers` those to which no connection could be made.
+    those of the ended attempts that may have run it. `tried_servers` are the
+    servers that get it no more, and `unreachable_servers` those to which no
+    connection could be made.
     `response_started` is about the current attempt, `is_usage_counted` about
     the whole exchange. Without `has_event_ids` its stream can't be resumed.
     `migrated_cache` says where the KV cache of its run was copied, and
@@ -83,7 +83,6 @@
     tried_servers: set[ServerId] = field(default_factory=set)
     unreachable_servers: set[ServerId] = field(default_factory=set)
     sent_to: ServerId | None = None
-    dispatched_to: set[ServerId] = field(default_factory=set)
     may_have_run_on: set[ServerId] = field(default_factory=set)
     rejection_count: int = 0
     response_started: bool = False
@@ -111,17 +110,11 @@
         run_on = self.may_have_run_on.union(also_run_on)
         return len(run_on) < self.exchange.route.max_attempts
 
-    def record_dispatch(self, server: ServerId) -> bool:
-        """Record that an attempt is sent to a server, or to a peer.
-
-        Returns whether it is the first one there.
-        """
-        is_first_there = server not in self.dispatched_to
-        self.dispatched_to.add(server)
+    def record_dispatch(self, server: ServerId) -> None:
+        """Record that an attempt is sent to a server, or to a peer."""
         self.sent_to = server
         self.returns_to = None
         self.response_started = False
-        return is_first_there
 
     def record_outcome(
         self, now: float, finished: AttemptFinished
