Mutation runs: the guard on request ids; three that no longer applied

Cause: three mutations named code that has moved since (claims.py, the bound of a body, the trial share), so that their guards were not shown to be red. Change: they name today's code; one for the ids of a connection (TWICE).

--- a/script/red_front.py
+++ b/script/red_front.py
@@ -168,6 +168,13 @@
         test=HOST + "TableUpdates::"
         "test_address_that_another_server_has_is_avoided",
     ),
+    Mutation(
+        promise="TWICE",
+        path="waxwingarch/adapters/http_client.py",
+        old="        return request_id in self._request_ids\n",
+        new="        return False\n",
+        test="tests/front/test_copied_refusals_host.py",
+    ),
     Mutation(
         promise="DRAIN",
         path="waxwingarch/core/backends/registry.py",
@@ -193,8 +200,8 @@
     Mutation(
         promise="MIXED",
         path="waxwingarch/adapters/http_client.py",
-        old="            if remaining < 0:\n",
-        new="            if remaining < -(10**12):\n",
+        old="        if size_bytes > max_bytes:\n",
+        new="        if size_bytes > max_bytes * 10**9:\n",
         test=NOTICES + "EndlessResponses::test_each_part",
     ),
     Mutation(
@@ -260,7 +267,7 @@
     ),
     Mutation(
         promise="EXPOSURE",
-        path="waxwingarch/core/rollouts/rollout_controller.py",
+        path="waxwingarch/core/rollouts/exposure.py",
         old="TRIAL_SHARE: Final = 0.05",
         new="TRIAL_SHARE: Final = 0.5",
         test=CORE + "test_rollouts.py",
--- a/script/red_runs.py
+++ b/script/red_runs.py
@@ -46,8 +46,8 @@
     Mutation(
         promise="not-run",
         path="waxwingarch/tasks/claims.py",
-        old="        except LinkError:\n            return DispatchLost()",
-        new="        except LinkError:\n            return DispatchNotSent()",
+        old="        reply: Event = DispatchLost()\n",
+        new="        reply: Event = DispatchNotSent()\n",
         test=FAULTS + "test_once.py::AtMostOnce::"
         "test_reply_of_the_service_is_lost",
     ),
