--- a/tests/adapters/test_http_client.py
+++ b/tests/adapters/test_http_client.py
@@ -58,6 +58,13 @@
             await self.async_connections("a", "b", "a", "b", "c", "a"),
         )
 
+    # Guards against a new connection where an idle one serves.
+    @async_test
+    async def test_older_idle_connection_is_used(self) -> None:
+        self.assertEqual(
+            [1, 2, 2, 1], await self.async_connections("a", "a", "b", "b")
+        )
+
     # Guards against an id that a long-lived connection no longer knows.
     @async_test
     async def test_connection_ends_before_it_forgets_an_id(self) -> None:
