Pass no status on that says 'not run' for what ran (REFUSED)

Callers saw 503, 429 or 408 of a server for a request that may run once and that it had run: without the header of a rejection it says nothing of the run. Cause: the server's status is passed on, and callers take these for a promise. Ruled out: the same for requests that may be repeated, whose callers lose nothing by another attempt; an unsigned response, which is 502 already. Change: for a request that may run once the host answers 502 in its place. Measured: test_are_no_word_that_it_did_not_run fails before (503 for /pay/) and passes; test_platform_host.py passes.

--- a/tests/front/test_repeated_refusals_host.py
+++ b/tests/front/test_repeated_refusals_host.py
@@ -133,6 +133,29 @@
         self.assertIn("retry-after", response.headers)
 
 
+class StatusesOfServersThatRan(testtools.TestCase):
+    # Guards against callers that send a request again that has run: a server
+    # ran it and answered with a status that says otherwise.
+    @async_test
+    async def test_are_no_word_that_it_did_not_run(self) -> None:
+        for status in ("503 Failed", "429 Failed", "408 Failed"):
+            passed_on = int(status.partition(" ")[0])
+            for path, expected in (("/pay/x", 502), ("/read/x", passed_on)):
+
+                async def async_fail(
+                    reader: asyncio.StreamReader,
+                    writer: asyncio.StreamWriter,
+                    status: str = status,
+                ) -> None:
+                    while True:
+                        request_id = await async_read_request(reader)
+                        writer.write(response_head(request_id, 0, status))
+
+                async with Host() as host, only_servers(host, async_fail):
+                    response = await host.async_send(path)
+                self.assertEqual(expected, response.status, (status, path))
+
+
 class CallsOfTheHost(testtools.TestCase):
     """Responses to calls have no id."""
 
--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -237,12 +237,14 @@
 
     `response_started` says that the caller has already received a part of
     the response. `has_response` says that a complete error response of the
-    server is at hand and can be forwarded. `retry_after_s` is what the
-    server asked for, `last_event` the id of the last event that the caller
-    has received, None if it had none. `ended_by_close` means that only the
-    end of the connection ended the response: a crash of the server may look
-    the same. `next_connection` is what became of a connection to the server
-    that was opened after that of the attempt broke, None without one.
+    server is at hand and can be forwarded, and `says_not_run` that a caller
+    takes its status for that of a request that did not run. `retry_after_s`
+    is what the server asked for, `last_event` the id of the last event that
+    the caller has received, None if it had none. `ended_by_close` means that
+    only the end of the connection ended the response: a crash of the server
+    may look the same. `next_connection` is what became of a connection to
+    the server that was opened after that of the attempt broke, None without
+    one.
     `served_by` is the server that a peer sent the request to, as it says.
     `ended_by_host` says that this host closed the connection for what the
     server had written, and not the server.
@@ -252,6 +254,7 @@
     last_event: int | None = None
     response_started: bool = False
     has_response: bool = False
+    says_not_run: bool = False
     retry_after_s: float | None = None
     ended_by_close: bool = False
     next_connection: CheckResult | None = None
--- a/waxwingarch/core/exchange/state_machine.py
+++ b/waxwingarch/core/exchange/state_machine.py
@@ -235,10 +235,18 @@
         return self.may_try_another(also_run_on)
 
     def final_step(self, finished: AttemptFinished) -> NextStep:
-        """Return the step that ends the exchange without a resend."""
+        """Return the step that ends the exchange without a resend.
+
+        A caller would send a request again that may run once, and may have
+        run, if the server's status says that it did not.
+        """
         if finished.response_started:
             return NextStep.ABORT
-        if finished.has_response:
+        is_misleading = (
+            finished.says_not_run
+            and self.exchange.retry_policy is RetryPolicy.NON_IDEMPOTENT
+        )
+        if finished.has_response and not is_misleading:
             return NextStep.FORWARD_FAILURE
         return NextStep.REFUSE
 
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -90,6 +90,8 @@
     NoRoomError,
 )
 
+# Statuses that tell a caller that its request did not run.
+NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 # Statuses with which a host refuses a request that no server ran.
 REFUSED_STATUSES: Final = frozenset({429, 503})
 HTTP_SUCCESS_MIN: Final = 200
@@ -229,12 +231,15 @@
         if outcome in (AttemptOutcome.SILENT, AttemptOutcome.BROKEN):
             is_expired = asyncio.get_running_loop().time() >= send.expires_at
             outcome = AttemptOutcome.EXPIRED if is_expired else outcome
+        failure = self.state.failure
         return AttemptFinished(
             request_id=self._request_id,
             outcome=outcome,
             response_started=self.state.response_started,
             last_event=self.state.last_event,
-            has_response=self.state.failure is not None,
+            has_response=failure is not None,
+            says_not_run=failure is not None
+            and failure.status in NOT_RUN_STATUSES,
             retry_after_s=retry_after_s,
             ended_by_close=self.state.ended_by_close,
             next_connection=next_connection,
