Stand-ins that refuse requests, copy their refusals and start under other ids

Ruled out: a change of the product's server, which sends one answer to a request: copies are written to the connection itself, as until_close does. Change: Behaviour.refuse_ratio and copies, FleetServer.instance_id, and World.async_start_under_other_id. Runs keep the name of the server, so that the checks by name hold; a refused arrival is no run.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -192,7 +192,7 @@
         crashed_at = time.monotonic()
         await server.async_unload()
         await asyncio.sleep(crashed_at + ROW_LAPSE_S - time.monotonic())
-        self.store.put("servers", server.server_id, None)
+        self.withdraw(server)
         await asyncio.sleep(crashed_at + RESTART_S - time.monotonic())
         server.born += 1
         await server.async_setup()
@@ -206,7 +206,11 @@
     ) -> None:
         """Write a server's registration row."""
         value = b64encode(server.row(state, **overrides)).decode()
-        self.store.put("servers", server.server_id, value)
+        self.store.put("servers", server.instance_id, value)
+
+    def withdraw(self, server: FleetServer) -> None:
+        """Remove a server's registration row."""
+        self.store.put("servers", server.instance_id, None)
 
     def put_config(self) -> None:
         """Write the operator's configuration."""
--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -11,6 +11,7 @@
 import orjson
 
 from standins.fleet_store import LISTEN_IP
+from standins.refusals import NOT_EXECUTED_HEADER, Refusals
 from standins.run_copies import RunCopies
 from standins.until_close import UntilCloseResponder, reset, send_raw
 from waxwingarch.adapters.http_messages import (
@@ -22,7 +23,6 @@
 
 REQUEST_ID_HEADER: Final = "X-Waxwingarch-Request-Id"
 SERVER_STAMP_HEADER: Final = "X-Waxwingarch-Server-Stamp"
-NOT_EXECUTED_HEADER: Final = "X-Waxwingarch-Not-Executed"
 SERVER_LEAVING_HEADER: Final = "Server-Leaving"
 SERVER_LIMIT_HEADER: Final = "Server-Limit"
 SERVER_BRITTLE_HEADER: Final = "Server-Brittle"
@@ -93,6 +93,10 @@
     with their connection. With `ignores_close` an engine does not look at
     its caller's connection between two events, so that it notices a close
     only as it writes.
+    A share `refuse_ratio` of the requests gets 429 or 503, as full servers
+    do. `copies` says which copies of refusals, also of 421, come where the
+    next answer on the connection is due (see `standins.refusals`); with none
+    it is empty.
     """
 
     events: int = 5
@@ -106,6 +110,8 @@
     move_status: int = 200
     until_close: bool = False
     ignores_close: bool = False
+    refuse_ratio: float = 0.0
+    copies: str = ""
 
 
 class FleetServer:
@@ -125,6 +131,8 @@
         port: int = 0,
     ) -> None:
         self.server_id = server_id
+        # The id under which it is registered; it may start under another.
+        self.instance_id = server_id
         self.service = service
         self.zone = zone
         self.engine = engine
@@ -146,6 +154,7 @@
         self._moving: set[str] = set()
         self._handles = itertools.count(1)
         self._copies = RunCopies()
+        self._refusals = Refusals(server_id)
         # The ids of prompt parts, and the targets, under which the server
         # crashes.
         self._crashing_inputs = crashing_inputs
@@ -229,11 +238,11 @@
         if await self._copies.async_handle(req, resp):
             return
         target = req.headers.get("x-waxwingarch-target-instance")
-        if target not in (None, self.server_id):
-            await resp.async_send(
-                421,
-                b"",
-                [(REQUEST_ID_HEADER, req.headers[REQUEST_ID_HEADER.lower()])],
+        copies = self.behaviour.copies
+        if target not in (None, self.instance_id):
+            request_id = req.headers[REQUEST_ID_HEADER.lower()]
+            await self._refusals.async_refuse(
+                resp, 421, [(REQUEST_ID_HEADER, request_id)], copies
             )
             return
         how = self._next_fault()
@@ -248,11 +257,15 @@
             headers.append((SERVER_BRITTLE_HEADER, str(self.brittle)))
         if how == "shed":
             self.shed_at.append(time.monotonic())
-            if self.behaviour.retry_after:
-                headers.append(("Retry-After", self.behaviour.retry_after))
-            await resp.async_send(
-                503, b"", [*headers, (NOT_EXECUTED_HEADER, "1")]
-            )
+            refusal: tuple[int, str] | None = 503, self.behaviour.retry_after
+        else:
+            refusal = self._refusals.choose(self.behaviour.refuse_ratio)
+        if refusal:
+            status, retry_after = refusal
+            headers.append((NOT_EXECUTED_HEADER, "1"))
+            if retry_after:
+                headers.append(("Retry-After", retry_after))
+            await self._refusals.async_refuse(resp, status, headers, copies)
             return
         if how == "mute":
             await resp.disconnected.wait()
@@ -291,6 +304,7 @@
         )
         self.runs.append(run)
         try:
+            await self._refusals.async_send_due(resp, self.behaviour.copies)
             await self._async_answer(run, req, resp, how, headers)
         finally:
             run.ended_at = min(run.ended_at, time.monotonic())
--- a/standins/server_process.py
+++ b/standins/server_process.py
@@ -42,6 +42,7 @@
         self._open_runs = {}
         order = {
             "server_id": self.server_id,
+            "instance_id": self.instance_id,
             "service": self.service,
             "zone": self.zone,
             "engine": self.engine,
@@ -172,6 +173,7 @@
         on_run_end=lambda run: _report(_encode_run(id(run), run)),
         port=order["port"],
     )
+    server.instance_id = order["instance_id"]
     server.behaviour = _decode_behaviour(order["behaviour"])
     await server.async_setup()
     _report(server.address.rpartition(":")[2].encode() + b"\n")
--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -29,6 +29,7 @@
     FAULT_RECOVERY_S,
     LOSS_SLACK_S,
     MISSED_CHANGE_S,
+    NOT_RUN_STATUSES,
     OVERLAP_LIMIT_S,
     PARTITION,
     PATH_RESET,
@@ -41,7 +42,6 @@
 from standins.soak.world import EVENTS_PER_STREAM, STORE, World
 
 OK: Final = 200
-NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
 DENIED: Final = (401, 403)
 PROCESS_CHECK_INTERVAL_S: Final = 0.25
 NOTED_DELAY_S: Final = 0.5
@@ -51,7 +51,12 @@
 BREAKING_HOST_FAULTS: Final = {"kill", "power", "freeze", "link to callers"}
 STOPS: Final = {"stop", "rolling stop"}
 # Faults of a server by which it breaks off responses that it began.
-BREAKING_SERVER_FAULTS: Final = {"crash", "leaving", "link to server"}
+BREAKING_SERVER_FAULTS: Final = {
+    "crash",
+    "leaving",
+    "link to server",
+    "reborn",
+}
 # Faults of a server by which it ends a run later than it should.
 LATE_END_FAULTS: Final = {"link to server"}
 BROKEN_RUNS: Final = ("broken", "crashed")
--- a/standins/soak/promises.py
+++ b/standins/soak/promises.py
@@ -29,6 +29,9 @@
     USAGE = "one window of usage is never reported two ways"
 
 
+# Statuses by which a host says that no server ran the request.
+NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
+
 # Limits set by the users' platform.
 # Calls that begin this long after the end of a fault don't feel it.
 FAULT_RECOVERY_S: Final = 4.0
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -185,6 +185,23 @@
         await self.links[server.server_id].async_reopen(server.address)
         self.register(server)
 
+    async def async_start_under_other_id(
+        self, server: FleetServer, listed_s: float
+    ) -> None:
+        """End a server, and start it at its address under another id.
+
+        Its entry of before stands for a time in seconds after that.
+        """
+        before = server.instance_id
+        self.links[server.server_id].close()
+        await server.async_unload()
+        server.born += 1
+        server.instance_id = f"{server.server_id}-{server.born}"
+        await server.async_setup()
+        await self.async_register_again(server)
+        await asyncio.sleep(listed_s)
+        self.fleet.store.put("servers", before, None)
+
     def _begin_crash(self, server: FleetServer) -> None:
         self.links[server.server_id].close()
         self._crashes[server.server_id] = self.begin_fault(
