Draw refusals with copies, and servers with two entries, in the soak

Ruled out: new checks; ONCE and NOT_RUN count the servers' own runs and see both cases. Change: the faults "refusals" and "reborn", with servers in process and as processes. A store that returns from a copy now gets all rows of servers back, as their keys may be other than the names of servers.

--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -57,13 +57,14 @@
     "store": 2,
     "silence": 2,
     "pause": 2,
+    "refusals": 2,
+    "reborn": 2,
     "config series": 2,
     PATH_RESET: 2,
 }
 
 
-# The faults of servers that are processes, which have no links of their own
-# and whose behaviour does not change.
+# The faults of servers that are processes, which have no links of their own.
 PROCESS_FAULTS: Final = (
     "kill",
     "stop",
@@ -80,6 +81,8 @@
     "lapse",
     "silence",
     "pause",
+    "refusals",
+    "reborn",
     "reload",
     "config series",
 )
@@ -364,14 +367,13 @@
         store = self._world.fleet.store
         copy = store.copy()
         await asyncio.sleep(self._rng.uniform(0.5, 4))
-        states = {
-            server.server_id: store.rows.get(("servers", server.server_id))
-            for server in self._world.fleet.servers
-        }
+        rows = dict(store.rows)
         store.return_from(copy)
         self._world.fleet.put_config()
-        for server_id, row in states.items():
-            store.put("servers", server_id, row.value if row else None)
+        for table, key in sorted(rows.keys() | copy.rows.keys()):
+            if table == "servers":
+                row = rows.get((table, key))
+                store.put(table, key, row.value if row else None)
 
     def _prepare_malformed_row(self) -> Fault | None:
         """Write a row that is no valid registration of a server."""
--- a/standins/soak/server_faults.py
+++ b/standins/soak/server_faults.py
@@ -5,6 +5,7 @@
 
 from standins.fleet import ENGINE_SERVICE, PLAIN_SERVICE
 from standins.fleet_server import Behaviour, FleetServer
+from standins.refusals import ANY, COPIES
 from standins.soak.load import MAX_SIZE, LoadGenerator
 from standins.soak.promises import PAUSE, SOUND_SILENCE_S
 from standins.soak.targets import Fault, Preparation, Targets
@@ -36,6 +37,11 @@
 # The limits that servers name, in requests a second, and for how long.
 LIMITS_PER_S: Final = (0.5, 1.0, 4.0, 15.0)
 LIMIT_NAMED_S: Final = (6.0, 12.0)
+# Which share of requests full servers refuse, and for how long.
+REFUSE_RATIO: Final = (0.1, 0.6)
+REFUSING_S: Final = (3.0, 8.0)
+# How long the entry of a server stands that has started under another id.
+LISTED_S: Final = (1.0, 4.0)
 POLL_INTERVAL_S: Final = 0.05
 
 
@@ -55,6 +61,8 @@
             "spoiled": self._prepare_spoiled,
             "silence": self._prepare_silence,
             PAUSE: self._prepare_pause,
+            "refusals": self._prepare_refusals,
+            "reborn": self._prepare_reborn,
             "limit": self._prepare_limit,
             "until close": self._prepare_until_close,
             "crashing part": self._prepare_crashing_part,
@@ -72,7 +80,7 @@
             self._world.links[server.server_id].close()
             await server.async_unload()
             if not listed:
-                self._world.fleet.store.put("servers", server.server_id, None)
+                self._world.fleet.withdraw(server)
             await asyncio.sleep(self._rng.uniform(0.5, 5))
             await self._async_start_again(server)
             self._targets.end_fault(interval)
@@ -106,7 +114,7 @@
         interval = self._targets.begin_fault(server.server_id, "lapse")
 
         async def lapse() -> None:
-            self._world.fleet.store.put("servers", server.server_id, None)
+            self._world.fleet.withdraw(server)
             await asyncio.sleep(self._rng.uniform(*LAPSED_S))
             self._targets.end_fault(interval)
             self._world.register(server)
@@ -167,12 +175,8 @@
 
         return fall_silent
 
-    def _prepare_pause(self) -> Fault | None:
-        """Let many sound servers of a service do nothing for a second.
-
-        No caller may notice more than the time that this takes, so it opens
-        the intervals of the servers' faults only for the time limits.
-        """
+    def _pick_servers(self) -> list[FleetServer]:
+        """Return a share of the undisturbed servers of a service."""
         service = self._rng.choice((ENGINE_SERVICE, PLAIN_SERVICE))
         sound = [
             server
@@ -181,10 +185,58 @@
             and self._targets.is_undisturbed(server)
         ]
         count = round(len(sound) * self._rng.choice(PAUSED_RATIO))
-        if not count:
+        return self._rng.sample(sound, count)
+
+    def _prepare_refusals(self) -> Fault | None:
+        """Let servers of a service refuse requests, with copies too many."""
+        ratio = self._rng.uniform(*REFUSE_RATIO)
+        refusing = self._pick_servers()
+        intervals = [
+            self._targets.begin_fault(s.server_id, "refusals", f"{ratio:.1f}")
+            for s in refusing
+        ]
+
+        async def refuse() -> None:
+            for server in refusing:
+                await _async_set_refusals(server, ratio, ANY)
+            await asyncio.sleep(self._rng.uniform(*REFUSING_S))
+            for server in refusing:
+                await _async_set_refusals(server, 0.0, "")
+            for interval in intervals:
+                self._targets.end_fault(interval)
+
+        return refuse if refusing else None
+
+    def _prepare_reborn(self) -> Fault | None:
+        """Let a server restart under another id, beside its old entry."""
+        server = self._targets.pick_server()
+        if server is None:
+            return None
+        copies = self._rng.choice(("", *COPIES))
+        interval = self._targets.begin_fault(
+            server.server_id, "reborn", copies
+        )
+
+        async def be_reborn() -> None:
+            server.behaviour.copies = copies
+            await self._world.async_start_under_other_id(
+                server, self._rng.uniform(*LISTED_S)
+            )
+            await _async_set_refusals(server, 0.0, "")
+            self._targets.end_fault(interval)
+
+        return be_reborn
+
+    def _prepare_pause(self) -> Fault | None:
+        """Let many sound servers of a service do nothing for a second.
+
+        No caller may notice more than the time that this takes, so it opens
+        the intervals of the servers' faults only for the time limits.
+        """
+        paused = self._pick_servers()
+        if not paused:
             return None
         paused_s = self._rng.uniform(*PAUSE_S)
-        paused = self._rng.sample(sound, count)
         intervals = [
             self._targets.begin_fault(s.server_id, PAUSE, f"{paused_s:.1f} s")
             for s in paused
@@ -269,3 +321,11 @@
     async def _async_servers_up(self) -> None:
         while any(s.is_down for s in self._world.fleet.servers):  # noqa: ASYNC110
             await asyncio.sleep(POLL_INTERVAL_S)
+
+
+async def _async_set_refusals(
+    server: FleetServer, ratio: float, copies: str
+) -> None:
+    server.behaviour.refuse_ratio = ratio
+    server.behaviour.copies = copies
+    await server.async_apply_behaviour()
