--- a/standins/pauses.py
+++ b/standins/pauses.py
@@ -18,6 +18,7 @@
 from standins.campaign_report import Report
 from standins.fleet import ENGINE_SERVICE, PLAIN_SERVICE, Fleet
 from standins.fleet_server import Run
+from standins.refusals import ANY, COPIES
 from standins.server_process import ProcessServer
 from standins.soak.link import LinkEnd
 from standins.soak.load import (
@@ -26,7 +27,12 @@
     Call,
     LoadGenerator,
 )
-from standins.soak.promises import CANCEL_LIMIT_S, OVERLAP_LIMIT_S, Promise
+from standins.soak.promises import (
+    CANCEL_LIMIT_S,
+    NOT_RUN_STATUSES,
+    OVERLAP_LIMIT_S,
+    Promise,
+)
 from standins.soak.world import Daemon, World
 
 EVENT_INTERVAL_S: Final = 0.05
@@ -53,10 +59,15 @@
     "reset-host-end",
     "reset-host-end-for-good",
     "reset-cut",
+    "reborn",
 )
 # How many servers say that they are draining, and for how long.
 DRAINING: Final = 4
 DRAIN_S: Final = 2.5
+# How many servers start under another id, and for how long the entries of
+# before stand.
+REBORN: Final = 3
+LISTED_S: Final = 2.0
 # The entry of a stopped server is gone for this share of its stop.
 LAPSED_RATIO: Final = 2 / 3
 MAX_LISTED_CALLS: Final = 60
@@ -87,7 +98,27 @@
     parser.add_argument(
         "--pause", type=float, nargs=2, default=(1.0, 1.3), metavar="SECONDS"
     )
-    parser.add_argument("--beside", choices=BESIDE, default="none")
+    parser.add_argument(
+        "--beside", choices=BESIDE, nargs="+", default=("none",)
+    )
+    parser.add_argument(
+        "--refuse-ratio",
+        type=float,
+        default=0.0,
+        help="share of requests that servers refuse",
+    )
+    parser.add_argument(
+        "--copies",
+        choices=(*COPIES, ANY),
+        default="",
+        help="copies of refusals where the next answers are due",
+    )
+    parser.add_argument(
+        "--interval",
+        type=float,
+        default=PAUSE_INTERVAL_S,
+        help="seconds from a stop to the next one, if nothing lasts longer",
+    )
     parser.add_argument("--ignore-close", action="store_true")
     parser.add_argument("--calm", action="store_true", help="stop nothing")
     parser.add_argument("--patient", action="store_true")
@@ -119,12 +150,12 @@
 
     async def async_run(self, until: float) -> None:
         """Pause servers of a service in turn until a monotonic time."""
-        if self._args.calm and self._args.beside == "none":
+        if self._args.calm and set(self._args.beside) == {"none"}:
             await asyncio.sleep(until - time.monotonic())
             return
         await asyncio.sleep(FIRST_PAUSE_S)
         number = 0
-        while time.monotonic() < until - PAUSE_INTERVAL_S:
+        while time.monotonic() < until - self._args.interval:
             self._change_config()
             await asyncio.sleep(CONFIG_LEAD_S)
             length_s = self._rng.uniform(*self._args.pause)
@@ -134,10 +165,10 @@
             paused = [] if self._args.calm else self._choose(service, ratio)
             self._world.report.record_fault("pause", f"{length_s:.2f} s")
             await asyncio.gather(
-                self._async_beside(length_s),
+                *(self._async_beside(b, length_s) for b in self._args.beside),
                 *(self._async_pause(s, length_s) for s in paused),
             )
-            await asyncio.sleep(PAUSE_INTERVAL_S - CONFIG_LEAD_S - length_s)
+            await asyncio.sleep(self._args.interval - CONFIG_LEAD_S - length_s)
             number += 1
 
     def _choose(self, service: str, ratio: float) -> list[ProcessServer]:
@@ -153,7 +184,7 @@
     ) -> None:
         began_at = time.monotonic()
         async with asyncio.TaskGroup() as group:
-            if self._args.beside == "lapse":
+            if "lapse" in self._args.beside:
                 group.create_task(self._async_lapse(server, length_s))
             await server.async_fall_silent(length_s)
         self.stops.append((server.server_id, began_at, time.monotonic()))
@@ -164,7 +195,7 @@
         """Let the entry of a server be gone amid its stop."""
         present_s = length_s * (1 - LAPSED_RATIO) / 2
         await asyncio.sleep(present_s)
-        self._world.fleet.store.put("servers", server.server_id, None)
+        self._world.fleet.withdraw(server)
         await asyncio.sleep(length_s * LAPSED_RATIO)
         self._world.register(server)
 
@@ -210,13 +241,23 @@
             server.born += 1
             self._world.register(server)
 
-    async def _async_beside(self, length_s: float) -> None:
+    async def _async_restart_under_other_ids(self) -> None:
+        """Let servers start under other ids, beside their old entries."""
+        servers = self._rng.sample(self._world.fleet.servers, REBORN)
+        await asyncio.gather(
+            *(
+                self._world.async_start_under_other_id(server, LISTED_S)
+                for server in servers
+            )
+        )
+
+    async def _async_beside(self, beside: str, length_s: float) -> None:
         world = self._world
         daemon = world.daemons["host-0"]
         peer = world.daemons["host-1"]
         links = world.host_links["host-0"]
         await asyncio.sleep(self._rng.uniform(0, 0.3))
-        match self._args.beside:
+        match beside:
             case "restart":
                 await self._async_restart(daemon, world.async_stop)
             case "kill":
@@ -256,6 +297,8 @@
             case "reset-cut":
                 links.reset()
                 await self._async_cut(length_s)
+            case "reborn":
+                await self._async_restart_under_other_ids()
             case "crash":
                 server = self._rng.choice(world.fleet.engines())
                 await server.async_unload()
@@ -333,6 +376,13 @@
         if c.route in NON_IDEMPOTENT_ROUTES
         and _has_repeated(runs[c.request_id])
     ]
+    untrue = [
+        c
+        for c in calls
+        if c.route in NON_IDEMPOTENT_ROUTES
+        and c.status in NOT_RUN_STATUSES
+        and runs[c.request_id]
+    ]
     statuses = Counter(
         (c.route, c.status or c.error.partition(":")[0]) for c in calls
     )
@@ -340,7 +390,8 @@
     lines = [
         f"streams at more than one server {len(elsewhere)}, again at one"
         f" {len(moved) - len(elsewhere)}, at two at once"
-        f" {len(overlapping)}, run twice {len(twice)}, from copies {copied},"
+        f" {len(overlapping)}, run twice {len(twice)}, refused though they"
+        f" ran {len(untrue)} of {len(calls)} calls, from copies {copied},"
         f" longest overlap {_longest(overlapping, runs):.2f} s,"
         f" at work after the caller left"
         f" {count_late_ends(calls, runs, stops)}",
@@ -348,7 +399,7 @@
             f"{r}{s}:{n}" for (r, s), n in sorted(statuses.items(), key=str)
         ),
     ]
-    for call in [*twice, *moved][:MAX_LISTED_CALLS]:
+    for call in [*twice, *untrue, *moved][:MAX_LISTED_CALLS]:
         parts = [
             f"{r.server_id} {r.began_at - began_at:.2f}.."
             f"{r.ended_at - began_at:.2f} {r.ended}"
@@ -399,6 +450,9 @@
             server.behaviour.events = args.events
             server.behaviour.event_s = args.event_s
             server.behaviour.ignores_close = args.ignore_close
+        for server in world.fleet.servers:
+            server.behaviour.refuse_ratio = args.refuse_ratio
+            server.behaviour.copies = args.copies
         if args.work_s is not None:
             for server in world.fleet.plain():
                 server.behaviour.work_s = args.work_s
@@ -434,7 +488,11 @@
             folder.mkdir(parents=True, exist_ok=True)
             lines = asyncio.run(async_pauses(args, seed, folder))
         stops = "nothing" if args.calm else f"{args.pause} s"
-        print(f"seed {seed}, stops of {stops} beside {args.beside}")
+        print(
+            f"seed {seed}, stops of {stops} beside"
+            f" {', '.join(args.beside)}, refused {args.refuse_ratio:g},"
+            f" copies {args.copies or 'none'}"
+        )
         print("\n".join(lines), flush=True)
 
 
