--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -232,13 +232,14 @@
             )
         )
         await self._not_silent.wait()
+        copies = self.behaviour.copies
         if req.path == "/-/kv-move":
+            await self._refusals.async_send_due(resp, copies)
             await self._async_kv_move(orjson.loads(req.body), resp)
             return
         if await self._copies.async_handle(req, resp):
             return
         target = req.headers.get("x-waxwingarch-target-instance")
-        copies = self.behaviour.copies
         if target not in (None, self.instance_id):
             request_id = req.headers[REQUEST_ID_HEADER.lower()]
             await self._refusals.async_refuse(
--- a/standins/soak/server_faults.py
+++ b/standins/soak/server_faults.py
@@ -175,8 +175,8 @@
 
         return fall_silent
 
-    def _pick_servers(self) -> list[FleetServer]:
-        """Return a share of the undisturbed servers of a service."""
+    def _sound_servers(self) -> tuple[list[FleetServer], int]:
+        """Return the undisturbed servers of a service, and a share of them."""
         service = self._rng.choice((ENGINE_SERVICE, PLAIN_SERVICE))
         sound = [
             server
@@ -184,13 +184,12 @@
             if server.service == service
             and self._targets.is_undisturbed(server)
         ]
-        count = round(len(sound) * self._rng.choice(PAUSED_RATIO))
-        return self._rng.sample(sound, count)
+        return sound, round(len(sound) * self._rng.choice(PAUSED_RATIO))
 
     def _prepare_refusals(self) -> Fault | None:
         """Let servers of a service refuse requests, with copies too many."""
         ratio = self._rng.uniform(*REFUSE_RATIO)
-        refusing = self._pick_servers()
+        refusing = self._rng.sample(*self._sound_servers())
         intervals = [
             self._targets.begin_fault(s.server_id, "refusals", f"{ratio:.1f}")
             for s in refusing
@@ -233,10 +232,11 @@
         No caller may notice more than the time that this takes, so it opens
         the intervals of the servers' faults only for the time limits.
         """
-        paused = self._pick_servers()
-        if not paused:
+        sound, count = self._sound_servers()
+        if not count:
             return None
         paused_s = self._rng.uniform(*PAUSE_S)
+        paused = self._rng.sample(sound, count)
         intervals = [
             self._targets.begin_fault(s.server_id, PAUSE, f"{paused_s:.1f} s")
             for s in paused
