--- a/tests/core/front/builders.py
+++ b/tests/core/front/builders.py
@@ -62,7 +62,7 @@
     engine = service == POOL
     return Server(
         server_id=ServerId(name),
-        address=f"10.0.0.1:{len(name)}",
+        address=f"{name}:1",
         failure_domain=domain,
         service=service,
         kind=ServerKind.ENGINE if engine else ServerKind.PLAIN,
--- a/waxwingarch/core/backends/registry.py
+++ b/waxwingarch/core/backends/registry.py
@@ -15,6 +15,8 @@
 # until their heartbeats are missed. An entry that is back after an outage
 # counts once it has stayed for this long.
 BACK_AFTER_OUTAGE_S: Final = 5.0
+# The incarnation of an entry that does not say when its process started.
+UNKNOWN_INCARNATION: Final = 0
 # A report has to fit into one datagram.
 MAX_REPORTED_LEAVING: Final = 32
 
@@ -98,16 +100,22 @@
 
     @property
     def is_usable(self) -> bool:
-        """Whether the server may get new requests."""
+        """Whether the server may get new requests, as far as it says."""
         return self.leaving_since is None
 
+    @property
+    def holds_address(self) -> bool:
+        """Whether older entries with its address are those of the past."""
+        return self.unlisted_since is None or self.is_usable
+
 
 class BackendRegistry:
     """The known servers by id.
 
     An incarnation that says that it leaves stays leaving. One whose entry
     lapsed is usable again when its entry is back: it may have lost only the
-    store for a while.
+    store for a while. Of the entries with one address, those that are older
+    than another get no requests.
     """
 
     def __init__(self, departed_kept_s: float) -> None:
@@ -119,6 +127,7 @@
         self._backends: dict[ServerId, Backend] = {}
         self._last_listing: dict[ServerId, ListedBackend] = {}
         self._usable_by_service: dict[ServiceId, list[Backend]] | None = None
+        self._superseded: set[ServerId] = set()
         self._unlisted: set[ServerId] = set()
         self._dropped: list[ServerId] = []
         # Lapsed servers whose entry is back, but does not count yet.
@@ -145,15 +154,41 @@
 
         The list is shared; the caller must not change it.
         """
-        if self._usable_by_service is None:
-            self._usable_by_service = {}
-            for _, backend in sorted(self._backends.items()):
-                if backend.is_usable:
-                    servers = self._usable_by_service.setdefault(
-                        backend.server.service, []
-                    )
-                    servers.append(backend)
-        return self._usable_by_service.get(service, [])
+        return self._evaluate().get(service, [])
+
+    def is_superseded(self, server_id: ServerId) -> bool:
+        """Return whether a later process has the address of a server.
+
+        It began after this one, so that this one has ended, though its entry
+        still stands.
+        """
+        self._evaluate()
+        return server_id in self._superseded
+
+    def _evaluate(self) -> dict[ServiceId, list[Backend]]:
+        """Return the usable servers, evaluated anew after a change."""
+        if self._usable_by_service is not None:
+            return self._usable_by_service
+        newest: dict[str, int] = {}
+        for backend in self._backends.values():
+            server = backend.server
+            if backend.holds_address:
+                newest[server.address] = max(
+                    server.incarnation, newest.get(server.address, 0)
+                )
+        self._superseded = {
+            server_id
+            for server_id, backend in self._backends.items()
+            if UNKNOWN_INCARNATION
+            < backend.server.incarnation
+            < newest.get(backend.server.address, UNKNOWN_INCARNATION)
+        }
+        usable: dict[ServiceId, list[Backend]] = {}
+        for server_id, backend in sorted(self._backends.items()):
+            if backend.is_usable and server_id not in self._superseded:
+                usable.setdefault(backend.server.service, []).append(backend)
+        self._usable_by_service = usable
+        return usable
 
     def apply_listing(
         self, now: float, event: BackendsListed
@@ -171,13 +206,15 @@
             if previous.get(server_id) is listed:
                 continue
             known = self._backends.get(server_id)
-            old_incarnation = known.server.incarnation if known else 0
+            old_incarnation = (
+                known.server.incarnation if known else UNKNOWN_INCARNATION
+            )
             if self._apply_entry(now, listed, event.after_outage):
                 change.leaving.append(self._leaving_action(server_id))
             self._backends[server_id].unlisted_since = None
             self._unlisted.discard(server_id)
             if old_incarnation not in (
-                0,
+                UNKNOWN_INCARNATION,
                 self._backends[server_id].server.incarnation,
             ):
                 change.restarted.append(server_id)
@@ -239,6 +276,7 @@
                     leaving.append(self._leaving_action(server_id))
             elif now - since > self._departed_kept_s:
                 del self._backends[server_id]
+                self._usable_by_service = None
                 self._unlisted.discard(server_id)
                 self._announced.pop(server_id, None)
                 self._dropped.append(server_id)
--- a/waxwingarch/core/exchange/migrations.py
+++ b/waxwingarch/core/exchange/migrations.py
@@ -101,7 +101,11 @@
     ) -> Backend | None:
         """Return a server if a run that it may still have may go on there."""
         backend = self._load_balancer.registry.get(server_id)
-        if backend is None or backend.server.service != service:
+        if (
+            backend is None
+            or backend.server.service != service
+            or self._load_balancer.registry.is_superseded(server_id)
+        ):
             return None
         if backend.is_usable:
             return self._load_balancer.open_backend(now, service, server_id)
--- a/waxwingarch/tasks/server_state.py
+++ b/waxwingarch/tasks/server_state.py
@@ -8,6 +8,7 @@
 def build_server_state(front: FrontNode, now: float) -> dict[str, Any]:
     """Return the servers, what they say of themselves, and the lost paths.
 
+    A server is superseded if a later process has its address.
     `limit_per_s` is the rate that a server named and `own_share_per_s` this
     host's part of it; both are null without a limit. `paused_s` is how long
     the server wants no requests of this host. Peers without a path to a
@@ -24,6 +25,9 @@
             "service": backend.server.service,
             "version": backend.server.version,
             "leaving": not backend.is_usable,
+            "superseded": balancer.registry.is_superseded(
+                backend.server.server_id
+            ),
             "avoided": balancer.health.is_avoided(
                 now, backend.server.server_id
             ),
