--- a/tests/core/front/test_reused_addresses.py
+++ b/tests/core/front/test_reused_addresses.py
@@ -20,6 +20,7 @@
     ResponseStarted,
     SendRequest,
 )
+from waxwingarch.core.front_messages import FrontTick
 from waxwingarch.core.front_node import FrontNode
 
 TRIES = 12
@@ -57,6 +58,7 @@
 OLD, NEW = at_one_address(
     server("old", LEDGER, incarnation=1), server("new", LEDGER, incarnation=2)
 )
+P1, P2 = server("p1", LEDGER), server("p2", LEDGER)
 OTHER_SERVICE = replace(NEW, service=server("e").service)
 
 
@@ -126,3 +128,71 @@
         )
         assert isinstance(send, SendRequest)
         self.assertEqual(new, send.server)
+
+
+class Misdirected(testtools.TestCase):
+    """Another process answers at the address of an entry."""
+
+    def node_with_misdirected(self) -> FrontNode:
+        """Return a node that one 421 has told that "p1" is not there."""
+        node = serving_front(P1, P2)
+        for n in range(TRIES):
+            send = arrive(node, f"r{n}", "/pay/x", 1.0)
+            assert isinstance(send, SendRequest)
+            outcome = AttemptOutcome.DONE
+            if send.server == P1:
+                outcome = AttemptOutcome.MISDIRECTED
+                end(node, f"r{n}", outcome, 1.1)
+                end(node, f"r{n}", AttemptOutcome.DONE, 1.2)
+                return node
+            end(node, f"r{n}", outcome, 1.0)
+        raise AssertionError
+
+    # Guards against hosts that ask again and again at an address that
+    # another server has, and pay each time from the budget of resends.
+    def test_one_answer_tells_for_as_long_as_the_entry_stands(self) -> None:
+        node = self.node_with_misdirected()
+        for now in (1.3, 2.5, 5.0, 30.0):
+            node.handle(now, FrontTick(boot_now=now, unix_now=now))
+            self.assertEqual({"p2"}, used(node, now), now)
+
+    def test_changed_entry_is_used_again(self) -> None:
+        moved = replace(P1, address="10.0.0.1:9")
+        restarted = replace(P1, incarnation=2)
+        for listings in ([(moved, P2)], [(restarted, P2)], [(P2,), (P1, P2)]):
+            node = self.node_with_misdirected()
+            for n, servers in enumerate(listings):
+                node.handle(2.0, make_listing(n + 2, *servers))
+            self.assertEqual({"p1", "p2"}, used(node, 2.1))
+
+    def test_answer_to_an_older_entry_says_nothing(self) -> None:
+        node = serving_front(P1)
+        arrive(node, "r", "/pay/x")
+        moved = replace(P1, address="10.0.0.1:9")
+        node.handle(2.0, make_listing(2, moved, P2))
+        end(node, "r", AttemptOutcome.MISDIRECTED, 2.1)
+        end(node, "r", AttemptOutcome.DONE, 2.2)
+        self.assertEqual({"p1", "p2"}, used(node, 2.3))
+
+    def test_it_is_used_if_there_is_no_other(self) -> None:
+        node = self.node_with_misdirected()
+        node.handle(2.0, make_listing(2, P1, P2, p2=None))
+        self.assertEqual({"p1"}, used(node, 2.1))
+        node.handle(3.0, make_listing(3, P1, P2, server("p3", LEDGER)))
+        # It has answered itself.
+        self.assertIn("p1", used(node, 3.1))
+
+    # Guards against servers that get no requests for the start that a wrong
+    # clock named.
+    def test_newest_entry_that_is_not_there_supersedes_none(self) -> None:
+        node = serving_front(OLD, NEW)
+        arrive(node, "r", "/pay/x")
+        [action] = end(node, "r", AttemptOutcome.MISDIRECTED, 1.1)
+        assert isinstance(action, SendRequest)
+        self.assertEqual(OLD, action.server)
+        end(node, "r", AttemptOutcome.DONE, 1.2)
+        self.assertEqual({"old"}, used(node, 1.3))
+
+    def test_peers_are_told(self) -> None:
+        node = self.node_with_misdirected()
+        self.assertEqual(("p1",), node.load_balancer.avoided_servers(1.3))
--- a/waxwingarch/core/backends/load_balancer.py
+++ b/waxwingarch/core/backends/load_balancer.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 from heapq import nlargest
+from itertools import chain, islice
 from types import MappingProxyType
 from typing import Final, Protocol
 
@@ -17,7 +18,10 @@
     ROOM_WAIT_S,
     BrittleServers,
 )
-from waxwingarch.core.backends.health import HealthTracker
+from waxwingarch.core.backends.health import (
+    MAX_REPORTED_SERVERS,
+    HealthTracker,
+)
 from waxwingarch.core.backends.latency import LatencyTracker
 from waxwingarch.core.backends.load import (
     ActiveAttempt,
@@ -192,7 +196,11 @@
     ) -> bool:
         """Return whether the service has a server to try."""
         usable = self._open_backends(now, service)
-        return any(b.server.server_id not in exclude for b in usable)
+        return any(
+            b.server.server_id not in exclude
+            and not self.registry.is_misdirected(b.server.server_id)
+            for b in usable
+        )
 
     def open_in_s(self, now: float, service: ServiceId) -> float | None:
         """Return when a service takes requests that it does not take now.
@@ -296,9 +304,16 @@
     ) -> list[Backend]:
         """Return the servers to compare.
 
-        Avoided servers are among them only if there are no others.
+        Avoided servers are among them only if there are no others, and
+        those that are not at their addresses only if there are none else.
         """
         remaining = [b for b in usable if b.server.server_id not in exclude]
+        found = [
+            b
+            for b in remaining
+            if not self.registry.is_misdirected(b.server.server_id)
+        ]
+        remaining = found or remaining
         # Servers that are missing from the last listing may be gone. If
         # all are missing, the store is likelier at fault than the servers.
         listed = [b for b in remaining if b.unlisted_since is None]
@@ -310,6 +325,12 @@
         ]
         return healthy or remaining
 
+    def is_avoided_here(self, now: float, server_id: ServerId) -> bool:
+        """Return whether a server is avoided by what this host has seen."""
+        return self.registry.is_misdirected(
+            server_id
+        ) or self.health.is_avoided(now, server_id)
+
     def _is_avoided(self, now: float, server_id: ServerId) -> bool:
         """Return whether a server gets no requests while there are others.
 
@@ -328,12 +349,17 @@
         Those of services to which this host has no path are left out: the
         peers may well reach them.
         """
-        return tuple(
+        avoided = chain(
+            self.registry.misdirected_servers(),
+            self.health.avoided_servers(now),
+        )
+        reported = (
             server_id
-            for server_id in self.health.avoided_servers(now)
+            for server_id in dict.fromkeys(avoided)
             if (backend := self.registry.get(server_id)) is None
             or not self.paths.is_lost(backend.server.service)
         )
+        return tuple(islice(reported, MAX_REPORTED_SERVERS))
 
     def _sample(
         self,
--- a/waxwingarch/core/backends/registry.py
+++ b/waxwingarch/core/backends/registry.py
@@ -87,11 +87,12 @@
     `listed_at` is when this incarnation was first listed, and
     `unlisted_since` when a listing first lacked it. `is_lapsed` says that it
     counts as leaving only because its entry was missing, and `back_at` when
-    an entry that is back counts.
+    an entry that is back counts. `changed_at` is when its entry last changed.
     """
 
     server: Server
     listed_at: float
+    changed_at: float = float("-inf")
     leaving_since: float | None = None
     leaves_at: float | None = None
     unlisted_since: float | None = None
@@ -104,8 +105,8 @@
         return self.leaving_since is None
 
     @property
-    def holds_address(self) -> bool:
-        """Whether older entries with its address are those of the past."""
+    def has_entry(self) -> bool:
+        """Whether its entry stands, or may come back after an outage."""
         return self.unlisted_since is None or self.is_usable
 
 
@@ -128,6 +129,8 @@
         self._last_listing: dict[ServerId, ListedBackend] = {}
         self._usable_by_service: dict[ServiceId, list[Backend]] | None = None
         self._superseded: set[ServerId] = set()
+        # Another process has answered at the addresses of these.
+        self._misdirected: set[ServerId] = set()
         self._unlisted: set[ServerId] = set()
         self._dropped: list[ServerId] = []
         # Lapsed servers whose entry is back, but does not count yet.
@@ -170,9 +173,9 @@
         if self._usable_by_service is not None:
             return self._usable_by_service
         newest: dict[str, int] = {}
-        for backend in self._backends.values():
+        for server_id, backend in self._backends.items():
             server = backend.server
-            if backend.holds_address:
+            if backend.has_entry and server_id not in self._misdirected:
                 newest[server.address] = max(
                     server.incarnation, newest.get(server.address, 0)
                 )
@@ -249,6 +252,30 @@
         self._announced[server_id] = incarnation
         return [self._leaving_action(server_id, source)]
 
+    def record_misdirected(self, server_id: ServerId, sent_at: float) -> None:
+        """Record that another process answered a request to a server.
+
+        It holds until the entry changes, if it has not since `sent_at`.
+        """
+        backend = self._backends.get(server_id)
+        if backend is not None and sent_at >= backend.changed_at:
+            self._misdirected.add(server_id)
+            self._usable_by_service = None
+
+    def record_found(self, server_id: ServerId) -> None:
+        """Record that a server itself has answered."""
+        if server_id in self._misdirected:
+            self._misdirected.discard(server_id)
+            self._usable_by_service = None
+
+    def is_misdirected(self, server_id: ServerId) -> bool:
+        """Return whether another process has answered for a server."""
+        return server_id in self._misdirected
+
+    def misdirected_servers(self) -> Iterable[ServerId]:
+        """Return the servers for which another process has answered."""
+        return self._misdirected
+
     def announced_leaving(self) -> dict[ServerId, int]:
         """Return the announcements to report to the peers.
 
@@ -278,6 +305,7 @@
                 del self._backends[server_id]
                 self._usable_by_service = None
                 self._unlisted.discard(server_id)
+                self._misdirected.discard(server_id)
                 self._announced.pop(server_id, None)
                 self._dropped.append(server_id)
         for server_id in sorted(self._returning):
@@ -306,11 +334,20 @@
         known = self._backends.get(server.server_id)
         if known is not None and known.server.incarnation > server.incarnation:
             return False
+        if (
+            known is None
+            or known.server != server
+            or known.unlisted_since is not None
+        ):
+            self._misdirected.discard(server.server_id)
+            changed_at = now
+        else:
+            changed_at = known.changed_at
         if known is None or known.server.incarnation < server.incarnation:
             known = Backend(server=server, listed_at=now)
             self._backends[server.server_id] = known
             self._announced.pop(server.server_id, None)
-        known.server = server
+        known.server, known.changed_at = server, changed_at
         if not listed.draining:
             if known.is_lapsed and after_outage:
                 known.back_at = now + BACK_AFTER_OUTAGE_S
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -448,6 +448,10 @@
             self._load_balancer.pauses.record(
                 now, attempt.server_id, event.retry_after_s
             )
+        if event.outcome is AttemptOutcome.MISDIRECTED:
+            self._load_balancer.registry.record_misdirected(
+                attempt.server_id, attempt.sent_at
+            )
         self._record_health(now, state, event, attempt.server_id)
         if not self._path_observer.explains_failure(
             now, state.exchange.service, attempt
@@ -555,17 +559,18 @@
     ) -> None:
         """Record what the outcome says about the health of the server.
 
-        A rejection, and an attempt that ended because its run was migrated,
-        say nothing. A silence was recorded while it lasted. A request that
-        expired counts as a failure only if the server has sent no bytes, to
-        this or other requests, since the request arrived: else it is slow,
-        not dead.
+        A rejection, the answer of another process, and an attempt that ended
+        because its run was migrated, say nothing. A silence was recorded
+        while it lasted. A request that expired counts as a failure only if
+        the server has sent no bytes, to this or other requests, since the
+        request arrived: else it is slow, not dead.
         """
         health = self._load_balancer.health
         if event.outcome is AttemptOutcome.DONE:
             health.record_success(now, server_id)
+            self._load_balancer.registry.record_found(server_id)
         elif (
-            event.outcome is AttemptOutcome.REJECTED
+            event.outcome in ANSWERED_OUTCOMES
             or state.migrated_cache is not None
             or (
                 event.outcome is AttemptOutcome.SILENT
--- a/waxwingarch/tasks/front_log.py
+++ b/waxwingarch/tasks/front_log.py
@@ -244,7 +244,7 @@
             retry_after_s=event.retry_after_s,
             last_event=event.last_event,
             after_s=round(now - history.arrived_at, LOGGED_DECIMALS),
-            server_avoided=self._front.load_balancer.health.is_avoided(
+            server_avoided=self._front.load_balancer.is_avoided_here(
                 now, server_id
             ),
             **self._decision_inputs(now),
--- a/waxwingarch/tasks/server_state.py
+++ b/waxwingarch/tasks/server_state.py
@@ -28,9 +28,7 @@
             "superseded": balancer.registry.is_superseded(
                 backend.server.server_id
             ),
-            "avoided": balancer.health.is_avoided(
-                now, backend.server.server_id
-            ),
+            "avoided": balancer.is_avoided_here(now, backend.server.server_id),
             "brittle": balancer.brittle.is_brittle(
                 now, backend.server.service
             ),
