Don't take the next process at an address for a silent server

Cause: a silent server is checked by a connection to its address. Where its entry still stands and a later process has the address, that one takes the connection: the server counted as alive, and a stream waited for it until its caller left. Ruled out: ending such attempts at once, without a check: the second check comes 0.6 s later, as for a server that refuses connections. Change: a connection that is taken at the address of a superseded entry counts as refused for the older server, also if that was leaving.

--- a/tests/core/front/test_reused_addresses.py
+++ b/tests/core/front/test_reused_addresses.py
@@ -8,7 +8,9 @@
 from tests.core.front.builders import (
     LEDGER,
     arrive,
+    check,
     make_listing,
+    may_leave,
     server,
     serving_front,
 )
@@ -59,6 +61,7 @@
     server("old", LEDGER, incarnation=1), server("new", LEDGER, incarnation=2)
 )
 P1, P2 = server("p1", LEDGER), server("p2", LEDGER)
+P3 = server("p3")
 OTHER_SERVICE = replace(NEW, service=server("e").service)
 
 
@@ -129,6 +132,22 @@
         assert isinstance(send, SendRequest)
         self.assertEqual(new, send.server)
 
+    # Guards against a stream that waits until its caller leaves, as the next
+    # process at the address of its server takes the connections.
+    def test_silent_server_is_not_alive_by_the_next_process(self) -> None:
+        old, new = at_one_address(
+            server("old", incarnation=1), server("new", incarnation=2)
+        )
+        for listed, expected in (((old, new), True), ((old, P3), False)):
+            node = serving_front(old)
+            send = arrive(node, "r", "/draft/x")
+            node.handle(1.1, ResponseStarted(request_id=RequestId("r")))
+            check(node, send, 1.3, CheckResult.TAKEN, since=1.2)
+            node.handle(1.4, make_listing(2, *listed))
+            check(node, send, 3.4, CheckResult.TAKEN, since=1.2)
+            check(node, send, 4.1, CheckResult.TAKEN, since=1.2)
+            self.assertEqual(expected, may_leave(node, send, 4.2, since=1.2))
+
 
 class Misdirected(testtools.TestCase):
     """Another process answers at the address of an entry."""
--- a/waxwingarch/core/exchange/silence.py
+++ b/waxwingarch/core/exchange/silence.py
@@ -97,11 +97,15 @@
         """Record the result of a check.
 
         A server that leaves refuses connections and still ends its
-        responses.
+        responses. One whose address a later process has takes none.
         """
-        backend = self._load_balancer.registry.get(event.server_id)
+        registry = self._load_balancer.registry
+        backend = registry.get(event.server_id)
         is_leaving = backend is not None and backend.leaving_since is not None
-        if is_leaving and event.result is CheckResult.REFUSED:
+        if registry.is_superseded(event.server_id):
+            if event.result is CheckResult.TAKEN:
+                event = replace(event, result=CheckResult.REFUSED)
+        elif is_leaving and event.result is CheckResult.REFUSED:
             event = replace(event, result=CheckResult.FAILED)
         self._load_balancer.checks.record(event)
         return []
