Count addresses, not ids, that show a lost path

Cause: the path to a service counts as lost when two of its servers fail, as one that fails alone is at fault itself. A server that crashed, and the one that started at its address under another id, were two. Ruled out: dropping failures when an entry is superseded: the failure is that of the address, which the next process has. Change: the failures of a service count by address, as do its servers.

--- a/tests/core/front/test_reused_addresses.py
+++ b/tests/core/front/test_reused_addresses.py
@@ -14,6 +14,8 @@
     server,
     serving_front,
 )
+from waxwingarch.core.backends.paths import PathMonitor
+from waxwingarch.core.backends.registry import BackendRegistry
 from waxwingarch.core.backends.server_checks import CheckResult
 from waxwingarch.core.base import Action, RequestId, Server
 from waxwingarch.core.exchange.exchange_messages import (
@@ -148,6 +150,29 @@
             check(node, send, 4.1, CheckResult.TAKEN, since=1.2)
             self.assertEqual(expected, may_leave(node, send, 4.2, since=1.2))
 
+    # Guards against a path that counts as lost as one machine fails twice,
+    # under two ids.
+    def test_failures_at_one_address_are_no_lost_path(self) -> None:
+        registry = BackendRegistry(departed_kept_s=20.0)
+        paths = PathMonitor(registry)
+        for n, (listed, failing, is_lost) in enumerate(
+            (
+                ((OLD, P1, P2), OLD, False),
+                ((OLD, NEW, P1, P2), NEW, False),
+                ((NEW, P1, P2), P1, True),
+            )
+        ):
+            registry.apply_listing(n, make_listing(n, *listed))
+            paths.record_failure(
+                n,
+                failing.server_id,
+                AttemptOutcome.NOT_SENT,
+                response_started=False,
+                last_activity_at=0.0,
+                sent_at=n,
+            )
+            self.assertEqual(is_lost, paths.is_lost(LEDGER), failing)
+
 
 class Misdirected(testtools.TestCase):
     """Another process answers at the address of an entry."""
--- a/waxwingarch/core/backends/paths.py
+++ b/waxwingarch/core/backends/paths.py
@@ -13,8 +13,8 @@
 from waxwingarch.core.base import Action, Server, ServerId, ServiceId
 from waxwingarch.core.exchange.exchange_messages import AttemptOutcome
 
-# The path to a service counts as lost when this many of its servers failed
-# and none has answered on a new connection since.
+# The path to a service counts as lost when servers at this many addresses
+# failed and none has answered on a new connection since.
 LOST_AFTER_SERVERS: Final = 2
 # Failures that are further apart than this are no partition.
 FAILURE_VALID_S: Final = 3.0
@@ -135,7 +135,13 @@
             if now - at <= FAILURE_VALID_S
         }
         usable = self._registry.usable_backends(service)
-        if len(path.failed_at) >= min(LOST_AFTER_SERVERS, len(usable)):
+        addresses = {b.server.address for b in usable}
+        failed = {
+            found.server.address
+            for name in path.failed_at
+            if (found := self._registry.get(name)) is not None
+        }
+        if len(failed) >= min(LOST_AFTER_SERVERS, len(addresses)):
             path.lost_at = now
             path.next_trial_at = now + TRIAL_INTERVAL_S
             self._note_change(service, path.failed_at, is_lost=True)
