Let no entry of an unknown service supersede a server

Cause: a row of another writer may name a service that is not configured, the address of a sound server, and a later start: the sound server got no requests for as long as that row stood, as nothing is ever sent to the odd one that could be misdirected. Ruled out: superseding within one service only: an address is used again by other services. Change: the registry knows the configured services. Measured: test_entry_of_a_service_that_is_not_configured_takes_none failed before (no server is used); it passes, and the 21 of both files.

--- a/tests/core/front/test_reused_addresses.py
+++ b/tests/core/front/test_reused_addresses.py
@@ -17,7 +17,7 @@
 from waxwingarch.core.backends.paths import PathMonitor
 from waxwingarch.core.backends.registry import BackendRegistry
 from waxwingarch.core.backends.server_checks import CheckResult
-from waxwingarch.core.base import Action, RequestId, Server
+from waxwingarch.core.base import Action, RequestId, Server, ServiceId
 from waxwingarch.core.exchange.exchange_messages import (
     AttemptFinished,
     AttemptOutcome,
@@ -97,6 +97,14 @@
             node.handle(2.0, make_listing(2, *later))
             self.assertEqual(expected, used(node, 2.1))
 
+    # Guards against a row of another writer that takes a sound server out.
+    def test_entry_of_a_service_that_is_not_configured_takes_none(
+        self,
+    ) -> None:
+        odd = replace(NEW, service=ServiceId("odd"))
+        node = serving_front(OLD, odd)
+        self.assertEqual({"old"}, used(node, 1.0))
+
     def test_unknown_and_equal_starts_lose_nothing(self) -> None:
         for starts in ((0, 2), (2, 0), (0, 0), (2, 2)):
             servers = (
--- a/waxwingarch/core/backends/registry.py
+++ b/waxwingarch/core/backends/registry.py
@@ -1,6 +1,6 @@
 """Registry of backend servers: which are listed, usable or leaving."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 from itertools import islice
@@ -129,6 +129,7 @@
         self._last_listing: dict[ServerId, ListedBackend] = {}
         self._usable_by_service: dict[ServiceId, list[Backend]] | None = None
         self._superseded: set[ServerId] = set()
+        self._services: Container[ServiceId] = ()
         # Another process has answered at the addresses of these.
         self._misdirected: set[ServerId] = set()
         self._unlisted: set[ServerId] = set()
@@ -159,6 +160,15 @@
         """
         return self._evaluate().get(service, [])
 
+    def set_services(self, services: Container[ServiceId]) -> None:
+        """Set the services of the configuration.
+
+        An entry of another service may be by another writer, and supersedes
+        none.
+        """
+        self._services = services
+        self._usable_by_service = None
+
     def is_superseded(self, server_id: ServerId) -> bool:
         """Return whether a later process has the address of a server.
 
@@ -175,7 +185,11 @@
         newest: dict[str, int] = {}
         for server_id, backend in self._backends.items():
             server = backend.server
-            if backend.has_entry and server_id not in self._misdirected:
+            if (
+                backend.has_entry
+                and server_id not in self._misdirected
+                and server.service in self._services
+            ):
                 newest[server.address] = max(
                     server.incarnation, newest.get(server.address, 0)
                 )
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -267,6 +267,7 @@
         self._rows_version = max(self._rows_version, event.rows_version)
         if not self.table.apply(now, event.cfg):
             return []
+        self.load_balancer.registry.set_services(self.table.services)
         self.rates.apply_config(now, event.rows_version, event.cfg.accounts)
         applied = ConfigApplied(
             version=event.cfg.version,
