--- a/waxwingarch/core/backends/registry.py
+++ b/waxwingarch/core/backends/registry.py
@@ -1,6 +1,6 @@
 """Registry of backend servers: which are listed, usable or leaving."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 from itertools import islice
@@ -15,6 +15,8 @@
 # until their heartbeats are missed. An entry that is back after an outage
 # counts once it has stayed for this long.
 BACK_AFTER_OUTAGE_S: Final = 5.0
+# The incarnation of an entry that does not say when its process started.
+UNKNOWN_INCARNATION: Final = 0
 # A report has to fit into one datagram.
 MAX_REPORTED_LEAVING: Final = 32
 
@@ -85,11 +87,12 @@
     `listed_at` is when this incarnation was first listed, and
     `unlisted_since` when a listing first lacked it. `is_lapsed` says that it
     counts as leaving only because its entry was missing, and `back_at` when
-    an entry that is back counts.
+    an entry that is back counts. `changed_at` is when its entry last changed.
     """
 
     server: Server
     listed_at: float
+    changed_at: float = float("-inf")
     leaving_since: float | None = None
     leaves_at: float | None = None
     unlisted_since: float | None = None
@@ -98,16 +101,22 @@
 
     @property
     def is_usable(self) -> bool:
-        """Whether the server may get new requests."""
+        """Whether the server may get new requests, as far as it says."""
         return self.leaving_since is None
 
+    @property
+    def has_entry(self) -> bool:
+        """Whether its entry stands, or may come back after an outage."""
+        return self.unlisted_since is None or self.is_usable
+
 
 class BackendRegistry:
     """The known servers by id.
 
     An incarnation that says that it leaves stays leaving. One whose entry
     lapsed is usable again when its entry is back: it may have lost only the
-    store for a while.
+    store for a while. Of the entries with one address, those that are older
+    than another get no requests.
     """
 
     def __init__(self, departed_kept_s: float) -> None:
@@ -119,6 +128,10 @@
         self._backends: dict[ServerId, Backend] = {}
         self._last_listing: dict[ServerId, ListedBackend] = {}
         self._usable_by_service: dict[ServiceId, list[Backend]] | None = None
+        self._superseded: set[ServerId] = set()
+        self._services: Container[ServiceId] = ()
+        # Another process has answered at the addresses of these.
+        self._misdirected: set[ServerId] = set()
         self._unlisted: set[ServerId] = set()
         self._dropped: list[ServerId] = []
         # Lapsed servers whose entry is back, but does not count yet.
@@ -145,15 +158,54 @@
 
         The list is shared; the caller must not change it.
         """
-        if self._usable_by_service is None:
-            self._usable_by_service = {}
-            for _, backend in sorted(self._backends.items()):
-                if backend.is_usable:
-                    servers = self._usable_by_service.setdefault(
-                        backend.server.service, []
-                    )
-                    servers.append(backend)
-        return self._usable_by_service.get(service, [])
+        return self._evaluate().get(service, [])
+
+    def set_services(self, services: Container[ServiceId]) -> None:
+        """Set the services of the configuration.
+
+        An entry of another service may be by another writer, and supersedes
+        none.
+        """
+        self._services = services
+        self._usable_by_service = None
+
+    def is_superseded(self, server_id: ServerId) -> bool:
+        """Return whether a later process has the address of a server.
+
+        It began after this one, so that this one has ended, though its entry
+        still stands.
+        """
+        self._evaluate()
+        return server_id in self._superseded
+
+    def _evaluate(self) -> dict[ServiceId, list[Backend]]:
+        """Return the usable servers, evaluated anew after a change."""
+        if self._usable_by_service is not None:
+            return self._usable_by_service
+        newest: dict[str, int] = {}
+        for server_id, backend in self._backends.items():
+            server = backend.server
+            if (
+                backend.has_entry
+                and server_id not in self._misdirected
+                and server.service in self._services
+            ):
+                newest[server.address] = max(
+                    server.incarnation, newest.get(server.address, 0)
+                )
+        self._superseded = {
+            server_id
+            for server_id, backend in self._backends.items()
+            if UNKNOWN_INCARNATION
+            < backend.server.incarnation
+            < newest.get(backend.server.address, UNKNOWN_INCARNATION)
+        }
+        usable: dict[ServiceId, list[Backend]] = {}
+        for server_id, backend in sorted(self._backends.items()):
+            if backend.is_usable and server_id not in self._superseded:
+                usable.setdefault(backend.server.service, []).append(backend)
+        self._usable_by_service = usable
+        return usable
 
     def apply_listing(
         self, now: float, event: BackendsListed
@@ -171,13 +223,15 @@
             if previous.get(server_id) is listed:
                 continue
             known = self._backends.get(server_id)
-            old_incarnation = known.server.incarnation if known else 0
+            old_incarnation = (
+                known.server.incarnation if known else UNKNOWN_INCARNATION
+            )
             if self._apply_entry(now, listed, event.after_outage):
                 change.leaving.append(self._leaving_action(server_id))
             self._backends[server_id].unlisted_since = None
             self._unlisted.discard(server_id)
             if old_incarnation not in (
-                0,
+                UNKNOWN_INCARNATION,
                 self._backends[server_id].server.incarnation,
             ):
                 change.restarted.append(server_id)
@@ -212,6 +266,30 @@
         self._announced[server_id] = incarnation
         return [self._leaving_action(server_id, source)]
 
+    def record_misdirected(self, server_id: ServerId, sent_at: float) -> None:
+        """Record that another process answered a request to a server.
+
+        It holds until the entry changes, if it has not since `sent_at`.
+        """
+        backend = self._backends.get(server_id)
+        if backend is not None and sent_at >= backend.changed_at:
+            self._misdirected.add(server_id)
+            self._usable_by_service = None
+
+    def record_found(self, server_id: ServerId) -> None:
+        """Record that a server itself has answered."""
+        if server_id in self._misdirected:
+            self._misdirected.discard(server_id)
+            self._usable_by_service = None
+
+    def is_misdirected(self, server_id: ServerId) -> bool:
+        """Return whether another process has answered for a server."""
+        return server_id in self._misdirected
+
+    def misdirected_servers(self) -> Iterable[ServerId]:
+        """Return the servers for which another process has answered."""
+        return self._misdirected
+
     def announced_leaving(self) -> dict[ServerId, int]:
         """Return the announcements to report to the peers.
 
@@ -239,7 +317,9 @@
                     leaving.append(self._leaving_action(server_id))
             elif now - since > self._departed_kept_s:
                 del self._backends[server_id]
+                self._usable_by_service = None
                 self._unlisted.discard(server_id)
+                self._misdirected.discard(server_id)
                 self._announced.pop(server_id, None)
                 self._dropped.append(server_id)
         for server_id in sorted(self._returning):
@@ -268,11 +348,20 @@
         known = self._backends.get(server.server_id)
         if known is not None and known.server.incarnation > server.incarnation:
             return False
+        if (
+            known is None
+            or known.server != server
+            or known.unlisted_since is not None
+        ):
+            self._misdirected.discard(server.server_id)
+            changed_at = now
+        else:
+            changed_at = known.changed_at
         if known is None or known.server.incarnation < server.incarnation:
             known = Backend(server=server, listed_at=now)
             self._backends[server.server_id] = known
             self._announced.pop(server.server_id, None)
-        known.server = server
+        known.server, known.changed_at = server, changed_at
         if not listed.draining:
             if known.is_lapsed and after_outage:
                 known.back_at = now + BACK_AFTER_OUTAGE_S
