Let a response say that its connection isn't used again

Cause: whether an answer is matched to its request is known to the reader of the response, after which the pool takes the connection for good. Ruled out: 'connection: close' in the request, as it is known only with the answer whether the server repeats ids. Change: ClientStream.forbid_reuse.

--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -256,6 +256,10 @@
         head = await _async_head(self._conn, deadline, wait_until)
         return ClientStream(self._conn, head, self.held)
 
+    def forbid_reuse(self) -> None:
+        """Close the connection after this response."""
+        self._conn.is_reusable = False
+
     async def async_read_rest(
         self, deadline: float, max_bytes: int = MAX_BODY_BYTES
     ) -> bytes:
@@ -316,6 +320,7 @@
         self._request_ids: set[str] = set()
         self.idle_since = 0.0
         self.is_reused = False
+        self.is_reusable = True
         self._max_idle_s = MAX_REUSE_IDLE_S
         self._last_request: h11.Request | None = None
         self._reader = reader
@@ -482,7 +487,9 @@
 
     def prepare_reuse(self) -> bool:
         """Reset the state for another request; return False if impossible."""
-        if self._reader.at_eof() or self._conn.our_state is not h11.DONE:
+        if not self.is_reusable or self._reader.at_eof():
+            return False
+        if self._conn.our_state is not h11.DONE:
             return False
         has_surplus = self._conn.trailing_data[0] or self._reader.unread_bytes
         if has_surplus or not self._is_all_sent:
