Match the answers of the own interface to their calls

Where a server sends a copy of an earlier answer in place of the next one, a caller got the answer or the stream of another, a refusal of another counted as "not run", the outcome of another operation was stored as that of one that may run once, and a claim counted as written as another one had been: two hosts would run the request. Class: the next bytes on a connection taken for the answer to the last request. Ruled out: no reuse of connections, as tables and engines are polled all the time; matching by operation or stream id, as copies of an earlier attempt bear the same. Answers to other calls are skipped. One without an id is taken only as the first on its connection, which is then closed, so that a server that repeats none gets each call on a new connection. Attempts, claims, polls and the platform's link ask for this client by type.

--- a/standins/base.py
+++ b/standins/base.py
@@ -25,6 +25,7 @@
 from waxwingarch.adapters.http_server import (
     HttpServer,
 )
+from waxwingarch.const import HEADER_CALL_ID
 
 LISTEN_IP: Final = "127.0.0.1"
 CONTROL_PATHS: Final = ("/faults", "/journal", "/admin/")
@@ -92,7 +93,15 @@
         if self.is_muted:
             await self.async_wait_disconnect()
             return
-        await self.resp.async_send(status, body, headers)
+        await self.resp.async_send(
+            status, body, [*headers, *self.call_id_headers]
+        )
+
+    @property
+    def call_id_headers(self) -> Headers:
+        """The id of the call, which each answer repeats."""
+        call_id = self.req.headers.get(HEADER_CALL_ID)
+        return () if call_id is None else ((HEADER_CALL_ID, call_id),)
 
     @property
     def is_muted(self) -> bool:
--- a/standins/event_stream.py
+++ b/standins/event_stream.py
@@ -86,7 +86,9 @@
         if self._exchange.is_muted:
             await self._exchange.async_wait_disconnect()
             return
-        await self._exchange.resp.async_start(200, EVENT_STREAM)
+        await self._exchange.resp.async_start(
+            200, [*EVENT_STREAM, *self._exchange.call_id_headers]
+        )
         if first:
             self._unsent_counts = {
                 "cached_tokens": stream.cached_tokens,
--- a/tests/adapters/test_platform.py
+++ b/tests/adapters/test_platform.py
@@ -7,7 +7,6 @@
 import testtools
 
 from tests.helpers import async_test
-from waxwingarch.adapters.http_client import HttpClient
 from waxwingarch.adapters.http_messages import (
     HttpRequest,
     HttpResponder,
@@ -15,6 +14,7 @@
 from waxwingarch.adapters.http_server import (
     HttpServer,
 )
+from waxwingarch.adapters.matching_client import MatchingClient
 from waxwingarch.adapters.platform import (
     HttpCloud,
     HttpObjectStore,
@@ -85,7 +85,7 @@
     ) -> PlatformLink:
         port = await self.server.async_setup("127.0.0.1", 0)
         address = f"127.0.0.1:{port}"
-        return PlatformLink(HttpClient(), address, Random(1), budget)
+        return PlatformLink(MatchingClient(), address, Random(1), budget)
 
 
 def _deadline(timeout_s: float = CALL_TIMEOUT_S) -> float:
--- a/waxwingarch/adapters/platform_http.py
+++ b/waxwingarch/adapters/platform_http.py
@@ -8,13 +8,13 @@
 
 from waxwingarch.adapters.http_client import (
     ConnectFailedError,
-    HttpClient,
     HttpResponse,
 )
 from waxwingarch.adapters.http_messages import (
     JSON_TYPE,
     json_body,
 )
+from waxwingarch.adapters.matching_client import MatchingClient
 from waxwingarch.core.limits.token_bucket import TokenBucket
 from waxwingarch.exceptions import LinkError
 from waxwingarch.ports.table import (
@@ -83,7 +83,7 @@
 
     def __init__(
         self,
-        client: HttpClient,
+        client: MatchingClient,
         address: str,
         random: Random,
         budget: TableBudget | None = None,
--- a/waxwingarch/const.py
+++ b/waxwingarch/const.py
@@ -10,6 +10,7 @@
 HEADER_REPLAYED: Final = "x-replayed"
 HEADER_RESUME_ID: Final = "x-resume-id"
 HEADER_REQUEST_ID: Final = "x-request-id"
+HEADER_CALL_ID: Final = "x-call-id"
 HEADER_DEADLINE_MS: Final = "x-deadline-ms"
 
 # Within a region a connection opens in a few milliseconds, and a lost SYN is
--- a/waxwingarch/daemon.py
+++ b/waxwingarch/daemon.py
@@ -10,11 +10,11 @@
 from eliot import log_message, write_traceback
 
 from waxwingarch.adapters.claim_store import ClaimStore
-from waxwingarch.adapters.http_client import HttpClient
 from waxwingarch.adapters.http_messages import (
     HttpRequest,
 )
 from waxwingarch.adapters.lease_store import LeaseStore
+from waxwingarch.adapters.matching_client import MatchingClient
 from waxwingarch.adapters.platform import (
     HttpCloud,
     HttpObjectStore,
@@ -81,7 +81,7 @@
         header = self._build_trace_header()
         self.node = header.node()
         self._runner = Runner(self.node, _open_trace(settings, header))
-        self._client = HttpClient()
+        self._client = MatchingClient()
         rng = Random()
         self._link = link = PlatformLink(
             self._client,
--- a/waxwingarch/tasks/attempts.py
+++ b/waxwingarch/tasks/attempts.py
@@ -10,10 +10,10 @@
     ClientStream,
     ConnectFailedError,
     CutLinkError,
-    HttpClient,
     HttpResponse,
     SilentLinkError,
 )
+from waxwingarch.adapters.matching_client import MatchingClient
 from waxwingarch.adapters.sse import SseReader
 from waxwingarch.core.base import AttemptId, ServerKind
 from waxwingarch.core.request import (
@@ -59,7 +59,10 @@
     """
 
     def __init__(
-        self, runner: ContractRunner, exchanges: Exchanges, client: HttpClient
+        self,
+        runner: ContractRunner,
+        exchanges: Exchanges,
+        client: MatchingClient,
     ) -> None:
         self._runner = runner
         self._exchanges = exchanges
--- a/waxwingarch/tasks/claims.py
+++ b/waxwingarch/tasks/claims.py
@@ -10,9 +10,9 @@
 from waxwingarch.adapters.http_client import (
     ConnectFailedError,
     CutLinkError,
-    HttpClient,
     HttpResponse,
 )
+from waxwingarch.adapters.matching_client import MatchingClient
 from waxwingarch.core.base import Event, RequestId, ServerKind
 from waxwingarch.core.once.claim import StoredAnswer
 from waxwingarch.core.once.once_messages import (
@@ -51,7 +51,7 @@
         self,
         runner: ContractRunner,
         exchanges: Exchanges,
-        client: HttpClient,
+        client: MatchingClient,
         claims: ClaimStore,
         objects: ObjectStore,
     ) -> None:
--- a/waxwingarch/tasks/server_watch.py
+++ b/waxwingarch/tasks/server_watch.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import Any, Final
 
-from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.matching_client import MatchingClient
 from waxwingarch.core.base import Server, ServerId, ServerKind
 from waxwingarch.core.cluster.items import LoadSummary
 from waxwingarch.core.events import CacheRead, LoadRead
@@ -24,7 +24,7 @@
     """
 
     def __init__(
-        self, runner: ContractRunner, client: HttpClient, rng: Random
+        self, runner: ContractRunner, client: MatchingClient, rng: Random
     ) -> None:
         self._runner = runner
         self._client = client
