--- a/tests/front/test_platform_host.py
+++ b/tests/front/test_platform_host.py
@@ -244,7 +244,7 @@
     async def test_address_that_another_server_has_is_avoided(self) -> None:
         async with Host() as host:
             first, second = host.fleet.plain()
-            first.server_id = "somebody-else"
+            first.instance_id = "somebody-else"
             for _ in range(4):
                 response = await host.async_send("/pay/x")
                 self.assertEqual(200, response.status)
