Say nothing of a new process by the end of an attempt at the one before

Cause: pauses and health are kept by id. Where a server starts again under its id, they are dropped with the new entry; an attempt at the process before that ends later, as on a host that was stopped and reads the listing first, paused the new process for up to 60 s or counted as its failure. Ruled out: keeping them by incarnation: only the time of sending tells which process an attempt was at, and attempts have it. Change: what the end of an attempt says of its server is ignored if that has restarted since it was sent. Also the unit of a limit that was given back.

--- a/tests/core/front/test_reused_addresses.py
+++ b/tests/core/front/test_reused_addresses.py
@@ -248,3 +248,27 @@
     def test_peers_are_told(self) -> None:
         node = self.node_with_misdirected()
         self.assertEqual(("p1",), node.load_balancer.avoided_servers(1.3))
+
+
+class SameId(testtools.TestCase):
+    """A server starts again under its id."""
+
+    # Guards against a new process that is paused or avoided for what the one
+    # before did: a host that was stopped may read the listing first.
+    def test_end_of_an_attempt_at_the_process_before_says_nothing(
+        self,
+    ) -> None:
+        for outcome, retry_after_s in (
+            (AttemptOutcome.REJECTED, 30.0),
+            (AttemptOutcome.BROKEN, None),
+            (AttemptOutcome.NOT_SENT, None),
+        ):
+            node = serving_front(P1)
+            for name in ("a", "b"):
+                arrive(node, name, "/pay/x")
+            restarted = replace(P1, incarnation=2)
+            node.handle(2.0, make_listing(2, restarted, P2))
+            for name in ("a", "b"):
+                end(node, name, outcome, 2.1, retry_after_s=retry_after_s)
+                end(node, name, AttemptOutcome.DONE, 2.2)
+            self.assertEqual({"p1", "p2"}, used(node, 2.3), outcome)
--- a/waxwingarch/core/backends/registry.py
+++ b/waxwingarch/core/backends/registry.py
@@ -160,6 +160,11 @@
         """
         return self._evaluate().get(service, [])
 
+    def has_restarted_since(self, server_id: ServerId, sent_at: float) -> bool:
+        """Return whether a request was sent to an earlier process."""
+        backend = self._backends.get(server_id)
+        return backend is not None and sent_at < backend.listed_at
+
     def set_services(self, services: Container[ServiceId]) -> None:
         """Set the services of the configuration.
 
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from typing import Any, Final
 
+from waxwingarch.core.backends.load import ActiveAttempt
 from waxwingarch.core.backends.load_balancer import LoadBalancer, Pick
 from waxwingarch.core.backends.registry import BackendLeaving
 from waxwingarch.core.backends.server_checks import CheckResult
@@ -442,17 +443,10 @@
         if attempt is None:
             return self._finish(now, state, event, state.final_step(event))
         self._path_observer.record_end(now, event, attempt)
-        if event.outcome is AttemptOutcome.NOT_SENT:
-            self._load_balancer.limits.give_back(attempt.server_id)
-        if event.retry_after_s is not None:
-            self._load_balancer.pauses.record(
-                now, attempt.server_id, event.retry_after_s
-            )
-        if event.outcome is AttemptOutcome.MISDIRECTED:
-            self._load_balancer.registry.record_misdirected(
-                attempt.server_id, attempt.sent_at
-            )
-        self._record_health(now, state, event, attempt.server_id)
+        if not self._load_balancer.registry.has_restarted_since(
+            attempt.server_id, attempt.sent_at
+        ):
+            self._record_server(now, state, event, attempt)
         if not self._path_observer.explains_failure(
             now, state.exchange.service, attempt
         ):
@@ -550,6 +544,26 @@
         pick = self._load_balancer.pick(now, exchange, exchange.traits, server)
         return self._send_to(now, state, pick)
 
+    def _record_server(
+        self,
+        now: float,
+        state: ExchangeState,
+        event: AttemptFinished,
+        attempt: ActiveAttempt,
+    ) -> None:
+        """Record what the outcome says about the server."""
+        if event.outcome is AttemptOutcome.NOT_SENT:
+            self._load_balancer.limits.give_back(attempt.server_id)
+        if event.retry_after_s is not None:
+            self._load_balancer.pauses.record(
+                now, attempt.server_id, event.retry_after_s
+            )
+        if event.outcome is AttemptOutcome.MISDIRECTED:
+            self._load_balancer.registry.record_misdirected(
+                attempt.server_id, attempt.sent_at
+            )
+        self._record_health(now, state, event, attempt.server_id)
+
     def _record_health(
         self,
         now: float,
