Compare starts only where entries share an address

Cause: after each change of the listing the registry compared all entries, also where no two have one address. Change: the addresses are counted first; a further 421 of a known entry evaluates nothing anew. The 27 tests of both files pass.

--- a/waxwingarch/core/backends/registry.py
+++ b/waxwingarch/core/backends/registry.py
@@ -187,6 +187,19 @@
         """Return the usable servers, evaluated anew after a change."""
         if self._usable_by_service is not None:
             return self._usable_by_service
+        self._superseded = self._find_superseded()
+        usable: dict[ServiceId, list[Backend]] = {}
+        for server_id, backend in sorted(self._backends.items()):
+            if backend.is_usable and server_id not in self._superseded:
+                usable.setdefault(backend.server.service, []).append(backend)
+        self._usable_by_service = usable
+        return usable
+
+    def _find_superseded(self) -> set[ServerId]:
+        """Return the servers whose address a later process has."""
+        addresses = {b.server.address for b in self._backends.values()}
+        if len(addresses) == len(self._backends):
+            return set()
         newest: dict[str, int] = {}
         for server_id, backend in self._backends.items():
             server = backend.server
@@ -198,19 +211,13 @@
                 newest[server.address] = max(
                     server.incarnation, newest.get(server.address, 0)
                 )
-        self._superseded = {
+        return {
             server_id
             for server_id, backend in self._backends.items()
             if UNKNOWN_INCARNATION
             < backend.server.incarnation
             < newest.get(backend.server.address, UNKNOWN_INCARNATION)
         }
-        usable: dict[ServiceId, list[Backend]] = {}
-        for server_id, backend in sorted(self._backends.items()):
-            if backend.is_usable and server_id not in self._superseded:
-                usable.setdefault(backend.server.service, []).append(backend)
-        self._usable_by_service = usable
-        return usable
 
     def apply_listing(
         self, now: float, event: BackendsListed
@@ -277,7 +284,11 @@
         It holds until the entry changes, if it has not since `sent_at`.
         """
         backend = self._backends.get(server_id)
-        if backend is not None and sent_at >= backend.changed_at:
+        if (
+            backend is not None
+            and sent_at >= backend.changed_at
+            and server_id not in self._misdirected
+        ):
             self._misdirected.add(server_id)
             self._usable_by_service = None
 
