Walk copied, early and ended answers of servers in tables of cases

Cause: the tests of copied refusals had one host for each of 42 cases, and none of copies amid another request's resend, a relayed request or a moved run, of 1xx answers, HEAD, bodies in chunks, answers before the body, or expiry. Ruled out: a host for each cell, 0.5 s each; one host plays many cases. Change: RefusingServers play a case by the path of a request.

--- a/tests/front/test_copied_refusals_host.py
+++ b/tests/front/test_copied_refusals_host.py
@@ -1,138 +1,252 @@
-"""Tests of servers that copy a refusal into a later attempt of its request."""
+"""Tests of servers that copy a refusal into a later attempt."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
+from itertools import product
 
 import testtools
 
-from standins.front_process import KEY, call_headers
-from tests.front.base import CALL_TIMEOUT_S, Host
-from tests.front.raw_server import (
-    async_read_request,
-    only_servers,
-    response_head,
+from tests.front.base import Host, async_until
+from tests.front.refusing_servers import (
+    CHAT,
+    COPIES,
+    DRAFT,
+    EVENTS,
+    FAILURES,
+    PATHS,
+    PAY,
+    READ,
+    REFUSALS,
+    RETRY_AFTER,
+    TWO,
+    WORK_S,
+    RefusingServers,
+    async_call,
+    host_of,
 )
 from tests.helpers import async_test
-from waxwingarch.adapters.http_client import HttpResponse
-
-REFUSALS = ("421 Misdirected", "503 Busy", "429 Too Many")
-NOT_EXECUTED = "X-Waxwingarch-Not-Executed: 1"
-RETRY_AFTER = "Retry-After: 0.05"
-EVENTS = b"id: 1\ndata: x\n\n"
-EVENT_STREAM = "Content-Type: text/event-stream"
-AT_ONCE = (0.0,)
-LATE = (0.1,)
-TWO_COPIES = (0.0, 0.05)
-WORK_S = 0.2
-
-
-class CopyingServer:
-    """Refuses the first attempt of each request, and runs the next one.
-
-    The refusal comes again at these delays into the next request on its
-    connection, whichever it is.
-    """
-
-    def __init__(self, status: str, delays_s: Sequence[float], *fields: str):
-        self._status = status
-        self._delays_s = delays_s
-        self._fields = (NOT_EXECUTED, *fields)
-        self._refused: set[str] = set()
-        self.ran: list[str] = []
-
-    async def async_serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Serve the requests of a connection."""
-        refusal = b""
-        while True:
-            request_id = await async_read_request(reader)
-            is_new = request_id not in self._refused
-            if not is_new:
-                self.ran.append(request_id)
-            if refusal:
-                await self._async_copy(writer, refusal)
-                refusal = b""
-            if is_new:
-                self._refused.add(request_id)
-                refusal = response_head(
-                    request_id, 0, self._status, *self._fields
-                )
-                writer.write(refusal)
-                continue
-            await asyncio.sleep(WORK_S)
-            head = response_head(
-                request_id, len(EVENTS), "200 OK", EVENT_STREAM
-            )
-            writer.write(head + EVENTS)
 
-    async def _async_copy(
-        self, writer: asyncio.StreamWriter, refusal: bytes
-    ) -> None:
-        for delay_s in self._delays_s:
-            await asyncio.sleep(delay_s)
-            writer.write(refusal)
-
-
-async def async_send_same(
-    host: Host, path: str, request_id: str, *, is_relayed: bool
-) -> HttpResponse:
-    """Send a request with a given id, as a caller or as a peer."""
-    address = f"127.0.0.1:{host.ports[0]}"
-    headers = call_headers(request_id, 4000, KEY)
-    if is_relayed:
-        address = host.front.identity.address
-        headers = [*headers, ("waxwingarch-relay", "1")]
-    return await host.client.async_request(
-        "POST",
-        address,
-        path,
-        deadline=asyncio.get_running_loop().time() + CALL_TIMEOUT_S,
-        headers=headers,
+INFORMATIONAL = (
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"HTTP/1.1 102 Processing\r\n\r\n" * 3,
+    b"HTTP/1.1 103 Early Hints\r\nX-Waxwingarch-Not-Executed: 1\r\n"
+    b"Retry-After: 1\r\n\r\n",
+)
+# A server that asks for a pause gets no moved run meanwhile.
+WITHOUT_PAUSE = [r for r in REFUSALS if RETRY_AFTER not in r]
+# The paths of one service after the other, for either service at once.
+TURNS = ((PAY, CHAT), (READ, DRAFT))
+
+
+async def async_refuse(host: Host, name: str, count: int = 1) -> None:
+    """Have requests refused, so that copies are due on connections."""
+    await asyncio.gather(
+        *(
+            async_call(host, f"{path}refuse", f"{path[1]}-{name}-{n}")
+            for path in TURNS[1]
+            for n in range(count)
+        )
     )
+    await asyncio.sleep(0.03)
 
 
 class CopiesOfRefusals(testtools.TestCase):
+    """Copies with the id of the refused request, of another one, or none."""
+
+    async def async_check(
+        self,
+        names: Sequence[str],
+        refusals: Iterable[Sequence[str]],
+        last: str,
+        *,
+        refuses_others: bool = True,
+        before: bytes = b"",
+        copies: Iterable[Sequence[float]] = COPIES,
+        **options: bool,
+    ) -> None:
+        """Check that each request runs once, and gets its answer."""
+        results = await asyncio.gather(
+            *(
+                self.async_check_refusal(
+                    RefusingServers(refusal=refusal, before=before),
+                    names,
+                    last,
+                    refuses_others,
+                    tuple(copies),
+                    options,
+                )
+                for refusal in refusals
+            ),
+            return_exceptions=True,
+        )
+        self.assertEqual([None] * len(results), results)
+
+    async def async_check_refusal(
+        self,
+        servers: RefusingServers,
+        names: Sequence[str],
+        last: str,
+        refuses_others: bool,
+        copies: Sequence[Sequence[float]],
+        options: dict[str, bool],
+    ) -> None:
+        one_address = options.get("one_address", False)
+        serves = [servers.serve(name) for name in names]
+        async with host_of(*serves, one_address=one_address) as host:
+            for n, (delays_s, has_id, paths) in enumerate(
+                product(copies, (True, False), TURNS)
+            ):
+                servers.delays_s, servers.has_id = delays_s, has_id
+                if refuses_others:
+                    await async_refuse(host, f"{n}")
+                servers.runs.clear()
+                sent = [
+                    async_call(
+                        host,
+                        f"{path}{last}",
+                        f"{path[1]}-{n}",
+                        is_relayed=options.get("is_relayed", False),
+                    )
+                    for path in paths
+                ]
+                responses = await asyncio.gather(*sent)
+                await asyncio.sleep(WORK_S)
+                note = f"{servers} {n} {paths}"
+                for response in responses:
+                    self.assertEqual(200, response.status, note)
+                    self.assertEqual(EVENTS, response.body, note)
+                ran = sorted(run.request_id for run in servers.runs)
+                expected = sorted(f"{path[1]}-{n}" for path in paths)
+                self.assertEqual(expected, ran, note)
+
     # Guards against a request that ran and is called "not run", or runs
-    # again: two entries name one address, and the copy of the refusal by the
-    # first comes on the connection of the attempt at the second.
+    # again, as another one's refusal is taken for its own.
+    @async_test
+    async def test_first_attempt(self) -> None:
+        await self.async_check(["one"], REFUSALS + FAILURES, "run")
+
+    @async_test
+    async def test_relayed_by_a_peer(self) -> None:
+        await self.async_check(
+            ["one"], REFUSALS + FAILURES, "run", is_relayed=True
+        )
+
+    @async_test
+    async def test_resend(self) -> None:
+        await self.async_check(["one", "two"], REFUSALS, "resend")
+
+    # Guards against the same where two entries name one address: the copy
+    # of the refusal by the first comes amid the attempt at the second.
     @async_test
     async def test_two_servers_at_one_address(self) -> None:
-        for status in REFUSALS:
-            for delays_s in (AT_ONCE, LATE, TWO_COPIES):
-                for path in ("/pay/x", "/read/x", "/chat/x", "/draft/x"):
-                    server = CopyingServer(status, delays_s)
-                    async with (
-                        Host() as host,
-                        only_servers(
-                            host,
-                            server.async_serve,
-                            engines=path in ("/chat/x", "/draft/x"),
-                            one_address=True,
-                        ),
-                    ):
-                        response = await host.async_send(path)
-                    note = (status, delays_s, path, server.ran)
-                    self.assertEqual(200, response.status, note)
-                    self.assertEqual(EVENTS, response.body, note)
-                    self.assertEqual(["req-1"], server.ran, note)
+        await self.async_check(
+            ["one"],
+            REFUSALS,
+            "resend",
+            refuses_others=False,
+            one_address=True,
+        )
+
+    @async_test
+    async def test_informational_responses_between(self) -> None:
+        for before in INFORMATIONAL:
+            await self.async_check(
+                ["one"], REFUSALS[:1], "run", before=before, copies=[TWO]
+            )
 
     # Guards against the same where the request comes to this host again: its
     # caller repeats it, or two peers relay it one after the other.
     @async_test
     async def test_same_request_in_two_exchanges(self) -> None:
-        for status in REFUSALS:
-            for is_relayed in (False, True):
-                server = CopyingServer(status, AT_ONCE, RETRY_AFTER)
-                async with (
-                    Host() as host,
-                    only_servers(host, server.async_serve),
-                ):
+        async def async_check(refusal: Sequence[str]) -> None:
+            servers = RefusingServers(refusal=refusal)
+            async with host_of(servers.serve("one")) as host:
+                for path, is_relayed in product(PATHS, (False, True)):
+                    name = f"{path[1]}-{is_relayed}"
                     for expected in (503, 200):
-                        response = await async_send_same(
-                            host, "/pay/x", "same", is_relayed=is_relayed
+                        response = await async_call(
+                            host,
+                            f"{path}resend",
+                            name,
+                            is_relayed=is_relayed,
                         )
-                        note = (status, is_relayed, server.ran)
+                        note = f"{servers} {path} {is_relayed}"
                         self.assertEqual(expected, response.status, note)
-                        await asyncio.sleep(0.1)
-                self.assertEqual(["same"], server.ran)
+                        await asyncio.sleep(0.05)
+            ran = [run.request_id for run in servers.runs]
+            self.assertEqual(sorted(set(ran)), sorted(ran))
+            self.assertEqual(2 * len(PATHS), len(ran))
+
+        await asyncio.gather(*map(async_check, REFUSALS))
+
+
+class FieldsOfCopies(testtools.TestCase):
+    # Guards against a server that is paused or limited by an answer that
+    # belongs to no request.
+    @async_test
+    async def test_neither_pause_nor_limit_the_server(self) -> None:
+        servers = RefusingServers(
+            copied_fields=("Retry-After: 5", "Server-Limit: 0.1")
+        )
+        async with host_of(servers.serve("one")) as host:
+            for n, servers.has_id in enumerate((True, False)):
+                await async_refuse(host, f"{n}")
+                for path, again in product(PATHS, ("a", "b")):
+                    response = await async_call(
+                        host, f"{path}run", f"{path[1]}-{n}-{again}"
+                    )
+                    self.assertEqual(200, response.status, f"{path} {n}")
+            limits = host.front.load_balancer.limits
+            for server in host.fleet.servers:
+                self.assertIsNone(limits.limit_of(server.server_id))
+
+
+class CopiesAmidAMovedRun(testtools.TestCase):
+    # Guards against a moved run that is given up, or run anew, as the target
+    # or the source of its move copies a refusal.
+    @async_test
+    async def test_target_and_source(self) -> None:
+        await asyncio.gather(
+            *(
+                self.async_move(
+                    RefusingServers(
+                        refusal=refusal, has_id=has_id, has_room=has_room
+                    ),
+                    last,
+                )
+                for refusal in WITHOUT_PAUSE
+                for has_id, has_room, last in (
+                    (True, True, "move"),
+                    (False, True, "resend-move"),
+                    (True, False, "resend-move"),
+                )
+            )
+        )
+
+    async def async_move(self, servers: RefusingServers, last: str) -> None:
+        async with host_of(*map(servers.serve, ("one", "two"))) as host:
+            await async_refuse(host, "before", 3)
+            calls = [
+                asyncio.create_task(async_call(host, path + last, path[1]))
+                for path in (CHAT, DRAFT)
+            ]
+            await async_until(lambda: len(servers.held) == 2, "they run")
+            [source] = {run.server for run in servers.runs}
+            self.drain(host, ["one", "two"].index(source))
+            await asyncio.sleep(0.75)
+            await async_refuse(host, "amid", 3)
+            responses = await asyncio.gather(*calls)
+        note = f"{servers} {last}"
+        for response in responses:
+            self.assertEqual(200, response.status, note)
+            self.assertEqual(EVENTS, response.body, note)
+        ran = sorted((run.request_id, run.is_moved) for run in servers.runs)
+        expected = sorted(product("cd", (False, True)))
+        self.assertEqual(expected, ran, note)
+
+    def drain(self, host: Host, number: int) -> None:
+        server = host.fleet.engines()[number]
+        known = host.front.load_balancer.registry.get(server.server_id)
+        host.fleet.register(
+            server, "draining", address=known.server.address, born=2_000
+        )
