Send no body in the response to a HEAD request

Callers of HEAD requests that this host refuses saw a closed connection: the refusal has a body, which h11 rejects for HEAD. Ruled out: the same with GET, which passes; what servers answer, whose body is empty there. Change: the head states the length, and no body follows it. Measured: test_refusal_has_a_status fails before and passes; test_http.py passes.

--- a/tests/front/test_early_refusals_host.py
+++ b/tests/front/test_early_refusals_host.py
@@ -199,6 +199,16 @@
             self.assertEqual(["run"], runs)
             self.assertNotIn(statuses[1], PROMISES)
 
+    # Guards against a HEAD request that gets no answer, as it is refused.
+    @async_test
+    async def test_refusal_has_a_status(self) -> None:
+        async with Host() as host:
+            for path, status in (("/nowhere/x", 404), ("/read/x", 401)):
+                response = await host.async_send(
+                    path, method="HEAD", key="unknown"
+                )
+                self.assertEqual(status, response.status)
+
 
 class ChunkedBodies(testtools.TestCase):
     # Guards against a request that may run once and runs twice, or without
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -307,7 +307,15 @@
     def disconnected(self) -> asyncio.Event:
         return self._disconnected
 
+    @property
+    def _is_head_request(self) -> bool:
+        """Whether the response has no body, whatever its head says."""
+        head = self._partial.head
+        return head is not None and head.method == b"HEAD"
+
     def _write(self, event: Any) -> None:
+        if isinstance(event, h11.Data) and self._is_head_request:
+            return
         data = self._conn.send(event)
         if data:
             self._transport.write(data)
@@ -362,6 +370,8 @@
             status_code=status, headers=_encoded([*headers, *extra])
         )
         data = self._conn.send(head) or b""
+        if self._is_head_request:
+            body = b""
         if len(body) <= WRITE_BYTES:
             data += self._conn.send(h11.Data(data=body)) or b""
             data += self._conn.send(h11.EndOfMessage()) or b""
