--- a/tests/front/test_copied_refusals_host.py
+++ b/tests/front/test_copied_refusals_host.py
@@ -180,6 +180,31 @@
         await asyncio.gather(*map(async_check, REFUSALS))
 
 
+class MoreCopiesThanTwo(testtools.TestCase):
+    # Guards against an answer that is dropped, and a stream that goes on at
+    # another server while its own is at work, as three answers too many come
+    # ahead of it.
+    @async_test
+    async def test_answer_behind_them_is_taken(self) -> None:
+        servers = RefusingServers(
+            delays_s=(0.0, 0.0, 0.02), writes_first=True, work_s=1.0
+        )
+        serves = [servers.serve(name) for name in ("one", "two")]
+        async with host_of(*serves) as host:
+            await async_refuse(host, "before")
+            responses = await asyncio.gather(
+                *(async_call(host, f"{path}run", path) for path in TURNS[1])
+            )
+            await async_refuse(host, "again")
+            responses += await asyncio.gather(
+                *(async_call(host, f"{path}run", path) for path in TURNS[0])
+            )
+        statuses = [response.status for response in responses]
+        ran = [(run.request_id, run.server) for run in servers.runs]
+        self.assertEqual(len(PATHS), len(ran), f"{statuses} {ran}")
+        self.assertEqual([200] * len(PATHS), statuses, f"{ran}")
+
+
 class FieldsOfCopies(testtools.TestCase):
     # Guards against a server that is paused or limited by an answer that
     # belongs to no request.
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -65,7 +65,7 @@
 ACTIVITY_REPORT_INTERVAL_S: Final = 0.2
 # At most this many responses to earlier requests are skipped before the one
 # to this request.
-MAX_STRAY_RESPONSES: Final = 2
+MAX_STRAY_RESPONSES: Final = 16
 # The largest response of a server that is not streamed, and the largest body
 # of an error response or a rejection.
 MAX_RESPONSE_BYTES: Final = 4 * 1024 * 1024
