Let callers of standins.pauses repeat refused requests with their ids

A refused call is untrue if a run began before its caller sent it again; without a repetition that is any run, as before.

--- a/standins/soak/load.py
+++ b/standins/soak/load.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import time
-from dataclasses import dataclass
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Final
 
 from standins.campaign_report import Report
-from standins.fleet_server import PROMPT_PREFIX_HEADER
+from standins.fleet_server import PROMPT_PREFIX_HEADER, Run
 from standins.front_process import KEY, call_headers
 from standins.soak.annex import ANNEX_PATH
+from standins.soak.promises import NOT_RUN_STATUSES
 from standins.soak.world import World
 from waxwingarch.adapters.http_client import (
     ConnectFailedError,
@@ -19,6 +21,7 @@
 from waxwingarch.exceptions import LinkError
 
 MAX_PAUSE_S: Final = 0.4
+MAX_REPEAT_PAUSE_S: Final = 0.2
 CALL_TIMEOUT_S: Final = 15.0
 STAY_ON_HOST_PROBABILITY: Final = 0.85
 DISCONNECT_PROBABILITY: Final = 0.06
@@ -49,7 +52,8 @@
     Times are monotonic, in seconds. `size` is that of the body, in bytes.
     `parts` are those of the prompt of a stream; `crashing_input` is the one,
     or the target, that crashes servers. `has_begun` says whether a response
-    began.
+    began. `repeated_at` is when the caller sent the refused request again,
+    with its id, which is a call of its own.
     """
 
     request_id: str
@@ -68,12 +72,19 @@
     has_begun: bool = False
     # Whether no connection could be opened, so that nothing was sent.
     is_unsent: bool = False
+    repeated_at: float = float("inf")
 
     @property
     def status(self) -> int:
         """The status of the response; 0 if there was none."""
         return self.answer.status if self.answer else 0
 
+    def is_refused_untruly(self, runs: Sequence[Run]) -> bool:
+        """Return whether it was refused as not run though it ran."""
+        return self.status in NOT_RUN_STATUSES and any(
+            run.began_at < self.repeated_at for run in runs
+        )
+
     def describe(self) -> str:
         """Return a description of the call for evidence."""
         duration_s = self.ended_at - self.sent_at
@@ -101,6 +112,8 @@
         self.patience_s = float("inf")
         # Replaces the deadlines that callers of streams state.
         self.stream_deadline_s: float | None = None
+        # The probability that a caller repeats a call that was refused.
+        self.repeat_probability = 0.0
 
     async def async_run(self, callers: int) -> None:
         """Run the callers until `stop_calls` is called."""
@@ -124,12 +137,28 @@
                 route = rng.choices(list(ROUTES), weights)[0]
                 call = self._new_call(rng, f"c{number}", route, host)
                 await self._async_call(call, client, rng)
+                if call.status in NOT_RUN_STATUSES and (
+                    rng.random() < self.repeat_probability
+                ):
+                    await self._async_repeat(call, client, rng)
                 if not call.status:
                     host = rng.choice(sorted(self._world.daemons))
                 await asyncio.sleep(rng.uniform(0, MAX_PAUSE_S))
         finally:
             await client.async_unload()
 
+    async def _async_repeat(
+        self, call: Call, client: HttpClient, rng: Random
+    ) -> None:
+        """Send a refused request again, with its id, to the same host."""
+        await asyncio.sleep(rng.uniform(0, MAX_REPEAT_PAUSE_S))
+        again = replace(
+            call, sent_at=time.monotonic(), answer=None, has_begun=False
+        )
+        call.repeated_at = again.sent_at
+        self.calls.append(again)
+        await self._async_call(again, client, rng)
+
     def _new_call(
         self, rng: Random, caller: str, route: str, host: str
     ) -> Call:
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -256,6 +256,14 @@
         self.add_run(self.add_call("/pay/", 503))
         self.assertIn(Promise.NOT_RUN, self.broken_promises())
 
+    def test_runs_of_a_refused_call_that_its_caller_repeats(self) -> None:
+        for repeated_s, expected in ((0.5, False), (1.5, True)):
+            at = self.at + repeated_s
+            call = self.add_call("/pay/", 421, repeated_at=at)
+            self.add_run(call, began_at=self.at + 1.0)
+            broken = self.broken_promises()
+            self.assertEqual(expected, Promise.NOT_RUN in broken, repeated_s)
+
     def test_answer_after_the_time_limit(self) -> None:
         late = {"ended_at": self.at + 3.5}
         self.add_call("/read/", 200, b'{"echo":7}', **late)
