Log which server was superseded, and by which

Cause: that a listed server gets no requests was in the state alone. Change: a line server_superseded, once an entry, when the registry finds it.

--- a/tests/core/front/test_reused_addresses.py
+++ b/tests/core/front/test_reused_addresses.py
@@ -15,7 +15,10 @@
     serving_front,
 )
 from waxwingarch.core.backends.paths import PathMonitor
-from waxwingarch.core.backends.registry import BackendRegistry
+from waxwingarch.core.backends.registry import (
+    BackendRegistry,
+    BackendSuperseded,
+)
 from waxwingarch.core.backends.server_checks import CheckResult
 from waxwingarch.core.base import Action, RequestId, Server, ServiceId
 from waxwingarch.core.exchange.exchange_messages import (
@@ -81,6 +84,15 @@
                     [], node.handle(2.0, make_listing(2, OLD, newer))
                 )
                 self.assertEqual(expected, used(node, 2.1))
+                superseded = [
+                    action.by
+                    for now in (2.2, 2.3)
+                    for action in node.handle(
+                        now, FrontTick(boot_now=now, unix_now=now)
+                    )
+                    if isinstance(action, BackendSuperseded)
+                ]
+                self.assertEqual([newer.server_id], superseded)
                 drained = make_listing(3, OLD, newer, **draining)
                 node.handle(3.0, drained)
                 self.assertNotIn("old", used(node, 3.1))
--- a/waxwingarch/core/backends/registry.py
+++ b/waxwingarch/core/backends/registry.py
@@ -72,6 +72,14 @@
     source: LeavingSource = LeavingSource.LISTING
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BackendSuperseded(Action):
+    """A later process, `by`, has the address of a server."""
+
+    server: Server
+    by: ServerId
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ListingChange:
     """What a listing changed: servers that leave or have restarted."""
@@ -128,7 +136,8 @@
         self._backends: dict[ServerId, Backend] = {}
         self._last_listing: dict[ServerId, ListedBackend] = {}
         self._usable_by_service: dict[ServiceId, list[Backend]] | None = None
-        self._superseded: set[ServerId] = set()
+        self._superseded: dict[ServerId, ServerId] = {}
+        self._newly_superseded: list[BackendSuperseded] = []
         self._services: Container[ServiceId] = ()
         # Another process has answered at the addresses of these.
         self._misdirected: set[ServerId] = set()
@@ -187,7 +196,12 @@
         """Return the usable servers, evaluated anew after a change."""
         if self._usable_by_service is not None:
             return self._usable_by_service
-        self._superseded = self._find_superseded()
+        known, self._superseded = self._superseded, self._find_superseded()
+        self._newly_superseded += (
+            BackendSuperseded(server=self._backends[server_id].server, by=by)
+            for server_id, by in self._superseded.items()
+            if server_id not in known
+        )
         usable: dict[ServiceId, list[Backend]] = {}
         for server_id, backend in sorted(self._backends.items()):
             if backend.is_usable and server_id not in self._superseded:
@@ -195,12 +209,17 @@
         self._usable_by_service = usable
         return usable
 
-    def _find_superseded(self) -> set[ServerId]:
-        """Return the servers whose address a later process has."""
+    def take_superseded(self) -> list[BackendSuperseded]:
+        """Return the servers found superseded since the last call."""
+        found, self._newly_superseded = self._newly_superseded, []
+        return found
+
+    def _find_superseded(self) -> dict[ServerId, ServerId]:
+        """Return the servers whose address a later process has, and that."""
         addresses = {b.server.address for b in self._backends.values()}
         if len(addresses) == len(self._backends):
-            return set()
-        newest: dict[str, int] = {}
+            return {}
+        newest: dict[str, Server] = {}
         for server_id, backend in self._backends.items():
             server = backend.server
             if (
@@ -209,14 +228,17 @@
                 and server.service in self._services
             ):
                 newest[server.address] = max(
-                    server.incarnation, newest.get(server.address, 0)
+                    newest.get(server.address, server),
+                    server,
+                    key=lambda each: each.incarnation,
                 )
         return {
-            server_id
+            server_id: holder.server_id
             for server_id, backend in self._backends.items()
-            if UNKNOWN_INCARNATION
+            if (holder := newest.get(backend.server.address)) is not None
+            and UNKNOWN_INCARNATION
             < backend.server.incarnation
-            < newest.get(backend.server.address, UNKNOWN_INCARNATION)
+            < holder.incarnation
         }
 
     def apply_listing(
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -586,6 +586,7 @@
         actions += self._handle_leaving_backends(
             now, self.load_balancer.registry.tick(now)
         )
+        actions += self.load_balancer.registry.take_superseded()
         for server_id in self.load_balancer.registry.take_dropped():
             self.load_balancer.forget(server_id)
         if self.load_balancer.limits or self.load_balancer.brittle:
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -29,6 +29,7 @@
 from waxwingarch.core.backends.registry import (
     BackendLeaving,
     BackendsListed,
+    BackendSuperseded,
 )
 from waxwingarch.core.backends.server_limits import ServerLimitChanged
 from waxwingarch.core.base import HostId
@@ -163,6 +164,7 @@
         ports.store.on_era = self._post_store_era
         self._runner.connect(ConfigApplied, self._log_config_applied)
         self._runner.connect(BackendLeaving, self._log_server_leaving)
+        self._runner.connect(BackendSuperseded, self._log_superseded)
         self._runner.connect(ServerLimitChanged, self._log_server_limit)
         self._runner.connect(PathChanged, self._log_path_change)
         self._runner.connect(BrittlenessChanged, self._log_brittleness)
@@ -409,6 +411,15 @@
             learnt_from=action.source.value,
         )
 
+    def _log_superseded(self, action: BackendSuperseded) -> None:
+        log_message(
+            message_type="server_superseded",
+            server=action.server.server_id,
+            address=action.server.address,
+            incarnation=action.server.incarnation,
+            by=action.by,
+        )
+
     def _log_path_change(self, action: PathChanged) -> None:
         log_message(
             message_type="path_lost" if action.is_lost else "path_regained",
