--- a/standins/base.py
+++ b/standins/base.py
@@ -7,14 +7,16 @@
 import sys
 from collections.abc import Sequence
 from dataclasses import dataclass
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any, Final
-from weakref import WeakSet
+from weakref import WeakKeyDictionary, WeakSet
 
 from pydantic import ValidationError
 
 from standins.faults import Fault, FaultRequest, Faults
 from standins.journal import Journal
+from standins.until_close import send_raw
 from waxwingarch.adapters.http_messages import (
     JSON_TYPE,
     Headers,
@@ -93,9 +95,22 @@
         if self.is_muted:
             await self.async_wait_disconnect()
             return
-        await self.resp.async_send(
-            status, body, [*headers, *self.call_id_headers]
-        )
+        sent = [*headers, *self.call_id_headers]
+        self.send_copy()
+        await self.resp.async_send(status, body, sent)
+        is_control = self.req.path.startswith(CONTROL_PATHS)
+        if self.stand_in.faults.active("copies") and not is_control:
+            lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
+            lines += [f"{name}: {value}" for name, value in sent]
+            lines += [f"content-length: {len(body)}", "", ""]
+            copy = "\r\n".join(lines).encode("latin-1") + body
+            self.stand_in.copies[self.resp] = copy
+
+    def send_copy(self) -> None:
+        """Send the copy of the connection's last answer that is due."""
+        copy = self.stand_in.copies.pop(self.resp, None)
+        if copy is not None:
+            send_raw(self.resp, copy)
 
     @property
     def call_id_headers(self) -> Headers:
@@ -117,6 +132,9 @@
         self.journal = Journal()
         self.faults = Faults(asyncio.get_running_loop().time)
         self.muted_connections: WeakSet[HttpResponder] = WeakSet()
+        self.copies: WeakKeyDictionary[HttpResponder, bytes] = (
+            WeakKeyDictionary()
+        )
         self.server = HttpServer(self._async_handle, self._on_error)
 
     async def async_setup(self, port: int) -> int:
--- a/standins/event_stream.py
+++ b/standins/event_stream.py
@@ -86,6 +86,7 @@
         if self._exchange.is_muted:
             await self._exchange.async_wait_disconnect()
             return
+        self._exchange.send_copy()
         await self._exchange.resp.async_start(
             200, [*EVENT_STREAM, *self._exchange.call_id_headers]
         )
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -28,6 +28,7 @@
     "ignore_fencing",
     "bad_version",
     "crash",
+    "copies",
 ]
 
 
--- a/tests/faults/base.py
+++ b/tests/faults/base.py
@@ -31,13 +31,14 @@
     service_count = 1
     service_options: tuple[str, ...] = ()
     host_count = 2
+    platform_options: tuple[str, ...] = ()
 
     def setUp(self) -> None:
         super().setUp()
         self.cluster = Cluster()
         self.addCleanup(self.cluster.close)
         self.dep = Deployment(cluster=self.cluster)
-        self.dep.start_platform()
+        self.dep.start_platform(*self.platform_options)
         if self.engine_count:
             self.dep.start_engines(self.engine_count, *self.engine_options)
         if self.service_count:
