--- a/script/demo_front.py
+++ b/script/demo_front.py
@@ -20,7 +20,8 @@
     call_headers,
 )
 from standins.ports import free_port
-from waxwingarch.adapters.http_client import HttpClient, HttpResponse
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import HttpResponse
 from waxwingarch.exceptions import LinkError
 
 READY_TIMEOUT_S: Final = 20.0
--- a/script/red_front.py
+++ b/script/red_front.py
@@ -170,7 +170,7 @@
     ),
     Mutation(
         promise="TWICE",
-        path="waxwingarch/adapters/http_client.py",
+        path="waxwingarch/adapters/http_connection.py",
         old="        return request_id in self._request_ids\n",
         new="        return False\n",
         test="tests/front/test_copied_refusals_host.py",
@@ -199,14 +199,14 @@
     ),
     Mutation(
         promise="MIXED",
-        path="waxwingarch/adapters/http_client.py",
+        path="waxwingarch/adapters/http_connection.py",
         old="        if size_bytes > max_bytes:\n",
         new="        if size_bytes > max_bytes * 10**9:\n",
         test=NOTICES + "EndlessResponses::test_each_part",
     ),
     Mutation(
         promise="MIXED",
-        path="waxwingarch/adapters/http_client.py",
+        path="waxwingarch/adapters/http_connection.py",
         old="            or bool(self._reader.unread_bytes)\n",
         new="",
         test=NOTICES + "EndlessResponses::test_bytes_on_an_idle_connection",
--- a/standins/client.py
+++ b/standins/client.py
@@ -15,7 +15,8 @@
 
 from standins.answers import chat_text, expected_tokens
 from standins.sse import SseEvent, SseReader
-from waxwingarch.adapters.http_client import ClientStream, HttpClient
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import ClientStream
 from waxwingarch.adapters.http_messages import (
     JSON_TYPE,
     Headers,
--- a/standins/run_copies.py
+++ b/standins/run_copies.py
@@ -7,7 +7,8 @@
 
 import orjson
 
-from waxwingarch.adapters.http_client import HttpClient, HttpResponse
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import HttpResponse
 from waxwingarch.adapters.http_messages import HttpRequest, HttpResponder
 from waxwingarch.exceptions import LinkError
 
--- a/standins/soak/load.py
+++ b/standins/soak/load.py
@@ -13,9 +13,9 @@
 from standins.soak.annex import ANNEX_PATH
 from standins.soak.promises import NOT_RUN_STATUSES
 from standins.soak.world import World
-from waxwingarch.adapters.http_client import (
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import (
     ConnectFailedError,
-    HttpClient,
     HttpResponse,
 )
 from waxwingarch.exceptions import LinkError
--- a/tests/adapters/test_held_bytes.py
+++ b/tests/adapters/test_held_bytes.py
@@ -12,10 +12,8 @@
     HeldBytes,
     NoRoomError,
 )
-from waxwingarch.adapters.http_client import (
-    EndlessResponseError,
-    HttpClient,
-)
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import EndlessResponseError
 from waxwingarch.adapters.http_messages import HttpRequest, HttpResponder
 from waxwingarch.adapters.http_server import HttpServer
 
--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -9,10 +9,10 @@
 import testtools
 
 from tests.helpers import async_test
-from waxwingarch.adapters.http_client import (
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import (
     ConnectFailedError,
     CutLinkError,
-    HttpClient,
     SilentLinkError,
 )
 from waxwingarch.adapters.http_messages import (
--- a/tests/adapters/test_http_client.py
+++ b/tests/adapters/test_http_client.py
@@ -7,13 +7,13 @@
 import testtools
 
 from tests.helpers import async_test
-from waxwingarch.adapters.http_client import (
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import (
     MAX_REQUESTS_PER_CONNECTION,
+    ClientConnection,
     ConnectionUse,
+    CountingReader,
     CutLinkError,
-    HttpClient,
-    _ClientConnection,
-    _CountingReader,
 )
 from waxwingarch.adapters.http_messages import HttpRequest, HttpResponder
 from waxwingarch.adapters.http_server import HttpServer
@@ -83,8 +83,8 @@
         of the same error, until the process was killed for its memory.
         """
         loop = asyncio.get_running_loop()
-        reader = _CountingReader(loop=loop)
+        reader = CountingReader(loop=loop)
         reader.set_exception(TimeoutError(errno.ETIMEDOUT, "timed out"))
-        conn = _ClientConnection("127.0.0.1:1", reader, mock.Mock())
+        conn = ClientConnection("127.0.0.1:1", reader, mock.Mock())
         with testtools.ExpectedException(CutLinkError):
             await conn.async_head(loop.time() + PATIENCE_S)
--- a/tests/adapters/test_idle_connections.py
+++ b/tests/adapters/test_idle_connections.py
@@ -12,9 +12,9 @@
     IDLE_CHECK_INTERVAL_S,
     MAX_IDLE,
     MAX_IDLE_PER_ADDRESS,
-    MAX_REUSE_IDLE_S,
     HttpClient,
 )
+from waxwingarch.adapters.http_connection import MAX_REUSE_IDLE_S
 
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
--- a/tests/adapters/test_small_parts.py
+++ b/tests/adapters/test_small_parts.py
@@ -9,10 +9,8 @@
 
 from tests.front.raw_server import raw_server
 from tests.helpers import async_test
-from waxwingarch.adapters.http_client import (
-    EndlessResponseError,
-    HttpClient,
-)
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import EndlessResponseError
 from waxwingarch.adapters.http_messages import HttpRequest, HttpResponder
 from waxwingarch.adapters.http_server import HttpServer
 
--- a/tests/front/base.py
+++ b/tests/front/base.py
@@ -11,7 +11,8 @@
 from standins.ports import free_address, free_port
 from standins.soak.link import Link
 from waxwingarch.adapters.front_settings import FrontSettings
-from waxwingarch.adapters.http_client import HttpClient, HttpResponse
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import HttpResponse
 from waxwingarch.adapters.ini import parse_ini, validate
 from waxwingarch.front_daemon import FrontDaemon
 from waxwingarch.platform.wiring import platform_ports
--- a/tests/front/refusing_servers.py
+++ b/tests/front/refusing_servers.py
@@ -14,7 +14,7 @@
     only_servers,
     response_head,
 )
-from waxwingarch.adapters.http_client import HttpResponse
+from waxwingarch.adapters.http_connection import HttpResponse
 
 NOT_EXECUTED = "X-Waxwingarch-Not-Executed: 1"
 RETRY_AFTER = "Retry-After: 0.02"
--- a/tests/front/test_broken_paths_host.py
+++ b/tests/front/test_broken_paths_host.py
@@ -18,7 +18,7 @@
     server_of,
 )
 from tests.helpers import async_test
-from waxwingarch.adapters.http_client import CutLinkError
+from waxwingarch.adapters.http_connection import CutLinkError
 
 ALL_EVENTS = list(range(1, 11))
 
--- a/tests/front/test_early_refusals_host.py
+++ b/tests/front/test_early_refusals_host.py
@@ -25,7 +25,8 @@
     host_of,
 )
 from tests.helpers import async_test
-from waxwingarch.adapters.http_client import CutLinkError, HttpClient
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import CutLinkError
 
 LARGE_BYTES = 4_000_000
 SIZES_BYTES = (1_000, 200_000, LARGE_BYTES)
--- a/tests/front/test_front_checks.py
+++ b/tests/front/test_front_checks.py
@@ -11,7 +11,8 @@
 from standins.soak.link import Link, LinkFault
 from tests.core.front.builders import server, serving_front
 from tests.helpers import async_test
-from waxwingarch.adapters.http_client import ConnectFailedError, HttpClient
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import ConnectFailedError
 from waxwingarch.core.backends.server_checks import (
     CheckResult,
     CheckServer,
--- a/tests/front/test_lasting_errors_host.py
+++ b/tests/front/test_lasting_errors_host.py
@@ -9,7 +9,7 @@
 from tests.front.base import Host, async_until, event_ids
 from tests.helpers import async_test
 from waxwingarch.adapters.event_split import EventSplitter
-from waxwingarch.adapters.http_client import CutLinkError, HttpResponse
+from waxwingarch.adapters.http_connection import CutLinkError, HttpResponse
 from waxwingarch.core.front_node import FrontNode
 from waxwingarch.tasks.front_log import FrontLog
 
--- a/tests/front/test_odd_rows_host.py
+++ b/tests/front/test_odd_rows_host.py
@@ -15,9 +15,9 @@
 from tests.front.base import Host, async_until
 from tests.helpers import async_test
 from waxwingarch.adapters.addresses import split_address
-from waxwingarch.adapters.http_client import (
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import (
     ConnectFailedError,
-    HttpClient,
     UnsendableRequestError,
 )
 from waxwingarch.adapters.http_server import HttpServer
--- a/tests/front/test_relay_host.py
+++ b/tests/front/test_relay_host.py
@@ -12,7 +12,8 @@
 from tests.front.base import Host, async_until, event_ids
 from tests.helpers import async_test
 from waxwingarch.adapters.front_settings import FrontSettings
-from waxwingarch.adapters.http_client import ConnectFailedError, HttpClient
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import ConnectFailedError
 from waxwingarch.adapters.ini import parse_ini, validate
 from waxwingarch.core.base import Action
 from waxwingarch.core.exchange.exchange_messages import (
--- a/tests/front/test_resumed_streams_host.py
+++ b/tests/front/test_resumed_streams_host.py
@@ -14,7 +14,8 @@
     only_servers,
 )
 from tests.helpers import async_test
-from waxwingarch.adapters.http_client import CutLinkError, HttpClient
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import CutLinkError
 from waxwingarch.adapters.http_messages import HttpResponder
 from waxwingarch.adapters.http_server import HttpServer, ResponseStartedError
 
--- a/tests/front/test_stopped_servers_host.py
+++ b/tests/front/test_stopped_servers_host.py
@@ -10,7 +10,7 @@
 from standins.soak.link import LinkFault
 from tests.front.base import Host, async_until, event_ids
 from tests.helpers import async_test
-from waxwingarch.adapters.http_client import CutLinkError
+from waxwingarch.adapters.http_connection import CutLinkError
 from waxwingarch.exceptions import LinkError
 
 EVENT_S = 0.1
--- a/tests/front/test_whole_answers_host.py
+++ b/tests/front/test_whole_answers_host.py
@@ -11,7 +11,7 @@
 from standins.soak.link import LinkFault
 from tests.front.base import Host, async_until, event_ids
 from tests.helpers import async_test
-from waxwingarch.adapters.http_client import HttpResponse
+from waxwingarch.adapters.http_connection import HttpResponse
 from waxwingarch.exceptions import LinkError
 
 # Longer than a host waits for a silent server that another can replace.
--- a/tests/standins/helpers.py
+++ b/tests/standins/helpers.py
@@ -8,7 +8,8 @@
 from standins import engine, platform, service
 from standins.base import StandIn
 from standins.sse import SseReader
-from waxwingarch.adapters.http_client import HttpClient, HttpResponse
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import HttpResponse
 from waxwingarch.adapters.http_messages import (
     json_body,
 )
--- a/tests/standins/test_call_ids.py
+++ b/tests/standins/test_call_ids.py
@@ -13,7 +13,7 @@
     running_service,
 )
 from tests.standins.test_engine import COMPLETIONS, completion_body
-from waxwingarch.adapters.http_client import ConnectionUse
+from waxwingarch.adapters.http_connection import ConnectionUse
 from waxwingarch.adapters.http_messages import json_body
 from waxwingarch.adapters.matching_client import MatchingClient
 
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -14,7 +14,7 @@
     running_platform,
     wait_until,
 )
-from waxwingarch.adapters.http_client import CutLinkError, SilentLinkError
+from waxwingarch.adapters.http_connection import CutLinkError, SilentLinkError
 
 COMPLETIONS = "/v1/completions"
 PROMPT = " ".join(f"word{i}" for i in range(40))
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -9,7 +9,7 @@
     running_platform,
     wait_until,
 )
-from waxwingarch.adapters.http_client import CutLinkError, SilentLinkError
+from waxwingarch.adapters.http_connection import CutLinkError, SilentLinkError
 
 TRANSACT = "/v1/table/transact"
 SPARE = {
--- a/tests/standins/test_run_copies.py
+++ b/tests/standins/test_run_copies.py
@@ -10,7 +10,8 @@
 from standins.run_copies import MAX_COPIES
 from tests.front.base import async_until
 from tests.helpers import async_test
-from waxwingarch.adapters.http_client import HttpClient, HttpResponse
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import HttpResponse
 from waxwingarch.exceptions import LinkError
 
 
--- a/tests/standins/test_service.py
+++ b/tests/standins/test_service.py
@@ -6,7 +6,7 @@
 
 from tests.helpers import async_test
 from tests.standins.helpers import Peer, running_service
-from waxwingarch.adapters.http_client import CutLinkError, SilentLinkError
+from waxwingarch.adapters.http_connection import CutLinkError, SilentLinkError
 
 OUTCOME = "/v1/outcomes/op1"
 
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -29,7 +29,7 @@
 from standins.soak.world import STORE, Daemon, World
 from tests.front.raw_server import raw_server
 from tests.helpers import async_test
-from waxwingarch.adapters.http_client import HttpResponse
+from waxwingarch.adapters.http_connection import HttpResponse
 
 SEED = 7
 SECONDS = 10.0
--- a/waxwingarch/adapters/matching_client.py
+++ b/waxwingarch/adapters/matching_client.py
@@ -8,11 +8,8 @@
 
 from eliot import log_message
 
-from waxwingarch.adapters.http_client import (
-    ClientStream,
-    Headers,
-    HttpClient,
-)
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import ClientStream, Headers
 from waxwingarch.const import HEADER_CALL_ID
 from waxwingarch.exceptions import LinkError
 
--- a/waxwingarch/adapters/platform_http.py
+++ b/waxwingarch/adapters/platform_http.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Any, Final
 
-from waxwingarch.adapters.http_client import (
+from waxwingarch.adapters.http_connection import (
     ConnectFailedError,
     HttpResponse,
 )
--- a/waxwingarch/platform/calls.py
+++ b/waxwingarch/platform/calls.py
@@ -6,9 +6,9 @@
 import orjson
 from eliot import log_message
 
-from waxwingarch.adapters.http_client import (
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import (
     ConnectFailedError,
-    HttpClient,
     HttpResponse,
 )
 from waxwingarch.adapters.http_messages import JSON_TYPE
--- a/waxwingarch/platform/store.py
+++ b/waxwingarch/platform/store.py
@@ -9,9 +9,9 @@
 from eliot import log_message
 from pydantic import BaseModel, ConfigDict, Field
 
-from waxwingarch.adapters.http_client import (
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import (
     ConnectFailedError,
-    HttpClient,
     HttpResponse,
 )
 from waxwingarch.adapters.http_messages import JSON_TYPE
--- a/waxwingarch/tasks/attempts.py
+++ b/waxwingarch/tasks/attempts.py
@@ -6,7 +6,7 @@
 import orjson
 from eliot import log_message, write_traceback
 
-from waxwingarch.adapters.http_client import (
+from waxwingarch.adapters.http_connection import (
     ClientStream,
     ConnectFailedError,
     CutLinkError,
--- a/waxwingarch/tasks/claims.py
+++ b/waxwingarch/tasks/claims.py
@@ -7,7 +7,7 @@
 import orjson
 
 from waxwingarch.adapters.claim_store import ClaimStore
-from waxwingarch.adapters.http_client import (
+from waxwingarch.adapters.http_connection import (
     ConnectFailedError,
     CutLinkError,
     HttpResponse,
--- a/waxwingarch/tasks/exchange.py
+++ b/waxwingarch/tasks/exchange.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from waxwingarch.adapters.http_client import HttpResponse
+from waxwingarch.adapters.http_connection import HttpResponse
 from waxwingarch.core.base import AttemptId, RequestId, ServerId
 from waxwingarch.core.request import Complete, Deliver, Refuse, Request
 from waxwingarch.core.requests.guarded import OnceAnswer
--- a/waxwingarch/tasks/front_checks.py
+++ b/waxwingarch/tasks/front_checks.py
@@ -6,7 +6,8 @@
 
 from eliot import log_message
 
-from waxwingarch.adapters.http_client import ConnectFailedError, HttpClient
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import ConnectFailedError
 from waxwingarch.const import BACKEND_CONNECT_TIMEOUT_S, LOGGED_DECIMALS
 from waxwingarch.core.backends.server_checks import (
     CheckResult,
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -10,13 +10,13 @@
 
 from waxwingarch.adapters.event_split import EventBatch, EventSplitter
 from waxwingarch.adapters.held_bytes import FREE_BYTES, NoRoomError
-from waxwingarch.adapters.http_client import (
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import (
     ClientStream,
     ConnectFailedError,
     ConnectionUse,
     CutLinkError,
     EndlessResponseError,
-    HttpClient,
     InvalidBytesError,
     SilentLinkError,
 )
--- a/waxwingctl/client.py
+++ b/waxwingctl/client.py
@@ -7,7 +7,8 @@
 
 import orjson
 
-from waxwingarch.adapters.http_client import HttpClient, HttpResponse
+from waxwingarch.adapters.http_client import HttpClient
+from waxwingarch.adapters.http_connection import HttpResponse
 from waxwingarch.exceptions import LinkError
 from waxwingarch.tasks.admin import JSON_HEADERS, OPERATOR_HEADER
 from waxwingctl.errors import (
