--- a/standins/endless.py
+++ b/standins/endless.py
@@ -39,6 +39,9 @@
 SAMPLE_INTERVAL_S: Final = 0.05
 DEADLINE_MS: Final = 4_000
 CALL_TIMEOUT_S: Final = 8.0
+REFUSED_STATUSES: Final = (503, 504)
+# So many bytes of a refusal say why, for a test that fails.
+MAX_LOGGED_BYTES: Final = 120
 LATE_READ_S: Final = 0.5
 REQUEST_ID: Final = re.compile(rb"x-waxwingarch-request-id: ([^\r]+)", re.I)
 INODE: Final = re.compile(r"socket:\[(\d+)\]")
@@ -158,6 +161,8 @@
         self.before_bytes = 0
         self.peak_bytes = 0
         self.statuses: Counter[str] = Counter()
+        # The first bytes of the bodies of refusals.
+        self.refusals: Counter[str] = Counter()
 
     async def async_run(self, folder: Path) -> None:
         """Start everything, send the requests, and measure meanwhile."""
@@ -247,9 +252,13 @@
                 deadline=deadline,
                 headers=call_headers(request_id, DEADLINE_MS, KEY),
             ) as stream:
-                while await stream.async_read(deadline) is not None:
+                start = b""
+                while (part := await stream.async_read(deadline)) is not None:
+                    start = start or part[:MAX_LOGGED_BYTES]
                     if self._args.late and not request_id.startswith("s-"):
                         await asyncio.sleep(LATE_READ_S)
+                if stream.status in REFUSED_STATUSES:
+                    self.refusals[start.decode(errors="replace")] += 1
                 return str(stream.status)
         except LinkError as exc:
             return type(exc).__name__
--- a/tests/front/test_endless_servers.py
+++ b/tests/front/test_endless_servers.py
@@ -19,7 +19,12 @@
         args = build_parser().parse_args(more, namespace=args)
         args.kind = kind
         found = measure(args)
-        note = (kind, found.peak_bytes / MIB, dict(found.statuses))
+        note = (
+            kind,
+            found.peak_bytes / MIB,
+            dict(found.statuses),
+            dict(found.refusals),
+        )
         self.assertLess(found.peak_bytes, MEMORY_MB * 1_000_000, note)
         sound = {
             status: count
