--- a/standins/pauses.py
+++ b/standins/pauses.py
@@ -1,7 +1,8 @@
 """Stops processes of servers in series, beside faults of hosts.
 
-Prints for each seed how many streams went on at another server, and how
-many of them ran at two servers at once.
+Prints for each seed how many streams went on at another server, how many of
+them ran at two servers at once, and how many requests that may run once ran
+twice, or ran and were refused as not run.
 """
 
 import argparse
