--- a/tests/core/front/test_limits.py
+++ b/tests/core/front/test_limits.py
@@ -4,10 +4,18 @@
 
 import testtools
 
+from tests.core.front.builders import config, front
 from waxwingarch.core.base import AccountId, HostId, ServiceId
+from waxwingarch.core.front_messages import ConfigRead, FrontTick
+from waxwingarch.core.front_node import FrontNode
 from waxwingarch.core.limits.resend_budget import ResendBudget
 from waxwingarch.core.limits.shared_rate import SharedRates
 from waxwingarch.core.limits.window import WindowSum
+from waxwingarch.core.peers.report import (
+    HostsListed,
+    ReportReceived,
+    SendReport,
+)
 from waxwingarch.core.routing.config import RoutedAccount
 
 WINDOW_S = 8.0
@@ -218,6 +226,42 @@
         self.assertIsNone(rates.admit(0.0, unlimited, 1e9))
 
 
+class RestartedHosts(testtools.TestCase):
+    def report(self, now: float, node: FrontNode) -> ReportReceived:
+        tick = FrontTick(boot_now=now, unix_now=now)
+        [report] = [
+            action.report
+            for action in node.handle(now, tick)
+            if isinstance(action, SendReport)
+        ]
+        return ReportReceived(report=report)
+
+    def start(self, host: str, incarnation: int) -> FrontNode:
+        node = front(host=host, first_start=incarnation == 1)
+        node.identity = replace(node.identity, incarnation=incarnation)
+        node.handle(0.0, ConfigRead(cfg=config(rate=RATE)))
+        return node
+
+    # Guards against requests refused below their limit: two restarted hosts
+    # that had heard of one other reported half of the limit each as used.
+    def test_hosts_that_have_heard_of_one_other(self) -> None:
+        node = self.start("a", 1)
+        listed = HostsListed(addresses={HostId(h): h for h in "abcd"})
+        node.handle(0.0, listed)
+        for host in "bcd":
+            other = self.start(host, 1)
+            other.handle(0.0, listed)
+            node.handle(0.1, self.report(0.1, other))
+        heard = self.report(3.0, node)
+        for host in "bc":
+            restarted = self.start(host, 2)
+            restarted.handle(3.0, FrontTick(boot_now=3.0, unix_now=3.0))
+            restarted.handle(3.1, heard)
+            node.handle(3.2, self.report(3.2, restarted))
+        [account] = node.table.accounts.values()
+        self.assertIsNone(node.rates.admit(3.3, account, RATE))
+
+
 class Resends(testtools.TestCase):
     def test_resends_are_bounded_by_requests_and_the_share_of_the_host(
         self,
