Take no failure of a superseded server for a lost path

Callers of a sound service were relayed: a server that had ended, and whose address another service has, counted as a failure of the path to its service. Ruled out: the failure of the newer process, which counts by its address. Change: an attempt at a superseded server says nothing of the path.

--- a/waxwingarch/core/backends/paths.py
+++ b/waxwingarch/core/backends/paths.py
@@ -111,11 +111,13 @@
 
         An attempt on a connection counts only if the server has sent
         nothing at all since; that the connection can't be made counts in
-        any case.
+        any case. A server whose address a later process has says nothing of
+        the path.
         """
         backend = self._registry.get(server_id)
         if (
             backend is None
+            or self._registry.is_superseded(server_id)
             or outcome not in PARTITION_OUTCOMES
             or response_started
             or (
@@ -140,6 +142,7 @@
             found.server.address
             for name in path.failed_at
             if (found := self._registry.get(name)) is not None
+            and not self._registry.is_superseded(name)
         }
         if len(failed) >= min(LOST_AFTER_SERVERS, len(addresses)):
             path.lost_at = now
