Bound how long one 421 counts; no restart by a start that is newly stated

It holds for 10 s now, which is longer than an entry stands after its server ended. - A server whose entry begins to state its start counted as restarted, but its records were kept: its trial never ended, so that it stayed avoided. - Misdirected ids came first among those reported, in no fixed order. Ruled out: asking again after a time that doubles, as an entry stands for seconds only; dropping the records at such a start, as the process is the same.

--- a/waxwingarch/core/backends/load_balancer.py
+++ b/waxwingarch/core/backends/load_balancer.py
@@ -350,8 +350,8 @@
         peers may well reach them.
         """
         avoided = chain(
-            self.registry.misdirected_servers(),
             self.health.avoided_servers(now),
+            sorted(self.registry.misdirected_servers()),
         )
         reported = (
             server_id
--- a/waxwingarch/core/backends/registry.py
+++ b/waxwingarch/core/backends/registry.py
@@ -17,6 +17,9 @@
 BACK_AFTER_OUTAGE_S: Final = 5.0
 # The incarnation of an entry that does not say when its process started.
 UNKNOWN_INCARNATION: Final = 0
+# A server that was not at its address is tried there again after this time,
+# if its entry still stands.
+MISDIRECTED_HOLD_S: Final = 10.0
 # A report has to fit into one datagram.
 MAX_REPORTED_LEAVING: Final = 32
 
@@ -95,12 +98,14 @@
     `listed_at` is when this incarnation was first listed, and
     `unlisted_since` when a listing first lacked it. `is_lapsed` says that it
     counts as leaving only because its entry was missing, and `back_at` when
-    an entry that is back counts. `changed_at` is when its entry last changed.
+    an entry that is back counts. `changed_at` is when its entry last changed,
+    and `restarted_at` when it first told of another process under its id.
     """
 
     server: Server
     listed_at: float
     changed_at: float = float("-inf")
+    restarted_at: float = float("-inf")
     leaving_since: float | None = None
     leaves_at: float | None = None
     unlisted_since: float | None = None
@@ -139,8 +144,9 @@
         self._superseded: dict[ServerId, ServerId] = {}
         self._newly_superseded: list[BackendSuperseded] = []
         self._services: Container[ServiceId] = ()
-        # Another process has answered at the addresses of these.
-        self._misdirected: set[ServerId] = set()
+        # Another process has answered at the addresses of these, which
+        # counts until the given times.
+        self._misdirected: dict[ServerId, float] = {}
         self._unlisted: set[ServerId] = set()
         self._dropped: list[ServerId] = []
         # Lapsed servers whose entry is back, but does not count yet.
@@ -172,7 +178,7 @@
     def has_restarted_since(self, server_id: ServerId, sent_at: float) -> bool:
         """Return whether a request was sent to an earlier process."""
         backend = self._backends.get(server_id)
-        return backend is not None and sent_at < backend.listed_at
+        return backend is not None and sent_at < backend.restarted_at
 
     def set_services(self, services: Container[ServiceId]) -> None:
         """Set the services of the configuration.
@@ -300,24 +306,23 @@
         self._announced[server_id] = incarnation
         return [self._leaving_action(server_id, source)]
 
-    def record_misdirected(self, server_id: ServerId, sent_at: float) -> None:
+    def record_misdirected(
+        self, now: float, server_id: ServerId, sent_at: float
+    ) -> None:
         """Record that another process answered a request to a server.
 
-        It holds until the entry changes, if it has not since `sent_at`.
+        It holds for `MISDIRECTED_HOLD_S`, or until the entry changes, if it
+        has not since `sent_at`.
         """
         backend = self._backends.get(server_id)
-        if (
-            backend is not None
-            and sent_at >= backend.changed_at
-            and server_id not in self._misdirected
-        ):
-            self._misdirected.add(server_id)
-            self._usable_by_service = None
+        if backend is not None and sent_at >= backend.changed_at:
+            if server_id not in self._misdirected:
+                self._usable_by_service = None
+            self._misdirected[server_id] = now + MISDIRECTED_HOLD_S
 
     def record_found(self, server_id: ServerId) -> None:
-        """Record that a server itself has answered."""
-        if server_id in self._misdirected:
-            self._misdirected.discard(server_id)
+        """Record that a server itself may have its address."""
+        if self._misdirected.pop(server_id, None) is not None:
             self._usable_by_service = None
 
     def is_misdirected(self, server_id: ServerId) -> bool:
@@ -357,9 +362,12 @@
                 del self._backends[server_id]
                 self._usable_by_service = None
                 self._unlisted.discard(server_id)
-                self._misdirected.discard(server_id)
+                self._misdirected.pop(server_id, None)
                 self._announced.pop(server_id, None)
                 self._dropped.append(server_id)
+        for server_id, until in list(self._misdirected.items()):
+            if now >= until:
+                self.record_found(server_id)
         for server_id in sorted(self._returning):
             returning = self._backends[server_id]
             if now >= returning.back_at:
@@ -391,12 +399,20 @@
             or known.server != server
             or known.unlisted_since is not None
         ):
-            self._misdirected.discard(server.server_id)
+            self._misdirected.pop(server.server_id, None)
             changed_at = now
         else:
             changed_at = known.changed_at
         if known is None or known.server.incarnation < server.incarnation:
-            known = Backend(server=server, listed_at=now)
+            has_restarted = (
+                known is not None
+                and known.server.incarnation != UNKNOWN_INCARNATION
+            )
+            known = Backend(
+                server=server,
+                listed_at=now,
+                restarted_at=now if has_restarted else float("-inf"),
+            )
             self._backends[server.server_id] = known
             self._announced.pop(server.server_id, None)
         known.server, known.changed_at = server, changed_at
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -560,7 +560,7 @@
             )
         if event.outcome is AttemptOutcome.MISDIRECTED:
             self._load_balancer.registry.record_misdirected(
-                attempt.server_id, attempt.sent_at
+                now, attempt.server_id, attempt.sent_at
             )
         self._record_health(now, state, event, attempt.server_id)
 
