--- a/waxwingarch/core/exchange/exchange_messages.py
+++ b/waxwingarch/core/exchange/exchange_messages.py
@@ -244,10 +244,9 @@
     only the end of the connection ended the response: a crash of the server
     may look the same. `next_connection` is what became of a connection to
     the server that was opened after that of the attempt broke, None without
-    one.
-    `served_by` is the server that a peer sent the request to, as it says.
-    `ended_by_host` says that this host closed the connection for what the
-    server had written, and not the server.
+    one. `served_by` is the server that a peer sent the request to, as it
+    says. `ended_by_host` says that this host closed the connection for what
+    the server had written, and not the server.
     """
 
     outcome: AttemptOutcome
