--- a/standins/base.py
+++ b/standins/base.py
@@ -7,7 +7,6 @@
 import sys
 from collections.abc import Sequence
 from dataclasses import dataclass
-from http import HTTPStatus
 from pathlib import Path
 from typing import Any, Final
 from weakref import WeakKeyDictionary, WeakSet
@@ -16,7 +15,7 @@
 
 from standins.faults import Fault, FaultRequest, Faults
 from standins.journal import Journal
-from standins.until_close import send_raw
+from standins.until_close import encode_response, send_raw
 from waxwingarch.adapters.http_messages import (
     JSON_TYPE,
     Headers,
@@ -100,10 +99,7 @@
         await self.resp.async_send(status, body, sent)
         is_control = self.req.path.startswith(CONTROL_PATHS)
         if self.stand_in.faults.active("copies") and not is_control:
-            lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
-            lines += [f"{name}: {value}" for name, value in sent]
-            lines += [f"content-length: {len(body)}", "", ""]
-            copy = "\r\n".join(lines).encode("latin-1") + body
+            copy = encode_response(status, body, sent)
             self.stand_in.copies[self.resp] = copy
 
     def send_copy(self) -> None:
--- a/standins/refusals.py
+++ b/standins/refusals.py
@@ -2,12 +2,11 @@
 
 import asyncio
 from collections.abc import Iterator
-from http import HTTPStatus
 from random import Random
 from typing import Any, Final
 from weakref import WeakKeyDictionary
 
-from standins.until_close import send_raw
+from standins.until_close import encode_response, send_raw
 from waxwingarch.adapters.http_messages import Headers, HttpResponder
 
 NOT_EXECUTED_HEADER: Final = "X-Waxwingarch-Not-Executed"
@@ -50,10 +49,7 @@
         await self.async_send_due(resp, copies)
         await resp.async_send(status, b"", headers)
         if copies:
-            lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
-            lines += [f"{name}: {value}" for name, value in headers]
-            lines += ["Content-Length: 0", "", ""]
-            self._due[resp] = "\r\n".join(lines).encode("latin-1")
+            self._due[resp] = encode_response(status, b"", headers)
 
     async def async_send_due(self, resp: HttpResponder, copies: str) -> None:
         """Send what is due on a connection, which a request has come on."""
--- a/standins/until_close.py
+++ b/standins/until_close.py
@@ -25,6 +25,14 @@
     transport.abort()
 
 
+def encode_response(status: int, body: bytes, headers: Headers) -> bytes:
+    """Return the bytes of a response, with its length added."""
+    lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    lines += [f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode("latin-1") + body
+
+
 def send_raw(resp: HttpResponder, data: bytes) -> None:
     """Write bytes to the connection of a response that has begun."""
     _transport(resp).write(data)
