Derive whether a connection is reused from its count of requests

is_reused was set as a connection returned to the pool, beside the count that keep; responses are made after their request is counted, so that both say the same.

--- a/waxwingarch/adapters/http_client.py
+++ b/waxwingarch/adapters/http_client.py
@@ -152,7 +152,6 @@
         if not conn.prepare_reuse():
             conn.close()
             return
-        conn.is_reused = True
         self._add_to_pool(conn)
 
     def _add_to_pool(self, conn: ClientConnection) -> None:
--- a/waxwingarch/adapters/http_connection.py
+++ b/waxwingarch/adapters/http_connection.py
@@ -288,7 +288,6 @@
         self._request_count = 0
         self._request_ids: set[str] = set()
         self.idle_since = 0.0
-        self.is_reused = False
         self.is_reusable = True
         self._max_idle_s = MAX_REUSE_IDLE_S
         self._last_request: h11.Request | None = None
@@ -347,6 +346,11 @@
         """Return whether an earlier request here had the same id."""
         return request_id in self._request_ids
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether the last request was not the first one here."""
+        return self._request_count > 1
+
     @property
     def is_head_request(self) -> bool:
         """Whether the last request asked for the head only."""
