Keep connections of a failed test from failing later tests

A test that failed with an open connection left its writer in the set of noted writers. The noted writers are now aborted and dropped at the end of each test, also of one that fails. The new test fails without the change.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -24,18 +24,18 @@
     asyncio.StreamWriter.__init__ = _init_and_note  # type: ignore[method-assign]
 
 
-def _check_writers_closed() -> None:
-    """Fail if a writer is open that lives on after its event loop.
+def _abort_open_writers() -> list[asyncio.StreamWriter]:
+    """Abort and return the writers that this test has left open.
 
-    On some versions of Python it is closed when it is collected, in a later
-    test, and raises there as its loop has ended.
+    On some versions of Python a writer is closed when it is collected, in a
+    later test, and raises there as its loop has ended. None is kept for that
+    test either: its check would fail for the writers of this one.
     """
     left_open = [w for w in _writers if not w.transport.is_closing()]
+    _writers.clear()
     for writer in left_open:
         writer.transport.abort()
-    if left_open:
-        peers = [w.get_extra_info("peername") for w in left_open]
-        raise AssertionError(f"connections were left open: {peers}")
+    return left_open
 
 
 def async_test(
@@ -47,8 +47,13 @@
     """
 
     async def async_run(*args: Any, **kwargs: Any) -> None:
-        await asyncio.wait_for(body(*args, **kwargs), ASYNC_TEST_LIMIT_S)
-        _check_writers_closed()
+        try:
+            await asyncio.wait_for(body(*args, **kwargs), ASYNC_TEST_LIMIT_S)
+        finally:
+            left_open = _abort_open_writers()
+        if left_open:
+            peers = [w.get_extra_info("peername") for w in left_open]
+            raise AssertionError(f"connections were left open: {peers}")
 
     @wraps(body)
     def run(*args: Any, **kwargs: Any) -> None:
--- a/tests/test_helpers.py
+++ b/tests/test_helpers.py
@@ -1,5 +1,6 @@
 """Tests of the test helpers."""
 
+import asyncio
 import subprocess
 import sys
 import tempfile
@@ -30,6 +31,27 @@
         body()
         self.assertEqual([1], calls)
 
+    # Guards against a failed test whose open connection also fails each test
+    # that comes after it in the same process.
+    def test_open_connection_fails_only_its_own_test(self) -> None:
+        writers: list[asyncio.StreamWriter] = []
+
+        @async_test
+        async def failing_body() -> None:
+            server = await asyncio.start_server(
+                lambda _, writer: writers.append(writer), "127.0.0.1", 0
+            )
+            port = server.sockets[0].getsockname()[1]
+            writers.append((await asyncio.open_connection(port=port))[1])
+            self.assertEqual(1, 2)
+
+        @async_test
+        async def later_body() -> None:
+            pass
+
+        self.assertRaises(AssertionError, failing_body)
+        later_body()
+
 
 class PytestFailureReport(testtools.TestCase):
     def test_shows_the_compared_values(self) -> None:
