Order servers from the measured demand

The number of servers followed a constant, half of the largest number that may be ordered, whatever the load was.

The former figure remains the upper bound, and what smaller fleets order. The dearest domains do with one server less where even numbers exceed the need.

--- a/waxwingarch/adapters/front_metrics.py
+++ b/waxwingarch/adapters/front_metrics.py
@@ -7,6 +7,7 @@
 from hdrh.histogram import HdrHistogram
 
 from waxwingarch.adapters.held_bytes import HeldBytes
+from waxwingarch.core.duties.demand import DemandTracker
 
 LOWEST_US: Final = 100
 HIGHEST_US: Final = 60_000_000
@@ -39,14 +40,18 @@
         self,
         held_inputs: Callable[[], Mapping[tuple[str, str], int]] = dict,
         held: HeldBytes | None = None,
+        demand: DemandTracker | None = None,
     ) -> None:
         """Begin with no events.
 
         `held_inputs` returns the number of quarantined inputs by kind and
         origin. `held` is the account of the bytes that the host holds.
+        `demand` is the demand on services, followed by the holder of the
+        duties.
         """
         self.held_inputs = held_inputs
         self.held = held or HeldBytes()
+        self.demand = demand
         self.refusals: Counter[str] = Counter()
         self.exchanges: Counter[Labels] = Counter()
         self.events: Counter[str] = Counter()
@@ -144,6 +149,20 @@
             "Bodies without a length that were given up to make room.",
         )
         given_up.add_metric((), account.given_up)
+        demand = GaugeMetricFamily(
+            "waxwingarch_demand_servers",
+            "Servers that the demand on a service takes, and those needed.",
+            labels=("service", "kind"),
+        )
+        ignored_loads = CounterMetricFamily(
+            "waxwingarch_ignored_loads",
+            "Loads of servers that contradicted themselves.",
+        )
+        if self._metrics.demand is not None:
+            for service, values in self._metrics.demand.state().items():
+                for kind, servers in values.items():
+                    demand.add_metric((service, kind), servers)
+            ignored_loads.add_metric((), self._metrics.demand.ignored_loads)
         families: list[Any] = [
             exchanges,
             events,
@@ -151,6 +170,8 @@
             inputs,
             held_bytes,
             given_up,
+            demand,
+            ignored_loads,
         ]
         for name, histograms in self._metrics.histograms().items():
             family = HistogramMetricFamily(
--- a/waxwingarch/core/duties/autoscaler.py
+++ b/waxwingarch/core/duties/autoscaler.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from math import ceil
+from types import MappingProxyType
 from typing import Final
 
 from waxwingarch.core.backends.registry import Backend
@@ -29,8 +30,9 @@
 # On-demand servers are stopped only after the reclaimable servers have
 # sufficed for this time, since some of those may just have started.
 SETTLE_S: Final = 2.0
-# The usual load needs this share of the largest number of servers that may
-# be ordered: the bounds of a deployment leave room for about twice that load.
+# The largest usual load needs this share of the largest number of servers
+# that may be ordered: the bounds of a deployment leave room for about twice
+# that load. It applies where the demand is not measured.
 USUAL_LOAD_RATIO: Final = 0.5
 # Reclaimable servers per server that the usual load needs. The spare ones
 # serve bursts that coincide with a reclaim, as a boot takes longer than
@@ -40,6 +42,8 @@
 # about this time.
 REFUSAL_VALID_S: Final = 5.0
 
+NO_NEEDS: Final[Mapping[ServiceId, int]] = MappingProxyType({})
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OrderKey:
@@ -119,8 +123,13 @@
         fence: int,
         services: Iterable[RoutedService],
         backends: Iterable[Backend],
+        needs: Mapping[ServiceId, int] = NO_NEEDS,
     ) -> list[Action]:
-        """Return the orders that are due."""
+        """Return the orders that are due.
+
+        `needs` are the numbers of servers that the measured demand needs,
+        for the services for which it is known.
+        """
         all_backends = list(backends)
         actions: list[Action] = []
         for service in services:
@@ -132,7 +141,12 @@
                 if b.server.service == service.service and b.is_usable
             ]
             actions += self._orders_for(
-                now, fence, service.service, service.scaling, usable
+                now,
+                fence,
+                service.service,
+                service.scaling,
+                usable,
+                needs.get(service.service),
             )
         return actions
 
@@ -163,6 +177,7 @@
         service: ServiceId,
         bounds: ScalingBounds,
         usable: list[Backend],
+        need: int | None,
     ) -> list[Action]:
         state = self._services.get(service)
         if state is None:
@@ -172,7 +187,7 @@
             self._services[service] = state
         running = _count_running(service, usable)
         desired_counts = self._desired_counts(
-            now, service, state, bounds, running
+            now, service, state, bounds, running, need
         )
         actions: list[Action] = []
         for key, desired in desired_counts.items():
@@ -194,16 +209,20 @@
         state: _ServiceState,
         bounds: ScalingBounds,
         running: dict[OrderKey, int],
+        need: int | None,
     ) -> dict[OrderKey, int]:
         """Return how many servers should run, by the key of the order."""
-        needed = _servers_for_usual_load(bounds)
+        needed = servers_for_usual_load(bounds)
+        if need is not None:
+            needed = min(needed, need)
         per_domain = _reclaimable_per_domain(needed, bounds)
+        reduced = _reduced_domains(needed, bounds) if need is not None else ()
         desired_counts: dict[OrderKey, int] = {}
         running_reclaimable: dict[FailureDomain, int] = {}
         refusing_domains: set[FailureDomain] = set()
         for domain in bounds.domain_prices:
             key = OrderKey(service=service, domain=domain, reclaimable=True)
-            desired_counts[key] = per_domain
+            desired_counts[key] = per_domain - (domain in reduced)
             running_reclaimable[domain] = running.get(key, 0)
             order = state.orders.get(key)
             if order is not None and order.recently_refused(now):
@@ -333,8 +352,8 @@
     return running
 
 
-def _servers_for_usual_load(bounds: ScalingBounds) -> int:
-    """Return how many servers carry the usual load of a service."""
+def servers_for_usual_load(bounds: ScalingBounds) -> int:
+    """Return how many servers carry the largest usual load of a service."""
     return ceil(bounds.maximum * len(bounds.domain_prices) * USUAL_LOAD_RATIO)
 
 
@@ -346,3 +365,24 @@
     domains = len(bounds.domain_prices)
     per_domain = ceil(needed * HEADROOM_FACTOR / max(1, domains - 1))
     return max(bounds.minimum, min(bounds.maximum, per_domain))
+
+
+def _reduced_domains(
+    needed: int, bounds: ScalingBounds
+) -> list[FailureDomain]:
+    """Return the dearest domains that do with one server less than others.
+
+    The same number in each domain may exceed what has to remain when a
+    domain loses its servers, as it is rounded up.
+    """
+    per_domain = _reclaimable_per_domain(needed, bounds)
+    if per_domain <= bounds.minimum:
+        return []
+    remaining = per_domain * (len(bounds.domain_prices) - 1)
+    excess = max(0, remaining - ceil(needed * HEADROOM_FACTOR))
+    by_price = sorted(
+        bounds.domain_prices,
+        key=lambda domain: bounds.domain_prices[domain],
+        reverse=True,
+    )
+    return by_price[:excess]
--- a/waxwingarch/core/duties/coordinator.py
+++ b/waxwingarch/core/duties/coordinator.py
@@ -8,6 +8,7 @@
 from waxwingarch.core.backends.registry import BackendRegistry
 from waxwingarch.core.base import AccountId, Action, HostId
 from waxwingarch.core.duties.autoscaler import Autoscaler, ServersOrdered
+from waxwingarch.core.duties.demand import DemandTracker, FleetView
 from waxwingarch.core.duties.leader_election import (
     DutyRowRead,
     DutyRowWritten,
@@ -21,13 +22,20 @@
     UsageSettled,
 )
 from waxwingarch.core.limits.shared_rate import SharedRates
-from waxwingarch.core.peers.report_gossip import ReportGossip
+from waxwingarch.core.peers.report_gossip import (
+    ALL_FOLLOW_MAX_HOSTS,
+    ReportGossip,
+)
 from waxwingarch.core.routing.table import RoutingTable
 
 # Usage of a window is settled this many rounds of reports after its end, so
 # that the counts of all hosts have come in.
 SETTLE_ROUNDS: Final = 3.0
 
+# In a deployment that started for the first time less than this ago, the
+# number of servers that run says nothing of what earlier holders ordered.
+NEW_DEPLOYMENT_S: Final = 20.0
+
 DUTY_USAGE: Final = "usage_report"
 DUTY_SCALING: Final = "scaling"
 
@@ -48,6 +56,7 @@
         rates: SharedRates,
         table: RoutingTable,
         backends: BackendRegistry,
+        demand: DemandTracker,
         *,
         lease_s: float,
         usage_window_s: float,
@@ -59,12 +68,15 @@
         self._table = table
         self._backends = backends
         self._was_holder = False
+        self._first_start = first_start
+        self._started_at: float | None = None
         self.boot_now = 0.0
         self.lease = LeaderElection(
             host, incarnation, lease_s, first_start=first_start
         )
         self.usage = UsageCounter(usage_window_s)
         self.usage_reporter = UsageReporter(self.usage)
+        self.demand = demand
         self.autoscaler = Autoscaler()
 
     def may_act(self) -> bool:
@@ -75,6 +87,8 @@
         """Renew or acquire the lease, and return the calls that are due."""
         if not self._kinds:
             return []
+        if self._started_at is None:
+            self._started_at = now
         peers = self._gossip.peers
         busy_accounts: tuple[AccountId, ...] = ()
         if self.lease.held:
@@ -93,6 +107,7 @@
             if self._was_holder:
                 self.usage_reporter.handle_duty_lost()
                 self.autoscaler.handle_duty_lost()
+                self.demand.clear()
             self._was_holder = False
             return actions
         self._was_holder = True
@@ -107,14 +122,37 @@
                 first_window=self.lease.first_window,
             )
         if DUTY_SCALING in self._kinds:
+            actions += self._tick_demand(now)
             actions += self.autoscaler.tick(
                 now,
                 fence,
                 self._table.services.values(),
                 self._backends.all_backends(),
+                self.demand.needs,
             )
         return actions
 
+    def _tick_demand(self, now: float) -> list[Action]:
+        """Measure the demand; a small fleet orders without it."""
+        known_hosts = self._gossip.peers.known_host_count
+        if known_hosts <= ALL_FOLLOW_MAX_HOSTS:
+            self.demand.clear()
+            return []
+        assert self._started_at is not None
+        is_new = (
+            self._first_start and now - self._started_at < NEW_DEPLOYMENT_S
+        )
+        return self.demand.tick(
+            now,
+            self._table.services.values(),
+            self._backends.all_backends(),
+            FleetView(
+                known_hosts=known_hosts,
+                heard_ratio=self._gossip.heard_ratio(now),
+                is_new=is_new,
+            ),
+        )
+
     # Replies of the store and the platform
 
     def handle_era(self, event: StoreEraSeen, *, returned: bool) -> None:
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -24,6 +24,7 @@
 from waxwingarch.core.base import Action, Event, ServerId
 from waxwingarch.core.duties.autoscaler import ServersOrdered
 from waxwingarch.core.duties.coordinator import DutyCoordinator
+from waxwingarch.core.duties.demand import DemandTracker
 from waxwingarch.core.duties.leader_election import (
     DutyRowRead,
     DutyRowWritten,
@@ -145,6 +146,9 @@
             self.rates,
             self.table,
             self.load_balancer.registry,
+            DemandTracker(
+                self.load_balancer.loads, self.load_balancer.latency
+            ),
             lease_s=bounds.lease_s,
             usage_window_s=bounds.usage_window_s,
             first_start=identity.first_start,
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -154,7 +154,9 @@
             self._admin = Admin(settings.security.operator_key, on_error)
             self._quarantine_operations.register(self._admin)
         self.metrics = FrontMetrics(
-            lambda: count_held_inputs(self.front.quarantine), client.held
+            lambda: count_held_inputs(self.front.quarantine),
+            client.held,
+            self.front.duties.demand,
         )
         self._metrics_server = HttpServer(self._async_serve_metrics, on_error)
         self._runner.observe(FrontLog(self.front, self.metrics))
--- a/waxwingarch/tasks/front_duties.py
+++ b/waxwingarch/tasks/front_duties.py
@@ -10,9 +10,11 @@
 import orjson
 from eliot import log_message
 
+from waxwingarch.const import LOGGED_DECIMALS
 from waxwingarch.core.backends.registry import LeavingAnnounced
 from waxwingarch.core.base import AccountId, HostId
 from waxwingarch.core.duties.autoscaler import OrderServers, ServersOrdered
+from waxwingarch.core.duties.demand import NeedChanged
 from waxwingarch.core.duties.leader_election import (
     DutyLeaseRow,
     DutyRowRead,
@@ -77,6 +79,7 @@
                 MigrateRun: self._async_migrate_run,
             },
         )
+        runner.connect(NeedChanged, _log_need)
 
     # Leader election lease
 
@@ -263,6 +266,24 @@
         )
 
 
+def _log_need(action: NeedChanged) -> None:
+    log_message(
+        message_type="servers_needed",
+        service=action.service,
+        needed=action.needed,
+        previous=action.previous,
+        largest=action.largest,
+        slots=round(action.demand.slot_servers, LOGGED_DECIMALS),
+        prompts=round(action.demand.read_servers, LOGGED_DECIMALS),
+        ignored=action.demand.ignored,
+        usual=round(action.usual, LOGGED_DECIMALS),
+        peak=round(action.peak, LOGGED_DECIMALS),
+        forecast=round(action.forecast, LOGGED_DECIMALS),
+        sustained=round(action.sustained, LOGGED_DECIMALS),
+        heard_ratio=round(action.heard_ratio, LOGGED_DECIMALS),
+    )
+
+
 def _row_read_event(reply: Rows | WriteResult, sent_at: float) -> DutyRowRead:
     """Return the event for a reply that has the lease row or no row."""
     stored = reply.rows[0] if reply.rows else None
--- a/waxwingarch/tasks/server_state.py
+++ b/waxwingarch/tasks/server_state.py
@@ -12,7 +12,8 @@
     `limit_per_s` is the rate that a server named and `own_share_per_s` this
     host's part of it; both are null without a limit. `paused_s` is how long
     the server wants no requests of this host. Peers without a path to a
-    service are listed under its name.
+    service are listed under its name. `demand` is empty but on the holder
+    of the duties, and counts servers.
     """
     balancer = front.load_balancer
     lost_by_peers: dict[str, list[str]] = {}
@@ -46,4 +47,5 @@
         "servers": servers,
         "lost_services": list(balancer.paths.lost_services()),
         "lost_by_peers": lost_by_peers,
+        "demand": front.duties.demand.state(),
     }
