--- a/tests/core/front/test_demand.py
+++ b/tests/core/front/test_demand.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from itertools import count
+from math import ceil
 from random import Random
 from typing import Final
 
@@ -28,6 +29,7 @@
 from waxwingarch.core.backends.registry import Backend
 from waxwingarch.core.base import FailureDomain, HostId, ServerId
 from waxwingarch.core.duties.autoscaler import (
+    HEADROOM_FACTOR,
     LISTING_DELAY_S,
     Autoscaler,
     OrderKey,
@@ -194,6 +196,11 @@
         full_price = price(pool.backends)
         pool.run(SETTLED_S)
         self.assertLess(price(pool.backends), 0.85 * full_price)
+        most = max(pool.count(domain) for domain in DOMAINS)
+        needed = pool.tracker.needs[POOL]
+        self.assertEqual(
+            ceil(needed * HEADROOM_FACTOR), len(pool.backends) - most
+        )
         self.assertGreaterEqual(
             pool.room_without_a_domain, 2.5 * USUAL_RUNNING
         )
@@ -219,6 +226,14 @@
             pool.run(end + 20.0)
             self.assertEqual([], pool.orders)
 
+    # Guards against orders that wait for the usual demand to follow.
+    def test_more_than_a_burst_is_ordered_after_a_boot_time(self) -> None:
+        pool = self.settled_pool()
+        begin = pool.now
+        pool.load_ratio = lambda now: 3.5
+        pool.run(begin + BOUNDS.boot_s + 1.0)
+        self.assertGreater(sum(order.desired for order in pool.orders), 60)
+
     # Guards against full servers, where a domain is reclaimed in a burst.
     def test_burst_while_a_domain_is_reclaimed(self) -> None:
         pool = self.settled_pool()
@@ -250,7 +265,9 @@
     def test_new_holder_begins_with_the_running_servers(self) -> None:
         pool = self.settled_pool()
         pool.take_over()
-        pool.run(pool.now + 44.0)
+        end = pool.now + 3.0
+        pool.load_ratio = lambda now: 4.0 if now < end else 1.0
+        pool.run(end + 40.0)
         self.assertEqual([], pool.orders)
 
     # Guards against a new holder that takes a lost domain for a small need.
@@ -273,9 +290,11 @@
             (1.0, ServerLoad(running=SLOTS * 69 + 1), True),
         ):
             pool = Pool()
+            pool.run(45.0)
             pool.fleet = replace(HEARD, heard_ratio=heard_ratio)
             pool.broken_load = load
             pool.load_ratio = lambda now: 0.45
+            pool.orders.clear()
             pool.run(SETTLED_S)
             self.assertEqual([], pool.orders)
             self.assertEqual(ignored, pool.tracker.ignored_loads > 0)
--- a/waxwingarch/core/duties/demand.py
+++ b/waxwingarch/core/duties/demand.py
@@ -39,7 +39,7 @@
 BURST_RATIO: Final = 2.5
 # Half of what the recent peak exceeds the usual demand by is forgotten in
 # this time.
-PEAK_HALF_LIFE_S: Final = 60.0
+PEAK_HALF_LIFE_S: Final = 120.0
 # The trend is that of the sample of this rank, the lowest being 0, in each
 # half of the samples: a burst of 20 s leaves four of a half as they were.
 FLOOR_RANK: Final = 2
