Count the running servers without a key for each

A tick of the autoscaler made an order key for each usable server, ten times a second: 18 ms of CPU time a second on the holder of the duties at 600 servers, of the 24 ms that all control work may take. It counts by plain pairs now. Measured at 600 servers: 1.83 ms a tick before, 0.34 ms after; the orders are the same, 33 tests of duties and demand pass.

--- a/waxwingarch/core/duties/autoscaler.py
+++ b/waxwingarch/core/duties/autoscaler.py
@@ -8,6 +8,7 @@
 when the reclaimable servers suffice again.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from math import ceil
@@ -341,15 +342,14 @@
 def _count_running(
     service: ServiceId, usable: Iterable[Backend]
 ) -> dict[OrderKey, int]:
-    running: dict[OrderKey, int] = {}
-    for backend in usable:
-        key = OrderKey(
-            service=service,
-            domain=backend.server.failure_domain,
-            reclaimable=backend.server.reclaimable,
-        )
-        running[key] = running.get(key, 0) + 1
-    return running
+    # A key for each server would take most of the time of a tick.
+    counts = Counter(
+        (b.server.failure_domain, b.server.reclaimable) for b in usable
+    )
+    return {
+        OrderKey(service=service, domain=domain, reclaimable=reclaimable): n
+        for (domain, reclaimable), n in counts.items()
+    }
 
 
 def servers_for_usual_load(bounds: ScalingBounds) -> int:
