Bound what the prompts of a server that hangs count for in the demand

Its unread prompts stay in the loads, and counted for as many servers as would read them in 0.25 s: 2 million tokens for 133. They count for 3 at most. A boot time shorter than two samples never gave a lasting demand; two samples are the least now.

--- a/tests/core/front/test_demand.py
+++ b/tests/core/front/test_demand.py
@@ -39,7 +39,10 @@
 )
 from waxwingarch.core.duties.coordinator import DUTY_SCALING
 from waxwingarch.core.duties.demand import DemandTracker, FleetView
-from waxwingarch.core.duties.demand_sample import measure_demand
+from waxwingarch.core.duties.demand_sample import (
+    MAX_READ_SHARE,
+    measure_demand,
+)
 from waxwingarch.core.duties.leader_election import ReadDutyRow, WriteDutyRow
 from waxwingarch.core.front_messages import ConfigRead, FrontTick
 from waxwingarch.core.peers.report import HostsListed
@@ -326,6 +329,17 @@
         self.assertAlmostEqual(0.5 / 0.625, shares[0], places=3)
         self.assertAlmostEqual(2 / 3 * 0.5 / 0.625, shares[1], places=3)
 
+    # Guards against orders of many servers for the prompts of one that hangs.
+    def test_prompts_of_a_server_that_hangs_count_for_a_few(self) -> None:
+        backends = Pool(per_domain=1).backends()
+        load = ServerLoad(running=1, prefill_tokens=2_000_000)
+        loads = LoadTracker()
+        loads.record_peer_loads(
+            HostId("peer"), {backends[0].server.server_id: load}
+        )
+        demand = measure_demand(0.0, backends, loads, LatencyTracker(), 69)
+        self.assertEqual(MAX_READ_SHARE, demand.read_servers)
+
 
 class SizeOfTheFleet(testtools.TestCase):
     def orders(self, hosts: int) -> list[int]:
--- a/waxwingarch/core/duties/demand.py
+++ b/waxwingarch/core/duties/demand.py
@@ -32,11 +32,14 @@
 # A sample of 600 servers took 2.6 ms of CPU time, so it is not taken at each
 # tick of the node.
 SAMPLE_INTERVAL_S: Final = 0.5
-# The usual demand is the median over this many samples, 45 s: bursts of up
-# to 20 s don't move it. The need is lowered only when they are complete.
+# The usual demand is the median over this many samples, 45 s or a little
+# more: bursts of up to 20 s don't move it. The need is lowered only when
+# they are complete.
 USUAL_SAMPLES: Final = 90
 # Bursts reach 2.5 times the usual demand, also while a domain is lost.
 BURST_RATIO: Final = 2.5
+# Demand has to last for a boot time, and for two samples at least.
+MIN_SUSTAINED_S: Final = 2 * SAMPLE_INTERVAL_S
 # Half of what the recent peak exceeds the usual demand by is forgotten in
 # this time.
 PEAK_HALF_LIFE_S: Final = 120.0
@@ -105,18 +108,23 @@
         return len(self.usual_samples) == USUAL_SAMPLES
 
     def record(
-        self, now: float, servers: float, boot_s: float, *, is_complete: bool
+        self,
+        now: float,
+        servers: float,
+        lasting_s: float,
+        *,
+        is_complete: bool,
     ) -> None:
         """Add a sample; one that is not complete is left out of the usual."""
         elapsed_s = now - self.sampled_at
         if elapsed_s > USUAL_SAMPLES * SAMPLE_INTERVAL_S:
             self.usual_samples.clear()
             self.recent.clear()
-        elif elapsed_s > boot_s:
+        elif elapsed_s > lasting_s:
             self.recent.clear()
         self.sampled_at = now
         self.recent.append((now, servers))
-        while len(self.recent) > 1 and self.recent[1][0] <= now - boot_s:
+        while len(self.recent) > 1 and self.recent[1][0] <= now - lasting_s:
             self.recent.popleft()
         if not is_complete:
             return
@@ -143,9 +151,9 @@
         ahead = max(0.0, growth) * ahead_s / growth_s
         return usual + min(ahead, usual * MAX_GROWTH_RATIO)
 
-    def sustained(self, now: float, boot_s: float) -> float:
-        """Return the demand that was exceeded for a whole boot time."""
-        if not self.recent or self.recent[0][0] > now - boot_s:
+    def sustained(self, now: float, lasting_s: float) -> float:
+        """Return the demand that was exceeded for the whole of a time."""
+        if not self.recent or self.recent[0][0] > now - lasting_s:
             return 0.0
         return min(servers for _, servers in self.recent)
 
@@ -260,11 +268,10 @@
             and fleet.heard_ratio >= MIN_HEARD_RATIO
         )
         history = state.history
-        history.record(
-            now, demand.servers, bounds.boot_s, is_complete=is_complete
-        )
+        lasting_s = max(bounds.boot_s, MIN_SUSTAINED_S)
+        history.record(now, demand.servers, lasting_s, is_complete=is_complete)
         forecast = history.forecast(bounds.boot_s + LISTING_DELAY_S)
-        sustained = history.sustained(now, bounds.boot_s)
+        sustained = history.sustained(now, lasting_s)
         # The headroom of the orders is part of what serves a burst.
         required = (
             max(BURST_RATIO * max(history.peak, forecast), sustained)
--- a/waxwingarch/core/duties/demand_sample.py
+++ b/waxwingarch/core/duties/demand_sample.py
@@ -21,6 +21,9 @@
 # Prompts that take a server longer than this to read are queued work: the
 # demand then exceeds what the server can read.
 QUEUED_READ_S: Final = 0.25
+# The most that one server's prompts count for, in servers: a server that has
+# stopped keeps its unread prompts, which other servers read meanwhile.
+MAX_READ_SHARE: Final = 3.0
 
 
 class LoadSource(Protocol):
@@ -112,4 +115,5 @@
     response (Little's law).
     """
     read_s = prefill_tokens / (PREFILL_TOKENS_PER_S * speed)
-    return max(read_s / (read_s + FIRST_TOKEN_S), read_s / QUEUED_READ_S)
+    share = max(read_s / (read_s + FIRST_TOKEN_S), read_s / QUEUED_READ_S)
+    return min(share, MAX_READ_SHARE)
