Evacuate failure domains by rows of the operator's table

An operator had no way to keep requests from the servers of one failure domain without withdrawing them. A row op/evacuate/ZONE now excludes its servers from every way of sending, orders avoid the domain, and running streams stay. It is active only where [bounds] evacuation_ms is set.

--- a/waxwingarch/adapters/front_metrics.py
+++ b/waxwingarch/adapters/front_metrics.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping
+from itertools import islice
 from typing import Any, Final
 
 from hdrh.histogram import HdrHistogram
@@ -47,6 +48,8 @@
         """
         self.held_inputs = held_inputs
         self.held = held or HeldBytes()
+        # Returns the own requests that run in each evacuated domain.
+        self.evacuated_running: Callable[[], Mapping[str, int]] = dict
         self.refusals: Counter[str] = Counter()
         self.exchanges: Counter[Labels] = Counter()
         self.events: Counter[str] = Counter()
@@ -144,6 +147,15 @@
             "Bodies without a length that were given up to make room.",
         )
         given_up.add_metric((), account.given_up)
+        evacuated = GaugeMetricFamily(
+            "waxwingarch_evacuated_domains",
+            "Requests of this host that still run in an evacuated failure"
+            " domain; there is a value for each of these.",
+            labels=("failure_domain",),
+        )
+        running = self._metrics.evacuated_running()
+        for domain, count in islice(running.items(), MAX_LABELS):
+            evacuated.add_metric((domain,), count)
         families: list[Any] = [
             exchanges,
             events,
@@ -151,6 +163,7 @@
             inputs,
             held_bytes,
             given_up,
+            evacuated,
         ]
         for name, histograms in self._metrics.histograms().items():
             family = HistogramMetricFamily(
--- a/waxwingarch/adapters/front_settings.py
+++ b/waxwingarch/adapters/front_settings.py
@@ -87,7 +87,8 @@
     """Limits and windows of a deployment.
 
     `memory_mb` is the memory that this process may use in all. Its default
-    is that of the smallest machines of a deployment.
+    is that of the smallest machines of a deployment. Without
+    `evacuation_ms`, failure domains can't be evacuated.
     """
 
     resend_ratio: NotNegative = 0.2
@@ -101,6 +102,7 @@
     stop_grace_s: PositiveSeconds = 8.0
     exposure_share: NotNegative = 0.1
     exposure_extra: NotNegative = 50.0
+    evacuation_ms: PositiveSeconds | None = None
     memory_mb: PositiveInt = 160
 
 
@@ -155,6 +157,11 @@
     def front_bounds(self) -> FrontBounds:
         """Return the limits for the front node."""
         bounds = self.bounds
+        evacuation_s = (
+            None
+            if bounds.evacuation_ms is None
+            else bounds.evacuation_ms / MS_PER_S
+        )
         return FrontBounds(
             resend_ratio=bounds.resend_ratio,
             resend_extra=bounds.resend_extra,
@@ -167,6 +174,7 @@
             exposure=ExposureBounds(
                 share=bounds.exposure_share, extra=bounds.exposure_extra
             ),
+            evacuation_s=evacuation_s,
         )
 
 
--- a/waxwingarch/adapters/report_codec.py
+++ b/waxwingarch/adapters/report_codec.py
@@ -1,5 +1,6 @@
 """Encoding of host reports as JSON datagrams."""
 
+from collections.abc import Mapping
 from typing import Any, Final
 
 import orjson
@@ -8,6 +9,7 @@
     decode_quarantine,
     encode_quarantine,
 )
+from waxwingarch.core.backends.evacuations import KeptEvacuation
 from waxwingarch.core.backends.load import ServerLoad
 from waxwingarch.core.backends.server_limits import ReportedLimit
 from waxwingarch.core.base import (
@@ -77,10 +79,25 @@
             "moves": [[r.rollout_id, r.phase] for r in report.rollouts],
             "cells": [_encode_evidence(e) for e in report.evidence],
             "quar": encode_quarantine(report.quarantine),
+            **_encode_evacuations(report.kept_evacuations),
         }
     )
 
 
+def _encode_evacuations(
+    kept: Mapping[FailureDomain, KeptEvacuation],
+) -> dict[str, Any]:
+    """Return the field of the kept evacuations, which is rarely there."""
+    if not kept:
+        return {}
+    return {
+        "evac": {
+            domain: [each.version, round(each.remaining_s, AGE_DECIMALS)]
+            for domain, each in kept.items()
+        }
+    }
+
+
 def _encode_windows(counts: WindowCounts | None) -> dict[str, Any] | None:
     """Return counts by window with the windows as JSON keys."""
     if counts is None:
@@ -120,7 +137,7 @@
         domain=FailureDomain(str(raw["zone"])),
         avoided=tuple(ServerId(str(s)) for s in raw["avoid"]),
         # Hosts of an older version do not send "lost", "brittle", "leaving",
-        # "limits", "num" and "quar".
+        # "limits", "num", "quar" and "evac".
         brittle_services=tuple(
             ServiceId(str(s)) for s in raw.get("brittle", ())
         ),
@@ -147,6 +164,12 @@
         ),
         evidence=tuple(_decode_evidence(raw, e) for e in raw["cells"]),
         quarantine=decode_quarantine(raw.get("quar", {})),
+        kept_evacuations={
+            FailureDomain(domain): KeptEvacuation(
+                version=int(version), remaining_s=float(remaining_s)
+            )
+            for domain, (version, remaining_s) in raw.get("evac", {}).items()
+        },
     )
 
 
--- a/waxwingarch/core/backends/registry.py
+++ b/waxwingarch/core/backends/registry.py
@@ -6,7 +6,14 @@
 from itertools import islice
 from typing import Final
 
-from waxwingarch.core.base import Action, Event, Server, ServerId, ServiceId
+from waxwingarch.core.base import (
+    Action,
+    Event,
+    FailureDomain,
+    Server,
+    ServerId,
+    ServiceId,
+)
 
 # Servers that are missing from a listing after an outage of the store
 # register again within about two heartbeats after it.
@@ -141,6 +148,9 @@
         self._backends: dict[ServerId, Backend] = {}
         self._last_listing: dict[ServerId, ListedBackend] = {}
         self._usable_by_service: dict[ServiceId, list[Backend]] | None = None
+        # The usable servers of evacuated domains, which get no requests.
+        self._evacuated_by_service: dict[ServiceId, list[Backend]] = {}
+        self.evacuated_domains: frozenset[FailureDomain] = frozenset()
         self._superseded: dict[ServerId, ServerId] = {}
         self._newly_superseded: list[BackendSuperseded] = []
         self._services: Container[ServiceId] = ()
@@ -175,6 +185,23 @@
         """
         return self._evaluate().get(service, [])
 
+    def evacuated_backends(self, service: ServiceId) -> list[Backend]:
+        """Return the servers that get no requests of a service for now.
+
+        They are usable, but their failure domains are evacuated.
+        """
+        self._evaluate()
+        return self._evacuated_by_service.get(service, [])
+
+    def set_evacuated(self, domains: frozenset[FailureDomain]) -> None:
+        """Set the failure domains whose servers get no requests."""
+        self.evacuated_domains = domains
+        self._usable_by_service = None
+
+    def is_evacuated(self, server: Server) -> bool:
+        """Return whether the failure domain of a server is evacuated."""
+        return server.failure_domain in self.evacuated_domains
+
     def has_restarted_since(self, server_id: ServerId, sent_at: float) -> bool:
         """Return whether a request was sent to an earlier process."""
         backend = self._backends.get(server_id)
@@ -209,9 +236,13 @@
             if server_id not in known
         )
         usable: dict[ServiceId, list[Backend]] = {}
+        evacuated: dict[ServiceId, list[Backend]] = {}
         for server_id, backend in sorted(self._backends.items()):
             if backend.is_usable and server_id not in self._superseded:
-                usable.setdefault(backend.server.service, []).append(backend)
+                server = backend.server
+                found = evacuated if self.is_evacuated(server) else usable
+                found.setdefault(server.service, []).append(backend)
+        self._evacuated_by_service = evacuated
         self._usable_by_service = usable
         return usable
 
--- a/waxwingarch/core/duties/autoscaler.py
+++ b/waxwingarch/core/duties/autoscaler.py
@@ -6,10 +6,13 @@
 fill the gap while too few reclaimable ones are to be had: first in the
 domains that have none to give, then in the cheapest. They are stopped
 when the reclaimable servers suffice again.
+
+Nothing is ordered in an evacuated domain, and no server there is stopped; the
+other domains take its share.
 """
 
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, field, replace
 from math import ceil
 from typing import Final
 
@@ -112,6 +115,8 @@
 
     def __init__(self) -> None:
         self._services: dict[ServiceId, _ServiceState] = {}
+        # When the last evacuation of a domain ended.
+        self._evacuated_until: dict[FailureDomain, float] = {}
 
     def tick(
         self,
@@ -119,8 +124,9 @@
         fence: int,
         services: Iterable[RoutedService],
         backends: Iterable[Backend],
+        evacuated: Collection[FailureDomain] = (),
     ) -> list[Action]:
-        """Return the orders that are due."""
+        """Return the orders that are due, outside evacuated domains."""
         all_backends = list(backends)
         actions: list[Action] = []
         for service in services:
@@ -129,13 +135,36 @@
             usable = [
                 b
                 for b in all_backends
-                if b.server.service == service.service and b.is_usable
+                if b.server.service == service.service
+                and b.is_usable
+                and b.server.failure_domain not in evacuated
             ]
             actions += self._orders_for(
-                now, fence, service.service, service.scaling, usable
+                now, fence, service.service, service.scaling, usable, evacuated
             )
         return actions
 
+    def handle_evacuation_ended(
+        self, now: float, domain: FailureDomain
+    ) -> None:
+        """Record that servers are ordered in a domain again."""
+        self._evacuated_until[domain] = now
+
+    def _returning_domains(
+        self, now: float, bounds: ScalingBounds
+    ) -> set[FailureDomain]:
+        """Return the domains whose servers may not all have started yet.
+
+        The others keep the share of these until the servers that are ordered
+        after an evacuation should be listed.
+        """
+        return {
+            domain
+            for domain, ended_at in self._evacuated_until.items()
+            if domain in bounds.domain_prices
+            and now < ended_at + bounds.boot_s + LISTING_DELAY_S
+        }
+
     def handle_order_reply(self, now: float, event: ServersOrdered) -> None:
         """Record the reply to an order."""
         state = self._services.get(event.key.service)
@@ -163,6 +192,7 @@
         service: ServiceId,
         bounds: ScalingBounds,
         usable: list[Backend],
+        evacuated: Collection[FailureDomain],
     ) -> list[Action]:
         state = self._services.get(service)
         if state is None:
@@ -170,9 +200,18 @@
                 return []
             state = _ServiceState(sufficient_since=now)
             self._services[service] = state
+        needed = _servers_for_usual_load(bounds)
+        if evacuated:
+            bounds = _without_domains(bounds, evacuated)
+            # Orders there are placed anew when the evacuation has ended.
+            state.orders = {
+                key: order
+                for key, order in state.orders.items()
+                if key.domain not in evacuated
+            }
         running = _count_running(service, usable)
         desired_counts = self._desired_counts(
-            now, service, state, bounds, running
+            now, service, state, bounds, running, needed
         )
         actions: list[Action] = []
         for key, desired in desired_counts.items():
@@ -194,16 +233,30 @@
         state: _ServiceState,
         bounds: ScalingBounds,
         running: dict[OrderKey, int],
+        needed: int,
     ) -> dict[OrderKey, int]:
-        """Return how many servers should run, by the key of the order."""
-        needed = _servers_for_usual_load(bounds)
-        per_domain = _reclaimable_per_domain(needed, bounds)
+        """Return how many servers should run, by the key of the order.
+
+        `needed` is how many carry the usual load.
+        """
+        if not bounds.domain_prices:
+            return {}
+        returning = self._returning_domains(now, bounds)
+        per_domain = dict.fromkeys(
+            bounds.domain_prices,
+            _reclaimable_per_domain(
+                needed, _without_domains(bounds, returning)
+            ),
+        )
+        per_domain |= dict.fromkeys(
+            returning, _reclaimable_per_domain(needed, bounds)
+        )
         desired_counts: dict[OrderKey, int] = {}
         running_reclaimable: dict[FailureDomain, int] = {}
         refusing_domains: set[FailureDomain] = set()
         for domain in bounds.domain_prices:
             key = OrderKey(service=service, domain=domain, reclaimable=True)
-            desired_counts[key] = per_domain
+            desired_counts[key] = per_domain[domain]
             running_reclaimable[domain] = running.get(key, 0)
             order = state.orders.get(key)
             if order is not None and order.recently_refused(now):
@@ -242,7 +295,7 @@
             - (
                 running_reclaimable[key.domain]
                 if key.domain in refusing_domains
-                else per_domain
+                else per_domain[key.domain]
             )
             for key in placement_order
         }
@@ -333,6 +386,22 @@
     return running
 
 
+def _without_domains(
+    bounds: ScalingBounds, excluded: Collection[FailureDomain]
+) -> ScalingBounds:
+    """Return the bounds of the domains that are not excluded."""
+    if not excluded:
+        return bounds
+    return replace(
+        bounds,
+        domain_prices={
+            domain: price
+            for domain, price in bounds.domain_prices.items()
+            if domain not in excluded
+        },
+    )
+
+
 def _servers_for_usual_load(bounds: ScalingBounds) -> int:
     """Return how many servers carry the usual load of a service."""
     return ceil(bounds.maximum * len(bounds.domain_prices) * USUAL_LOAD_RATIO)
--- a/waxwingarch/core/duties/coordinator.py
+++ b/waxwingarch/core/duties/coordinator.py
@@ -112,6 +112,7 @@
                 fence,
                 self._table.services.values(),
                 self._backends.all_backends(),
+                self._backends.evacuated_domains,
             )
         return actions
 
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -499,7 +499,10 @@
             ):
                 return self._continue_at(now, state, backend.server)
             state.migrated_cache = None
-            return None
+            if backend is None or not self._may_leave_evacuated(
+                state, backend.server
+            ):
+                return None
         if state.returns_to is not None:
             backend = self._migrations.backend_to_return_to(
                 now, service, state.returns_to
@@ -524,6 +527,19 @@
             send = self._dispatch(now, state)
         return send
 
+    def _may_leave_evacuated(
+        self, state: ExchangeState, target: Server
+    ) -> bool:
+        """Return whether a run goes on without its copy at a server.
+
+        The server's domain was evacuated while the run was migrated to it.
+        """
+        return (
+            self._load_balancer.registry.is_evacuated(target)
+            and state.exchange.retry_policy is RetryPolicy.RESUMABLE
+            and state.may_try_another()
+        )
+
     def _continue_at(
         self, now: float, state: ExchangeState, server: Server
     ) -> SendRequest:
--- a/waxwingarch/core/exchange/migrations.py
+++ b/waxwingarch/core/exchange/migrations.py
@@ -91,7 +91,9 @@
 
     def may_continue_at(self, now: float, backend: Backend) -> bool:
         """Return whether a stopped run may be sent to a server now."""
-        return (
+        return not self._load_balancer.registry.is_evacuated(
+            backend.server
+        ) and (
             backend.leaving_since is None
             or now < backend.leaving_since + self._leaving_known_s
         )
@@ -116,7 +118,8 @@
 
         Any other run stays on its server, as does one whose events have no
         ids: it could not go on after them. So does one whose server leaves
-        no more, as its entry is back.
+        no more, as its entry is back, or is in an evacuated domain, which
+        gets no calls either.
         """
         state = self._exchanges.get(request_id)
         server_id = self._load_balancer.loads.server_of(request_id)
@@ -130,6 +133,7 @@
         if (
             source is None
             or source.is_usable
+            or self._load_balancer.registry.is_evacuated(source.server)
             or pick is None
             or not state.response_started
             or not state.has_event_ids
--- a/waxwingarch/core/front_messages.py
+++ b/waxwingarch/core/front_messages.py
@@ -16,7 +16,8 @@
     Rate limits hold over each `rate_window_s`. `lease_s` is the term of the
     lease on the duties. Usage is reported by windows of `usage_window_s`.
     A change of the configuration or of a server has to be known on all
-    hosts within `change_known_s`.
+    hosts within `change_known_s`. Without `evacuation_s`, rows that evacuate
+    a failure domain are ignored; with it, they have to be obeyed within it.
     """
 
     resend_ratio: float = 0.2
@@ -27,6 +28,7 @@
     usage_window_s: float = 5.0
     change_known_s: float = 2.0
     exposure: ExposureBounds = field(default_factory=ExposureBounds)
+    evacuation_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -12,6 +12,12 @@
     BrittlenessChanged,
     BrittlenessSeen,
 )
+from waxwingarch.core.backends.evacuations import (
+    EvacuationChanged,
+    EvacuationPhase,
+    Evacuations,
+    EvacuationsRead,
+)
 from waxwingarch.core.backends.load_balancer import LoadBalancer
 from waxwingarch.core.backends.registry import (
     BackendLeaving,
@@ -21,7 +27,7 @@
 )
 from waxwingarch.core.backends.server_checks import ServerChecked
 from waxwingarch.core.backends.server_limits import ServerLimitSeen
-from waxwingarch.core.base import Action, Event, ServerId
+from waxwingarch.core.base import Action, Event, FailureDomain, ServerId
 from waxwingarch.core.duties.autoscaler import ServersOrdered
 from waxwingarch.core.duties.coordinator import DutyCoordinator
 from waxwingarch.core.duties.leader_election import (
@@ -116,6 +122,8 @@
         self.load_balancer = LoadBalancer(
             rng, identity.host, identity.domain, self.rollouts
         )
+        self.evacuations = Evacuations()
+        self._obeys_evacuations = bounds.evacuation_s is not None
         self.rates = SharedRates(bounds.rate_window_s)
         self.resend_budget = ResendBudget(
             ratio=bounds.resend_ratio,
@@ -167,6 +175,7 @@
             FrontTick: self._handle_tick,
             ConfigRead: self._handle_config_read,
             BackendsListed: self._handle_backends_listed,
+            EvacuationsRead: self._handle_evacuations_read,
             LeavingAnnounced: self._handle_leaving_announced,
             ServerLimitSeen: self._handle_limit_seen,
             BrittlenessSeen: self._handle_brittleness_seen,
@@ -296,6 +305,49 @@
         )
         return self._handle_leaving_backends(now, leaving)
 
+    # Evacuations
+
+    def _handle_evacuations_read(
+        self, now: float, event: EvacuationsRead
+    ) -> list[Action]:
+        if not self._obeys_evacuations:
+            return []
+        return self._apply_evacuations(now, self.evacuations.apply(now, event))
+
+    def _apply_evacuations(
+        self, now: float, changes: list[EvacuationChanged]
+    ) -> list[Action]:
+        """Put changed evacuations in force; returns actions to log."""
+        if not changes:
+            return []
+        self.load_balancer.registry.set_evacuated(self.evacuations.domains)
+        ended = [
+            change.domain
+            for change in changes
+            if change.phase is EvacuationPhase.ENDED
+        ]
+        return [*changes, *self._handle_evacuations_ended(now, ended)]
+
+    def _handle_evacuations_ended(
+        self, now: float, domains: list[FailureDomain]
+    ) -> list[Action]:
+        """Handle the end of evacuations: the load returns to the domains."""
+        for domain in domains:
+            self.duties.autoscaler.handle_evacuation_ended(now, domain)
+        return []
+
+    def _tick_evacuations(self, now: float) -> list[Action]:
+        if not self.evacuations:
+            return []
+        actions = self._apply_evacuations(now, self.evacuations.tick(now))
+        if not self.serving:
+            return actions
+        known_domains = {
+            backend.server.failure_domain
+            for backend in self.load_balancer.registry.all_backends()
+        }
+        return [*actions, *self.evacuations.doubts(known_domains)]
+
     def _handle_limit_seen(
         self, now: float, event: ServerLimitSeen
     ) -> list[Action]:
@@ -452,6 +504,13 @@
                 now, report.limits
             )
         changes += self._handle_peer_announcements(now, report.leaving)
+        if report.kept_evacuations and self._obeys_evacuations:
+            changes += self._apply_evacuations(
+                now,
+                self.evacuations.record_report(
+                    now, report.config_version, report.kept_evacuations
+                ),
+            )
         return changes + self.gossip.handle_report(
             now, self._boot_now, report, own_versions
         )
@@ -486,6 +545,7 @@
             rollouts=self.rollouts.phase_reports(),
             evidence=self.rollouts.own_evidence(),
             quarantine=self.quarantine.report(),
+            kept_evacuations=self.evacuations.reported(now),
         )
 
     @property
@@ -565,8 +625,9 @@
         busy_services = {
             order.service
             for order in self.rollouts.shifted_orders()
-            for backend in self.load_balancer.registry.usable_backends(
-                order.service
+            for backend in (
+                *self.load_balancer.registry.usable_backends(order.service),
+                *self.load_balancer.registry.evacuated_backends(order.service),
             )
             if backend.server.version != order.target
             and self.load_balancer.loads.total_load(
@@ -594,6 +655,7 @@
         for host in self.peers.silent_hosts(now):
             self.load_balancer.loads.forget_peer(host)
             self.load_balancer.peer_evidence.forget_peer(host)
+        actions += self._tick_evacuations(now)
         actions += self.exchanges.tick(now)
         actions += self._serve_waiting_requests(now)
         if not self.stopping:
--- a/waxwingarch/core/peers/report.py
+++ b/waxwingarch/core/peers/report.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from waxwingarch.core.backends.evacuations import KeptEvacuation
 from waxwingarch.core.backends.load import ServerLoad
 from waxwingarch.core.backends.server_limits import ReportedLimit
 from waxwingarch.core.base import (
@@ -45,6 +46,7 @@
     known to be the newest. `config_number` is the operator's number of the
     configuration in force: the store may have lost its row.
     `quarantine` is about inputs under which servers crash.
+    `kept_evacuations` are those whose rows the store has lost.
     """
 
     host: HostId
@@ -70,6 +72,9 @@
     rollouts: tuple[RolloutPhaseReport, ...] = ()
     evidence: tuple[HostEvidence, ...] = ()
     quarantine: QuarantineReport = field(default_factory=QuarantineReport)
+    kept_evacuations: Mapping[FailureDomain, KeptEvacuation] = field(
+        default_factory=dict
+    )
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -61,6 +61,7 @@
 from waxwingarch.tasks.front_checks import FrontChecks
 from waxwingarch.tasks.front_duties import FrontDuties, boot_now
 from waxwingarch.tasks.front_entry import FrontEntry, Readiness
+from waxwingarch.tasks.front_evacuations import FrontEvacuations
 from waxwingarch.tasks.front_log import FrontLog
 from waxwingarch.tasks.front_peers import FrontPeers
 from waxwingarch.tasks.front_quarantine import FrontQuarantine
@@ -156,6 +157,9 @@
         self.metrics = FrontMetrics(
             lambda: count_held_inputs(self.front.quarantine), client.held
         )
+        self._evacuations = FrontEvacuations(
+            self._runner, ports.rows, self.metrics
+        )
         self._metrics_server = HttpServer(self._async_serve_metrics, on_error)
         self._runner.observe(FrontLog(self.front, self.metrics))
         self._stopping = asyncio.Event()
@@ -362,6 +366,7 @@
     def _handle_operator_rows(self, watch: TableWatch) -> None:
         # A host that relies on its peers learns of the era from them.
         self._register_in_era(era_of(watch.version))
+        self._evacuations.post_rows(watch)
         self._post_rollout_orders(watch)
         row = watch.rows.get(self._ports.rows.config_key)
         if row is None or row.value is None:
--- a/waxwingarch/platform/const.py
+++ b/waxwingarch/platform/const.py
@@ -12,6 +12,9 @@
 # orders in the operator's table have keys with the same prefix.
 STATUS_TABLE: Final = "status"
 ROLLOUT_KEY_PREFIX: Final = "rollout/"
+# While the operator's table has a row under this prefix and the zone, nothing
+# is sent to the servers of the zone.
+EVACUATION_KEY_PREFIX: Final = "evacuate/"
 
 # Headers of callers and servers, in lower case.
 HEADER_REQUEST_ID: Final = "x-waxwingarch-request-id"
--- a/waxwingarch/platform/rows_codec.py
+++ b/waxwingarch/platform/rows_codec.py
@@ -42,6 +42,7 @@
 )
 from waxwingarch.platform.const import (
     CONFIG_KEY,
+    EVACUATION_KEY_PREFIX,
     MS_PER_S,
     OPERATOR_TABLE,
     ROLLOUT_KEY_PREFIX,
@@ -219,6 +220,15 @@
             number=row.version,
         )
 
+    def decode_evacuated_domain(self, key: str) -> FailureDomain | None:
+        """Return the failure domain that a row evacuates, whatever its value.
+
+        Returns None for a row of another kind.
+        """
+        if not key.startswith(EVACUATION_KEY_PREFIX):
+            return None
+        return FailureDomain(key.removeprefix(EVACUATION_KEY_PREFIX))
+
     def rollout_status_key(self, service: ServiceId) -> str:
         """Return the key of the status row of a service's rollout."""
         return f"{ROLLOUT_KEY_PREFIX}{service}"
--- a/waxwingarch/ports/front.py
+++ b/waxwingarch/ports/front.py
@@ -11,6 +11,7 @@
 from waxwingarch.core.backends.registry import ListedBackend
 from waxwingarch.core.base import (
     AccountId,
+    FailureDomain,
     HostId,
     RequestId,
     Server,
@@ -166,6 +167,13 @@
         Returns None for a row of another kind; raises `BadRowError`.
         """
 
+    def decode_evacuated_domain(self, key: str) -> FailureDomain | None:
+        """Return the failure domain that an operator's row evacuates.
+
+        The row's value does not matter. Returns None for a row of another
+        kind.
+        """
+
     def rollout_status_key(self, service: ServiceId) -> str:
         """Return the key of the status row of a service's rollout."""
 
--- a/waxwingarch/tasks/server_state.py
+++ b/waxwingarch/tasks/server_state.py
@@ -3,10 +3,11 @@
 from typing import Any
 
 from waxwingarch.core.front_node import FrontNode
+from waxwingarch.tasks.front_evacuations import build_evacuation_state
 
 
 def build_server_state(front: FrontNode, now: float) -> dict[str, Any]:
-    """Return the servers, what they say of themselves, and the lost paths.
+    """Return servers, what they say of themselves, lost paths, evacuations.
 
     A server is superseded if a later process has its address.
     `limit_per_s` is the rate that a server named and `own_share_per_s` this
@@ -23,6 +24,8 @@
         {
             "server": backend.server.server_id,
             "service": backend.server.service,
+            "failure_domain": backend.server.failure_domain,
+            "evacuated": balancer.registry.is_evacuated(backend.server),
             "version": backend.server.version,
             "leaving": not backend.is_usable,
             "superseded": balancer.registry.is_superseded(
@@ -46,4 +49,5 @@
         "servers": servers,
         "lost_services": list(balancer.paths.lost_services()),
         "lost_by_peers": lost_by_peers,
+        "evacuations": build_evacuation_state(front, now),
     }
--- a/waxwingarch/tasks/table_watch.py
+++ b/waxwingarch/tasks/table_watch.py
@@ -1,7 +1,7 @@
 """Keeps a copy of one table of the store: a full read, then changes."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 from random import Random
 from typing import Final
@@ -81,6 +81,8 @@
         self.table = table
         self.rows: dict[str, StoredRow] = {}
         self.version = 0
+        # Whether the newest rows were pulled from a peer.
+        self.is_from_peer = False
         # Versions at which keys were removed, the oldest removal first.
         self._removed: dict[str, int] = {}
         # Peers whose copy is older than this version need a snapshot.
@@ -111,6 +113,11 @@
         """Whether the last call to the store failed."""
         return self._unreachable_since is not None
 
+    @property
+    def removed(self) -> Mapping[str, int]:
+        """The versions at which keys were removed, as far as known."""
+        return self._removed
+
     @property
     def after_outage(self) -> bool:
         """Whether missing rows may be registered again after an outage."""
@@ -167,6 +174,7 @@
 
     def merge(self, changes: TableChanges) -> None:
         """Apply the changes that a peer has sent, if they are newer."""
+        self.is_from_peer = True
         if changes.version <= self.version:
             self._merge_newer_content(changes)
             return
@@ -286,6 +294,7 @@
 
     def _apply_poll(self, rows: Rows) -> None:
         self._handle_store_success()
+        self.is_from_peer = False
         is_full_read = not self._synced
         self._synced = True
         if is_full_read and rows.version < self.version:
