--- a/script/red_front.py
+++ b/script/red_front.py
@@ -272,6 +272,29 @@
         new="TRIAL_SHARE: Final = 0.5",
         test=CORE + "test_rollouts.py",
     ),
+    Mutation(
+        promise="EVAC",
+        path="waxwingarch/core/backends/registry.py",
+        old="found = evacuated if self.is_evacuated(server) else usable",
+        new="found = usable",
+        test=CORE + "test_evacuations.py::Sends",
+    ),
+    Mutation(
+        promise="EVAC",
+        path="waxwingarch/core/exchange/migrations.py",
+        old="            or self._load_balancer.registry."
+        "is_evacuated(source.server)\n",
+        new="",
+        test=CORE + "test_evacuations.py::Sends::"
+        "test_call_that_migrates_a_run",
+    ),
+    Mutation(
+        promise="EVAC",
+        path="waxwingarch/core/backends/evacuations.py",
+        old="            or UNKNOWN_ERA < era_of(known.version) < era\n",
+        new="",
+        test=CORE + "test_evacuations.py::StoreReturns",
+    ),
     Mutation(
         promise="RECOVER",
         path="waxwingarch/adapters/early_socket.py",
--- a/waxwingarch/adapters/front_settings.py
+++ b/waxwingarch/adapters/front_settings.py
@@ -157,11 +157,11 @@
     def front_bounds(self) -> FrontBounds:
         """Return the limits for the front node."""
         bounds = self.bounds
-        evacuation_s = (
-            None
-            if bounds.evacuation_ms is None
-            else bounds.evacuation_ms / MS_PER_S
-        )
+        known_within_ms = [bounds.config_known_ms, bounds.leaving_known_ms]
+        evacuation_s = None
+        if bounds.evacuation_ms is not None:
+            known_within_ms.append(bounds.evacuation_ms)
+            evacuation_s = bounds.evacuation_ms / MS_PER_S
         return FrontBounds(
             resend_ratio=bounds.resend_ratio,
             resend_extra=bounds.resend_extra,
@@ -169,8 +169,7 @@
             rate_window_s=bounds.rate_window_s,
             lease_s=bounds.lease_ms / MS_PER_S,
             usage_window_s=bounds.usage_window_s,
-            change_known_s=min(bounds.config_known_ms, bounds.leaving_known_ms)
-            / MS_PER_S,
+            change_known_s=min(known_within_ms) / MS_PER_S,
             exposure=ExposureBounds(
                 share=bounds.exposure_share, extra=bounds.exposure_extra
             ),
--- a/waxwingarch/core/exchange/exchange_manager.py
+++ b/waxwingarch/core/exchange/exchange_manager.py
@@ -499,7 +499,7 @@
             ):
                 return self._continue_at(now, state, backend.server)
             state.migrated_cache = None
-            if backend is None or not self._may_leave_evacuated(
+            if backend is None or not self._may_resume_without_copy(
                 state, backend.server
             ):
                 return None
@@ -527,7 +527,7 @@
             send = self._dispatch(now, state)
         return send
 
-    def _may_leave_evacuated(
+    def _may_resume_without_copy(
         self, state: ExchangeState, target: Server
     ) -> bool:
         """Return whether a run goes on without its copy at a server.
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -6,7 +6,7 @@
 import socket
 import time
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 import orjson
 from eliot import log_message, write_traceback
@@ -71,7 +71,11 @@
     count_held_inputs,
 )
 from waxwingarch.tasks.runner import Runner
-from waxwingarch.tasks.server_state import build_server_state
+from waxwingarch.tasks.server_state import (
+    SERVERS_OPERATION,
+    build_server_list,
+    build_server_state,
+)
 from waxwingarch.tasks.settings_watch import SettingsWatch
 from waxwingarch.tasks.table_watch import TableWatch
 
@@ -154,6 +158,7 @@
         if settings.listen.admin:
             self._admin = Admin(settings.security.operator_key, on_error)
             self._quarantine_operations.register(self._admin)
+            self._admin.add("GET", SERVERS_OPERATION, self._async_list_servers)
         self.metrics = FrontMetrics(
             lambda: count_held_inputs(self.front.quarantine), client.held
         )
@@ -306,6 +311,9 @@
             200, body, [("content-type", METRICS_CONTENT_TYPE)]
         )
 
+    async def _async_list_servers(self, _req: HttpRequest) -> Any:
+        return build_server_list(self.front)
+
     # Background tasks
 
     async def _async_tick(self) -> None:
--- a/waxwingarch/tasks/server_state.py
+++ b/waxwingarch/tasks/server_state.py
@@ -1,10 +1,13 @@
 """What this host knows of the servers, for operators."""
 
-from typing import Any
+from typing import Any, Final
 
+from waxwingarch.core.backends.registry import Backend, BackendRegistry
 from waxwingarch.core.front_node import FrontNode
 from waxwingarch.tasks.front_evacuations import build_evacuation_state
 
+SERVERS_OPERATION: Final = "/admin/servers"
+
 
 def build_server_state(front: FrontNode, now: float) -> dict[str, Any]:
     """Return servers, what they say of themselves, lost paths, evacuations.
@@ -51,3 +54,31 @@
         "lost_by_peers": lost_by_peers,
         "evacuations": build_evacuation_state(front, now),
     }
+
+
+def build_server_list(front: FrontNode) -> dict[str, Any]:
+    """Return the servers as `waxwingctl servers` lists them."""
+    registry = front.load_balancer.registry
+    return {
+        "host": front.identity.host,
+        "servers": [
+            {
+                "server_id": backend.server.server_id,
+                "service": backend.server.service,
+                "version": backend.server.version,
+                "state": _state_of(backend, registry),
+                "failure_domain": backend.server.failure_domain,
+                "machine_class": backend.server.machine_class,
+                "reclaimable": backend.server.reclaimable,
+                "price": backend.server.price,
+                "slots": backend.server.slots,
+            }
+            for backend in registry.all_backends()
+        ],
+    }
+
+
+def _state_of(backend: Backend, registry: BackendRegistry) -> str:
+    if not backend.is_usable:
+        return "leaving"
+    return "evacuated" if registry.is_evacuated(backend.server) else "live"
