--- a/waxwingarch/core/backends/evacuations.py
+++ b/waxwingarch/core/backends/evacuations.py
@@ -41,7 +41,7 @@
     ENDED = "ended"
 
 
-class EvacuationDoubt(StrEnum):
+class WarningReason(StrEnum):
     """Why an evacuation may not be what the operator wanted."""
 
     UNKNOWN_DOMAIN = "no server of the domain is known"
@@ -73,11 +73,11 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class EvacuationDoubted(Action):
+class EvacuationWarning(Action):
     """The evacuation of some domains is obeyed, but may be a mistake."""
 
     domains: tuple[FailureDomain, ...]
-    doubt: EvacuationDoubt
+    reason: WarningReason
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -113,7 +113,7 @@
         self._ended_in: dict[FailureDomain, int] = {}
         self._version = 0
         self._unchecked: set[FailureDomain] = set()
-        self._is_all_told = False
+        self._warned_of_all_domains = False
 
     def __bool__(self) -> bool:
         return bool(self._in_force)
@@ -203,7 +203,7 @@
         known = self._in_force.pop(domain)
         self._ended_in[domain] = era_of(self._version)
         self._unchecked.discard(domain)
-        self._is_all_told = False
+        self._warned_of_all_domains = False
         return EvacuationChanged(
             domain=domain,
             phase=EvacuationPhase.ENDED,
@@ -220,33 +220,33 @@
         ]
         return [self._end(d, EvacuationSource.DEADLINE) for d in sorted(due)]
 
-    def doubts(
+    def warnings(
         self, known_domains: Collection[FailureDomain]
-    ) -> list[EvacuationDoubted]:
-        """Return once what is doubtful about evacuations that have begun."""
+    ) -> list[EvacuationWarning]:
+        """Return each warning about evacuations that have begun once."""
         unknown = sorted(self._unchecked.difference(known_domains))
         self._unchecked.clear()
-        doubts = []
+        warnings = []
         if unknown:
-            doubts.append(
-                EvacuationDoubted(
+            warnings.append(
+                EvacuationWarning(
                     domains=tuple(unknown),
-                    doubt=EvacuationDoubt.UNKNOWN_DOMAIN,
+                    reason=WarningReason.UNKNOWN_DOMAIN,
                 )
             )
         if (
             known_domains
-            and not self._is_all_told
+            and not self._warned_of_all_domains
             and self._in_force.keys() >= set(known_domains)
         ):
-            self._is_all_told = True
-            doubts.append(
-                EvacuationDoubted(
+            self._warned_of_all_domains = True
+            warnings.append(
+                EvacuationWarning(
                     domains=tuple(sorted(known_domains)),
-                    doubt=EvacuationDoubt.ALL_DOMAINS,
+                    reason=WarningReason.ALL_DOMAINS,
                 )
             )
-        return doubts
+        return warnings
 
     # Reports
 
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -346,7 +346,7 @@
             backend.server.failure_domain
             for backend in self.load_balancer.registry.all_backends()
         }
-        return [*actions, *self.evacuations.doubts(known_domains)]
+        return [*actions, *self.evacuations.warnings(known_domains)]
 
     def _handle_limit_seen(
         self, now: float, event: ServerLimitSeen
--- a/waxwingarch/tasks/front_evacuations.py
+++ b/waxwingarch/tasks/front_evacuations.py
@@ -7,9 +7,9 @@
 from waxwingarch.adapters.front_metrics import FrontMetrics
 from waxwingarch.core.backends.evacuations import (
     EvacuationChanged,
-    EvacuationDoubted,
     EvacuationSource,
     EvacuationsRead,
+    EvacuationWarning,
 )
 from waxwingarch.core.base import FailureDomain
 from waxwingarch.core.front_node import FrontNode
@@ -33,7 +33,7 @@
         self._metrics = metrics
         metrics.evacuated_running = lambda: running_in_evacuated(runner.node)
         runner.connect(EvacuationChanged, self._log_change)
-        runner.connect(EvacuationDoubted, self._log_doubt)
+        runner.connect(EvacuationWarning, self._log_warning)
 
     def post_rows(self, watch: TableWatch) -> None:
         """Post the rows of a copy of the operator's table."""
@@ -68,15 +68,15 @@
             own_requests_there=_running_in(self._runner.node, action.domain),
         )
 
-    def _log_doubt(self, action: EvacuationDoubted) -> None:
-        self._metrics.events["evacuation doubted"] += 1
+    def _log_warning(self, action: EvacuationWarning) -> None:
+        self._metrics.events["evacuation warning"] += 1
         log_message(
-            message_type="evacuation_doubted",
+            message_type="evacuation_warning",
             failure_domains=[
                 domain[:MAX_LOGGED_NAME_CHARS]
                 for domain in action.domains[:MAX_LOGGED_DOMAINS]
             ],
-            reason=action.doubt.value,
+            reason=action.reason.value,
         )
 
 
