--- a/waxwingarch/adapters/front_metrics.py
+++ b/waxwingarch/adapters/front_metrics.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping
+from itertools import islice
 from typing import Any, Final
 
 from hdrh.histogram import HdrHistogram
@@ -52,6 +53,8 @@
         self.held_inputs = held_inputs
         self.held = held or HeldBytes()
         self.demand = demand
+        # Returns the own requests that run in each evacuated domain.
+        self.evacuated_running: Callable[[], Mapping[str, int]] = dict
         self.refusals: Counter[str] = Counter()
         self.exchanges: Counter[Labels] = Counter()
         self.events: Counter[str] = Counter()
@@ -163,6 +166,15 @@
                 for kind, servers in values.items():
                     demand.add_metric((service, kind), servers)
             ignored_loads.add_metric((), self._metrics.demand.ignored_loads)
+        evacuated = GaugeMetricFamily(
+            "waxwingarch_evacuated_domains",
+            "Requests of this host that still run in an evacuated failure"
+            " domain; there is a value for each of these.",
+            labels=("failure_domain",),
+        )
+        running = self._metrics.evacuated_running()
+        for domain, count in islice(running.items(), MAX_LABELS):
+            evacuated.add_metric((domain,), count)
         families: list[Any] = [
             exchanges,
             events,
@@ -172,6 +184,7 @@
             given_up,
             demand,
             ignored_loads,
+            evacuated,
         ]
         for name, histograms in self._metrics.histograms().items():
             family = HistogramMetricFamily(
--- a/waxwingarch/core/duties/autoscaler.py
+++ b/waxwingarch/core/duties/autoscaler.py
@@ -6,11 +6,14 @@
 fill the gap while too few reclaimable ones are to be had: first in the
 domains that have none to give, then in the cheapest. They are stopped
 when the reclaimable servers suffice again.
+
+Nothing is ordered in an evacuated domain, and no server there is stopped; the
+other domains take its share.
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, field, replace
 from math import ceil
 from types import MappingProxyType
 from typing import Final
@@ -117,6 +120,8 @@
 
     def __init__(self) -> None:
         self._services: dict[ServiceId, _ServiceState] = {}
+        # When the last evacuation of a domain ended.
+        self._evacuated_until: dict[FailureDomain, float] = {}
 
     def tick(
         self,
@@ -125,8 +130,9 @@
         services: Iterable[RoutedService],
         backends: Iterable[Backend],
         needs: Mapping[ServiceId, int] = NO_NEEDS,
+        evacuated: Collection[FailureDomain] = (),
     ) -> list[Action]:
-        """Return the orders that are due.
+        """Return the orders that are due, outside evacuated domains.
 
         `needs` are the numbers of servers that the measured demand needs,
         for the services for which it is known.
@@ -139,7 +145,9 @@
             usable = [
                 b
                 for b in all_backends
-                if b.server.service == service.service and b.is_usable
+                if b.server.service == service.service
+                and b.is_usable
+                and b.server.failure_domain not in evacuated
             ]
             actions += self._orders_for(
                 now,
@@ -148,9 +156,31 @@
                 service.scaling,
                 usable,
                 needs.get(service.service),
+                evacuated,
             )
         return actions
 
+    def handle_evacuation_ended(
+        self, now: float, domain: FailureDomain
+    ) -> None:
+        """Record that servers are ordered in a domain again."""
+        self._evacuated_until[domain] = now
+
+    def _returning_domains(
+        self, now: float, bounds: ScalingBounds
+    ) -> set[FailureDomain]:
+        """Return the domains whose servers may not all have started yet.
+
+        The others keep the share of these until the servers that are ordered
+        after an evacuation should be listed.
+        """
+        return {
+            domain
+            for domain, ended_at in self._evacuated_until.items()
+            if domain in bounds.domain_prices
+            and now < ended_at + bounds.boot_s + LISTING_DELAY_S
+        }
+
     def handle_order_reply(self, now: float, event: ServersOrdered) -> None:
         """Record the reply to an order."""
         state = self._services.get(event.key.service)
@@ -179,6 +209,7 @@
         bounds: ScalingBounds,
         usable: list[Backend],
         need: int | None,
+        evacuated: Collection[FailureDomain],
     ) -> list[Action]:
         state = self._services.get(service)
         if state is None:
@@ -186,9 +217,26 @@
                 return []
             state = _ServiceState(sufficient_since=now)
             self._services[service] = state
+        needed = servers_for_usual_load(bounds)
+        if need is not None:
+            needed = min(needed, need)
+        if evacuated:
+            bounds = _without_domains(bounds, evacuated)
+            # Orders there are placed anew when the evacuation has ended.
+            state.orders = {
+                key: order
+                for key, order in state.orders.items()
+                if key.domain not in evacuated
+            }
         running = _count_running(service, usable)
         desired_counts = self._desired_counts(
-            now, service, state, bounds, running, need
+            now,
+            service,
+            state,
+            bounds,
+            running,
+            needed,
+            is_measured=need is not None,
         )
         actions: list[Action] = []
         for key, desired in desired_counts.items():
@@ -210,20 +258,25 @@
         state: _ServiceState,
         bounds: ScalingBounds,
         running: dict[OrderKey, int],
-        need: int | None,
+        needed: int,
+        *,
+        is_measured: bool,
     ) -> dict[OrderKey, int]:
-        """Return how many servers should run, by the key of the order."""
-        needed = servers_for_usual_load(bounds)
-        if need is not None:
-            needed = min(needed, need)
-        per_domain = _reclaimable_per_domain(needed, bounds)
-        reduced = _reduced_domains(needed, bounds) if need is not None else ()
+        """Return how many servers should run, by the key of the order.
+
+        `needed` is how many carry the usual load.
+        """
+        if not bounds.domain_prices:
+            return {}
+        per_domain = self._reclaimable_counts(
+            now, needed, bounds, is_measured=is_measured
+        )
         desired_counts: dict[OrderKey, int] = {}
         running_reclaimable: dict[FailureDomain, int] = {}
         refusing_domains: set[FailureDomain] = set()
         for domain in bounds.domain_prices:
             key = OrderKey(service=service, domain=domain, reclaimable=True)
-            desired_counts[key] = per_domain - (domain in reduced)
+            desired_counts[key] = per_domain[domain]
             running_reclaimable[domain] = running.get(key, 0)
             order = state.orders.get(key)
             if order is not None and order.recently_refused(now):
@@ -262,7 +315,7 @@
             - (
                 running_reclaimable[key.domain]
                 if key.domain in refusing_domains
-                else per_domain
+                else per_domain[key.domain]
             )
             for key in placement_order
         }
@@ -270,6 +323,30 @@
             on_demand_total, placement_order, kept, room
         )
 
+    def _reclaimable_counts(
+        self,
+        now: float,
+        needed: int,
+        bounds: ScalingBounds,
+        *,
+        is_measured: bool,
+    ) -> dict[FailureDomain, int]:
+        """Return how many reclaimable servers each domain should run."""
+        returning = self._returning_domains(now, bounds)
+        per_domain = dict.fromkeys(
+            bounds.domain_prices,
+            _reclaimable_per_domain(
+                needed, _without_domains(bounds, returning)
+            ),
+        )
+        per_domain |= dict.fromkeys(
+            returning, _reclaimable_per_domain(needed, bounds)
+        )
+        if is_measured and not returning:
+            for domain in _reduced_domains(needed, bounds):
+                per_domain[domain] -= 1
+        return per_domain
+
     def _is_order_due(
         self,
         now: float,
@@ -352,6 +429,22 @@
     }
 
 
+def _without_domains(
+    bounds: ScalingBounds, excluded: Collection[FailureDomain]
+) -> ScalingBounds:
+    """Return the bounds of the domains that are not excluded."""
+    if not excluded:
+        return bounds
+    return replace(
+        bounds,
+        domain_prices={
+            domain: price
+            for domain, price in bounds.domain_prices.items()
+            if domain not in excluded
+        },
+    )
+
+
 def servers_for_usual_load(bounds: ScalingBounds) -> int:
     """Return how many servers carry the largest usual load of a service."""
     return ceil(bounds.maximum * len(bounds.domain_prices) * USUAL_LOAD_RATIO)
--- a/waxwingarch/core/duties/coordinator.py
+++ b/waxwingarch/core/duties/coordinator.py
@@ -129,6 +129,7 @@
                 self._table.services.values(),
                 self._backends.all_backends(),
                 self.demand.needs,
+                self._backends.evacuated_domains,
             )
         return actions
 
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -6,7 +6,7 @@
 import socket
 import time
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 import orjson
 from eliot import log_message, write_traceback
@@ -61,6 +61,7 @@
 from waxwingarch.tasks.front_checks import FrontChecks
 from waxwingarch.tasks.front_duties import FrontDuties, boot_now
 from waxwingarch.tasks.front_entry import FrontEntry, Readiness
+from waxwingarch.tasks.front_evacuations import FrontEvacuations
 from waxwingarch.tasks.front_log import FrontLog
 from waxwingarch.tasks.front_peers import FrontPeers
 from waxwingarch.tasks.front_quarantine import FrontQuarantine
@@ -70,7 +71,11 @@
     count_held_inputs,
 )
 from waxwingarch.tasks.runner import Runner
-from waxwingarch.tasks.server_state import build_server_state
+from waxwingarch.tasks.server_state import (
+    SERVERS_OPERATION,
+    build_server_list,
+    build_server_state,
+)
 from waxwingarch.tasks.settings_watch import SettingsWatch
 from waxwingarch.tasks.table_watch import TableWatch
 
@@ -153,11 +158,15 @@
         if settings.listen.admin:
             self._admin = Admin(settings.security.operator_key, on_error)
             self._quarantine_operations.register(self._admin)
+            self._admin.add("GET", SERVERS_OPERATION, self._async_list_servers)
         self.metrics = FrontMetrics(
             lambda: count_held_inputs(self.front.quarantine),
             client.held,
             self.front.duties.demand,
         )
+        self._evacuations = FrontEvacuations(
+            self._runner, ports.rows, self.metrics
+        )
         self._metrics_server = HttpServer(self._async_serve_metrics, on_error)
         self._runner.observe(FrontLog(self.front, self.metrics))
         self._stopping = asyncio.Event()
@@ -304,6 +313,9 @@
             200, body, [("content-type", METRICS_CONTENT_TYPE)]
         )
 
+    async def _async_list_servers(self, _req: HttpRequest) -> Any:
+        return build_server_list(self.front)
+
     # Background tasks
 
     async def _async_tick(self) -> None:
@@ -364,6 +376,7 @@
     def _handle_operator_rows(self, watch: TableWatch) -> None:
         # A host that relies on its peers learns of the era from them.
         self._register_in_era(era_of(watch.version))
+        self._evacuations.post_rows(watch)
         self._post_rollout_orders(watch)
         row = watch.rows.get(self._ports.rows.config_key)
         if row is None or row.value is None:
