--- a/tests/core/front/test_evacuations.py
+++ b/tests/core/front/test_evacuations.py
@@ -333,7 +333,7 @@
         self.assertEqual([None, *[14] * 7], placed)
         for now, share in ((2.0, 14), (8.0, 12)):
             scaler = Autoscaler()
-            scaler.handle_evacuation_ended(1.0, home)
+            scaler.handle_evacuation_end(1.0, home)
             self.assertEqual([12, *[share] * 7], self.orders(scaler, now))
         placed = self.orders(Autoscaler(), 0.0, *self.domains)
         self.assertEqual([None] * 8, placed)
--- a/waxwingarch/core/duties/autoscaler.py
+++ b/waxwingarch/core/duties/autoscaler.py
@@ -12,7 +12,7 @@
 """
 
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from math import ceil
 from typing import Final
 
@@ -144,9 +144,7 @@
             )
         return actions
 
-    def handle_evacuation_ended(
-        self, now: float, domain: FailureDomain
-    ) -> None:
+    def handle_evacuation_end(self, now: float, domain: FailureDomain) -> None:
         """Record that servers are ordered in a domain again."""
         self._evacuated_until[domain] = now
 
@@ -202,7 +200,7 @@
             self._services[service] = state
         needed = _servers_for_usual_load(bounds)
         if evacuated:
-            bounds = _without_domains(bounds, evacuated)
+            bounds = bounds.without_domains(evacuated)
             # Orders there are placed anew when the evacuation has ended.
             state.orders = {
                 key: order
@@ -242,15 +240,14 @@
         if not bounds.domain_prices:
             return {}
         returning = self._returning_domains(now, bounds)
-        per_domain = dict.fromkeys(
-            bounds.domain_prices,
-            _reclaimable_per_domain(
-                needed, _without_domains(bounds, returning)
-            ),
-        )
-        per_domain |= dict.fromkeys(
-            returning, _reclaimable_per_domain(needed, bounds)
+        usual = _reclaimable_per_domain(needed, bounds)
+        raised = _reclaimable_per_domain(
+            needed, bounds.without_domains(returning)
         )
+        per_domain = {
+            domain: usual if domain in returning else raised
+            for domain in bounds.domain_prices
+        }
         desired_counts: dict[OrderKey, int] = {}
         running_reclaimable: dict[FailureDomain, int] = {}
         refusing_domains: set[FailureDomain] = set()
@@ -386,22 +383,6 @@
     return running
 
 
-def _without_domains(
-    bounds: ScalingBounds, excluded: Collection[FailureDomain]
-) -> ScalingBounds:
-    """Return the bounds of the domains that are not excluded."""
-    if not excluded:
-        return bounds
-    return replace(
-        bounds,
-        domain_prices={
-            domain: price
-            for domain, price in bounds.domain_prices.items()
-            if domain not in excluded
-        },
-    )
-
-
 def _servers_for_usual_load(bounds: ScalingBounds) -> int:
     """Return how many servers carry the usual load of a service."""
     return ceil(bounds.maximum * len(bounds.domain_prices) * USUAL_LOAD_RATIO)
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -333,7 +333,7 @@
     ) -> list[Action]:
         """Handle the end of evacuations: the load returns to the domains."""
         for domain in domains:
-            self.duties.autoscaler.handle_evacuation_ended(now, domain)
+            self.duties.autoscaler.handle_evacuation_end(now, domain)
         return []
 
     def _tick_evacuations(self, now: float) -> list[Action]:
--- a/waxwingarch/core/routing/config.py
+++ b/waxwingarch/core/routing/config.py
@@ -1,7 +1,7 @@
 """Routing configuration: routes, services, client accounts and limits."""
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
 from waxwingarch.core.base import AccountId, FailureDomain, ServiceId
@@ -86,6 +86,17 @@
     reclaimable_price: float
     domain_prices: Mapping[FailureDomain, float]
 
+    def without_domains(
+        self, excluded: Collection[FailureDomain]
+    ) -> "ScalingBounds":
+        """Return the bounds of the domains that are not excluded."""
+        prices = {
+            domain: price
+            for domain, price in self.domain_prices.items()
+            if domain not in excluded
+        }
+        return replace(self, domain_prices=prices)
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoutedService:
