--- a/waxwingarch/core/duties/autoscaler.py
+++ b/waxwingarch/core/duties/autoscaler.py
@@ -13,7 +13,7 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from math import ceil
 from types import MappingProxyType
 from typing import Final
@@ -160,9 +160,7 @@
             )
         return actions
 
-    def handle_evacuation_ended(
-        self, now: float, domain: FailureDomain
-    ) -> None:
+    def handle_evacuation_end(self, now: float, domain: FailureDomain) -> None:
         """Record that servers are ordered in a domain again."""
         self._evacuated_until[domain] = now
 
@@ -221,7 +219,7 @@
         if need is not None:
             needed = min(needed, need)
         if evacuated:
-            bounds = _without_domains(bounds, evacuated)
+            bounds = bounds.without_domains(evacuated)
             # Orders there are placed anew when the evacuation has ended.
             state.orders = {
                 key: order
@@ -333,15 +331,14 @@
     ) -> dict[FailureDomain, int]:
         """Return how many reclaimable servers each domain should run."""
         returning = self._returning_domains(now, bounds)
-        per_domain = dict.fromkeys(
-            bounds.domain_prices,
-            _reclaimable_per_domain(
-                needed, _without_domains(bounds, returning)
-            ),
-        )
-        per_domain |= dict.fromkeys(
-            returning, _reclaimable_per_domain(needed, bounds)
+        usual = _reclaimable_per_domain(needed, bounds)
+        raised = _reclaimable_per_domain(
+            needed, bounds.without_domains(returning)
         )
+        per_domain = {
+            domain: usual if domain in returning else raised
+            for domain in bounds.domain_prices
+        }
         if is_measured and not returning:
             for domain in _reduced_domains(needed, bounds):
                 per_domain[domain] -= 1
@@ -429,22 +426,6 @@
     }
 
 
-def _without_domains(
-    bounds: ScalingBounds, excluded: Collection[FailureDomain]
-) -> ScalingBounds:
-    """Return the bounds of the domains that are not excluded."""
-    if not excluded:
-        return bounds
-    return replace(
-        bounds,
-        domain_prices={
-            domain: price
-            for domain, price in bounds.domain_prices.items()
-            if domain not in excluded
-        },
-    )
-
-
 def servers_for_usual_load(bounds: ScalingBounds) -> int:
     """Return how many servers carry the largest usual load of a service."""
     return ceil(bounds.maximum * len(bounds.domain_prices) * USUAL_LOAD_RATIO)
