Bound the requests that a cold server gets from all hosts

ServerLimits takes a second limit beside the one that a response names. It has an owner for each request a second; new owners wait for 2 s, and the share is by the hosts that the store lists too. ColdServers learns from rows, response headers, appearing servers and ends of evacuations which servers are cold.

--- a/waxwingarch/adapters/front_metrics.py
+++ b/waxwingarch/adapters/front_metrics.py
@@ -39,14 +39,17 @@
         self,
         held_inputs: Callable[[], Mapping[tuple[str, str], int]] = dict,
         held: HeldBytes | None = None,
+        cold_servers: Callable[[], int] = int,
     ) -> None:
         """Begin with no events.
 
         `held_inputs` returns the number of quarantined inputs by kind and
         origin. `held` is the account of the bytes that the host holds.
+        `cold_servers` returns the number of servers that are cold.
         """
         self.held_inputs = held_inputs
         self.held = held or HeldBytes()
+        self.cold_servers = cold_servers
         self.refusals: Counter[str] = Counter()
         self.exchanges: Counter[Labels] = Counter()
         self.events: Counter[str] = Counter()
@@ -144,6 +147,11 @@
             "Bodies without a length that were given up to make room.",
         )
         given_up.add_metric((), account.given_up)
+        cold = GaugeMetricFamily(
+            "waxwingarch_cold_servers",
+            "Servers that this host considers cold.",
+            value=self._metrics.cold_servers(),
+        )
         families: list[Any] = [
             exchanges,
             events,
@@ -151,6 +159,7 @@
             inputs,
             held_bytes,
             given_up,
+            cold,
         ]
         for name, histograms in self._metrics.histograms().items():
             family = HistogramMetricFamily(
--- a/waxwingarch/adapters/front_settings.py
+++ b/waxwingarch/adapters/front_settings.py
@@ -19,6 +19,7 @@
     validate,
 )
 from waxwingarch.adapters.log_stream import Level
+from waxwingarch.core.backends.cold_servers import ColdBounds
 from waxwingarch.core.base import FailureDomain, HostId
 from waxwingarch.core.front_messages import FrontBounds, FrontIdentity
 from waxwingarch.core.rollouts.exposure import ExposureBounds
@@ -86,6 +87,9 @@
 class BoundsSection(_Section):
     """Limits and windows of a deployment.
 
+    `cold_overshoot` and `cold_slack` are set only in a deployment that bounds
+    the requests of cold servers.
+
     `memory_mb` is the memory that this process may use in all. Its default
     is that of the smallest machines of a deployment.
     """
@@ -101,6 +105,8 @@
     stop_grace_s: PositiveSeconds = 8.0
     exposure_share: NotNegative = 0.1
     exposure_extra: NotNegative = 50.0
+    cold_overshoot: NotNegative | None = None
+    cold_slack: NotNegative = 0.0
     memory_mb: PositiveInt = 160
 
 
@@ -167,6 +173,11 @@
             exposure=ExposureBounds(
                 share=bounds.exposure_share, extra=bounds.exposure_extra
             ),
+            cold=None
+            if bounds.cold_overshoot is None
+            else ColdBounds(
+                overshoot=bounds.cold_overshoot, slack=bounds.cold_slack
+            ),
         )
 
 
--- a/waxwingarch/core/backends/load_balancer.py
+++ b/waxwingarch/core/backends/load_balancer.py
@@ -18,6 +18,7 @@
     ROOM_WAIT_S,
     BrittleServers,
 )
+from waxwingarch.core.backends.cold_servers import ColdBounds, ColdServers
 from waxwingarch.core.backends.health import (
     MAX_REPORTED_SERVERS,
     HealthTracker,
@@ -117,6 +118,7 @@
         own_host: HostId,
         own_domain: FailureDomain,
         versions: VersionFilter,
+        cold_bounds: ColdBounds | None = None,
     ) -> None:
         self._rng = rng
         self._own_domain = own_domain
@@ -131,6 +133,7 @@
         self.pauses = ServerPauses(rng)
         self.ranks = HostRanks(own_host)
         self.limits = ServerLimits(self.ranks, self.registry)
+        self.cold = ColdServers(self.registry, self.limits, cold_bounds)
         self.brittle = BrittleServers(self.ranks)
         self.paths = PathMonitor(self.registry)
 
@@ -206,8 +209,8 @@
         """Return when a service takes requests that it does not take now.
 
         Returns None unless this host has to wait for all its servers: they
-        asked it for a pause, are at the limit that they named, or are
-        brittle and have no room.
+        asked it for a pause, are at their limit, or are brittle and have no
+        room.
         """
         waits_s = (
             self._wait_s(now, b.server)
@@ -218,7 +221,7 @@
     def is_shared_out(self, now: float, service: ServiceId) -> bool:
         """Return whether hosts have parts of what a service takes."""
         return self.brittle.is_brittle(now, service) or any(
-            self.limits.limit_of(b.server.server_id) is not None
+            self.limits.is_limited(b.server.server_id)
             for b in self._allowed_backends(service)
         )
 
@@ -295,6 +298,7 @@
         self.loads.forget(server_id)
         self.pauses.forget(server_id)
         self.limits.forget(server_id)
+        self.cold.forget(server_id)
 
     def _candidates(
         self,
--- a/waxwingarch/core/backends/registry.py
+++ b/waxwingarch/core/backends/registry.py
@@ -1,11 +1,12 @@
 """Registry of backend servers: which are listed, usable or leaving."""
 
 from collections.abc import Container, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from itertools import islice
 from typing import Final
 
+from waxwingarch.core.backends.cold_reading import NO_READING, ColdReading
 from waxwingarch.core.base import Action, Event, Server, ServerId, ServiceId
 
 # Servers that are missing from a listing after an outage of the store
@@ -29,12 +30,13 @@
     """A server as it registered itself.
 
     `leaves_in_s` is how long a draining server will still serve, if it
-    says so.
+    says so, and `cold` how long it is cold.
     """
 
     server: Server
     draining: bool = False
     leaves_in_s: float | None = None
+    cold: ColdReading = NO_READING
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -85,10 +87,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ListingChange:
-    """What a listing changed: servers that leave or have restarted."""
+    """What a listing changed: servers that leave or have restarted.
+
+    `read` are the entries that differ from the last listing. `appeared` are
+    servers that are new, have restarted, or are back after they were gone.
+    """
 
     leaving: list[BackendLeaving]
     restarted: list[ServerId]
+    read: list[ListedBackend] = field(default_factory=list)
+    appeared: set[ServerId] = field(default_factory=set)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -266,6 +274,9 @@
             old_incarnation = (
                 known.server.incarnation if known else UNKNOWN_INCARNATION
             )
+            was_gone = known is None or (
+                known.unlisted_since is not None and not known.is_usable
+            )
             if self._apply_entry(now, listed, event.after_outage):
                 change.leaving.append(self._leaving_action(server_id))
             self._backends[server_id].unlisted_since = None
@@ -275,6 +286,11 @@
                 self._backends[server_id].server.incarnation,
             ):
                 change.restarted.append(server_id)
+                was_gone = True
+            if was_gone:
+                change.appeared.add(server_id)
+            if listed.server == self._backends[server_id].server:
+                change.read.append(listed)
         for server_id in previous.keys() - self._last_listing.keys():
             if self._mark_unlisted(
                 now, self._backends[server_id], event.after_outage
--- a/waxwingarch/core/backends/server_limits.py
+++ b/waxwingarch/core/backends/server_limits.py
@@ -3,12 +3,14 @@
 The limit of a server holds for all hosts together. A few hosts, its owners,
 divide it among them, and the others send it nothing. All hosts with the
 same peers agree on the owners, by a hash. Each owner spaces its requests.
+A limit is named in a response, or holds while a server is cold. The lower
+one applies.
 """
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import StrEnum
-from math import floor
+from math import ceil, floor
 from typing import Final
 
 from waxwingarch.core.backends.registry import BackendRegistry
@@ -33,6 +35,10 @@
 # The wait for a server to which only other hosts may send: a caller that
 # comes back mostly reaches another host.
 OTHER_HOST_WAIT_S: Final = 1.0
+# Hosts learn of a change of hosts up to about 0.7 s apart in a large fleet,
+# and the bound of a cold server counts the requests of one second. A new
+# owner waits for both, so that the former owner has stopped.
+OWNER_CHANGE_WAIT_S: Final = 2.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -90,16 +96,36 @@
 class _KnownLimit:
     """The newest statement, and this host's share of the limit.
 
-    `is_own` says that a response to this host made the statement. From
+    `is_own` says that a response to this host made the statement.
+    `cold_per_s` is the limit while the server is cold, if it is. From
     `free_at` on, this host may send the next request; None if it is not
     an owner. `interval_s` is the even spacing of its requests.
     """
 
-    statement: LimitStatement
-    is_own: bool
+    statement: LimitStatement | None = None
+    is_own: bool = False
+    cold_per_s: float | None = None
     interval_s: float = 0.0
     free_at: float | None = None
 
+    @property
+    def named_per_s(self) -> float | None:
+        """The limit that the server named, if it did."""
+        return None if self.statement is None else self.statement.per_s
+
+    @property
+    def has_limit(self) -> bool:
+        """Whether a limit applies."""
+        return self.named_per_s is not None or self.cold_per_s is not None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Share:
+    """This host's part of a limit, and when it may send its first request."""
+
+    interval_s: float
+    first_at: float
+
 
 class ServerLimits:
     """The limits that servers named, and this host's shares of them."""
@@ -109,19 +135,26 @@
         self._ranks = ranks
         self._registry = registry
         self._known: dict[ServerId, _KnownLimit] = {}
+        self._hosts = ranks.hosts
+        self._hosts_changed_at = float("-inf")
 
     def __len__(self) -> int:
         return len(self._known)
 
     def limit_of(self, server_id: ServerId) -> float | None:
-        """Return a server's limit in requests a second; None without one."""
+        """Return the limit that a server named, in requests a second."""
         known = self._known.get(server_id)
-        return known.statement.per_s if known else None
+        return known.named_per_s if known else None
+
+    def is_limited(self, server_id: ServerId) -> bool:
+        """Return whether a limit applies to a server, of either kind."""
+        known = self._known.get(server_id)
+        return known is not None and known.has_limit
 
     def share_of(self, server_id: ServerId) -> float | None:
         """Return this host's share of a limit, in requests a second."""
         known = self._known.get(server_id)
-        if known is None or known.statement.per_s is None:
+        if known is None or not known.has_limit:
             return None
         return 0.0 if known.free_at is None else 1 / known.interval_s
 
@@ -174,16 +207,16 @@
         ):
             return []
         known = self._known.get(server_id)
-        if known is None and statement.per_s is None:
+        last = known.statement if known else None
+        if last is None and statement.per_s is None:
             return []
-        if known is not None and known.statement.as_of >= statement.as_of:
+        if last is not None and last.as_of >= statement.as_of:
             return []
-        previous = known.statement.per_s if known else None
-        is_own = source is LimitSource.RESPONSE
+        previous = last.per_s if last else None
         if known is None:
-            known = _KnownLimit(statement=statement, is_own=is_own)
-            self._known[server_id] = known
-        known.statement, known.is_own = statement, is_own
+            known = self._known[server_id] = _KnownLimit()
+        known.statement = statement
+        known.is_own = source is LimitSource.RESPONSE
         self._update_share(now, server_id, known)
         if previous == statement.per_s:
             return []
@@ -205,6 +238,7 @@
             (server_id, known.statement)
             for server_id, known in self._known.items()
             if known.is_own
+            and known.statement is not None
             and (
                 known.statement.per_s is not None
                 or now - known.statement.as_of <= END_REPORTED_S
@@ -224,10 +258,35 @@
         """Drop the limit of a server that has departed or restarted."""
         self._known.pop(server_id, None)
 
+    # Cold servers
+
+    def set_cold(
+        self, now: float, server_id: ServerId, per_s: float | None
+    ) -> None:
+        """Set the limit of a server while it is cold; None once it is not.
+
+        A response without a limit does not end it.
+        """
+        known = self._known.get(server_id)
+        if known is None:
+            if per_s is None:
+                return
+            known = self._known[server_id] = _KnownLimit()
+        if known.cold_per_s == per_s:
+            return
+        known.cold_per_s = per_s
+        if per_s is None and known.statement is None:
+            del self._known[server_id]
+            return
+        self._update_share(now, server_id, known)
+
     # Shares
 
     def tick(self, now: float) -> None:
         """Update the shares to the hosts that may be owners now."""
+        if self._hosts != self._ranks.hosts:
+            self._hosts = self._ranks.hosts
+            self._hosts_changed_at = now
         for server_id, known in list(self._known.items()):
             if self._registry.get(server_id) is None:
                 del self._known[server_id]
@@ -239,33 +298,83 @@
     ) -> None:
         """Set the spacing of this host's requests.
 
-        The part of the hosts that this one does not hear of is left to them.
         A new owner waits for its first request, so that a change of owners
         is no occasion for all of them to send at once.
         """
-        per_s = known.statement.per_s
-        if per_s is None:
+        share = self._share(now, server_id, known)
+        if share is None:
             known.free_at = None
             return
-        owners = min(len(self._ranks.hosts), floor(per_s) + EXTRA_OWNERS)
-        period = (now - known.statement.as_of) // OWNERS_CHANGE_AFTER_S
-        rank = self._ranks.rank(f"/limit/{server_id}/{period:.0f}")
-        if rank is None or rank >= owners:
-            known.free_at = None
-            return
-        rate_per_s = max(per_s, MIN_RATE_PER_S) * self._ranks.heard_ratio
-        previous_s, known.interval_s = known.interval_s, owners / rate_per_s
+        previous_s, known.interval_s = known.interval_s, share.interval_s
         if known.free_at is None:
-            known.free_at = now + known.interval_s * (rank + 1) / owners
+            known.free_at = share.first_at
         elif known.free_at > now:
             # What was sent early stays counted, at the new spacing.
             remaining_s = known.free_at - now
             known.free_at = now + remaining_s * known.interval_s / previous_s
 
+    def _share(
+        self, now: float, server_id: ServerId, known: _KnownLimit
+    ) -> _Share | None:
+        """Return this host's share of the lower limit; None without one."""
+        named_per_s, cold_per_s = known.named_per_s, known.cold_per_s
+        if cold_per_s is not None and (
+            named_per_s is None or cold_per_s <= named_per_s
+        ):
+            return self._cold_share(now, server_id, cold_per_s)
+        if known.statement is None or named_per_s is None:
+            return None
+        period = (now - known.statement.as_of) // OWNERS_CHANGE_AFTER_S
+        return self._named_share(now, server_id, named_per_s, period)
+
+    def _named_share(
+        self, now: float, server_id: ServerId, per_s: float, period: float
+    ) -> _Share | None:
+        """Return this host's share of a limit that a server named.
+
+        The part of the hosts that this one does not hear of is left to them.
+        """
+        owners = min(len(self._ranks.hosts), floor(per_s) + EXTRA_OWNERS)
+        rank = self._ranks.rank(f"/limit/{server_id}/{period:.0f}")
+        if rank is None or rank >= owners:
+            return None
+        rate_per_s = max(per_s, MIN_RATE_PER_S) * self._ranks.heard_ratio
+        interval_s = owners / rate_per_s
+        return _Share(
+            interval_s=interval_s,
+            first_at=now + interval_s * (rank + 1) / owners,
+        )
+
+    def _cold_share(
+        self, now: float, server_id: ServerId, per_s: float
+    ) -> _Share | None:
+        """Return this host's share of the limit of a cold server.
+
+        The bound of a cold server counts single seconds. With an owner for
+        each request a second, each sends at most one in a second. Hosts that
+        do not hear each other may each be the first in rank, so that a hash
+        spreads their first requests.
+        """
+        ratio = self._ranks.fleet_ratio
+        task = f"/cold/{server_id}"
+        rank = self._ranks.rank(task)
+        if rank is None or ratio <= 0:
+            return None
+        rate_per_s = max(per_s, MIN_RATE_PER_S) * ratio
+        owners = min(len(self._ranks.hosts), ceil(rate_per_s))
+        if rank >= owners:
+            return None
+        interval_s = owners / rate_per_s
+        begin = max(now, self._hosts_changed_at + OWNER_CHANGE_WAIT_S)
+        phase = (rank + self._ranks.own_fraction(task)) / owners
+        return _Share(
+            interval_s=interval_s, first_at=begin + interval_s * phase
+        )
+
     def wait_s(self, now: float, server_id: ServerId) -> float:
         """Return in how long this host may send a server a request."""
         known = self._known.get(server_id)
-        if known is None or known.statement.per_s is None:
+        if known is None or not known.has_limit:
             return 0.0
         if known.free_at is None:
             return OTHER_HOST_WAIT_S
--- a/waxwingarch/core/front_messages.py
+++ b/waxwingarch/core/front_messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from waxwingarch.core.backends.cold_servers import ColdBounds
 from waxwingarch.core.base import Action, Event, FailureDomain, HostId
 from waxwingarch.core.rollouts.exposure import ExposureBounds
 from waxwingarch.core.routing.config import RoutingConfig
@@ -16,7 +17,7 @@
     Rate limits hold over each `rate_window_s`. `lease_s` is the term of the
     lease on the duties. Usage is reported by windows of `usage_window_s`.
     A change of the configuration or of a server has to be known on all
-    hosts within `change_known_s`.
+    hosts within `change_known_s`. `cold` bounds what a cold server gets.
     """
 
     resend_ratio: float = 0.2
@@ -27,6 +28,7 @@
     usage_window_s: float = 5.0
     change_known_s: float = 2.0
     exposure: ExposureBounds = field(default_factory=ExposureBounds)
+    cold: ColdBounds | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -12,6 +12,10 @@
     BrittlenessChanged,
     BrittlenessSeen,
 )
+from waxwingarch.core.backends.cold_servers import (
+    ColdStateSeen,
+    EvacuationEnded,
+)
 from waxwingarch.core.backends.load_balancer import LoadBalancer
 from waxwingarch.core.backends.registry import (
     BackendLeaving,
@@ -114,7 +118,7 @@
             identity.host, identity.incarnation, bounds.exposure, rng
         )
         self.load_balancer = LoadBalancer(
-            rng, identity.host, identity.domain, self.rollouts
+            rng, identity.host, identity.domain, self.rollouts, bounds.cold
         )
         self.rates = SharedRates(bounds.rate_window_s)
         self.resend_budget = ResendBudget(
@@ -170,6 +174,8 @@
             LeavingAnnounced: self._handle_leaving_announced,
             ServerLimitSeen: self._handle_limit_seen,
             BrittlenessSeen: self._handle_brittleness_seen,
+            ColdStateSeen: self.load_balancer.cold.record_response,
+            EvacuationEnded: self.load_balancer.cold.record_evacuation_end,
             ExchangeArrived: self._handle_arrival,
             ResponseStarted: self._handle_response_started,
             ServerActivity: self._handle_server_activity,
@@ -268,12 +274,14 @@
         if not self.table.apply(now, event.cfg):
             return []
         self.load_balancer.registry.set_services(self.table.services)
+        cold = self.load_balancer.cold
+        changes = cold.set_services(now, self.table.services)
         self.rates.apply_config(now, event.rows_version, event.cfg.accounts)
         applied = ConfigApplied(
             version=event.cfg.version,
             idle_timeout_s=event.cfg.idle_timeout_s,
         )
-        return [applied, *self._serve_waiting_requests(now)]
+        return [applied, *changes, *self._serve_waiting_requests(now)]
 
     def _handle_backends_listed(
         self, now: float, event: BackendsListed
@@ -281,9 +289,12 @@
         change = self.load_balancer.registry.apply_listing(now, event)
         for server_id in change.restarted:
             self.load_balancer.forget(server_id)
-        return self._handle_leaving_backends(
-            now, change.leaving
-        ) + self._serve_waiting_requests(now)
+        cold_changes = self.load_balancer.cold.record_listing(now, change)
+        return (
+            self._handle_leaving_backends(now, change.leaving)
+            + cold_changes
+            + self._serve_waiting_requests(now)
+        )
 
     def _handle_leaving_announced(
         self, now: float, event: LeavingAnnounced
@@ -589,8 +600,9 @@
         actions += self.load_balancer.registry.take_superseded()
         for server_id in self.load_balancer.registry.take_dropped():
             self.load_balancer.forget(server_id)
-        if self.load_balancer.limits or self.load_balancer.brittle:
+        if self._has_shared_limits:
             self._update_limit_hosts(now)
+        actions += self.load_balancer.cold.tick(now)
         for host in self.peers.silent_hosts(now):
             self.load_balancer.loads.forget_peer(host)
             self.load_balancer.peer_evidence.forget_peer(host)
@@ -610,6 +622,18 @@
             now, lambda: self._build_report(now)
         )
 
+    @property
+    def _has_shared_limits(self) -> bool:
+        """Whether the hosts that share a limit have to be known.
+
+        With cold servers they are followed before one is known, so that a
+        change of hosts just before a server becomes cold is known too.
+        """
+        balancer = self.load_balancer
+        return bool(
+            balancer.limits or balancer.brittle or balancer.cold.is_in_use
+        )
+
     def _start_limits(self, now: float) -> None:
         """Set the hosts that share limits, before the first limit is known."""
         if not self.load_balancer.limits:
@@ -619,7 +643,9 @@
         hosts = self.gossip.serving_hosts(now)
         if self.stopping:
             hosts -= {self.identity.host}
-        self.load_balancer.ranks.set_hosts(hosts, self.gossip.heard_ratio(now))
+        self.load_balancer.ranks.set_hosts(
+            hosts, self.gossip.heard_ratio(now), self.gossip.fleet_ratio(now)
+        )
         self.load_balancer.limits.tick(now)
 
     def _start(self, now: float, event: FrontTick) -> list[Action]:
--- a/waxwingarch/core/peers/peer_registry.py
+++ b/waxwingarch/core/peers/peer_registry.py
@@ -57,12 +57,16 @@
         self._own_host = own_host
         self._peers: dict[HostId, Peer] = {}
         self._ended_usage_counts: list[tuple[float, WindowCounts]] = []
+        # Hosts that are listed in the store, this one included. Unlike the
+        # peers, they are not dropped when they are silent.
+        self.listed_host_count = 0
 
     def record_addresses(self, now: float, event: HostsListed) -> None:
         """Record the addresses that hosts registered in the store.
 
         The address in a live host's reports takes precedence.
         """
+        self.listed_host_count = len(event.addresses.keys() | {self._own_host})
         for host, address in event.addresses.items():
             if host == self._own_host:
                 continue
@@ -181,6 +185,11 @@
         """Return how many hosts are known, this one included."""
         return 1 + len(self._peers)
 
+    @property
+    def is_fleet_known(self) -> bool:
+        """Whether the store or another host told of the hosts there are."""
+        return self.listed_host_count > 0 or bool(self._peers)
+
     def clock_offset_s(self, now: float) -> float:
         """Return by how much the hosts' common time is ahead of this host's.
 
--- a/waxwingarch/core/peers/report_gossip.py
+++ b/waxwingarch/core/peers/report_gossip.py
@@ -217,6 +217,18 @@
         """Return the share of the known hosts that are heard of."""
         return self.peers.live_host_count(now) / self.peers.known_host_count
 
+    def fleet_ratio(self, now: float) -> float:
+        """Return the share of the fleet that is heard of; 0 if unknown.
+
+        The fleet has at least the hosts that were listed in the store.
+        """
+        if not self.peers.is_fleet_known:
+            return 0.0
+        fleet_size = max(
+            self.peers.known_host_count, self.peers.listed_host_count
+        )
+        return self.peers.live_host_count(now) / fleet_size
+
 
 def _host_of(peer: Peer) -> HostId | None:
     return peer.last_report.host if peer.last_report else None
--- a/waxwingarch/core/routing/config.py
+++ b/waxwingarch/core/routing/config.py
@@ -89,13 +89,20 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoutedService:
-    """A service that requests are routed to."""
+    """A service that requests are routed to.
+
+    A server is cold for `cold_start_s` after its start, and takes
+    `cold_per_s` requests a second from all hosts meanwhile. A service whose
+    `cold_per_s` is 0 has no cold servers.
+    """
 
     service: ServiceId
     health_path: str
     max_connections: int
     engine: EngineTraits | None = None
     scaling: ScalingBounds | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -25,6 +25,10 @@
 from waxwingarch.adapters.http_server import HttpServer
 from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_OK, LOGGED_DECIMALS
 from waxwingarch.core.backends.brittle_servers import BrittlenessChanged
+from waxwingarch.core.backends.cold_servers import (
+    ColdValueIgnored,
+    ServerColdChanged,
+)
 from waxwingarch.core.backends.paths import PathChanged
 from waxwingarch.core.backends.registry import (
     BackendLeaving,
@@ -154,7 +158,9 @@
             self._admin = Admin(settings.security.operator_key, on_error)
             self._quarantine_operations.register(self._admin)
         self.metrics = FrontMetrics(
-            lambda: count_held_inputs(self.front.quarantine), client.held
+            lambda: count_held_inputs(self.front.quarantine),
+            client.held,
+            self.front.load_balancer.cold.count,
         )
         self._metrics_server = HttpServer(self._async_serve_metrics, on_error)
         self._runner.observe(FrontLog(self.front, self.metrics))
@@ -168,6 +174,8 @@
         self._runner.connect(ServerLimitChanged, self._log_server_limit)
         self._runner.connect(PathChanged, self._log_path_change)
         self._runner.connect(BrittlenessChanged, self._log_brittleness)
+        self._runner.connect(ServerColdChanged, self._log_cold_change)
+        self._runner.connect(ColdValueIgnored, self._log_cold_value)
 
     async def async_run(self) -> int:
         """Serve until the process is stopped; return the exit code."""
@@ -434,6 +442,26 @@
             rejections_per_s=action.rejections_per_s,
         )
 
+    def _log_cold_change(self, action: ServerColdChanged) -> None:
+        is_cold = action.remaining_s is not None
+        self.metrics.events["server cold" if is_cold else "server warm"] += 1
+        log_message(
+            message_type="server_cold" if is_cold else "server_warm",
+            server=action.server_id,
+            remaining_s=action.remaining_s,
+            learnt_from=action.source.value,
+            own_share_per_s=action.own_share_per_s,
+        )
+
+    def _log_cold_value(self, action: ColdValueIgnored) -> None:
+        self.metrics.events["cold value ignored"] += 1
+        if action.is_first:
+            log_message(
+                message_type="cold_value_ignored",
+                server=action.server_id,
+                value=action.value,
+            )
+
     def _log_server_limit(self, action: ServerLimitChanged) -> None:
         log_message(
             message_type="server_limit",
--- a/waxwingarch/platform/const.py
+++ b/waxwingarch/platform/const.py
@@ -37,6 +37,10 @@
 HEADER_SERVER_LIMIT: Final = "server-limit"
 # The server falls over if it rejects more requests than this in a second.
 HEADER_SERVER_BRITTLE: Final = "server-brittle"
+# The milliseconds for which a server is still cold, in its health responses.
+HEADER_COLD_REMAINING: Final = "x-waxwingarch-cold-remaining-ms"
+# The field of a server's row with the same value.
+FIELD_COLD_REMAINING: Final = "cold_remaining_ms"
 # Rises by one each time that the store returns from an older copy.
 HEADER_STORE_ERA: Final = "store-era"
 # Where the server fetches the KV cache of a migrated run: "ADDRESS/HANDLE".
--- a/waxwingarch/platform/exchange_codec.py
+++ b/waxwingarch/platform/exchange_codec.py
@@ -13,8 +13,10 @@
     SendRequest,
 )
 from waxwingarch.core.once.claim import body_digest
+from waxwingarch.platform.cold_values import parse_cold_header
 from waxwingarch.platform.const import (
     HEADER_API_KEY,
+    HEADER_COLD_REMAINING,
     HEADER_DEADLINE_MS,
     HEADER_KV_SOURCE,
     HEADER_LAST_EVENT_ID,
@@ -158,6 +160,11 @@
             if status != HTTP_MISDIRECTED
             else None,
             run_at=_parse_server_id(values),
+            cold=parse_cold_header(
+                [v for n, v in headers if n.lower() == HEADER_COLD_REMAINING]
+                if HEADER_COLD_REMAINING in values
+                else []
+            ),
         )
 
     def filter_response_headers(
--- a/waxwingarch/platform/rows_codec.py
+++ b/waxwingarch/platform/rows_codec.py
@@ -5,6 +5,7 @@
 reclaimable one.
 """
 
+from collections.abc import Callable
 from typing import Annotated, Any, Final, TypeVar
 
 import orjson
@@ -40,8 +41,10 @@
     ScalingBounds,
     TrafficSplit,
 )
+from waxwingarch.platform.cold_values import parse_any_number, parse_cold_row
 from waxwingarch.platform.const import (
     CONFIG_KEY,
+    FIELD_COLD_REMAINING,
     MS_PER_S,
     OPERATOR_TABLE,
     ROLLOUT_KEY_PREFIX,
@@ -72,6 +75,7 @@
 MAX_LEAVES_MS: Final = 86_400_000.0
 MAX_LOGGED_REASON_CHARS: Final = 200
 
+_COLD_FIELD: Final = f'"{FIELD_COLD_REMAINING}"'.encode()
 
 Model = TypeVar("Model", bound=BaseModel)
 
@@ -121,6 +125,10 @@
     max_connections: int = 0
     engine: _EngineRow | None = None
     scaling: _ScalingRow | None = None
+    # How long a server is cold after its start, and the requests a second
+    # that it takes meanwhile, from all hosts.
+    cold_start_s: float = Field(default=0.0, ge=0)
+    cold_per_s: float = Field(default=0.0, ge=0)
 
 
 class _TenantRow(BaseModel):
@@ -174,6 +182,9 @@
     spot: bool = False
     # Time until a server that is being taken away stops serving.
     leaves_ms: float | None = Field(default=None, ge=0, le=MAX_LEAVES_MS)
+    # Time for which the server is still cold. A bad value is ignored and
+    # does not make the row invalid.
+    cold_remaining_ms: Any = None
     # The models that a model engine serves; plain services have none.
     models: list[dict[str, Any]] | None = None
 
@@ -264,7 +275,7 @@
         """Decode a server's registration; raises `BadRowError`."""
         if not _is_header_value(key):
             raise BadRowError(f"id {key!r} can't be sent in a header")
-        row = _decode_row(_ServerRow, value)
+        row = _decode_server_row(value)
         if row.state not in (SERVER_READY, SERVER_DRAINING):
             raise BadRowError(f"state {row.state!r} is unknown")
         kind = ServerKind.ENGINE if row.models else ServerKind.PLAIN
@@ -286,6 +297,11 @@
             server=server,
             draining=row.state == SERVER_DRAINING,
             leaves_in_s=None if leaves_ms is None else leaves_ms / MS_PER_S,
+            cold=parse_cold_row(
+                row.cold_remaining_ms,
+                # The parser keeps the last of several fields of one name.
+                is_duplicated=value.count(_COLD_FIELD) > 1,
+            ),
         )
 
 
@@ -294,15 +310,33 @@
     return text.isascii() and text.isprintable() and text.strip() == text != ""
 
 
-def _decode_row(model: type[Model], value: bytes) -> Model:
+def _decode_row(
+    model: type[Model],
+    value: bytes,
+    parse: Callable[[bytes], Any] = orjson.loads,
+) -> Model:
     """Parse and validate a JSON value; raises `BadRowError`."""
     try:
-        return model.model_validate(orjson.loads(value))
+        return model.model_validate(parse(value))
     except (ValueError, RecursionError) as exc:
         reason = str(exc)[:MAX_LOGGED_REASON_CHARS]
         raise BadRowError(f"not a {model.__name__}: {reason}") from exc
 
 
+def _decode_server_row(value: bytes) -> _ServerRow:
+    """Decode a server's row; raises `BadRowError`.
+
+    The usual parser rejects numbers that are not finite or too long. Where
+    only the cold time may be one, the row is still valid.
+    """
+    try:
+        return _decode_row(_ServerRow, value)
+    except BadRowError:
+        if _COLD_FIELD not in value:
+            raise
+    return _decode_row(_ServerRow, value, parse_any_number)
+
+
 def _to_route(row: _RouteRow) -> Route:
     streaming = row.kind == ROUTE_STREAMING
     retry_policy = RetryPolicy.NON_IDEMPOTENT
@@ -365,6 +399,8 @@
         max_connections=row.max_connections,
         engine=engine,
         scaling=scaling,
+        cold_start_s=row.cold_start_s,
+        cold_per_s=row.cold_per_s,
     )
 
 
--- a/waxwingarch/ports/front.py
+++ b/waxwingarch/ports/front.py
@@ -8,6 +8,7 @@
 from typing import Final, Protocol
 
 from waxwingarch.adapters.http_messages import Headers, HttpRequest
+from waxwingarch.core.backends.cold_reading import NO_READING, ColdReading
 from waxwingarch.core.backends.registry import ListedBackend
 from waxwingarch.core.base import (
     AccountId,
@@ -205,6 +206,7 @@
     `run_at` is the server to which a peer sent the request, if it says so.
     `limit_per_s` are the requests a second that it takes from all hosts, and
     `brittle_rejections_per_s` those that it rejects without falling over.
+    `cold` is for how long it is still cold, if it says so.
     """
 
     status: int
@@ -217,6 +219,7 @@
     limit_per_s: float | None = None
     brittle_rejections_per_s: float | None = None
     run_at: ServerId | None = None
+    cold: ColdReading = NO_READING
 
 
 class ExchangeCodec(Protocol):
--- a/waxwingarch/tasks/front_exchange.py
+++ b/waxwingarch/tasks/front_exchange.py
@@ -29,6 +29,8 @@
 from waxwingarch.adapters.sse import BadEventError
 from waxwingarch.const import BACKEND_CONNECT_TIMEOUT_S, LOGGED_DECIMALS
 from waxwingarch.core.backends.brittle_servers import BrittlenessSeen
+from waxwingarch.core.backends.cold_reading import NO_READING
+from waxwingarch.core.backends.cold_servers import ColdStateSeen
 from waxwingarch.core.backends.registry import LeavingAnnounced
 from waxwingarch.core.backends.server_checks import CheckResult
 from waxwingarch.core.backends.server_limits import ServerLimitSeen
@@ -440,6 +442,12 @@
                     server=server, per_s=limit_per_s, sent_at=sent_at
                 )
             )
+        if head.cold != NO_READING:
+            self._runner.post(
+                ColdStateSeen(
+                    server=server, reading=head.cold, sent_at=sent_at
+                )
+            )
         rejections_per_s = head.brittle_rejections_per_s
         now = asyncio.get_running_loop().time()
         if rejections_per_s is not None or balancer.brittle.is_brittle(
