Check cold servers over a real host, and add mutations of the guards

The review's stand-in filled in every section of deploy/front.ini, so that a deployment without the new bounds did not start there. It now leaves out a section without a value, as the platform does.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -236,7 +236,13 @@
         template = template.replace(
             "{{ip}}:9464", f"{{{{ip}}}}:{host.ports[3]}"
         )
-        text = re.sub(r"\{\{[#/][^}]*\}\}", "", template)
+        # A section is left out in a deployment without its value.
+        text = re.sub(
+            r"\{\{#([^}]*)\}\}(.*?)\{\{/\1\}\}",
+            lambda found: found[2] if found[1] in values else "",
+            template,
+            flags=re.DOTALL,
+        )
         return re.sub(
             r"\{\{([^}]*)\}\}", lambda found: str(values[found[1]]), text
         )
--- a/script/red_front.py
+++ b/script/red_front.py
@@ -280,4 +280,117 @@
         test="tests/front/test_early_socket.py::EarlySocket::"
         "test_callers_can_connect_before_the_daemon_starts",
     ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/core/backends/server_limits.py",
+        old="        known.cold_per_s = per_s\n",
+        new="        known.cold_per_s = None\n",
+        test=CORE + "test_cold_servers.py::BurstOnColdServers",
+    ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/core/backends/server_limits.py",
+        old="        owners = min(len(self._ranks.hosts), ceil(rate_per_s))\n",
+        new="        rate_per_s *= 6\n"
+        "        owners = min(len(self._ranks.hosts), ceil(rate_per_s))\n",
+        test=CORE + "test_cold_servers.py::BurstOnColdServers",
+    ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/core/backends/server_limits.py",
+        old="begin = max(now, self._hosts_changed_at + OWNER_CHANGE_WAIT_S)",
+        new="begin = now",
+        test=CORE + "test_cold_servers.py::ChangesOfOwners::"
+        "test_new_owners_begin_after_the_former_have_stopped",
+    ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/core/peers/report_gossip.py",
+        old="        if not self.peers.is_fleet_known:\n",
+        new="        if False:\n",
+        test=CORE + "test_cold_servers.py::HostsWithoutPeers::"
+        "test_unknown_fleet",
+    ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/core/peers/report_gossip.py",
+        old="self.peers.known_host_count, self.peers.listed_host_count",
+        new="self.peers.known_host_count, 0",
+        test=CORE + "test_cold_servers.py::HostsWithoutPeers::"
+        "test_share_is_by_the_hosts_listed_in_the_store",
+    ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/core/backends/server_limits.py",
+        old="            named_per_s is None or cold_per_s <= named_per_s\n",
+        new="            named_per_s is None\n",
+        test=CORE + "test_cold_servers.py::RunningServers::"
+        "test_the_lower_limit_applies",
+    ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/core/backends/cold_servers.py",
+        old="        if remaining_s:\n            until, rows_count_from",
+        new="        if False:\n            until, rows_count_from",
+        test=CORE + "test_cold_servers.py::RunningServers::"
+        "test_turns_cold_again",
+    ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/core/backends/cold_servers.py",
+        old="elif state is not None and now < state.rows_count_from:",
+        new="elif False:",
+        test=CORE + "test_cold_servers.py::RunningServers::"
+        "test_row_that_is_older_than_a_response",
+    ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/core/backends/cold_servers.py",
+        old="            and event.sent_at >= state.learnt_at\n",
+        new="",
+        test=CORE + "test_cold_servers.py::RunningServers::"
+        "test_row_that_is_older_than_a_response",
+    ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/core/backends/cold_servers.py",
+        old="        elif remaining_s is None and assumed_s > 0:\n",
+        new="        elif False:\n",
+        test=CORE + "test_cold_servers.py::ServersThatAppear",
+    ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/core/backends/cold_servers.py",
+        old="                not is_first_listing and server",
+        new="                server",
+        test=CORE + "test_cold_servers.py::ServersThatAppear",
+    ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/core/backends/cold_servers.py",
+        old="            until = now + self._cold_start_s(server)\n",
+        new="            until = now\n",
+        test=CORE + "test_cold_servers.py::EndsOfEvacuations",
+    ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/platform/cold_values.py",
+        old="if not 0 <= value_ms <= MAX_COLD_MS or not isfinite(value_ms):",
+        new="if not isfinite(value_ms):",
+        test=CORE + "test_cold_servers.py::BadValues::test_rows_stay_valid",
+    ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/platform/rows_codec.py",
+        old="        if _COLD_FIELD not in value:\n            raise\n",
+        new="        raise\n",
+        test=CORE + "test_cold_servers.py::BadValues::test_rows_stay_valid",
+    ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/tasks/front_exchange.py",
+        old="        if head.cold != NO_READING:\n",
+        new="        if False:\n",
+        test="tests/front/test_cold_servers_host.py",
+    ),
 )
--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -25,6 +25,7 @@
 SERVER_STAMP_HEADER: Final = "X-Waxwingarch-Server-Stamp"
 SERVER_LEAVING_HEADER: Final = "Server-Leaving"
 SERVER_LIMIT_HEADER: Final = "Server-Limit"
+COLD_REMAINING_HEADER: Final = "X-Waxwingarch-Cold-Remaining-Ms"
 SERVER_BRITTLE_HEADER: Final = "Server-Brittle"
 KV_SOURCE_HEADER: Final = "Kv-From"
 PROMPT_PREFIX_HEADER: Final = "X-Waxwingarch-Prompt-Prefix"
@@ -146,6 +147,7 @@
         self.announces_leaving = False
         # The requests a second that all responses name as a limit, if any.
         self.limit_per_s: float | None = None
+        self.cold_remaining: str | None = None
         self.arrivals: list[Arrival] = []
         # The rejections a second that the server survives, if it is brittle.
         self.brittle: int | None = None
@@ -254,6 +256,8 @@
             headers.append((SERVER_LEAVING_HEADER, "1"))
         if self.limit_per_s is not None:
             headers.append((SERVER_LIMIT_HEADER, f"{self.limit_per_s:g}"))
+        if self.cold_remaining is not None:
+            headers.append((COLD_REMAINING_HEADER, self.cold_remaining))
         if self.brittle is not None:
             headers.append((SERVER_BRITTLE_HEADER, str(self.brittle)))
         if how == "shed":
