--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -448,9 +448,9 @@
         log_message(
             message_type="server_cold" if is_cold else "server_warm",
             server=action.server_id,
-            remaining_s=action.remaining_s,
+            remaining_s=_round(action.remaining_s),
             learnt_from=action.source.value,
-            own_share_per_s=action.own_share_per_s,
+            own_share_per_s=_round(action.own_share_per_s),
         )
 
     def _log_cold_value(self, action: ColdValueIgnored) -> None:
@@ -472,6 +472,11 @@
         )
 
 
+def _round(value: float | None) -> float | None:
+    """Return a number with the decimals of the log."""
+    return None if value is None else round(value, LOGGED_DECIMALS)
+
+
 def _decode_hosts(rows: Rows) -> dict[HostId, str]:
     """Return the addresses of the hosts; a row that has none is left out."""
     addresses = {}
