--- a/script/red_front.py
+++ b/script/red_front.py
@@ -393,4 +393,20 @@
         new="        if False:\n",
         test="tests/front/test_cold_servers_host.py",
     ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/core/backends/cold_servers.py",
+        old="return min(per_s, allowed // SETS_OF_OWNERS)",
+        new="return per_s",
+        test=CORE + "test_cold_servers.py::ChangesOfOwners::"
+        "test_usable_rate_leaves_room_for_two_sets_of_owners",
+    ),
+    Mutation(
+        promise="FAILBACK",
+        path="waxwingarch/core/backends/server_limits.py",
+        old="        known.statement = statement\n",
+        new="        known.statement, known.cold_per_s = statement, None\n",
+        test=CORE + "test_cold_servers.py::RunningServers::"
+        "test_the_lower_limit_applies",
+    ),
 )
--- a/tests/core/front/test_cold_servers.py
+++ b/tests/core/front/test_cold_servers.py
@@ -271,11 +271,16 @@
         host = ColdHost()
         host.read(0.1, plain("p1"), p1=60.0)
         limits = host.node.load_balancer.limits
-        for named, share in ((2.0, 2.0), (20.0, COLD_PER_S)):
+        # A response without a limit ends the one that was named only.
+        for now, named, share in (
+            (3.0, 2.0, 2.0),
+            (4.0, 20.0, COLD_PER_S),
+            (5.0, None, COLD_PER_S),
+        ):
             seen = ServerLimitSeen(
-                server=plain("p1"), per_s=named, sent_at=1.0
+                server=plain("p1"), per_s=named, sent_at=now
             )
-            host.node.handle(1.0 + named, seen)
+            host.node.handle(now, seen)
             self.assertAlmostEqual(share, limits.share_of(P1), 6)
 
     def test_row_that_is_older_than_a_response(self) -> None:
