--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -236,7 +236,7 @@
         template = template.replace(
             "{{ip}}:9464", f"{{{{ip}}}}:{host.ports[3]}"
         )
-        # A section is left out where its deployment has no such value.
+        # A section is left out in a deployment without its value.
         text = re.sub(
             r"\{\{#([^}]*)\}\}(.*?)\{\{/\1\}\}",
             lambda found: found[2] if found[1] in values else "",
--- a/waxwingarch/adapters/front_metrics.py
+++ b/waxwingarch/adapters/front_metrics.py
@@ -42,17 +42,19 @@
         held_inputs: Callable[[], Mapping[tuple[str, str], int]] = dict,
         held: HeldBytes | None = None,
         demand: DemandTracker | None = None,
+        cold_servers: Callable[[], int] = int,
     ) -> None:
         """Begin with no events.
 
         `held_inputs` returns the number of quarantined inputs by kind and
         origin. `held` is the account of the bytes that the host holds.
         `demand` is the demand on services, followed by the holder of the
-        duties.
+        duties. `cold_servers` returns the number of servers that are cold.
         """
         self.held_inputs = held_inputs
         self.held = held or HeldBytes()
         self.demand = demand
+        self.cold_servers = cold_servers
         # Returns the own requests that run in each evacuated domain.
         self.evacuated_running: Callable[[], Mapping[str, int]] = dict
         self.refusals: Counter[str] = Counter()
@@ -175,6 +177,11 @@
         running = self._metrics.evacuated_running()
         for domain, count in islice(running.items(), MAX_LABELS):
             evacuated.add_metric((domain,), count)
+        cold = GaugeMetricFamily(
+            "waxwingarch_cold_servers",
+            "Servers that this host considers cold.",
+            value=self._metrics.cold_servers(),
+        )
         families: list[Any] = [
             exchanges,
             events,
@@ -185,6 +192,7 @@
             demand,
             ignored_loads,
             evacuated,
+            cold,
         ]
         for name, histograms in self._metrics.histograms().items():
             family = HistogramMetricFamily(
--- a/waxwingarch/core/front_messages.py
+++ b/waxwingarch/core/front_messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from waxwingarch.core.backends.cold_servers import ColdBounds
 from waxwingarch.core.base import Action, Event, FailureDomain, HostId
 from waxwingarch.core.rollouts.exposure import ExposureBounds
 from waxwingarch.core.routing.config import RoutingConfig
@@ -18,6 +19,7 @@
     A change of the configuration or of a server has to be known on all
     hosts within `change_known_s`. Without `evacuation_s`, rows that evacuate
     a failure domain are ignored; with it, they have to be obeyed within it.
+    `cold` bounds what a cold server gets.
     """
 
     resend_ratio: float = 0.2
@@ -29,6 +31,7 @@
     change_known_s: float = 2.0
     exposure: ExposureBounds = field(default_factory=ExposureBounds)
     evacuation_s: float | None = None
+    cold: ColdBounds | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
