--- a/script/red_front.py
+++ b/script/red_front.py
@@ -286,7 +286,7 @@
         "is_evacuated(source.server)\n",
         new="",
         test=CORE + "test_evacuations.py::Sends::"
-        "test_call_that_migrates_a_run",
+        "test_target_of_a_migration_and_the_call_for_it",
     ),
     Mutation(
         promise="EVAC",
