--- a/tests/core/front/test_cold_servers.py
+++ b/tests/core/front/test_cold_servers.py
@@ -29,13 +29,20 @@
     EvacuationEnded,
     ServerColdChanged,
 )
+from waxwingarch.core.backends.evacuations import EvacuationsRead
 from waxwingarch.core.backends.registry import BackendRegistry, BackendsListed
 from waxwingarch.core.backends.server_limits import (
     OWNER_CHANGE_WAIT_S,
     ServerLimits,
     ServerLimitSeen,
 )
-from waxwingarch.core.base import Action, HostId, Server, ServerId
+from waxwingarch.core.base import (
+    Action,
+    FailureDomain,
+    HostId,
+    Server,
+    ServerId,
+)
 from waxwingarch.core.exchange.exchange_messages import SendRequest
 from waxwingarch.core.front_messages import ConfigRead, FrontTick
 from waxwingarch.core.front_node import FrontNode
@@ -174,7 +181,7 @@
     """One host on simulated time, with a configuration for cold servers."""
 
     def __init__(self, hosts: int = 1, **start: float) -> None:
-        self.node: FrontNode = front(cold=BOUNDS)
+        self.node: FrontNode = front(cold=BOUNDS, evacuation_s=5.0)
         self.version = 0
         self.count = 0
         cfg = cold_config(**start)
@@ -195,6 +202,13 @@
     def tick(self, now: float) -> list[Action]:
         return self.node.handle(now, FrontTick(boot_now=now, unix_now=now))
 
+    def evacuate(
+        self, now: float, version: int, rows: dict[FailureDomain, int]
+    ) -> None:
+        """Read the operator's rows of evacuations."""
+        event = EvacuationsRead(version=version, rows=rows, removed={})
+        self.node.handle(now, event)
+
     def cold(self, now: float, name: str = "p1") -> ColdSource | None:
         """Return by what a server is considered cold, if it is."""
         self.tick(now)
@@ -334,6 +348,16 @@
         host.read(5.1 + ROW_DELAY_S, plain("p1"), p1=0.0)
         self.assertIsNone(host.cold(5.2 + ROW_DELAY_S))
 
+    # Guards against the full load on servers whose rows don't say yet that
+    # they are cold.
+    def test_removed_row_makes_them_cold(self) -> None:
+        host = ColdHost()
+        host.read(0.1, plain("p1"), p1=0.0)
+        host.evacuate(1.0, 1, {DOMAINS[0]: 1})
+        self.assertIsNone(host.cold(1.1))
+        host.evacuate(2.0, 2, {})
+        self.assertIs(ColdSource.EVACUATION, host.cold(2.1))
+
 
 class BadValues(testtools.TestCase):
     ROW = (
