Bound what client connections hold

Cause: after each answer, reading resumed although requests were left that had been read before, and answers of the host itself were written without waiting for the client. Clients that send many requests and read nothing filled the memory; clients that send none took all file descriptors.

Change: the next request is taken when the last answer has left the process; reading stops at 16 KiB read ahead; what is read ahead and unread counts on the account of held bytes, now also of the readiness, metrics and admin addresses; a client that takes nothing for 20 s (1 s if the account is full) is ended; pipelined requests are served at an interval; a request head has 10 s in all; the number of connections is bounded by descriptors and memory, and those that wait longest make room. Request bodies are held in one buffer, as each small piece took an object. Pages of the metrics address are reused for a time, as building one took most of the processor under many requests.

--- a/script/red_front.py
+++ b/script/red_front.py
@@ -8,6 +8,7 @@
 NOTICES: Final = "tests/front/test_server_notices_host.py::"
 HOST: Final = "tests/front/test_platform_host.py::"
 BROKEN: Final = "tests/front/test_broken_paths_host.py::"
+BOUNDS: Final = "tests/adapters/test_connection_bounds.py::"
 
 FRONT_MUTATIONS: Final = (
     Mutation(
@@ -19,6 +20,28 @@
         new="",
         test=HOST + "FaultyServers::test_unsigned_response_is_no_success",
     ),
+    Mutation(
+        promise="OPEN",
+        path="waxwingarch/adapters/http_server.py",
+        old="            await self._async_wait_read()\n",
+        new="",
+        test=BOUNDS + "Clients::test_unread_answers_do_not_pile_up",
+    ),
+    Mutation(
+        promise="OPEN",
+        path="waxwingarch/adapters/http_server.py",
+        old="if self._task is None or ahead <= max_ahead:",
+        new="if True:",
+        test="tests/adapters/test_held_bytes.py::Requests::"
+        "test_bytes_behind_a_request_are_bounded",
+    ),
+    Mutation(
+        promise="OPEN",
+        path="waxwingarch/adapters/connection_bounds.py",
+        old="if first is None or first.wait is Wait.ANSWER:",
+        new="if first is None:",
+        test=BOUNDS + "Number::test_order_in_which_connections_make_room",
+    ),
     Mutation(
         promise="UNASKED",
         path="waxwingarch/platform/exchange_codec.py",
--- a/waxwingarch/adapters/front_metrics.py
+++ b/waxwingarch/adapters/front_metrics.py
@@ -6,6 +6,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from waxwingarch.adapters.connection_bounds import ConnectionBounds, EndReason
 from waxwingarch.adapters.held_bytes import HeldBytes
 
 LOWEST_US: Final = 100
@@ -47,6 +48,7 @@
         """
         self.held_inputs = held_inputs
         self.held = held or HeldBytes()
+        self.connections = ConnectionBounds()
         self.refusals: Counter[str] = Counter()
         self.exchanges: Counter[Labels] = Counter()
         self.events: Counter[str] = Counter()
@@ -144,6 +146,22 @@
             "Bodies without a length that were given up to make room.",
         )
         given_up.add_metric((), account.given_up)
+        connections = GaugeMetricFamily(
+            "waxwingarch_client_connections",
+            "Connections of clients that are open now, and the limit.",
+            labels=("kind",),
+        )
+        bounds = self._metrics.connections
+        connections.add_metric(("now",), bounds.count)
+        if bounds.max_connections is not None:
+            connections.add_metric(("limit",), bounds.max_connections)
+        ended = CounterMetricFamily(
+            "waxwingarch_ended_connections",
+            "Connections of clients that this host closed, by reason.",
+            labels=("reason",),
+        )
+        for reason in EndReason:
+            ended.add_metric((reason.value,), bounds.ended[reason])
         families: list[Any] = [
             exchanges,
             events,
@@ -151,6 +169,8 @@
             inputs,
             held_bytes,
             given_up,
+            connections,
+            ended,
         ]
         for name, histograms in self._metrics.histograms().items():
             family = HistogramMetricFamily(
--- a/waxwingarch/adapters/held_bytes.py
+++ b/waxwingarch/adapters/held_bytes.py
@@ -44,6 +44,11 @@
         self._account.resize(self, size_bytes)
         return True
 
+    def count(self, size_bytes: int) -> None:
+        """Count bytes that are held already, whether or not there is room."""
+        if size_bytes != self.size_bytes:
+            self._account.resize(self, size_bytes)
+
     async def async_hold(self, size_bytes: int, deadline: float) -> None:
         """Hold so many bytes in all, as soon as there is room for them.
 
@@ -83,6 +88,11 @@
         self._bodies: set[HeldBody] = set()
         self._released = asyncio.Event()
 
+    @property
+    def is_full(self) -> bool:
+        """Whether all bodies hold more than the limit."""
+        return self.held_bytes > self.limit_bytes
+
     def has_room(self, body: HeldBody, size_bytes: int) -> bool:
         """Return whether a body may hold so many bytes in all."""
         if body.is_essential or size_bytes <= max(FREE_BYTES, body.size_bytes):
--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -3,12 +3,20 @@
 import asyncio
 import socket
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any, Final
 from urllib.parse import parse_qsl, urlsplit
 
 import h11
 
+from waxwingarch.adapters.addresses import join_address
+from waxwingarch.adapters.connection_bounds import (
+    ConnectionBounds,
+    ConnectionGroup,
+    EndReason,
+    Wait,
+)
 from waxwingarch.adapters.held_bytes import HeldBody, HeldBytes
 from waxwingarch.adapters.http_messages import (
     JSON_TYPE,
@@ -24,13 +32,19 @@
 from waxwingarch.exceptions import WaxwingError
 
 BACKLOG: Final = 1024
+# Connections accepted at once, before those that go for them are closed.
+MAX_ACCEPTED_AT_ONCE: Final = 16
 MAX_HEADER_BYTES: Final = 32 * 1024
 MAX_BODY_BYTES: Final = 8 * 1024 * 1024
 MAX_SMALL_PARTS: Final = 100_000
 ORIGIN: Final = "http://host"
+# For the head of a request, and for each further part of its body.
 REQUEST_READ_TIMEOUT_S: Final = 10.0
 IDLE_TIMEOUT_S: Final = 75.0
+# A client that reads nothing of its answer for so long is disconnected, and
+# after the shorter time if the account of held bytes is full.
 WRITE_STALL_TIMEOUT_S: Final = 20.0
+STALL_CHECK_S: Final = 1.0
 # A caller that has just connected sends its first request within this time.
 FIRST_REQUEST_TIMEOUT_S: Final = 0.5
 # Time that requests in progress get to finish when the server stops.
@@ -44,8 +58,15 @@
 # A request that is read is held once by its handler, and once more while it
 # is written to a server.
 COPIES_OF_REQUEST: Final = 2
-# At most this much of the next requests is read during the one in progress.
-READ_AHEAD_BYTES: Final = 64 * 1024
+# What is read at once. A read during a request adds to what is read ahead.
+READ_BYTES: Final = 16 * 1024
+BODY_READ_BYTES: Final = 64 * 1024
+# Requests that were sent ahead of the answers to earlier ones are served at
+# this interval, those of all connections of a server together: other clients
+# need the processor as well.
+PIPELINED_INTERVAL_S: Final = 0.01
+# Reading stops during a request once this much of the next ones is read.
+READ_AHEAD_BYTES: Final = 16 * 1024
 
 
 @dataclass(slots=True)
@@ -53,12 +74,13 @@
     """The request that is being read on a connection."""
 
     head: h11.Request | None = None
-    parts: list[bytes] = field(default_factory=list)
+    # Not a list of parts, as each small one would take an object.
+    body: bytearray = field(default_factory=bytearray)
     size_bytes: int = 0
     small_parts: int = 0
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(asyncio.BufferedProtocol):
     """One caller's connection: reads requests and runs the handler.
 
     It is the `HttpResponder` of the request in progress.
@@ -83,12 +105,24 @@
             asyncio.get_running_loop().time() + FIRST_REQUEST_TIMEOUT_S
         )
         self._has_had_request = False
+        self._waits_since = asyncio.get_running_loop().time()
+        self._client_address = ""
+        self._is_reading_head = False
+        self._is_turn_over = False
+        self._is_answer_unread = False
+        self._is_pipelined = False
+        self._is_paused = False
 
-    # asyncio.Protocol
+    # asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        peer = transport.get_extra_info("peername")
+        self._client_address = join_address(*peer[:2]) if peer else ""
+        if not self._server.kept.try_add(self):
+            self.end(EndReason.TOO_MANY)
+            return
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         sock = transport.get_extra_info("socket")
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
@@ -103,18 +137,25 @@
         if self._task is None:
             self._held.release()
         self._server.connections.discard(self)
+        self._server.kept.remove(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the server's buffer, which is emptied after each read."""
+        is_body = self._conn.their_state is h11.SEND_BODY
+        size = BODY_READ_BYTES if is_body else READ_BYTES
+        return self._server.read_buffer[:size]
+
+    def buffer_updated(self, nbytes: int) -> None:
         try:
-            self._conn.receive_data(data)
+            self._conn.receive_data(bytes(self._server.read_buffer[:nbytes]))
         except h11.RemoteProtocolError as exc:
             self._reject_malformed(exc)
             return
         if self._task is None:
-            self._start_timer(REQUEST_READ_TIMEOUT_S)
+            if not self._is_reading_head:
+                self._start_read_timer()
             self._process_events()
-        elif len(self._conn.trailing_data[0]) > READ_AHEAD_BYTES:
-            self._transport.pause_reading()
+        self._limit_read_ahead()
 
     def eof_received(self) -> bool:
         self._disconnected.set()
@@ -126,13 +167,54 @@
     def resume_writing(self) -> None:
         self._can_write.set()
 
+    # BoundedConnection
+
+    @property
+    def wait(self) -> Wait:
+        """What the connection waits for."""
+        if self._is_answer_unread or self._transport.is_closing():
+            return Wait.UNREAD_ANSWER
+        if self._is_paused:
+            return Wait.PIPELINED_REQUEST
+        if self._task is not None:
+            return Wait.ANSWER
+        if self._conn.their_state is h11.SEND_BODY:
+            return Wait.REST_OF_BODY
+        if self._has_had_request or self.expects_first_request:
+            return Wait.NEXT_REQUEST
+        return Wait.FIRST_REQUEST
+
+    @property
+    def waits_since(self) -> float:
+        """When it was made, or its last answer ended."""
+        return self._waits_since
+
+    def end(self, reason: EndReason) -> None:
+        """Close the connection at once."""
+        self._server.kept.remove(self)
+        self._server.kept.bounds.record_end(self._client_address, reason)
+        self._transport.abort()
+
     # reading
 
-    def _start_timer(self, timeout_s: float) -> None:
-        """Abort the connection after a delay unless cancelled before."""
+    def _start_timer(
+        self, timeout_s: float, reason: EndReason | None = None
+    ) -> None:
+        """Abort the connection after a delay unless cancelled before.
+
+        With a reason, its end is counted.
+        """
         self._cancel_timer()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(timeout_s, self._transport.abort)
+        if reason is None:
+            self._timer = loop.call_later(timeout_s, self._transport.abort)
+        else:
+            self._timer = loop.call_later(timeout_s, self.end, reason)
+
+    def _start_read_timer(self) -> None:
+        """End the connection if the head, or more of a body, is late."""
+        self._is_reading_head = self._conn.their_state is h11.IDLE
+        self._start_timer(REQUEST_READ_TIMEOUT_S, EndReason.SLOW_REQUEST)
 
     def _cancel_timer(self) -> None:
         if self._timer:
@@ -145,8 +227,10 @@
         A body in many parts is processed in turns with other tasks.
         """
         parts = 0
+        self._is_turn_over = False
         while self._task is None:
             if parts >= MAX_PARTS_PER_TURN:
+                self._is_turn_over = True
                 self._transport.pause_reading()
                 asyncio.get_running_loop().call_soon(self._go_on_reading)
                 return
@@ -164,14 +248,35 @@
     def _go_on_reading(self) -> None:
         if self._transport.is_closing():
             return
-        self._transport.resume_reading()
         self._process_events()
+        self._limit_read_ahead()
+
+    def _limit_read_ahead(self) -> None:
+        """Count what is read, and read on only if there is room for more."""
+        if self._is_turn_over or self._transport.is_closing():
+            return
+        ahead = len(self._conn.trailing_data[0])
+        self._count_held(ahead)
+        max_ahead = 0 if self._server.held.is_full else READ_AHEAD_BYTES
+        if self._task is None or ahead <= max_ahead:
+            self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
+
+    def _count_held(self, ahead: int) -> None:
+        """Count the request, what is read ahead, and what is not read."""
+        self._held.count(
+            self._partial.size_bytes * COPIES_OF_REQUEST
+            + ahead
+            + self._transport.get_write_buffer_size()
+        )
 
     def _handle_event(self, event: object) -> bool:
         """Handle one h11 event; return False if the connection ends."""
         match event:
             case h11.Request():
                 self._partial = _PartialRequest(head=event)
+                self._is_reading_head = False
                 if self._conn.they_are_waiting_for_100_continue:
                     self._write(
                         h11.InformationalResponse(status_code=100, headers=[])
@@ -189,12 +294,12 @@
                 if self._partial.small_parts > MAX_SMALL_PARTS:
                     self._refuse(400, "bad_http", "send the body in one part")
                     return False
-                self._partial.parts.append(bytes(event.data))
+                self._partial.body += event.data
             case h11.EndOfMessage():
                 self._cancel_timer()
                 return self._start_handler()
             case _:
-                self._transport.close()
+                self._close()
                 return False
         return True
 
@@ -203,18 +308,45 @@
         head = self._partial.head
         assert head is not None
         try:
-            body = b"".join(self._partial.parts)
-            self._partial.parts.clear()
+            body = bytes(self._partial.body)
+            self._partial.body.clear()
             req = _build_request(head, body)
         except ValueError as exc:
             self._refuse(400, "bad_http", f"send a valid path: {exc}")
             return False
         self._started = False
         self._has_had_request = True
+        # A client that sends one request at a time has sent no more yet.
+        self._is_pipelined = bool(self._conn.trailing_data[0])
         self._task = asyncio.get_running_loop().create_task(self._run(req))
         return True
 
     async def _run(self, req: HttpRequest) -> None:
+        try:
+            await self._async_handle(req)
+            # Its body is not kept while the answer is read.
+            del req
+            self._partial.size_bytes = 0
+            await self._async_wait_read()
+            if self._is_pipelined and not self._server.draining:
+                await self._async_pause()
+        except CallerDisconnectedError:
+            self._transport.abort()
+        finally:
+            self._task = None
+            self._partial.size_bytes = 0
+            self._held.release()
+        self._start_next_cycle()
+
+    async def _async_pause(self) -> None:
+        """Wait before a request that was sent ahead of an answer."""
+        self._is_paused = True
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(self._server.next_pipelined_at()):
+                await self._disconnected.wait()
+        self._is_paused = False
+
+    async def _async_handle(self, req: HttpRequest) -> None:
         try:
             await self._server.handler(req, self)
         except CallerDisconnectedError:
@@ -234,10 +366,6 @@
                     "report this to the operators",
                     ran=ExecutionStatus.UNKNOWN,
                 )
-        finally:
-            self._task = None
-            self._held.release()
-        self._start_next_cycle()
 
     def _start_next_cycle(self) -> None:
         """Wait for the next request, or close the connection.
@@ -249,16 +377,26 @@
             return
         is_done = self._conn.our_state is h11.DONE
         if not is_done or self._close_announced:
-            self._transport.close()
+            self._close()
             return
         try:
             self._conn.start_next_cycle()
         except h11.LocalProtocolError:
-            self._transport.close()
+            self._close()
             return
-        self._start_timer(IDLE_TIMEOUT_S)
-        self._transport.resume_reading()
+        self._waits_since = asyncio.get_running_loop().time()
+        if self._conn.trailing_data[0]:
+            self._start_read_timer()
+        else:
+            self._is_reading_head = False
+            self._start_timer(IDLE_TIMEOUT_S)
         self._process_events()
+        self._limit_read_ahead()
+
+    def _close(self) -> None:
+        """Close the connection once its client has read what is written."""
+        self._transport.close()
+        self._start_timer(WRITE_STALL_TIMEOUT_S, EndReason.UNREAD)
 
     # error responses
 
@@ -295,7 +433,7 @@
         self._write(h11.Response(status_code=status, headers=headers))
         self._write(h11.Data(data=body))
         self._write(h11.EndOfMessage())
-        self._transport.close()
+        self._close()
 
     # HttpResponder
 
@@ -326,14 +464,56 @@
             raise CallerDisconnectedError("the caller closed the connection")
         if self._can_write.is_set():
             return
+        await self._async_wait_written()
+
+    async def _async_wait_read(self) -> None:
+        """Wait until nothing that was written is left to send.
+
+        Without this, answers that a client does not read would pile up.
+        """
+        if not self._transport.get_write_buffer_size():
+            return
+        self._transport.set_write_buffer_limits(high=0)
+        await self._async_wait_written()
+        self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+
+    async def _async_wait_written(self) -> None:
+        """Wait for room to write; end a connection that reads nothing."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + WRITE_STALL_TIMEOUT_S
+        unread = self._transport.get_write_buffer_size()
         try:
-            async with asyncio.timeout(WRITE_STALL_TIMEOUT_S):
-                await self._can_write.wait()
-        except TimeoutError:
-            self._transport.abort()
-            raise CallerDisconnectedError(
-                "the caller stopped reading"
-            ) from None
+            while not self._can_write.is_set():
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(STALL_CHECK_S):
+                        await self._can_write.wait()
+                before, unread = (
+                    unread,
+                    self._transport.get_write_buffer_size(),
+                )
+                self._limit_read_ahead()
+                self._is_answer_unread = unread >= before
+                if not self._is_answer_unread:
+                    ends_at = loop.time() + WRITE_STALL_TIMEOUT_S
+                elif not self._can_write.is_set():
+                    self._end_if_stalled(loop.time() >= ends_at)
+        finally:
+            self._is_answer_unread = False
+
+    def _end_if_stalled(self, is_late: bool) -> None:
+        """End the connection if the client's time to read is over.
+
+        It is also if what all connections hold is more than there is room
+        for.
+        """
+        if is_late:
+            reason = EndReason.UNREAD
+        elif self._server.held.is_full:
+            reason = EndReason.NO_ROOM
+        else:
+            return
+        self.end(reason)
+        raise CallerDisconnectedError("the caller stopped reading")
 
     def _begin_response(self) -> None:
         """Mark the response as started; it has one head."""
@@ -464,7 +644,11 @@
         self.draining = False
         # Set before the server listens, if several share an account.
         self.held = HeldBytes()
+        self.kept: ConnectionGroup = ConnectionBounds().group()
+        # Used by each connection for the time of one read.
+        self.read_buffer = memoryview(bytearray(BODY_READ_BYTES))
         self._server: asyncio.Server | None = None
+        self._pipelined_at = 0.0
 
     async def async_setup(
         self, host: str, port: int, sock: socket.socket | None = None
@@ -474,14 +658,15 @@
         If `sock` is given, it is used instead of the address.
         """
         loop = asyncio.get_running_loop()
-        if sock is not None:
-            self._server = await loop.create_server(
-                lambda: _Connection(self), sock=sock, backlog=BACKLOG
-            )
-        else:
-            self._server = await loop.create_server(
-                lambda: _Connection(self), host, port, backlog=BACKLOG
-            )
+        if sock is None:
+            family = socket.AF_INET6 if ":" in host else socket.AF_INET
+            sock = socket.create_server((host, port), family=family)
+        sock.setblocking(False)
+        self._server = await loop.create_server(
+            lambda: _Connection(self), sock=sock, backlog=MAX_ACCEPTED_AT_ONCE
+        )
+        # asyncio accepts as many connections at once as its backlog has.
+        sock.listen(BACKLOG)
         return int(self._server.sockets[0].getsockname()[1])
 
     def start_drain(self) -> None:
@@ -492,6 +677,14 @@
         """
         self.draining = True
 
+    def next_pipelined_at(self) -> float:
+        """Return when the next request that was sent ahead is served."""
+        now = asyncio.get_running_loop().time()
+        latest = now + PIPELINED_INTERVAL_S * len(self.connections)
+        at = max(now, self._pipelined_at) + PIPELINED_INTERVAL_S
+        self._pipelined_at = min(at, latest)
+        return self._pipelined_at
+
     @property
     def is_receiving(self) -> bool:
         """Whether a part of a request has been read on some connection."""
--- a/waxwingarch/daemon.py
+++ b/waxwingarch/daemon.py
@@ -10,6 +10,12 @@
 from eliot import log_message, write_traceback
 
 from waxwingarch.adapters.claim_store import ClaimStore
+from waxwingarch.adapters.connection_bounds import (
+    CALLERS_SHARE,
+    ConnectionBounds,
+    max_connections,
+)
+from waxwingarch.adapters.held_bytes import DEFAULT_LIMIT_BYTES
 from waxwingarch.adapters.http_messages import (
     HttpRequest,
 )
@@ -114,6 +120,9 @@
         self._kept_hand_overs = HandOverStore()
         self._build_request_handling(HttpObjectStore(link))
         self._admin = Admin(settings.security.operator_key, on_error)
+        bounds = ConnectionBounds(max_connections(DEFAULT_LIMIT_BYTES))
+        self._admin.server.kept = bounds.group()
+        self._entry.server.kept = bounds.group(CALLERS_SHARE)
         self._admin.add("GET", "/admin/dump", self._async_dump)
         self._explain_operations = register_operations(
             self._admin,
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -12,17 +12,18 @@
 from eliot import log_message, write_traceback
 
 from waxwingarch.adapters.addresses import check_address, split_address
+from waxwingarch.adapters.connection_bounds import (
+    CALLERS_SHARE,
+    ConnectionBounds,
+    EndReason,
+    max_connections,
+)
 from waxwingarch.adapters.front_metrics import FrontMetrics
 from waxwingarch.adapters.front_settings import (
     FrontSettings,
 )
 from waxwingarch.adapters.http_client import HttpClient
-from waxwingarch.adapters.http_messages import (
-    JSON_TYPE,
-    HttpRequest,
-    HttpResponder,
-)
-from waxwingarch.adapters.http_server import HttpServer
+from waxwingarch.adapters.http_messages import JSON_TYPE
 from waxwingarch.const import EXIT_ADDRESS_IN_USE, EXIT_OK, LOGGED_DECIMALS
 from waxwingarch.core.backends.brittle_servers import BrittlenessChanged
 from waxwingarch.core.backends.paths import PathChanged
@@ -65,6 +66,7 @@
 from waxwingarch.tasks.front_peers import FrontPeers
 from waxwingarch.tasks.front_quarantine import FrontQuarantine
 from waxwingarch.tasks.front_rollouts import FrontRollouts
+from waxwingarch.tasks.metrics_pages import MetricsPages, Page
 from waxwingarch.tasks.quarantine_operations import (
     QuarantineOperations,
     count_held_inputs,
@@ -143,8 +145,6 @@
         self._front_peers = FrontPeers(
             self._runner, client, watches, self._entry.async_handle_relayed
         )
-        for server in (self._entry.server, self._front_peers.server):
-            server.held = client.held
         self._readiness = Readiness(lambda: self.front.ready, on_error)
         self._quarantine_operations = QuarantineOperations(
             self.front.quarantine, self._runner.post
@@ -156,7 +156,8 @@
         self.metrics = FrontMetrics(
             lambda: count_held_inputs(self.front.quarantine), client.held
         )
-        self._metrics_server = HttpServer(self._async_serve_metrics, on_error)
+        self._metrics_pages = self._build_metrics_pages()
+        self._bound_connections()
         self._runner.observe(FrontLog(self.front, self.metrics))
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -169,6 +170,24 @@
         self._runner.connect(PathChanged, self._log_path_change)
         self._runner.connect(BrittlenessChanged, self._log_brittleness)
 
+    def _bound_connections(self) -> None:
+        """Bound what the connections of all addresses hold together."""
+        held = self._client.held
+        bounds = ConnectionBounds(max_connections(held.limit_bytes))
+        bounds.on_end = self._log_connection_end
+        servers = [
+            self._front_peers.server,
+            self._readiness.server,
+            self._metrics_pages.server,
+        ]
+        if self._admin is not None:
+            servers.append(self._admin.server)
+        for server in servers:
+            server.held, server.kept = held, bounds.group()
+        self._entry.server.held = held
+        self._entry.server.kept = bounds.group(CALLERS_SHARE)
+        self.metrics.connections = bounds
+
     async def async_run(self) -> int:
         """Serve until the process is stopped; return the exit code."""
         self._install_signal_handlers()
@@ -202,7 +221,9 @@
         await self._readiness.server.async_setup(
             *split_address(listen.readiness)
         )
-        await self._metrics_server.async_setup(*split_address(listen.metrics))
+        await self._metrics_pages.server.async_setup(
+            *split_address(listen.metrics)
+        )
         if self._admin is not None:
             await self._admin.async_setup(*split_address(listen.admin))
         callers = split_address(listen.callers)
@@ -248,7 +269,7 @@
             await self._settings_watch.async_unload()
         await self._entry.async_unload()
         await self._readiness.server.async_unload()
-        await self._metrics_server.async_unload()
+        await self._metrics_pages.server.async_unload()
         if self._admin is not None:
             await self._admin.async_unload()
         await self._operator_table_watch.async_unload()
@@ -284,22 +305,34 @@
         if self._settings_watch is not None:
             self._settings_watch.reload("signal")
 
-    async def _async_serve_metrics(
-        self, req: HttpRequest, resp: HttpResponder
-    ) -> None:
-        """Answer with the metrics, the quarantined inputs or the servers."""
-        if req.path == QUARANTINE_PATH:
-            inputs = orjson.dumps(self._quarantine_operations.listing())
-            await resp.async_send(200, inputs, [JSON_TYPE])
-            return
-        if req.path == SERVERS_PATH:
+    def _build_metrics_pages(self) -> MetricsPages:
+        """Return the pages of metrics, quarantined inputs and servers."""
+
+        def build_servers() -> bytes:
             now = asyncio.get_running_loop().time()
-            state = orjson.dumps(build_server_state(self.front, now))
-            await resp.async_send(200, state, [JSON_TYPE])
-            return
-        body = self.metrics.text()
-        await resp.async_send(
-            200, body, [("content-type", METRICS_CONTENT_TYPE)]
+            return orjson.dumps(build_server_state(self.front, now))
+
+        def build_inputs() -> bytes:
+            return orjson.dumps(self._quarantine_operations.listing())
+
+        return MetricsPages(
+            {
+                QUARANTINE_PATH: Page(build=build_inputs, headers=[JSON_TYPE]),
+                SERVERS_PATH: Page(build=build_servers, headers=[JSON_TYPE]),
+            },
+            Page(
+                build=self.metrics.text,
+                headers=[("content-type", METRICS_CONTENT_TYPE)],
+            ),
+            on_error,
+        )
+
+    def _log_connection_end(self, client: str, reason: EndReason) -> None:
+        log_message(
+            message_type="connection_ended",
+            client=client,
+            reason=reason.value,
+            connections=self.metrics.connections.count,
         )
 
     # Background tasks
