Test the bound of requests read ahead by itself

script/red_runs OPEN showed that test_bytes_behind_a_request_are_bounded passes without the bound of reading (its time ran out first).

--- a/script/red_front.py
+++ b/script/red_front.py
@@ -32,8 +32,7 @@
         path="waxwingarch/adapters/http_server.py",
         old="if self._task is None or ahead <= max_ahead:",
         new="if True:",
-        test="tests/adapters/test_held_bytes.py::Requests::"
-        "test_bytes_behind_a_request_are_bounded",
+        test=BOUNDS + "Clients::test_requests_ahead_are_bounded",
     ),
     Mutation(
         promise="OPEN",
--- a/tests/adapters/test_connection_bounds.py
+++ b/tests/adapters/test_connection_bounds.py
@@ -177,6 +177,15 @@
         self.assertLess(self.answered, 30)
         await self.async_unload()
 
+    # Guards against a read of further requests for each one that is answered.
+    @async_test
+    async def test_requests_ahead_are_bounded(self) -> None:
+        await self.async_setup()
+        await self.async_connect(GET * 20_000)
+        await asyncio.sleep(1.0)
+        self.assertLess(self.server.held.peak_bytes, 100_000)
+        await self.async_unload()
+
     @async_test
     async def test_pipelined_requests_are_answered_in_order(self) -> None:
         await self.async_setup()
