--- a/waxwingarch/adapters/front_metrics.py
+++ b/waxwingarch/adapters/front_metrics.py
@@ -7,6 +7,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from waxwingarch.adapters.connection_bounds import ConnectionBounds, EndReason
 from waxwingarch.adapters.held_bytes import HeldBytes
 from waxwingarch.core.duties.demand import DemandTracker
 
@@ -57,6 +58,7 @@
         self.cold_servers = cold_servers
         # Returns the own requests that run in each evacuated domain.
         self.evacuated_running: Callable[[], Mapping[str, int]] = dict
+        self.connections = ConnectionBounds()
         self.refusals: Counter[str] = Counter()
         self.exchanges: Counter[Labels] = Counter()
         self.events: Counter[str] = Counter()
@@ -182,6 +184,22 @@
             "Servers that this host considers cold.",
             value=self._metrics.cold_servers(),
         )
+        connections = GaugeMetricFamily(
+            "waxwingarch_client_connections",
+            "Connections of clients that are open now, and the limit.",
+            labels=("kind",),
+        )
+        bounds = self._metrics.connections
+        connections.add_metric(("now",), bounds.count)
+        if bounds.max_connections is not None:
+            connections.add_metric(("limit",), bounds.max_connections)
+        ended = CounterMetricFamily(
+            "waxwingarch_ended_connections",
+            "Connections of clients that this host closed, by reason.",
+            labels=("reason",),
+        )
+        for reason in EndReason:
+            ended.add_metric((reason.value,), bounds.ended[reason])
         families: list[Any] = [
             exchanges,
             events,
@@ -193,6 +211,8 @@
             ignored_loads,
             evacuated,
             cold,
+            connections,
+            ended,
         ]
         for name, histograms in self._metrics.histograms().items():
             family = HistogramMetricFamily(
