Read bodies in many parts one turn a cycle over all connections

Cause: 32 clients that send bodies in 90,000 pieces each take a turn of 256 parts in every cycle of the event loop, 0.2 s and more on a busy machine. A new connection to a server is given up after 0.4 s, so that an ordinary client got 503 once in four plays of test_unfinished_uploads_in_small_pieces. Change: the turns of all connections of a server queue, one a cycle.

--- a/waxwingarch/adapters/http_server.py
+++ b/waxwingarch/adapters/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -232,7 +233,7 @@
             if parts >= MAX_PARTS_PER_TURN:
                 self._is_turn_over = True
                 self._transport.pause_reading()
-                asyncio.get_running_loop().call_soon(self._go_on_reading)
+                self._server.take_turn_later(self._go_on_reading)
                 return
             try:
                 event = self._conn.next_event()
@@ -649,6 +650,7 @@
         self.read_buffer = memoryview(bytearray(BODY_READ_BYTES))
         self._server: asyncio.Server | None = None
         self._pipelined_at = 0.0
+        self._turns: deque[Callable[[], None]] = deque()
 
     async def async_setup(
         self, host: str, port: int, sock: socket.socket | None = None
@@ -677,6 +679,25 @@
         """
         self.draining = True
 
+    def take_turn_later(self, turn: Callable[[], None]) -> None:
+        """Run the next turn of a body in many parts, after those of others.
+
+        One runs in each cycle of the event loop: with one for each of many
+        connections, a cycle took longer than a connection to a server may.
+        """
+        self._turns.append(turn)
+        if len(self._turns) == 1:
+            asyncio.get_running_loop().call_soon(self._run_turn)
+
+    def _run_turn(self) -> None:
+        turn = self._turns[0]
+        try:
+            turn()
+        finally:
+            self._turns.popleft()
+            if self._turns:
+                asyncio.get_running_loop().call_soon(self._run_turn)
+
     def next_pipelined_at(self) -> float:
         """Return when the next request that was sent ahead is served."""
         now = asyncio.get_running_loop().time()
