Take no unstated end amid an upload, and no status above 599

Cause: a response without a length was whole at the end of its connection, also while the request was still being sent; h11 takes any status of three digits.

Change: such a response counts only if the other end has acknowledged the whole request; a status above 599 is invalid bytes, so that the server is judged and the caller gets 502 or another server's answer.

--- a/script/red_front.py
+++ b/script/red_front.py
@@ -8,6 +8,7 @@
 NOTICES: Final = "tests/front/test_server_notices_host.py::"
 HOST: Final = "tests/front/test_platform_host.py::"
 BROKEN: Final = "tests/front/test_broken_paths_host.py::"
+EARLY: Final = "tests/front/test_early_answers_host.py::"
 BOUNDS: Final = "tests/adapters/test_connection_bounds.py::"
 
 FRONT_MUTATIONS: Final = (
@@ -41,6 +42,20 @@
         new="if first is None:",
         test=BOUNDS + "Number::test_order_in_which_connections_make_room",
     ),
+    Mutation(
+        promise="MIXED",
+        path="waxwingarch/adapters/http_connection.py",
+        old="                self._check_request_taken()\n",
+        new="",
+        test=EARLY + "EarlyAnswers::test_until_close",
+    ),
+    Mutation(
+        promise="MIXED",
+        path="waxwingarch/adapters/http_connection.py",
+        old="MAX_STATUS: Final = 599",
+        new="MAX_STATUS: Final = 999",
+        test=EARLY + "InvalidStatuses",
+    ),
     Mutation(
         promise="UNASKED",
         path="waxwingarch/platform/exchange_codec.py",
--- a/waxwingarch/adapters/http_connection.py
+++ b/waxwingarch/adapters/http_connection.py
@@ -5,8 +5,11 @@
 """
 
 import asyncio
+import fcntl
 import json
 import re
+import struct
+import termios
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, Final
@@ -33,6 +36,8 @@
 # Bounds of what is read from one response; a server may send without end.
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 MAX_INFORMATIONAL_RESPONSES: Final = 8
+# h11 takes any number of three digits.
+MAX_STATUS: Final = 599
 # A response may have so many small parts at once, and so many a second.
 MAX_SMALL_PARTS: Final = 10_000
 SMALL_PARTS_PER_S: Final = 2_000
@@ -187,6 +192,7 @@
             if event is h11.NEED_DATA:
                 return b"".join(parts)
             if isinstance(event, h11.EndOfMessage):
+                self._check_request_taken()
                 self.complete = True
                 return b"".join(parts) if parts else None
             if isinstance(event, h11.Data):
@@ -196,6 +202,17 @@
                 await asyncio.sleep(0)
                 return b"".join(parts)
 
+    def _check_request_taken(self) -> None:
+        """Raise `CutLinkError` if a response without an end came too early.
+
+        A server that closes its connection while the request is still being
+        sent has not read all of it, so that it has not answered it either.
+        """
+        if self.ends_with_connection and not self._conn.is_request_received:
+            raise CutLinkError(
+                f"{self._conn.address}: closed before it had the request"
+            )
+
     def _count_part(self, size_bytes: int) -> None:
         """Bound the time that the parts of this response take to parse."""
         if size_bytes >= SMALL_PART_BYTES:
@@ -447,12 +464,17 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self.async_event(deadline)
             if isinstance(event, h11.Response):
+                self._check_status(int(event.status_code))
                 self.response_count += 1
                 return event
         raise EndlessResponseError(
             f"{self.address}: too many informational responses"
         )
 
+    def _check_status(self, status: int) -> None:
+        if status > MAX_STATUS:
+            raise InvalidBytesError(f"{self.address}: status {status}")
+
     @property
     def is_response_complete(self) -> bool:
         """Whether the last response was read to its end."""
@@ -482,6 +504,16 @@
         transport = self._writer.transport
         return not transport.get_write_buffer_size()
 
+    @property
+    def is_request_received(self) -> bool:
+        """Whether the other end has acknowledged all of the last request."""
+        sock = self._writer.get_extra_info("socket")
+        if not self._is_all_sent or sock.fileno() < 0:
+            return False
+        count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        (unacknowledged_bytes,) = struct.unpack("i", count)
+        return not unacknowledged_bytes
+
     @property
     def idle_s(self) -> float:
         """Seconds since the connection was returned to the pool."""
