--- a/script/red_front.py
+++ b/script/red_front.py
@@ -280,4 +280,12 @@
         test="tests/front/test_early_socket.py::EarlySocket::"
         "test_callers_can_connect_before_the_daemon_starts",
     ),
+    Mutation(
+        promise="QUOTA",
+        path="waxwingarch/core/limits/shared_rate.py",
+        old="        if offered_per_s * SUM_IN_USE_S <= spare:\n",
+        new="        if offered_per_s >= 0:\n",
+        test=CORE + "test_sums_in_fleet.py::AccountLimits::"
+        "test_account_at_eleven_times_its_rate",
+    ),
 )
--- a/tests/core/front/simulated_fleet.py
+++ b/tests/core/front/simulated_fleet.py
@@ -148,6 +148,7 @@
     resets: bool = False
     path: str = "/read/x"
     work_s: float = WORK_S
+    account_rate: float = 0.0
     now: float = 0.0
 
     def __post_init__(self) -> None:
@@ -185,7 +186,8 @@
             duties=frozenset(),
         )
         node = FrontNode(identity, FrontBounds(), Random(self.seed * 999 + n))
-        node.handle(0.0, ConfigRead(cfg=config()))
+        cfg = config(rate=self.account_rate)
+        node.handle(0.0, ConfigRead(cfg=cfg))
         node.handle(0.0, make_listing(1, *self._servers))
         addresses = {HostId(f"h{i}"): str(i) for i in range(self.hosts)}
         node.handle(0.0, HostsListed(addresses=addresses))
--- a/tests/core/front/test_fleet_sums.py
+++ b/tests/core/front/test_fleet_sums.py
@@ -17,11 +17,12 @@
 )
 from waxwingarch.core.peers.fleet_sums import (
     DIGEST_SILENCE_S,
+    DIGEST_VALID_S,
     FleetSums,
     ranked_collectors,
 )
-from waxwingarch.core.peers.sum_choice import SUM_VALID_S
 from waxwingarch.core.peers.sum_messages import (
+    DomainPart,
     DomainSum,
     FleetDigest,
     MemberReport,
@@ -69,14 +70,21 @@
     return DomainSum(**(values | changes))
 
 
-def digest(*sums: DomainSum, collector: str = "c1") -> FleetDigest:
-    return FleetDigest(
-        collector=HostId(collector),
-        incarnation=1,
-        sequence=1,
-        domain=ZONE,
-        sums=sums,
+def digest(
+    *hosts: str, collector: str = "c1", sequence: int = 1, **changes: Any
+) -> FleetDigest:
+    part = DomainPart(
+        domain=ZONE, age_s=0.1, hosts=tuple(HostId(h) for h in hosts)
     )
+    values: dict[str, Any] = {
+        "collector": HostId(collector),
+        "incarnation": 1,
+        "sequence": sequence,
+        "parts": (part,),
+        "sequences": (1,) * len(hosts),
+        "loads": {SERVER: ServerLoad(running=5)},
+    }
+    return FleetDigest(**(values | changes))
 
 
 def collector_of(*members: MemberReport, at: float = 0.0) -> DomainCollector:
@@ -128,8 +136,9 @@
         collector.build_sum(COLLECT_SETTLE_S)
         made = collector.build_digest(COLLECT_SETTLE_S + 0.1)
         assert made is not None
-        self.assertEqual([ZONE, OTHER_ZONE], [s.domain for s in made.sums])
-        self.assertAlmostEqual(0.2, made.sums[1].age_s)
+        self.assertEqual([ZONE, OTHER_ZONE], [p.domain for p in made.parts])
+        self.assertAlmostEqual(0.2, made.parts[1].age_s)
+        self.assertEqual(1 + 5, made.loads[SERVER].running)
 
 
 class BadSums(testtools.TestCase):
@@ -156,18 +165,18 @@
 
     def test_former_process_of_a_collector_is_dropped(self) -> None:
         sums = FleetSums(HostId("h1"), ZONE)
-        sums.record_digest(1.0, digest(domain_sum("b1", incarnation=2)))
-        reason = sums.record_digest(1.1, digest(domain_sum("b1", 9)))
+        sums.record_digest(1.0, digest("h2", incarnation=2))
+        reason = sums.record_digest(1.1, digest("h2", sequence=9))
         self.assertEqual("former incarnation", reason)
 
     def test_digest_of_another_domain_is_dropped(self) -> None:
         sums = FleetSums(HostId("h1"), OTHER_ZONE)
-        reason = sums.record_digest(1.0, digest(domain_sum("b1")))
+        reason = sums.record_digest(1.0, digest("h2"))
         self.assertEqual("another failure domain", reason)
         self.assertEqual({}, sums.refresh(1.0).taken_at)
 
     def test_datagrams_that_are_no_sums(self) -> None:
-        whole = encode_sums(digest(domain_sum("b1")))
+        whole = encode_sums(digest("h2"))
         for data in (b"M{}", b"S", b"Dx", whole[:-5], b"M[1]", b"M" + whole):
             self.assertRaises(BadReportError, decode_sums, data)
 
@@ -179,7 +188,7 @@
             sequences=(4, 5),
             tables=(tables(),),
         )
-        for message in (made, member("h1"), digest(made, domain_sum("b2"))):
+        for message in (made, member("h1"), digest("h1", "h2")):
             self.assertEqual(message, decode_sums(encode_sums(message)))
 
 
@@ -197,34 +206,37 @@
             self.sums.record_own_report(
                 member("h1", running, sequence=sequence, avoided=(SERVER,))
             )
-        made = collector.build_sum(0.5)
-        assert made is not None
-        self.sums.record_digest(0.5, digest(made))
+        self.receive(collector)
         others = self.sums.refresh(0.5)
         self.assertEqual(3, others.loads[SERVER].running)
         self.assertEqual({HostId("h2")}, others.covered)
         self.assertTrue(others.counts_own)
-        self.assertEqual({1: {ACCOUNT: 100.0}}, others.usage[0].usage)
+        assert others.usage is not None
+        self.assertEqual({1: {ACCOUNT: 100.0}}, others.usage.usage)
         self.assertEqual(frozenset(), others.avoided[ZONE])
 
-    def test_sum_with_an_unknown_own_part_does_not_count(self) -> None:
-        made = collector_of(member("h1"), member("h2")).build_sum(0.5)
+    def receive(self, collector: DomainCollector) -> None:
+        collector.build_sum(0.5)
+        made = collector.build_digest(0.5)
         assert made is not None
-        self.sums.record_digest(0.5, digest(made))
+        self.assertIsNone(self.sums.record_digest(0.5, made))
+
+    def test_sum_with_an_unknown_own_part_does_not_count(self) -> None:
+        self.receive(collector_of(member("h1"), member("h2")))
         self.assertEqual(frozenset(), self.sums.refresh(0.5).covered)
 
-    def test_sums_of_a_lost_domain_expire(self) -> None:
-        self.sums.record_digest(1.0, digest(domain_sum("b1")))
-        valid_until = 1.0 - 0.1 + SUM_VALID_S
+    def test_old_digest_expires(self) -> None:
+        self.sums.record_digest(1.0, digest("h2", "h3"))
+        valid_until = 1.0 + DIGEST_VALID_S
         self.assertEqual(2, len(self.sums.refresh(valid_until).covered))
         self.assertEqual(set(), self.sums.refresh(valid_until + 0.1).covered)
 
     # Guards against a collector that has just begun, whose sum lacks hosts.
-    def test_sum_of_more_hosts_is_preferred_while_fresh(self) -> None:
-        partial = domain_sum("b2", hosts=(HostId("b2"),), age_s=0.0)
-        self.sums.record_digest(1.0, digest(domain_sum("b1"), partial))
-        self.assertEqual(2, len(self.sums.refresh(1.0).covered))
-        self.assertEqual(1, len(self.sums.refresh(1.55).covered))
+    def test_digest_of_more_hosts_is_preferred_while_fresh(self) -> None:
+        self.sums.record_digest(1.0, digest("h2", "h3"))
+        self.sums.record_digest(1.1, digest("h2", collector="c2"))
+        self.assertEqual(2, len(self.sums.refresh(1.2).covered))
+        self.assertEqual(1, len(self.sums.refresh(1.65).covered))
 
     def test_silent_collector_is_replaced_by_the_next_in_rank(self) -> None:
         hosts = [HostId(f"h{n}") for n in range(2, 8)]
@@ -232,9 +244,7 @@
         [change] = self.sums.choose_collectors(0.0, hosts)
         self.assertEqual((first, second), change.collectors)
         later = COLLECT_SETTLE_S + DIGEST_SILENCE_S + 0.1
-        self.sums.record_digest(
-            later, digest(domain_sum("b1"), collector=first)
-        )
+        self.sums.record_digest(later, digest("h2", collector=first))
         [change] = self.sums.choose_collectors(later, hosts)
         self.assertEqual((first, third), change.collectors)
         self.assertEqual((second,), change.silent)
--- a/tests/core/front/test_sums_in_fleet.py
+++ b/tests/core/front/test_sums_in_fleet.py
@@ -1,14 +1,23 @@
 """Tests of sums of load and usage in a simulated fleet."""
 
+from collections import Counter
 from collections.abc import Iterable
+from dataclasses import replace
 
 import testtools
 
 from tests.core.front.builders import DOMAINS
-from tests.core.front.simulated_fleet import SimulatedFleet
+from tests.core.front.simulated_fleet import SimulatedFleet, fullest_window
+from tests.core.front.test_gossip import report
 from waxwingarch.core.base import HostId
 from waxwingarch.core.front_messages import FrontTick
+from waxwingarch.core.peers.fleet_sums import OtherHosts
+from waxwingarch.core.peers.peer_registry import PeerRegistry
 from waxwingarch.core.peers.report import SendReport
+from waxwingarch.core.peers.report_pace import (
+    FULL_PACE_AFTER_CHANGE_S,
+    ReportPace,
+)
 from waxwingarch.core.peers.sum_choice import SUM_VALID_S
 
 # A request arrives at each host every 5 s, so that hosts have loads.
@@ -83,6 +92,83 @@
             self.assertEqual((), node.sums.fleet.collectors)
 
 
+class Pace(testtools.TestCase):
+    """How often whole reports are sent where sums tell about the hosts."""
+
+    # Guards against standbys of the duties, and hosts that lack sums, that
+    # hear too rarely of the others.
+    def test_hosts_that_need_reports_get_them_in_each_round(self) -> None:
+        peers = PeerRegistry(HostId("own"))
+        for n in range(76):
+            made = report(HostId(f"h{n}"), sequence=1, wants_reports=n == 1)
+            peers.record_report(0.0, made, 0.0)
+        sent: Counter[str] = Counter()
+        for step in range(28):
+            sent.update(
+                peer.address
+                for peer in peers.next_recipients(
+                    step * 0.1, few_except={HostId("h0")}
+                )
+            )
+        for name in ("addr-h0", "addr-h1"):
+            self.assertEqual(4, sent.pop(name))
+        self.assertEqual(2 * 28, sent.total())
+        self.assertEqual(1, max(sent.values()))
+
+    # Guards against news that only whole reports carry and that come late.
+    def test_report_with_more_than_sums_goes_to_all_as_before(self) -> None:
+        pace, host = ReportPace(), HostId("h1")
+        plain = report(host, usage_counts=None)
+        domain = plain.domain
+        for step in range(71):
+            now = step * 0.1
+            others = OtherHosts(counts_own=True, taken_at={domain: now})
+            pace.update(now, others, [plain])
+        self.assertTrue(pace.may_send_few(now, lambda: plain))
+        for news in (
+            {"leaving": {"s1": 1}},
+            {"draining": True},
+            {"holds_duties": True},
+            {"brittle_services": ("s",)},
+            {"lost_services": ("s",)},
+        ):
+            with_news = replace(plain, **news)
+            self.assertFalse(pace.may_send_few(now, lambda r=with_news: r))
+            now += FULL_PACE_AFTER_CHANGE_S - 0.1
+            self.assertFalse(pace.may_send_few(now, lambda: plain))
+            now += 0.2
+            self.assertTrue(pace.may_send_few(now, lambda: plain))
+        pace.update(now, OtherHosts(), [plain])
+        self.assertFalse(pace.may_send_few(now, lambda: plain))
+
+
+class AccountLimits(testtools.TestCase):
+    """Guards promise QUOTA: a host that decides by sums sees them late."""
+
+    RATE, COST = 10_000, 100
+    WINDOW_LIMIT = RATE * 8 + RATE
+
+    # Load: 76 hosts, 1,100 requests a second for 100 that are allowed. All
+    # hosts once admitted what was spare at the same time: 147 % of the limit.
+    def test_account_at_eleven_times_its_rate(self) -> None:
+        fleet = fleet_of(76, account_rate=self.RATE)
+        fleet.run(7.0)
+        fleet.rate_per_s = 11 * self.RATE / self.COST
+        fleet.run(17.5)
+        times = sorted(at for a in fleet.arrivals.values() for at, _ in a)
+        used = fullest_window(times, 8.0) * self.COST
+        self.assertLessEqual(used, self.WINDOW_LIMIT * 1.1)
+        self.assertGreater(used, self.WINDOW_LIMIT * 0.8)
+
+    # Load: 24 hosts, 75 requests a second for 100 that are allowed.
+    def test_account_below_its_limit_is_not_refused(self) -> None:
+        fleet = fleet_of(24, account_rate=self.RATE)
+        fleet.run(7.0)
+        fleet.rate_per_s = 0.75 * self.RATE / self.COST
+        fleet.run(17.0)
+        self.assertEqual([], fleet.refused)
+
+
 class LostCollectors(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
--- a/waxwingarch/adapters/report_codec.py
+++ b/waxwingarch/adapters/report_codec.py
@@ -42,43 +42,45 @@
 
 def encode_report(report: HostReport) -> bytes:
     """Return the datagram of a report."""
-    return orjson.dumps(
-        {
-            "host": report.host,
-            "inc": report.incarnation,
-            "seq": report.sequence,
-            "addr": report.address,
-            "unix": round(report.unix_now, 3),
-            "cfg": report.config_version,
-            "list": report.listing_version,
-            "num": report.config_number,
-            "drain": report.draining,
-            "duty": report.holds_duties,
-            "age": round(min(report.confirmed_age_s, MAX_REPORTED_AGE_S), 2),
-            "loads": {
-                server: [load.running, load.prefill_tokens, load.kv_tokens]
-                for server, load in report.loads.items()
-            },
-            "zone": report.domain,
-            "avoid": report.avoided,
-            "lost": report.lost_services,
-            "leaving": report.leaving,
-            "limits": {
-                server: [
-                    limit.incarnation,
-                    limit.per_s,
-                    round(limit.age_s, AGE_DECIMALS),
-                ]
-                for server, limit in report.limits.items()
-            },
-            "brittle": report.brittle_services,
-            "adm": {a: round(n, 1) for a, n in report.admitted.items()},
-            "began": _encode_windows(report.usage_counts),
-            "moves": [[r.rollout_id, r.phase] for r in report.rollouts],
-            "cells": [_encode_evidence(e) for e in report.evidence],
-            "quar": encode_quarantine(report.quarantine),
-        }
-    )
+    raw = {
+        "host": report.host,
+        "inc": report.incarnation,
+        "seq": report.sequence,
+        "addr": report.address,
+        "unix": round(report.unix_now, 3),
+        "cfg": report.config_version,
+        "list": report.listing_version,
+        "num": report.config_number,
+        "drain": report.draining,
+        "duty": report.holds_duties,
+        "age": round(min(report.confirmed_age_s, MAX_REPORTED_AGE_S), 2),
+        "loads": {
+            server: [load.running, load.prefill_tokens, load.kv_tokens]
+            for server, load in report.loads.items()
+        },
+        "zone": report.domain,
+        "avoid": report.avoided,
+        "lost": report.lost_services,
+        "leaving": report.leaving,
+        "limits": {
+            server: [
+                limit.incarnation,
+                limit.per_s,
+                round(limit.age_s, AGE_DECIMALS),
+            ]
+            for server, limit in report.limits.items()
+        },
+        "brittle": report.brittle_services,
+        "adm": {a: round(n, 1) for a, n in report.admitted.items()},
+        "began": _encode_windows(report.usage_counts),
+        "moves": [[r.rollout_id, r.phase] for r in report.rollouts],
+        "cells": [_encode_evidence(e) for e in report.evidence],
+        "quar": encode_quarantine(report.quarantine),
+    }
+    if report.wants_reports:
+        # Left out otherwise: only hosts of a large fleet ask for reports.
+        raw["want"] = True
+    return orjson.dumps(raw)
 
 
 def _encode_windows(counts: WindowCounts | None) -> dict[str, Any] | None:
@@ -120,7 +122,7 @@
         domain=FailureDomain(str(raw["zone"])),
         avoided=tuple(ServerId(str(s)) for s in raw["avoid"]),
         # Hosts of an older version do not send "lost", "brittle", "leaving",
-        # "limits", "num" and "quar".
+        # "limits", "num", "quar" and "want".
         brittle_services=tuple(
             ServiceId(str(s)) for s in raw.get("brittle", ())
         ),
@@ -147,6 +149,7 @@
         ),
         evidence=tuple(_decode_evidence(raw, e) for e in raw["cells"]),
         quarantine=decode_quarantine(raw.get("quar", {})),
+        wants_reports=bool(raw.get("want", False)),
     )
 
 
--- a/waxwingarch/adapters/sums_codec.py
+++ b/waxwingarch/adapters/sums_codec.py
@@ -23,11 +23,13 @@
     ServerId,
 )
 from waxwingarch.core.peers.sum_messages import (
+    DomainPart,
     DomainSum,
     FleetDigest,
     MemberReport,
     SumMessage,
     TableVersions,
+    VersionedUsage,
 )
 
 MEMBER_TAG: Final = b"M"
@@ -52,15 +54,7 @@
         case DomainSum():
             return SUM_TAG + _compress(_encode_sum(message))
         case FleetDigest():
-            return DIGEST_TAG + _compress(
-                {
-                    "host": message.collector,
-                    "inc": message.incarnation,
-                    "seq": message.sequence,
-                    "zone": message.domain,
-                    "sums": [_encode_sum(s) for s in message.sums],
-                }
-            )
+            return DIGEST_TAG + _compress(_encode_digest(message))
 
 
 def decode_sums(data: bytes) -> SumMessage:
@@ -72,13 +66,7 @@
         raw = orjson.loads(_decompress(body))
         if data[:1] == SUM_TAG:
             return _decode_sum(raw)
-        return FleetDigest(
-            collector=HostId(str(raw["host"])),
-            incarnation=int(raw["inc"]),
-            sequence=int(raw["seq"]),
-            domain=FailureDomain(str(raw["zone"])),
-            sums=tuple(_decode_sum(s) for s in raw["sums"]),
-        )
+        return _decode_digest(raw)
     except (
         KeyError,
         TypeError,
@@ -111,6 +99,7 @@
         "tab": _encode_tables(report.tables),
         "loads": _encode_loads(report.loads),
         "adm": _encode_usage(report.admitted),
+        "rate": _encode_usage(report.offered_per_s),
         "avoid": report.avoided,
         "drain": report.draining,
     }
@@ -125,6 +114,7 @@
         tables=_decode_tables(raw["tab"]),
         loads=_decode_loads(raw["loads"]),
         admitted=_decode_usage(raw["adm"]),
+        offered_per_s=_decode_usage(raw["rate"]),
         avoided=tuple(ServerId(str(s)) for s in raw["avoid"]),
         draining=bool(raw["drain"]),
     )
@@ -140,10 +130,8 @@
         "of": domain_sum.hosts,
         "seqs": domain_sum.sequences,
         "loads": _encode_loads(domain_sum.loads),
-        "adm": {
-            str(version): _encode_usage(usage)
-            for version, usage in domain_sum.usage.items()
-        },
+        "adm": _encode_versions(domain_sum.usage),
+        "rate": _encode_usage(domain_sum.offered_per_s),
         "avoid": domain_sum.avoided,
         "tab": [_encode_tables(t) for t in domain_sum.tables],
     }
@@ -159,15 +147,62 @@
         hosts=tuple(HostId(str(h)) for h in raw["of"]),
         sequences=tuple(map(int, raw["seqs"])),
         loads=_decode_loads(raw["loads"]),
-        usage={
-            int(version): _decode_usage(usage)
-            for version, usage in raw["adm"].items()
-        },
+        usage=_decode_versions(raw["adm"]),
+        offered_per_s=_decode_usage(raw["rate"]),
         avoided={ServerId(s): int(n) for s, n in raw["avoid"].items()},
         tables=tuple(_decode_tables(t) for t in raw["tab"]),
     )
 
 
+def _encode_digest(digest: FleetDigest) -> dict[str, Any]:
+    return {
+        "host": digest.collector,
+        "inc": digest.incarnation,
+        "seq": digest.sequence,
+        "parts": [
+            [p.domain, round(p.age_s, AGE_DECIMALS), p.hosts, p.avoided]
+            for p in digest.parts
+        ],
+        "seqs": digest.sequences,
+        "loads": _encode_loads(digest.loads),
+        "adm": _encode_versions(digest.usage),
+        "rate": _encode_usage(digest.offered_per_s),
+        "tab": [_encode_tables(t) for t in digest.tables],
+    }
+
+
+def _decode_digest(raw: dict[str, Any]) -> FleetDigest:
+    if not raw["parts"]:
+        raise ValueError("no failure domain")
+    return FleetDigest(
+        collector=HostId(str(raw["host"])),
+        incarnation=int(raw["inc"]),
+        sequence=int(raw["seq"]),
+        parts=tuple(
+            DomainPart(
+                domain=FailureDomain(str(domain)),
+                age_s=float(age_s),
+                hosts=tuple(HostId(str(h)) for h in hosts),
+                avoided={ServerId(s): int(n) for s, n in avoided.items()},
+            )
+            for domain, age_s, hosts, avoided in raw["parts"]
+        ),
+        sequences=tuple(map(int, raw["seqs"])),
+        loads=_decode_loads(raw["loads"]),
+        usage=_decode_versions(raw["adm"]),
+        offered_per_s=_decode_usage(raw["rate"]),
+        tables=tuple(_decode_tables(t) for t in raw["tab"]),
+    )
+
+
+def _encode_versions(usage: VersionedUsage) -> dict[str, Any]:
+    return {str(v): _encode_usage(amounts) for v, amounts in usage.items()}
+
+
+def _decode_versions(raw: dict[str, Any]) -> VersionedUsage:
+    return {int(v): _decode_usage(amounts) for v, amounts in raw.items()}
+
+
 def _encode_tables(tables: TableVersions) -> list[Any]:
     age_s = min(tables.confirmed_age_s, MAX_REPORTED_AGE_S)
     return [*tables.versions, round(age_s, 2), tables.address]
--- a/waxwingarch/core/backends/load.py
+++ b/waxwingarch/core/backends/load.py
@@ -213,19 +213,21 @@
 
     def total_load(self, server_id: ServerId) -> ServerLoad:
         """Return the load by all hosts, as far as they reported it."""
-        parts = [
-            part
-            for part in (
-                self._own.get(server_id),
-                self._peer_totals.get(server_id),
-                self._sums.get(server_id),
-            )
-            if part is not None
-        ]
+        own = self._own.get(server_id)
+        peers = self._peer_totals.get(server_id)
+        sums = self._sums.get(server_id)
+        if peers is None and own is None:
+            return sums or ServerLoad()
+        parts = [p for p in (own, peers, sums) if p is not None]
+        if len(parts) == 1:
+            return _as_server_load(parts[0])
+        running = prefill_tokens = kv_tokens = 0
+        for part in parts:
+            running += part.running
+            prefill_tokens += part.prefill_tokens
+            kv_tokens += part.kv_tokens
         return ServerLoad(
-            running=sum(part.running for part in parts),
-            prefill_tokens=sum(part.prefill_tokens for part in parts),
-            kv_tokens=sum(part.kv_tokens for part in parts),
+            running=running, prefill_tokens=prefill_tokens, kv_tokens=kv_tokens
         )
 
     def forget(self, server_id: ServerId) -> None:
@@ -235,7 +237,7 @@
             del self._own[server_id]
 
 
-def _as_server_load(load: _OwnLoad | _PeerLoad) -> ServerLoad:
+def _as_server_load(load: _OwnLoad | _PeerLoad | ServerLoad) -> ServerLoad:
     return ServerLoad(
         running=load.running,
         prefill_tokens=load.prefill_tokens,
--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -118,7 +118,7 @@
         self.load_balancer = LoadBalancer(
             rng, identity.host, identity.domain, self.rollouts
         )
-        self.rates = SharedRates(bounds.rate_window_s)
+        self.rates = SharedRates(bounds.rate_window_s, rng)
         self.resend_budget = ResendBudget(
             ratio=bounds.resend_ratio,
             extra=bounds.resend_extra,
@@ -500,6 +500,7 @@
             rollouts=self.rollouts.phase_reports(),
             evidence=self.rollouts.own_evidence(),
             quarantine=self.quarantine.report(),
+            wants_reports=self.sums.are_missing,
         )
 
     @property
--- a/waxwingarch/core/front_sums.py
+++ b/waxwingarch/core/front_sums.py
@@ -11,7 +11,13 @@
 from typing import Final
 
 from waxwingarch.core.backends.load_balancer import LoadBalancer
-from waxwingarch.core.base import Action, Event, FailureDomain, HostId
+from waxwingarch.core.base import (
+    AccountId,
+    Action,
+    Event,
+    FailureDomain,
+    HostId,
+)
 from waxwingarch.core.front_messages import FrontIdentity
 from waxwingarch.core.limits.shared_rate import SharedRates
 from waxwingarch.core.node import Handler
@@ -22,6 +28,7 @@
     ALL_FOLLOW_MAX_HOSTS,
     ReportGossip,
 )
+from waxwingarch.core.peers.report_pace import ReportPace
 from waxwingarch.core.peers.sum_messages import (
     DomainSumReceived,
     FleetDigestReceived,
@@ -85,6 +92,7 @@
         self.collector = DomainCollector(
             identity.host, identity.incarnation, identity.domain
         )
+        self.pace = ReportPace()
         self.dropped: Counter[str] = Counter()
         self._logged_senders: set[HostId] = set()
         self._applied = self.fleet.others
@@ -120,7 +128,7 @@
         `build_report` returns this host's whole report.
         """
         self._apply(now)
-        if self._gossip.peers.known_host_count <= ALL_FOLLOW_MAX_HOSTS:
+        if not self._is_active:
             return []
         actions: list[Action] = []
         if _is_due(now, self._reported_at, REPORT_INTERVAL_S):
@@ -133,6 +141,21 @@
             actions += self._collect(now)
         return actions
 
+    @property
+    def _is_active(self) -> bool:
+        return self._gossip.peers.known_host_count > ALL_FOLLOW_MAX_HOSTS
+
+    @property
+    def are_missing(self) -> bool:
+        """Whether this host needs the whole reports of a large fleet."""
+        return self._is_active and not self.pace.sums_suffice
+
+    def may_send_few(
+        self, now: float, build_report: Callable[[], HostReport]
+    ) -> bool:
+        """Return whether this host's whole report may go to few hosts."""
+        return self._is_active and self.pace.may_send_few(now, build_report)
+
     def _hosts_by_domain(
         self, now: float
     ) -> dict[FailureDomain, list[HostId]]:
@@ -157,12 +180,17 @@
 
     def _report(self, now: float, whole: HostReport) -> list[Action]:
         """Report to the collectors, which may have changed."""
+        self.pace.update(
+            now, self.fleet.others, self._gossip.peers.live_reports(now)
+        )
         hosts = self._hosts_by_domain(now).get(whole.domain, [])
         if not whole.draining:
             hosts.append(whole.host)
         actions: list[Action] = [*self.fleet.choose_collectors(now, hosts)]
         self._sequence += 1
-        report = _member_report(whole, self._sequence)
+        report = _member_report(
+            whole, self._sequence, self._rates.offered_per_s(now)
+        )
         self.fleet.record_own_report(report)
         if whole.host in self.fleet.collectors:
             self.collector.record_member(now, report)
@@ -175,9 +203,9 @@
         reason = self.fleet.record_digest(now, digest)
         actions = self._note_dropped(digest.collector, reason)
         self._apply(now)
-        for usage_sum in self.fleet.others.usage:
+        for part in digest.parts if reason is None else ():
             self._gossip.peers.record_heard(
-                usage_sum.hosts, usage_sum.taken_at - MEMBER_VALID_S
+                part.hosts, now - part.age_s - MEMBER_VALID_S
             )
         return actions + self._compare(now, self.fleet.others.tables)
 
@@ -203,7 +231,7 @@
         balancer = self._load_balancer
         balancer.loads.record_sums(others.loads, others.covered)
         balancer.peer_evidence.record_sums(others.avoided, others.covered)
-        self._rates.record_sums(others.usage)
+        self._rates.record_sum(others.usage)
 
     # This host as a collector
 
@@ -285,7 +313,11 @@
     return now - last_at >= interval_s - TICK_TOLERANCE_S
 
 
-def _member_report(whole: HostReport, sequence: int) -> MemberReport:
+def _member_report(
+    whole: HostReport,
+    sequence: int,
+    offered_per_s: Mapping[AccountId, float],
+) -> MemberReport:
     """Return the part of a whole report that is added up."""
     return MemberReport(
         host=whole.host,
@@ -301,6 +333,7 @@
         ),
         loads=whole.loads,
         admitted=whole.admitted,
+        offered_per_s=offered_per_s,
         avoided=whole.avoided,
         draining=whole.draining,
     )
--- a/waxwingarch/core/limits/shared_rate.py
+++ b/waxwingarch/core/limits/shared_rate.py
@@ -14,8 +14,9 @@
 from math import prod
 from typing import Final
 
-from waxwingarch.core.base import AccountId, FailureDomain, HostId
+from waxwingarch.core.base import AccountId, HostId
 from waxwingarch.core.limits.window import WindowSum
+from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.routing.config import RoutedAccount
 
 # A host is assumed to use its even share of each limit when its last
@@ -37,6 +38,12 @@
 # An account that was not busy may use this share of its limit immediately
 # after a restart.
 IDLE_FREE_RATIO: Final = 0.15
+# Hosts decide by one sum for up to this long after it was taken: what they
+# admit meanwhile is not known to the others.
+SUM_IN_USE_S: Final = 0.6
+# A host whose part is smaller than a request may exceed it by chance. It
+# draws again after this time, when the others know what it admitted.
+REDRAW_S: Final = 0.6
 # The number of reductions of a limit that are remembered. The usage of a
 # host whose configuration is older than all of these is scaled by these
 # only.
@@ -63,24 +70,43 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UsageSum:
-    """The usage of several other hosts, from one collector.
+    """The usage of several other hosts.
 
     `usage` is by the configuration version under which it was counted, and
-    `taken_at` is when it was on average.
+    `taken_at` is when it was on average. `offered_per_s` is what was asked
+    of all these hosts and of this one. The own amounts are those of this
+    host that were known to the others then.
     """
 
-    source: tuple[FailureDomain, HostId]
     taken_at: float
     hosts: frozenset[HostId]
     usage: Mapping[int, Mapping[AccountId, float]]
+    offered_per_s: Mapping[AccountId, float] = field(default_factory=dict)
+    own_usage: Mapping[AccountId, float] = field(default_factory=dict)
+    own_offered_per_s: Mapping[AccountId, float] = field(default_factory=dict)
+
+    def usage_of(
+        self, account: AccountId, history: "_LimitHistory | None"
+    ) -> float:
+        """Return the usage of the other hosts, under the current limit."""
+        return sum(
+            usage.get(account, 0.0)
+            * (history.remaining_ratio(version) if history else 1.0)
+            for version, usage in self.usage.items()
+        )
 
+    def own_part(self, account: AccountId, spare: float) -> float:
+        """Return how much of what is spare this host may use of it.
 
-@dataclass(kw_only=True, slots=True)
-class _KnownSum:
-    """A sum, and the growth of its usage since the one before it."""
-
-    latest: UsageSum
-    growth_per_s: Mapping[AccountId, float] = field(default_factory=dict)
+        All of it while what is asked of all hosts fits into it, otherwise a
+        part: half of it is divided evenly and half by what was asked of
+        each host. The parts of all hosts add up to what is spare.
+        """
+        offered_per_s = self.offered_per_s.get(account, 0.0)
+        if offered_per_s * SUM_IN_USE_S <= spare:
+            return spare
+        own_ratio = self.own_offered_per_s.get(account, 0.0) / offered_per_s
+        return spare * (own_ratio + 1 / (len(self.hosts) + 1)) / 2
 
 
 @dataclass(kw_only=True, slots=True)
@@ -105,11 +131,19 @@
 class SharedRates:
     """Admits requests up to each limit minus the usage of other hosts."""
 
-    def __init__(self, window_s: float) -> None:
+    def __init__(
+        self, window_s: float, rng: RandomSource | None = None
+    ) -> None:
+        """Start without usage; `rng` is needed where sums are used."""
         self._window_s = window_s
+        self._rng = rng
+        self._drawn = 0.0
+        self._redraw_at = float("-inf")
         self._own_windows: dict[AccountId, WindowSum] = {}
         self._reports: dict[HostId, _PeerReport] = {}
-        self._sums: list[_KnownSum] = []
+        self._sum: UsageSum | None = None
+        self._offered: dict[AccountId, float] = {}
+        self._offered_since = float("-inf")
         self._host_count = 1
         self._report_fresh_s = REPORT_FRESH_S
         self._limits: dict[AccountId, _LimitHistory] = {}
@@ -220,16 +254,39 @@
                     report.growth_per_s[account] = growth / elapsed_s
         self._reports[host] = report
 
-    def record_sums(self, sums: Iterable[UsageSum]) -> None:
-        """Replace the sums of the usage of other hosts.
+    def record_sum(self, usage_sum: UsageSum | None) -> None:
+        """Replace the sum of the usage of other hosts.
 
         The report of a host does not count while a sum counts the host.
         """
-        previous = {known.latest.source: known for known in self._sums}
-        self._sums = [
-            _follow(usage_sum, previous.get(usage_sum.source))
-            for usage_sum in sums
-        ]
+        self._sum = usage_sum
+
+    def offered_per_s(self, now: float) -> dict[AccountId, float]:
+        """Return what was asked of this host since the last call."""
+        elapsed_s = max(MIN_REPORT_INTERVAL_S, now - self._offered_since)
+        rates = {
+            account: amount / elapsed_s
+            for account, amount in self._offered.items()
+        }
+        self._offered.clear()
+        self._offered_since = now
+        return rates
+
+    def _excess_over_part(
+        self, now: float, account: RoutedAccount, cost: float
+    ) -> float:
+        """Return by how much a request exceeds this host's part of a sum."""
+        known = self._sum
+        if known is None or now - known.taken_at > REPORT_FRESH_S:
+            return 0.0
+        own = known.own_usage.get(account.account, 0.0)
+        spare = max(0.0, self._available_to_host(now, account) - own)
+        used = self._estimate_own_usage(now, account) - own
+        part = known.own_part(account.account, spare)
+        if now >= self._redraw_at and self._rng is not None:
+            self._drawn = self._rng.random()
+            self._redraw_at = now + REDRAW_S
+        return used + cost * self._drawn - part
 
     def admit(
         self, now: float, account: RoutedAccount, cost: float
@@ -239,6 +296,10 @@
             return None
         excess = self._estimate_own_usage(now, account) + cost
         excess -= self._available_to_host(now, account)
+        excess = max(excess, self._excess_over_part(now, account, cost))
+        self._offered[account.account] = (
+            self._offered.get(account.account, 0.0) + cost
+        )
         window = self._own_windows.setdefault(
             account.account, WindowSum(self._window_s)
         )
@@ -277,18 +338,15 @@
         """Return the reported usage, and the reserve for silent hosts."""
         window_limit = self._window_limit(account)
         history = self._limits.get(account.account)
-        fresh_sums = [
-            known
-            for known in self._sums
-            if now - known.latest.taken_at <= REPORT_FRESH_S
-        ]
-        covered = frozenset[HostId]().union(
-            *(known.latest.hosts for known in fresh_sums)
-        )
+        covered: frozenset[HostId] = frozenset()
+        reported = 0.0
+        if (
+            self._sum is not None
+            and now - self._sum.taken_at <= REPORT_FRESH_S
+        ):
+            covered = self._sum.hosts
+            reported = self._sum.usage_of(account.account, history)
         fresh_count = len(covered)
-        reported = sum(
-            _usage_in_sum(now, account, history, known) for known in fresh_sums
-        )
         for host, report in list(self._reports.items()):
             age_s = now - report.received_at
             if age_s > DEPARTED_AFTER_S:
@@ -323,53 +381,3 @@
         ):
             free += window_limit * IDLE_FREE_RATIO
         return usage + max(0.0, window_limit - free) / self._host_count
-
-
-def _follow(usage_sum: UsageSum, previous: _KnownSum | None) -> _KnownSum:
-    """Return a sum with the growth since the one before it.
-
-    Sums over other hosts, or under another configuration, say nothing about
-    growth: the last known growth is kept until the next sum.
-    """
-    if previous is None:
-        return _KnownSum(latest=usage_sum)
-    before = previous.latest
-    if before.taken_at == usage_sum.taken_at:
-        return previous
-    if before.hosts != usage_sum.hosts or set(before.usage) != set(
-        usage_sum.usage
-    ):
-        return _KnownSum(latest=usage_sum, growth_per_s=previous.growth_per_s)
-    elapsed_s = max(
-        MIN_REPORT_INTERVAL_S, usage_sum.taken_at - before.taken_at
-    )
-    growth_per_s: dict[AccountId, float] = {}
-    for version, usage in usage_sum.usage.items():
-        for account, amount in usage.items():
-            growth = amount - before.usage[version].get(account, 0.0)
-            if growth > 0:
-                growth_per_s[account] = (
-                    growth_per_s.get(account, 0.0) + growth / elapsed_s
-                )
-    return _KnownSum(latest=usage_sum, growth_per_s=growth_per_s)
-
-
-def _usage_in_sum(
-    now: float,
-    account: RoutedAccount,
-    history: _LimitHistory | None,
-    known: _KnownSum,
-) -> float:
-    """Return the usage of the hosts of a sum, extrapolated until now."""
-    latest = known.latest
-    amount = 0.0
-    oldest = min(latest.usage, default=0)
-    amounts = {v: u.get(account.account, 0.0) for v, u in latest.usage.items()}
-    growth = known.growth_per_s.get(account.account, 0.0)
-    amounts[oldest] = amounts.get(oldest, 0.0) + growth * (
-        now - latest.taken_at
-    )
-    for version, used in amounts.items():
-        ratio = 1.0 if history is None else history.remaining_ratio(version)
-        amount += used * ratio
-    return amount
--- a/waxwingarch/core/peers/domain_sum.py
+++ b/waxwingarch/core/peers/domain_sum.py
@@ -4,19 +4,21 @@
 needs no agreement between hosts.
 """
 
-from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from typing import Final
 
 from waxwingarch.core.backends.load import ServerLoad
 from waxwingarch.core.base import AccountId, FailureDomain, HostId, ServerId
-from waxwingarch.core.peers.sum_choice import SumChoice, fault_of
+from waxwingarch.core.peers.sum_choice import KnownSum, SumChoice, fault_of
 from waxwingarch.core.peers.sum_messages import (
+    DomainPart,
     DomainSum,
     FleetDigest,
     MemberReport,
     TableVersions,
+    VersionedUsage,
 )
 
 # A host that has not reported for this long is not counted.
@@ -89,12 +91,6 @@
         if not reports or now - self._began_at < COLLECT_SETTLE_S:
             return None
         ages_s = [now - m.received_at for m in self._members.values()]
-        usage: dict[int, dict[AccountId, float]] = {}
-        for report in reports:
-            version = report.tables.config_version
-            amounts = usage.setdefault(version, defaultdict(float))
-            for account, amount in report.admitted.items():
-                amounts[account] += amount
         self._sequence += 1
         self._own_sum = DomainSum(
             domain=self._domain,
@@ -105,7 +101,11 @@
             hosts=tuple(report.host for report in reports),
             sequences=tuple(report.sequence for report in reports),
             loads=add_loads(reports),
-            usage=usage,
+            usage=add_usage(
+                (report.tables.config_version, report.admitted)
+                for report in reports
+            ),
+            offered_per_s=add_amounts(r.offered_per_s for r in reports),
             avoided=Counter(s for report in reports for s in report.avoided),
             tables=self._newest_tables(now),
         )
@@ -115,16 +115,33 @@
         """Return the sums of all domains, after `build_sum`."""
         if self._own_sum is None:
             return None
-        others = [
-            replace(known.domain_sum, sequences=(), age_s=now - known.taken_at)
-            for known in self.other_sums.chosen(now).values()
-        ]
+        own = KnownSum(
+            domain_sum=self._own_sum, taken_at=now - self._own_sum.age_s
+        )
+        known_sums = [own, *self.other_sums.chosen(now).values()]
+        sums = [known.domain_sum for known in known_sums]
         return FleetDigest(
             collector=self._host,
             incarnation=self._incarnation,
             sequence=self._own_sum.sequence,
-            domain=self._domain,
-            sums=(self._own_sum, *others),
+            parts=tuple(
+                DomainPart(
+                    domain=known.domain_sum.domain,
+                    age_s=now - known.taken_at,
+                    hosts=known.domain_sum.hosts,
+                    avoided=known.domain_sum.avoided,
+                )
+                for known in known_sums
+            ),
+            sequences=self._own_sum.sequences,
+            loads=add_loads(sums),
+            usage=add_usage(
+                (version, amounts)
+                for domain_sum in sums
+                for version, amounts in domain_sum.usage.items()
+            ),
+            offered_per_s=add_amounts(s.offered_per_s for s in sums),
+            tables=self._own_sum.tables,
         )
 
     def _newest_tables(self, now: float) -> tuple[TableVersions, ...]:
@@ -164,21 +181,43 @@
         return tuple(newest)
 
 
+def add_usage(
+    parts: Iterable[tuple[int, Mapping[AccountId, float]]],
+) -> VersionedUsage:
+    """Return the sum of usage by configuration version and account."""
+    by_version: dict[int, list[Mapping[AccountId, float]]] = {}
+    for version, amounts in parts:
+        by_version.setdefault(version, []).append(amounts)
+    return {v: add_amounts(found) for v, found in by_version.items()}
+
+
+def add_amounts(
+    parts: Iterable[Mapping[AccountId, float]],
+) -> dict[AccountId, float]:
+    """Return the sum of amounts by account."""
+    totals: dict[AccountId, float] = {}
+    for amounts in parts:
+        for account, amount in amounts.items():
+            totals[account] = totals.get(account, 0.0) + amount
+    return totals
+
+
 def add_loads(
     parts: Iterable[DomainSum | MemberReport],
 ) -> dict[ServerId, ServerLoad]:
     """Return the sum of loads by server."""
-    loads: dict[ServerId, ServerLoad] = {}
+    totals: dict[ServerId, list[int]] = {}
     for part in parts:
         for server_id, load in part.loads.items():
-            known = loads.get(server_id)
-            loads[server_id] = (
-                load
-                if known is None
-                else ServerLoad(
-                    running=known.running + load.running,
-                    prefill_tokens=known.prefill_tokens + load.prefill_tokens,
-                    kv_tokens=known.kv_tokens + load.kv_tokens,
-                )
-            )
-    return loads
+            total = totals.get(server_id)
+            if total is None:
+                total = totals[server_id] = [0, 0, 0]
+            total[0] += load.running
+            total[1] += load.prefill_tokens
+            total[2] += load.kv_tokens
+    return {
+        server_id: ServerLoad(
+            running=running, prefill_tokens=prefill_tokens, kv_tokens=kv_tokens
+        )
+        for server_id, (running, prefill_tokens, kv_tokens) in totals.items()
+    }
--- a/waxwingarch/core/peers/fleet_sums.py
+++ b/waxwingarch/core/peers/fleet_sums.py
@@ -2,18 +2,17 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Final
 
 from waxwingarch.core.backends.load import ServerLoad
-from waxwingarch.core.base import FailureDomain, HostId, ServerId
+from waxwingarch.core.base import AccountId, FailureDomain, HostId, ServerId
 from waxwingarch.core.limits.shared_rate import UsageSum
-from waxwingarch.core.peers.domain_sum import COLLECT_SETTLE_S, add_loads
+from waxwingarch.core.peers.domain_sum import COLLECT_SETTLE_S
 from waxwingarch.core.peers.rank import rank_weight
-from waxwingarch.core.peers.sum_choice import KnownSum, SumChoice, fault_of
+from waxwingarch.core.peers.sum_choice import fault_of
 from waxwingarch.core.peers.sum_messages import (
     CollectorsChanged,
-    DomainSum,
     FleetDigest,
     MemberReport,
     TableVersions,
@@ -23,6 +22,11 @@
 # A collector from which no digest comes for this long is replaced by the
 # next host in rank: three digests were lost, or it is gone.
 DIGEST_SILENCE_S: Final = 0.6
+# A digest that is older than this is dropped, so that the whole reports count
+# again. Collectors drop the sums of other domains by their own age.
+DIGEST_VALID_S: Final = 1.0
+# A digest that is newer by less than this does not replace another one.
+MIN_NEWER_S: Final = 0.05
 # A silent collector is tried again after this time. The host has dropped
 # out of the live ones by then if it is down.
 RETRY_COLLECTOR_S: Final = 5.0
@@ -57,7 +61,7 @@
     covered: frozenset[HostId] = frozenset()
     counts_own: bool = False
     loads: Mapping[ServerId, ServerLoad] = field(default_factory=dict)
-    usage: tuple[UsageSum, ...] = ()
+    usage: UsageSum | None = None
     avoided: Mapping[FailureDomain, frozenset[ServerId]] = field(
         default_factory=dict
     )
@@ -65,20 +69,32 @@
     taken_at: Mapping[FailureDomain, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _KnownDigest:
+    """A digest, and when its reports were made on average."""
+
+    digest: FleetDigest
+    received_at: float
+    taken_at: float
+
+    def is_fresh(self, now: float) -> bool:
+        return now - self.received_at <= DIGEST_SILENCE_S
+
+
 class FleetSums:
     """The chosen collectors of this host, and the sums it got from them."""
 
     def __init__(self, host: HostId, domain: FailureDomain) -> None:
         self._host = host
         self._domain = domain
-        self._sums = SumChoice()
+        self._digests: dict[HostId, _KnownDigest] = {}
         self._own_reports: OrderedDict[int, MemberReport] = OrderedDict()
         self._heard_at: dict[HostId, float] = {}
         self._chosen_at: dict[HostId, float] = {}
         self._silent_until: dict[HostId, float] = {}
         self.collectors: tuple[HostId, ...] = ()
         self.others = OtherHosts()
-        self._chosen: Mapping[FailureDomain, KnownSum] = {}
+        self._chosen: _KnownDigest | None = None
 
     # Collectors
 
@@ -116,99 +132,156 @@
     # Sums
 
     def record_digest(self, now: float, digest: FleetDigest) -> str | None:
-        """Record the sums in a digest; returns why one is dropped."""
+        """Record a digest; returns why it is dropped, "" if it is not new."""
         if digest.domain != self._domain:
             return "another failure domain"
-        self._heard_at[digest.collector] = now
-        reason = None
-        for domain_sum in digest.sums:
-            reason = self._sums.record(now, domain_sum) or reason
-        return reason
+        known = self._digests.get(digest.collector)
+        if known is not None:
+            last = known.digest
+            if digest.incarnation < last.incarnation:
+                return "former incarnation"
+            if (digest.incarnation, digest.sequence) <= (
+                last.incarnation,
+                last.sequence,
+            ):
+                return ""
+        fault = fault_of(digest)
+        if fault is None:
+            self._heard_at[digest.collector] = now
+            self._digests[digest.collector] = _KnownDigest(
+                digest=digest, received_at=now, taken_at=now - digest.age_s
+            )
+        return fault
 
     def refresh(self, now: float) -> OtherHosts:
-        """Choose the sums that count now and subtract this host's part.
+        """Choose the digest that counts now and subtract this host's part.
 
-        Returns the same object as long as the same sums count.
+        One of more hosts is preferred: the other collector may have just
+        begun. Returns the same object as long as the same digest counts.
         """
-        chosen = self._sums.chosen(now)
-        if chosen == self._chosen:
-            return self.others
-        self._chosen = chosen
-        usable = {}
-        for domain, known in chosen.items():
-            rest = self._without_own(known.domain_sum)
-            if rest is not None:
-                usable[domain] = KnownSum(
-                    domain_sum=rest, taken_at=known.taken_at
-                )
-        sums = [known.domain_sum for known in usable.values()]
-        own_domain = usable.get(self._domain)
-        covered = frozenset(h for s in sums for h in s.hosts)
-        self.others = OtherHosts(
-            covered=covered - {self._host},
-            counts_own=self._host in covered,
-            loads=add_loads(sums),
-            usage=tuple(
-                UsageSum(
-                    source=(
-                        known.domain_sum.domain,
-                        known.domain_sum.collector,
-                    ),
-                    taken_at=known.taken_at,
-                    hosts=frozenset(known.domain_sum.hosts) - {self._host},
-                    usage=known.domain_sum.usage,
-                )
-                for known in usable.values()
+        self._digests = {
+            collector: known
+            for collector, known in self._digests.items()
+            if now - known.received_at <= DIGEST_VALID_S
+        }
+        chosen = max(
+            self._digests.values(),
+            key=lambda known: (
+                known.digest.host_count if known.is_fresh(now) else 0,
+                known.taken_at,
             ),
-            avoided={s.domain: frozenset(s.avoided) for s in sums},
-            tables=own_domain.domain_sum.tables if own_domain else (),
-            taken_at={d: known.taken_at for d, known in usable.items()},
+            default=None,
         )
+        if not self._is_better(now, chosen):
+            return self.others
+        self._chosen = chosen
+        self.others = OtherHosts() if chosen is None else self._rest(chosen)
         return self.others
 
-    def _without_own(self, domain_sum: DomainSum) -> DomainSum | None:
-        """Return a sum without this host's part; None if that is unknown.
+    def _is_better(self, now: float, digest: _KnownDigest | None) -> bool:
+        """Return whether a digest is to replace the one that counts.
 
-        The sum may count a report of an earlier process of this host.
+        The digests of both collectors often come together and say the same.
         """
-        if self._host not in domain_sum.hosts:
-            return domain_sum
-        if len(domain_sum.sequences) != len(domain_sum.hosts):
-            return None
-        index = domain_sum.hosts.index(self._host)
-        own = self._own_reports.get(domain_sum.sequences[index])
-        if own is None:
-            return None
-        rest = _subtract(domain_sum, own)
-        return None if fault_of(rest) else rest
-
-
-def _subtract(domain_sum: DomainSum, own: MemberReport) -> DomainSum:
-    """Return a sum less the report of a host that it counts.
-
-    Amounts of usage are rounded when they are sent, so that a rest may come
-    out just below 0.
-    """
-    loads = dict(domain_sum.loads)
-    for server_id, load in own.loads.items():
-        known = loads.get(server_id, ServerLoad())
-        loads[server_id] = ServerLoad(
+        last = self._chosen
+        if last is None or digest is None or not last.is_fresh(now):
+            return digest is not last
+        return (
+            digest.digest.host_count != last.digest.host_count
+            or digest.taken_at - last.taken_at >= MIN_NEWER_S
+        )
+
+    def _rest(self, known: _KnownDigest) -> OtherHosts:
+        """Return a digest without this host's part.
+
+        It does not count if that is unknown: it may have the report of an
+        earlier process of this host.
+        """
+        digest = known.digest
+        hosts = digest.parts[0].hosts
+        counts_own = self._host in hosts
+        loads = digest.loads
+        usage_sum = None
+        own_avoided: tuple[ServerId, ...] = ()
+        if counts_own:
+            if len(digest.sequences) != len(hosts):
+                return OtherHosts()
+            sequence = digest.sequences[hosts.index(self._host)]
+            own = self._own_reports.get(sequence)
+            if own is None:
+                return OtherHosts()
+            loads = _subtract_loads(digest.loads, own.loads)
+            if any(loads[s].running < 0 for s in own.loads if s in loads):
+                return OtherHosts()
+            own_avoided = own.avoided
+            usage_sum = self._usage_of_others(known, own)
+        covered = digest.hosts - {self._host}
+        return OtherHosts(
+            covered=covered,
+            counts_own=counts_own,
+            loads=loads,
+            usage=usage_sum,
+            avoided={
+                part.domain: frozenset(
+                    server_id
+                    for server_id, count in part.avoided.items()
+                    if part.domain != self._domain
+                    or count > (server_id in own_avoided)
+                )
+                for part in digest.parts
+            },
+            tables=digest.tables,
+            taken_at={
+                part.domain: known.received_at - part.age_s
+                for part in digest.parts
+            },
+        )
+
+    def _usage_of_others(
+        self, known: _KnownDigest, own: MemberReport
+    ) -> UsageSum:
+        digest = known.digest
+        version = own.tables.config_version
+        own_usage = digest.usage.get(version, {})
+        return UsageSum(
+            taken_at=known.taken_at,
+            hosts=digest.hosts - {self._host},
+            usage={
+                **digest.usage,
+                version: _subtract(own_usage, own.admitted),
+            },
+            offered_per_s=digest.offered_per_s,
+            own_usage=own.admitted,
+            own_offered_per_s=own.offered_per_s,
+        )
+
+
+def _subtract_loads(
+    total: Mapping[ServerId, ServerLoad], own: Mapping[ServerId, ServerLoad]
+) -> dict[ServerId, ServerLoad]:
+    """Return loads less those of a host that is counted."""
+    loads = dict(total)
+    for server_id, load in own.items():
+        known = loads.pop(server_id, ServerLoad())
+        rest = ServerLoad(
             running=known.running - load.running,
             prefill_tokens=known.prefill_tokens - load.prefill_tokens,
             kv_tokens=known.kv_tokens - load.kv_tokens,
         )
-    version = own.tables.config_version
-    usage = {**domain_sum.usage}
-    usage[version] = {
-        account: max(0.0, amount - own.admitted.get(account, 0.0))
-        for account, amount in usage.get(version, {}).items()
+        if rest.running:
+            loads[server_id] = rest
+    return loads
+
+
+def _subtract(
+    total: Mapping[AccountId, float], own: Mapping[AccountId, float]
+) -> dict[AccountId, float]:
+    """Return amounts less those of a host that is counted.
+
+    Amounts are rounded when they are sent, so that a rest may come out just
+    below 0.
+    """
+    return {
+        account: max(0.0, amount - own.get(account, 0.0))
+        for account, amount in total.items()
     }
-    avoided = dict(domain_sum.avoided)
-    for server_id in own.avoided:
-        avoided[server_id] = avoided.get(server_id, 0) - 1
-    return replace(
-        domain_sum,
-        loads={s: load for s, load in loads.items() if load != ServerLoad()},
-        usage=usage,
-        avoided={s: count for s, count in avoided.items() if count},
-    )
--- a/waxwingarch/core/peers/peer_registry.py
+++ b/waxwingarch/core/peers/peer_registry.py
@@ -1,6 +1,6 @@
 """Registry of the other hosts and of the last report of each."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from statistics import median
 from typing import Final
@@ -22,6 +22,9 @@
 # links: in a large fleet a round takes several steps and longer than the
 # interval.
 MAX_RECIPIENTS_PER_STEP: Final = 12
+# Where sums tell the hosts about each other, a step sends whole reports to
+# this many hosts, and to those that need them sooner.
+FEW_RECIPIENTS_PER_STEP: Final = 2
 # The time between two steps: the node's tick.
 SEND_STEP_S: Final = 0.1
 # A host from which no reports come gets one in this interval, in case it
@@ -57,6 +60,8 @@
         self._own_host = own_host
         self._peers: dict[HostId, Peer] = {}
         self._ended_usage_counts: list[tuple[float, WindowCounts]] = []
+        self._offset_as_of = float("nan")
+        self._offset_s = 0.0
 
     def record_addresses(self, now: float, event: HostsListed) -> None:
         """Record the addresses that hosts registered in the store.
@@ -102,6 +107,7 @@
         if report.usage_counts is not None:
             peer.usage_counts = report.usage_counts
         peer.clock_offset_s = report.unix_now - unix_now
+        self._offset_as_of = float("nan")
         return True
 
     def record_heard(self, hosts: Iterable[HostId], heard_at: float) -> None:
@@ -125,12 +131,18 @@
         return max(REPORT_INTERVAL_S, turns * SEND_STEP_S)
 
     def next_recipients(
-        self, now: float, *, all_at_once: bool = False
+        self,
+        now: float,
+        *,
+        all_at_once: bool = False,
+        few_except: Collection[HostId | None] | None = None,
     ) -> list[Peer]:
         """Return the hosts that get a report now, longest waiting first.
 
         They are recorded as sent to. Hosts that were silent for too long
-        are dropped.
+        are dropped. With `few_except`, few hosts get a report, and those
+        that ask for reports or are in it get theirs once in a round; None
+        stands for the hosts without a report.
         """
         recipients = []
         liveness_timeout_s = self._liveness_timeout_s
@@ -152,11 +164,33 @@
                 recipients.append(peer)
         if not all_at_once:
             recipients.sort(key=lambda peer: peer.last_sent_at)
+            if few_except is not None:
+                recipients = self._few(now, recipients, few_except)
             recipients = recipients[:MAX_RECIPIENTS_PER_STEP]
         for peer in recipients:
             peer.last_sent_at = now
         return recipients
 
+    def _few(
+        self,
+        now: float,
+        due: list[Peer],
+        needing: Collection[HostId | None],
+    ) -> list[Peer]:
+        """Return the peers that need reports soon, and a few others."""
+        round_s = self.round_s
+        soon, others = [], []
+        for peer in due:
+            report = peer.last_report
+            if (report.host if report else None) in needing or (
+                report is not None and report.wants_reports
+            ):
+                if now - peer.last_sent_at >= round_s:
+                    soon.append(peer)
+            else:
+                others.append(peer)
+        return soon + others[:FEW_RECIPIENTS_PER_STEP]
+
     @property
     def _liveness_timeout_s(self) -> float:
         """How old the last report of a live host may be."""
@@ -201,5 +235,8 @@
         It is the median over the live hosts, so that clocks that jumped on
         some of them don't shift it.
         """
-        offsets = [peer.clock_offset_s for peer in self._live_peers(now)]
-        return median([0.0, *offsets])
+        if now != self._offset_as_of:
+            offsets = [peer.clock_offset_s for peer in self._live_peers(now)]
+            self._offset_s = median([0.0, *offsets])
+            self._offset_as_of = now
+        return self._offset_s
--- a/waxwingarch/core/peers/report.py
+++ b/waxwingarch/core/peers/report.py
@@ -44,7 +44,8 @@
     that it decides by, and `confirmed_age_s` is how long ago these were
     known to be the newest. `config_number` is the operator's number of the
     configuration in force: the store may have lost its row.
-    `quarantine` is about inputs under which servers crash.
+    `quarantine` is about inputs under which servers crash. `wants_reports`
+    asks the others for their whole reports, as this host lacks sums.
     """
 
     host: HostId
@@ -70,6 +71,7 @@
     rollouts: tuple[RolloutPhaseReport, ...] = ()
     evidence: tuple[HostEvidence, ...] = ()
     quarantine: QuarantineReport = field(default_factory=QuarantineReport)
+    wants_reports: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/core/peers/report_gossip.py
+++ b/waxwingarch/core/peers/report_gossip.py
@@ -170,20 +170,25 @@
         build_report: Callable[[], HostReport],
         *,
         all_at_once: bool = False,
+        few: bool = False,
     ) -> list[Action]:
         """Send this host's report to the peers that are due.
 
-        Only hosts that may hold the duties get the usage counts.
+        Only hosts that may hold the duties get the usage counts. With `few`,
+        these get a report as often as otherwise and the other hosts rarely.
         `build_report` is called only if there is a peer to send to.
         """
-        peers = self.peers.next_recipients(now, all_at_once=all_at_once)
+        recipients = self._usage_recipients(now) if few else None
+        peers = self.peers.next_recipients(
+            now, all_at_once=all_at_once, few_except=recipients
+        )
         if not peers:
             return []
         self._sequence += 1
         report = replace(build_report(), sequence=self._sequence)
         with_usage, without_usage = peers, []
         if self.peers.known_host_count > ALL_FOLLOW_MAX_HOSTS:
-            recipients = self._usage_recipients(now)
+            recipients = recipients or self._usage_recipients(now)
             with_usage = [p for p in peers if _host_of(p) in recipients]
             without_usage = [p for p in peers if _host_of(p) not in recipients]
         actions: list[Action] = []
--- a/waxwingarch/core/peers/sum_choice.py
+++ b/waxwingarch/core/peers/sum_choice.py
@@ -1,11 +1,15 @@
 """Checks of sums, and the choice of one sum for each failure domain."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
-from waxwingarch.core.base import FailureDomain, HostId
-from waxwingarch.core.peers.sum_messages import DomainSum, MemberReport
+from waxwingarch.core.base import AccountId, FailureDomain, HostId
+from waxwingarch.core.peers.sum_messages import (
+    DomainSum,
+    MemberReport,
+    SumMessage,
+)
 
 # While a sum is no older than this, one that counts more hosts is preferred
 # to a newer one: a collector that has just begun has not heard all hosts.
@@ -16,38 +20,38 @@
 MAX_RUNNING_PER_SERVER: Final = 10_000
 
 
-def fault_of(message: DomainSum | MemberReport) -> str | None:
+def fault_of(message: SumMessage) -> str | None:
     """Return why a message can't be true, or None."""
-    loads = message.loads.values()
-    if any(
-        load.running < 0 or load.prefill_tokens < 0 or load.kv_tokens < 0
-        for load in loads
-    ):
-        return "negative load"
-    if any(load.running > MAX_RUNNING_PER_SERVER for load in loads):
-        return "too many requests on a server"
+    for load in message.loads.values():
+        if load.running < 0 or load.prefill_tokens < 0 or load.kv_tokens < 0:
+            return "negative load"
+        if load.running > MAX_RUNNING_PER_SERVER:
+            return "too many requests on a server"
     if isinstance(message, MemberReport):
-        usages = [message.admitted]
-    else:
-        usages = list(message.usage.values())
-        if message.age_s < 0:
-            return "from the future"
-        if not message.hosts or any(n < 0 for n in message.avoided.values()):
-            return "bad count of hosts"
-        if message.sequences and len(message.sequences) != len(message.hosts):
-            return "bad count of hosts"
-    if any(amount < 0 for usage in usages for amount in usage.values()):
+        return _fault_of_usage((message.admitted, message.offered_per_s))
+    parts = (
+        [message] if isinstance(message, DomainSum) else list(message.parts)
+    )
+    if any(part.age_s < 0 for part in parts):
+        return "from the future"
+    if not all(part.hosts for part in parts) or (
+        message.sequences and len(message.sequences) != len(parts[0].hosts)
+    ):
+        return "bad count of hosts"
+    if any(count < 0 for part in parts for count in part.avoided.values()):
+        return "bad count of hosts"
+    return _fault_of_usage((*message.usage.values(), message.offered_per_s))
+
+
+def _fault_of_usage(usage: Iterable[Mapping[AccountId, float]]) -> str | None:
+    if any(a < 0 for amounts in usage for a in amounts.values()):
         return "negative usage"
     return None
 
 
-@dataclass(frozen=True, kw_only=True, slots=True, eq=False)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class KnownSum:
-    """A sum, and when its reports were made on average.
-
-    Two are equal only if they are the same object: comparing the contents
-    of large sums takes long.
-    """
+    """A sum, and when its reports were made on average."""
 
     domain_sum: DomainSum
     taken_at: float
--- a/waxwingarch/core/peers/sum_messages.py
+++ b/waxwingarch/core/peers/sum_messages.py
@@ -47,8 +47,9 @@
     """What a host tells the collectors of its failure domain.
 
     `admitted` is what it used of each account's limit, counted under the
-    configuration in `tables`. `sequence` names the report, so that the host
-    can subtract its own part of a sum.
+    configuration in `tables`, and `offered_per_s` what was asked of it of
+    late, with what it refused for the limit. `sequence` names the report, so
+    that the host can subtract its own part of a sum.
     """
 
     host: HostId
@@ -58,6 +59,7 @@
     tables: TableVersions
     loads: Mapping[ServerId, ServerLoad] = field(default_factory=dict)
     admitted: Mapping[AccountId, float] = field(default_factory=dict)
+    offered_per_s: Mapping[AccountId, float] = field(default_factory=dict)
     avoided: tuple[ServerId, ...] = ()
     draining: bool = False
 
@@ -81,19 +83,66 @@
     sequences: tuple[int, ...] = ()
     loads: Mapping[ServerId, ServerLoad] = field(default_factory=dict)
     usage: VersionedUsage = field(default_factory=dict)
+    offered_per_s: Mapping[AccountId, float] = field(default_factory=dict)
     avoided: Mapping[ServerId, int] = field(default_factory=dict)
     tables: tuple[TableVersions, ...] = ()
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DomainPart:
+    """What a digest says of one failure domain: a sum without its amounts.
+
+    `avoided` says how many hosts of the domain avoid a server.
+    """
+
+    domain: FailureDomain
+    age_s: float
+    hosts: tuple[HostId, ...]
+    avoided: Mapping[ServerId, int] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FleetDigest:
-    """The newest sum of each failure domain, from one collector."""
+    """The sum over all failure domains, from one collector.
+
+    It has one sum of each domain in `parts`. The domains are added up by
+    the collector, so that each of its hosts need not do so. `sequences` are
+    those of the reports of the hosts in the first part, which is the
+    collector's own domain, and `tables` the newest ones there.
+    """
 
     collector: HostId
     incarnation: int
     sequence: int
-    domain: FailureDomain
-    sums: tuple[DomainSum, ...]
+    parts: tuple[DomainPart, ...]
+    sequences: tuple[int, ...]
+    loads: Mapping[ServerId, ServerLoad] = field(default_factory=dict)
+    usage: VersionedUsage = field(default_factory=dict)
+    offered_per_s: Mapping[AccountId, float] = field(default_factory=dict)
+    tables: tuple[TableVersions, ...] = ()
+
+    @property
+    def domain(self) -> FailureDomain:
+        """Return the collector's domain."""
+        return self.parts[0].domain
+
+    @property
+    def hosts(self) -> frozenset[HostId]:
+        """Return the hosts that are counted."""
+        return frozenset(host for part in self.parts for host in part.hosts)
+
+    @property
+    def host_count(self) -> int:
+        """Return how many hosts are counted."""
+        return sum(len(part.hosts) for part in self.parts)
+
+    @property
+    def age_s(self) -> float:
+        """Return the mean age of the reports of the hosts counted."""
+        return (
+            sum(part.age_s * len(part.hosts) for part in self.parts)
+            / self.host_count
+        )
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
