--- a/tests/core/front/simulated_fleet.py
+++ b/tests/core/front/simulated_fleet.py
@@ -51,16 +51,7 @@
     ReportReceived,
     SendReport,
 )
-from waxwingarch.core.peers.sum_messages import (
-    DomainSum,
-    DomainSumReceived,
-    FleetDigest,
-    FleetDigestReceived,
-    MemberReport,
-    MemberReportReceived,
-    SendSums,
-    SumMessage,
-)
+from waxwingarch.core.peers.sum_messages import SendSums, received
 from waxwingarch.core.refusal import Refusal
 
 TICK_S: Final = 0.1
@@ -267,7 +258,7 @@
                 case SendSums() if n not in self.unheard:
                     data = encode_sums(action.message)
                     message = decode_sums(data)
-                    self._deliver(n, as_event(message), data, action.addresses)
+                    self._deliver(n, received(message), data, action.addresses)
                 case LocalResponse(refusal=refusal):
                     self._refuse(n, action.request_id, refusal)
 
@@ -475,14 +466,3 @@
             first += 1
         most = max(most, last - first + 1)
     return most
-
-
-def as_event(message: SumMessage) -> Event:
-    """Return the event of a received message about sums."""
-    match message:
-        case MemberReport():
-            return MemberReportReceived(report=message)
-        case DomainSum():
-            return DomainSumReceived(domain_sum=message)
-        case FleetDigest():
-            return FleetDigestReceived(digest=message)
--- a/waxwingarch/core/peers/domain_sum.py
+++ b/waxwingarch/core/peers/domain_sum.py
@@ -11,7 +11,7 @@
 
 from waxwingarch.core.backends.load import ServerLoad
 from waxwingarch.core.base import AccountId, FailureDomain, HostId, ServerId
-from waxwingarch.core.peers.sum_choice import KnownSum, SumChoice, fault_of
+from waxwingarch.core.peers.sum_choice import KnownSum, SumChoice, check
 from waxwingarch.core.peers.sum_messages import (
     DomainPart,
     DomainSum,
@@ -54,16 +54,7 @@
         if report.domain != self._domain:
             return "another failure domain"
         known = self._members.get(report.host)
-        if known is not None:
-            last = known.report
-            if report.incarnation < last.incarnation:
-                return "former incarnation"
-            if (report.incarnation, report.sequence) <= (
-                last.incarnation,
-                last.sequence,
-            ):
-                return ""
-        fault = fault_of(report)
+        fault = check(report, known.report if known else None)
         if fault is None:
             if not self._members:
                 self._began_at = now
--- a/waxwingarch/core/peers/fleet_sums.py
+++ b/waxwingarch/core/peers/fleet_sums.py
@@ -10,7 +10,7 @@
 from waxwingarch.core.limits.shared_rate import UsageSum
 from waxwingarch.core.peers.domain_sum import COLLECT_SETTLE_S
 from waxwingarch.core.peers.rank import rank_weight
-from waxwingarch.core.peers.sum_choice import fault_of
+from waxwingarch.core.peers.sum_choice import check
 from waxwingarch.core.peers.sum_messages import (
     CollectorsChanged,
     FleetDigest,
@@ -136,16 +136,7 @@
         if digest.domain != self._domain:
             return "another failure domain"
         known = self._digests.get(digest.collector)
-        if known is not None:
-            last = known.digest
-            if digest.incarnation < last.incarnation:
-                return "former incarnation"
-            if (digest.incarnation, digest.sequence) <= (
-                last.incarnation,
-                last.sequence,
-            ):
-                return ""
-        fault = fault_of(digest)
+        fault = check(digest, known.digest if known else None)
         if fault is None:
             self._heard_at[digest.collector] = now
             self._digests[digest.collector] = _KnownDigest(
--- a/waxwingarch/core/peers/sum_choice.py
+++ b/waxwingarch/core/peers/sum_choice.py
@@ -20,6 +20,22 @@
 MAX_RUNNING_PER_SERVER: Final = 10_000
 
 
+def check(message: SumMessage, last: SumMessage | None) -> str | None:
+    """Return why a message is dropped, "" if it is not new, or None.
+
+    `last` is the message of the same sender before it.
+    """
+    if last is not None:
+        if message.incarnation < last.incarnation:
+            return "former incarnation"
+        if (message.incarnation, message.sequence) <= (
+            last.incarnation,
+            last.sequence,
+        ):
+            return ""
+    return fault_of(message)
+
+
 def fault_of(message: SumMessage) -> str | None:
     """Return why a message can't be true, or None."""
     for load in message.loads.values():
@@ -70,16 +86,7 @@
         """Record a sum; returns why it is dropped, "" if it is not new."""
         of_domain = self._sums.setdefault(domain_sum.domain, {})
         known = of_domain.get(domain_sum.collector)
-        if known is not None:
-            last = known.domain_sum
-            if domain_sum.incarnation < last.incarnation:
-                return "former incarnation"
-            if (domain_sum.incarnation, domain_sum.sequence) <= (
-                last.incarnation,
-                last.sequence,
-            ):
-                return ""
-        fault = fault_of(domain_sum)
+        fault = check(domain_sum, known.domain_sum if known else None)
         if fault is None:
             of_domain[domain_sum.collector] = KnownSum(
                 domain_sum=domain_sum, taken_at=now - domain_sum.age_s
--- a/waxwingarch/core/peers/sum_messages.py
+++ b/waxwingarch/core/peers/sum_messages.py
@@ -169,6 +169,17 @@
 SumMessage = MemberReport | DomainSum | FleetDigest
 
 
+def received(message: SumMessage) -> Event:
+    """Return the event that a message was received."""
+    match message:
+        case MemberReport():
+            return MemberReportReceived(report=message)
+        case DomainSum():
+            return DomainSumReceived(domain_sum=message)
+        case FleetDigest():
+            return FleetDigestReceived(digest=message)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SendSums(Action):
     """Send a message about sums to each of these addresses."""
--- a/waxwingarch/tasks/front_peers.py
+++ b/waxwingarch/tasks/front_peers.py
@@ -38,14 +38,9 @@
 )
 from waxwingarch.core.peers.sum_messages import (
     CollectorsChanged,
-    DomainSum,
-    DomainSumReceived,
-    FleetDigest,
-    FleetDigestReceived,
-    MemberReport,
-    MemberReportReceived,
     SendSums,
     SumsDropped,
+    received,
 )
 from waxwingarch.exceptions import LinkError
 from waxwingarch.ports.front import RELAY_HEADER, StoredRow
@@ -253,13 +248,7 @@
     """Return the event for a datagram; raises `BadReportError`."""
     if not is_about_sums(data):
         return ReportReceived(report=decode_report(data))
-    match decode_sums(data):
-        case MemberReport() as report:
-            return MemberReportReceived(report=report)
-        case DomainSum() as domain_sum:
-            return DomainSumReceived(domain_sum=domain_sum)
-        case FleetDigest() as digest:
-            return FleetDigestReceived(digest=digest)
+    return received(decode_sums(data))
 
 
 def _encode_changes(changes: TableChanges) -> dict[str, Any]:
