--- a/script/red_front.py
+++ b/script/red_front.py
@@ -469,4 +469,12 @@
         test=CORE + "test_cold_servers.py::RunningServers::"
         "test_the_lower_limit_applies",
     ),
+    Mutation(
+        promise="QUOTA",
+        path="waxwingarch/core/limits/shared_rate.py",
+        old="        if offered_per_s * SUM_IN_USE_S <= spare:\n",
+        new="        if offered_per_s >= 0:\n",
+        test=CORE + "test_sums_in_fleet.py::AccountLimits::"
+        "test_account_at_eleven_times_its_rate",
+    ),
 )
--- a/waxwingarch/core/limits/shared_rate.py
+++ b/waxwingarch/core/limits/shared_rate.py
@@ -16,6 +16,7 @@
 
 from waxwingarch.core.base import AccountId, HostId
 from waxwingarch.core.limits.window import WindowSum
+from waxwingarch.core.randomness import RandomSource
 from waxwingarch.core.routing.config import RoutedAccount
 
 # A host is assumed to use its even share of each limit when its last
@@ -37,6 +38,12 @@
 # An account that was not busy may use this share of its limit immediately
 # after a restart.
 IDLE_FREE_RATIO: Final = 0.15
+# Hosts decide by one sum for up to this long after it was taken: what they
+# admit meanwhile is not known to the others.
+SUM_IN_USE_S: Final = 0.6
+# A host whose part is smaller than a request may exceed it by chance. It
+# draws again after this time, when the others know what it admitted.
+REDRAW_S: Final = 0.6
 # The number of reductions of a limit that are remembered. The usage of a
 # host whose configuration is older than all of these is scaled by these
 # only.
@@ -61,6 +68,47 @@
     growth_per_s: dict[AccountId, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UsageSum:
+    """The usage of several other hosts.
+
+    `usage` is by the configuration version under which it was counted, and
+    `taken_at` is when it was on average. `offered_per_s` is what was asked
+    of all these hosts and of this one. The own amounts are those of this
+    host that were known to the others then.
+    """
+
+    taken_at: float
+    hosts: frozenset[HostId]
+    usage: Mapping[int, Mapping[AccountId, float]]
+    offered_per_s: Mapping[AccountId, float] = field(default_factory=dict)
+    own_usage: Mapping[AccountId, float] = field(default_factory=dict)
+    own_offered_per_s: Mapping[AccountId, float] = field(default_factory=dict)
+
+    def usage_of(
+        self, account: AccountId, history: "_LimitHistory | None"
+    ) -> float:
+        """Return the usage of the other hosts, under the current limit."""
+        return sum(
+            usage.get(account, 0.0)
+            * (history.remaining_ratio(version) if history else 1.0)
+            for version, usage in self.usage.items()
+        )
+
+    def own_part(self, account: AccountId, spare: float) -> float:
+        """Return how much of what is spare this host may use of it.
+
+        All of it while what is asked of all hosts fits into it, otherwise a
+        part: half of it is divided evenly and half by what was asked of
+        each host. The parts of all hosts add up to what is spare.
+        """
+        offered_per_s = self.offered_per_s.get(account, 0.0)
+        if offered_per_s * SUM_IN_USE_S <= spare:
+            return spare
+        own_ratio = self.own_offered_per_s.get(account, 0.0) / offered_per_s
+        return spare * (own_ratio + 1 / (len(self.hosts) + 1)) / 2
+
+
 @dataclass(kw_only=True, slots=True)
 class _LimitHistory:
     """The current limit of an account and its recent reductions.
@@ -83,10 +131,19 @@
 class SharedRates:
     """Admits requests up to each limit minus the usage of other hosts."""
 
-    def __init__(self, window_s: float) -> None:
+    def __init__(
+        self, window_s: float, rng: RandomSource | None = None
+    ) -> None:
+        """Start without usage; `rng` is needed where sums are used."""
         self._window_s = window_s
+        self._rng = rng
+        self._drawn = 0.0
+        self._redraw_at = float("-inf")
         self._own_windows: dict[AccountId, WindowSum] = {}
         self._reports: dict[HostId, _PeerReport] = {}
+        self._sum: UsageSum | None = None
+        self._offered: dict[AccountId, float] = {}
+        self._offered_since = float("-inf")
         self._host_count = 1
         self._report_fresh_s = REPORT_FRESH_S
         self._limits: dict[AccountId, _LimitHistory] = {}
@@ -197,6 +254,40 @@
                     report.growth_per_s[account] = growth / elapsed_s
         self._reports[host] = report
 
+    def record_sum(self, usage_sum: UsageSum | None) -> None:
+        """Replace the sum of the usage of other hosts.
+
+        The report of a host does not count while a sum counts the host.
+        """
+        self._sum = usage_sum
+
+    def offered_per_s(self, now: float) -> dict[AccountId, float]:
+        """Return what was asked of this host since the last call."""
+        elapsed_s = max(MIN_REPORT_INTERVAL_S, now - self._offered_since)
+        rates = {
+            account: amount / elapsed_s
+            for account, amount in self._offered.items()
+        }
+        self._offered.clear()
+        self._offered_since = now
+        return rates
+
+    def _excess_over_part(
+        self, now: float, account: RoutedAccount, cost: float
+    ) -> float:
+        """Return by how much a request exceeds this host's part of a sum."""
+        known = self._sum
+        if known is None or now - known.taken_at > REPORT_FRESH_S:
+            return 0.0
+        own = known.own_usage.get(account.account, 0.0)
+        spare = max(0.0, self._available_to_host(now, account) - own)
+        used = self._estimate_own_usage(now, account) - own
+        part = known.own_part(account.account, spare)
+        if now >= self._redraw_at and self._rng is not None:
+            self._drawn = self._rng.random()
+            self._redraw_at = now + REDRAW_S
+        return used + cost * self._drawn - part
+
     def admit(
         self, now: float, account: RoutedAccount, cost: float
     ) -> float | None:
@@ -205,6 +296,10 @@
             return None
         excess = self._estimate_own_usage(now, account) + cost
         excess -= self._available_to_host(now, account)
+        excess = max(excess, self._excess_over_part(now, account, cost))
+        self._offered[account.account] = (
+            self._offered.get(account.account, 0.0) + cost
+        )
         window = self._own_windows.setdefault(
             account.account, WindowSum(self._window_s)
         )
@@ -243,13 +338,20 @@
         """Return the reported usage, and the reserve for silent hosts."""
         window_limit = self._window_limit(account)
         history = self._limits.get(account.account)
-        fresh_count = 0
+        covered: frozenset[HostId] = frozenset()
         reported = 0.0
+        if (
+            self._sum is not None
+            and now - self._sum.taken_at <= REPORT_FRESH_S
+        ):
+            covered = self._sum.hosts
+            reported = self._sum.usage_of(account.account, history)
+        fresh_count = len(covered)
         for host, report in list(self._reports.items()):
             age_s = now - report.received_at
             if age_s > DEPARTED_AFTER_S:
                 del self._reports[host]
-            elif age_s <= self._report_fresh_s:
+            elif host not in covered and age_s <= self._report_fresh_s:
                 fresh_count += 1
                 usage = report.usage.get(account.account, 0.0)
                 # Extrapolates what the host admitted since its report.
--- a/waxwingarch/core/peers/report.py
+++ b/waxwingarch/core/peers/report.py
@@ -47,6 +47,8 @@
     configuration in force: the store may have lost its row.
     `quarantine` is about inputs under which servers crash.
     `kept_evacuations` are those whose rows the store has lost.
+    `wants_reports` asks the others for their whole reports, as this host
+    lacks sums.
     """
 
     host: HostId
@@ -75,6 +77,7 @@
     kept_evacuations: Mapping[FailureDomain, KeptEvacuation] = field(
         default_factory=dict
     )
+    wants_reports: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/waxwingarch/front_daemon.py
+++ b/waxwingarch/front_daemon.py
@@ -168,6 +168,7 @@
             client.held,
             self.front.duties.demand,
             self.front.load_balancer.cold.count,
+            lambda: self.front.sums.state(self._now()),
         )
         self._evacuations = FrontEvacuations(
             self._runner, ports.rows, self.metrics
@@ -327,8 +328,7 @@
         """Return the pages of metrics, quarantined inputs and servers."""
 
         def build_servers() -> bytes:
-            now = asyncio.get_running_loop().time()
-            return orjson.dumps(build_server_state(self.front, now))
+            return orjson.dumps(build_server_state(self.front, self._now()))
 
         def build_inputs() -> bytes:
             return orjson.dumps(self._quarantine_operations.listing())
@@ -356,6 +356,11 @@
     async def _async_list_servers(self, _req: HttpRequest) -> Any:
         return build_server_list(self.front)
 
+    @staticmethod
+    def _now() -> float:
+        """Return the time on the node's clock."""
+        return asyncio.get_running_loop().time()
+
     # Background tasks
 
     async def _async_tick(self) -> None:
--- a/waxwingarch/tasks/server_state.py
+++ b/waxwingarch/tasks/server_state.py
@@ -1,5 +1,6 @@
 """What this host knows of the servers, for operators."""
 
+from dataclasses import asdict
 from typing import Any, Final
 
 from waxwingarch.core.backends.load_balancer import LoadBalancer
@@ -20,6 +21,8 @@
     still cold and `cold_source` how this host learnt it; both are null if it
     is not. Peers without a path to a service are listed under its name.
     `demand` is empty but on the holder of the duties, and counts servers.
+    `sums` says to which collectors this host reports, whether it is one, and
+    what the sums that it got cover.
     """
     balancer = front.load_balancer
     lost_by_peers: dict[str, list[str]] = {}
@@ -36,6 +39,7 @@
         "lost_by_peers": lost_by_peers,
         "demand": front.duties.demand.state(),
         "evacuations": build_evacuation_state(front, now),
+        "sums": asdict(front.sums.state(now)),
     }
 
 
