--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -705,7 +705,8 @@
         )
         build_report = cache(lambda: self._build_report(now))
         actions += self.sums.tick(now, build_report)
-        return actions + self.gossip.send_reports(now, build_report)
+        few = self.sums.may_send_few(now, build_report)
+        return actions + self.gossip.send_reports(now, build_report, few=few)
 
     @property
     def _has_shared_limits(self) -> bool:
