--- a/waxwingarch/core/front_node.py
+++ b/waxwingarch/core/front_node.py
@@ -13,16 +13,8 @@
     BrittlenessChanged,
     BrittlenessSeen,
 )
-from waxwingarch.core.backends.cold_servers import (
-    ColdStateSeen,
-    EvacuationEnded,
-)
-from waxwingarch.core.backends.evacuations import (
-    EvacuationChanged,
-    EvacuationPhase,
-    Evacuations,
-    EvacuationsRead,
-)
+from waxwingarch.core.backends.cold_servers import ColdStateSeen
+from waxwingarch.core.backends.evacuations import Evacuations
 from waxwingarch.core.backends.load_balancer import LoadBalancer
 from waxwingarch.core.backends.registry import (
     BackendLeaving,
@@ -32,7 +24,7 @@
 )
 from waxwingarch.core.backends.server_checks import ServerChecked
 from waxwingarch.core.backends.server_limits import ServerLimitSeen
-from waxwingarch.core.base import Action, Event, FailureDomain, ServerId
+from waxwingarch.core.base import Action, Event, ServerId
 from waxwingarch.core.duties.autoscaler import ServersOrdered
 from waxwingarch.core.duties.coordinator import DutyCoordinator
 from waxwingarch.core.duties.demand import DemandTracker
@@ -59,6 +51,7 @@
 )
 from waxwingarch.core.exchange.relays import PeerSelector
 from waxwingarch.core.exchange.state_machine import stopping_refusal
+from waxwingarch.core.front_evacuations import FrontEvacuations
 from waxwingarch.core.front_messages import (
     ConfigApplied,
     ConfigRead,
@@ -130,7 +123,6 @@
             rng, identity.host, identity.domain, self.rollouts, bounds.cold
         )
         self.evacuations = Evacuations()
-        self._obeys_evacuations = bounds.evacuation_s is not None
         self.rates = SharedRates(bounds.rate_window_s, rng)
         self.resend_budget = ResendBudget(
             ratio=bounds.resend_ratio,
@@ -177,6 +169,12 @@
             self._table_versions,
             lambda: self._boot_now,
         )
+        self._front_evacuations = FrontEvacuations(
+            self.evacuations,
+            self.load_balancer,
+            self.duties.autoscaler,
+            is_enabled=bounds.evacuation_s is not None,
+        )
         self.stopping = False
         self._accept_until = float("inf")
         self._unix_at_boot_s = 0.0
@@ -193,12 +191,10 @@
             FrontTick: self._handle_tick,
             ConfigRead: self._handle_config_read,
             BackendsListed: self._handle_backends_listed,
-            EvacuationsRead: self._handle_evacuations_read,
             LeavingAnnounced: self._handle_leaving_announced,
             ServerLimitSeen: self._handle_limit_seen,
             BrittlenessSeen: self._handle_brittleness_seen,
             ColdStateSeen: self.load_balancer.cold.record_response,
-            EvacuationEnded: self.load_balancer.cold.record_evacuation_end,
             ExchangeArrived: self._handle_arrival,
             ResponseStarted: self._handle_response_started,
             ServerActivity: self._handle_server_activity,
@@ -226,6 +222,7 @@
             QuarantineWritten: self._handle_quarantine_written,
             QuarantineOrdered: self._handle_quarantine_ordered,
             **self.sums.handlers(),
+            **self._front_evacuations.handlers(),
             StopBegan: self._handle_stop,
             StopEnds: self._handle_stop_end,
         }
@@ -331,53 +328,6 @@
         )
         return self._handle_leaving_backends(now, leaving)
 
-    # Evacuations
-
-    def _handle_evacuations_read(
-        self, now: float, event: EvacuationsRead
-    ) -> list[Action]:
-        if not self._obeys_evacuations:
-            return []
-        return self._apply_evacuations(now, self.evacuations.apply(now, event))
-
-    def _apply_evacuations(
-        self, now: float, changes: list[EvacuationChanged]
-    ) -> list[Action]:
-        """Put changed evacuations in force; returns actions to log."""
-        if not changes:
-            return []
-        self.load_balancer.registry.set_evacuated(self.evacuations.domains)
-        ended = [
-            change.domain
-            for change in changes
-            if change.phase is EvacuationPhase.ENDED
-        ]
-        return [*changes, *self._handle_evacuations_ended(now, ended)]
-
-    def _handle_evacuations_ended(
-        self, now: float, domains: list[FailureDomain]
-    ) -> list[Action]:
-        """Handle the end of evacuations: the load returns to the domains."""
-        changes: list[Action] = []
-        for domain in domains:
-            self.duties.autoscaler.handle_evacuation_end(now, domain)
-            changes += self.load_balancer.cold.record_evacuation_end(
-                now, EvacuationEnded(domain=domain)
-            )
-        return changes
-
-    def _tick_evacuations(self, now: float) -> list[Action]:
-        if not self.evacuations:
-            return []
-        actions = self._apply_evacuations(now, self.evacuations.tick(now))
-        if not self.serving:
-            return actions
-        known_domains = {
-            backend.server.failure_domain
-            for backend in self.load_balancer.registry.all_backends()
-        }
-        return [*actions, *self.evacuations.warnings(known_domains)]
-
     def _handle_limit_seen(
         self, now: float, event: ServerLimitSeen
     ) -> list[Action]:
@@ -529,13 +479,7 @@
                 now, report.limits
             )
         changes += self._handle_peer_announcements(now, report.leaving)
-        if report.kept_evacuations and self._obeys_evacuations:
-            changes += self._apply_evacuations(
-                now,
-                self.evacuations.record_report(
-                    now, report.config_version, report.kept_evacuations
-                ),
-            )
+        changes += self._front_evacuations.record_report(now, report)
         return changes + self.gossip.handle_report(
             now, self._boot_now, report, self._table_versions()
         )
@@ -690,7 +634,7 @@
         for host in self.peers.silent_hosts(now):
             self.load_balancer.loads.forget_peer(host)
             self.load_balancer.peer_evidence.forget_peer(host)
-        actions += self._tick_evacuations(now)
+        actions += self._front_evacuations.tick(now, serving=self.serving)
         actions += self.exchanges.tick(now)
         actions += self._serve_waiting_requests(now)
         if not self.stopping:
