--- a/script/red_front.py
+++ b/script/red_front.py
@@ -23,14 +23,14 @@
     ),
     Mutation(
         promise="OPEN",
-        path="waxwingarch/adapters/http_server.py",
+        path="waxwingarch/adapters/server_connection.py",
         old="            await self._async_wait_read()\n",
         new="",
         test=BOUNDS + "Clients::test_unread_answers_do_not_pile_up",
     ),
     Mutation(
         promise="OPEN",
-        path="waxwingarch/adapters/http_server.py",
+        path="waxwingarch/adapters/server_connection.py",
         old="if self._task is None or ahead <= max_ahead:",
         new="if True:",
         test=BOUNDS + "Clients::test_requests_ahead_are_bounded",
--- a/tests/adapters/test_connection_bounds.py
+++ b/tests/adapters/test_connection_bounds.py
@@ -6,7 +6,7 @@
 import testtools
 
 from tests.helpers import async_test
-from waxwingarch.adapters import http_server
+from waxwingarch.adapters import server_connection
 from waxwingarch.adapters.connection_bounds import (
     ConnectionBounds,
     EndReason,
@@ -119,7 +119,9 @@
     # Guards against a head that is sent byte by byte, without an end.
     @async_test
     async def test_slow_head_ends(self) -> None:
-        with mock.patch.object(http_server, "REQUEST_READ_TIMEOUT_S", 0.3):
+        with mock.patch.object(
+            server_connection, "REQUEST_READ_TIMEOUT_S", 0.3
+        ):
             await self.async_setup()
             await self.async_connect(GET[:5])
             for byte in GET[5:15]:
@@ -131,7 +133,7 @@
     @async_test
     async def test_client_that_reads_nothing_ends(self) -> None:
         with mock.patch.multiple(
-            http_server, WRITE_STALL_TIMEOUT_S=0.4, STALL_CHECK_S=0.1
+            server_connection, WRITE_STALL_TIMEOUT_S=0.4, STALL_CHECK_S=0.1
         ):
             await self.async_setup(LARGE)
             await self.async_connect(GET)
@@ -144,7 +146,7 @@
     async def test_client_that_reads_nothing_ends_if_memory_is_full(
         self,
     ) -> None:
-        with mock.patch.object(http_server, "STALL_CHECK_S", 0.1):
+        with mock.patch.object(server_connection, "STALL_CHECK_S", 0.1):
             await self.async_setup(LARGE)
             self.server.held = HeldBytes(1000)
             await self.async_connect(GET)
@@ -155,7 +157,7 @@
     @async_test
     async def test_slow_reader_gets_its_answer(self) -> None:
         with mock.patch.multiple(
-            http_server, WRITE_STALL_TIMEOUT_S=0.4, STALL_CHECK_S=0.1
+            server_connection, WRITE_STALL_TIMEOUT_S=0.4, STALL_CHECK_S=0.1
         ):
             await self.async_setup(LARGE)
             reader = await self.async_connect(GET, 64 * 1024)
--- a/tests/front/test_resumed_streams_host.py
+++ b/tests/front/test_resumed_streams_host.py
@@ -17,7 +17,8 @@
 from waxwingarch.adapters.http_client import HttpClient
 from waxwingarch.adapters.http_connection import CutLinkError
 from waxwingarch.adapters.http_messages import HttpResponder
-from waxwingarch.adapters.http_server import HttpServer, ResponseStartedError
+from waxwingarch.adapters.http_server import HttpServer
+from waxwingarch.adapters.server_connection import ResponseStartedError
 
 EVENT_STREAM = "text/event-stream"
 CHUNKS_END = b"0\r\n\r\n"
