--- a/waxwingarch/adapters/http_connection.py
+++ b/waxwingarch/adapters/http_connection.py
@@ -506,11 +506,17 @@
 
     @property
     def is_request_received(self) -> bool:
-        """Whether the other end has acknowledged all of the last request."""
+        """Whether the other end has acknowledged all of the last request.
+
+        A system that can't tell is no evidence that it has not.
+        """
         sock = self._writer.get_extra_info("socket")
         if not self._is_all_sent or sock.fileno() < 0:
             return False
-        count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        try:
+            count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        except OSError:
+            return True
         (unacknowledged_bytes,) = struct.unpack("i", count)
         return not unacknowledged_bytes
 
