Give loads, the fleet's size and ends of evacuations one place each

The codecs of whole reports and of sums encoded loads and amounts alike; both use the functions of report_codec now. A load with too few numbers in a whole report is counted as a bad report; it raised an IndexError before. Four comparisons with ALL_FOLLOW_MAX_HOSTS are ReportGossip.is_large_fleet. Nothing posted EvacuationEnded: the front node calls record_evacuation_end with the domain, and so does the test that posted it, with the same assertions.

--- a/tests/core/front/test_cold_servers.py
+++ b/tests/core/front/test_cold_servers.py
@@ -26,7 +26,6 @@
     ColdSource,
     ColdStateSeen,
     ColdValueIgnored,
-    EvacuationEnded,
     ServerColdChanged,
 )
 from waxwingarch.core.backends.evacuations import EvacuationsRead
@@ -339,7 +338,8 @@
         host = ColdHost(cold_start_s=20.0)
         servers = [plain("p1"), plain("p2", domain=DOMAINS[1])]
         host.read(0.1, *servers, p1=0.0, p2=0.0)
-        host.node.handle(5.0, EvacuationEnded(domain=DOMAINS[0]))
+        cold = host.node.load_balancer.cold
+        cold.record_evacuation_end(5.0, DOMAINS[0])
         self.assertIs(ColdSource.EVACUATION, host.cold(5.1))
         self.assertIsNone(host.cold(5.1, "p2"))
         # These rows may have been written before the end.
--- a/waxwingarch/adapters/report_codec.py
+++ b/waxwingarch/adapters/report_codec.py
@@ -56,10 +56,7 @@
         "drain": report.draining,
         "duty": report.holds_duties,
         "age": round(min(report.confirmed_age_s, MAX_REPORTED_AGE_S), 2),
-        "loads": {
-            server: [load.running, load.prefill_tokens, load.kv_tokens]
-            for server, load in report.loads.items()
-        },
+        "loads": encode_loads(report.loads),
         "zone": report.domain,
         "avoid": report.avoided,
         "lost": report.lost_services,
@@ -73,7 +70,7 @@
             for server, limit in report.limits.items()
         },
         "brittle": report.brittle_services,
-        "adm": {a: round(n, 1) for a, n in report.admitted.items()},
+        "adm": encode_usage(report.admitted),
         "began": _encode_windows(report.usage_counts),
         "moves": [[r.rollout_id, r.phase] for r in report.rollouts],
         "cells": [_encode_evidence(e) for e in report.evidence],
@@ -128,14 +125,7 @@
         confirmed_age_s=float(raw["age"]),
         draining=bool(raw["drain"]),
         holds_duties=bool(raw["duty"]),
-        loads={
-            ServerId(server): ServerLoad(
-                running=int(load[0]),
-                prefill_tokens=int(load[1]),
-                kv_tokens=int(load[2]),
-            )
-            for server, load in raw["loads"].items()
-        },
+        loads=decode_loads(raw["loads"]),
         domain=FailureDomain(str(raw["zone"])),
         avoided=tuple(ServerId(str(s)) for s in raw["avoid"]),
         # Hosts of an older version do not send "lost", "brittle", "leaving",
@@ -158,7 +148,7 @@
                 "limits", {}
             ).items()
         },
-        admitted={AccountId(a): float(n) for a, n in raw["adm"].items()},
+        admitted=decode_usage(raw["adm"]),
         usage_counts=_decode_windows(raw["began"]),
         rollouts=tuple(
             RolloutPhaseReport(rollout_id=str(name), phase=RolloutPhase(phase))
@@ -217,3 +207,33 @@
             for version, route, band, requests, failures, timed, slow in cells
         ),
     )
+
+
+def encode_loads(loads: Mapping[ServerId, ServerLoad]) -> dict[str, Any]:
+    """Return loads by server, as in a datagram."""
+    return {
+        server: (load.running, load.prefill_tokens, load.kv_tokens)
+        for server, load in loads.items()
+    }
+
+
+def decode_loads(raw: dict[str, Any]) -> dict[ServerId, ServerLoad]:
+    """Return the loads in a datagram; raises `ValueError`."""
+    return {
+        ServerId(server): ServerLoad(
+            running=int(running),
+            prefill_tokens=int(prefill_tokens),
+            kv_tokens=int(kv_tokens),
+        )
+        for server, (running, prefill_tokens, kv_tokens) in raw.items()
+    }
+
+
+def encode_usage(usage: Mapping[AccountId, float]) -> dict[str, float]:
+    """Return amounts by account, as in a datagram."""
+    return {account: round(n, 1) for account, n in usage.items()}
+
+
+def decode_usage(raw: dict[str, Any]) -> dict[AccountId, float]:
+    """Return the amounts in a datagram; raises `ValueError`."""
+    return {AccountId(account): float(n) for account, n in raw.items()}
--- a/waxwingarch/adapters/sums_codec.py
+++ b/waxwingarch/adapters/sums_codec.py
@@ -5,7 +5,6 @@
 """
 
 import zlib
-from collections.abc import Mapping
 from typing import Any, Final
 
 import orjson
@@ -14,10 +13,12 @@
     AGE_DECIMALS,
     MAX_REPORTED_AGE_S,
     BadReportError,
+    decode_loads,
+    decode_usage,
+    encode_loads,
+    encode_usage,
 )
-from waxwingarch.core.backends.load import ServerLoad
 from waxwingarch.core.base import (
-    AccountId,
     FailureDomain,
     HostId,
     ServerId,
@@ -97,9 +98,9 @@
         "seq": report.sequence,
         "zone": report.domain,
         "tab": _encode_tables(report.tables),
-        "loads": _encode_loads(report.loads),
-        "adm": _encode_usage(report.admitted),
-        "rate": _encode_usage(report.offered_per_s),
+        "loads": encode_loads(report.loads),
+        "adm": encode_usage(report.admitted),
+        "rate": encode_usage(report.offered_per_s),
         "avoid": report.avoided,
         "drain": report.draining,
     }
@@ -112,9 +113,9 @@
         sequence=int(raw["seq"]),
         domain=FailureDomain(str(raw["zone"])),
         tables=_decode_tables(raw["tab"]),
-        loads=_decode_loads(raw["loads"]),
-        admitted=_decode_usage(raw["adm"]),
-        offered_per_s=_decode_usage(raw["rate"]),
+        loads=decode_loads(raw["loads"]),
+        admitted=decode_usage(raw["adm"]),
+        offered_per_s=decode_usage(raw["rate"]),
         avoided=tuple(ServerId(str(s)) for s in raw["avoid"]),
         draining=bool(raw["drain"]),
     )
@@ -129,9 +130,9 @@
         "age": round(domain_sum.age_s, AGE_DECIMALS),
         "of": domain_sum.hosts,
         "seqs": domain_sum.sequences,
-        "loads": _encode_loads(domain_sum.loads),
+        "loads": encode_loads(domain_sum.loads),
         "adm": _encode_versions(domain_sum.usage),
-        "rate": _encode_usage(domain_sum.offered_per_s),
+        "rate": encode_usage(domain_sum.offered_per_s),
         "avoid": domain_sum.avoided,
         "tab": [_encode_tables(t) for t in domain_sum.tables],
     }
@@ -146,9 +147,9 @@
         age_s=float(raw["age"]),
         hosts=tuple(HostId(str(h)) for h in raw["of"]),
         sequences=tuple(map(int, raw["seqs"])),
-        loads=_decode_loads(raw["loads"]),
+        loads=decode_loads(raw["loads"]),
         usage=_decode_versions(raw["adm"]),
-        offered_per_s=_decode_usage(raw["rate"]),
+        offered_per_s=decode_usage(raw["rate"]),
         avoided={ServerId(s): int(n) for s, n in raw["avoid"].items()},
         tables=tuple(_decode_tables(t) for t in raw["tab"]),
     )
@@ -164,9 +165,9 @@
             for p in digest.parts
         ],
         "seqs": digest.sequences,
-        "loads": _encode_loads(digest.loads),
+        "loads": encode_loads(digest.loads),
         "adm": _encode_versions(digest.usage),
-        "rate": _encode_usage(digest.offered_per_s),
+        "rate": encode_usage(digest.offered_per_s),
         "tab": [_encode_tables(t) for t in digest.tables],
     }
 
@@ -188,19 +189,19 @@
             for domain, age_s, hosts, avoided in raw["parts"]
         ),
         sequences=tuple(map(int, raw["seqs"])),
-        loads=_decode_loads(raw["loads"]),
+        loads=decode_loads(raw["loads"]),
         usage=_decode_versions(raw["adm"]),
-        offered_per_s=_decode_usage(raw["rate"]),
+        offered_per_s=decode_usage(raw["rate"]),
         tables=tuple(_decode_tables(t) for t in raw["tab"]),
     )
 
 
 def _encode_versions(usage: VersionedUsage) -> dict[str, Any]:
-    return {str(v): _encode_usage(amounts) for v, amounts in usage.items()}
+    return {str(v): encode_usage(amounts) for v, amounts in usage.items()}
 
 
 def _decode_versions(raw: dict[str, Any]) -> VersionedUsage:
-    return {int(v): _decode_usage(amounts) for v, amounts in raw.items()}
+    return {int(v): decode_usage(amounts) for v, amounts in raw.items()}
 
 
 def _encode_tables(tables: TableVersions) -> list[Any]:
@@ -217,29 +218,3 @@
         confirmed_age_s=float(age_s),
         address=str(address),
     )
-
-
-def _encode_loads(loads: Mapping[ServerId, ServerLoad]) -> dict[str, Any]:
-    return {
-        server: (load.running, load.prefill_tokens, load.kv_tokens)
-        for server, load in loads.items()
-    }
-
-
-def _decode_loads(raw: dict[str, Any]) -> dict[ServerId, ServerLoad]:
-    return {
-        ServerId(server): ServerLoad(
-            running=int(running),
-            prefill_tokens=int(prefill_tokens),
-            kv_tokens=int(kv_tokens),
-        )
-        for server, (running, prefill_tokens, kv_tokens) in raw.items()
-    }
-
-
-def _encode_usage(usage: Mapping[AccountId, float]) -> dict[str, float]:
-    return {account: round(n, 1) for account, n in usage.items()}
-
-
-def _decode_usage(raw: dict[str, Any]) -> dict[AccountId, float]:
-    return {AccountId(account): float(n) for account, n in raw.items()}
--- a/waxwingarch/core/backends/cold_servers.py
+++ b/waxwingarch/core/backends/cold_servers.py
@@ -61,13 +61,6 @@
     sent_at: float
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class EvacuationEnded(Event):
-    """The servers of a failure domain may get requests again."""
-
-    domain: FailureDomain
-
-
 class ColdSource(StrEnum):
     """How this host learnt that a server is cold."""
 
@@ -254,7 +247,7 @@
         return actions + self._update(now, [server_id])
 
     def record_evacuation_end(
-        self, now: float, event: EvacuationEnded
+        self, now: float, domain: FailureDomain
     ) -> list[Action]:
         """Assume that the servers of a failure domain are cold.
 
@@ -264,7 +257,7 @@
         found = []
         for backend in self._registry.all_backends():
             server = backend.server
-            if server.failure_domain != event.domain:
+            if server.failure_domain != domain:
                 continue
             state = self._states.get(server.server_id)
             until = now + self._cold_start_s(server)
--- a/waxwingarch/core/duties/coordinator.py
+++ b/waxwingarch/core/duties/coordinator.py
@@ -22,10 +22,7 @@
     UsageSettled,
 )
 from waxwingarch.core.limits.shared_rate import SharedRates
-from waxwingarch.core.peers.report_gossip import (
-    ALL_FOLLOW_MAX_HOSTS,
-    ReportGossip,
-)
+from waxwingarch.core.peers.report_gossip import ReportGossip
 from waxwingarch.core.routing.table import RoutingTable
 
 # Usage of a window is settled this many rounds of reports after its end, so
@@ -135,8 +132,7 @@
 
     def _tick_demand(self, now: float) -> list[Action]:
         """Measure the demand; a small fleet orders without it."""
-        known_hosts = self._gossip.peers.known_host_count
-        if known_hosts <= ALL_FOLLOW_MAX_HOSTS:
+        if not self._gossip.is_large_fleet:
             self.demand.clear()
             return []
         assert self._started_at is not None
@@ -148,7 +144,7 @@
             self._table.services.values(),
             self._backends.all_backends(),
             FleetView(
-                known_hosts=known_hosts,
+                known_hosts=self._gossip.peers.known_host_count,
                 heard_ratio=self._gossip.heard_ratio(now),
                 is_new=is_new,
             ),
--- a/waxwingarch/core/front_evacuations.py
+++ b/waxwingarch/core/front_evacuations.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 
-from waxwingarch.core.backends.cold_servers import EvacuationEnded
 from waxwingarch.core.backends.evacuations import (
     EvacuationChanged,
     EvacuationPhase,
@@ -38,10 +37,7 @@
 
     def handlers(self) -> Mapping[type[Event], Handler]:
         """Return the handlers of the events about evacuations."""
-        return {
-            EvacuationsRead: self._handle_read,
-            EvacuationEnded: self._load_balancer.cold.record_evacuation_end,
-        }
+        return {EvacuationsRead: self._handle_read}
 
     def _handle_read(self, now: float, event: EvacuationsRead) -> list[Action]:
         if not self._is_enabled:
@@ -86,6 +82,6 @@
             if change.phase is EvacuationPhase.ENDED:
                 self._autoscaler.handle_evacuation_end(now, change.domain)
                 actions += self._load_balancer.cold.record_evacuation_end(
-                    now, EvacuationEnded(domain=change.domain)
+                    now, change.domain
                 )
         return actions
--- a/waxwingarch/core/front_sums.py
+++ b/waxwingarch/core/front_sums.py
@@ -24,10 +24,7 @@
 from waxwingarch.core.peers.domain_sum import MEMBER_VALID_S, DomainCollector
 from waxwingarch.core.peers.fleet_sums import FleetSums, ranked_collectors
 from waxwingarch.core.peers.report import HostReport
-from waxwingarch.core.peers.report_gossip import (
-    ALL_FOLLOW_MAX_HOSTS,
-    ReportGossip,
-)
+from waxwingarch.core.peers.report_gossip import ReportGossip
 from waxwingarch.core.peers.report_pace import ReportPace
 from waxwingarch.core.peers.sum_messages import (
     DomainSumReceived,
@@ -128,7 +125,7 @@
         `build_report` returns this host's whole report.
         """
         self._apply(now)
-        if not self._is_active:
+        if not self._gossip.is_large_fleet:
             return []
         actions: list[Action] = []
         if _is_due(now, self._reported_at, REPORT_INTERVAL_S):
@@ -141,20 +138,18 @@
             actions += self._collect(now)
         return actions
 
-    @property
-    def _is_active(self) -> bool:
-        return self._gossip.peers.known_host_count > ALL_FOLLOW_MAX_HOSTS
-
     @property
     def are_missing(self) -> bool:
         """Whether this host needs the whole reports of a large fleet."""
-        return self._is_active and not self.pace.sums_suffice
+        return self._gossip.is_large_fleet and not self.pace.sums_suffice
 
     def may_send_few(
         self, now: float, build_report: Callable[[], HostReport]
     ) -> bool:
         """Return whether this host's whole report may go to few hosts."""
-        return self._is_active and self.pace.may_send_few(now, build_report)
+        return self._gossip.is_large_fleet and self.pace.may_send_few(
+            now, build_report
+        )
 
     def _hosts_by_domain(
         self, now: float
--- a/waxwingarch/core/peers/report_gossip.py
+++ b/waxwingarch/core/peers/report_gossip.py
@@ -78,6 +78,11 @@
         """Whether this host asks the store for changes of its tables."""
         return self._follow_action is None or self._follow_action.follow
 
+    @property
+    def is_large_fleet(self) -> bool:
+        """Whether there are so many hosts that not all follow the tables."""
+        return self.peers.known_host_count > ALL_FOLLOW_MAX_HOSTS
+
     # Freshness of the tables
 
     def record_table_check(self, boot_now: float, table: SharedTable) -> None:
@@ -96,7 +101,7 @@
         self, now: float, boot_now: float, *, stopping: bool
     ) -> list[Action]:
         """Decide whether to follow the tables; returns only a change."""
-        is_small_fleet = self.peers.known_host_count <= ALL_FOLLOW_MAX_HOSTS
+        is_small_fleet = not self.is_large_fleet
         if self.confirmed_age_s(boot_now) > self.stale_after_s:
             self._follow_until = boot_now + MIN_FOLLOW_S
         is_chosen = (
@@ -187,7 +192,7 @@
         self._sequence += 1
         report = replace(build_report(), sequence=self._sequence)
         with_usage, without_usage = peers, []
-        if self.peers.known_host_count > ALL_FOLLOW_MAX_HOSTS:
+        if self.is_large_fleet:
             recipients = recipients or self._usage_recipients(now)
             with_usage = [p for p in peers if _host_of(p) in recipients]
             without_usage = [p for p in peers if _host_of(p) not in recipients]
