--- a/review/standins2/memory.py
+++ b/review/standins2/memory.py
@@ -24,10 +24,13 @@
 class MemoryWatch:
     """Counts how often each host's process was killed for its memory."""
 
-    def __init__(self, deployment: Deployment, record: Record) -> None:
-        """Watch the hosts of a deployment once `async_watch` is called."""
+    def __init__(
+        self, deployment: Deployment, record: Record, play_s: float
+    ) -> None:
+        """Watch the hosts of a deployment for a time, from now on."""
         self._deployment = deployment
         self._record = record
+        self._until = time.monotonic() + play_s
         self.ends: Counter[str] = Counter()
         self.peak_mb: dict[str, float] = {}
 
@@ -37,10 +40,15 @@
         machines = [name for name, ends in self.ends.items() if ends >= ENDS]
         return len(machines) >= MACHINES
 
-    async def async_watch(self, host: Host, until: float) -> None:
+    @property
+    def is_over(self) -> bool:
+        """Whether the time is over or the rule is broken."""
+        return time.monotonic() >= self._until or self.is_rule_broken
+
+    async def async_watch(self, host: Host) -> None:
         """Kill a host's process above its memory, and start it again."""
         logged_at = 0.0
-        while time.monotonic() < until:
+        while not self.is_over:
             used_mb = _used_mb(host)
             self.peak_mb[host.name] = max(
                 used_mb, self.peak_mb.get(host.name, 0.0)
