--- a/review/standins2/callers.py
+++ b/review/standins2/callers.py
@@ -133,3 +133,14 @@
         b"0\r\n\r\n"
     ):
         answer.ended_by = "chunks"
+
+
+async def async_read_answer(reader: asyncio.StreamReader) -> str:
+    """Read one answer with a length on a kept connection; return its status.
+
+    Raises `EOFError` or `OSError` if the connection ends before.
+    """
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+    _, _, rest = head.partition("content-length:")
+    await reader.readexactly(int(rest.partition("\r\n")[0]))
+    return head.split(" ")[1]
