review 6 to 10: each case reads TROUBLE and names its record itself

Cause: the five cases did both through a shared module, so that nothing in their folders showed it. Change: each case.py passes its record's path and the flag to the shared module; what is played is the same.

--- a/review/standins2/case.py
+++ b/review/standins2/case.py
@@ -1,7 +1,6 @@
 """Runs a case, writes its record and turns its finding into an exit code."""
 
 import asyncio
-import os
 import signal
 import sys
 import time
@@ -40,10 +39,9 @@
 Play = Callable[[Record, bool], Awaitable[bool]]
 
 
-def run(play: Play, script: str) -> None:
-    """Play a case, and exit with 0, 1 or 2."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(Path(script).resolve().with_name("record.txt"))
+def run(play: Play, path: Path, *, trouble: bool) -> None:
+    """Play a case with its record at a path, and exit with 0, 1 or 2."""
+    record = Record(path.resolve())
     record.add(f"disruption: {'yes' if trouble else 'no'}")
     try:
         is_broken = asyncio.run(_async_play(play, record, trouble))
